Schemas and checks of host settings, contracts and fleet settings

Cause: hosts need checked settings and the documents that operators publish need one schema. Change: a table of fields per object drives parsing, checking, writing back and (next) the documentation; all faults of a document are reported in one run with pointer and nearest name. Conclusion: other parts can read host_settings, contract and fleet_settings.

--- /dev/null
+++ b/src/config/config.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+/// \file
+/// \brief Settings of a host, contracts of teams and settings of the fleet: their schemas, checks
+/// and differences, and the replay of published documents. Pure: no I/O, no clock, no threads.
+
+#include "config/impl/address.hpp"
+#include "config/impl/check_document.hpp"
+#include "config/impl/check_run.hpp"
+#include "config/impl/contract.hpp"
+#include "config/impl/fleet_settings.hpp"
+#include "config/impl/forward_declarations.hpp"
+#include "config/impl/hashed_key.hpp"
+#include "config/impl/host_settings.hpp"
+#include "config/impl/json_node.hpp"
+#include "config/impl/object_table.hpp"
+#include "config/impl/problem.hpp"
+#include "config/impl/value_rule.hpp"
