Membership of hosts by probes and gossip

Cause: every part that places work needs to know which hosts are alive, in which incarnation, at a cost that does not grow with the fleet. Change: src/membership (pure): probes, indirect probes through a third data centre, bounded gossip, refutation, full exchange at join, low-rate probes of listed but dead hosts so that partitions heal, pause detection.

--- /dev/null
+++ b/src/membership/impl/member_table.cpp
@@ -0,0 +1,291 @@
+#include "membership/impl/member_table.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace sedgechute {
+
+namespace {
+
+constexpr time_ms cleanup_period{10000};
+
+bool is_newer(const member_update& update, const member_update& known) {
+  if (update.version != known.version)
+    return update.version > known.version;
+  return update.state > known.state;
+}
+
+member as_member(const member_update& about) {
+  return {about.who, about.data_centre, about.address, about.state, about.leaving};
+}
+
+} // namespace
+
+member_table::member_table(member_update self, const membership_options& options,
+                           std::uint64_t seed)
+    : self_{std::move(self)}, options_{options}, random_{seed} {}
+
+void member_table::merge(time_ms now, const member_update& update, bool spread_news) {
+  if (!started_known_) {
+    started_ = now;
+    started_known_ = true;
+  }
+  if (update.who == self_.who) {
+    refute(update);
+    return;
+  }
+  // A host that was replaced under its old name would be suspected for seconds before it counts as
+  // dead. The new process knows better at once. Only a young process says so: two processes that
+  // share a name by mistake would otherwise declare each other dead for good.
+  member_update believed = update;
+  const bool predecessor = update.who.host == self_.who.host;
+  if (predecessor && now - started_ < options_.joining_window)
+    believed.state = member_state::dead;
+
+  const auto known = records_.find(update.who);
+  if (known != records_.end())
+    apply(now, known->second, believed);
+  else if (believed.state != member_state::dead || predecessor)
+    add(now, believed, spread_news);
+}
+
+void member_table::refute(const member_update& update) {
+  // Once this process has said that it stops, a statement that it is dead is true.
+  if (update.state == member_state::alive || update.version < self_.version ||
+      self_.state == member_state::dead)
+    return;
+  self_.version = update.version + 1;
+  spread_self();
+}
+
+void member_table::add(time_ms now, const member_update& update, bool spread_news) {
+  record& added = records_[update.who];
+  added.about = update;
+  added.since = now;
+  if (spread_news)
+    spread(added);
+  if (update.state == member_state::dead)
+    return;
+  insert_into_order(update.who);
+  if (update.state == member_state::suspect)
+    suspects_.push_back(update.who);
+  view_changed_ = true;
+  suspect_other_incarnations(now, update.who);
+}
+
+// The numbers of incarnations are random, so they don't tell which of two is the newer one. Both
+// are probed: the running one refutes, the other can't.
+void member_table::suspect_other_incarnations(time_ms now, const incarnation& who) {
+  for (auto it = first_of(who.host); it != records_.end() && it->first.host == who.host; ++it)
+    if (it->first != who)
+      suspect(now, it->first);
+}
+
+void member_table::apply(time_ms now, record& known, const member_update& update) {
+  if (update.leaving && !known.about.leaving) {
+    known.about.leaving = true;
+    view_changed_ = true;
+    spread(known);
+  }
+  if (!is_newer(update, known.about))
+    return;
+  known.about.version = update.version;
+  if (known.about.address != update.address) {
+    known.about.address = update.address;
+    view_changed_ = true;
+  }
+  set_state(now, known, update.state);
+  spread(known);
+}
+
+void member_table::set_state(time_ms now, record& known, member_state state) {
+  const member_state before = std::exchange(known.about.state, state);
+  if (before == state)
+    return;
+  const incarnation& who = known.about.who;
+  known.since = now;
+  view_changed_ = true;
+  if (before == member_state::suspect)
+    std::erase(suspects_, who);
+  if (state == member_state::suspect)
+    suspects_.push_back(who);
+  if (before == member_state::dead)
+    insert_into_order(who);
+  if (state == member_state::dead)
+    std::erase(order_, who);
+}
+
+void member_table::suspect(time_ms now, const incarnation& who) {
+  const auto known = records_.find(who);
+  if (known == records_.end() || known->second.about.state != member_state::alive)
+    return;
+  set_state(now, known->second, member_state::suspect);
+  spread(known->second);
+}
+
+void member_table::declare_dead(time_ms now, const incarnation& who) {
+  const auto known = records_.find(who);
+  if (known == records_.end() || known->second.about.state == member_state::dead)
+    return;
+  set_state(now, known->second, member_state::dead);
+  spread(known->second);
+}
+
+void member_table::mark_leaving(const host_id& host) {
+  for (auto it = records_.lower_bound({host, 0}); it != records_.end() && it->first.host == host;
+       ++it) {
+    member_update& about = it->second.about;
+    if (about.leaving || about.state == member_state::dead)
+      continue;
+    about.leaving = true;
+    view_changed_ = true;
+    spread(it->second);
+  }
+}
+
+void member_table::leave() {
+  if (self_.leaving)
+    return;
+  self_.leaving = true;
+  view_changed_ = true;
+  spread_self();
+}
+
+void member_table::stop() {
+  leave();
+  self_.state = member_state::dead;
+  view_changed_ = true;
+  spread_self();
+}
+
+void member_table::expire(time_ms now) {
+  std::vector<incarnation> unrefuted;
+  for (const incarnation& who : suspects_)
+    if (now - records_.at(who).since >= options_.suspicion_timeout)
+      unrefuted.push_back(who);
+  for (const incarnation& who : unrefuted)
+    declare_dead(now, who);
+
+  if (now < next_cleanup_)
+    return;
+  next_cleanup_ = now + cleanup_period;
+  std::erase_if(records_, [&](const auto& entry) {
+    const record& known = entry.second;
+    return known.about.state == member_state::dead && !known.queued &&
+           now - known.since > options_.tombstone_time;
+  });
+}
+
+void member_table::postpone_suspicions(time_ms span) {
+  for (const incarnation& who : suspects_)
+    records_.at(who).since += span;
+}
+
+const member_update* member_table::find(const incarnation& who) const {
+  if (who == self_.who)
+    return &self_;
+  const auto known = records_.find(who);
+  return known == records_.end() ? nullptr : &known->second.about;
+}
+
+bool member_table::host_is_live(const host_id& host) const {
+  if (host == self_.who.host)
+    return true;
+  for (auto it = first_of(host); it != records_.end() && it->first.host == host; ++it)
+    if (it->second.about.state != member_state::dead)
+      return true;
+  return false;
+}
+
+std::vector<member_update> member_table::deaths_of(const host_id& host) const {
+  std::vector<member_update> deaths;
+  for (auto it = first_of(host); it != records_.end() && it->first.host == host; ++it)
+    if (it->second.about.state == member_state::dead && deaths.size() < max_gossip_updates)
+      deaths.push_back(it->second.about);
+  return deaths;
+}
+
+std::vector<member_update> member_table::live_updates() const {
+  std::vector<member_update> live;
+  live.reserve(order_.size());
+  for (const incarnation& who : order_)
+    live.push_back(records_.at(who).about);
+  return live;
+}
+
+std::vector<member_update> member_table::take_news(std::size_t count) {
+  if (self_sends_left_ > 0)
+    --self_sends_left_;
+  std::vector<member_update> taken;
+  std::vector<record*> passed_on;
+  for (auto next = news_.begin(); next != news_.end() && taken.size() < count; ++next) {
+    record& known = records_.at(next->second);
+    taken.push_back(known.about);
+    passed_on.push_back(&known);
+  }
+  for (record* known : passed_on) {
+    const std::uint32_t sends = (*known->queued)->first + 1;
+    end_news(*known);
+    if (sends < sends_per_news())
+      known->queued = news_.emplace(sends, known->about.who);
+  }
+  return taken;
+}
+
+const membership_view& member_table::view() {
+  if (!std::exchange(view_changed_, false))
+    return view_;
+  std::vector<member> members;
+  if (self_.state != member_state::dead)
+    members.push_back(as_member(self_));
+  for (const auto& [who, known] : records_)
+    if (known.about.state != member_state::dead && who.host != self_.who.host)
+      members.push_back(as_member(known.about));
+  // Of two live incarnations of a host, the one that isn't suspected is shown.
+  std::sort(members.begin(), members.end(), [](const member& a, const member& b) {
+    return std::tie(a.who.host, a.state, a.who.number) <
+           std::tie(b.who.host, b.state, b.who.number);
+  });
+  const auto same_host = [](const member& a, const member& b) { return a.who.host == b.who.host; };
+  members.erase(std::unique(members.begin(), members.end(), same_host), members.end());
+  if (members == view_.members)
+    return view_;
+  view_.members = std::move(members);
+  ++view_.version;
+  return view_;
+}
+
+void member_table::spread(record& changed) {
+  end_news(changed);
+  changed.queued = news_.emplace(0, changed.about.who);
+}
+
+void member_table::end_news(record& known) {
+  if (known.queued)
+    news_.erase(*known.queued);
+  known.queued.reset();
+}
+
+// Every message carries what its sender says about itself, so this only asks for more messages.
+void member_table::spread_self() {
+  self_sends_left_ = sends_per_news();
+}
+
+void member_table::insert_into_order(const incarnation& who) {
+  const auto place = static_cast<std::ptrdiff_t>(random_.below(order_.size() + 1));
+  order_.insert(order_.begin() + place, who);
+}
+
+member_table::records::const_iterator member_table::first_of(const host_id& host) const {
+  return records_.lower_bound({host, 0});
+}
+
+std::uint32_t member_table::sends_per_news() const {
+  constexpr double sends_per_doubling = 1.5;
+  const double doublings = std::log2(static_cast<double>(order_.size()) + 2.0);
+  return 3 + static_cast<std::uint32_t>(std::ceil(sends_per_doubling * doublings));
+}
+
+} // namespace sedgechute
