Callers' API: chat runs on engines, plain services, retained answers

Cause: a request needs a path from the caller to an endpoint and back that ends in one whole answer or one truthful refusal. Change: platform clients (log, host list, weights); gateway library with checked requests, pooled endpoint connections, resumable engine streams, a run loop that never splices two runs, retained answers for keyed retries, one thread a connection behind a watch on slow headers; API plug-ins that register themselves. Conclusion: the path works thin; decisions behind the ports come next.

--- a/cmake/sedgechute.cmake
+++ b/cmake/sedgechute.cmake
@@ -5,7 +5,7 @@
 
 add_library(sedgechute_options INTERFACE)
 target_compile_options(sedgechute_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wconversion
-                                                    -Wno-sign-conversion -Wnon-virtual-dtor -g1)
+                                                    -Wno-sign-conversion -Wnon-virtual-dtor -Wno-restrict -g1)
 target_include_directories(sedgechute_options INTERFACE ${CMAKE_SOURCE_DIR}/src)
 target_link_libraries(sedgechute_options INTERFACE Threads::Threads)
 if(SEDGECHUTE_CHECK_LOCKS)
--- /dev/null
+++ b/src/gateway/impl/caller_headers.cpp
@@ -0,0 +1,101 @@
+#include "gateway/impl/caller_headers.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPMessage.h>
+#include <Poco/String.h>
+
+#include <algorithm>
+#include <array>
+
+namespace sedgechute {
+
+namespace {
+
+constexpr std::size_t longest_key = 128;
+constexpr std::size_t read_block_bytes = 16 * 1024;
+constexpr std::string_view bearer_prefix = "Bearer ";
+
+bool is_plain(std::string_view text) noexcept {
+  return std::all_of(text.begin(), text.end(), [](char c) { return c > 0x20 && c < 0x7f; });
+}
+
+std::string short_plain_header(const caller_exchange& exchange, const std::string& name) {
+  const std::string value = exchange.request.get(name, "");
+  if (value.size() > longest_key || !is_plain(value))
+    throw error{error_kind::invalid_parameter, name,
+                "at most " + std::to_string(longest_key) + " printable characters without spaces"};
+  return value;
+}
+
+std::string read_bearer(const caller_exchange& exchange) {
+  const std::string value = exchange.request.get("Authorization", "");
+  if (value.size() <= bearer_prefix.size() ||
+      Poco::icompare(value.substr(0, bearer_prefix.size()), std::string{bearer_prefix}) != 0)
+    throw error{error_kind::unauthenticated, "", ""};
+  return value.substr(bearer_prefix.size());
+}
+
+std::optional<bool> read_idempotent(const caller_exchange& exchange) {
+  const std::string name = "X-Sedgechute-Idempotent";
+  const std::string value = exchange.request.get(name, "");
+  if (value.empty())
+    return std::nullopt;
+  if (value != "true" && value != "false")
+    throw error{error_kind::invalid_parameter, name, "must be true or false"};
+  return value == "true";
+}
+
+} // namespace
+
+caller_headers read_caller_headers(const caller_exchange& exchange) {
+  caller_headers headers;
+  headers.bearer = read_bearer(exchange);
+  headers.key = short_plain_header(exchange, "Idempotency-Key");
+  headers.class_name = short_plain_header(exchange, "X-Sedgechute-Class");
+  headers.idempotent = read_idempotent(exchange);
+  return headers;
+}
+
+void invite_body(caller_exchange& exchange) {
+  if (exchange.request.getExpectContinue() && !exchange.response.sent())
+    exchange.response.sendContinue();
+}
+
+std::string read_body(caller_exchange& exchange, std::size_t most_bytes, time_ms most_time,
+                      const clock& time) {
+  const auto& request = exchange.request;
+  const auto stated = request.getContentLength64();
+  if (stated > static_cast<Poco::Int64>(most_bytes))
+    throw error{error_kind::payload_too_large, "body",
+                "more than " + std::to_string(most_bytes) + " bytes"};
+  if (stated < 0 && !request.getChunkedTransferEncoding())
+    throw error{error_kind::malformed_request, "body", "its length is not stated"};
+  invite_body(exchange);
+  const time_ms deadline = time.now() + most_time;
+  std::string body;
+  std::array<char, read_block_bytes> block{};
+  std::istream& in = exchange.request.stream();
+  while (in.good()) {
+    // readsome after peek takes what has arrived; a full read would wait for the whole block and
+    // let a caller that sends one byte a second stretch the bound by a block's worth of seconds.
+    if (in.peek() == std::istream::traits_type::eof())
+      break;
+    const std::streamsize got = in.readsome(block.data(), block.size());
+    body.append(block.data(), static_cast<std::size_t>(got));
+    if (body.size() > most_bytes)
+      throw error{error_kind::payload_too_large, "body",
+                  "more than " + std::to_string(most_bytes) + " bytes"};
+    if (time.now() > deadline)
+      throw error{error_kind::slow_caller, "body", "not whole in time"};
+  }
+  if (stated >= 0 && body.size() != static_cast<std::size_t>(stated))
+    throw error{error_kind::malformed_request, "body", "it ended early"};
+  return body;
+}
+
+void require_method(const caller_exchange& exchange, const std::string& method) {
+  if (exchange.request.getMethod() != method)
+    throw error{error_kind::method_not_allowed, exchange.path, "only " + method};
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/gateway/impl/caller_server.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "gateway/impl/caller_api.hpp"
+#include "gateway/impl/connection_watch.hpp"
+
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServer.h>
+#include <Poco/ThreadPool.h>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sedgechute {
+
+struct caller_server_options {
+  std::size_t most_connections{4096};
+  std::size_t header_fields{64};
+  std::size_t header_field_bytes{8192};
+  time_ms header_timeout{5000}; ///< for a whole request header
+  time_ms write_timeout{30000}; ///< longest block on a caller that does not read
+  time_ms keep_alive{15000};
+};
+
+/// \brief The callers' HTTP server: one thread a connection, each with a small stack.
+class caller_server {
+ public:
+  caller_server(gateway& host, const caller_server_options& options,
+                const Poco::Net::ServerSocket& socket, const clock& time);
+  caller_server(const caller_server&) = delete;
+  caller_server& operator=(const caller_server&) = delete;
+  ~caller_server();
+
+  void start();
+
+  /// \brief Stops accepting connections; those that are open go on.
+  void stop_accepting();
+
+  /// \returns connections that are open now.
+  [[nodiscard]] std::size_t connections() const noexcept { return connections_; }
+
+ private:
+  friend class caller_connection;
+
+  [[nodiscard]] const caller_api* find(const std::string& path) const;
+  void serve(Poco::Net::HTTPServerRequestImpl& request,
+             Poco::Net::HTTPServerResponseImpl& response);
+
+  gateway& host_;
+  caller_server_options options_;
+  connection_watch watch_;
+  std::map<std::string, std::unique_ptr<caller_api>> apis_;
+  Poco::Net::HTTPServerParams::Ptr params_;
+  Poco::ThreadPool threads_;
+  std::atomic<std::size_t> connections_{0};
+  std::atomic<bool> stopping_{false};
+  std::unique_ptr<Poco::Net::TCPServer> server_;
+};
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/gateway/impl/chat_sinks.cpp
@@ -0,0 +1,136 @@
+#include "gateway/impl/chat_sinks.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/Socket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <sys/socket.h>
+
+namespace sedgechute {
+
+namespace {
+
+std::string usage_json(const token_usage& usage) {
+  return R"({"prompt_tokens":)" + std::to_string(usage.prompt_tokens) + R"(,"completion_tokens":)" +
+         std::to_string(usage.completion_tokens) + R"(,"total_tokens":)" +
+         std::to_string(usage.total()) + R"(,"prompt_tokens_details":{"cached_tokens":)" +
+         std::to_string(usage.cached_tokens) + "}}";
+}
+
+std::string whole_answer_json(const answer_summary& summary, const model_id& model,
+                              const std::string& content) {
+  return R"({"id":)" + json_quote(summary.id.str()) + R"(,"object":"chat.completion","model":)" +
+         json_quote(model.str()) +
+         R"(,"choices":[{"index":0,"message":{"role":"assistant","content":)" +
+         json_quote(content) + R"(},"finish_reason":)" + json_quote(summary.finish_reason) +
+         R"(}],"usage":)" + usage_json(summary.usage) + R"(,"sedgechute":)" + to_json(summary) +
+         "}\n";
+}
+
+} // namespace
+
+bool has_hung_up(caller_exchange& exchange) noexcept {
+  try {
+    auto& socket = exchange.request.socket();
+    if (!socket.poll(Poco::Timespan{0}, Poco::Net::Socket::SELECT_READ))
+      return false;
+    char byte = 0;
+    return socket.receiveBytes(&byte, 1, MSG_PEEK) <= 0;
+  } catch (const Poco::Exception&) {
+    return true;
+  }
+}
+
+void streaming_sink::begin() {
+  auto& response = exchange_.response;
+  response.setContentType("text/event-stream");
+  response.setChunkedTransferEncoding(true);
+  response.set("Cache-Control", "no-cache");
+  response.set("X-Request-Id", id_.str());
+  response.set("X-Sedgechute-Host", host_.str());
+  out_ = &response.send();
+}
+
+bool streaming_sink::write(const std::string& text) {
+  if (lost_)
+    return false;
+  try {
+    out_->write(text.data(), static_cast<std::streamsize>(text.size()));
+    out_->flush();
+    lost_ = !out_->good();
+  } catch (const Poco::Exception&) {
+    lost_ = true;
+  }
+  if (lost_)
+    exchange_.response.setKeepAlive(false);
+  return !lost_;
+}
+
+bool streaming_sink::event(const stream_event& event) {
+  if (out_ == nullptr)
+    begin();
+  std::string text;
+  text.reserve(event.data.size() + 32);
+  if (event.position != 0) {
+    text += "id: ";
+    text += std::to_string(event.position);
+    text += '\n';
+  }
+  text += "data: ";
+  text += event.data;
+  text += "\n\n";
+  return write(text);
+}
+
+void streaming_sink::complete(const answer_summary& summary) {
+  if (out_ == nullptr)
+    begin();
+  const std::string chunk = R"({"id":)" + json_quote(summary.id.str()) +
+                            R"(,"object":"chat.completion.chunk","choices":[],"usage":)" +
+                            usage_json(summary.usage) + R"(,"sedgechute":)" + to_json(summary) +
+                            "}";
+  (void)write("data: " + chunk + "\n\ndata: [DONE]\n\n");
+}
+
+// A stream that just ended would look like a short but whole answer to a caller that does not
+// check for the finish marker, so a failure is always told by an event of its own.
+void streaming_sink::fail(const refusal& refused) {
+  if (out_ == nullptr)
+    return send_refusal(exchange_.response, refused);
+  exchange_.response.setKeepAlive(false);
+  (void)write("event: error\ndata: " + to_json(refused) + "\n\n");
+}
+
+bool streaming_sink::gone() noexcept {
+  return lost_ || has_hung_up(exchange_);
+}
+
+bool collecting_sink::event(const stream_event& event) {
+  if (event.position == 1)
+    content_.clear(); // a new run of the request began
+  if (const auto chunk = parse_engine_chunk(event.data))
+    content_ += chunk->content;
+  return true;
+}
+
+void collecting_sink::complete(const answer_summary& summary) {
+  auto& response = exchange_.response;
+  response.setContentType("application/json");
+  response.set("X-Request-Id", summary.id.str());
+  response.set("X-Sedgechute-Host", summary.host.str());
+  response.set("X-Sedgechute-Attempts", std::to_string(summary.attempts));
+  response.set("X-Sedgechute-Tokens-Billed", std::to_string(summary.tokens_billed));
+  response.set("X-Sedgechute-Tokens-Remaining", std::to_string(summary.tokens_remaining));
+  const std::string body = whole_answer_json(summary, model_, content_);
+  response.sendBuffer(body.data(), body.size());
+}
+
+void collecting_sink::fail(const refusal& refused) {
+  send_refusal(exchange_.response, refused);
+}
+
+bool collecting_sink::gone() noexcept {
+  return has_hung_up(exchange_);
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/gateway/impl/endpoint_connections.cpp
@@ -0,0 +1,66 @@
+#include "gateway/impl/endpoint_connections.hpp"
+
+#include "platform/platform.hpp"
+
+#include <Poco/Timespan.h>
+
+#include <utility>
+
+namespace sedgechute {
+
+namespace {
+
+constexpr std::size_t most_idle_per_endpoint = 64;
+
+// Engines close idle connections after some seconds; dropping ours earlier avoids most of the
+// cases in which a request is written to a connection that the engine is just closing.
+constexpr int keep_alive_seconds = 5;
+
+Poco::Timespan to_timespan(time_ms span) {
+  return Poco::Timespan{span.count() * Poco::Timespan::MILLISECONDS};
+}
+
+} // namespace
+
+std::pair<endpoint_connections::session_ptr, bool>
+endpoint_connections::take(const std::string& address, bool reuse) {
+  if (reuse) {
+    const std::scoped_lock lock{mutex_};
+    auto& sessions = idle_[address];
+    if (!sessions.empty()) {
+      session_ptr session = std::move(sessions.back());
+      sessions.pop_back();
+      return {std::move(session), true};
+    }
+  }
+  return {open(address), false};
+}
+
+void endpoint_connections::give_back(const std::string& address, session_ptr session) {
+  const std::scoped_lock lock{mutex_};
+  auto& sessions = idle_[address];
+  if (sessions.size() < most_idle_per_endpoint)
+    sessions.push_back(std::move(session));
+}
+
+void endpoint_connections::forget(const std::string& address) {
+  std::vector<session_ptr> closing;
+  const std::scoped_lock lock{mutex_};
+  const auto found = idle_.find(address);
+  if (found == idle_.end())
+    return;
+  closing.swap(found->second);
+  idle_.erase(found);
+}
+
+endpoint_connections::session_ptr endpoint_connections::open(const std::string& address) const {
+  const http_target target = http_target::parse(address);
+  auto session = std::make_unique<Poco::Net::HTTPClientSession>(target.ip, target.port);
+  session->setKeepAlive(true);
+  session->setKeepAliveTimeout(Poco::Timespan{keep_alive_seconds, 0});
+  session->setTimeout(to_timespan(timeouts_.connect), to_timespan(timeouts_.send),
+                      to_timespan(timeouts_.silence));
+  return session;
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/gateway/impl/engine_stream.cpp
@@ -0,0 +1,128 @@
+#include "gateway/impl/engine_stream.hpp"
+
+#include "platform/platform.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+
+#include <limits>
+
+namespace sedgechute {
+
+namespace {
+
+using Poco::Net::HTTPMessage;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr time_ms cancel_timeout{1000};
+
+} // namespace
+
+open_result engine_stream::open(const std::string& body, int priority, bool fresh_connection) {
+  return exchange_headers(HTTPRequest::HTTP_POST, "/v1/chat/completions", body, priority,
+                          fresh_connection);
+}
+
+open_result engine_stream::resume(std::uint64_t after) {
+  const std::string path = "/v1/streams/" + id_.str() + "?after=" + std::to_string(after);
+  return exchange_headers(HTTPRequest::HTTP_GET, path, {}, 0, true);
+}
+
+// A kept connection may have been closed by the engine while it was idle. The failure then shows
+// only after the request was written. The engine joins a second request of the same id to the
+// first, so asking once more on a new connection is safe and tells what happened.
+open_result engine_stream::exchange_headers(const std::string& method, const std::string& path,
+                                            const std::string& body, int priority, bool fresh) {
+  auto [session, reused] = connections_.take(address_, !fresh);
+  session_ = std::move(session);
+  open_result result = send(method, path, body, priority);
+  if (result == open_result::streaming)
+    result = receive();
+  const bool stale = reused && result != open_result::streaming && result != open_result::rejected;
+  if (!stale)
+    return result;
+  return exchange_headers(method, path, body, priority, true);
+}
+
+open_result engine_stream::send(const std::string& method, const std::string& path,
+                                const std::string& body, int priority) {
+  try {
+    if (!session_->connected()) {
+      const http_target target = http_target::parse(address_);
+      Poco::Net::StreamSocket& socket = session_->socket();
+      socket.connect(Poco::Net::SocketAddress{target.ip, target.port}, session_->getTimeout());
+      socket.setNoDelay(true);
+    }
+  } catch (const Poco::Exception&) {
+    session_.reset();
+    return open_result::not_dispatched;
+  }
+  try {
+    HTTPRequest request{method, path, HTTPMessage::HTTP_1_1};
+    request.set("X-Request-Id", id_.str());
+    request.set("X-Priority", std::to_string(priority));
+    if (!body.empty()) {
+      request.setContentType("application/json");
+      request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+    }
+    std::ostream& out = session_->sendRequest(request);
+    out.write(body.data(), static_cast<std::streamsize>(body.size()));
+    out.flush();
+    return open_result::streaming;
+  } catch (const Poco::Exception&) {
+    session_.reset();
+    return open_result::unknown;
+  }
+}
+
+open_result engine_stream::receive() {
+  try {
+    HTTPResponse response;
+    in_ = &session_->receiveResponse(response);
+    if (response.getStatus() == HTTPResponse::HTTP_OK) {
+      reader_.emplace(*in_);
+      return open_result::streaming;
+    }
+    rejected_status_ = response.getStatus();
+    session_.reset();
+    return open_result::rejected;
+  } catch (const Poco::Exception&) {
+    session_.reset();
+    return open_result::unknown;
+  }
+}
+
+std::optional<stream_event> engine_stream::next() {
+  if (!reader_ || !session_)
+    return std::nullopt;
+  std::optional<stream_event> event = reader_->next();
+  if (!event)
+    session_.reset();
+  return event;
+}
+
+void engine_stream::finish() {
+  if (!session_)
+    return;
+  in_->ignore(std::numeric_limits<std::streamsize>::max());
+  const bool whole = in_->eof() && session_->networkException() == nullptr;
+  if (whole && session_->getKeepAlive())
+    connections_.give_back(address_, std::move(session_));
+  session_.reset();
+}
+
+bool engine_stream::cancel() noexcept {
+  session_.reset();
+  try {
+    const http_answer answer = http_call(http_target::parse(address_), "DELETE",
+                                         "/v1/streams/" + id_.str(), {}, cancel_timeout);
+    return answer.status == HTTPResponse::HTTP_OK;
+  } catch (const std::exception&) {
+    return false;
+  }
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/gateway/impl/run_request.cpp
@@ -0,0 +1,280 @@
+#include "gateway/impl/run_request.hpp"
+
+#include "gateway/impl/engine_stream.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+
+namespace sedgechute {
+
+namespace {
+
+// A stream that breaks this often without a token in between is not worth another connection.
+constexpr int most_resumes_without_progress = 2;
+constexpr int most_attempts = 4;
+
+enum class relay_end { finished, broken, caller_left };
+
+struct relay_state {
+  std::uint64_t position{0}; ///< last token delivered
+  bool saw_finish_reason{false};
+  std::string finish_reason;
+  std::optional<token_usage> usage;
+  std::optional<time_ms> first_token_at;
+  int resumes{0};
+};
+
+/// One attempt on one endpoint, over as many connections as it takes.
+class attempt {
+ public:
+  attempt(const run_context& host, const admitted_chat& request, answer_sink& sink,
+          const dispatch_turn& turn)
+      : host_{host}, request_{request}, sink_{sink}, stream_{host.connections, turn.address,
+                                                             request.id} {}
+
+  open_result open() {
+    const open_result result =
+        stream_.open(request_.chat.engine_body, request_.grant.priority, !request_.idempotent);
+    if (result != open_result::unknown)
+      return result;
+    // The request was sent and no answer came. Asking for the run on a new connection tells
+    // whether the engine has it; only then is the old connection the culprit.
+    return stream_.resume(0) == open_result::streaming ? open_result::streaming
+                                                       : open_result::unknown;
+  }
+
+  open_result resume_whole() { return stream_.resume(0); }
+
+  relay_end relay() {
+    int without_progress = 0;
+    for (;;) {
+      const std::uint64_t before = state_.position;
+      const relay_end end = relay_connection();
+      if (end != relay_end::broken)
+        return end;
+      without_progress = state_.position > before ? 0 : without_progress + 1;
+      if (without_progress > most_resumes_without_progress)
+        return relay_end::broken;
+      ++state_.resumes;
+      if (stream_.resume(state_.position) != open_result::streaming)
+        return relay_end::broken;
+    }
+  }
+
+  void cancel() { stream_.cancel(); }
+  [[nodiscard]] const relay_state& state() const noexcept { return state_; }
+  [[nodiscard]] int rejected_status() const noexcept { return stream_.rejected_status(); }
+
+ private:
+  relay_end relay_connection() {
+    while (auto event = stream_.next()) {
+      if (event->is_finish_marker()) {
+        if (!state_.saw_finish_reason)
+          return relay_end::broken;
+        stream_.finish();
+        return relay_end::finished;
+      }
+      if (is_repeat(*event))
+        continue;
+      if (event->position > state_.position + 1 && event->position != 0)
+        return relay_end::broken;
+      note(*event);
+      if (!sink_.event(*event) && !request_.keyed)
+        return relay_end::caller_left;
+    }
+    return relay_end::broken;
+  }
+
+  // A resumed stream may begin with tokens that were delivered before the connection broke.
+  [[nodiscard]] bool is_repeat(const stream_event& event) const noexcept {
+    return event.position != 0 && event.position <= state_.position;
+  }
+
+  void note(const stream_event& event) {
+    if (event.position != 0)
+      state_.position = event.position;
+    if (!state_.first_token_at)
+      state_.first_token_at = host_.time.now();
+    // Parsing every token's JSON would cost more than relaying it; only the last chunk matters.
+    if (event.data.find("\"usage\":{") == std::string::npos &&
+        event.data.find("\"finish_reason\":null") != std::string::npos)
+      return;
+    if (const auto chunk = parse_engine_chunk(event.data)) {
+      if (!chunk->finish_reason.empty()) {
+        state_.saw_finish_reason = true;
+        state_.finish_reason = chunk->finish_reason;
+      }
+      if (chunk->usage)
+        state_.usage = chunk->usage;
+    }
+  }
+
+  const run_context& host_;
+  const admitted_chat& request_;
+  answer_sink& sink_;
+  engine_stream stream_;
+  relay_state state_;
+};
+
+/// All attempts of one request.
+class chat_run {
+ public:
+  chat_run(const run_context& host, const admitted_chat& request, answer_sink& sink)
+      : host_{host}, request_{request}, sink_{sink} {
+    wanted_.grant = request.grant;
+    wanted_.model = request.chat.model;
+    wanted_.cost = request.chat.token_bound();
+    wanted_.fingerprint = request.chat.fingerprint;
+    wanted_.prefix_blocks = request.chat.prefix_blocks;
+    wanted_.accepted = request.accepted;
+  }
+
+  run_result run() {
+    while (!done_) {
+      try {
+        if (request_.earlier && attempts_ == 0)
+          resume_earlier();
+        else
+          run_attempt();
+      } catch (const error& failure) {
+        refuse(failure.kind(), failure.why(), failure.retry_after());
+      }
+    }
+    result_.attempts = attempts_;
+    return std::move(result_);
+  }
+
+ private:
+  void run_attempt() {
+    const dispatch_turn turn =
+        host_.dispatch.acquire(wanted_, [this] { return !request_.keyed && sink_.gone(); });
+    ++attempts_;
+    if (request_.claim != 0 && !host_.claims.dispatching(request_.claim, turn)) {
+      host_.dispatch.release(turn, wanted_, {attempt_outcome::not_run, {}, {}});
+      // Another host holds the claim now; what became of the key is for that host to tell.
+      return refuse(error_kind::outcome_unknown, "the claim passed to another host");
+    }
+    const time_ms dispatched = host_.time.now();
+    attempt one{host_, request_, sink_, turn};
+    const open_result opened = one.open();
+    if (opened == open_result::streaming)
+      return after_relay(one, one.relay(), turn, dispatched);
+    const bool ran = opened == open_result::unknown;
+    host_.dispatch.release(turn, wanted_,
+                           {ran ? attempt_outcome::failed : attempt_outcome::not_run, {}, {}});
+    after_failure(turn, ran, one.rejected_status());
+  }
+
+  // A host that died left the run at an endpoint, which goes on with it for a while. Taking the
+  // run up from its first token gives the caller one whole answer and runs nothing twice.
+  void resume_earlier() {
+    const dispatch_turn turn{0, request_.earlier->endpoint, request_.earlier->address};
+    ++attempts_;
+    result_.may_have_run = true;
+    const time_ms dispatched = host_.time.now();
+    attempt one{host_, request_, sink_, turn};
+    if (one.resume_whole() == open_result::streaming)
+      return after_relay(one, one.relay(), turn, dispatched);
+    after_failure(turn, true, 0);
+  }
+
+  void after_relay(attempt& one, relay_end end, const dispatch_turn& turn, time_ms dispatched) {
+    const relay_state& state = one.state();
+    if (!result_.first_token_at)
+      result_.first_token_at = state.first_token_at;
+    attempt_report report{attempt_outcome::answered, usage_of(state), {}};
+    if (state.first_token_at)
+      report.first_token = *state.first_token_at - dispatched;
+    if (end == relay_end::broken)
+      report.outcome = attempt_outcome::failed;
+    if (end == relay_end::caller_left) {
+      report.outcome = attempt_outcome::caller_left;
+      one.cancel();
+    }
+    if (turn.number != 0)
+      host_.dispatch.release(turn, wanted_, report);
+    if (end == relay_end::finished)
+      return answer(state, turn);
+    result_.usage = usage_of(state);
+    result_.delivered_tokens = state.position;
+    if (end == relay_end::caller_left)
+      return refuse(error_kind::caller_gone, "");
+    // The old run may still be going on at the endpoint; its answer is not wanted any more.
+    one.cancel();
+    after_failure(turn, true, 0);
+  }
+
+  void answer(const relay_state& state, const dispatch_turn& turn) {
+    result_.answered = true;
+    result_.may_have_run = true;
+    result_.usage = usage_of(state);
+    result_.delivered_tokens = state.position;
+    result_.summary.id = request_.id;
+    result_.summary.host = host_.host;
+    result_.summary.endpoint = turn.endpoint;
+    result_.summary.attempts = attempts_;
+    result_.summary.finish_reason = state.finish_reason;
+    result_.summary.usage = result_.usage;
+    done_ = true;
+  }
+
+  void after_failure(const dispatch_turn& turn, bool ran, int rejected_status) {
+    wanted_.avoid.push_back(turn.endpoint);
+    result_.may_have_run = result_.may_have_run || ran;
+    const bool callers_fault = rejected_status >= 400 && rejected_status < 500 &&
+                               rejected_status != 429 && rejected_status != 404 &&
+                               rejected_status != 408;
+    if (callers_fault)
+      return refuse(error_kind::invalid_parameter, "the engine refused the request with status " +
+                                                       std::to_string(rejected_status));
+    // Part of this run's answer is with the caller: another run's tokens must never follow it.
+    if (sink_.delivered())
+      return refuse(error_kind::stream_cut, "the endpoint was lost in the middle of the answer");
+    if (ran && !request_.idempotent)
+      return refuse(error_kind::outcome_unknown, "the endpoint was lost while it may have run");
+    const auto wait = attempts_ < most_attempts
+                          ? host_.dispatch.retry_after_failure(wanted_, attempts_)
+                          : std::nullopt;
+    if (!wait)
+      return refuse(ran ? error_kind::endpoint_failed : error_kind::no_capacity, "");
+    std::this_thread::sleep_for(std::chrono::milliseconds{wait->count()});
+  }
+
+  // An engine that reports no usage is billed by what was delivered and an estimate of the prompt.
+  [[nodiscard]] token_usage usage_of(const relay_state& state) const {
+    if (state.usage)
+      return *state.usage;
+    constexpr std::uint64_t bytes_per_token = 4;
+    token_usage usage;
+    usage.completion_tokens = state.position;
+    if (state.position > 0)
+      usage.prompt_tokens = (request_.chat.prompt_bound + bytes_per_token - 1) / bytes_per_token;
+    return usage;
+  }
+
+  void refuse(error_kind kind, const std::string& why,
+              std::optional<time_ms> retry_after = std::nullopt) {
+    // "Not run" would be a lie once an attempt may have run.
+    const bool lie = result_.may_have_run && answer_for(kind).outcome == run_outcome::not_run;
+    result_.refused =
+        refusal{lie ? error_kind::endpoint_failed : kind, why, request_.id, retry_after};
+    done_ = true;
+  }
+
+  const run_context& host_;
+  const admitted_chat& request_;
+  answer_sink& sink_;
+  dispatch_request wanted_;
+  run_result result_;
+  int attempts_{0};
+  bool done_{false};
+};
+
+} // namespace
+
+run_result run_chat(const run_context& host, const admitted_chat& request, answer_sink& sink) {
+  return chat_run{host, request, sink}.run();
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/gateway/impl/service_call.cpp
@@ -0,0 +1,233 @@
+#include "gateway/impl/service_call.hpp"
+
+#include "gateway/impl/caller_headers.hpp"
+#include "gateway/impl/chat_sinks.hpp"
+#include "gateway/impl/refusal.hpp"
+#include "platform/platform.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/String.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <thread>
+
+namespace sedgechute {
+
+namespace {
+
+using namespace Poco::Net;
+
+constexpr std::size_t replayable_body_bytes = 64 * 1024;
+constexpr std::size_t block_bytes = 16 * 1024;
+constexpr int most_attempts = 3;
+
+// Headers that concern one connection only, and the team's key, which no endpoint may see.
+constexpr std::array not_passed_on{"connection",          "keep-alive", "proxy-authenticate",
+                                   "proxy-authorization", "te",         "trailer",
+                                   "transfer-encoding",   "upgrade",    "authorization",
+                                   "content-length",      "expect",     "host"};
+
+bool passes_on(const std::string& name) {
+  const std::string lower = Poco::toLower(name);
+  return std::none_of(not_passed_on.begin(), not_passed_on.end(),
+                      [&](const char* kept) { return lower == kept; });
+}
+
+template <typename From, typename To>
+void copy_headers(const From& from, To& to) {
+  for (const auto& [name, value] : from)
+    if (passes_on(name))
+      to.set(name, value);
+}
+
+enum class call_end { answered, not_dispatched, lost_before_answer, cut };
+
+/// The caller's body: its first part is kept, so that a call whose body was short can be repeated.
+class caller_body {
+ public:
+  explicit caller_body(caller_exchange& exchange) : exchange_{exchange} {
+    const auto& request = exchange.request;
+    has_body_ = request.getChunkedTransferEncoding() || request.getContentLength64() > 0;
+    if (!has_body_)
+      return;
+    invite_body(exchange);
+    std::istream& in = exchange_.request.stream();
+    start_.resize(replayable_body_bytes);
+    in.read(start_.data(), static_cast<std::streamsize>(start_.size()));
+    start_.resize(static_cast<std::size_t>(in.gcount()));
+    whole_ = in.eof();
+  }
+
+  [[nodiscard]] bool present() const noexcept { return has_body_; }
+  [[nodiscard]] bool replayable() const noexcept { return !has_body_ || whole_; }
+  [[nodiscard]] const std::string& start() const noexcept { return start_; }
+
+  /// \brief Copies what is behind the kept part; a blocked endpoint blocks the caller in turn.
+  void copy_rest(std::ostream& out) const {
+    if (!whole_ && has_body_)
+      copy_blocks(exchange_.request.stream(), out);
+  }
+
+  static bool copy_blocks(std::istream& in, std::ostream& out) {
+    std::array<char, block_bytes> block{};
+    while (in.peek() != std::istream::traits_type::eof()) {
+      const std::streamsize got = in.readsome(block.data(), block.size());
+      out.write(block.data(), got);
+      out.flush();
+      if (!out.good())
+        return false;
+    }
+    return true;
+  }
+
+ private:
+  caller_exchange& exchange_;
+  bool has_body_{false};
+  bool whole_{true};
+  std::string start_;
+};
+
+/// One attempt on one endpoint.
+class service_attempt {
+ public:
+  service_attempt(gateway& host, caller_exchange& exchange, const service_call& call,
+                  const dispatch_turn& turn)
+      : host_{host}, exchange_{exchange}, call_{call}, turn_{turn} {}
+
+  call_end run(const caller_body& body) {
+    auto [session, reused] = host_.connections.take(turn_.address, call_.idempotent);
+    session_ = std::move(session);
+    if (!connect())
+      return call_end::not_dispatched;
+    HTTPResponse response;
+    std::istream* in = exchange_headers(body, response);
+    if (in == nullptr)
+      return call_end::lost_before_answer;
+    return relay(response, *in);
+  }
+
+ private:
+  bool connect() {
+    try {
+      if (session_->connected())
+        return true;
+      const http_target target = http_target::parse(turn_.address);
+      session_->socket().connect(SocketAddress{target.ip, target.port}, session_->getTimeout());
+      session_->socket().setNoDelay(true);
+      return true;
+    } catch (const Poco::Exception&) {
+      return false;
+    }
+  }
+
+  std::istream* exchange_headers(const caller_body& body, HTTPResponse& response) {
+    try {
+      HTTPRequest request{call_.method, call_.path, HTTPMessage::HTTP_1_1};
+      copy_headers(exchange_.request, request);
+      request.set("X-Request-Id", call_.id.str());
+      if (body.present() && body.replayable())
+        request.setContentLength64(static_cast<Poco::Int64>(body.start().size()));
+      else if (body.present())
+        request.setChunkedTransferEncoding(true);
+      std::ostream& out = session_->sendRequest(request);
+      out.write(body.start().data(), static_cast<std::streamsize>(body.start().size()));
+      body.copy_rest(out);
+      out.flush();
+      return &session_->receiveResponse(response);
+    } catch (const Poco::Exception&) {
+      return nullptr;
+    }
+  }
+
+  call_end relay(const HTTPResponse& answer, std::istream& in) {
+    auto& response = exchange_.response;
+    response.setStatusAndReason(answer.getStatus(), answer.getReason());
+    copy_headers(answer, response);
+    response.set("X-Request-Id", call_.id.str());
+    response.set("X-Sedgechute-Host", host_.host.str());
+    const auto length = answer.getContentLength64();
+    if (length >= 0)
+      response.setContentLength64(length);
+    else
+      response.setChunkedTransferEncoding(true);
+    std::ostream& out = response.send();
+    const bool delivered = caller_body::copy_blocks(in, out);
+    const bool whole = session_->networkException() == nullptr;
+    if (delivered && whole) {
+      if (session_->getKeepAlive() && answer.getKeepAlive())
+        host_.connections.give_back(turn_.address, std::move(session_));
+      return call_end::answered;
+    }
+    // Ending the chunked answer in the ordinary way would make a cut answer look whole.
+    exchange_.request.socket().shutdown();
+    response.setKeepAlive(false);
+    return call_end::cut;
+  }
+
+  gateway& host_;
+  caller_exchange& exchange_;
+  const service_call& call_;
+  const dispatch_turn& turn_;
+  endpoint_connections::session_ptr session_;
+};
+
+attempt_outcome outcome_of(call_end end) {
+  switch (end) {
+  case call_end::answered:
+    return attempt_outcome::answered;
+  case call_end::not_dispatched:
+    return attempt_outcome::not_run;
+  case call_end::lost_before_answer:
+  case call_end::cut:
+    break;
+  }
+  return attempt_outcome::failed;
+}
+
+} // namespace
+
+ended_request relay_service_call(gateway& host, caller_exchange& exchange,
+                                 const service_call& call) {
+  dispatch_request wanted;
+  wanted.grant = call.grant;
+  wanted.cost = 1;
+  wanted.accepted = call.accepted;
+  ended_request ended;
+  const caller_body body{exchange};
+  bool may_have_run = false;
+  while (ended.attempts < most_attempts) {
+    const dispatch_turn turn = host.dispatch.acquire(wanted, [&] { return has_hung_up(exchange); });
+    ++ended.attempts;
+    ended.endpoint = turn.endpoint;
+    service_attempt attempt{host, exchange, call, turn};
+    const call_end end = attempt.run(body);
+    host.dispatch.release(turn, wanted, {outcome_of(end), {}, {}});
+    if (end == call_end::answered)
+      return ended;
+    wanted.avoid.push_back(turn.endpoint);
+    if (end == call_end::cut) {
+      ended.refused = error_kind::stream_cut;
+      return ended;
+    }
+    may_have_run = may_have_run || end == call_end::lost_before_answer;
+    const bool may_repeat = !may_have_run || call.idempotent;
+    if (!may_repeat || !body.replayable())
+      break;
+    const auto wait = host.dispatch.retry_after_failure(wanted, ended.attempts);
+    if (!wait)
+      break;
+    std::this_thread::sleep_for(std::chrono::milliseconds{wait->count()});
+  }
+  if (may_have_run)
+    ended.refused = call.idempotent ? error_kind::endpoint_failed : error_kind::outcome_unknown;
+  else
+    ended.refused = error_kind::no_capacity;
+  send_refusal(exchange.response, {*ended.refused, "", call.id, {}});
+  return ended;
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/gateway_api/impl/chat_api.cpp
@@ -0,0 +1,64 @@
+#include "gateway/impl/caller_headers.hpp"
+#include "gateway/impl/chat_sinks.hpp"
+#include "gateway/impl/gateway.hpp"
+#include "gateway/impl/keyed_answer.hpp"
+#include "gateway/impl/request_guard.hpp"
+#include "gateway/impl/run_request.hpp"
+
+#include <memory>
+
+namespace sedgechute {
+
+namespace {
+
+/// Serves `POST /v1/chat/completions`: admits, claims, reserves, runs, bills, answers.
+class chat_api final : public caller_api {
+ public:
+  void handle(caller_exchange& exchange, gateway& host) const override {
+    require_method(exchange, "POST");
+    const request_guard guard{host.status};
+    const time_ms accepted = host.time.now();
+    const caller_headers headers = read_caller_headers(exchange);
+    const team_id team = host.access.authenticate(headers.bearer);
+    const std::string body =
+        read_body(exchange, host.limits.body_bytes, host.body_timeout, host.time);
+    admitted_chat request = admit(host, headers, parse_chat_request(body, host.limits));
+    request.accepted = accepted;
+    request.id = host.status.new_request_id();
+    const std::unique_ptr<answer_sink> sink = make_sink(exchange, host, request);
+    answer_request(host, request, headers.key, *sink);
+  }
+
+ private:
+  static admitted_chat admit(gateway& host, const caller_headers& headers, chat_request chat) {
+    admitted_chat request;
+    request.grant = host.access.admit({headers.bearer, headers.class_name, chat.model, {}, {}});
+    if (chat.max_tokens > request.grant.max_output_tokens)
+      throw error{error_kind::invalid_parameter, "/max_tokens",
+                  "must be 1 to " + std::to_string(request.grant.max_output_tokens)};
+    request.chat = std::move(chat);
+    request.idempotent = headers.idempotent.value_or(request.grant.idempotent_by_default);
+    request.keyed = !headers.key.empty();
+    return request;
+  }
+
+  static std::unique_ptr<answer_sink> make_sink(caller_exchange& exchange, const gateway& host,
+                                                const admitted_chat& request) {
+    if (request.chat.stream)
+      return std::make_unique<streaming_sink>(exchange, host.host, request.id);
+    return std::make_unique<collecting_sink>(exchange, request.chat.model);
+  }
+
+  static void answer_request(gateway& host, admitted_chat& request, const std::string& key,
+                             answer_sink& sink) {
+    if (key.empty())
+      return run_and_bill(host, request, request.id.str(), sink);
+    answer_keyed(host, request, key, sink);
+  }
+};
+
+const registry<caller_api>::entry registered{"/v1/chat/completions",
+                                             [] { return std::make_unique<chat_api>(); }};
+
+} // namespace
+} // namespace sedgechute
--- a/src/kernel/impl/error.cpp
+++ b/src/kernel/impl/error.cpp
@@ -108,8 +108,9 @@
   return answers[static_cast<std::size_t>(kind)].second;
 }
 
-error::error(error_kind kind, std::string where, std::string why)
+error::error(error_kind kind, std::string where, std::string why,
+             std::optional<time_ms> retry_after)
     : std::runtime_error{message(kind, where, why)}, kind_{kind}, where_{std::move(where)},
-      why_{std::move(why)} {}
+      why_{std::move(why)}, retry_after_{retry_after} {}
 
 } // namespace sedgechute
--- a/src/kernel/impl/error.hpp
+++ b/src/kernel/impl/error.hpp
@@ -3,6 +3,7 @@
 #include "kernel/impl/enum_names.hpp"
 #include "kernel/impl/time_ms.hpp"
 
+#include <optional>
 #include <stdexcept>
 #include <string>
 
@@ -71,16 +72,21 @@
  public:
   /// \param where  the thing concerned: a file and pointer, a header, a team, an endpoint
   /// \param why    the reason, in words for the reader of the message
-  error(error_kind kind, std::string where, std::string why);
+  /// \param retry_after  least wait to suggest, where the place of failure knows better than the
+  /// table
+  error(error_kind kind, std::string where, std::string why,
+        std::optional<time_ms> retry_after = std::nullopt);
 
   [[nodiscard]] error_kind kind() const noexcept { return kind_; }
   [[nodiscard]] const std::string& where() const noexcept { return where_; }
   [[nodiscard]] const std::string& why() const noexcept { return why_; }
+  [[nodiscard]] std::optional<time_ms> retry_after() const noexcept { return retry_after_; }
 
  private:
   error_kind kind_;
   std::string where_;
   std::string why_;
+  std::optional<time_ms> retry_after_;
 };
 
 template <>
--- a/src/kernel/impl/ordered_mutex.hpp
+++ b/src/kernel/impl/ordered_mutex.hpp
@@ -10,7 +10,8 @@
 /// rank than every lock it holds.
 enum class lock_rank {
   lifecycle,   ///< start, drain and stop of the daemon
-  requests,    ///< table of requests in progress and retained answers
+  answers,     ///< table of retained answers
+  requests,    ///< one request or answer
   claims,      ///< idempotency keys
   budgets,     ///< ledger, delegations, reservations
   documents,   ///< contracts and fleet settings in force
@@ -25,6 +26,7 @@
 template <>
 struct enum_names<lock_rank> {
   static constexpr auto entries = enum_table<lock_rank>({{lock_rank::lifecycle, "lifecycle"},
+                                                         {lock_rank::answers, "answers"},
                                                          {lock_rank::requests, "requests"},
                                                          {lock_rank::claims, "claims"},
                                                          {lock_rank::budgets, "budgets"},
