Routing policies: fair queue, shares, choice of endpoint, retries, stalls, quarantine

Cause: requests need an order, an endpoint and a way back from failure, decided by code that can be tested without a network. Change: src/routing with fair_queue (start-time fair queueing in tokens, classes with a floor for those that waited, deadlines, limits), plan_shares (credit and weights over all hosts), choose_endpoint over endpoint_table (corrected load, prefix table, homes, health by comparison with peers), decide_retry, decide_hedge, check_stall and quarantine_table. Conclusion: first working form; the umbrella header shows how a daemon drives it.

--- /dev/null
+++ b/src/routing/impl/choose_endpoint.cpp
@@ -0,0 +1,271 @@
+#include "routing/impl/choose_endpoint.hpp"
+
+#include <algorithm>
+#include <array>
+#include <bit>
+#include <cmath>
+
+namespace sedgechute {
+
+namespace {
+
+constexpr std::size_t most_candidates = 20;
+constexpr double ms_per_s = 1000.0;
+constexpr double tie_break_ms = 2.0; // hosts with the same view must not all choose the same
+constexpr std::uint32_t tries_per_draw = 4;
+constexpr double avoided_ms = 1e7;
+
+struct candidate {
+  std::uint32_t slot{};
+  choice_reason reason{choice_reason::random};
+  double cached_tokens{};
+};
+
+/// The request and what is derived from it once.
+struct question {
+  const endpoint_table& table;
+  const route_need& need;
+  std::uint64_t model{};
+  std::uint64_t adapter{};
+  double tokens_per_block{};
+  double service_ms{};
+};
+
+class candidate_list {
+ public:
+  void add(const candidate& added) {
+    const auto end = items_.begin() + static_cast<std::ptrdiff_t>(count_);
+    if (count_ == items_.size())
+      return;
+    if (std::any_of(items_.begin(), end, [&](const candidate& c) { return c.slot == added.slot; }))
+      return;
+    items_[count_++] = added;
+  }
+  [[nodiscard]] std::span<const candidate> all() const { return {items_.data(), count_}; }
+  [[nodiscard]] std::size_t size() const noexcept { return count_; }
+
+ private:
+  std::array<candidate, most_candidates> items_{};
+  std::size_t count_{};
+};
+
+bool has(const endpoint_table::record& known, std::uint64_t capability) {
+  return capability == 0 ||
+         std::binary_search(known.capabilities.begin(), known.capabilities.end(), capability);
+}
+
+bool fits(const question& asked, std::uint32_t slot) {
+  const endpoint_table::record& known = asked.table.records()[slot];
+  const endpoint_role role = known.load.last_report().role;
+  const bool role_fits = asked.need.role == endpoint_role::any || role == endpoint_role::any ||
+                         role == asked.need.role;
+  return known.present && known.info.pool == asked.need.pool && role_fits &&
+         has(known, asked.model) && has(known, asked.adapter);
+}
+
+struct estimate {
+  double queue_ms{};
+  double total_ms{};
+};
+
+estimate estimate_of(const question& asked, const candidate& c) {
+  const endpoint_table::record& known = asked.table.records()[c.slot];
+  const load_report& report = known.load.last_report();
+  const choice_policy& policy = asked.table.policy();
+  const double rate =
+      report.prompt_tokens_per_s > 0.0 ? report.prompt_tokens_per_s : policy.usual_prompt_rate;
+  const double unread = std::max(0.0, asked.need.prompt_tokens - c.cached_tokens);
+  const double places = report.max_running;
+  const double room = known.load.room();
+
+  estimate result;
+  if (room < 1.0 && places > 0.0)
+    result.queue_ms = (1.0 - room) * asked.service_ms / places;
+  result.queue_ms += known.load.unread_prompt() / rate * ms_per_s;
+  result.total_ms = result.queue_ms + unread / rate * ms_per_s;
+  return result;
+}
+
+double score_of(const question& asked, const candidate& c, const estimate& expected) {
+  const endpoint_table::record& known = asked.table.records()[c.slot];
+  const choice_policy& policy = asked.table.policy();
+  const double places = std::max(1.0, static_cast<double>(known.load.last_report().max_running));
+  const double crowding = std::min(1.0, known.load.at_endpoint() / places);
+  // A replica that has lately been slower than expected is expected to be so again.
+  double score = expected.total_ms * std::max(1.0, known.health.slowness) +
+                 crowding * policy.crowding_ms + 2.0 * asked.table.distance_ms(known.data_centre);
+  if (std::ranges::find(asked.need.avoid, known.info.id) != asked.need.avoid.end())
+    score += avoided_ms;
+  // Two suspects on one endpoint that ends could not be told apart.
+  if (asked.need.suspect != 0 && known.suspects > 0)
+    score += avoided_ms;
+  return score;
+}
+
+void draw(const question& asked, const endpoint_index::bucket& from, std::uint32_t wanted,
+          random_source& random, candidate_list& found) {
+  std::uint32_t drawn = 0;
+  for (std::uint32_t i = 0; i < wanted * tries_per_draw && drawn < wanted; ++i) {
+    const std::uint32_t slot = from.members[random.below(from.members.size())];
+    if (!fits(asked, slot))
+      continue;
+    found.add({slot, choice_reason::random, 0.0});
+    ++drawn;
+  }
+}
+
+void add_all(const question& asked, const endpoint_index::group& group, candidate_list& found) {
+  for (const endpoint_index::bucket& bucket : group.buckets)
+    for (const std::uint32_t slot : bucket.members)
+      if (fits(asked, slot))
+        found.add({slot, choice_reason::random, 0.0});
+}
+
+// Endpoints of which a prefix was seen; what was seen long ago is worth less.
+void add_cached(const question& asked, time_ms now, candidate_list& found) {
+  std::array<prefix_table::match, prefix_table::most_matches> matches;
+  const std::size_t count = asked.table.prefixes().lookup(asked.need.blocks, now, matches);
+  for (std::size_t i = 0; i < count; ++i) {
+    const prefix_table::match& match = matches[i];
+    const endpoint_table::record& known = asked.table.records()[match.endpoint];
+    if (!known.active || !fits(asked, match.endpoint))
+      continue;
+    const double age_ms = static_cast<double>(match.age.count());
+    const double trust = match.confidence * std::exp(-age_ms / known.cache_life_ms);
+    found.add(
+        {match.endpoint, choice_reason::cached, trust * match.blocks * asked.tokens_per_block});
+  }
+}
+
+// The home of a prefix is the same on every host, so a conversation whose turns enter by different
+// hosts still meets its cache. The lengths are powers of two: they stay while a prompt grows.
+void add_homes(const question& asked, const endpoint_index::bucket& local, candidate_list& found) {
+  const std::size_t blocks = asked.need.blocks.size();
+  if (blocks == 0)
+    return;
+  const std::size_t whole = std::bit_floor(blocks);
+  for (const std::size_t length : {whole, whole / 2}) {
+    if (length == 0)
+      continue;
+    const std::uint32_t slot = local.home_of(asked.need.blocks[length - 1]);
+    if (fits(asked, slot))
+      found.add({slot, choice_reason::home,
+                 asked.table.home_trust() * static_cast<double>(length) * asked.tokens_per_block});
+  }
+}
+
+// Hosts spread suspects by the same rule, so that two hosts seldom run two on one endpoint.
+void add_suspect_homes(const question& asked, const endpoint_index::group& group,
+                       candidate_list& found) {
+  for (const endpoint_index::bucket& bucket : group.buckets) {
+    const std::uint32_t slot = bucket.home_of(asked.need.suspect);
+    if (fits(asked, slot))
+      found.add({slot, choice_reason::home, 0.0});
+  }
+}
+
+void add_random(const question& asked, const endpoint_index::group& group,
+                const endpoint_index::bucket* local, random_source& random, candidate_list& found) {
+  const choice_policy& policy = asked.table.policy();
+  const bool is_long =
+      asked.need.prompt_tokens >= policy.long_prompt_tokens || asked.need.suspect != 0;
+  const std::uint32_t near = is_long ? policy.long_draws : policy.draws;
+  const std::size_t far = local == nullptr ? group.buckets.size() : group.buckets.size() - 1;
+  if (local != nullptr)
+    draw(asked, *local, near, random, found);
+  if (far == 0)
+    return;
+  const std::uint32_t far_wanted = local == nullptr ? near : policy.far_draws;
+  for (std::uint32_t i = 0; i < far_wanted; ++i) {
+    std::uint64_t pick = random.below(far);
+    for (const endpoint_index::bucket& bucket : group.buckets) {
+      if (&bucket == local || pick-- != 0)
+        continue;
+      draw(asked, bucket, 1, random, found);
+      break;
+    }
+  }
+}
+
+question ask(const endpoint_table& table, const route_need& need) {
+  question asked{table, need};
+  if (!need.model.model.empty())
+    asked.model = model_capability(need.model);
+  if (!need.adapter.empty())
+    asked.adapter = adapter_capability(need.adapter);
+  if (!need.blocks.empty())
+    asked.tokens_per_block =
+        std::min(static_cast<double>(table.policy().most_tokens_per_block),
+                 static_cast<double>(need.prompt_tokens) / static_cast<double>(need.blocks.size()));
+  asked.service_ms = table.service_ms(need.pool);
+  return asked;
+}
+
+candidate_list candidates_of(const question& asked, const endpoint_index::group& group,
+                             const data_centre_id& here, random_source& random, time_ms now) {
+  candidate_list found;
+  const auto here_slot = asked.table.known_data_centre(here);
+  const endpoint_index::bucket* const local = here_slot ? group.in(*here_slot) : nullptr;
+  if (asked.need.suspect != 0) {
+    add_suspect_homes(asked, group, found);
+  } else {
+    add_cached(asked, now, found);
+    if (local != nullptr)
+      add_homes(asked, *local, found);
+  }
+  if (group.size <= asked.table.policy().compare_all_up_to)
+    add_all(asked, group, found);
+  else
+    add_random(asked, group, local, random, found);
+  return found;
+}
+
+std::optional<route_choice> best_of(const question& asked, const candidate_list& found,
+                                    random_source& random) {
+  std::optional<route_choice> best;
+  double best_score = 0.0;
+  for (const candidate& c : found.all()) {
+    const estimate expected = estimate_of(asked, c);
+    const double score = score_of(asked, c, expected) + random.unit() * tie_break_ms;
+    if (best && score >= best_score)
+      continue;
+    best_score = score;
+    const endpoint_table::record& known = asked.table.records()[c.slot];
+    best = route_choice{c.slot,
+                        known.info.id,
+                        c.reason,
+                        expected.total_ms + 2.0 * asked.table.distance_ms(known.data_centre),
+                        expected.queue_ms,
+                        static_cast<std::uint32_t>(c.cached_tokens),
+                        known.load.room() >= 1.0,
+                        static_cast<std::uint32_t>(found.size())};
+  }
+  if (best && found.size() == 1)
+    best->reason = choice_reason::only;
+  return best;
+}
+
+} // namespace
+
+std::optional<route_choice> choose_endpoint(const endpoint_table& table, const route_need& need,
+                                            const data_centre_id& here, random_source& random,
+                                            time_ms now) {
+  const question asked = ask(table, need);
+  const std::uint64_t pool = stable_hash(need.pool.str());
+  const std::uint64_t capability = asked.adapter != 0 ? asked.adapter : asked.model;
+  for (const endpoint_index* const index : {&table.active(), &table.last_resort()}) {
+    const endpoint_index::group* const group = index->find(pool, capability);
+    if (group == nullptr)
+      continue;
+    const candidate_list found = candidates_of(asked, *group, here, random, now);
+    if (auto best = best_of(asked, found, random))
+      return best;
+  }
+  return std::nullopt;
+}
+
+bool may_start(const fair_queue& queue, const route_choice& choice) noexcept {
+  return queue.within_credit() || choice.has_room;
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/routing/impl/endpoint_health.cpp
@@ -0,0 +1,173 @@
+#include "routing/impl/endpoint_health.hpp"
+
+#include <algorithm>
+#include <vector>
+
+namespace sedgechute {
+
+namespace {
+
+constexpr double gain = 0.2;
+constexpr double small_ms = 30.0; // keeps ratios of tiny times from looking large
+constexpr double most_ratio = 50.0;
+constexpr std::uint32_t most_doublings = 5;
+
+void moving_average(double& average, double value, std::uint32_t samples) {
+  const double weight = std::max(gain, 1.0 / (1.0 + samples));
+  average += weight * (value - average);
+}
+
+double median(std::vector<double> values, double otherwise) {
+  if (values.empty())
+    return otherwise;
+  const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
+bool judged(const endpoint_health& health, const health_policy& policy, time_ms now) {
+  return health.samples >= policy.least_samples && now - health.last_sample < policy.sample_life;
+}
+
+struct peer_medians {
+  double slowness;
+  double pace_ms;
+  double failures;
+};
+
+peer_medians medians_of(std::span<endpoint_health* const> pool, const health_policy& policy,
+                        time_ms now) {
+  std::vector<double> slowness;
+  std::vector<double> pace;
+  std::vector<double> failures;
+  for (const endpoint_health* const health : pool) {
+    if (!judged(*health, policy, now))
+      continue;
+    slowness.push_back(health->slowness);
+    failures.push_back(health->failures);
+    if (health->pace_ms > 0.0)
+      pace.push_back(health->pace_ms);
+  }
+  return {median(std::move(slowness), 1.0), median(std::move(pace), 0.0),
+          median(std::move(failures), 0.0)};
+}
+
+// How far beyond what is tolerated the endpoint is; below 1 it may stay.
+double badness(const endpoint_health& health, const peer_medians& peers,
+               const health_policy& policy) {
+  double worst = health.slowness / (std::max(1.0, peers.slowness) * policy.slow_ratio);
+  if (peers.pace_ms > 0.0)
+    worst = std::max(worst, health.pace_ms / (peers.pace_ms * policy.slow_ratio));
+  if (peers.failures < policy.failure_share / 2)
+    worst = std::max(worst, health.failures / policy.failure_share);
+  return worst;
+}
+
+time_ms span_of(const health_policy& policy, std::uint32_t earlier) {
+  const std::uint32_t doublings = std::min(earlier, most_doublings);
+  return std::min(policy.most_ejection, policy.first_ejection * (std::int64_t{1} << doublings));
+}
+
+// A fresh trial: a few requests decide anew.
+void take_back(endpoint_health& health) {
+  health.state = endpoint_state::serving;
+  health.samples = 0;
+  health.slowness = 1.0;
+  health.pace_ms = 0.0;
+  health.failures = 0.0;
+  health.failed_connects = 0;
+}
+
+} // namespace
+
+void note_first_token(endpoint_health& health, double observed_ms, double expected_ms,
+                      time_ms now) {
+  const double ratio = (observed_ms + small_ms) / (std::max(0.0, expected_ms) + small_ms);
+  moving_average(health.slowness, std::min(ratio, most_ratio), health.samples);
+  health.last_sample = now;
+}
+
+void note_pace(endpoint_health& health, double between_tokens_ms, time_ms now) {
+  if (health.pace_ms <= 0.0)
+    health.pace_ms = between_tokens_ms;
+  else
+    moving_average(health.pace_ms, between_tokens_ms, health.samples);
+  health.last_sample = now;
+}
+
+void note_outcome(endpoint_health& health, bool failed, time_ms now) {
+  moving_average(health.failures, failed ? 1.0 : 0.0, health.samples);
+  ++health.samples;
+  health.last_sample = now;
+  if (!failed)
+    health.failed_connects = 0;
+}
+
+bool note_connect_failure(endpoint_health& health, const health_policy& policy, time_ms now) {
+  ++health.failed_connects;
+  const bool new_fault = health.state == endpoint_state::serving;
+  if (health.failed_connects < policy.connect_failures || health.state == endpoint_state::leaving)
+    return false;
+  health.state = endpoint_state::unreachable;
+  health.until = now + span_of(policy, health.ejections);
+  ++health.ejections;
+  return new_fault;
+}
+
+bool note_reachable(endpoint_health& health) noexcept {
+  health.failed_connects = 0;
+  if (health.state != endpoint_state::unreachable)
+    return false;
+  health.ejections = 0;
+  take_back(health);
+  return true;
+}
+
+std::size_t review_peers(std::span<endpoint_health* const> pool, const health_policy& policy,
+                         time_ms now) {
+  std::size_t changed = 0;
+  std::size_t ejected = 0;
+  for (endpoint_health* const health : pool) {
+    const bool away =
+        health->state == endpoint_state::ejected || health->state == endpoint_state::unreachable;
+    if (away && health->until <= now) {
+      take_back(*health);
+      ++changed;
+    } else if (health->state == endpoint_state::ejected) {
+      ++ejected;
+    }
+  }
+
+  const peer_medians peers = medians_of(pool, policy, now);
+  struct suspect {
+    double badness;
+    endpoint_health* health;
+  };
+  std::vector<suspect> suspects;
+  for (endpoint_health* const health : pool) {
+    if (health->state != endpoint_state::serving || !judged(*health, policy, now))
+      continue;
+    const double value = badness(*health, peers, policy);
+    if (value >= 1.0)
+      suspects.push_back({value, health});
+    else
+      health->ejections = 0;
+  }
+  std::ranges::stable_sort(
+      suspects, [](const suspect& a, const suspect& b) { return a.badness > b.badness; });
+
+  const auto allowed =
+      static_cast<std::size_t>(policy.most_ejected * static_cast<double>(pool.size()));
+  for (const suspect& s : suspects) {
+    if (ejected >= allowed)
+      break;
+    s.health->state = endpoint_state::ejected;
+    s.health->until = now + span_of(policy, s.health->ejections);
+    ++s.health->ejections;
+    ++ejected;
+    ++changed;
+  }
+  return changed;
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/routing/impl/endpoint_table.hpp
@@ -0,0 +1,166 @@
+#pragma once
+
+#include "routing/impl/endpoint_health.hpp"
+#include "routing/impl/endpoint_index.hpp"
+#include "routing/impl/endpoint_info.hpp"
+#include "routing/impl/load_estimate.hpp"
+#include "routing/impl/prefix_table.hpp"
+
+#include <optional>
+
+namespace sedgechute {
+
+struct choice_policy {
+  std::uint32_t draws{2};      ///< random candidates in this data centre
+  std::uint32_t long_draws{4}; ///< the same for long prompts
+  std::uint32_t long_prompt_tokens{4096};
+  std::uint32_t far_draws{1};           ///< random candidates in other data centres
+  std::uint32_t compare_all_up_to{6};   ///< groups this small are compared whole
+  double default_distance_ms{2.0};      ///< one way, to a data centre with no known distance
+  double crowding_ms{60.0};             ///< cost of the last free place against an idle endpoint
+  double usual_prompt_rate{8000.0};     ///< prompt tokens per second, until reported
+  double usual_service_ms{4000.0};      ///< duration of a request, until learned
+  double usual_cache_life_ms{120000.0}; ///< until learned
+  std::uint32_t most_tokens_per_block{512};
+};
+
+/// \brief One attempt of a request at an endpoint, kept by the caller until it ends.
+struct route_attempt {
+  std::uint32_t slot{};
+  std::uint64_t life{};   ///< of the table's record; a removed endpoint's attempts are void
+  std::uint32_t unread{}; ///< prompt tokens counted as waiting to be read
+  bool prompt_read{};
+  std::uint32_t predicted_cached{};
+  double expected_ms{};
+  choice_reason reason{choice_reason::random};
+  bool suspect{};
+  time_ms started;
+  time_ms first_token_at;
+};
+
+enum class attempt_outcome {
+  completed,
+  cancelled,      ///< by the caller or by us; says nothing of the endpoint
+  failed,         ///< answered by an error or cut
+  connect_failed, ///< no connection, or silent and proved dead by a probe
+};
+
+template <>
+struct enum_names<attempt_outcome> {
+  static constexpr auto entries =
+      enum_table<attempt_outcome>({{attempt_outcome::completed, "completed"},
+                                   {attempt_outcome::cancelled, "cancelled"},
+                                   {attempt_outcome::failed, "failed"},
+                                   {attempt_outcome::connect_failed, "connect_failed"}});
+};
+
+/// \brief How an attempt ended, and what the engine said it used.
+struct attempt_end {
+  attempt_outcome outcome{attempt_outcome::completed};
+  std::uint32_t output_tokens{};
+  std::optional<std::uint32_t> cached_tokens;
+};
+
+/// \brief Everything that this host knows of the endpoints. Not thread-safe; needs a lock of rank
+/// `endpoints`.
+class endpoint_table {
+ public:
+  struct record {
+    endpoint_info info;
+    std::uint64_t life{};
+    std::uint64_t identity{};
+    std::uint32_t data_centre{};
+    std::vector<std::uint64_t> capabilities;
+    load_estimate load;
+    endpoint_health health;
+    double cache_life_ms{};
+    std::uint32_t suspects{}; ///< runs of suspected content that this host has there
+    bool present{};
+    bool active{}; ///< in the index of those that take new work
+  };
+
+  explicit endpoint_table(choice_policy choice = {}, health_policy health = {});
+
+  /// \brief Adds an endpoint, or updates a known one's pool and data centre.
+  /// \returns its slot
+  std::uint32_t add(const endpoint_info& info);
+  /// \brief Drops an endpoint; attempts at it may still be ended.
+  void remove(const endpoint_id& id);
+  [[nodiscard]] std::optional<std::uint32_t> slot_of(const endpoint_id& id) const;
+
+  /// \brief From any source: host list, the endpoint's own word, the settings. At once no choice.
+  void set_leaving(const endpoint_id& id, bool leaving);
+  /// \param distance_ms  one way
+  void set_data_centre(const data_centre_id& id, double distance_ms, bool reachable);
+
+  void apply_report(const endpoint_id& id, const load_report& report, time_ms now);
+  /// \brief A prefix was stored or evicted, by the engine's word.
+  void apply_cache_event(const endpoint_id& id, std::uint64_t block, bool stored, time_ms now);
+  /// \brief Events were missed: what was predicted of this endpoint is trusted less.
+  void note_cache_gap(const endpoint_id& id, std::uint64_t missed);
+
+  [[nodiscard]] route_attempt start(const route_choice& choice, const route_need& need,
+                                    time_ms now);
+  void first_token(route_attempt& attempt, time_ms now);
+  void end(const route_attempt& attempt, const route_need& need, const attempt_end& result,
+           time_ms now);
+
+  /// \brief A probe on a new connection, or a load report, worked.
+  void reachable(const endpoint_id& id);
+  /// \brief Ejects and takes back; to be called about once a second.
+  /// \returns endpoints whose state changed
+  std::size_t review(time_ms now);
+
+  [[nodiscard]] const std::vector<record>& records() const noexcept { return records_; }
+  [[nodiscard]] const endpoint_index& active() const noexcept { return active_; }
+  /// \returns the index of all that are not leaving, for when none is active
+  [[nodiscard]] const endpoint_index& last_resort() const noexcept { return last_resort_; }
+  [[nodiscard]] const prefix_table& prefixes() const noexcept { return prefixes_; }
+  [[nodiscard]] const choice_policy& policy() const noexcept { return choice_; }
+  [[nodiscard]] double distance_ms(std::uint32_t data_centre) const noexcept;
+  [[nodiscard]] std::uint32_t data_centre_slot(const data_centre_id& id);
+  [[nodiscard]] std::optional<std::uint32_t> known_data_centre(const data_centre_id& id) const;
+  [[nodiscard]] double service_ms(const pool_id& pool) const;
+  /// \returns share of a prompt found cached where only the placement rule said so, 0..1
+  [[nodiscard]] double home_trust() const noexcept { return home_trust_; }
+
+  /// \returns places and believed load of a pool's endpoints that take work
+  struct pool_load {
+    std::size_t endpoints{};
+    double places{};
+    double at_endpoints{};
+  };
+  [[nodiscard]] pool_load load_of(const pool_id& pool) const;
+
+ private:
+  struct data_centre_state {
+    data_centre_id id;
+    double distance_ms{};
+    bool reachable{true};
+  };
+
+  [[nodiscard]] record* find(const endpoint_id& id);
+  [[nodiscard]] record* record_of(const route_attempt& attempt);
+  void refresh(std::uint32_t slot);
+  void take_from_indexes(record& known, std::uint32_t slot);
+  void learn_cache(record& known, const route_attempt& attempt, const route_need& need,
+                   std::uint32_t cached, time_ms now);
+
+  choice_policy choice_;
+  health_policy health_;
+  std::vector<record> records_;
+  absl::flat_hash_map<endpoint_id, std::uint32_t> slots_;
+  std::vector<data_centre_state> data_centres_;
+  endpoint_index active_;
+  endpoint_index last_resort_;
+  prefix_table prefixes_;
+  absl::flat_hash_map<pool_id, double> service_ms_;
+  double home_trust_{0.1};
+  std::uint64_t lives_{};
+};
+
+/// \returns hash of a need or a loaded item, as the index keeps it
+[[nodiscard]] std::uint64_t model_capability(const model_version& model);
+[[nodiscard]] std::uint64_t adapter_capability(std::string_view adapter);
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/routing/impl/forward_declarations.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+namespace sedgechute {
+
+enum class work_class;
+struct team_limits;
+class token_bucket;
+class slot_heap;
+
+struct queued_work;
+struct work_grant;
+struct admission;
+struct queue_figures;
+struct queue_policy;
+class fair_queue;
+
+struct team_demand;
+struct share_report;
+struct share_plan;
+struct share_policy;
+struct share_inputs;
+
+enum class endpoint_role;
+enum class endpoint_state;
+enum class choice_reason;
+enum class attempt_outcome;
+struct endpoint_info;
+struct load_report;
+struct route_need;
+struct route_choice;
+struct route_attempt;
+struct attempt_end;
+struct choice_policy;
+struct health_policy;
+struct endpoint_health;
+class load_estimate;
+class prefix_table;
+class endpoint_index;
+class endpoint_table;
+
+enum class attempt_stage;
+enum class retry_action;
+struct retry_policy;
+class retry_budget;
+struct failed_attempt;
+struct retry_decision;
+struct hedge_policy;
+struct hedge_case;
+
+enum class stall_stage;
+enum class stall_step;
+enum class probe_result;
+struct stall_policy;
+struct stall_watch;
+struct stall_decision;
+
+enum class content_standing;
+struct quarantine_policy;
+struct death_evidence;
+struct acquittal;
+struct quarantine_record;
+struct quarantine_news;
+class quarantine_table;
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/routing/impl/retry_policy.cpp
@@ -0,0 +1,82 @@
+#include "routing/impl/retry_policy.hpp"
+
+#include <algorithm>
+
+namespace sedgechute {
+
+namespace {
+
+constexpr double ms_per_s = 1000.0;
+constexpr std::uint32_t most_doublings = 10;
+
+} // namespace
+
+retry_budget::retry_budget(const retry_policy& policy)
+    : policy_{policy}, level_{policy.budget_per_s} {}
+
+double retry_budget::left(time_ms now) const noexcept {
+  const double elapsed_s = static_cast<double>((now - updated_).count()) / ms_per_s;
+  // Time alone earns one second's allowance at most, successes up to the whole budget.
+  const double base = std::max(level_, policy_.budget_per_s);
+  return std::clamp(level_ + std::max(0.0, elapsed_s) * policy_.budget_per_s, level_, base);
+}
+
+void retry_budget::note_success(time_ms now) noexcept {
+  level_ = std::min(policy_.budget_most, left(now) + policy_.budget_share);
+  updated_ = std::max(updated_, now);
+}
+
+bool retry_budget::spend(time_ms now) noexcept {
+  level_ = left(now);
+  updated_ = std::max(updated_, now);
+  if (level_ < 1.0)
+    return false;
+  level_ -= 1.0;
+  return true;
+}
+
+time_ms backoff(const retry_policy& policy, std::uint32_t attempts, random_source& random) {
+  const std::uint32_t doublings = std::min(attempts == 0 ? 0 : attempts - 1, most_doublings);
+  const std::int64_t whole =
+      std::min(policy.most_backoff.count(), policy.first_backoff.count() << doublings);
+  return time_ms{whole / 2 + static_cast<std::int64_t>(random.below(whole - whole / 2 + 1))};
+}
+
+retry_decision decide_retry(const failed_attempt& failed, const retry_policy& policy,
+                            retry_budget& budget, random_source& random, time_ms now) {
+  const bool may_have_run = failed.stage != attempt_stage::connecting && !failed.refused_unrun;
+  const bool streaming = failed.stage == attempt_stage::streaming;
+  const error_kind truth = streaming      ? error_kind::stream_cut
+                           : may_have_run ? (failed.idempotent ? error_kind::endpoint_failed
+                                                               : error_kind::outcome_unknown)
+                                          : error_kind::no_capacity;
+  retry_decision decision;
+  decision.refusal = truth;
+  decision.wait = std::max(backoff(policy, failed.attempts, random), failed.retry_after);
+
+  // Taking up a run that goes on is no second run, so it needs no idempotence.
+  if (failed.resumable && may_have_run && failed.attempts < policy.most_attempts) {
+    decision.action = retry_action::resume;
+    return decision;
+  }
+  if (streaming || (may_have_run && !failed.idempotent))
+    return decision;
+  if (failed.attempts >= policy.most_attempts || now + decision.wait > failed.deadline)
+    return decision;
+  if (budget.spend(now))
+    decision.action = retry_action::retry;
+  return decision;
+}
+
+bool decide_hedge(const hedge_case& waiting, const hedge_policy& policy, retry_budget& budget,
+                  time_ms now) {
+  const auto usual = static_cast<std::int64_t>(static_cast<double>(waiting.usual_p95.count()) *
+                                               policy.usual_wait_factor);
+  const time_ms wait = std::max(policy.least_wait, time_ms{usual});
+  const bool safe = waiting.idempotent && waiting.cancellable && !waiting.hedged;
+  const bool pays = waiting.prompt_tokens <= policy.most_prompt_tokens &&
+                    waiting.pool_load < policy.most_load && waiting.waited >= wait;
+  return safe && pays && budget.spend(now);
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/routing/impl/share_plan.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "kernel/kernel.hpp"
+
+#include <span>
+#include <vector>
+
+namespace sedgechute {
+
+/// \brief What one team wants from and got of a pool, in tokens per second.
+struct team_demand {
+  team_id team;
+  double wanted{}; ///< arriving, and the backlog as if it were to start within the horizon
+  double served{}; ///< started over the last period
+};
+
+/// \brief What one host, or a group of hosts together, feeds into a pool.
+struct share_report {
+  pool_id pool;
+  incarnation from;
+  std::uint64_t sequence{};
+  std::uint32_t hosts{1};         ///< hosts that it sums up
+  std::vector<team_demand> teams; ///< the largest demands
+  team_demand others;             ///< the rest together; its team is empty
+};
+
+/// \brief Sums reports up, so that one host may speak for its group. At most `most_teams` are
+/// named; the rest is added to `others`.
+[[nodiscard]] share_report merge_reports(std::span<const share_report> reports,
+                                         std::size_t most_teams);
+
+/// \brief One team's part on this host.
+struct team_share {
+  team_id team;
+  double weight{};   ///< for `fair_queue::set_share`
+  double fraction{}; ///< of the team's limits
+};
+
+struct share_plan {
+  double slots{}; ///< requests that this host may have at the pool's endpoints
+  std::vector<team_share> teams;
+};
+
+/// \brief A contract's weight in the pool.
+struct team_weight {
+  team_id team;
+  double weight{1.0};
+};
+
+struct share_policy {
+  double floor_slots{1.0}; ///< that every host keeps, to start at once when work arrives
+  double feedback{0.5};    ///< how much of a team's measured error is made up for
+  double most_feedback{2.0};
+  std::size_t most_teams{64}; ///< named in a report
+  time_ms horizon{2000};      ///< in which a backlog counts as demand
+};
+
+/// \brief What the plan is made from.
+struct share_inputs {
+  double pool_slots{}; ///< places at the endpoints that take work
+  double pool_rate{};  ///< tokens per second that the pool starts; 0 when not known
+  share_report own;    ///< this host's
+  share_report all;    ///< sum over all hosts, this one included
+};
+
+/// \brief Divides a pool over the hosts that feed it. Each team gets its weighted share of the
+/// pool, no more than it wants; what is left goes to those that want more. A host gets for each
+/// team the part that its own demand has in the team's whole, and credit for the sum.
+[[nodiscard]] share_plan plan_shares(const share_inputs& inputs,
+                                     std::span<const team_weight> weights,
+                                     const share_policy& policy);
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/routing/impl/stall_policy.cpp
@@ -0,0 +1,62 @@
+#include "routing/impl/stall_policy.hpp"
+
+namespace sedgechute {
+
+namespace {
+
+time_ms allowed(const stall_policy& policy, stall_stage stage) noexcept {
+  switch (stage) {
+  case stall_stage::connect:
+    return policy.connect;
+  case stall_stage::first_byte:
+    return policy.first_byte;
+  case stall_stage::between_bytes:
+    return policy.between_bytes;
+  }
+  return policy.between_bytes;
+}
+
+} // namespace
+
+void note_bytes(stall_watch& watch, time_ms now) noexcept {
+  watch.stage = stall_stage::between_bytes;
+  watch.quiet_since = now;
+  watch.probing = false;
+}
+
+// A silent connection may be one that something between the two ends has forgotten, while new ones
+// work; waiting on it would hang the caller for good, and giving the endpoint up would throw a
+// healthy run away. Only a second connection tells the two apart.
+stall_decision check_stall(stall_watch& watch, const stall_policy& policy, probe_result probe,
+                           time_ms now) noexcept {
+  const time_ms limit = watch.quiet_since + allowed(policy, watch.stage);
+  if (!watch.probing) {
+    if (now < limit)
+      return {stall_step::wait, limit};
+    // No connection at all is already the answer that a probe would give.
+    if (watch.stage == stall_stage::connect)
+      return {stall_step::give_up, now};
+    watch.probing = true;
+    watch.probe_started = now;
+    return {stall_step::probe, now + policy.probe};
+  }
+  const bool late = now >= watch.probe_started + policy.probe;
+  switch (probe) {
+  case probe_result::pending:
+    return late ? stall_decision{stall_step::give_up, now}
+                : stall_decision{stall_step::wait, watch.probe_started + policy.probe};
+  case probe_result::failed:
+    return {stall_step::give_up, now};
+  case probe_result::answered:
+  case probe_result::run_known:
+    break;
+  }
+  if (watch.resumes >= policy.most_resumes)
+    return {stall_step::give_up, now};
+  ++watch.resumes;
+  watch.probing = false;
+  watch.quiet_since = now;
+  return {stall_step::reconnect, now};
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/routing/routing.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+/// \file
+/// \brief Routing policies: fair queues, shares, choice of endpoint, retries, stalls, quarantine.
+///
+/// Everything here is pure: time and randomness are arguments. A daemon holds one `fair_queue` per
+/// pool under a lock of rank `queues`, and one `endpoint_table` and one `quarantine_table` under
+/// locks of rank `endpoints`, and drives them like this.
+///
+/// A request comes in:
+/// ```cpp
+/// if (suspects.standing(content) == content_standing::quarantined)
+/// refuse(error_kind::quarantined); const admission a = queue.enqueue(team, {ticket, kind, cost,
+/// latest_start}, now); if (!a.admitted) refuse(a.refusal, a.retry_after);   // at once pump(pool);
+/// ```
+/// Whenever a request came in, one ended, or a report arrived:
+/// ```cpp
+/// for (ticket : queue.expire(now)) refuse(ticket, error_kind::deadline_unreachable);
+/// while (const auto ticket = queue.peek(now)) {
+///   const auto choice = choose_endpoint(table, need_of(*ticket), here, random, now);
+///   if (!choice || !may_start(queue, *choice)) break; // try again at the next event or in 20 ms
+///   const work_grant grant = *queue.dequeue(now);
+///   route_attempt attempt = table.start(*choice, need, now);
+///   send(grant, attempt, choice->endpoint);
+/// }
+/// ```
+/// During the run: `table.first_token(attempt, now)`, `check_stall(...)`; at its end
+/// `table.end(attempt, need, {outcome, output_tokens, cached_tokens}, now)` and
+/// `queue.settle(grant, real_cost, now)`; after success `budget.note_success(now)` and
+/// `suspects.note_survived(content, ran_for, true, now)`; after failure `decide_retry(...)`, and if
+/// the endpoint ended, `suspects.note_death(endpoint, life, runs_on_it, now)`.
+///
+/// Once a second: `table.review(now)`, `suspects.expire(now)`, and per pool a `share_report` to the
+/// other hosts; from the sum of theirs `plan_shares` gives what to hand to `queue.set_credit` and
+/// `queue.set_share`. `suspects.take_news()` goes to all hosts as soon as it is not empty.
+
+#include "routing/impl/choose_endpoint.hpp"
+#include "routing/impl/endpoint_health.hpp"
+#include "routing/impl/endpoint_index.hpp"
+#include "routing/impl/endpoint_info.hpp"
+#include "routing/impl/endpoint_table.hpp"
+#include "routing/impl/fair_queue.hpp"
+#include "routing/impl/forward_declarations.hpp"
+#include "routing/impl/load_estimate.hpp"
+#include "routing/impl/prefix_table.hpp"
+#include "routing/impl/quarantine.hpp"
+#include "routing/impl/queued_work.hpp"
+#include "routing/impl/retry_policy.hpp"
+#include "routing/impl/share_plan.hpp"
+#include "routing/impl/slot_heap.hpp"
+#include "routing/impl/stall_policy.hpp"
+#include "routing/impl/team_limits.hpp"
+#include "routing/impl/token_bucket.hpp"
+#include "routing/impl/work_class.hpp"
--- /dev/null
+++ b/tests/routing/share_plan_test.cpp
@@ -0,0 +1,98 @@
+#include "routing/routing.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <numeric>
+
+using namespace sedgechute;
+
+namespace {
+
+const team_id north{"north"};
+const team_id south{"south"};
+
+share_report report(std::vector<team_demand> teams) {
+  share_report r;
+  r.pool = pool_id{"lm"};
+  r.teams = std::move(teams);
+  return r;
+}
+
+share_plan plan_of(std::span<const share_report> reports, std::size_t own, double slots,
+                   double rate) {
+  const share_inputs inputs{slots, rate, reports[own], merge_reports(reports, 64)};
+  return plan_shares(inputs, {}, {});
+}
+
+} // namespace
+
+TEST_SUITE("share plan") {
+  TEST_CASE("a team that enters by one host gets the same as one that enters by both") {
+    // A team whose callers happen to land on one entry host gets half of what it paid for,
+    // because each host divides its own part of the pool alone.
+    const std::vector<share_report> reports{
+        report({{north, 5000, 300}, {south, 5000, 150}}),
+        report({{south, 5000, 450}}),
+    };
+    const share_plan first = plan_of(reports, 0, 100.0, 1000.0);
+    const share_plan second = plan_of(reports, 1, 100.0, 1000.0);
+    CHECK(first.slots == doctest::Approx(75.0).epsilon(0.02));
+    CHECK(second.slots == doctest::Approx(25.0).epsilon(0.03));
+    // On the first host north gets two parts and south one, and more as it was behind.
+    CHECK(first.teams[0].weight / first.teams[1].weight >= 2.0);
+  }
+
+  TEST_CASE("credit sums to the pool, whatever the demand, and each host can start at once") {
+    CHECK(rc::check([] {
+      const auto hosts = *rc::gen::inRange<std::size_t>(1, 12);
+      std::vector<share_report> reports;
+      for (std::size_t h = 0; h < hosts; ++h) {
+        std::vector<team_demand> teams;
+        const int count = *rc::gen::inRange(0, 6);
+        for (int t = 0; t < count; ++t)
+          teams.push_back({team_id{std::string{"t"}.append(std::to_string(t))},
+                           static_cast<double>(*rc::gen::inRange(0, 1000)), 0.0});
+        reports.push_back(report(teams));
+      }
+      const double slots = static_cast<double>(hosts) * 8.0;
+      double sum = 0.0;
+      for (std::size_t h = 0; h < hosts; ++h) {
+        const share_plan plan = plan_of(reports, h, slots, 900.0);
+        RC_ASSERT(plan.slots >= share_policy{}.floor_slots);
+        sum += plan.slots;
+      }
+      RC_ASSERT(sum <= slots + 1e-6);
+      RC_ASSERT(sum >= slots - 1e-6);
+    }));
+  }
+
+  TEST_CASE("what a team does not want goes to the others, and a sum of sums is the same sum") {
+    const std::vector<share_report> reports{report({{north, 100, 0}, {south, 9000, 0}}),
+                                            report({{south, 900, 0}})};
+    const share_report sum = merge_reports(reports, 64);
+    const std::vector<share_report> groups{merge_reports(std::span{reports}.first(1), 64),
+                                           merge_reports(std::span{reports}.last(1), 64)};
+    const share_report of_groups = merge_reports(groups, 64);
+    CHECK(of_groups.hosts == sum.hosts);
+    CHECK(of_groups.teams[0].wanted == sum.teams[0].wanted);
+    const share_plan plan = plan_of(reports, 1, 10.0, 1000.0);
+    // South gets the 900 that north leaves, a share of 900/9900 of it here.
+    CHECK(plan.teams[0].fraction == doctest::Approx(900.0 / 9900.0));
+  }
+
+  TEST_CASE("a report names a bounded number of teams and loses no demand") {
+    std::vector<team_demand> many;
+    for (int i = 0; i < 830; ++i)
+      many.push_back(
+          {team_id{std::string{"t"}.append(std::to_string(i))}, static_cast<double>(i), 1.0});
+    const std::vector<share_report> reports{report(many)};
+    const share_report sum = merge_reports(reports, 64);
+    CHECK(sum.teams.size() == 64);
+    double wanted = sum.others.wanted;
+    for (const team_demand& team : sum.teams)
+      wanted += team.wanted;
+    CHECK(wanted == doctest::Approx(829.0 * 830.0 / 2.0));
+    CHECK(sum.teams.front().wanted == 829.0);
+  }
+}
