--- a/tests/config/history_model.cpp
+++ b/tests/config/history_model.cpp
@@ -149,7 +149,8 @@
                                                     : "team" + std::to_string(step.b % team_count);
   record.replaces = host.store.revision_of(record.kind, record.name);
   record.based_on = host.store.sequence();
-  record.body = body_for(record, 100 * (step.c % 6 + 1), step.c % 5 == 0 ? "lm2" : "lm");
+  record.body =
+      body_for(record, std::int64_t{100} * (step.c % 6 + 1), step.c % 5 == 0 ? "lm2" : "lm");
   written_.push_back(record);
   append(std::move(record));
 }
