Orders to engines, one decider per pool, and routing messages on the wire

Cause: lost engines and changed demand have to be repaired without an operator, by one host per pool, and hosts have to hear of one another's demand and of poison requests. Change: pool_claims replays claims from the log (the first against the epoch in force wins); order_planner compares reports with goals, within the weight store's rate, under the epoch as fencing number, only loads where engines ignore it, with a reason on every order. routing_message with its codec, bounded and checked. Measured: a share report of 64 teams with names of 26 bytes stays below 4,096 bytes (wire_test). Conclusion: what a decider does not know it sees in the next report, so its loss needs no repair.

--- a/src/routing/impl/forward_declarations.hpp
+++ b/src/routing/impl/forward_declarations.hpp
@@ -62,4 +62,23 @@
 struct quarantine_news;
 class quarantine_table;
 
+struct routing_message;
+
+struct pool_claim;
+struct pool_decider;
+class pool_claims;
+
+enum class order_action;
+enum class order_state;
+enum class order_answer;
+struct loadable;
+struct engine_order;
+struct order_record;
+struct engine_view;
+struct item_goal;
+struct pool_goal;
+struct item_demand;
+struct planner_policy;
+class order_planner;
+
 } // namespace sedgechute
--- a/src/routing/impl/work_class.hpp
+++ b/src/routing/impl/work_class.hpp
@@ -2,6 +2,8 @@
 
 #include "kernel/kernel.hpp"
 
+#include <cstdint>
+
 namespace sedgechute {
 
 /// \brief How soon a team wants its work: the order of the list is the order of service.
@@ -13,6 +15,15 @@
 
 inline constexpr std::size_t work_class_count = 3;
 
+/// \returns the class of a priority as contracts and engines state it: 0 first, 9 last
+[[nodiscard]] constexpr work_class class_of_priority(std::int64_t priority) noexcept {
+  constexpr std::int64_t last_interactive = 2;
+  constexpr std::int64_t last_standard = 6;
+  if (priority <= last_interactive)
+    return work_class::interactive;
+  return priority <= last_standard ? work_class::standard : work_class::long_running;
+}
+
 template <>
 struct enum_names<work_class> {
   static constexpr auto entries =
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -32,20 +32,29 @@
 ///
 /// Once a second: `table.review(now)`, `suspects.expire(now)`, and per pool a `share_report` to the
 /// other hosts; from the sum of theirs `plan_shares` gives what to hand to `queue.set_credit` and
-/// `queue.set_share`. `suspects.take_news()` goes to all hosts as soon as it is not empty.
+/// `queue.set_share`. `suspects.take_news()` goes to all hosts as soon as it is not empty. Both
+/// travel as a `routing_message`.
+///
+/// Orders to engines: `pool_claims` replays `pool_claim` records; when `due_claim` gives one,
+/// append it. The host whose `epoch_of` is not 0 hands it to its `order_planner` by `set_epoch`,
+/// sends what `plan` returns and hands each engine's answer to `note_answer`.
 
 #include "routing/impl/choose_endpoint.hpp"
 #include "routing/impl/endpoint_health.hpp"
 #include "routing/impl/endpoint_index.hpp"
 #include "routing/impl/endpoint_info.hpp"
 #include "routing/impl/endpoint_table.hpp"
+#include "routing/impl/engine_order.hpp"
 #include "routing/impl/fair_queue.hpp"
 #include "routing/impl/forward_declarations.hpp"
 #include "routing/impl/load_estimate.hpp"
+#include "routing/impl/order_planner.hpp"
+#include "routing/impl/pool_claims.hpp"
 #include "routing/impl/prefix_table.hpp"
 #include "routing/impl/quarantine.hpp"
 #include "routing/impl/queued_work.hpp"
 #include "routing/impl/retry_policy.hpp"
+#include "routing/impl/routing_message.hpp"
 #include "routing/impl/share_plan.hpp"
 #include "routing/impl/slot_heap.hpp"
 #include "routing/impl/stall_policy.hpp"
--- /dev/null
+++ b/src/wire/impl/routing_codec.cpp
@@ -0,0 +1,165 @@
+#include "wire/impl/routing_codec.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sedgechute {
+
+namespace {
+
+// Beyond any span in use; a larger one from a peer would overflow when added to an instant.
+constexpr std::uint64_t longest_span_ms = std::uint64_t{1} << 40U;
+
+[[noreturn]] void reject(const char* field, const char* why) {
+  throw error{error_kind::malformed_request, std::string{"routing_message."} + field, why};
+}
+
+const std::string& checked_name(const std::string& text, const char* field) {
+  if (text.empty())
+    reject(field, "missing");
+  if (text.size() > max_routing_name)
+    reject(field, "longer than any name");
+  return text;
+}
+
+double checked_rate(float value, const char* field) {
+  if (!std::isfinite(value) || value < 0.0F)
+    reject(field, "not a rate");
+  return static_cast<double>(value);
+}
+
+time_ms checked_span(std::uint64_t value, const char* field) {
+  if (value > longest_span_ms)
+    reject(field, "longer than any span");
+  return time_ms{static_cast<std::int64_t>(value)};
+}
+
+void check_count(int count, int most, const char* field) {
+  if (count > most)
+    reject(field, "more than any sender packs");
+}
+
+std::uint64_t span_of(time_ms span) {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, span.count()));
+}
+
+// A demand is a figure to plan by; seven digits are enough and take half the bytes.
+float short_rate(double rate) {
+  return static_cast<float>(rate);
+}
+
+void to_wire(const share_report& report, wire::share_report& out) {
+  out.set_pool(report.pool.str());
+  out.set_host(report.from.host.str());
+  out.set_number(report.from.number);
+  out.set_sequence(report.sequence);
+  out.set_hosts(report.hosts);
+  for (const team_demand& team : report.teams) {
+    wire::team_demand& added = *out.add_teams();
+    added.set_team(team.team.str());
+    added.set_wanted(short_rate(team.wanted));
+    added.set_served(short_rate(team.served));
+  }
+  out.set_others_wanted(short_rate(report.others.wanted));
+  out.set_others_served(short_rate(report.others.served));
+}
+
+share_report from_wire(const wire::share_report& report) {
+  check_count(report.teams_size(), max_teams_in_report, "teams");
+  share_report out;
+  out.pool = pool_id{checked_name(report.pool(), "pool")};
+  out.from = {host_id{checked_name(report.host(), "host")}, report.number()};
+  out.sequence = report.sequence();
+  out.hosts = report.hosts();
+  for (const wire::team_demand& team : report.teams())
+    out.teams.push_back({team_id{checked_name(team.team(), "team")},
+                         checked_rate(team.wanted(), "wanted"),
+                         checked_rate(team.served(), "served")});
+  out.others = {{},
+                checked_rate(report.others_wanted(), "others_wanted"),
+                checked_rate(report.others_served(), "others_served")};
+  return out;
+}
+
+void to_wire(const quarantine_news& news, wire::routing_message& out) {
+  for (const death_evidence& death : news.deaths) {
+    wire::death_evidence& added = *out.add_deaths();
+    added.set_content(death.content);
+    added.set_endpoint(death.endpoint.str());
+    added.set_life(death.life);
+    added.set_ran_for_ms(span_of(death.ran_for));
+    added.set_age_ms(span_of(death.age));
+  }
+  for (const acquittal& cleared : news.acquittals) {
+    wire::acquittal& added = *out.add_acquittals();
+    added.set_content(cleared.content);
+    added.set_age_ms(span_of(cleared.age));
+  }
+  for (const quarantine_record& record : news.records) {
+    wire::quarantine_record& added = *out.add_records();
+    added.set_content(record.content);
+    added.set_version(record.version);
+    added.set_lifted(record.lifted);
+    added.set_remaining_ms(span_of(record.remaining));
+    for (const endpoint_id& endpoint : record.endpoints)
+      added.add_endpoints(endpoint.str());
+  }
+}
+
+quarantine_record from_wire(const wire::quarantine_record& record) {
+  check_count(record.endpoints_size(), max_quarantine_items, "endpoints");
+  quarantine_record out;
+  out.content = record.content();
+  out.version = record.version();
+  out.lifted = record.lifted();
+  out.remaining = checked_span(record.remaining_ms(), "remaining_ms");
+  for (const std::string& endpoint : record.endpoints())
+    out.endpoints.emplace_back(checked_name(endpoint, "endpoints"));
+  return out;
+}
+
+} // namespace
+
+wire::routing_message to_wire(const routing_message& message) {
+  wire::routing_message out;
+  for (const share_report& report : message.shares)
+    to_wire(report, *out.add_shares());
+  to_wire(message.news, out);
+  return out;
+}
+
+routing_message from_wire(const wire::routing_message& message) {
+  check_count(message.shares_size(), max_share_reports, "shares");
+  check_count(message.deaths_size(), max_quarantine_items, "deaths");
+  check_count(message.acquittals_size(), max_quarantine_items, "acquittals");
+  check_count(message.records_size(), max_quarantine_items, "records");
+  routing_message out;
+  for (const wire::share_report& report : message.shares())
+    out.shares.push_back(from_wire(report));
+  for (const wire::death_evidence& death : message.deaths())
+    out.news.deaths.push_back(
+        {death.content(), endpoint_id{checked_name(death.endpoint(), "endpoint")}, death.life(),
+         checked_span(death.ran_for_ms(), "ran_for_ms"), checked_span(death.age_ms(), "age_ms")});
+  for (const wire::acquittal& cleared : message.acquittals())
+    out.news.acquittals.push_back({cleared.content(), checked_span(cleared.age_ms(), "age_ms")});
+  for (const wire::quarantine_record& record : message.records())
+    out.news.records.push_back(from_wire(record));
+  return out;
+}
+
+wire::pool_claim to_wire(const pool_claim& claim) {
+  wire::pool_claim out;
+  out.set_pool(claim.pool.str());
+  out.set_host(claim.claimant.host.str());
+  out.set_number(claim.claimant.number);
+  out.set_replaces(claim.replaces);
+  return out;
+}
+
+pool_claim from_wire(const wire::pool_claim& claim) {
+  return {pool_id{checked_name(claim.pool(), "pool")},
+          {host_id{checked_name(claim.host(), "host")}, claim.number()},
+          claim.replaces()};
+}
+
+} // namespace sedgechute
