--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -24,4 +24,5 @@
 #include "config/impl/object_table.hpp"
 #include "config/impl/outcome_window.hpp"
 #include "config/impl/problem.hpp"
+#include "config/impl/schema_page.hpp"
 #include "config/impl/value_rule.hpp"
