--- /dev/null
+++ b/src/ledger/impl/budget_host.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "ledger/impl/budget_description.hpp"
+#include "ledger/impl/entry_role.hpp"
+#include "ledger/impl/host_context.hpp"
+#include "ledger/impl/ledger_snapshot.hpp"
+#include "ledger/impl/spend_history.hpp"
+#include "ledger/impl/witness_role.hpp"
+
+#include <span>
+
+namespace sedgechute::ledger {
+
+/// \brief One host's part in all budgets: entry, holder and witness. Not thread-safe; the daemon
+/// calls it under one lock and sends what `take_output` returns.
+///
+/// ```cpp
+/// auto decision = budgets.reserve(now, {team, key, bound, std::nullopt});
+/// // pending: the decision follows in take_output().decisions, at most `reserve_wait` later
+/// budgets.shrink(now, decision.ticket, smaller);
+/// budgets.settle(now, decision.ticket, used);
+/// ```
+class budget_host {
+ public:
+  budget_host(incarnation self, const data_centre_id& data_centre, const ledger_options& options,
+              std::uint64_t seed);
+  budget_host(const budget_host&) = delete;
+  budget_host& operator=(const budget_host&) = delete;
+  ~budget_host() = default;
+
+  /// \brief A contract came into force, in the order of the stream; `bought` is 0 once cancelled.
+  void on_contract(time_ms now, log_offset offset, const team_id& team, token_count bought);
+  /// \brief A ledger record was read; offsets ascend.
+  void on_record(time_ms now, log_offset offset, const ledger_record& record);
+  /// \brief A message arrived. One that was addressed to another incarnation is dropped.
+  void on_message(time_ms now, const incarnation& from, const incarnation& to,
+                  const ledger_message& message);
+  /// \brief The live hosts, this one among them.
+  void on_members(time_ms now, std::span<const live_host> hosts);
+  /// \brief To be called about every 50 ms.
+  void tick(time_ms now);
+
+  /// \returns a decision, or `pending` with the ticket of one that follows.
+  [[nodiscard]] budget_decision reserve(time_ms now, const budget_request& request);
+  /// \brief Lowers the bound of a granted reservation.
+  void shrink(time_ms now, ticket_number ticket, token_count bound);
+  /// \brief Ends a granted reservation and bills `used`, at most its bound, or its bound if no
+  /// usage is known.
+  void settle(time_ms now, ticket_number ticket, std::optional<token_count> used);
+  /// \brief Ends an attempt that was never dispatched: nothing is billed, and the key may be
+  /// reserved again.
+  void withdraw(time_ms now, ticket_number ticket);
+  /// \brief Ends a dispatched attempt whose request another attempt, with another reservation,
+  /// will answer: nothing is billed, and the bound is written off because it may have been used.
+  void disown(time_ms now, ticket_number ticket);
+
+  /// \brief Appends an operator's release of written-off tokens.
+  void release(time_ms now, const team_id& team, epoch_number epoch, token_count tokens,
+               release_proof proof, std::string statement);
+
+  [[nodiscard]] budget_output take_output();
+
+  /// \brief Takes no new reservations as a holder, returns what is free and closes all slices.
+  void drain(time_ms now);
+  /// \returns whether nothing is held, reserved or unsettled here any more.
+  [[nodiscard]] bool drained() const noexcept;
+
+  [[nodiscard]] std::optional<budget_description> describe(time_ms now, const team_id& team) const;
+
+  [[nodiscard]] ledger_snapshot snapshot() const { return context_.state.snapshot(); }
+  /// \brief Starts, or starts again after a gap in the stream, from a checkpoint.
+  /// \throws error of kind `invalid_document` if the checkpoint contradicts itself
+  void restore(time_ms now, const ledger_snapshot& snapshot);
+
+  [[nodiscard]] const ledger_state& state() const noexcept { return context_.state; }
+  [[nodiscard]] const holder_role& holder() const noexcept { return holder_; }
+  [[nodiscard]] const entry_role& entry() const noexcept { return entry_; }
+  [[nodiscard]] const witness_role& witness() const noexcept { return witness_; }
+
+ private:
+  void sync_touched(time_ms now);
+  void abandon_lost(time_ms now);
+  void dispatch(time_ms now, name_index from, const ledger_message& message);
+
+  host_context context_;
+  witness_role witness_;
+  holder_role holder_;
+  entry_role entry_;
+  spend_history history_;
+  time_ms next_abandon_;
+};
+
+} // namespace sedgechute::ledger
--- /dev/null
+++ b/src/ledger/impl/entry_role.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "ledger/impl/holder_role.hpp"
+
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+
+#include <vector>
+
+namespace sedgechute::ledger {
+
+/// \brief Finds a holder for each attempt of this entry host and settles with it.
+class entry_role {
+ public:
+  entry_role(host_context& context, holder_role& holder) noexcept
+      : context_{context}, holder_{holder} {}
+
+  /// \returns the decision, which may be `pending`; then one follows in `budget_output`.
+  budget_decision reserve(time_ms now, const budget_request& request);
+  void shrink(time_ms now, ticket_number ticket, token_count bound);
+  void settle(time_ms now, ticket_number ticket, std::optional<token_count> used);
+  void withdraw(time_ms now, ticket_number ticket);
+  void disown(time_ms now, ticket_number ticket);
+
+  void on_reply(time_ms now, name_index from, const reserve_reply& message);
+  void on_message(time_ms now, name_index from, const settle_reply& message);
+  void on_message(time_ms now, name_index from, const reservation_probe& message);
+  void tick(time_ms now);
+
+  [[nodiscard]] bool idle() const noexcept { return attempts_.empty(); }
+  [[nodiscard]] std::size_t open_attempts() const noexcept { return attempts_.size(); }
+
+ private:
+  enum class phase : std::uint8_t { asking, open, settling };
+
+  struct attempt {
+    phase where{phase::asking};
+    name_index team{no_name};
+    request_id key;
+    token_count bound{};
+    name_index holder{no_name};
+    name_index prior{no_name};
+    name_index avoid{no_name}; ///< said that it holds nothing
+    epoch_number epoch{};
+    time_ms deadline;
+    time_ms sent;
+    time_ms since;
+    settle_request settling;
+  };
+
+  [[nodiscard]] name_index pick_holder(const attempt& a) const;
+  void ask(time_ms now, ticket_number ticket, attempt& a);
+  void ask_again(time_ms now, ticket_number ticket, attempt& a);
+  void change_holder(time_ms now, ticket_number ticket, attempt& a, name_index holder);
+  void decide(ticket_number ticket, const attempt& a, budget_outcome outcome, token_count bound);
+  void tell_holder(time_ms now, ticket_number ticket, attempt& a, settle_kind kind,
+                   token_count tokens);
+  void send_withdraw(name_index to, ticket_number ticket, const team_id& team,
+                     const request_id& key);
+  void deliver_local(time_ms now);
+  void end(time_ms now, ticket_number ticket, settle_kind kind, token_count tokens);
+  [[nodiscard]] bool settled_or_lost(time_ms now, ticket_number ticket, attempt& a);
+
+  host_context& context_;
+  holder_role& holder_;
+  absl::flat_hash_map<ticket_number, attempt> attempts_;
+  absl::btree_set<ticket_number> unfinished_; ///< asking or settling; ordered for replay
+  ticket_number last_ticket_{0};
+};
+
+} // namespace sedgechute::ledger
--- /dev/null
+++ b/src/ledger/impl/holder_report.cpp
@@ -0,0 +1,232 @@
+// What a holder learns from the log and tells it.
+
+#include "ledger/impl/holder_role.hpp"
+
+#include <algorithm>
+
+namespace sedgechute::ledger {
+
+namespace {
+
+constexpr time_ms rate_span{1000};
+constexpr double rate_weight = 0.3;
+
+double smoothed(double old, token_count tokens, time_ms span) {
+  constexpr double ms_per_s = 1000.0;
+  const double rate = static_cast<double>(tokens) * ms_per_s / static_cast<double>(span.count());
+  return old + rate_weight * (rate - old);
+}
+
+} // namespace
+
+void holder_role::on_read_back(const record_id& id) {
+  for (auto& [team, a] : accounts_) {
+    if (a->grant_sent == id)
+      a->grant_sent.reset();
+    for (slice& s : a->slices)
+      if (s.replacing == id)
+        s.replacing.reset();
+  }
+}
+
+void holder_role::sync(time_ms now, name_index team) {
+  context_.state.for_each_of(team, [&](const delegation& d) {
+    if (d.holder != context_.self_index())
+      return;
+    const bool known = slice_of(team, d.epoch) != nullptr;
+    if (known || d.state == delegation_state::live)
+      follow(now, account_of(now, team), d);
+  });
+  const auto found = accounts_.find(team);
+  if (found == accounts_.end())
+    return;
+  retire_slices(*found->second);
+  advance(now, *found->second);
+}
+
+void holder_role::follow(time_ms now, account& a, const delegation& d) {
+  slice* s = a.find(d.epoch);
+  if (s == nullptr) {
+    s = &a.slices.emplace_back();
+    s->epoch = d.epoch;
+    s->term = d.term;
+    s->witness = d.witness;
+    a.invited = false;
+    a.last_used = now;
+  }
+  const bool trusting = context_.mutated(mutation::trust_append);
+  s->granted = trusting ? std::max(s->granted, d.granted) : d.granted;
+  if (s->term != d.term) {
+    s->term = d.term;
+    s->witness = d.witness;
+    s->opening = s->opened;
+    s->refused = false;
+    s->replacing.reset();
+  }
+  // A holder that was paused for long reads here that its epoch is over. What it had opened stays
+  // its own, written off in the log, until it reports what it did not use.
+  if (d.state != delegation_state::live && s->state == slice_state::live &&
+      !context_.mutated(mutation::reuse_epoch))
+    s->state = slice_state::ended;
+}
+
+void holder_role::retire_slices(account& a) {
+  for (slice& s : a.slices) {
+    const delegation* const d = context_.state.find(s.epoch);
+    const bool over = d == nullptr || d->state == delegation_state::closed;
+    if (over && s.state == slice_state::live && !context_.mutated(mutation::reuse_epoch))
+      s.state = slice_state::ended;
+    std::erase_if(s.receipts, [&](const transfer_receipt& r) {
+      const delegation* const from = context_.state.find(r.from);
+      return from == nullptr || from->has_moved(r.sequence);
+    });
+  }
+  std::erase_if(a.slices, [&](const slice& s) {
+    const delegation* const d = context_.state.find(s.epoch);
+    const bool over = d == nullptr || d->state == delegation_state::closed;
+    return over && s.reserved == 0 && s.state != slice_state::live;
+  });
+}
+
+void holder_role::on_message(time_ms now, name_index from, const chunk_opened& message) {
+  const delegation* const d = context_.state.find(message.epoch);
+  slice* const s = d == nullptr ? nullptr : slice_of(d->team, message.epoch);
+  if (s == nullptr || s->term != message.term || s->state != slice_state::live)
+    return;
+  if (s->replacing && !context_.mutated(mutation::open_while_replacing))
+    return;
+  static_cast<void>(from);
+  s->opened = std::max(s->opened, std::min(message.upto, s->opening));
+  s->opening = std::max(s->opening, s->opened);
+  advance(now, *accounts_.at(d->team));
+}
+
+void holder_role::on_message(time_ms now, name_index, const chunk_refused& message) {
+  const delegation* const d = context_.state.find(message.epoch);
+  slice* const s = d == nullptr ? nullptr : slice_of(d->team, message.epoch);
+  if (s == nullptr || s->term != message.term || context_.mutated(mutation::reuse_epoch))
+    return;
+  s->refused = true;
+  s->opening = s->opened;
+  advance(now, *accounts_.at(d->team));
+}
+
+void holder_role::on_message(time_ms now, name_index, const hold_budget& message) {
+  if (draining_)
+    return;
+  account& a = account_of(now, context_.state.intern_team(message.team));
+  a.last_used = now;
+  a.invited = a.live_slice() == nullptr;
+  advance(now, a);
+}
+
+// Tokens go back from what was opened, so that what the witness has not countersigned stays its
+// own to reclaim, and the two can never return the same token.
+void holder_role::give_back(time_ms now, account& a) {
+  slice* const s = a.live_slice();
+  if (s == nullptr || !giving_back(a) || s->free() <= 0)
+    return;
+  token_count back = s->free();
+  if (!draining_) {
+    const team_totals totals = context_.state.totals(a.team);
+    const delegation* const d = context_.state.find(s->epoch);
+    const token_count on_its_way = d == nullptr ? 0 : s->returned - d->returned;
+    back = std::min(back, totals.committed() - totals.contract - on_its_way);
+  }
+  if (back <= 0)
+    return;
+  s->returned += back;
+  s->report_due = now;
+}
+
+bool holder_role::is_changed(const slice& s, const delegation& d) const {
+  return s.spent != d.spent || s.returned != d.returned || s.lost != d.lost ||
+         !s.receipts.empty() || s.state == slice_state::closing;
+}
+
+epoch_report holder_role::make_report(time_ms now, slice& s) const {
+  s.report_due = now + context_.options().append_resend;
+  epoch_report item;
+  item.epoch = s.epoch;
+  item.version = ++s.version;
+  item.spent = s.spent;
+  item.returned = s.returned;
+  item.lost = s.lost;
+  item.sent = s.sent;
+  item.closing = s.state == slice_state::closing;
+  item.received = s.receipts;
+  return item;
+}
+
+// A transfer to a host that is gone may or may not have arrived, so it is neither taken back nor
+// waited for: what nobody reports stays written off.
+bool holder_role::transfers_over(time_ms now, const slice& s) const {
+  const live_hosts& live = context_.live;
+  return std::all_of(s.transfers.begin(), s.transfers.end(), [&](const pending_transfer& t) {
+    return !live.is_live(t.to_host) &&
+           now - live.missed_since(t.to_host) >= context_.options().settle_give_up;
+  });
+}
+
+// One record for all teams of this host. A report is not repeated as such: the next one says more.
+void holder_role::report_changes(time_ms now) {
+  const bool regular = now >= next_report_;
+  if (regular)
+    next_report_ = now + context_.options().report_interval;
+  report body;
+  for (auto& [team, a] : accounts_) {
+    const time_ms unused = now - a->last_used;
+    for (slice& s : a->slices) {
+      const delegation* const d = context_.state.find(s.epoch);
+      if (d == nullptr)
+        continue;
+      const bool done = s.state == slice_state::ended || draining_ ||
+                        (unused >= context_.options().idle_close && a->waiting.empty());
+      const bool settled = s.reserved == 0 || context_.mutated(mutation::return_reserved);
+      if (s.state != slice_state::closing && done && settled && transfers_over(now, s)) {
+        s.state = slice_state::closing;
+        s.report_due = now;
+      }
+      const bool urgent = s.state == slice_state::closing || s.returned != d->returned;
+      if (is_changed(s, *d) && (regular || (urgent && now >= s.report_due)))
+        body.epochs.push_back(make_report(now, s));
+    }
+  }
+  if (!body.epochs.empty())
+    context_.append_once(std::move(body));
+}
+
+void holder_role::update_rates(time_ms now, account& a) const {
+  const time_ms span = now - a.rates_at;
+  if (span < rate_span)
+    return;
+  a.reserved_rate = smoothed(a.reserved_rate, a.reserved_since_tick, span);
+  a.spent_rate = smoothed(a.spent_rate, a.spent_since_tick, span);
+  a.reserved_since_tick = 0;
+  a.spent_since_tick = 0;
+  a.rates_at = now;
+}
+
+void holder_role::tick(time_ms now) {
+  look_at_due(now);
+  for (auto next = accounts_.begin(); next != accounts_.end();) {
+    account& a = *next->second;
+    update_rates(now, a);
+    resend_transfers(now, a);
+    advance(now, a);
+    if (a.empty() && (draining_ || now - a.last_used >= context_.options().idle_close))
+      next = accounts_.erase(next);
+    else
+      ++next;
+  }
+  report_changes(now);
+}
+
+void holder_role::drain(time_ms now) {
+  draining_ = true;
+  for (auto& [team, a] : accounts_)
+    advance(now, *a);
+  report_changes(now);
+}
+
+} // namespace sedgechute::ledger
--- /dev/null
+++ b/src/ledger/impl/holder_role.cpp
@@ -0,0 +1,260 @@
+// Reservations and bills of a holder.
+
+#include "ledger/impl/holder_role.hpp"
+
+#include <algorithm>
+
+namespace sedgechute::ledger {
+
+account& holder_role::account_of(time_ms now, name_index team) {
+  std::unique_ptr<account>& place = accounts_[team];
+  if (!place) {
+    place = std::make_unique<account>();
+    place->team = team;
+    place->team_hash = stable_hash(context_.state.team_name(team).str());
+    place->last_used = now;
+    place->rates_at = now;
+    place->origins_since = now;
+  }
+  return *place;
+}
+
+const account* holder_role::find(name_index team) const {
+  const auto found = accounts_.find(team);
+  return found == accounts_.end() ? nullptr : found->second.get();
+}
+
+slice* holder_role::slice_of(name_index team, epoch_number epoch) {
+  const auto found = accounts_.find(team);
+  return found == accounts_.end() ? nullptr : found->second->find(epoch);
+}
+
+void holder_role::reserve(time_ms now, name_index team, const attempt_id& attempt,
+                          const reserve_request& request) {
+  account& a = account_of(now, team);
+  a.last_used = now;
+  if (join(now, a, attempt, request))
+    return;
+  if (draining_) {
+    context_.reply(attempt, {0, reserve_verdict::elsewhere, 0, 0});
+    return;
+  }
+  count_origin(now, a, attempt.entry);
+  const bool fits = a.waiting.empty() && !giving_back(a) &&
+                    reserve_now(now, a, attempt, request.key, request.bound);
+  if (!fits)
+    a.waiting.push_back({attempt, request.key, request.bound, now, now + request.wait});
+  const slice* const s = a.live_slice();
+  if (!fits || s->free() < chunk_size(a) || s->unopened() < s->granted / 4)
+    advance(now, a);
+}
+
+// Attempts of one request share its reservation, so that however many run there is one bill, and a
+// repeated or late request for a reservation makes no second one.
+bool holder_role::join(time_ms now, account& a, const attempt_id& attempt,
+                       const reserve_request& request) {
+  const auto waits = [&](const waiting_attempt& w) { return w.attempt == attempt; };
+  if (std::any_of(a.waiting.begin(), a.waiting.end(), waits))
+    return true;
+  reservation* const r = reservations_.find({a.team, request.key});
+  if (r == nullptr)
+    return false;
+  if (r->state == reservation_state::settled) {
+    context_.reply(attempt, {0, reserve_verdict::already_settled, r->epoch, r->bill});
+    return true;
+  }
+  slice* const s = a.find(r->epoch);
+  const bool usable = s != nullptr && s->state != slice_state::closing;
+  if (r->state == reservation_state::orphaned) {
+    r->state = reservation_state::open;
+    reservations_.look_again({a.team, request.key}, *r, now + context_.options().probe_after);
+    if (usable) {
+      s->lost -= r->bound;
+      s->reserved += r->bound;
+    }
+  }
+  if (usable && request.bound > r->bound && s->state == slice_state::live) {
+    const token_count more = std::min(request.bound - r->bound, s->free());
+    s->reserved += more;
+    r->bound += more;
+  }
+  if (std::find(r->attempts.begin(), r->attempts.end(), attempt) == r->attempts.end())
+    r->attempts.push_back(attempt);
+  context_.reply(attempt, {0, reserve_verdict::granted, r->epoch, r->bound});
+  return true;
+}
+
+bool holder_role::reserve_now(time_ms now, account& a, const attempt_id& attempt,
+                              const request_id& key, token_count bound) {
+  slice* const s = a.live_slice();
+  if (s == nullptr || s->free() < bound)
+    return false;
+  s->reserved += bound;
+  a.reserved_since_tick += bound;
+  reservation made;
+  made.epoch = s->epoch;
+  made.bound = bound;
+  made.attempts.push_back(attempt);
+  reservations_.add({a.team, key}, std::move(made), now + context_.options().probe_after);
+  context_.reply(attempt, {0, reserve_verdict::granted, s->epoch, bound});
+  return true;
+}
+
+void holder_role::settle(time_ms now, name_index team, const attempt_id& attempt,
+                         const settle_request& request) {
+  account& a = account_of(now, team);
+  const reservation_key key{team, request.key};
+  reservation* const r = reservations_.find(key);
+  if (r != nullptr && r->state != reservation_state::settled)
+    apply_settle(now, a, key, *r, attempt, request);
+  if (request.kind == settle_kind::withdraw)
+    std::erase_if(a.waiting, [&](const waiting_attempt& w) { return w.attempt == attempt; });
+  if (attempt.entry != context_.self_index())
+    context_.send(attempt.entry, settle_reply{request.ticket});
+  if (!a.waiting.empty() || !a.wants.empty())
+    advance(now, a);
+}
+
+void holder_role::apply_settle(time_ms now, account& a, const reservation_key& key, reservation& r,
+                               const attempt_id& attempt, const settle_request& request) {
+  switch (request.kind) {
+  case settle_kind::settle:
+    charge(now, a, key, r, request.tokens);
+    break;
+  case settle_kind::no_usage:
+    charge(now, a, key, r, r.bound);
+    break;
+  case settle_kind::shrink:
+    shrink(a, r, request.tokens);
+    break;
+  case settle_kind::disown:
+    r.disowned = true;
+    leave(now, key, r, attempt);
+    break;
+  case settle_kind::withdraw:
+    leave(now, key, r, attempt);
+    break;
+  }
+}
+
+void holder_role::shrink(account& a, reservation& r, token_count bound) {
+  slice* const s = a.find(r.epoch);
+  if (r.state != reservation_state::open || s == nullptr)
+    return;
+  const token_count smaller = std::clamp<token_count>(bound, 0, r.bound);
+  s->reserved -= r.bound - smaller;
+  r.bound = smaller;
+}
+
+// The last attempt to leave gives the tokens back, unless an earlier one may have used some.
+void holder_role::leave(time_ms now, const reservation_key& key, reservation& r,
+                        const attempt_id& attempt) {
+  std::erase(r.attempts, attempt);
+  if (!r.attempts.empty())
+    return;
+  if (!r.disowned) {
+    unreserve(key.team, r);
+    reservations_.erase(key);
+  } else if (r.state == reservation_state::open) {
+    write_off(now, key, r);
+  }
+}
+
+// An engine may report more than the limit it was given. The team paid for what was reserved, and
+// billing more could exceed its budget, so the bound is the most that is billed.
+void holder_role::charge(time_ms now, account& a, const reservation_key& key, reservation& r,
+                         token_count used) {
+  token_count charged = std::clamp<token_count>(used, 0, r.bound);
+  if (context_.mutated(mutation::bill_above_bound))
+    charged = used;
+  if (slice* const s = a.find(r.epoch); s != nullptr && s->state != slice_state::closing) {
+    token_count& from = r.state == reservation_state::orphaned ? s->lost : s->reserved;
+    from -= r.bound;
+    s->spent += charged;
+  }
+  a.spent_since_tick += charged;
+  r.state = reservation_state::settled;
+  r.bill = charged;
+  context_.out.bills.push_back({context_.state.team_name(a.team), key.key, r.epoch, charged});
+  if (context_.mutated(mutation::forget_settled))
+    reservations_.erase(key);
+  else
+    reservations_.look_again(key, r, now + context_.options().settled_kept);
+}
+
+void holder_role::unreserve(name_index team, reservation& r) {
+  slice* const s = slice_of(team, r.epoch);
+  if (s == nullptr || s->state == slice_state::closing)
+    return;
+  token_count& from = r.state == reservation_state::orphaned ? s->lost : s->reserved;
+  from -= r.bound;
+}
+
+// A data centre that draws on the budget from afar is asked to hold a slice of its own, so that it
+// goes on when it is cut off.
+void holder_role::count_origin(time_ms now, account& a, name_index entry) {
+  const name_index origin = context_.live.data_centre_of(entry);
+  if (origin == no_name || origin == context_.data_centre())
+    return;
+  if (now - a.origins_since > context_.options().busy_span) {
+    a.origins.clear();
+    a.origins_since = now;
+  }
+  auto found = std::find_if(a.origins.begin(), a.origins.end(),
+                            [&](const origin_count& o) { return o.data_centre == origin; });
+  if (found == a.origins.end())
+    found = a.origins.insert(found, {origin, 0});
+  if (++found->requests != context_.options().busy_requests)
+    return;
+  const name_index invited = context_.live.place(a.team_hash, origin, no_name);
+  if (invited != no_name)
+    context_.send(invited, hold_budget{context_.state.team_name(a.team)});
+}
+
+void holder_role::look_at_due(time_ms now) {
+  while (const std::optional<reservation_key> key = reservations_.next_due(now)) {
+    reservation* const r = reservations_.find(*key);
+    if (r == nullptr || r->look_at > now)
+      continue;
+    if (r->state == reservation_state::open)
+      look_at(now, *key, *r);
+    else
+      reservations_.erase(*key);
+  }
+}
+
+// An entry host that dies leaves reservations that nobody settles. They could have run up to their
+// bound, so they are not given back; they are not billed either, because a later attempt may be
+// billed elsewhere. The bound is written off, unless an attempt under the key turns up in time.
+// A live entry host that does not know the attempt, because an answer was lost or came late,
+// withdraws it when asked.
+void holder_role::look_at(time_ms now, const reservation_key& key, reservation& r) {
+  const ledger_options& options = context_.options();
+  bool orphaned = true;
+  for (const attempt_id& attempt : r.attempts) {
+    const bool here = attempt.entry == context_.self_index();
+    const bool live = here || context_.live.is_live(attempt.entry);
+    if (live || now - context_.live.missed_since(attempt.entry) < options.orphan_wait)
+      orphaned = false;
+    if (live && !here)
+      context_.send(attempt.entry,
+                    reservation_probe{attempt.ticket, context_.state.team_name(key.team), key.key});
+  }
+  if (!orphaned) {
+    reservations_.look_again(key, r, now + options.probe_after);
+    return;
+  }
+  write_off(now, key, r);
+}
+
+void holder_role::write_off(time_ms now, const reservation_key& key, reservation& r) {
+  r.state = reservation_state::orphaned;
+  slice* const s = slice_of(key.team, r.epoch);
+  if (s != nullptr && s->state != slice_state::closing) {
+    s->reserved -= r.bound;
+    s->lost += r.bound;
+  }
+  reservations_.look_again(key, r, now + context_.options().settled_kept);
+}
+
+} // namespace sedgechute::ledger
--- /dev/null
+++ b/src/ledger/impl/holder_role.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "ledger/impl/reservation_table.hpp"
+#include "ledger/impl/slice.hpp"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <memory>
+#include <utility>
+
+namespace sedgechute::ledger {
+
+/// \brief Holds slices of budgets: reserves and bills from them, opens them chunk by chunk with the
+/// witness, enlarges them by grants, exchanges tokens with other holders and reports to the log.
+class holder_role {
+ public:
+  explicit holder_role(host_context& context) noexcept : context_{context} {}
+
+  /// \brief Reserves for an attempt; the answer goes out by `host_context::reply`, now or later.
+  void reserve(time_ms now, name_index team, const attempt_id& attempt,
+               const reserve_request& request);
+  /// \brief Settles, shrinks or withdraws. Late and repeated calls change nothing.
+  void settle(time_ms now, name_index team, const attempt_id& attempt,
+              const settle_request& request);
+
+  void on_message(time_ms now, name_index from, const chunk_opened& message);
+  void on_message(time_ms now, name_index from, const chunk_refused& message);
+  void on_message(time_ms now, name_index from, const token_request& message);
+  void on_message(time_ms now, name_index from, const token_transfer& message);
+  void on_message(time_ms now, name_index from, const transfer_ack& message);
+  void on_message(time_ms now, name_index from, const transfer_declined& message);
+  void on_message(time_ms now, name_index from, const token_refusal& message);
+  void on_message(time_ms now, name_index from, const hold_budget& message);
+
+  /// \brief A grant or replacement of ours was read back; to be followed by `sync`.
+  void on_read_back(const record_id& id);
+  /// \brief Follows what the log says of this host's epochs.
+  void sync(time_ms now, name_index team);
+  void tick(time_ms now);
+
+  /// \brief Takes nothing new, returns what is free and closes each slice once it is settled.
+  void drain(time_ms now);
+  [[nodiscard]] bool drained() const noexcept { return draining_ && accounts_.empty(); }
+
+  [[nodiscard]] const account* find(name_index team) const;
+  [[nodiscard]] std::size_t reservation_count() const noexcept { return reservations_.size(); }
+  template <typename Visit>
+  void for_each(Visit&& visit) const {
+    for (const auto& [team, a] : accounts_)
+      visit(*a);
+  }
+
+ private:
+  account& account_of(time_ms now, name_index team);
+  slice* slice_of(name_index team, epoch_number epoch);
+
+  // holder_role.cpp: reservations
+  bool join(time_ms now, account& a, const attempt_id& attempt, const reserve_request& request);
+  bool reserve_now(time_ms now, account& a, const attempt_id& attempt, const request_id& key,
+                   token_count bound);
+  void apply_settle(time_ms now, account& a, const reservation_key& key, reservation& r,
+                    const attempt_id& attempt, const settle_request& request);
+  void charge(time_ms now, account& a, const reservation_key& key, reservation& r,
+              token_count used);
+  static void shrink(account& a, reservation& r, token_count bound);
+  void leave(time_ms now, const reservation_key& key, reservation& r, const attempt_id& attempt);
+  void unreserve(name_index team, reservation& r);
+  void count_origin(time_ms now, account& a, name_index entry);
+  void look_at_due(time_ms now);
+  void look_at(time_ms now, const reservation_key& key, reservation& r);
+  void write_off(time_ms now, const reservation_key& key, reservation& r);
+
+  // holder_supply.cpp: where tokens come from
+  void advance(time_ms now, account& a);
+  void serve_waiting(time_ms now, account& a);
+  void open_more(time_ms now, account& a);
+  void name_new_witness(time_ms now, account& a, slice& s);
+  void extend(time_ms now, account& a);
+  void send_grant(time_ms now, account& a, token_count tokens);
+  void decide_waiting(time_ms now, account& a);
+  [[nodiscard]] std::optional<reserve_verdict> verdict_for(time_ms now, account& a,
+                                                           const waiting_attempt& w);
+  [[nodiscard]] token_count chunk_size(const account& a) const;
+  [[nodiscard]] token_count slice_size(const account& a, token_count need) const;
+  [[nodiscard]] token_count unopened(const slice& s) const;
+  [[nodiscard]] bool giving_back(const account& a) const;
+
+  // holder_transfer.cpp: tokens between holders
+  void serve_wants(time_ms now, account& a);
+  bool serve_want(time_ms now, account& a, slice& s, const token_want& want);
+  void transfer(time_ms now, account& a, slice& s, const token_want& want, token_count tokens);
+  void resend_transfers(time_ms now, account& a);
+  void ask_others(time_ms now, account& a);
+  [[nodiscard]] token_count shortage(account& a) const;
+
+  // holder_report.cpp: the log
+  void follow(time_ms now, account& a, const delegation& d);
+  void retire_slices(account& a);
+  void give_back(time_ms now, account& a);
+  [[nodiscard]] bool transfers_over(time_ms now, const slice& s) const;
+  void report_changes(time_ms now);
+  [[nodiscard]] bool is_changed(const slice& s, const delegation& d) const;
+  [[nodiscard]] epoch_report make_report(time_ms now, slice& s) const;
+  void update_rates(time_ms now, account& a) const;
+
+  host_context& context_;
+  absl::btree_map<name_index, std::unique_ptr<account>> accounts_; ///< ordered, for replay
+  reservation_table reservations_;
+  absl::flat_hash_set<std::pair<epoch_number, std::uint32_t>> credited_;
+  bool draining_{false};
+  time_ms next_report_;
+};
+
+} // namespace sedgechute::ledger
--- /dev/null
+++ b/src/ledger/impl/holder_supply.cpp
@@ -0,0 +1,216 @@
+// Where a holder's tokens come from: chunks of its slice, grants, and the verdict when neither
+// helps.
+
+#include "ledger/impl/holder_role.hpp"
+
+#include <algorithm>
+
+namespace sedgechute::ledger {
+
+namespace {
+
+constexpr double ms_per_s = 1000.0;
+
+token_count demand_in(double rate, time_ms span) {
+  return static_cast<token_count>(rate * static_cast<double>(span.count()) / ms_per_s);
+}
+
+} // namespace
+
+void holder_role::advance(time_ms now, account& a) {
+  serve_waiting(now, a);
+  serve_wants(now, a);
+  give_back(now, a);
+  open_more(now, a);
+  extend(now, a);
+  ask_others(now, a);
+  decide_waiting(now, a);
+}
+
+// Small requests may pass a large one that does not fit: refusing them would strand what is left.
+void holder_role::serve_waiting(time_ms now, account& a) {
+  if (giving_back(a))
+    return;
+  for (auto next = a.waiting.begin(); next != a.waiting.end();) {
+    const slice* const s = a.live_slice();
+    const bool fits = s != nullptr && s->free() >= next->bound;
+    // Another attempt of the same request may have been served while this one waited.
+    if (!fits && reservations_.find({a.team, next->key}) == nullptr) {
+      ++next;
+      continue;
+    }
+    const waiting_attempt w = std::move(*next);
+    next = a.waiting.erase(next);
+    const reserve_request again{w.attempt.ticket, {}, w.key, w.bound, {}};
+    if (!join(now, a, w.attempt, again))
+      static_cast<void>(reserve_now(now, a, w.attempt, w.key, w.bound));
+  }
+}
+
+// Tokens that are open when this host dies are written off, so no more is opened than about two
+// seconds of demand, and never more than a small share of the budget.
+token_count holder_role::chunk_size(const account& a) const {
+  const ledger_options& options = context_.options();
+  const token_count most = context_.state.totals(a.team).bought() / options.chunk_share;
+  return std::min(demand_in(a.reserved_rate, options.chunk_span), most);
+}
+
+token_count holder_role::slice_size(const account& a, token_count need) const {
+  const ledger_options& options = context_.options();
+  const token_count pool = context_.state.totals(a.team).pool();
+  const auto data_centres = static_cast<token_count>(context_.live.data_centre_count());
+  const token_count share = pool / (std::max<token_count>(data_centres, 1) * options.slice_share);
+  const token_count demand =
+      std::max(demand_in(a.spent_rate, options.slice_span), pool / options.first_slice_share);
+  return std::min(pool, std::max({need, std::min(demand, share), options.least_slice}));
+}
+
+token_count holder_role::unopened(const slice& s) const {
+  return s.refused ? 0 : s.unopened();
+}
+
+// A reduced or cancelled contract takes back what is delegated and unused.
+bool holder_role::giving_back(const account& a) const {
+  return draining_ || context_.state.totals(a.team).overcommitted();
+}
+
+void holder_role::open_more(time_ms now, account& a) {
+  slice* const s = a.live_slice();
+  if (s == nullptr || unopened(*s) <= 0)
+    return;
+  const token_count chunk = chunk_size(a);
+  token_count need = a.waiting_tokens() + chunk - s->free();
+  for (const token_want& want : a.wants)
+    need += want.tokens;
+  if (giving_back(a))
+    need = s->unopened();
+  if (need <= 0)
+    return;
+  const token_count upto = std::min(s->granted, s->opened + std::max(need, chunk));
+  if (s->witness == no_name || context_.mutated(mutation::skip_witness)) {
+    s->opened = upto;
+    s->opening = upto;
+    serve_waiting(now, a);
+    serve_wants(now, a);
+    return;
+  }
+  if (s->replacing)
+    return;
+  if (!context_.live.is_live(s->witness)) {
+    name_new_witness(now, a, *s);
+    return;
+  }
+  const bool asked = s->opening >= upto && s->opening > s->opened;
+  if (asked && now - s->open_sent < context_.options().message_resend)
+    return;
+  s->opening = std::max(s->opening, upto);
+  s->open_sent = now;
+  context_.send(s->witness, open_chunk{s->epoch, s->term, s->opening});
+}
+
+// The record states what was countersigned so far. From here until it is read back, answers of the
+// old witness are ignored: the new one could not know of them when it reclaims.
+void holder_role::name_new_witness(time_ms now, account& a, slice& s) {
+  name_index witness =
+      context_.live.place(a.team_hash, context_.data_centre(), context_.self_index());
+  if (witness == no_name)
+    witness = context_.live.place(a.team_hash, no_name, context_.self_index());
+  replace_witness body;
+  body.epoch = s.epoch;
+  body.term = s.term;
+  if (witness != no_name)
+    body.witness = context_.state.host(witness);
+  body.opened = witness == no_name ? s.granted : s.opened;
+  s.opening = s.opened;
+  s.replacing = context_.append(now, std::move(body));
+}
+
+void holder_role::extend(time_ms now, account& a) {
+  if (a.grant_sent && a.grant_basis + context_.options().repeat_window < context_.state.offset()) {
+    // The window has passed without it, so no copy of it can be valid any more.
+    context_.forget_append(*a.grant_sent);
+    a.grant_sent.reset();
+  }
+  const token_count pool = context_.state.totals(a.team).pool();
+  if (a.grant_sent || pool <= 0 || giving_back(a) || a.closing())
+    return;
+  slice* const s = a.live_slice();
+  const token_count held = s == nullptr ? 0 : s->free() + unopened(*s);
+  const token_count need = a.waiting_tokens() + chunk_size(a);
+  const token_count size = slice_size(a, need);
+  const bool wanted = !a.waiting.empty() || a.invited || s != nullptr;
+  const bool low = s == nullptr || held < need + std::min(size, s->granted) / 4;
+  if (wanted && low)
+    send_grant(now, a, size);
+}
+
+void holder_role::send_grant(time_ms now, account& a, token_count tokens) {
+  slice* const s = a.live_slice();
+  name_index witness =
+      context_.live.place(a.team_hash, context_.data_centre(), context_.self_index());
+  if (witness == no_name)
+    witness = context_.live.place(a.team_hash, no_name, context_.self_index());
+  grant body;
+  body.team = context_.state.team_name(a.team);
+  body.extends = s == nullptr ? 0 : s->epoch;
+  body.holder = context_.self();
+  if (witness != no_name)
+    body.witness = context_.state.host(witness);
+  body.data_centre = context_.state.data_centre(context_.data_centre());
+  body.tokens = tokens;
+  body.chunk = chunk_size(a);
+  body.basis = context_.state.offset();
+  a.grant_basis = body.basis;
+  a.grant_since = now;
+  a.grant_sent = context_.append(now, std::move(body));
+  if (s != nullptr && context_.mutated(mutation::trust_append))
+    s->granted += tokens;
+}
+
+void holder_role::decide_waiting(time_ms now, account& a) {
+  for (auto next = a.waiting.begin(); next != a.waiting.end();) {
+    const std::optional<reserve_verdict> verdict = verdict_for(now, a, *next);
+    if (!verdict) {
+      ++next;
+      continue;
+    }
+    context_.reply(next->attempt, {0, *verdict, 0, 0});
+    next = a.waiting.erase(next);
+  }
+}
+
+// `exhausted` must be true: it is said only when the pool is empty and every other holder has said
+// that it has nothing. What is out of reach, or still reserved, may come back within the wait.
+std::optional<reserve_verdict> holder_role::verdict_for(time_ms now, account& a,
+                                                        const waiting_attempt& w) {
+  const team_totals totals = context_.state.totals(a.team);
+  if (w.bound > totals.contract - totals.spent - totals.written_off)
+    return reserve_verdict::exhausted;
+  if (draining_)
+    return reserve_verdict::elsewhere;
+  bool others = false;
+  bool out_of_reach = false;
+  context_.state.for_each_of(a.team, [&](const delegation& d) {
+    if (d.holder == context_.self_index() || d.state != delegation_state::live ||
+        d.remainder() <= 0)
+      return;
+    (context_.live.is_live(d.holder) ? others : out_of_reach) = true;
+  });
+  const slice* const s = a.live_slice();
+  const bool supplied = totals.pool() <= 0 && !a.grant_sent;
+  if (s == nullptr && supplied && others)
+    return reserve_verdict::elsewhere;
+  const bool asked = !others || (a.round.number != 0 && a.round.started >= w.since &&
+                                 a.round.complete() && !a.round.gained);
+  const bool refused = s != nullptr && s->refused;
+  const bool nothing_left = supplied && asked && !out_of_reach && !refused && !a.closing() &&
+                            (s == nullptr || s->unopened() <= 0);
+  const token_count elsewhere_reserved = others ? a.round.reserved() : 0;
+  if (nothing_left && a.reserved() == 0 && elsewhere_reserved == 0)
+    return reserve_verdict::exhausted;
+  if (now < w.deadline)
+    return std::nullopt;
+  return nothing_left ? reserve_verdict::exhausted : reserve_verdict::unreachable;
+}
+
+} // namespace sedgechute::ledger
--- /dev/null
+++ b/src/ledger/impl/holder_transfer.cpp
@@ -0,0 +1,177 @@
+// Escrow transfers between holders: debited first, then sent until acknowledged. They need neither
+// the log nor a clock; a lost one strands its tokens until it is repeated.
+
+#include "ledger/impl/holder_role.hpp"
+
+#include <algorithm>
+
+namespace sedgechute::ledger {
+
+token_count holder_role::shortage(account& a) const {
+  const slice* const s = a.live_slice();
+  return s == nullptr ? 0 : a.waiting_tokens() - s->free() - unopened(*s);
+}
+
+void holder_role::ask_others(time_ms now, account& a) {
+  const token_count missing = shortage(a);
+  if (missing <= 0 || giving_back(a))
+    return;
+  const time_ms resend = context_.options().message_resend;
+  const bool log_helps = context_.state.totals(a.team).pool() > 0 || a.grant_sent;
+  if (log_helps && !(a.grant_sent && now - a.grant_since > resend * 2))
+    return;
+  asking_round& round = a.round;
+  const bool over = round.complete() && (round.gained || now - round.started >= resend * 2);
+  if (round.number == 0 || over) {
+    round = {round.number + 1, now, now, {}, false};
+    context_.state.for_each_of(a.team, [&](const delegation& d) {
+      if (d.holder != context_.self_index() && d.state == delegation_state::live &&
+          context_.live.is_live(d.holder))
+        round.holders.push_back({d.epoch, false, 0});
+    });
+  } else if (round.complete() || now - round.sent < resend) {
+    return;
+  }
+  round.sent = now;
+  const token_request request{context_.state.team_name(a.team), round.number, a.live_slice()->epoch,
+                              missing + chunk_size(a)};
+  for (asking_round::asked& asked : round.holders) {
+    if (asked.answered)
+      continue;
+    const delegation* const d = context_.state.find(asked.epoch);
+    // A holder that is gone cannot answer; verdict_for counts its tokens as out of reach.
+    if (d == nullptr || !context_.live.is_live(d->holder))
+      asked.answered = true;
+    else
+      context_.send(d->holder, request);
+  }
+}
+
+void holder_role::on_message(time_ms now, name_index from, const token_request& message) {
+  const name_index team = context_.state.find_team(message.team);
+  const auto found = accounts_.find(team);
+  if (found == accounts_.end()) {
+    context_.send(from, token_refusal{message.team, message.round, 0, 0});
+    return;
+  }
+  account& a = *found->second;
+  std::erase_if(a.wants, [&](const token_want& w) { return w.to == message.to; });
+  const time_ms deadline = now + context_.options().message_resend * 4;
+  a.wants.push_back({from, message.round, message.to, message.tokens, deadline});
+  advance(now, a);
+}
+
+void holder_role::serve_wants(time_ms now, account& a) {
+  for (auto next = a.wants.begin(); next != a.wants.end();) {
+    slice* const s = a.live_slice();
+    bool served = s != nullptr && serve_want(now, a, *s, *next);
+    if (s == nullptr) {
+      context_.send(next->from,
+                    token_refusal{context_.state.team_name(a.team), next->round, 0, a.reserved()});
+      served = true;
+    }
+    next = served ? a.wants.erase(next) : std::next(next);
+  }
+}
+
+// Two holders that are both short must not pass the same tokens to and fro: the one with the older
+// epoch collects.
+bool holder_role::serve_want(time_ms now, account& a, slice& s, const token_want& want) {
+  const bool needed_here = !a.waiting.empty() && s.epoch < want.to;
+  const token_count spare = needed_here ? 0 : std::max<token_count>(s.free(), 0);
+  if (!needed_here && spare < want.tokens && unopened(s) > 0 && now < want.deadline)
+    return false;
+  const token_count given = std::min(spare, want.tokens);
+  if (given > 0)
+    transfer(now, a, s, want, given);
+  else
+    context_.send(want.from, token_refusal{context_.state.team_name(a.team), want.round, s.epoch,
+                                           a.reserved()});
+  return true;
+}
+
+void holder_role::transfer(time_ms now, account& a, slice& s, const token_want& want,
+                           token_count tokens) {
+  if (!context_.mutated(mutation::send_without_debit))
+    s.sent += tokens;
+  const std::uint32_t sequence = ++s.next_transfer;
+  s.transfers.push_back({sequence, want.to, want.from, tokens, now});
+  context_.send(want.from, token_transfer{context_.state.team_name(a.team), s.epoch, sequence,
+                                          want.to, tokens});
+}
+
+void holder_role::resend_transfers(time_ms now, account& a) {
+  for (slice& s : a.slices) {
+    for (pending_transfer& t : s.transfers) {
+      if (now - t.sent_at < context_.options().message_resend * 2)
+        continue;
+      t.sent_at = now;
+      context_.send(t.to_host, token_transfer{context_.state.team_name(a.team), s.epoch, t.sequence,
+                                              t.to, t.tokens});
+    }
+  }
+}
+
+// A transfer is repeated until acknowledged, so each is credited by its id once. One that comes for
+// an epoch that is over was never credited and never will be, so its sender may take it back.
+void holder_role::on_message(time_ms now, name_index from, const token_transfer& message) {
+  const bool repeated = credited_.contains({message.from, message.sequence});
+  if (repeated && !context_.mutated(mutation::forget_transfer_ids)) {
+    context_.send(from, transfer_ack{message.from, message.sequence});
+    return;
+  }
+  const name_index team = context_.state.find_team(message.team);
+  slice* const s = slice_of(team, message.to);
+  if (s == nullptr || s->state == slice_state::closing) {
+    context_.send(from, transfer_declined{message.from, message.sequence});
+    return;
+  }
+  credited_.emplace(message.from, message.sequence);
+  s->received += message.tokens;
+  s->receipts.push_back({message.from, message.sequence, message.tokens});
+  context_.send(from, transfer_ack{message.from, message.sequence});
+  account& a = *accounts_.at(team);
+  a.round.gained = true;
+  a.round.note_answer(message.from, 0);
+  advance(now, a);
+}
+
+void holder_role::on_message(time_ms, name_index, const transfer_ack& message) {
+  const delegation* const d = context_.state.find(message.from);
+  slice* const s = d == nullptr ? nullptr : slice_of(d->team, message.from);
+  if (s != nullptr)
+    std::erase_if(s->transfers,
+                  [&](const pending_transfer& t) { return t.sequence == message.sequence; });
+}
+
+void holder_role::on_message(time_ms now, name_index, const transfer_declined& message) {
+  const delegation* const d = context_.state.find(message.from);
+  slice* const s = d == nullptr ? nullptr : slice_of(d->team, message.from);
+  if (s == nullptr || s->state == slice_state::closing)
+    return;
+  const auto found =
+      std::find_if(s->transfers.begin(), s->transfers.end(),
+                   [&](const pending_transfer& t) { return t.sequence == message.sequence; });
+  if (found == s->transfers.end())
+    return;
+  s->sent -= found->tokens;
+  s->transfers.erase(found);
+  advance(now, *accounts_.at(d->team));
+}
+
+void holder_role::on_message(time_ms now, name_index from, const token_refusal& message) {
+  const name_index team = context_.state.find_team(message.team);
+  const auto found = accounts_.find(team);
+  if (found == accounts_.end() || found->second->round.number != message.round)
+    return;
+  account& a = *found->second;
+  epoch_number epoch = message.epoch;
+  context_.state.for_each_of(team, [&](const delegation& d) {
+    if (epoch == 0 && d.holder == from && d.state == delegation_state::live)
+      epoch = d.epoch;
+  });
+  a.round.note_answer(epoch, message.reserved);
+  advance(now, a);
+}
+
+} // namespace sedgechute::ledger
--- /dev/null
+++ b/src/ledger/impl/host_context.cpp
@@ -0,0 +1,67 @@
+#include "ledger/impl/host_context.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace sedgechute::ledger {
+
+host_context::host_context(incarnation self, const data_centre_id& data_centre,
+                           const ledger_options& options, std::uint64_t seed)
+    : state{options}, random{seed}, options_{options}, self_{std::move(self)},
+      self_index_{state.intern_host(self_)}, data_centre_{state.intern_data_centre(data_centre)} {}
+
+void host_context::send(name_index to, ledger_message body) {
+  out.messages.push_back({state.host(to), std::move(body)});
+}
+
+void host_context::reply(const attempt_id& attempt, reserve_reply answer) {
+  answer.ticket = attempt.ticket;
+  if (attempt.entry == self_index_)
+    local_replies.push_back(answer);
+  else
+    send(attempt.entry, answer);
+}
+
+record_id host_context::append(time_ms now, record_body body) {
+  const record_id id = draw_id();
+  out.records.push_back({id, body});
+  unread_.push_back({{id, std::move(body)}, now});
+  return id;
+}
+
+record_id host_context::append_once(record_body body) {
+  const record_id id = draw_id();
+  out.records.push_back({id, std::move(body)});
+  return id;
+}
+
+bool host_context::note_read_back(const record_id& id) {
+  const auto found = std::find_if(unread_.begin(), unread_.end(),
+                                  [&](const unread_append& u) { return u.record.id == id; });
+  if (found == unread_.end())
+    return false;
+  unread_.erase(found);
+  return true;
+}
+
+void host_context::forget_append(const record_id& id) {
+  static_cast<void>(note_read_back(id));
+}
+
+// An append's answer may be lost after it took effect, so only reading the record back ends the
+// repeats; replay drops the copies.
+void host_context::resend_appends(time_ms now) {
+  for (unread_append& u : unread_) {
+    if (now - u.sent < options_.append_resend)
+      continue;
+    u.sent = now;
+    out.records.push_back(u.record);
+  }
+}
+
+record_id host_context::draw_id() {
+  const std::uint64_t high = random();
+  return {high, random()};
+}
+
+} // namespace sedgechute::ledger
--- /dev/null
+++ b/src/ledger/impl/host_context.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "ledger/impl/ledger_state.hpp"
+#include "ledger/impl/live_hosts.hpp"
+#include "ledger/impl/output.hpp"
+
+#include <vector>
+
+namespace sedgechute::ledger {
+
+/// \brief One attempt of a request, as its holder knows it.
+struct attempt_id {
+  name_index entry{no_name};
+  ticket_number ticket{};
+
+  bool operator==(const attempt_id&) const = default;
+};
+
+/// \brief What the three roles of one host share.
+class host_context {
+ public:
+  host_context(incarnation self, const data_centre_id& data_centre, const ledger_options& options,
+               std::uint64_t seed);
+
+  [[nodiscard]] const ledger_options& options() const noexcept { return options_; }
+  [[nodiscard]] bool mutated(mutation fault) const noexcept { return options_.fault == fault; }
+  [[nodiscard]] const incarnation& self() const noexcept { return self_; }
+  [[nodiscard]] name_index self_index() const noexcept { return self_index_; }
+  [[nodiscard]] name_index data_centre() const noexcept { return data_centre_; }
+
+  void send(name_index to, ledger_message body);
+  /// \brief Answers an attempt: by message, or directly when it was made on this host.
+  void reply(const attempt_id& attempt, reserve_reply answer);
+
+  /// \brief Appends, and repeats until the record is read back.
+  record_id append(time_ms now, record_body body);
+  /// \brief Appends once: for records that a newer one will supersede.
+  record_id append_once(record_body body);
+  /// \returns whether the record is one of ours that had not been read back.
+  bool note_read_back(const record_id& id);
+  void forget_append(const record_id& id);
+  void resend_appends(time_ms now);
+  [[nodiscard]] std::size_t unread_appends() const noexcept { return unread_.size(); }
+
+  ledger_state state;
+  live_hosts live;
+  budget_output out;
+  std::vector<reserve_reply> local_replies;
+  random_source random;
+
+ private:
+  struct unread_append {
+    ledger_record record;
+    time_ms sent;
+  };
+
+  [[nodiscard]] record_id draw_id();
+
+  ledger_options options_;
+  incarnation self_;
+  name_index self_index_;
+  name_index data_centre_;
+  std::vector<unread_append> unread_;
+};
+
+} // namespace sedgechute::ledger
--- /dev/null
+++ b/src/ledger/impl/ledger_replay.cpp
@@ -0,0 +1,233 @@
+// The rules by which replay judges records. docs/LEDGER.md lists them with their reasons.
+
+#include "ledger/impl/ledger_state.hpp"
+
+#include <algorithm>
+
+namespace sedgechute::ledger {
+
+namespace {
+
+using enum record_verdict;
+
+void keep_first_void(record_verdict& all, record_verdict one) {
+  if (all == applied)
+    all = one;
+}
+
+} // namespace
+
+// Ids are remembered for a window of offsets only. A grant composed before the window began might
+// be a repeat of a forgotten one, so it is void; the writer reads that and composes a new one.
+record_verdict ledger_state::apply(log_offset offset, const record_id& id, const grant& body) {
+  if (body.basis + repeat_window_ < offset && fault_ != mutation::ignore_basis)
+    return outdated;
+  if (!note_id(offset, id))
+    return repeated;
+  const name_index team = intern_team(body.team);
+  touch(team);
+  if (body.tokens <= 0)
+    return out_of_range;
+  if (totals(team).pool() <= 0 && fault_ != mutation::grant_above_pool)
+    return pool_empty;
+  return body.extends == 0 ? create_epoch(offset, body, team) : extend_epoch(body, team);
+}
+
+record_verdict ledger_state::create_epoch(log_offset offset, const grant& body, name_index team) {
+  const name_index holder = intern_host(body.holder);
+  bool holding = false;
+  for_each_of(team, [&](const delegation& d) {
+    holding |= d.holder == holder && d.state == delegation_state::live;
+  });
+  if (holding && fault_ != mutation::forget_record_ids && fault_ != mutation::ignore_basis)
+    return already_holding;
+  delegation d;
+  d.epoch = offset;
+  d.team = team;
+  d.holder = holder;
+  d.witness = body.witness.host.empty() ? no_name : intern_host(body.witness);
+  d.data_centre = intern_data_centre(body.data_centre);
+  const token_count pool = totals(team).pool();
+  d.granted = fault_ == mutation::grant_above_pool ? body.tokens : std::min(body.tokens, pool);
+  d.next_of_team = teams_[team].first_epoch;
+  teams_[team].first_epoch = offset;
+  put_back(d);
+  delegations_.emplace(offset, std::move(d));
+  return applied;
+}
+
+record_verdict ledger_state::extend_epoch(const grant& body, name_index team) {
+  delegation* const d = find_mutable(body.extends);
+  if (d == nullptr || d->team != team)
+    return unknown_epoch;
+  if (d->state != delegation_state::live)
+    return not_live;
+  if (hosts_[d->holder] != body.holder)
+    return wrong_holder;
+  const token_count pool = totals(team).pool();
+  take_out(*d);
+  d->granted += fault_ == mutation::grant_above_pool ? body.tokens : std::min(body.tokens, pool);
+  put_back(*d);
+  return applied;
+}
+
+record_verdict ledger_state::apply(log_offset, const record_id&, const report& body) {
+  record_verdict all = applied;
+  for (const epoch_report& item : body.epochs)
+    keep_first_void(all, apply_report(item));
+  return all;
+}
+
+// Reports are sums since the epoch began, so a lost, repeated or late one needs no id.
+record_verdict ledger_state::apply_report(const epoch_report& item) {
+  delegation* d = find_mutable(item.epoch);
+  if (d == nullptr)
+    return unknown_epoch;
+  if (d->state == delegation_state::closed)
+    return not_live;
+  if (item.version <= d->version)
+    return repeated;
+  apply_receipts(*d, item);
+  const bool shrinks = item.spent < d->spent || item.returned < d->returned || item.lost < 0;
+  const token_count used = item.spent - d->spent + item.returned - d->returned;
+  if (shrinks || used + item.lost > d->remainder())
+    return out_of_range;
+  take_out(*d);
+  d->version = item.version;
+  d->spent = item.spent;
+  d->returned = item.returned;
+  d->lost = item.lost;
+  d->sent = item.sent;
+  if (item.closing)
+    close(*d, item);
+  put_back(*d);
+  drop_if_over(item.epoch);
+  return applied;
+}
+
+// A transfer is credited once: its sequence number is kept with the epoch that sent it. A sender
+// that is over has no remainder, so a late repeat finds nothing to move.
+void ledger_state::apply_receipts(delegation& to, const epoch_report& item) {
+  for (const transfer_receipt& receipt : item.received) {
+    delegation* const from = find_mutable(receipt.from);
+    if (from == nullptr || from->team != to.team || receipt.tokens <= 0)
+      continue;
+    if (from->has_moved(receipt.sequence) || from->remainder() < receipt.tokens)
+      continue;
+    take_out(*from);
+    from->moved += receipt.tokens;
+    from->note_moved(receipt.sequence);
+    put_back(*from);
+    take_out(to);
+    to.received += receipt.tokens;
+    put_back(to);
+    drop_if_over(receipt.from);
+  }
+}
+
+// Closing returns all but what receivers of transfers have still to report. A wrongly suspected
+// holder closes its reclaimed epoch too: it alone knows what it did not use.
+void ledger_state::close(delegation& d, const epoch_report& item) {
+  const token_count in_transit = std::max<token_count>(item.sent - d.moved, 0);
+  const token_count back = std::max<token_count>(d.remainder() - d.lost - in_transit, 0);
+  d.gone += back + d.lost;
+  teams_[d.team].orphaned += d.lost;
+  teams_[d.team].written_off += d.lost;
+  d.lost = 0;
+  d.state = delegation_state::closed;
+}
+
+record_verdict ledger_state::apply(log_offset, const record_id&, const reclaim_batch& body) {
+  record_verdict all = applied;
+  for (const reclaim& item : body.epochs)
+    keep_first_void(all, apply_reclaim(item));
+  return all;
+}
+
+// Only the witness of the current term knows all that was countersigned: a replaced one may have
+// missed what its successor signed.
+record_verdict ledger_state::apply_reclaim(const reclaim& item) {
+  delegation* const d = find_mutable(item.epoch);
+  if (d == nullptr)
+    return unknown_epoch;
+  if (d->state == delegation_state::closed || d->reclaim_applied)
+    return not_live;
+  if (item.term != d->term && fault_ != mutation::ignore_term)
+    return wrong_term;
+  const token_count unopened = std::max<token_count>(d->granted - item.opened, 0);
+  if (item.opened < 0)
+    return out_of_range;
+  take_out(*d);
+  d->gone += std::min(unopened, d->remainder());
+  d->lost = 0;
+  d->reclaim_applied = true;
+  d->state = delegation_state::reclaimed;
+  put_back(*d);
+  drop_if_over(item.epoch);
+  return applied;
+}
+
+record_verdict ledger_state::apply(log_offset, const record_id&, const abandon& body) {
+  delegation* const d = find_mutable(body.epoch);
+  if (d == nullptr)
+    return unknown_epoch;
+  if (d->state != delegation_state::live)
+    return not_live;
+  take_out(*d);
+  d->lost = 0;
+  d->state = delegation_state::abandoned;
+  put_back(*d);
+  drop_if_over(body.epoch);
+  return applied;
+}
+
+record_verdict ledger_state::apply(log_offset, const record_id&, const replace_witness& body) {
+  delegation* const d = find_mutable(body.epoch);
+  if (d == nullptr)
+    return unknown_epoch;
+  if (d->state != delegation_state::live)
+    return not_live;
+  if (body.term != d->term)
+    return wrong_term;
+  ++d->term;
+  d->witness = body.witness.host.empty() ? no_name : intern_host(body.witness);
+  d->opened = std::max(d->opened, body.opened);
+  touch(d->team);
+  return applied;
+}
+
+record_verdict ledger_state::apply(log_offset offset, const record_id& id, const release& body) {
+  if (body.basis + repeat_window_ < offset)
+    return outdated;
+  if (!note_id(offset, id))
+    return repeated;
+  const name_index team = intern_team(body.team);
+  touch(team);
+  if (body.tokens <= 0)
+    return out_of_range;
+  if (body.epoch == 0)
+    return release_orphaned(team, body.tokens);
+  delegation* const d = find_mutable(body.epoch);
+  if (d == nullptr || d->team != team)
+    return unknown_epoch;
+  if (d->state == delegation_state::live)
+    return not_live;
+  if (body.tokens > d->remainder())
+    return out_of_range;
+  take_out(*d);
+  d->gone += body.tokens;
+  put_back(*d);
+  drop_if_over(body.epoch);
+  return applied;
+}
+
+record_verdict ledger_state::release_orphaned(name_index team, token_count tokens) {
+  team_row& row = teams_[team];
+  if (tokens > row.orphaned)
+    return out_of_range;
+  row.orphaned -= tokens;
+  row.written_off -= tokens;
+  return applied;
+}
+
+} // namespace sedgechute::ledger
--- /dev/null
+++ b/src/ledger/impl/live_hosts.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "ledger/impl/ledger_state.hpp"
+
+#include <span>
+#include <vector>
+
+namespace sedgechute::ledger {
+
+/// \brief A live host as membership sees it.
+struct live_host {
+  incarnation host;
+  data_centre_id data_centre;
+};
+
+/// \brief Which incarnations are alive, as far as this host knows. A wrong entry may cost a new
+/// grant but never lets anyone overspend.
+class live_hosts {
+ public:
+  void assign(time_ms now, std::span<const live_host> hosts, ledger_state& names);
+
+  [[nodiscard]] bool is_live(name_index host) const noexcept;
+  /// \returns since when the host has been missed; the first list's time if it was never listed.
+  [[nodiscard]] time_ms missed_since(name_index host) const noexcept;
+  /// \returns the data centre of a live host, else `no_name`.
+  [[nodiscard]] name_index data_centre_of(name_index host) const noexcept;
+  [[nodiscard]] std::size_t data_centre_count() const noexcept { return data_centre_count_; }
+
+  /// \returns the rendezvous place of `key` among live hosts other than `without`, in one data
+  /// centre or, for `no_name`, anywhere; `no_name` if there is none.
+  [[nodiscard]] name_index place(std::uint64_t key, name_index data_centre,
+                                 name_index without) const noexcept;
+
+ private:
+  struct entry {
+    bool live{};
+    time_ms missed_since;
+    name_index data_centre{no_name};
+  };
+  struct candidate {
+    name_index host;
+    name_index data_centre;
+    std::uint64_t hash;
+  };
+
+  bool assigned_{};
+  time_ms first_assigned_;
+  std::size_t data_centre_count_{};
+  std::vector<entry> entries_; // by host index
+  std::vector<candidate> candidates_;
+};
+
+} // namespace sedgechute::ledger
--- /dev/null
+++ b/src/ledger/impl/options.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "ledger/impl/units.hpp"
+
+namespace sedgechute::ledger {
+
+/// \brief A deliberate fault in the logic, to show that the checks notice it. Only tests set one.
+enum class mutation {
+  none,
+  skip_witness,          ///< use tokens that no witness countersigned
+  unseal,                ///< a witness countersigns after it has reclaimed
+  trust_append,          ///< use a grant before it is read back
+  reuse_epoch,           ///< go on with an epoch that the log has ended
+  forget_record_ids,     ///< apply a repeated grant again
+  ignore_basis,          ///< apply a grant whose repeats may be forgotten
+  ignore_term,           ///< accept a reclaim of a replaced witness
+  open_while_replacing,  ///< use the old witness's answer after a replacement was sent
+  forget_transfer_ids,   ///< credit a repeated transfer again
+  send_without_debit,    ///< transfer tokens that stay usable at the sender
+  forget_settled,        ///< a retry of a billed request is billed again
+  bill_above_bound,      ///< bill what the engine reported, however much
+  return_reserved,       ///< close an epoch that still has open reservations
+  grant_above_pool,      ///< a grant may exceed the pool
+  trust_old_incarnation, ///< answer messages addressed to an earlier incarnation
+};
+
+/// \brief Sizes and waits of the ledger. Waits affect liveness only, never correctness.
+struct ledger_options {
+  log_offset repeat_window{32768}; ///< offsets within which a repeated grant is recognised
+
+  time_ms reserve_wait{2000};     ///< a pending reservation is decided within this span
+  time_ms message_resend{150};    ///< between repeats of an unanswered message
+  time_ms append_resend{2000};    ///< between repeats of a record that was not read back
+  time_ms report_interval{10000}; ///< between reports of spent tokens
+  time_ms idle_close{60000};      ///< a slice unused for this long is returned
+  time_ms probe_after{30000};     ///< age at which an open reservation is asked about
+  time_ms orphan_wait{120000};    ///< from an entry host's death to writing off its reservations
+  time_ms settled_kept{120000};   ///< how long a settled key is remembered
+  time_ms settle_give_up{600000}; ///< how long a settle is repeated to a lost holder
+  time_ms abandon_wait{60000};    ///< both holder and witness lost for this long
+  time_ms suspect_wait{0};        ///< from a holder's death to sealing its epochs
+
+  token_count least_slice{4096};      ///< smallest slice asked for while the pool is large
+  std::int64_t first_slice_share{64}; ///< a first slice is at most pool / this
+  std::int64_t slice_share{2};        ///< a slice is at most pool / (data centres * this)
+  time_ms slice_span{3600000};        ///< demand that a slice should cover
+  time_ms chunk_span{2000};           ///< demand that a chunk should cover
+  std::int64_t chunk_share{1024};     ///< an opened chunk is at most bought / this, or one request
+  std::uint32_t busy_requests{2};     ///< requests of a data centre in `busy_span` to make it busy
+  time_ms busy_span{10000};
+
+  mutation fault{mutation::none};
+};
+
+} // namespace sedgechute::ledger
+
+template <>
+struct sedgechute::enum_names<sedgechute::ledger::mutation> {
+  using enum sedgechute::ledger::mutation;
+  static constexpr auto entries =
+      enum_table<sedgechute::ledger::mutation>({{none, "none"},
+                                                {skip_witness, "skip_witness"},
+                                                {unseal, "unseal"},
+                                                {trust_append, "trust_append"},
+                                                {reuse_epoch, "reuse_epoch"},
+                                                {forget_record_ids, "forget_record_ids"},
+                                                {ignore_basis, "ignore_basis"},
+                                                {ignore_term, "ignore_term"},
+                                                {open_while_replacing, "open_while_replacing"},
+                                                {forget_transfer_ids, "forget_transfer_ids"},
+                                                {send_without_debit, "send_without_debit"},
+                                                {forget_settled, "forget_settled"},
+                                                {bill_above_bound, "bill_above_bound"},
+                                                {return_reserved, "return_reserved"},
+                                                {grant_above_pool, "grant_above_pool"},
+                                                {trust_old_incarnation, "trust_old_incarnation"}});
+};
--- /dev/null
+++ b/src/ledger/impl/reservation_table.cpp
@@ -0,0 +1,36 @@
+#include "ledger/impl/reservation_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace sedgechute::ledger {
+
+reservation* reservation_table::find(const reservation_key& key) {
+  const auto found = reservations_.find(key);
+  return found == reservations_.end() ? nullptr : &found->second;
+}
+
+reservation& reservation_table::add(const reservation_key& key, reservation made, time_ms due) {
+  reservation& added = reservations_.insert_or_assign(key, std::move(made)).first->second;
+  look_again(key, added, due);
+  return added;
+}
+
+void reservation_table::look_again(const reservation_key& key, reservation& r, time_ms due) {
+  r.look_at = due;
+  std::deque<due_key>& queue = soon_.empty() || soon_.back().due <= due ? soon_ : late_;
+  queue.push_back({due, key});
+}
+
+std::optional<reservation_key> reservation_table::next_due(time_ms now) {
+  for (std::deque<due_key>* const queue : {&soon_, &late_}) {
+    if (queue->empty() || queue->front().due > now)
+      continue;
+    reservation_key key = std::move(queue->front().key);
+    queue->pop_front();
+    return key;
+  }
+  return std::nullopt;
+}
+
+} // namespace sedgechute::ledger
--- /dev/null
+++ b/src/ledger/impl/slice.cpp
@@ -0,0 +1,64 @@
+#include "ledger/impl/slice.hpp"
+
+#include <algorithm>
+
+namespace sedgechute::ledger {
+
+bool asking_round::complete() const noexcept {
+  return std::all_of(holders.begin(), holders.end(), [](const asked& a) { return a.answered; });
+}
+
+token_count asking_round::reserved() const noexcept {
+  token_count sum = 0;
+  for (const asked& a : holders)
+    sum += a.reserved;
+  return sum;
+}
+
+void asking_round::note_answer(epoch_number epoch, token_count held) {
+  for (asked& a : holders) {
+    if (a.epoch != epoch)
+      continue;
+    a.answered = true;
+    a.reserved = held;
+  }
+}
+
+slice* account::live_slice() noexcept {
+  for (slice& s : slices)
+    if (s.state == slice_state::live)
+      return &s;
+  return nullptr;
+}
+
+slice* account::find(epoch_number epoch) noexcept {
+  for (slice& s : slices)
+    if (s.epoch == epoch)
+      return &s;
+  return nullptr;
+}
+
+token_count account::reserved() const noexcept {
+  token_count sum = 0;
+  for (const slice& s : slices)
+    sum += s.reserved;
+  return sum;
+}
+
+token_count account::waiting_tokens() const noexcept {
+  token_count sum = 0;
+  for (const waiting_attempt& w : waiting)
+    sum += w.bound;
+  return sum;
+}
+
+bool account::closing() const noexcept {
+  return std::any_of(slices.begin(), slices.end(),
+                     [](const slice& s) { return s.state == slice_state::closing; });
+}
+
+bool account::empty() const noexcept {
+  return slices.empty() && waiting.empty() && wants.empty() && !grant_sent;
+}
+
+} // namespace sedgechute::ledger
--- /dev/null
+++ b/src/ledger/impl/witness_role.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "ledger/impl/host_context.hpp"
+
+#include <absl/container/btree_map.h>
+
+namespace sedgechute::ledger {
+
+/// \brief Countersigns the use of other hosts' epochs, and seals those whose holder is lost.
+class witness_role {
+ public:
+  explicit witness_role(host_context& context) noexcept : context_{context} {}
+
+  void on_open(name_index from, const open_chunk& message);
+  /// \brief Takes up or drops epochs after the team's delegations changed.
+  void sync(name_index team);
+  /// \brief Seals the epochs whose holder is not live.
+  void tick(time_ms now);
+
+  [[nodiscard]] std::size_t watched() const noexcept { return epochs_.size(); }
+
+ private:
+  struct watched_epoch {
+    witness_term term{};
+    token_count opened{};
+    bool sealed{};
+  };
+
+  [[nodiscard]] bool may_countersign(const open_chunk& message) const;
+  void take_up(const delegation& d);
+
+  host_context& context_;
+  // Ordered, so that a run replays: hash tables are walked in another order in each process.
+  absl::btree_map<epoch_number, watched_epoch> epochs_;
+};
+
+} // namespace sedgechute::ledger
--- /dev/null
+++ b/src/ledger/ledger.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+/// \file
+/// \brief Prepaid token budgets: replay of the log, delegated slices, witnesses, transfers between
+/// holders, reservations and bills. docs/LEDGER.md states the rules and why they hold.
+///
+/// Pure logic: time, records and messages come in as arguments, and what is to be sent or appended
+/// goes out as values. `budget_host` is the part that a daemon wraps in its lock.
+
+#include "ledger/impl/budget_description.hpp"
+#include "ledger/impl/budget_host.hpp"
+#include "ledger/impl/forward_declarations.hpp"
+#include "ledger/impl/ledger_snapshot.hpp"
+#include "ledger/impl/ledger_state.hpp"
+#include "ledger/impl/messages.hpp"
+#include "ledger/impl/options.hpp"
+#include "ledger/impl/output.hpp"
+#include "ledger/impl/records.hpp"
+#include "ledger/impl/units.hpp"
--- /dev/null
+++ b/tests/ledger/fleet_model.cpp
@@ -0,0 +1,307 @@
+#include "fleet_model.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace sedgechute::ledger {
+
+namespace {
+
+struct weighted_kind {
+  step_kind kind;
+  std::uint32_t weight;
+};
+
+using enum step_kind;
+constexpr std::array weights{weighted_kind{pass_time, 10},  weighted_kind{run, 14},
+                             weighted_kind{deliver, 14},    weighted_kind{drop, 3},
+                             weighted_kind{repeat, 4},      weighted_kind{append, 5},
+                             weighted_kind{lose_append, 1}, weighted_kind{repeat_append, 3},
+                             weighted_kind{read, 5},        weighted_kind{see_members, 4},
+                             weighted_kind{request, 16},    weighted_kind{retry, 4},
+                             weighted_kind{settle, 12},     weighted_kind{no_usage, 1},
+                             weighted_kind{shrink, 2},      weighted_kind{withdraw, 2},
+                             weighted_kind{top_up, 2},      weighted_kind{reduce_contract, 1},
+                             weighted_kind{crash, 2},       weighted_kind{pause, 3},
+                             weighted_kind{cut_hosts, 3},   weighted_kind{cut_data_centre, 2},
+                             weighted_kind{cut_log, 2},     weighted_kind{log_outage, 2},
+                             weighted_kind{checkpoint, 1},  weighted_kind{trim, 1},
+                             weighted_kind{drain, 1},       weighted_kind{long_wait, 1}};
+
+constexpr std::uint32_t total_weight() {
+  std::uint32_t sum = 0;
+  for (const weighted_kind& w : weights)
+    sum += w.weight;
+  return sum;
+}
+
+constexpr time_ms round_span{60};
+
+} // namespace
+
+step random_step(random_source& random) {
+  auto drawn = static_cast<std::uint32_t>(random.below(total_weight()));
+  const std::uint64_t numbers = random();
+  const auto a = static_cast<std::uint32_t>(numbers);
+  const auto b = static_cast<std::uint32_t>(numbers >> 32U);
+  for (const weighted_kind& w : weights) {
+    if (drawn < w.weight)
+      return {w.kind, a, b};
+    drawn -= w.weight;
+  }
+  return {run, a, b};
+}
+
+std::string to_text(const step& s) {
+  return std::string{name_of(s.kind)} + ' ' + std::to_string(s.a) + ' ' + std::to_string(s.b);
+}
+
+fleet_model::fleet_model(const model_options& options, std::uint64_t seed)
+    : options_{options}, random_{seed}, reference_{options.ledger} {
+  cuts_.resize(std::size_t{options.hosts} * options.hosts);
+  for (std::uint32_t team = 0; team < options.teams; ++team) {
+    teams_.emplace_back("team-" + std::to_string(team));
+    truths_.emplace_back();
+    set_contract(team, options.bought);
+  }
+  hosts_.resize(options.hosts);
+  for (std::uint32_t i = 0; i < options.hosts; ++i) {
+    hosts_[i].data_centre = data_centre_id{"dc-" + std::to_string(i % options.data_centres)};
+    hosts_[i].id.host = host_id{"host-" + std::to_string(i)};
+    start_host(i);
+  }
+  for (std::uint32_t i = 0; i < options.hosts; ++i)
+    see_members(i);
+}
+
+void fleet_model::start_host(std::uint32_t index) {
+  fake_host& h = hosts_[index];
+  ++h.id.number;
+  h.paused = false;
+  h.draining = false;
+  h.read_upto = 0;
+  h.budgets = std::make_unique<budget_host>(h.id, h.data_centre, options_.ledger, random_());
+}
+
+void fleet_model::set_contract(std::uint32_t team, token_count bought) {
+  log_.push_back({std::nullopt, teams_[team], bought});
+  truths_[team].contract = bought;
+  reference_.on_contract(log_.size(), teams_[team], bought);
+}
+
+bool fleet_model::connected(std::uint32_t a, std::uint32_t b) const {
+  return a == b || !cuts_[std::size_t{std::min(a, b)} * options_.hosts + std::max(a, b)];
+}
+
+std::optional<std::uint32_t> fleet_model::host_named(const host_id& name) const {
+  for (std::uint32_t i = 0; i < hosts_.size(); ++i)
+    if (hosts_[i].id.host == name)
+      return i;
+  return std::nullopt;
+}
+
+void fleet_model::collect(std::uint32_t index) {
+  fake_host& h = hosts_[index];
+  budget_output out = h.budgets->take_output();
+  for (outgoing_message& m : out.messages)
+    network_.push_back({h.id, std::move(m)});
+  for (ledger_record& r : out.records)
+    appends_.push_back(std::move(r));
+  for (const budget_decision& d : out.decisions)
+    decided(index, d);
+  for (const bill& made : out.bills) {
+    claim& c = claims_[std::stoul(made.key.str())];
+    truths_[c.team].billed += made.tokens;
+    truths_[c.team].unbilled -= std::exchange(c.consumed, 0);
+    if (++c.bills > 1) {
+      ++found_.double_billed;
+      report("request " + made.key.str() + " was billed twice");
+    }
+    if (made.tokens > c.bound)
+      report("request " + made.key.str() + " was billed above its bound");
+  }
+}
+
+void fleet_model::deliver(std::size_t index, bool keep) {
+  const in_flight m = network_[index];
+  const std::uint32_t from = *host_named(m.from.host);
+  const std::uint32_t to = *host_named(m.message.to.host);
+  if (hosts_[to].paused && connected(from, to))
+    return;
+  if (!keep) {
+    network_[index] = std::move(network_.back());
+    network_.pop_back();
+  }
+  if (!connected(from, to))
+    return;
+  hosts_[to].budgets->on_message(now_, m.from, m.message.to, m.message.body);
+  collect(to);
+}
+
+void fleet_model::append(std::size_t index, bool keep) {
+  if (log_down_)
+    return;
+  const ledger_record record = appends_[index];
+  if (!keep) {
+    appends_[index] = std::move(appends_.back());
+    appends_.pop_back();
+  }
+  log_.push_back({record, {}, 0});
+  reference_.on_record(log_.size(), record);
+}
+
+void fleet_model::read_log(std::uint32_t index, std::size_t most) {
+  fake_host& h = hosts_[index];
+  if (h.paused || h.log_cut || log_down_)
+    return;
+  if (h.read_upto + 1 < first_retained_) {
+    h.budgets->restore(now_, *checkpoint_);
+    h.read_upto = checkpoint_->offset;
+  }
+  for (; most > 0 && h.read_upto < log_.size(); --most) {
+    const log_entry& entry = log_[h.read_upto++];
+    if (entry.record)
+      h.budgets->on_record(now_, h.read_upto, *entry.record);
+    else
+      h.budgets->on_contract(now_, h.read_upto, entry.team, entry.bought);
+  }
+  collect(index);
+}
+
+void fleet_model::see_members(std::uint32_t index) {
+  std::vector<live_host> live;
+  for (std::uint32_t i = 0; i < hosts_.size(); ++i)
+    if (i == index || (!hosts_[i].paused && connected(index, i)))
+      live.push_back({hosts_[i].id, hosts_[i].data_centre});
+  hosts_[index].budgets->on_members(now_, live);
+}
+
+std::size_t fleet_model::start_request(std::uint32_t host, std::uint32_t team, token_count bound) {
+  claims_.push_back({team, bound, std::nullopt, false, 0, {}});
+  begin(host, static_cast<std::uint32_t>(claims_.size() - 1));
+  return requests_.size() - 1;
+}
+
+void fleet_model::begin(std::uint32_t host, std::uint32_t key) {
+  const claim& c = claims_[key];
+  running_request r;
+  r.host = host;
+  r.entry = hosts_[host].id;
+  r.team = c.team;
+  r.key = key;
+  r.bound = c.bound;
+  r.since = now_;
+  const budget_decision decision = hosts_[host].budgets->reserve(
+      now_, {teams_[c.team], request_id{std::to_string(key)}, c.bound, c.holder});
+  r.ticket = decision.ticket;
+  requests_.push_back(r);
+  if (decision.outcome != budget_outcome::pending)
+    decided(host, decision);
+  collect(host);
+}
+
+void fleet_model::decided(std::uint32_t host, const budget_decision& decision) {
+  const auto found = std::find_if(requests_.begin(), requests_.end(), [&](const auto& r) {
+    return r.entry == hosts_[host].id && r.ticket == decision.ticket && !r.over;
+  });
+  if (found == requests_.end()) {
+    report("an unknown ticket was decided");
+    return;
+  }
+  running_request& r = *found;
+  if (r.outcome != budget_outcome::pending)
+    report("a ticket was decided twice");
+  r.outcome = decision.outcome;
+  r.holder = decision.holder;
+  r.epoch = decision.epoch;
+  r.over = decision.outcome != budget_outcome::granted;
+  if (r.over)
+    return;
+  r.bound = decision.bound;
+  claim_key(host, static_cast<std::size_t>(found - requests_.begin()));
+}
+
+// The reservation comes first, then the claim of the key, then the dispatch. A key whose answer is
+// complete is not run again. An attempt beside a running one is denied, or takes over from an entry
+// host that has died or was fenced, which then bills nothing.
+void fleet_model::claim_key(std::uint32_t host, std::size_t request) {
+  running_request& r = requests_[request];
+  claim& c = claims_[r.key];
+  bool denied = c.finished;
+  for (running_request& other : requests_) {
+    const bool same = &other == &r || other.key != r.key || other.over ||
+                      other.outcome != budget_outcome::granted;
+    if (same || hosts_[other.host].id != other.entry)
+      continue;
+    if (other.epoch == r.epoch || random_.below(2) == 0) {
+      denied = true;
+      continue;
+    }
+    other.over = true;
+    hosts_[other.host].budgets->disown(now_, other.ticket);
+  }
+  if (!denied) {
+    c.holder = r.holder;
+    return;
+  }
+  r.over = true;
+  hosts_[host].budgets->withdraw(now_, r.ticket);
+}
+
+budget_outcome fleet_model::outcome(std::size_t request) const {
+  return requests_[request].outcome;
+}
+
+// A request whose entry host has died goes on consuming at its endpoint. It counts until an attempt
+// that took over is billed in its place.
+void fleet_model::end_request(running_request& r, std::optional<token_count> used) {
+  claim& c = claims_[r.key];
+  r.over = true;
+  if (hosts_[r.host].id != r.entry) {
+    const token_count more = std::min(used.value_or(r.bound), r.bound) - c.consumed;
+    if (c.bills == 0 && more > 0) {
+      c.consumed += more;
+      truths_[r.team].unbilled += more;
+    }
+    return;
+  }
+  // The answer is recorded as complete before it is billed, so no attempt starts after a bill.
+  c.finished = true;
+  hosts_[r.host].budgets->settle(now_, r.ticket, used);
+  collect(r.host);
+}
+
+void fleet_model::finish_request(std::size_t request, std::optional<token_count> used) {
+  end_request(requests_[request], used);
+}
+
+fleet_model::running_request* fleet_model::running(std::uint32_t choice) {
+  std::erase_if(requests_, [](const running_request& r) { return r.over; });
+  if (requests_.empty())
+    return nullptr;
+  running_request& r = requests_[choice % requests_.size()];
+  return r.outcome == budget_outcome::granted && !hosts_[r.host].paused ? &r : nullptr;
+}
+
+void fleet_model::report(const std::string& what) {
+  if (found_.first.empty())
+    found_.first = what;
+}
+
+void fleet_model::run_round() {
+  now_ += round_span;
+  for (std::size_t left = network_.size(); left > 0 && !network_.empty(); --left)
+    deliver(0, false);
+  for (std::size_t left = appends_.size(); left > 0; --left)
+    append(0, false);
+  for (std::uint32_t i = 0; i < hosts_.size(); ++i) {
+    read_log(i, log_.size());
+    if (hosts_[i].paused)
+      continue;
+    hosts_[i].budgets->tick(now_);
+    collect(i);
+  }
+}
+
+} // namespace sedgechute::ledger
--- /dev/null
+++ b/tests/ledger/fleet_model.hpp
@@ -0,0 +1,218 @@
+#pragma once
+
+#include "ledger/ledger.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sedgechute::ledger {
+
+/// \brief What may happen next in a schedule. Each takes two numbers that choose among what there
+/// is at the time, so that a schedule stays valid when steps are taken out of it.
+enum class step_kind : std::uint8_t {
+  pass_time,     ///< the clock moves and one host ticks
+  run,           ///< a round in which everything that can move does
+  deliver,       ///< one message arrives, in any order
+  drop,          ///< one message is lost
+  repeat,        ///< one message arrives and stays on its way
+  append,        ///< one record is appended
+  lose_append,   ///< one record is lost on its way to the log
+  repeat_append, ///< one record is appended and stays on its way
+  read,          ///< one host reads the log
+  see_members,   ///< one host learns who is alive
+  request,       ///< a caller sends a request
+  retry,         ///< a caller sends an unfinished request again, to any host
+  settle,        ///< a running request ends
+  no_usage,      ///< a running request ends and its engine reports no usage
+  shrink,        ///< a running request needs less than was reserved
+  withdraw,      ///< a reserved request is not dispatched
+  top_up,
+  reduce_contract,
+  crash,     ///< a host dies; its next life starts at once
+  pause,     ///< a host stops running, or goes on
+  cut_hosts, ///< two hosts lose each other, or meet again
+  cut_data_centre,
+  cut_log, ///< one host loses the log, or meets it again
+  log_outage,
+  checkpoint,
+  trim, ///< the log forgets what is before the newest checkpoint
+  drain,
+  long_wait, ///< the clock moves past every timeout
+};
+
+struct step {
+  step_kind kind{};
+  std::uint32_t a{};
+  std::uint32_t b{};
+};
+
+/// \returns a random step; the frequent ones let work move on between faults.
+[[nodiscard]] step random_step(random_source& random);
+[[nodiscard]] std::string to_text(const step& s);
+
+/// \brief What one run of a schedule showed to be wrong.
+struct findings {
+  token_count overspend_tokens{};
+  std::uint64_t double_billed{};
+  std::uint64_t unresolved{};
+  std::string first; ///< in words, empty if nothing is wrong
+
+  [[nodiscard]] bool clean() const noexcept { return first.empty(); }
+};
+
+struct model_options {
+  std::uint32_t hosts{4};
+  std::uint32_t data_centres{2};
+  std::uint32_t teams{2};
+  token_count bought{4000};
+  ledger_options ledger;
+};
+
+/// \brief Several hosts over fakes of clock, network and log, all single-threaded. Beside them it
+/// keeps what a single host with one map would: bought, billed and consumed tokens by team.
+class fleet_model {
+ public:
+  fleet_model(const model_options& options, std::uint64_t seed);
+
+  void apply(const step& s);
+  /// \brief Checks the invariants in all hosts at once.
+  void check();
+  /// \brief Ends all faults, lets everything settle and checks that nothing is left over.
+  void heal_and_check();
+  /// \brief One round in which time passes and everything that can move does.
+  void run_round();
+
+  [[nodiscard]] const findings& found() const noexcept { return found_; }
+  [[nodiscard]] const ledger_state& log_state() const noexcept { return reference_; }
+
+  // For tests of single stories.
+  struct running_request;
+  std::size_t start_request(std::uint32_t host, std::uint32_t team, token_count bound);
+  [[nodiscard]] budget_outcome outcome(std::size_t request) const;
+  void finish_request(std::size_t request, std::optional<token_count> used);
+  void set_contract(std::uint32_t team, token_count bought);
+  [[nodiscard]] budget_host& host(std::uint32_t index) { return *hosts_[index].budgets; }
+  [[nodiscard]] token_count billed(std::uint32_t team) const { return truths_[team].billed; }
+  void collect(std::uint32_t index);
+  [[nodiscard]] time_ms now() const noexcept { return now_; }
+
+  struct running_request {
+    std::uint32_t host{};
+    incarnation entry;
+    ticket_number ticket{};
+    std::uint32_t team{};
+    std::uint32_t key{};
+    token_count bound{};
+    budget_outcome outcome{budget_outcome::pending};
+    incarnation holder;
+    epoch_number epoch{};
+    time_ms since;
+    bool over{};
+  };
+
+ private:
+  struct fake_host {
+    std::unique_ptr<budget_host> budgets;
+    incarnation id;
+    data_centre_id data_centre;
+    bool paused{};
+    bool log_cut{};
+    bool draining{};
+    log_offset read_upto{};
+  };
+  struct in_flight {
+    incarnation from;
+    outgoing_message message;
+  };
+  struct log_entry {
+    std::optional<ledger_record> record;
+    team_id team;
+    token_count bought{};
+  };
+  /// One map and one number each: the naive ledger.
+  struct truth {
+    token_count contract{};
+    token_count billed{};
+    token_count unbilled{}; ///< consumed by requests that nobody could settle
+  };
+  /// What is known of one request whichever attempt ran: the claims of a real fleet.
+  struct claim {
+    std::uint32_t team{};
+    token_count bound{};
+    std::optional<incarnation> holder;
+    bool finished{};
+    std::uint32_t bills{};
+    token_count consumed{}; ///< by attempts of dead entry hosts, until the request is billed
+  };
+
+  void start_host(std::uint32_t index);
+  void deliver(std::size_t index, bool keep);
+  void append(std::size_t index, bool keep);
+  void read_log(std::uint32_t index, std::size_t most);
+  void see_members(std::uint32_t index);
+  void begin(std::uint32_t host, std::uint32_t key);
+  void decided(std::uint32_t host, const budget_decision& decision);
+  void claim_key(std::uint32_t host, std::size_t request);
+  void end_request(running_request& r, std::optional<token_count> used);
+  [[nodiscard]] running_request* running(std::uint32_t choice);
+  [[nodiscard]] bool connected(std::uint32_t a, std::uint32_t b) const;
+  [[nodiscard]] std::optional<std::uint32_t> host_named(const host_id& name) const;
+  void report(const std::string& what);
+  void check_team(std::uint32_t team);
+
+  model_options options_;
+  random_source random_;
+  time_ms now_{1000};
+  std::vector<fake_host> hosts_;
+  std::vector<bool> cuts_; ///< hosts x hosts
+  std::vector<in_flight> network_;
+  std::vector<ledger_record> appends_;
+  std::vector<log_entry> log_; ///< offset - 1
+  log_offset first_retained_{1};
+  std::optional<ledger_snapshot> checkpoint_;
+  bool log_down_{};
+  ledger_state reference_; ///< has read everything
+  std::vector<team_id> teams_;
+  std::vector<truth> truths_;
+  std::vector<claim> claims_;
+  std::vector<running_request> requests_;
+  findings found_;
+};
+
+} // namespace sedgechute::ledger
+
+template <>
+struct sedgechute::enum_names<sedgechute::ledger::step_kind> {
+  using enum sedgechute::ledger::step_kind;
+  static constexpr auto entries =
+      enum_table<sedgechute::ledger::step_kind>({{pass_time, "pass_time"},
+                                                 {run, "run"},
+                                                 {deliver, "deliver"},
+                                                 {drop, "drop"},
+                                                 {repeat, "repeat"},
+                                                 {append, "append"},
+                                                 {lose_append, "lose_append"},
+                                                 {repeat_append, "repeat_append"},
+                                                 {read, "read"},
+                                                 {see_members, "see_members"},
+                                                 {request, "request"},
+                                                 {retry, "retry"},
+                                                 {settle, "settle"},
+                                                 {no_usage, "no_usage"},
+                                                 {shrink, "shrink"},
+                                                 {withdraw, "withdraw"},
+                                                 {top_up, "top_up"},
+                                                 {reduce_contract, "reduce_contract"},
+                                                 {crash, "crash"},
+                                                 {pause, "pause"},
+                                                 {cut_hosts, "cut_hosts"},
+                                                 {cut_data_centre, "cut_data_centre"},
+                                                 {cut_log, "cut_log"},
+                                                 {log_outage, "log_outage"},
+                                                 {checkpoint, "checkpoint"},
+                                                 {trim, "trim"},
+                                                 {drain, "drain"},
+                                                 {long_wait, "long_wait"}});
+};
