--- /dev/null
+++ b/src/telemetry/impl/metric_table.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "kernel/kernel.hpp"
+
+#include <array>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace sedgechute {
+
+enum class metric_kind { counter, gauge, histogram };
+
+/// \brief Every metric of the daemon.
+enum class metric {
+  requests,
+  refusals,
+  slo_total,
+  slo_good,
+  first_token_seconds,
+  token_gap_seconds,
+  request_seconds,
+  tokens_billed,
+  streams_open,
+  connections_open,
+  caller_errors,
+  attempts,
+  retries_denied,
+  resumes,
+  queue_length,
+  queue_seconds,
+  endpoints,
+  ejections,
+  quarantined,
+  prefix_tokens,
+  orders,
+  budget_refusals,
+  delegations,
+  tokens_delegated,
+  tokens_written_off,
+  chunk_requests,
+  seals,
+  transfers,
+  claims,
+  log_appends,
+  log_offset,
+  log_age_seconds,
+  documents_applied,
+  document_age_seconds,
+  peers,
+  peer_bytes,
+  control_seconds,
+  log_lines_suppressed,
+  decisions_sampled_out,
+  series_dropped,
+  resident_bytes,
+  cpu_seconds,
+  host_state,
+};
+
+inline constexpr std::size_t most_labels = 3;
+
+/// \brief One row of the table of metrics.
+struct metric_family {
+  metric id;
+  metric_kind kind;
+  std::string_view name;
+  std::string_view help;
+  std::array<std::string_view, most_labels> labels{};
+
+  [[nodiscard]] constexpr std::size_t label_count() const noexcept {
+    std::size_t count = 0;
+    while (count < labels.size() && !labels[count].empty())
+      ++count;
+    return count;
+  }
+};
+
+/// \returns the rows in the order of `metric`
+[[nodiscard]] std::span<const metric_family> metric_families() noexcept;
+
+[[nodiscard]] const metric_family& family_of(metric id) noexcept;
+
+/// \returns upper bounds of a histogram's buckets, in seconds
+[[nodiscard]] std::span<const double> bucket_bounds() noexcept;
+
+/// \returns the page docs/METRICS.md
+[[nodiscard]] std::string metrics_page();
+
+template <>
+struct enum_names<metric_kind> {
+  static constexpr auto entries = enum_table<metric_kind>({{metric_kind::counter, "counter"},
+                                                           {metric_kind::gauge, "gauge"},
+                                                           {metric_kind::histogram, "histogram"}});
+};
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/telemetry/impl/structured_log.hpp
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "kernel/kernel.hpp"
+
+#include <cstdint>
+#include <initializer_list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+
+namespace sedgechute {
+
+enum class log_level { debug, info, warning, error };
+
+/// \brief The details a line may carry. The list is closed and has no place for a prompt, an
+/// answer or a key.
+enum class log_field {
+  address,
+  attempt,
+  bytes,
+  count,
+  data_centre,
+  document,
+  duration_ms,
+  epoch,
+  kind,
+  model,
+  offset,
+  path,
+  peer,
+  pool,
+  reason,
+  revision,
+  service,
+  stage,
+  status,
+  tokens,
+  version,
+};
+
+/// \brief Whom a line is about; empty where it does not apply.
+struct log_subject {
+  std::string_view request{};
+  std::string_view team{};
+  std::string_view endpoint{};
+};
+
+/// \brief One detail. Text is cut to 256 bytes.
+struct log_value {
+  log_field field;
+  std::variant<std::int64_t, std::string_view> value;
+
+  log_value(log_field name, std::string_view text) : field{name}, value{text} {}
+  log_value(log_field name, const std::string& text) : log_value{name, std::string_view{text}} {}
+  log_value(log_field name, const char* text) : log_value{name, std::string_view{text}} {}
+  log_value(log_field name, std::integral auto number)
+      : field{name}, value{static_cast<std::int64_t>(number)} {}
+  log_value(log_field name, time_ms span) : field{name}, value{span.count()} {}
+};
+
+struct log_options {
+  std::string host;
+  std::string file; ///< empty: standard error
+  log_level least{log_level::info};
+  std::uint32_t repeats{5}; ///< lines of one event and subject allowed per window
+  time_ms window{time_ms{1000}};
+};
+
+/// \brief JSON lines over log4cplus. Lines of the same event about the same team and endpoint are
+/// limited to `repeats` in each window; the first line after them says how many were suppressed.
+///
+/// Safe for any number of threads. At most one exists per `log_options::host` name at a time.
+class structured_log {
+ public:
+  /// \throws error when the file cannot be opened
+  explicit structured_log(log_options options);
+  structured_log(const structured_log&) = delete;
+  structured_log& operator=(const structured_log&) = delete;
+  ~structured_log();
+
+  /// \param event  a fixed name in snake_case, such as `endpoint_ejected`
+  void write(log_level level, std::string_view event, const log_subject& subject = {},
+             std::initializer_list<log_value> details = {});
+
+  /// \returns how many lines were suppressed so far
+  [[nodiscard]] std::uint64_t suppressed() const;
+
+ private:
+  struct repeat {
+    time_ms since;
+    std::uint32_t written{0};
+    std::uint64_t suppressed{0};
+  };
+  struct sink;
+
+  /// \returns how many lines to report as suppressed before this one; nothing: suppress it too
+  [[nodiscard]] std::optional<std::uint64_t> admit(std::string key, time_ms now);
+
+  log_options options_;
+  steady_clock clock_;
+  mutable ordered_mutex mutex_{lock_rank::telemetry};
+  std::unordered_map<std::string, repeat> repeats_;
+  std::uint64_t suppressed_{0};
+  std::unique_ptr<sink> sink_;
+};
+
+/// \brief One log line without its end.
+[[nodiscard]] std::string log_line(time_ms wall, log_level level, std::string_view host,
+                                   std::string_view event, const log_subject& subject,
+                                   std::initializer_list<log_value> details,
+                                   std::uint64_t suppressed);
+
+/// \returns e.g. `2026-03-01T08:05:09.123Z`
+[[nodiscard]] std::string utc_text(time_ms wall);
+
+template <>
+struct enum_names<log_level> {
+  static constexpr auto entries = enum_table<log_level>({{log_level::debug, "debug"},
+                                                         {log_level::info, "info"},
+                                                         {log_level::warning, "warning"},
+                                                         {log_level::error, "error"}});
+};
+
+template <>
+struct enum_names<log_field> {
+  static constexpr auto entries = enum_table<log_field>({{log_field::address, "address"},
+                                                         {log_field::attempt, "attempt"},
+                                                         {log_field::bytes, "bytes"},
+                                                         {log_field::count, "count"},
+                                                         {log_field::data_centre, "data_centre"},
+                                                         {log_field::document, "document"},
+                                                         {log_field::duration_ms, "duration_ms"},
+                                                         {log_field::epoch, "epoch"},
+                                                         {log_field::kind, "kind"},
+                                                         {log_field::model, "model"},
+                                                         {log_field::offset, "offset"},
+                                                         {log_field::path, "path"},
+                                                         {log_field::peer, "peer"},
+                                                         {log_field::pool, "pool"},
+                                                         {log_field::reason, "reason"},
+                                                         {log_field::revision, "revision"},
+                                                         {log_field::service, "service"},
+                                                         {log_field::stage, "stage"},
+                                                         {log_field::status, "status"},
+                                                         {log_field::tokens, "tokens"},
+                                                         {log_field::version, "version"}});
+};
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/telemetry/telemetry.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+/// \file
+/// \brief Structured logs, metrics, latency histograms and decision events.
+
+#include "telemetry/impl/decision_events.hpp"
+#include "telemetry/impl/forward_declarations.hpp"
+#include "telemetry/impl/json_text.hpp"
+#include "telemetry/impl/latency_histogram.hpp"
+#include "telemetry/impl/metric_table.hpp"
+#include "telemetry/impl/metrics.hpp"
+#include "telemetry/impl/structured_log.hpp"
