Load tool over real sockets, with every answer checked token by token

Cause: latencies and invariants have to be measured from the caller's side, beside direct calls to an engine. Change: program sedgechute-load with open-loop arrivals, fixed streams and scripts; answers are checked for mixed, disordered and cut tokens, and runs are compared with the stand-ins' accounts. The log's severity has a name of its own, because host settings have a log level.

--- a/src/telemetry/impl/forward_declarations.hpp
+++ b/src/telemetry/impl/forward_declarations.hpp
@@ -4,7 +4,7 @@
 
 class latency_histogram;
 
-enum class log_level;
+enum class severity;
 enum class log_field;
 struct log_subject;
 struct log_value;
--- a/src/telemetry/impl/structured_log.cpp
+++ b/src/telemetry/impl/structured_log.cpp
@@ -19,15 +19,15 @@
 constexpr int file_bytes = 16 * 1024 * 1024;
 constexpr int kept_files = 2;
 
-log4cplus::LogLevel level_of(log_level level) noexcept {
+log4cplus::LogLevel level_of(severity level) noexcept {
   switch (level) {
-  case log_level::debug:
+  case severity::debug:
     return log4cplus::DEBUG_LOG_LEVEL;
-  case log_level::info:
+  case severity::info:
     return log4cplus::INFO_LOG_LEVEL;
-  case log_level::warning:
+  case severity::warning:
     return log4cplus::WARN_LOG_LEVEL;
-  case log_level::error:
+  case severity::error:
     break;
   }
   return log4cplus::ERROR_LOG_LEVEL;
@@ -88,7 +88,7 @@
   sink_->logger.removeAllAppenders();
 }
 
-void structured_log::write(log_level level, std::string_view event, const log_subject& subject,
+void structured_log::write(severity level, std::string_view event, const log_subject& subject,
                            std::initializer_list<log_value> details) {
   if (level < options_.least)
     return;
@@ -126,7 +126,7 @@
   return suppressed_;
 }
 
-std::string log_line(time_ms wall, log_level level, std::string_view host, std::string_view event,
+std::string log_line(time_ms wall, severity level, std::string_view host, std::string_view event,
                      const log_subject& subject, std::initializer_list<log_value> details,
                      std::uint64_t suppressed) {
   std::string line = "{\"time\":\"" + utc_text(wall) + "\"";
--- a/src/telemetry/impl/structured_log.hpp
+++ b/src/telemetry/impl/structured_log.hpp
@@ -12,7 +12,7 @@
 
 namespace sedgechute {
 
-enum class log_level { debug, info, warning, error };
+enum class severity { debug, info, warning, error };
 
 /// \brief The details a line may carry. The list is closed and has no place for a prompt, an
 /// answer or a key.
@@ -63,7 +63,7 @@
 struct log_options {
   std::string host;
   std::string file; ///< empty: standard error
-  log_level least{log_level::info};
+  severity least{severity::info};
   std::uint32_t repeats{5}; ///< lines of one event and subject allowed per window
   time_ms window{time_ms{1000}};
 };
@@ -81,7 +81,7 @@
   ~structured_log();
 
   /// \param event  a fixed name in snake_case, such as `endpoint_ejected`
-  void write(log_level level, std::string_view event, const log_subject& subject = {},
+  void write(severity level, std::string_view event, const log_subject& subject = {},
              std::initializer_list<log_value> details = {});
 
   /// \returns how many lines were suppressed so far
@@ -107,7 +107,7 @@
 };
 
 /// \brief One log line without its end.
-[[nodiscard]] std::string log_line(time_ms wall, log_level level, std::string_view host,
+[[nodiscard]] std::string log_line(time_ms wall, severity level, std::string_view host,
                                    std::string_view event, const log_subject& subject,
                                    std::initializer_list<log_value> details,
                                    std::uint64_t suppressed);
@@ -116,11 +116,11 @@
 [[nodiscard]] std::string utc_text(time_ms wall);
 
 template <>
-struct enum_names<log_level> {
-  static constexpr auto entries = enum_table<log_level>({{log_level::debug, "debug"},
-                                                         {log_level::info, "info"},
-                                                         {log_level::warning, "warning"},
-                                                         {log_level::error, "error"}});
+struct enum_names<severity> {
+  static constexpr auto entries = enum_table<severity>({{severity::debug, "debug"},
+                                                        {severity::info, "info"},
+                                                        {severity::warning, "warning"},
+                                                        {severity::error, "error"}});
 };
 
 template <>
--- /dev/null
+++ b/tests/load/player_test.cpp
@@ -0,0 +1,73 @@
+#include "load/load.hpp"
+#include "standin/standin.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace sedgechute;
+using namespace sedgechute::load;
+
+namespace {
+
+struct fixture {
+  standin::pacer pace;
+  standin::engine engine{
+      {.address = {"127.0.0.1", 0}, .first_token_ms = 0, .token_ms = 0, .prefill_tokens_per_s = 0},
+      pace};
+  std::vector<target> targets{{engine.server().address(), true}};
+
+  void fault(const char* name, const Poco::Dynamic::Var& value) {
+    Poco::JSON::Object change;
+    change.set(name, value);
+    engine.server().board().merge(change);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a played call comes back whole and is counted") {
+  fixture with;
+  const load_call call = make_chat_call({.max_tokens = 7}, 1);
+  tally counts;
+  run(std::vector{call}, with.targets, {}, std::chrono::steady_clock::now(), counts);
+  CHECK(counts.total().answered == 1);
+  CHECK(counts.total().tokens == 7);
+  CHECK(counts.total().used > 7);
+}
+
+TEST_CASE("events that come twice are seen as a disordered answer") {
+  fixture with;
+  with.fault("duplicate", 1);
+  player caller{with.targets, 1};
+  const auto outcome =
+      caller.play(make_chat_call({.max_tokens = 4}, 1), 0, std::chrono::steady_clock::now());
+  CHECK(outcome.disordered);
+}
+
+TEST_CASE("a cut answer stays unresolved without a key and is asked for again with one") {
+  fixture with;
+  with.fault("cut_after_tokens", 2);
+  player caller{with.targets, 3};
+  const auto once =
+      caller.play(make_chat_call({.max_tokens = 4}, 1), 0, std::chrono::steady_clock::now());
+  CHECK(once.end == call_end::unresolved);
+  CHECK(once.tries == 1);
+  const auto again = caller.play(make_chat_call({.max_tokens = 4, .keyed = true}, 2), 0,
+                                 std::chrono::steady_clock::now());
+  CHECK(again.tries == 3);
+}
+
+// A doubled order is a real parcel and a real charge to someone's card: the tool must see that a
+// call it marked as non-idempotent ran at two engines.
+TEST_CASE("a non-idempotent call that ran twice is found in the engines' accounts") {
+  fixture with;
+  load_call call = make_chat_call({.max_tokens = 4}, 1);
+  call.non_idempotent = true;
+  audit checks{{with.targets[0].address}, {}, ""};
+  player caller{with.targets, 1};
+  checks.note(call, caller.play(call, 0, std::chrono::steady_clock::now()));
+  checks.read_runs();
+  CHECK(checks.ran_twice() == 0);
+  (void)caller.play(call, 0, std::chrono::steady_clock::now());
+  checks.read_runs();
+  CHECK(checks.ran_twice() == 1);
+}
--- a/tests/telemetry/log_test.cpp
+++ b/tests/telemetry/log_test.cpp
@@ -24,7 +24,7 @@
 
 TEST_CASE("a log line is one JSON object with the subject and the details") {
   const std::string line =
-      log_line(time_ms{1'772'352'309'042}, log_level::warning, "hf-a-1", "endpoint_ejected",
+      log_line(time_ms{1'772'352'309'042}, severity::warning, "hf-a-1", "endpoint_ejected",
                {.request = "r1", .team = "lens", .endpoint = "lm-03"},
                {{log_field::status, 503}, {log_field::reason, "three failures \"in a row\"\n"}}, 7);
   CHECK(line ==
@@ -49,9 +49,9 @@
   structured_log log{
       {.host = "h", .file = file.path(), .repeats = 3, .window = time_ms{3'600'000}}};
   for (int i = 0; i < 10; ++i)
-    log.write(log_level::warning, "attempt_failed", {.endpoint = "lm-01"});
-  log.write(log_level::warning, "attempt_failed", {.endpoint = "lm-02"});
-  log.write(log_level::debug, "below_the_level");
+    log.write(severity::warning, "attempt_failed", {.endpoint = "lm-01"});
+  log.write(severity::warning, "attempt_failed", {.endpoint = "lm-02"});
+  log.write(severity::debug, "below_the_level");
   CHECK(lines_of(file.path()).size() == 4);
   CHECK(log.suppressed() == 7);
 }
@@ -59,8 +59,8 @@
 TEST_CASE("the first line of a new window says how many were suppressed") {
   const Poco::TemporaryFile file;
   structured_log log{{.host = "h", .file = file.path(), .repeats = 1, .window = time_ms{0}}};
-  log.write(log_level::info, "once");
-  log.write(log_level::info, "once");
+  log.write(severity::info, "once");
+  log.write(severity::info, "once");
   const auto lines = lines_of(file.path());
   REQUIRE(lines.size() == 2);
   CHECK(lines[0]->getValue<std::string>("event") == "once");
