--- a/src/config/impl/document_tail.hpp
+++ b/src/config/impl/document_tail.hpp
@@ -18,6 +18,8 @@
   void start_after(std::uint64_t offset);
   void add(relayed_document document);
 
+  /// \returns all that is kept, oldest first
+  [[nodiscard]] const std::deque<relayed_document>& records() const noexcept { return records_; }
   /// \returns whether every document record after `offset` is still here
   [[nodiscard]] bool reaches(std::uint64_t offset) const noexcept;
   /// \returns the record at `offset`, or null
--- /dev/null
+++ b/src/daemon/impl/document_service.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "config/config.hpp"
+#include "gateway/gateway.hpp"
+
+#include <condition_variable>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace sedgechute {
+
+/// \brief The contracts and fleet settings in force on this host, as callers' requests and
+/// operators see them. Thread-safe; each document is switched whole, and a request keeps what
+/// admitted it.
+class document_service final : public access_port {
+ public:
+  [[nodiscard]] applied_document apply(std::uint64_t offset, const document_record& record,
+                                       const committed_tokens& committed);
+  [[nodiscard]] document_snapshot snapshot() const;
+  void restore(const document_snapshot& snapshot);
+
+  [[nodiscard]] std::shared_ptr<const fleet_settings> fleet() const;
+  [[nodiscard]] std::shared_ptr<const contract> find(const team_id& team);
+  [[nodiscard]] std::size_t contracts() const;
+  /// \brief Calls `visit` for each team with a contract; used after a restore.
+  void for_each_contract(const std::function<void(const contract&)>& visit);
+
+  /// \returns what would become of the record if it were the next one.
+  [[nodiscard]] publish_outcome preview(const document_record& record,
+                                        const committed_tokens& committed) const;
+  /// \returns the outcome of a published record once it was replayed; waits for it.
+  [[nodiscard]] std::optional<publish_outcome> wait_for_outcome(const std::string& record_id,
+                                                                time_ms most);
+  [[nodiscard]] document_revision revision_of(document_kind kind, const std::string& name) const;
+  [[nodiscard]] std::string body_of(document_kind kind, const std::string& name);
+  /// \brief A document in a list.
+  struct listed_document {
+    std::string name;
+    document_revision revision{};
+  };
+  /// \returns at most `most` documents in the order of names, from behind `after` on.
+  [[nodiscard]] std::vector<listed_document> names(document_kind kind, const std::string& after,
+                                                   std::size_t most) const;
+  /// \returns records of a document, newest first, as far back as they are kept.
+  [[nodiscard]] std::vector<relayed_document> history(document_kind kind, const std::string& name,
+                                                      std::uint64_t most) const;
+  [[nodiscard]] std::uint64_t sequence() const;
+  [[nodiscard]] std::uint64_t digest() const;
+  [[nodiscard]] bool needs_newer_program() const;
+
+  [[nodiscard]] team_id authenticate(const std::string& bearer) override;
+  [[nodiscard]] access_grant admit(const access_request& request) override;
+  [[nodiscard]] std::vector<model_id> models(const std::string& bearer) override;
+
+ private:
+  [[nodiscard]] contract_ptr entry_for(const std::string& bearer);
+
+  mutable ordered_mutex mutex_{lock_rank::documents};
+  std::condition_variable_any applied_;
+  document_store store_;
+};
+
+} // namespace sedgechute
--- a/src/daemon/impl/host.cpp
+++ b/src/daemon/impl/host.cpp
@@ -3,9 +3,6 @@
 #include <Poco/Net/ServerSocket.h>
 
 #include <chrono>
-#include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <utility>
 
 namespace sedgechute {
@@ -13,97 +10,266 @@
 namespace {
 
 constexpr std::size_t most_answer_bytes = 1U << 20U;
-constexpr std::uint64_t hosts_sharing = 9;
+constexpr std::uint32_t routine_events_per_second = 200;
+constexpr int accept_backlog = 1024;
+constexpr time_ms dispatch_tick{20};
+constexpr time_ms control_tick{50};
+constexpr time_ms review_tick{1000};
+constexpr time_ms handover_limit{10000};
 
-std::string read_file(const std::filesystem::path& path) {
-  std::ifstream in{path};
-  if (!in)
-    throw error{error_kind::invalid_settings, path.string(), "cannot be read"};
-  std::ostringstream text;
-  text << in.rdbuf();
-  return text.str();
+incarnation new_incarnation(const host_id& name) {
+  return {name, random_source::from_system()()};
 }
 
-template <typename T>
-std::shared_ptr<const T> require(checked<T> document) {
-  if (!document)
-    throw error{error_kind::invalid_document, "", to_text(document.problems)};
-  return std::make_shared<const T>(std::move(*document.value));
+http_target target_of(const address& at) {
+  return {at.ip, at.port};
 }
 
-} // namespace
+std::unique_ptr<log_client> make_log(const platform_settings& platform) {
+  return std::make_unique<http_log_client>(target_of(platform.log), platform.stream,
+                                           platform.timeout);
+}
 
-class host::no_peers final : public peer_answers_port {
- public:
-  follow_end follow(const host_id&, const team_id&, const std::string&, answer_sink&) override {
-    return follow_end::unreachable;
-  }
-};
+log_options log_options_of(const host_settings& settings) {
+  log_options options;
+  options.host = settings.name.str();
+  options.file = settings.log.file;
+  options.least = value_named<severity>(name_of(settings.log.level)).value_or(severity::info);
+  options.repeats = static_cast<std::uint32_t>(settings.log.repeats_per_s);
+  return options;
+}
 
-host::host(host_settings settings)
-    : settings_{std::move(settings)}, status_{{settings_.name, random_source::from_system()()}},
-      dispatch_{endpoints_}, claims_{settings_.name}, connections_{{}},
-      answers_{static_cast<std::size_t>(settings_.limits.retained_answer_bytes), most_answer_bytes},
-      peers_{std::make_unique<no_peers>()} {
+chat_limits chat_limits_of(const host_settings& settings) {
   chat_limits limits;
-  limits.body_bytes = static_cast<std::size_t>(settings_.limits.request_bytes);
-  gateway_ = std::unique_ptr<gateway>(
-      new gateway{settings_.name, time_, limits, settings_.timeouts.caller_body, status_,
-                  documents_, budgets_, dispatch_, claims_, *peers_, connections_, answers_});
+  limits.body_bytes = static_cast<std::size_t>(settings.limits.request_bytes);
+  return limits;
 }
 
+connection_timeouts timeouts_of(const host_settings& settings) {
+  connection_timeouts timeouts;
+  timeouts.connect = settings.timeouts.endpoint_connect;
+  return timeouts;
+}
+
+replay_options replay_options_of(const host_settings& settings) {
+  replay_options options;
+  options.poll = settings.platform.poll;
+  return options;
+}
+
+claims_options claims_options_of(const host_settings& settings) {
+  claims_options options;
+  options.answer_bytes = static_cast<std::size_t>(settings.limits.retained_answer_bytes);
+  return options;
+}
+
+} // namespace
+
+host::host(host_settings settings)
+    : settings_{std::move(settings)}, self_{new_incarnation(settings_.name)}, log_{log_options_of(
+                                                                                  settings_)},
+      metrics_{settings_.name.str()}, events_{static_cast<std::size_t>(
+                                                  settings_.limits.decision_events),
+                                              routine_events_per_second},
+      status_{self_, log_, metrics_, events_}, peers_{self_, settings_.timeouts.peer_call},
+      appender_{self_, settings_.data_centre, make_log(settings_.platform), peers_},
+      dispatch_{settings_.data_centre, time_, self_.number,
+                [this](const team_id& team) { return documents_.find(team); }},
+      budgets_{self_, settings_.data_centre, {}, time_, peers_, appender_},
+      claims_{self_,
+              settings_.data_centre,
+              claims_options_of(settings_),
+              time_,
+              peers_,
+              appender_,
+              [this](const endpoint_id& id) { return dispatch_.address_of(id); }},
+      state_{documents_, budgets_, claims_, dispatch_}, replayer_{self_,
+                                                                  make_log(settings_.platform),
+                                                                  state_,
+                                                                  peers_,
+                                                                  time_,
+                                                                  replay_options_of(settings_)},
+      loads_{self_, settings_.data_centre, dispatch_, peers_, time_, time_ms{500}},
+      shares_{self_, dispatch_, peers_, time_}, connections_{timeouts_of(settings_)},
+      answers_{static_cast<std::size_t>(settings_.limits.retained_answer_bytes), most_answer_bytes},
+      followed_{peers_}, gateway_{settings_.name,
+                                  time_,
+                                  chat_limits_of(settings_),
+                                  settings_.timeouts.caller_body,
+                                  status_,
+                                  documents_,
+                                  budgets_,
+                                  dispatch_,
+                                  claims_,
+                                  followed_,
+                                  connections_,
+                                  answers_},
+      listener_{self_, {budgets_, claims_, shares_, loads_, appender_, state_, answers_, log_}},
+      router_{gateway_} {}
+
 host::~host() {
   drain();
 }
 
-void host::load_documents(const std::string& folder) {
-  const std::filesystem::path root{folder};
-  const std::string fleet_file = (root / "fleet.json").string();
-  documents_.put(require(check_fleet_settings(fleet_file, read_file(fleet_file))));
-  for (const auto& file : std::filesystem::directory_iterator{root / "contracts"}) {
-    const auto agreed = require(check_contract(file.path().string(), read_file(file.path())));
-    budgets_.set_share(agreed->team,
-                       static_cast<std::uint64_t>(bought_tokens(*agreed)) / hosts_sharing);
-    documents_.put(agreed, 1);
-  }
+void host::start() {
+  peer_server_ = std::make_unique<peer_server>(settings_.listen.peers.str(), listener_);
+  membership_ = std::make_unique<membership_service>(
+      self_, settings_.data_centre, target_of(settings_.listen.peers), time_,
+      [this](const membership_view& view) { on_view(view); });
+  appender_.start();
+  membership_->start();
+  replayer_.start();
+  loads_.start();
+  start_loops();
+  admin_ = std::make_unique<admin_router>(
+      admin_context{settings_, self_, time_, documents_, budgets_, claims_, dispatch_, appender_,
+                    replayer_, status_, events_, metrics_, peers_,
+                    [this] { return membership_->view(); }, [this] { request_stop(); }});
+  operators_ = listen(settings_.listen.admin,
+                      [this](caller_exchange& exchange) { admin_->serve(exchange); });
+  callers_ = listen(settings_.listen.callers,
+                    [this](caller_exchange& exchange) { router_.serve(exchange); });
+  log_.write(severity::info, "started", {}, {{log_field::address, settings_.listen.callers.str()}});
 }
 
-void host::start() {
-  threads_.emplace_back([this] { poll_host_list(); });
-  caller_server_options options;
+std::unique_ptr<http_server> host::listen(const address& at, http_server::request_handler handle) {
+  http_server_options options;
   options.most_connections = static_cast<std::size_t>(settings_.limits.connections);
-  const auto& listen = settings_.listen.callers;
-  const Poco::Net::ServerSocket socket{Poco::Net::SocketAddress{listen.ip, listen.port}, 1024};
-  server_ = std::make_unique<caller_server>(*gateway_, options, socket, time_);
-  server_->start();
+  options.header_timeout = settings_.timeouts.caller_header;
+  options.write_timeout = settings_.timeouts.caller_write;
+  const Poco::Net::ServerSocket socket{Poco::Net::SocketAddress{at.ip, at.port}, accept_backlog};
+  auto server = std::make_unique<http_server>(std::move(handle), options, socket, time_);
+  server->start();
+  return server;
 }
 
+void host::wait_for_stop() {
+  std::unique_lock lock{stop_mutex_};
+  stop_wanted_.wait(lock, [this] { return stop_requested_; });
+}
+
+void host::request_stop() {
+  {
+    const std::scoped_lock lock{stop_mutex_};
+    stop_requested_ = true;
+  }
+  stop_wanted_.notify_all();
+}
+
+void host::on_view(const membership_view& view) {
+  std::vector<peer_address> addresses;
+  for (const member& one : view.members)
+    if (one.who != self_)
+      addresses.push_back({one.who, one.address});
+  peers_.set_peers(addresses);
+  appender_.on_view(view);
+  replayer_.on_view(view);
+  loads_.on_view(view);
+  shares_.on_view(view);
+  claims_.on_view(view);
+  budgets_.on_view(view);
+}
+
+void host::start_loops() {
+  every(settings_.platform.host_list_interval, [this] { poll_host_list(); });
+  every(dispatch_tick, [this] {
+    dispatch_.tick();
+    shares_.send_news();
+  });
+  every(control_tick, [this] {
+    budgets_.tick();
+    claims_.tick();
+  });
+  every(review_tick, [this] {
+    dispatch_.review();
+    shares_.exchange();
+    update_readiness();
+  });
+}
+
+void host::every(time_ms interval, std::function<void()> step) {
+  loops_.emplace_back([this, interval, step = std::move(step)] {
+    while (!stopping_) {
+      try {
+        step();
+      } catch (const std::exception& failure) {
+        status_.note_internal_error(failure.what());
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds{interval.count()});
+    }
+  });
+}
+
+void host::poll_host_list() {
+  http_host_list_client client{target_of(settings_.platform.host_list), settings_.platform.timeout};
+  try {
+    const host_listing list = client.fetch();
+    dispatch_.on_host_list(list);
+    membership_->on_host_list(list);
+  } catch (const error& failure) {
+    // Hosts and endpoints known so far go on being used.
+    log_.write(severity::warning, "host_list_unreachable", {},
+               {{log_field::reason, failure.what()}});
+  }
+  host_listing seeds;
+  for (const address& seed : settings_.seeds)
+    seeds.hosts.push_back({seed.str(), listed_kind::entry, {}, {}, seed.str(), {}, {}});
+  if (!seeds.hosts.empty() && membership_->view().members.size() < 2)
+    membership_->on_host_list(seeds);
+}
+
+void host::update_readiness() {
+  const replay_status replay = replayer_.status();
+  metrics_.set(metric::log_offset, {}, static_cast<double>(replay.position));
+  if (replay.diverged)
+    return status_.set_not_ready("this host's state differs from a checkpoint");
+  if (documents_.needs_newer_program())
+    return status_.set_not_ready("a document needs a newer program");
+  if (!replay.caught_up)
+    return status_.set_not_ready("the log and all peers are out of reach, or replay goes on");
+  if (!documents_.fleet())
+    return status_.set_not_ready("no fleet settings were published yet");
+  status_.set_not_ready("");
+}
+
+// Order matters: as long as requests run, their tokens and claims are needed here; and the other
+// hosts must hear of the handed-over parts before this one is gone.
 void host::drain() {
-  if (stopping_.exchange(true))
+  if (draining_.exchange(true))
     return;
+  log_.write(severity::info, "draining", {},
+             {{log_field::count, static_cast<std::int64_t>(status_.inside())}});
   status_.stop_entry();
+  if (membership_)
+    membership_->leave();
   status_.wait_until_empty();
-  if (server_)
-    server_->stop_accepting();
-  for (std::thread& thread : threads_)
-    thread.join();
-  server_.reset();
+  hand_over();
+  if (callers_)
+    callers_->stop_accepting();
+  if (operators_)
+    operators_->stop_accepting();
+  stopping_ = true;
+  for (std::thread& loop : loops_)
+    loop.join();
+  loads_.stop();
+  replayer_.stop();
+  if (membership_)
+    membership_->stop();
+  appender_.stop();
+  if (peer_server_)
+    peer_server_->stop();
+  log_.write(severity::info, "stopped");
 }
 
-void host::poll_host_list() {
-  const auto& where = settings_.platform.host_list;
-  http_host_list_client client{{where.ip, where.port}, settings_.platform.timeout};
-  while (!stopping_) {
-    try {
-      endpoints_.update(client.fetch());
-      if (endpoints_.size() > 0)
-        status_.set_not_ready("");
-    } catch (const error&) {
-      // The list is only refreshed later; endpoints known so far go on being used.
-    }
-    std::this_thread::sleep_for(
-        std::chrono::milliseconds{settings_.platform.host_list_interval.count()});
-  }
+void host::hand_over() {
+  budgets_.drain();
+  claims_.drain();
+  const time_ms deadline = time_.now() + handover_limit;
+  while (!(budgets_.drained() && claims_.drained()) && time_.now() < deadline)
+    std::this_thread::sleep_for(std::chrono::milliseconds{control_tick.count()});
+  if (!budgets_.drained() || !claims_.drained())
+    log_.write(severity::warning, "handover_unfinished", {},
+               {{log_field::reason, "the log or the peers did not answer in time"}});
 }
 
 } // namespace sedgechute
--- a/src/daemon/impl/host.hpp
+++ b/src/daemon/impl/host.hpp
@@ -1,14 +1,17 @@
 #pragma once
 
 #include "config/config.hpp"
-#include "daemon/impl/documents_in_force.hpp"
-#include "daemon/impl/endpoint_list.hpp"
+#include "daemon/impl/admin_router.hpp"
+#include "daemon/impl/host_listener.hpp"
 #include "daemon/impl/host_status.hpp"
-#include "daemon/impl/thin_ports.hpp"
+#include "daemon/impl/log_replayer.hpp"
+#include "daemon/impl/membership_service.hpp"
+#include "daemon/impl/peer_answers.hpp"
 #include "gateway/gateway.hpp"
-#include "platform/platform.hpp"
+#include "telemetry/telemetry.hpp"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -16,6 +19,9 @@
 namespace sedgechute {
 
 /// \brief One entry host of the fleet: owns every part and connects them.
+///
+/// The members are declared in the order in which they depend on each other, so that each is
+/// destroyed before what it uses.
 class host {
  public:
   explicit host(host_settings settings);
@@ -23,32 +29,58 @@
   host& operator=(const host&) = delete;
   ~host();
 
-  /// \brief Puts documents from a folder in force: `fleet.json` and `contracts/*.json`.
-  void load_documents(const std::string& folder);
   void start();
-  /// \brief Takes no new work, finishes every request, then stops.
+  /// \brief Waits until an operator asks for a stop, or `request_stop` is called.
+  void wait_for_stop();
+  void request_stop();
+  /// \brief Takes no new work, finishes every request however long, hands everything over, stops.
   void drain();
 
  private:
-  class no_peers;
-
+  void on_view(const membership_view& view);
+  void start_loops();
+  [[nodiscard]] std::unique_ptr<http_server> listen(const address& at,
+                                                    http_server::request_handler handle);
+  /// \brief Calls `step` every `interval` until the host stops.
+  void every(time_ms interval, std::function<void()> step);
   void poll_host_list();
+  void update_readiness();
+  void hand_over();
 
   host_settings settings_;
   steady_clock time_;
+  incarnation self_;
+  structured_log log_;
+  metrics metrics_;
+  decision_events events_;
   host_status status_;
-  documents_in_force documents_;
-  endpoint_list endpoints_;
-  static_share_budgets budgets_;
-  round_robin_dispatch dispatch_;
-  local_claims claims_;
+  peer_links peers_;
+  record_appender appender_;
+  document_service documents_;
+  dispatch_service dispatch_;
+  budget_service budgets_;
+  claim_service claims_;
+  replicated_state state_;
+  log_replayer replayer_;
+  load_poller loads_;
+  share_exchange shares_;
   endpoint_connections connections_;
   answer_table answers_;
-  std::unique_ptr<peer_answers_port> peers_;
-  std::unique_ptr<gateway> gateway_;
-  std::unique_ptr<caller_server> server_;
+  peer_answers followed_;
+  gateway gateway_;
+  host_listener listener_;
+  std::unique_ptr<peer_server> peer_server_;
+  std::unique_ptr<membership_service> membership_;
+  caller_router router_;
+  std::unique_ptr<admin_router> admin_;
+  std::unique_ptr<http_server> callers_;
+  std::unique_ptr<http_server> operators_;
+  ordered_mutex stop_mutex_{lock_rank::lifecycle};
+  std::condition_variable_any stop_wanted_;
+  bool stop_requested_{false};
+  std::atomic<bool> draining_{false};
   std::atomic<bool> stopping_{false};
-  std::vector<std::thread> threads_;
+  std::vector<std::thread> loops_;
 };
 
 } // namespace sedgechute
--- /dev/null
+++ b/src/daemon/impl/host_listener.cpp
@@ -0,0 +1,53 @@
+#include "daemon/impl/host_listener.hpp"
+
+#include "daemon/impl/checkpoint_bytes.hpp"
+#include "wire/wire.hpp"
+
+namespace sedgechute {
+
+void host_listener::on_envelope(const wire::envelope& message) {
+  // A message meant for an earlier life of this host speaks of what that life held.
+  if (message.to_number() != self_.number)
+    return;
+  const incarnation from{host_id{message.from_host()}, message.from_number()};
+  try {
+    hand_over(message, from);
+  } catch (const error& failure) {
+    to_.lines.write(severity::warning, "peer_message_dropped", {},
+                    {{log_field::peer, from.host.str()}, {log_field::reason, failure.what()}});
+  }
+}
+
+void host_listener::hand_over(const wire::envelope& message, const incarnation& from) {
+  switch (message.body_case()) {
+  case wire::envelope::kAppend:
+    return to_.log.append_for_peer(
+        from, {message.append().records().begin(), message.append().records().end()});
+  case wire::envelope::kAppendFailed:
+    return to_.log.on_append_failed(from);
+  case wire::envelope::kLedger:
+    return to_.budgets.on_message(from, self_, from_wire(message.ledger()));
+  case wire::envelope::kClaims:
+    return to_.claims.on_message(from, from_wire(message.claims()).message);
+  case wire::envelope::kRouting:
+    return to_.shares.on_message(from_wire(message.routing()));
+  case wire::envelope::kLoads:
+    return to_.loads.on_peer_loads(message.loads());
+  case wire::envelope::BODY_NOT_SET:
+    return;
+  }
+}
+
+wire::records_reply host_listener::records_after(std::uint64_t after, std::size_t most) {
+  return to_.state.records_after(after, most);
+}
+
+std::string host_listener::state() {
+  return to_.state.position() == 0 ? "" : compress(to_.state.snapshot());
+}
+
+std::shared_ptr<answer_record> host_listener::answer(const team_id& team, const std::string& key) {
+  return to_.answers.find(team, key);
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/daemon/impl/host_listener.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "daemon/impl/load_poller.hpp"
+#include "daemon/impl/peer_server.hpp"
+#include "daemon/impl/replicated_state.hpp"
+#include "daemon/impl/share_exchange.hpp"
+#include "telemetry/telemetry.hpp"
+
+namespace sedgechute {
+
+/// \brief Hands what other hosts send to the part of this host that it is for.
+class host_listener final : public peer_listener {
+ public:
+  struct parts {
+    budget_service& budgets;
+    claim_service& claims;
+    share_exchange& shares;
+    load_poller& loads;
+    record_appender& log;
+    replicated_state& state;
+    answer_table& answers;
+    structured_log& lines;
+  };
+
+  host_listener(incarnation self, const parts& to) : self_{std::move(self)}, to_{to} {}
+
+  void on_envelope(const wire::envelope& message) override;
+  [[nodiscard]] wire::records_reply records_after(std::uint64_t after, std::size_t most) override;
+  [[nodiscard]] std::string state() override;
+  [[nodiscard]] std::shared_ptr<answer_record> answer(const team_id& team,
+                                                      const std::string& key) override;
+
+ private:
+  void hand_over(const wire::envelope& message, const incarnation& from);
+
+  incarnation self_;
+  parts to_;
+};
+
+} // namespace sedgechute
--- a/src/daemon/impl/host_status.cpp
+++ b/src/daemon/impl/host_status.cpp
@@ -2,14 +2,64 @@
 
 #include <absl/strings/str_format.h>
 
-#include <iostream>
 #include <utility>
 
 namespace sedgechute {
 
-void host_status::set_not_ready(std::string reason) {
-  const std::scoped_lock lock{mutex_};
-  not_ready_ = std::move(reason);
+namespace {
+
+constexpr double ms_per_second = 1000.0;
+
+double seconds(time_ms span) {
+  return static_cast<double>(span.count()) / ms_per_second;
+}
+
+std::string outcome_text(const ended_request& ended) {
+  if (!ended.refused)
+    return "answered";
+  return std::string{name_of(answer_for(*ended.refused).outcome)};
+}
+
+// What the team's own doing ended says nothing about the service that it got.
+bool counts_for_objective(const ended_request& ended) {
+  if (!ended.refused)
+    return true;
+  switch (*ended.refused) {
+  case error_kind::budget_exhausted:
+  case error_kind::rate_limited:
+  case error_kind::concurrency_limited:
+  case error_kind::invalid_parameter:
+  case error_kind::quarantined:
+  case error_kind::caller_gone:
+  case error_kind::key_reused:
+    return false;
+  default:
+    return true;
+  }
+}
+
+bool met_objective(const ended_request& ended) {
+  if (ended.refused)
+    return false;
+  return !ended.first_token || ended.objective == time_ms{0} ||
+         *ended.first_token <= ended.objective;
+}
+
+} // namespace
+
+host_status::host_status(incarnation self, structured_log& log, metrics& figures,
+                         decision_events& events)
+    : self_{std::move(self)}, log_{log}, metrics_{figures}, events_{events} {}
+
+void host_status::set_not_ready(const std::string& reason) {
+  {
+    const std::scoped_lock lock{mutex_};
+    if (not_ready_ == reason)
+      return;
+    not_ready_ = reason;
+  }
+  log_.write(severity::info, reason.empty() ? "ready" : "not_ready", {},
+             {{log_field::reason, reason}});
 }
 
 void host_status::stop_entry() {
@@ -48,7 +98,9 @@
 }
 
 std::string host_status::metrics_text() {
-  return {};
+  metrics_.sample_process();
+  metrics_.set(metric::streams_open, {}, static_cast<double>(inside()));
+  return metrics_.text();
 }
 
 // The incarnation's random number makes ids of two lives of a host differ, so that an engine never
@@ -57,10 +109,60 @@
   return request_id{absl::StrFormat("r%016x-%x", self_.number, next_request_++)};
 }
 
-void host_status::request_ended(const ended_request&) {}
+void host_status::request_ended(const ended_request& ended) {
+  count(ended);
+  remember(ended);
+  const log_subject subject{ended.id.str(), ended.team.str(), ended.endpoint.str()};
+  if (!ended.refused) {
+    log_.write(severity::debug, "request_answered", subject,
+               {{log_field::attempt, ended.attempts},
+                {log_field::tokens, static_cast<std::int64_t>(ended.tokens_billed)},
+                {log_field::duration_ms, ended.total}});
+    return;
+  }
+  log_.write(severity::info, "request_refused", subject,
+             {{log_field::kind, name_of(*ended.refused)},
+              {log_field::reason, ended.reason},
+              {log_field::attempt, ended.attempts},
+              {log_field::duration_ms, ended.total}});
+}
+
+void host_status::count(const ended_request& ended) {
+  const std::string outcome = outcome_text(ended);
+  metrics_.add(metric::requests, {ended.team.str(), ended.class_name, outcome});
+  metrics_.observe(metric::request_seconds, {ended.class_name}, seconds(ended.total));
+  if (ended.first_token)
+    metrics_.observe(metric::first_token_seconds, {ended.class_name}, seconds(*ended.first_token));
+  if (ended.tokens_billed > 0)
+    metrics_.add(metric::tokens_billed, {ended.team.str()},
+                 static_cast<double>(ended.tokens_billed));
+  if (ended.refused)
+    metrics_.add(metric::refusals, {ended.team.str(), name_of(*ended.refused)});
+  if (!counts_for_objective(ended))
+    return;
+  metrics_.add(metric::slo_total, {ended.team.str(), ended.class_name});
+  if (met_objective(ended))
+    metrics_.add(metric::slo_good, {ended.team.str(), ended.class_name});
+}
+
+void host_status::remember(const ended_request& ended) {
+  decision happened{ended.refused ? decision_kind::refused : decision_kind::answered};
+  happened.at = wall_time();
+  happened.request = ended.id.str();
+  happened.team = ended.team.str();
+  happened.subject = ended.endpoint.empty() ? ended.pool.str() : ended.endpoint.str();
+  happened.reason = ended.refused ? std::string{name_of(*ended.refused)} + ": " + ended.reason
+                                  : "attempts " + std::to_string(ended.attempts);
+  happened.amount = static_cast<std::int64_t>(ended.tokens_billed);
+  events_.record(std::move(happened));
+}
 
 void host_status::note_internal_error(const std::string& what) noexcept {
-  std::cerr << "internal error: " << what << '\n';
+  try {
+    log_.write(severity::error, "internal_error", {}, {{log_field::reason, what}});
+  } catch (const std::exception&) {
+    return; // a failing log must not end the request that is being served
+  }
 }
 
 } // namespace sedgechute
--- a/src/daemon/impl/host_status.hpp
+++ b/src/daemon/impl/host_status.hpp
@@ -1,18 +1,20 @@
 #pragma once
 
 #include "gateway/gateway.hpp"
+#include "telemetry/telemetry.hpp"
 
+#include <atomic>
 #include <condition_variable>
 
 namespace sedgechute {
 
-/// \brief Whether the host is ready, and which requests are in it. Thread-safe.
+/// \brief Whether the host is ready, which requests are in it, and how they ended. Thread-safe.
 class host_status final : public host_port {
  public:
-  explicit host_status(incarnation self) : self_{std::move(self)} {}
+  host_status(incarnation self, structured_log& log, metrics& figures, decision_events& events);
 
   /// \param reason  empty makes the host ready
-  void set_not_ready(std::string reason);
+  void set_not_ready(const std::string& reason);
   /// \brief From now on no request enters.
   void stop_entry();
   /// \brief Waits until every request that entered has left, however long that takes.
@@ -28,7 +30,13 @@
   void note_internal_error(const std::string& what) noexcept override;
 
  private:
+  void count(const ended_request& ended);
+  void remember(const ended_request& ended);
+
   incarnation self_;
+  structured_log& log_;
+  metrics& metrics_;
+  decision_events& events_;
   mutable ordered_mutex mutex_{lock_rank::lifecycle};
   std::condition_variable_any left_;
   std::string not_ready_{"starting"};
--- /dev/null
+++ b/src/daemon/impl/membership_service.cpp
@@ -0,0 +1,132 @@
+#include "daemon/impl/membership_service.hpp"
+
+#include "wire/wire.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <array>
+#include <chrono>
+#include <utility>
+
+namespace sedgechute {
+
+namespace {
+
+constexpr std::chrono::milliseconds tick_interval{50};
+constexpr std::int64_t receive_wait_us = 100'000;
+constexpr std::size_t longest_datagram = 8192;
+
+std::vector<listed_host> entries_of(const host_listing& list) {
+  std::vector<listed_host> entries;
+  for (const host_list_entry& entry : list.hosts)
+    if (entry.kind == listed_kind::entry && !entry.peer_address.empty())
+      entries.push_back({host_id{entry.name}, entry.data_centre, entry.peer_address,
+                         entry.state == listed_state::leaving});
+  return entries;
+}
+
+} // namespace
+
+membership_service::membership_service(const incarnation& self, data_centre_id data_centre,
+                                       const http_target& listen, const clock& time,
+                                       view_listener on_view)
+    : time_{time}, on_view_{std::move(on_view)}, members_{self,
+                                                          std::move(data_centre),
+                                                          listen.str(),
+                                                          {},
+                                                          self.number},
+      socket_{Poco::Net::SocketAddress{listen.ip, listen.port}} {
+  socket_.setReceiveTimeout(Poco::Timespan{receive_wait_us});
+}
+
+membership_service::~membership_service() {
+  stop();
+}
+
+void membership_service::start() {
+  threads_.emplace_back([this] { receive_loop(); });
+  threads_.emplace_back([this] { tick_loop(); });
+}
+
+void membership_service::on_host_list(const host_listing& list) {
+  const auto entries = entries_of(list);
+  advance([&](membership& members, time_ms now) { members.on_host_list(now, entries); });
+}
+
+void membership_service::leave() {
+  advance([](membership& members, time_ms now) { members.leave(now); });
+}
+
+void membership_service::stop() {
+  if (stopping_.exchange(true))
+    return;
+  advance([](membership& members, time_ms now) { members.stop(now); });
+  for (std::thread& thread : threads_)
+    thread.join();
+}
+
+membership_view membership_service::view() {
+  const std::scoped_lock lock{mutex_};
+  return members_.view();
+}
+
+void membership_service::receive_loop() {
+  std::array<char, longest_datagram> buffer{};
+  while (!stopping_) {
+    try {
+      const int size = socket_.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+      wire::membership_message parsed;
+      if (size <= 0 || !parsed.ParseFromArray(buffer.data(), size))
+        continue;
+      const membership_message message = from_wire(parsed);
+      advance([&](membership& members, time_ms now) { members.on_message(now, message); });
+    } catch (const Poco::Exception&) {
+      continue; // nothing arrived in time, or an earlier datagram met a closed port
+    } catch (const error&) {
+      continue; // not one of ours, or damaged
+    }
+  }
+}
+
+void membership_service::tick_loop() {
+  while (!stopping_) {
+    advance([](membership& members, time_ms now) { members.tick(now); });
+    std::this_thread::sleep_for(tick_interval);
+  }
+}
+
+void membership_service::advance(const std::function<void(membership&, time_ms)>& step) {
+  std::vector<addressed_membership_message> messages;
+  std::optional<membership_view> changed;
+  {
+    const std::scoped_lock lock{mutex_};
+    step(members_, time_.now());
+    messages = members_.take_output();
+    const membership_view& view = members_.view();
+    if (view.version != reported_version_) {
+      reported_version_ = view.version;
+      changed = view;
+    }
+  }
+  send(messages);
+  if (changed)
+    on_view_(*changed);
+}
+
+void membership_service::send(const std::vector<addressed_membership_message>& messages) {
+  for (const addressed_membership_message& message : messages) {
+    try {
+      const http_target to = http_target::parse(message.address);
+      const std::string bytes = to_wire(message.message).SerializeAsString();
+      socket_.sendTo(bytes.data(), static_cast<int>(bytes.size()),
+                     Poco::Net::SocketAddress{to.ip, to.port});
+    } catch (const Poco::Exception&) {
+      continue; // lost, like any datagram
+    } catch (const error&) {
+      continue; // another host gossiped an address that is none
+    }
+  }
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/daemon/impl/peer_server.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "gateway/gateway.hpp"
+#include "wire/wire.hpp"
+
+#include <grpcpp/grpcpp.h>
+
+#include <functional>
+#include <memory>
+
+namespace sedgechute {
+
+/// \brief What the peer server hands its calls to. Thread-safe.
+class peer_listener {
+ public:
+  peer_listener() = default;
+  peer_listener(const peer_listener&) = delete;
+  peer_listener& operator=(const peer_listener&) = delete;
+  virtual ~peer_listener() = default;
+
+  virtual void on_envelope(const wire::envelope& message) = 0;
+  /// \returns log records after an offset.
+  [[nodiscard]] virtual wire::records_reply records_after(std::uint64_t after,
+                                                          std::size_t most) = 0;
+  /// \returns the replayed state as checkpoint bytes; empty when this host has none.
+  [[nodiscard]] virtual std::string state() = 0;
+  /// \returns the retained or running answer, or null.
+  [[nodiscard]] virtual std::shared_ptr<answer_record> answer(const team_id& team,
+                                                              const std::string& key) = 0;
+};
+
+/// \brief Serves other hosts over gRPC.
+class peer_server {
+ public:
+  peer_server(const std::string& listen, peer_listener& listener);
+  peer_server(const peer_server&) = delete;
+  peer_server& operator=(const peer_server&) = delete;
+  ~peer_server();
+
+  void stop();
+
+ private:
+  class service;
+
+  std::unique_ptr<service> service_;
+  std::unique_ptr<grpc::Server> server_;
+};
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/daemon/impl/replicated_state.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "daemon/impl/budget_service.hpp"
+#include "daemon/impl/claim_service.hpp"
+#include "daemon/impl/dispatch_service.hpp"
+#include "daemon/impl/document_service.hpp"
+
+#include <atomic>
+#include <deque>
+
+namespace sedgechute {
+
+/// \brief What every host replays from the log: documents, ledger and claims, in one order.
+///
+/// One thread applies; others may ask for the position, the tail or a snapshot.
+class replicated_state {
+ public:
+  replicated_state(document_service& documents, budget_service& budgets, claim_service& claims,
+                   dispatch_service& dispatch)
+      : documents_{documents}, budgets_{budgets}, claims_{claims}, dispatch_{dispatch} {}
+
+  /// \brief Applies the record at `offset`, which must be above `position()`; lower ones are
+  /// known already and are skipped.
+  void apply(std::uint64_t offset, const std::string& data);
+
+  /// \returns offset of the last record applied.
+  [[nodiscard]] std::uint64_t position() const noexcept { return position_; }
+
+  /// \returns the whole state as bytes of a `wire::checkpoint`.
+  [[nodiscard]] std::string snapshot() const;
+  /// \throws error `invalid_document` when the bytes are damaged or older than this state
+  void restore(const std::string& bytes);
+  /// \returns a value that is equal on hosts that applied the same records.
+  [[nodiscard]] std::uint64_t digest() const;
+
+  /// \returns records after an offset, as far as they are still kept.
+  [[nodiscard]] wire::records_reply records_after(std::uint64_t after, std::size_t most) const;
+
+  /// \returns records that no part could read; each was reported when it was met.
+  [[nodiscard]] std::uint64_t unreadable() const noexcept { return unreadable_; }
+
+ private:
+  void apply_document(std::uint64_t offset, const wire::document_record& record);
+  void keep(std::uint64_t offset, const std::string& data);
+
+  document_service& documents_;
+  budget_service& budgets_;
+  claim_service& claims_;
+  dispatch_service& dispatch_;
+  std::atomic<std::uint64_t> position_{0};
+  std::atomic<std::uint64_t> unreadable_{0};
+  mutable ordered_mutex applying_{lock_rank::lifecycle};
+  mutable ordered_mutex tail_mutex_{lock_rank::telemetry};
+  std::deque<log_entry> tail_;
+  std::uint64_t tail_after_{0}; ///< every record after this offset is in the tail
+  std::size_t tail_bytes_{0};
+};
+
+} // namespace sedgechute
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,12 +7,13 @@
 #include <malloc.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <thread>
 
 ABSL_FLAG(std::string, settings, "", "JSON file with this host's settings");
-ABSL_FLAG(std::string, documents, "", "folder with fleet.json and contracts/ to put in force");
 
 namespace {
 
@@ -20,6 +21,7 @@
 
 constexpr int exit_ok = 0;
 constexpr int exit_bad_settings = 2;
+constexpr int exit_cut_short = 3;
 
 host_settings read_settings(const std::string& file) {
   std::ifstream in{file};
@@ -50,16 +52,24 @@
   return signals;
 }
 
+// The first signal starts a graceful stop, however long its streams take. The second ends the
+// process at once: requests in progress are cut, and their callers must ask again by their keys.
+void wait_for_signals(const sigset_t& signals, host& self) {
+  int received = 0;
+  sigwait(&signals, &received);
+  self.request_stop();
+  sigwait(&signals, &received);
+  std::_Exit(exit_cut_short);
+}
+
 int run() {
   host_settings settings = read_settings(absl::GetFlag(FLAGS_settings));
   const sigset_t signals = block_stop_signals();
   host self{std::move(settings)};
-  const std::string documents = absl::GetFlag(FLAGS_documents);
-  if (!documents.empty())
-    self.load_documents(documents);
   self.start();
-  int received = 0;
-  sigwait(&signals, &received);
+  std::thread signal_waiter{[&] { wait_for_signals(signals, self); }};
+  signal_waiter.detach();
+  self.wait_for_stop();
   self.drain();
   return exit_ok;
 }
--- a/src/gateway/impl/answer_table.cpp
+++ b/src/gateway/impl/answer_table.cpp
@@ -84,6 +84,20 @@
   return state_ != state::open;
 }
 
+bool answer_record::whole() const {
+  const std::scoped_lock lock{mutex_};
+  return !overflowed_;
+}
+
+std::string answer_record::content() const {
+  const std::scoped_lock lock{mutex_};
+  std::string text;
+  for (const stream_event& event : events_)
+    if (const auto chunk = parse_engine_chunk(event.data))
+      text += chunk->content;
+  return text;
+}
+
 std::size_t answer_record::bytes() const {
   const std::scoped_lock lock{mutex_};
   return bytes_ + record_overhead_bytes;
@@ -111,6 +125,20 @@
   return known == answers->second.by_key.end() ? nullptr : known->second->record;
 }
 
+void answer_table::erase(const team_id& team, const std::string& key, const answer_record& record) {
+  const std::scoped_lock lock{mutex_};
+  const auto answers = teams_.find(team);
+  if (answers == teams_.end())
+    return;
+  const auto known = answers->second.by_key.find(key);
+  if (known == answers->second.by_key.end() || known->second->record.get() != &record)
+    return;
+  answers->second.by_age.erase(known->second);
+  answers->second.by_key.erase(known);
+  if (answers->second.by_key.empty())
+    teams_.erase(answers);
+}
+
 void answer_table::trim() {
   const std::scoped_lock lock{mutex_};
   std::size_t total = 0;
--- a/src/gateway/impl/answer_table.hpp
+++ b/src/gateway/impl/answer_table.hpp
@@ -28,6 +28,10 @@
   [[nodiscard]] bool play(answer_sink& sink) const;
 
   [[nodiscard]] bool ended() const;
+  /// \returns whether every event is still here.
+  [[nodiscard]] bool whole() const;
+  /// \returns the text of all events together.
+  [[nodiscard]] std::string content() const;
   [[nodiscard]] std::size_t bytes() const;
 
  private:
@@ -57,6 +61,8 @@
   /// \returns the record, or null.
   [[nodiscard]] std::shared_ptr<answer_record> find(const team_id& team,
                                                     const std::string& key) const;
+  /// \brief Drops an answer that is kept elsewhere from now on.
+  void erase(const team_id& team, const std::string& key, const answer_record& record);
   /// \brief Evicts until the bound holds again; called when an answer ends.
   void trim();
 
--- a/src/gateway/impl/chat_sinks.cpp
+++ b/src/gateway/impl/chat_sinks.cpp
@@ -1,5 +1,7 @@
 #include "gateway/impl/chat_sinks.hpp"
 
+#include "gateway/impl/kept_chat.hpp"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/Socket.h>
 #include <Poco/Net/StreamSocket.h>
@@ -8,27 +10,6 @@
 
 namespace sedgechute {
 
-namespace {
-
-std::string usage_json(const token_usage& usage) {
-  return R"({"prompt_tokens":)" + std::to_string(usage.prompt_tokens) + R"(,"completion_tokens":)" +
-         std::to_string(usage.completion_tokens) + R"(,"total_tokens":)" +
-         std::to_string(usage.total()) + R"(,"prompt_tokens_details":{"cached_tokens":)" +
-         std::to_string(usage.cached_tokens) + "}}";
-}
-
-std::string whole_answer_json(const answer_summary& summary, const model_id& model,
-                              const std::string& content) {
-  return R"({"id":)" + json_quote(summary.id.str()) + R"(,"object":"chat.completion","model":)" +
-         json_quote(model.str()) +
-         R"(,"choices":[{"index":0,"message":{"role":"assistant","content":)" +
-         json_quote(content) + R"(},"finish_reason":)" + json_quote(summary.finish_reason) +
-         R"(}],"usage":)" + usage_json(summary.usage) + R"(,"sedgechute":)" + to_json(summary) +
-         "}\n";
-}
-
-} // namespace
-
 bool has_hung_up(caller_exchange& exchange) noexcept {
   try {
     auto& socket = exchange.request.socket();
@@ -107,7 +88,7 @@
 
 bool collecting_sink::event(const stream_event& event) {
   if (event.position == 1)
-    content_.clear(); // a new run of the request began
+    content_.clear(); // another run of the request began
   if (const auto chunk = parse_engine_chunk(event.data))
     content_ += chunk->content;
   return true;
@@ -121,7 +102,7 @@
   response.set("X-Sedgechute-Attempts", std::to_string(summary.attempts));
   response.set("X-Sedgechute-Tokens-Billed", std::to_string(summary.tokens_billed));
   response.set("X-Sedgechute-Tokens-Remaining", std::to_string(summary.tokens_remaining));
-  const std::string body = whole_answer_json(summary, model_, content_);
+  const std::string body = answer_json(summary, model_, content_);
   response.sendBuffer(body.data(), body.size());
 }
 
--- a/src/gateway/impl/caller_server.cpp
+++ b/src/gateway/impl/http_server.cpp
@@ -1,6 +1,5 @@
-#include "gateway/impl/caller_server.hpp"
+#include "gateway/impl/http_server.hpp"
 
-#include "gateway/impl/gateway.hpp"
 #include "gateway/impl/refusal.hpp"
 
 #include <Poco/Exception.h>
@@ -53,15 +52,15 @@
 
 } // namespace
 
-class caller_connection final : public TCPServerConnection {
+class http_connection final : public TCPServerConnection {
  public:
-  caller_connection(const StreamSocket& socket, caller_server& server)
+  http_connection(const StreamSocket& socket, http_server& server)
       : TCPServerConnection{socket}, server_{server} {
     ++server_.connections_;
   }
-  caller_connection(const caller_connection&) = delete;
-  caller_connection& operator=(const caller_connection&) = delete;
-  ~caller_connection() override { --server_.connections_; }
+  http_connection(const http_connection&) = delete;
+  http_connection& operator=(const http_connection&) = delete;
+  ~http_connection() override { --server_.connections_; }
 
   void run() override {
     try {
@@ -102,33 +101,31 @@
     return request.getChunkedTransferEncoding() || request.getContentLength64() > 0;
   }
 
-  caller_server& server_;
+  http_server& server_;
 };
 
 namespace {
 
 class connection_factory final : public TCPServerConnectionFactory {
  public:
-  explicit connection_factory(caller_server& server) : server_{server} {}
+  explicit connection_factory(http_server& server) : server_{server} {}
 
   // NOLINTNEXTLINE(readability-identifier-naming): overrides the library's name
   TCPServerConnection* createConnection(const StreamSocket& socket) override {
-    return std::make_unique<caller_connection>(socket, server_).release();
+    return std::make_unique<http_connection>(socket, server_).release();
   }
 
  private:
-  caller_server& server_;
+  http_server& server_;
 };
 
 } // namespace
 
-caller_server::caller_server(gateway& host, const caller_server_options& options,
-                             const ServerSocket& socket, const clock& time)
-    : host_{host}, options_{options}, watch_{time}, params_{new HTTPServerParams},
+http_server::http_server(request_handler handle, const http_server_options& options,
+                         const ServerSocket& socket, const clock& time)
+    : handle_{std::move(handle)}, options_{options}, watch_{time}, params_{new HTTPServerParams},
       threads_{least_threads, static_cast<int>(options.most_connections), idle_thread_seconds,
                stack_bytes} {
-  for (const std::string& name : registry<caller_api>::names())
-    apis_.emplace(name, registry<caller_api>::make(name));
   params_->setMaxThreads(static_cast<int>(options_.most_connections));
   params_->setMaxQueued(most_waiting_connections);
   params_->setThreadIdleTime(Poco::Timespan{idle_thread_seconds, 0});
@@ -139,41 +136,28 @@
   server_ = std::make_unique<TCPServer>(new connection_factory{*this}, threads_, socket, params_);
 }
 
-caller_server::~caller_server() {
+http_server::~http_server() {
   stop_accepting();
   threads_.joinAll();
 }
 
-void caller_server::start() {
+void http_server::start() {
   server_->start();
 }
 
-void caller_server::stop_accepting() {
+void http_server::stop_accepting() {
   if (!stopping_.exchange(true))
     server_->stop();
 }
 
-const caller_api* caller_server::find(const std::string& path) const {
-  const auto exact = apis_.find(path);
-  if (exact != apis_.end())
-    return exact->second.get();
-  for (const auto& [name, api] : apis_)
-    if (name.ends_with('/') && path.starts_with(name))
-      return api.get();
-  return nullptr;
-}
-
-void caller_server::serve(HTTPServerRequestImpl& request, HTTPServerResponseImpl& response) {
+void http_server::serve(HTTPServerRequestImpl& request, HTTPServerResponseImpl& response) {
   const std::string uri = request.getURI();
   const std::size_t mark = uri.find('?');
   caller_exchange exchange{request, response, uri.substr(0, mark),
                            mark == std::string::npos ? "" : uri.substr(mark + 1)};
   try {
     refuse_ambiguous_framing(request);
-    const caller_api* api = find(exchange.path);
-    if (api == nullptr)
-      throw error{error_kind::unknown_path, "", ""};
-    api->handle(exchange, host_);
+    handle_(exchange);
   } catch (const error& failure) {
     if (response.sent())
       response.setKeepAlive(false);
@@ -185,8 +169,7 @@
                     {}});
   } catch (const Poco::Exception&) {
     response.setKeepAlive(false); // the caller's connection failed
-  } catch (const std::exception& failure) {
-    host_.note_internal_error(failure.what());
+  } catch (const std::exception&) {
     response.setKeepAlive(false);
     if (!response.sent())
       send_refusal(response, {error_kind::internal, "", {}, {}});
--- a/src/gateway/impl/caller_server.hpp
+++ b/src/gateway/impl/http_server.hpp
@@ -9,13 +9,13 @@
 #include <Poco/ThreadPool.h>
 
 #include <atomic>
-#include <map>
+#include <functional>
 #include <memory>
 #include <string>
 
 namespace sedgechute {
 
-struct caller_server_options {
+struct http_server_options {
   std::size_t most_connections{4096};
   std::size_t header_fields{64};
   std::size_t header_field_bytes{8192};
@@ -24,14 +24,18 @@
   time_ms keep_alive{15000};
 };
 
-/// \brief The callers' HTTP server: one thread a connection, each with a small stack.
-class caller_server {
+/// \brief An HTTP server with one thread a connection, each with a small stack. Requests whose
+/// framing is ambiguous are refused before anyone reads them.
+class http_server {
  public:
-  caller_server(gateway& host, const caller_server_options& options,
-                const Poco::Net::ServerSocket& socket, const clock& time);
-  caller_server(const caller_server&) = delete;
-  caller_server& operator=(const caller_server&) = delete;
-  ~caller_server();
+  /// \brief Answers one request; errors that it throws become refusals.
+  using request_handler = std::function<void(caller_exchange&)>;
+
+  http_server(request_handler handle, const http_server_options& options,
+              const Poco::Net::ServerSocket& socket, const clock& time);
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+  ~http_server();
 
   void start();
 
@@ -42,16 +46,14 @@
   [[nodiscard]] std::size_t connections() const noexcept { return connections_; }
 
  private:
-  friend class caller_connection;
+  friend class http_connection;
 
-  [[nodiscard]] const caller_api* find(const std::string& path) const;
   void serve(Poco::Net::HTTPServerRequestImpl& request,
              Poco::Net::HTTPServerResponseImpl& response);
 
-  gateway& host_;
-  caller_server_options options_;
+  request_handler handle_;
+  http_server_options options_;
   connection_watch watch_;
-  std::map<std::string, std::unique_ptr<caller_api>> apis_;
   Poco::Net::HTTPServerParams::Ptr params_;
   Poco::ThreadPool threads_;
   std::atomic<std::size_t> connections_{0};
--- a/src/gateway/impl/ports.hpp
+++ b/src/gateway/impl/ports.hpp
@@ -27,6 +27,7 @@
   std::string class_name;
   int priority{5};
   time_ms deadline{};
+  time_ms first_token_objective{};
   pool_id pool;
   std::uint64_t max_output_tokens{};
   bool idempotent_by_default{true};
@@ -47,6 +48,7 @@
   std::string reason;
   std::uint64_t tokens_billed{};
   std::optional<time_ms> first_token; ///< from acceptance
+  time_ms objective;                  ///< for the first token; 0 without one
   time_ms total{};
 };
 
@@ -178,22 +180,6 @@
                                                                    int attempts) = 0;
 };
 
-enum class claim_action {
-  proceed, ///< this host runs the request
-  follow,  ///< an attempt runs, or ended, on the host named
-  refuse,  ///< the decision is `kind`
-};
-
-struct claim_decision {
-  claim_action action{};
-  std::uint64_t number{}; ///< of the claim, when proceeding
-  request_id run;         ///< id under which endpoints know the run
-  host_id host;           ///< where to follow
-  endpoint_id endpoint;   ///< of an earlier attempt to resume, if any
-  std::string endpoint_address;
-  error_kind kind{};
-};
-
 /// \brief Answers that other hosts are giving or have retained.
 class answer_sink;
 enum class follow_end { answered, refused, unreachable };
@@ -211,14 +197,47 @@
                                           const std::string& key, answer_sink& sink) = 0;
 };
 
-struct claim_request {
+struct key_request {
   team_id team;
   std::string key;
-  std::uint64_t fingerprint{};
+  std::uint64_t fingerprint{}; ///< of what is asked for
   bool idempotent{};
+};
+
+enum class key_action {
+  proceed, ///< this host runs the request
+  follow,  ///< an attempt runs on the host named
+  replay,  ///< it was answered: the answer is `answer`
+  refuse,  ///< the decision is `kind`
+};
+
+/// \brief A complete answer as it is kept for retries.
+struct kept_answer {
+  endpoint_id endpoint;
+  int status{};
+  std::string content_type;
+  std::string body;
+};
+
+/// \brief Where an earlier attempt may still be running.
+struct earlier_run {
+  endpoint_id endpoint;
+  std::string address;
   request_id id;
 };
 
+struct key_decision {
+  key_action action{};
+  std::uint64_t ticket{}; ///< when proceeding
+  request_id run;         ///< id under which endpoints shall know this attempt
+  bool may_have_run{};    ///< an earlier attempt may have run
+  bool resume_only{};     ///< take the earlier run up; never start the request anew
+  std::optional<earlier_run> earlier;
+  host_id host; ///< where to follow
+  kept_answer answer;
+  error_kind kind{};
+};
+
 /// \brief What became of a key.
 struct key_status {
   std::string state;   ///< empty when nothing is known
@@ -227,12 +246,6 @@
   request_id run;
 };
 
-enum class claim_result {
-  answered,
-  refused, ///< no attempt ran or can run
-  unknown, ///< an attempt may have run
-};
-
 /// \brief Idempotency keys: who runs a request, once.
 class claim_port {
  public:
@@ -241,11 +254,18 @@
   claim_port& operator=(const claim_port&) = delete;
   virtual ~claim_port() = default;
 
-  [[nodiscard]] virtual claim_decision begin(const claim_request& request) = 0;
-  /// \brief Notes where the run is, before the endpoint is asked to run it.
-  /// \returns false when the claim is no longer this host's: it must not dispatch
-  [[nodiscard]] virtual bool dispatching(std::uint64_t claim, const dispatch_turn& turn) = 0;
-  virtual void finish(std::uint64_t claim, claim_result result) = 0;
+  /// \brief Asks for the right to run; waits for the decision.
+  [[nodiscard]] virtual key_decision begin(const key_request& request) = 0;
+  /// \brief Notes where the run will be; to be called before the endpoint is asked.
+  virtual void dispatching(std::uint64_t ticket, const endpoint_id& endpoint) = 0;
+  virtual void answered(std::uint64_t ticket, const kept_answer& answer) = 0;
+  /// \brief Nothing was dispatched, for the reason `kind`; waits until that is settled.
+  /// \returns what the caller may be told: `kind`, or `outcome_unknown`
+  [[nodiscard]] virtual error_kind refused(std::uint64_t ticket, error_kind kind) = 0;
+  /// \brief The request was dispatched and its outcome is not known.
+  virtual void unknown(std::uint64_t ticket) = 0;
+  /// \returns a key that this data centre decides for; empty while it cannot.
+  [[nodiscard]] virtual std::string mint() = 0;
   /// \returns what is known of a key here or at whoever decides for it.
   [[nodiscard]] virtual key_status look_up(const team_id& team, const std::string& key) = 0;
 };
--- a/src/gateway/impl/run_request.cpp
+++ b/src/gateway/impl/run_request.cpp
@@ -29,9 +29,8 @@
 class attempt {
  public:
   attempt(const run_context& host, const admitted_chat& request, answer_sink& sink,
-          const dispatch_turn& turn)
-      : host_{host}, request_{request}, sink_{sink}, stream_{host.connections, turn.address,
-                                                             request.id} {}
+          const std::string& address, const request_id& id)
+      : host_{host}, request_{request}, sink_{sink}, stream_{host.connections, address, id} {}
 
   open_result open() {
     const open_result result =
@@ -129,6 +128,7 @@
     wanted_.fingerprint = request.chat.fingerprint;
     wanted_.prefix_blocks = request.chat.prefix_blocks;
     wanted_.accepted = request.accepted;
+    result_.may_have_run = request.may_have_run;
   }
 
   run_result run() {
@@ -136,6 +136,8 @@
       try {
         if (request_.earlier && attempts_ == 0)
           resume_earlier();
+        else if (request_.resume_only)
+          refuse(error_kind::outcome_unknown, "the earlier run is out of reach");
         else
           run_attempt();
       } catch (const error& failure) {
@@ -151,13 +153,10 @@
     const dispatch_turn turn =
         host_.dispatch.acquire(wanted_, [this] { return !request_.keyed && sink_.gone(); });
     ++attempts_;
-    if (request_.claim != 0 && !host_.claims.dispatching(request_.claim, turn)) {
-      host_.dispatch.release(turn, wanted_, {turn_outcome::not_run, {}, {}});
-      // Another host holds the claim now; what became of the key is for that host to tell.
-      return refuse(error_kind::outcome_unknown, "the claim passed to another host");
-    }
+    if (request_.ticket != 0)
+      host_.claims.dispatching(request_.ticket, turn.endpoint);
     const time_ms dispatched = host_.time.now();
-    attempt one{host_, request_, sink_, turn};
+    attempt one{host_, request_, sink_, turn.address, request_.id};
     const open_result opened = one.open();
     if (opened == open_result::streaming)
       return after_relay(one, one.relay(), turn, dispatched);
@@ -174,9 +173,11 @@
     ++attempts_;
     result_.may_have_run = true;
     const time_ms dispatched = host_.time.now();
-    attempt one{host_, request_, sink_, turn};
+    attempt one{host_, request_, sink_, turn.address, request_.earlier->id};
     if (one.resume_whole() == open_result::streaming)
       return after_relay(one, one.relay(), turn, dispatched);
+    if (request_.resume_only)
+      return refuse(error_kind::outcome_unknown, "the earlier run cannot be taken up");
     after_failure(turn, true, 0);
   }
 
--- a/src/gateway/impl/run_request.hpp
+++ b/src/gateway/impl/run_request.hpp
@@ -13,10 +13,12 @@
   chat_request chat;
   access_grant grant;
   bool idempotent{true};
-  bool keyed{false};     ///< goes on without its caller, for the sake of a retry
-  std::uint64_t claim{}; ///< 0 without a key
+  bool keyed{false};      ///< goes on without its caller, for the sake of a retry
+  std::uint64_t ticket{}; ///< of the claim on the key; 0 without one
   time_ms accepted;
-  std::optional<dispatch_turn> earlier; ///< where a host that died left the run
+  std::optional<earlier_run> earlier; ///< where a host that died left the run
+  bool may_have_run{false};           ///< an earlier attempt may have run
+  bool resume_only{false};            ///< never start the request anew
 };
 
 /// \brief What running needs of the host.
--- a/src/gateway_api/impl/chat_api.cpp
+++ b/src/gateway_api/impl/chat_api.cpp
@@ -1,3 +1,4 @@
+#include "gateway/impl/bill_request.hpp"
 #include "gateway/impl/caller_headers.hpp"
 #include "gateway/impl/chat_sinks.hpp"
 #include "gateway/impl/gateway.hpp"
@@ -51,9 +52,10 @@
 
   static void answer_request(gateway& host, admitted_chat& request, const std::string& key,
                              answer_sink& sink) {
-    if (key.empty())
-      return run_and_bill(host, request, request.id.str(), sink);
-    answer_keyed(host, request, key, sink);
+    if (!key.empty())
+      return answer_keyed(host, request, key, sink);
+    billed_run ended = run_and_bill(host, request, request.id.str(), sink);
+    conclude(host, request, key, ended, sink);
   }
 };
 
--- a/src/kernel/impl/error.hpp
+++ b/src/kernel/impl/error.hpp
@@ -36,6 +36,7 @@
   key_in_progress,
   key_unknown,
   outcome_unknown,
+  answer_not_kept,
   endpoint_failed,
   stream_cut,
   not_ready,
@@ -53,6 +54,7 @@
   not_run, ///< no attempt under this request or key ran or still can
   unknown, ///< an attempt may have run
   partial, ///< an attempt ran and part of its answer was delivered
+  ran,     ///< an attempt ran to its end
 };
 
 /// \brief How an error kind is answered.
@@ -94,7 +96,8 @@
   static constexpr auto entries =
       enum_table<run_outcome>({{run_outcome::not_run, "not_run"},
                                {run_outcome::unknown, "outcome_unknown"},
-                               {run_outcome::partial, "partial"}});
+                               {run_outcome::partial, "partial"},
+                               {run_outcome::ran, "ran"}});
 };
 
 template <>
@@ -124,6 +127,7 @@
                               {error_kind::key_in_progress, "key_in_progress"},
                               {error_kind::key_unknown, "key_unknown"},
                               {error_kind::outcome_unknown, "outcome_unknown"},
+                              {error_kind::answer_not_kept, "answer_not_kept"},
                               {error_kind::endpoint_failed, "endpoint_failed"},
                               {error_kind::stream_cut, "stream_cut"},
                               {error_kind::not_ready, "not_ready"},
--- a/src/platform/impl/forward_declarations.hpp
+++ b/src/platform/impl/forward_declarations.hpp
@@ -13,7 +13,7 @@
 enum class listed_kind;
 enum class listed_state;
 struct host_list_entry;
-struct host_list;
+struct host_listing;
 class host_list_client;
 class http_host_list_client;
 
--- a/src/platform/impl/host_list_client.cpp
+++ b/src/platform/impl/host_list_client.cpp
@@ -31,14 +31,14 @@
 http_host_list_client::http_host_list_client(http_target target, time_ms timeout)
     : target_{std::move(target)}, timeout_{timeout} {}
 
-host_list http_host_list_client::fetch() {
+host_listing http_host_list_client::fetch() {
   const http_answer answer = platform_call("host list", target_, "GET", "/v1/hosts", {}, timeout_);
   if (answer.status != 200)
     throw error{error_kind::log_unavailable, "host list",
                 "status " + std::to_string(answer.status)};
   const auto object = parse_json_object(answer.body, "host list");
   const auto entries = object->getArray("hosts");
-  host_list list;
+  host_listing list;
   for (std::size_t i = 0; entries && i < entries->size(); ++i) {
     const auto entry = entries->getObject(static_cast<unsigned>(i));
     if (!entry)
--- a/src/platform/impl/host_list_client.hpp
+++ b/src/platform/impl/host_list_client.hpp
@@ -34,7 +34,7 @@
   listed_state state{};
 };
 
-struct host_list {
+struct host_listing {
   std::vector<host_list_entry> hosts;
 };
 
@@ -47,13 +47,13 @@
 
   /// \returns the list, which lags behind the truth.
   /// \throws error `log_unavailable` when the platform does not answer
-  [[nodiscard]] virtual host_list fetch() = 0;
+  [[nodiscard]] virtual host_listing fetch() = 0;
 };
 
 class http_host_list_client final : public host_list_client {
  public:
   http_host_list_client(http_target target, time_ms timeout);
-  [[nodiscard]] host_list fetch() override;
+  [[nodiscard]] host_listing fetch() override;
 
  private:
   http_target target_;
