--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -11,6 +11,8 @@
 #include "config/impl/contract.hpp"
 #include "config/impl/contract_identity.hpp"
 #include "config/impl/contract_set.hpp"
+#include "config/impl/document_answers.hpp"
+#include "config/impl/document_diff.hpp"
 #include "config/impl/document_record.hpp"
 #include "config/impl/document_semantics.hpp"
 #include "config/impl/document_snapshot.hpp"
--- a/src/config/impl/document_tail.cpp
+++ b/src/config/impl/document_tail.cpp
@@ -46,4 +46,10 @@
   return found;
 }
 
+void document_tail::for_each_newest_first(
+    const std::function<void(const relayed_document&)>& visit) const {
+  for (auto one = records_.rbegin(); one != records_.rend(); ++one)
+    visit(*one);
+}
+
 } // namespace sedgechute
--- a/src/config/impl/document_tail.hpp
+++ b/src/config/impl/document_tail.hpp
@@ -3,6 +3,7 @@
 #include "config/impl/document_record.hpp"
 
 #include <deque>
+#include <functional>
 #include <vector>
 
 namespace sedgechute {
@@ -26,6 +27,8 @@
   [[nodiscard]] const relayed_document* at(std::uint64_t offset) const noexcept;
   /// \returns at most `most` records after `offset`, oldest first; none when there is a gap
   [[nodiscard]] std::vector<relayed_document> after(std::uint64_t offset, std::size_t most) const;
+  /// \brief Calls `visit` for every record kept.
+  void for_each_newest_first(const std::function<void(const relayed_document&)>& visit) const;
 
  private:
   std::deque<relayed_document> records_;
--- a/src/config/impl/json_node.cpp
+++ b/src/config/impl/json_node.cpp
@@ -177,18 +177,18 @@
   return nullptr;
 }
 
-json_node parse_json(std::string_view text) {
-  if (text.size() > max_document_bytes)
+json_node parse_json(std::string_view text, json_bounds bounds) {
+  if (text.size() > bounds.bytes)
     throw error{error_kind::payload_too_large, "document",
-                std::to_string(text.size()) + " bytes, at most " +
-                    std::to_string(max_document_bytes) + " are read"};
+                std::to_string(text.size()) + " bytes, at most " + std::to_string(bounds.bytes) +
+                    " are read"};
   if (!is_utf8(text))
     throw error{error_kind::bad_encoding, "document", "not valid UTF-8"};
   if (text.find_first_not_of(" \t\r\n") == std::string_view::npos)
     throw error{error_kind::malformed_json, "document", "empty"};
   Poco::SharedPtr<node_builder> builder{new node_builder};
   Poco::JSON::Parser parser{builder};
-  parser.setDepth(max_document_depth);
+  parser.setDepth(bounds.depth);
   try {
     parser.parse(std::string{text});
   } catch (const Poco::Exception& failure) {
--- a/src/config/impl/json_node.hpp
+++ b/src/config/impl/json_node.hpp
@@ -53,9 +53,15 @@
 /// \brief The deepest nesting a document may have.
 inline constexpr std::size_t max_document_depth = 16;
 
+/// \brief How much text, nested how deep, is parsed.
+struct json_bounds {
+  std::size_t bytes{max_document_bytes};
+  std::size_t depth{max_document_depth};
+};
+
 /// \brief Parses strict JSON.
 /// \throws error `payload_too_large`, `bad_encoding` (not UTF-8) or `malformed_json`
-[[nodiscard]] json_node parse_json(std::string_view text);
+[[nodiscard]] json_node parse_json(std::string_view text, json_bounds bounds = {});
 
 /// \returns compact JSON text on one line
 [[nodiscard]] std::string to_text(const json_node& node);
