--- a/src/cli/impl/subcommand.cpp
+++ b/src/cli/impl/subcommand.cpp
@@ -8,7 +8,7 @@
   return arguments[index];
 }
 
-registered_subcommand::registered_subcommand(std::string words, subcommand command) {
+registered_subcommand::registered_subcommand(std::string words, const subcommand& command) {
   const registry<subcommand>::entry entry{
       std::move(words), [command] { return std::make_unique<subcommand>(command); }};
 }
--- a/src/cli/impl/subcommand.hpp
+++ b/src/cli/impl/subcommand.hpp
@@ -30,7 +30,7 @@
 
 /// \brief Adds a subcommand for the life of the program.
 struct registered_subcommand {
-  registered_subcommand(std::string words, subcommand command);
+  registered_subcommand(std::string words, const subcommand& command);
 };
 
 } // namespace sedgechute::cli
--- a/tests/cli/cli_test.cpp
+++ b/tests/cli/cli_test.cpp
@@ -3,9 +3,8 @@
 
 #include <doctest/doctest.h>
 
-#include <unistd.h>
+#include <Poco/TemporaryFile.h>
 
-#include <array>
 #include <atomic>
 #include <filesystem>
 #include <fstream>
@@ -28,21 +27,17 @@
 /// A file that is gone after the test.
 class scratch_file {
  public:
-  explicit scratch_file(const std::string& text)
-      : path_{std::filesystem::temp_directory_path() /
-              ("sedgechute-cli-" + to_hex(std::array{static_cast<std::uint8_t>(next_++)}) +
-               std::to_string(getpid()))} {
+  explicit scratch_file(const std::string& text) : path_{Poco::TemporaryFile::tempName()} {
     std::ofstream{path_} << text;
   }
   scratch_file(const scratch_file&) = delete;
   scratch_file& operator=(const scratch_file&) = delete;
   ~scratch_file() { std::filesystem::remove(path_); }
 
-  [[nodiscard]] std::string path() const { return path_.string(); }
+  [[nodiscard]] const std::string& path() const { return path_; }
 
  private:
-  static inline int next_{0};
-  std::filesystem::path path_;
+  std::string path_;
 };
 
 struct result {
@@ -225,12 +220,13 @@
       {error_kind::log_unavailable, cli::exit_code::log_down},
       {error_kind::invalid_document, cli::exit_code::faulty},
       {error_kind::internal, cli::exit_code::failed}};
-  for (const auto& [kind, code] : wanted) {
-    fake_host host{
-        [kind = kind](const received_call&) { return error_answer_for(kind, "here", "because"); }};
+  for (const auto& row : wanted) {
+    fake_host host{[kind = row.first](const received_call&) {
+      return error_answer_for(kind, "here", "because");
+    }};
     const auto done = run_words({"budget", "show", "chat"}, flags_for({host.where()}));
-    CAPTURE(name_of(kind));
-    CHECK(done.code == code);
+    CAPTURE(name_of(row.first));
+    CHECK(done.code == row.second);
     CHECK(holds(done.err, "because"));
   }
   CHECK(run_words({"host", "list"}, {}).code == cli::exit_code::usage);
