--- a/src/daemon/impl/peer_links.cpp
+++ b/src/daemon/impl/peer_links.cpp
@@ -10,6 +10,21 @@
 
 constexpr std::size_t longest_queue = 8192;
 constexpr std::size_t largest_batch = 512;
+constexpr int keepalive_ms = 5000;
+constexpr int keepalive_timeout_ms = 2000;
+constexpr int most_reconnect_wait_ms = 1000;
+
+// A connection whose other end was lost track of somewhere in between looks idle for good. Pings
+// while a call is open turn that silence into a failed call, and the next call connects anew.
+std::shared_ptr<grpc::Channel> open_channel(const std::string& address) {
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, keepalive_ms);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_timeout_ms);
+  arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, most_reconnect_wait_ms);
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
+}
 
 struct pending_call {
   grpc::ClientContext context;
@@ -80,8 +95,7 @@
     return nullptr;
   link& target = *known->second;
   if (!target.stub)
-    target.stub = wire::peer::NewStub(
-        grpc::CreateChannel(target.address, grpc::InsecureChannelCredentials()));
+    target.stub = wire::peer::NewStub(open_channel(target.address));
   return target.stub;
 }
 
--- a/src/daemon/impl/peer_server.cpp
+++ b/src/daemon/impl/peer_server.cpp
@@ -10,6 +10,7 @@
 
 // A follower holds a thread for as long as the answer takes; the rest answers at once.
 constexpr int most_threads = 256;
+constexpr int least_ping_interval_ms = 1000;
 constexpr int least_pollers = 1;
 constexpr int most_pollers = 2;
 constexpr std::size_t state_part_bytes = 256 * 1024;
@@ -116,6 +117,9 @@
   builder.SetSyncServerOption(grpc::ServerBuilder::NUM_CQS, 1);
   builder.SetSyncServerOption(grpc::ServerBuilder::MIN_POLLERS, least_pollers);
   builder.SetSyncServerOption(grpc::ServerBuilder::MAX_POLLERS, most_pollers);
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
+                             least_ping_interval_ms);
+  builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
   builder.AddListeningPort(listen, grpc::InsecureServerCredentials());
   builder.RegisterService(service_.get());
   server_ = builder.BuildAndStart();
--- a/src/gateway/impl/service_call.cpp
+++ b/src/gateway/impl/service_call.cpp
@@ -23,6 +23,7 @@
 
 constexpr std::size_t replayable_body_bytes = 64 * 1024;
 constexpr std::size_t block_bytes = 16 * 1024;
+constexpr std::size_t most_kept_bytes = 256 * 1024;
 constexpr int most_attempts = 3;
 
 // Headers that concern one connection only, and the team's key, which no endpoint may see.
@@ -46,6 +47,23 @@
 
 enum class call_end { answered, not_dispatched, lost_before_answer, cut };
 
+/// A copy of an answer for retries, dropped once it grows past its bound.
+class answer_copy {
+ public:
+  void add(std::string_view part) {
+    whole_ = whole_ && body_.size() + part.size() <= most_kept_bytes;
+    if (whole_)
+      body_ += part;
+    else
+      body_.clear();
+  }
+  [[nodiscard]] const std::string& body() const noexcept { return body_; }
+
+ private:
+  bool whole_{true};
+  std::string body_;
+};
+
 /// The caller's body: its first part is kept, so that a call whose body was short can be repeated.
 class caller_body {
  public:
@@ -72,10 +90,13 @@
       copy_blocks(exchange_.request.stream(), out);
   }
 
-  static bool copy_blocks(std::istream& in, std::ostream& out) {
+  /// \param copy  gets what is passed on, too, as long as it is short
+  static bool copy_blocks(std::istream& in, std::ostream& out, answer_copy* copy = nullptr) {
     std::array<char, block_bytes> block{};
     while (in.peek() != std::istream::traits_type::eof()) {
       const std::streamsize got = in.readsome(block.data(), block.size());
+      if (copy != nullptr)
+        copy->add({block.data(), static_cast<std::size_t>(got)});
       out.write(block.data(), got);
       out.flush();
       if (!out.good())
@@ -110,6 +131,9 @@
     return relay(response, *in);
   }
 
+  /// \returns the whole answer for retries of a call with a key.
+  [[nodiscard]] const kept_answer& kept() const noexcept { return kept_; }
+
  private:
   bool connect() {
     try {
@@ -155,9 +179,11 @@
     else
       response.setChunkedTransferEncoding(true);
     std::ostream& out = response.send();
-    const bool delivered = caller_body::copy_blocks(in, out);
+    const bool delivered = caller_body::copy_blocks(in, out, call_.ticket == 0 ? nullptr : &copy_);
     const bool whole = session_->networkException() == nullptr;
     if (delivered && whole) {
+      kept_ = {turn_.endpoint, static_cast<int>(answer.getStatus()), answer.getContentType(),
+               copy_.body()};
       if (session_->getKeepAlive() && answer.getKeepAlive())
         host_.connections.give_back(turn_.address, std::move(session_));
       return call_end::answered;
@@ -173,6 +199,8 @@
   const service_call& call_;
   const dispatch_turn& turn_;
   endpoint_connections::session_ptr session_;
+  answer_copy copy_;
+  kept_answer kept_;
 };
 
 turn_outcome outcome_of(call_end end) {
@@ -190,43 +218,47 @@
 
 } // namespace
 
-ended_request relay_service_call(gateway& host, caller_exchange& exchange,
-                                 const service_call& call) {
+service_result relay_service_call(gateway& host, caller_exchange& exchange,
+                                  const service_call& call) {
   dispatch_request wanted;
   wanted.grant = call.grant;
   wanted.accepted = call.accepted;
-  ended_request ended;
+  service_result result;
   const caller_body body{exchange};
-  bool may_have_run = false;
-  while (ended.attempts < most_attempts) {
+  while (result.attempts < most_attempts) {
     const dispatch_turn turn = host.dispatch.acquire(wanted, [&] { return has_hung_up(exchange); });
-    ++ended.attempts;
-    ended.endpoint = turn.endpoint;
+    ++result.attempts;
+    result.endpoint = turn.endpoint;
+    if (call.ticket != 0)
+      host.claims.dispatching(call.ticket, turn.endpoint);
     service_attempt attempt{host, exchange, call, turn};
     const call_end end = attempt.run(body);
     host.dispatch.release(turn, wanted, {outcome_of(end), {}, {}});
-    if (end == call_end::answered)
-      return ended;
-    wanted.avoid.push_back(turn.endpoint);
+    result.may_have_run = result.may_have_run || end != call_end::not_dispatched;
+    if (end == call_end::answered) {
+      result.answered = true;
+      result.kept = attempt.kept();
+      return result;
+    }
     if (end == call_end::cut) {
-      ended.refused = error_kind::stream_cut;
-      return ended;
+      result.cut = true;
+      result.refused = error_kind::stream_cut;
+      return result;
     }
-    may_have_run = may_have_run || end == call_end::lost_before_answer;
-    const bool may_repeat = !may_have_run || call.idempotent;
+    wanted.avoid.push_back(turn.endpoint);
+    const bool may_repeat = !result.may_have_run || call.idempotent;
     if (!may_repeat || !body.replayable())
       break;
-    const auto wait = host.dispatch.retry_after_failure(wanted, ended.attempts);
+    const auto wait = host.dispatch.retry_after_failure(wanted, result.attempts);
     if (!wait)
       break;
     std::this_thread::sleep_for(std::chrono::milliseconds{wait->count()});
   }
-  if (may_have_run)
-    ended.refused = call.idempotent ? error_kind::endpoint_failed : error_kind::outcome_unknown;
+  if (result.may_have_run)
+    result.refused = call.idempotent ? error_kind::endpoint_failed : error_kind::outcome_unknown;
   else
-    ended.refused = error_kind::no_capacity;
-  send_refusal(exchange.response, {*ended.refused, "", call.id, {}});
-  return ended;
+    result.refused = error_kind::no_capacity;
+  return result;
 }
 
 } // namespace sedgechute
