Burn report: error budgets of teams' classes over several windows

Cause: operators need to see which team's objective is being missed, how fast, and whether it still goes on.

--- a/src/telemetry/impl/forward_declarations.hpp
+++ b/src/telemetry/impl/forward_declarations.hpp
@@ -21,4 +21,12 @@
 struct decision_filter;
 class decision_events;
 
+struct good_total;
+enum class burn_window;
+class burn_series;
+enum class burn_alert;
+struct burn_row;
+class burn_tracker;
+struct burn_rule;
+
 } // namespace sedgechute
--- a/src/telemetry/telemetry.hpp
+++ b/src/telemetry/telemetry.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 /// \file
-/// \brief Structured logs, metrics, latency histograms and decision events.
+/// \brief Structured logs, metrics, latency histograms, decision events and the burn report.
 
+#include "telemetry/impl/burn_report.hpp"
+#include "telemetry/impl/burn_series.hpp"
 #include "telemetry/impl/decision_events.hpp"
 #include "telemetry/impl/forward_declarations.hpp"
 #include "telemetry/impl/json_text.hpp"
