--- a/src/routing/impl/choose_endpoint.cpp
+++ b/src/routing/impl/choose_endpoint.cpp
@@ -9,16 +9,19 @@
 
 namespace {
 
-constexpr std::size_t most_candidates = 20;
+constexpr std::size_t most_candidates = 48;
 constexpr double ms_per_s = 1000.0;
 constexpr double tie_break_ms = 2.0; // hosts with the same view must not all choose the same
 constexpr std::uint32_t tries_per_draw = 4;
 constexpr double avoided_ms = 1e7;
+constexpr double least_changes = 0.25;
+constexpr double tolerated_slowness = 1.0;
 
 struct candidate {
   std::uint32_t slot{};
   choice_reason reason{choice_reason::random};
   double cached_tokens{};
+  time_ms cached_age{};
 };
 
 /// The request and what is derived from it once.
@@ -29,6 +32,7 @@
   std::uint64_t adapter{};
   double tokens_per_block{};
   double service_ms{};
+  time_ms now{};
 };
 
 class candidate_list {
@@ -68,6 +72,26 @@
   double total_ms{};
 };
 
+// Mean of max(0, -x) for a normal x with this mean and a deviation of 1.
+double normal_loss(double mean) {
+  constexpr double inverse_root_two_pi = 0.3989422804014327;
+  constexpr double inverse_root_two = 0.7071067811865475;
+  const double density = inverse_root_two_pi * std::exp(-0.5 * mean * mean);
+  return density - mean * 0.5 * std::erfc(mean * inverse_root_two);
+}
+
+// The number of free places is known only as of some time ago; since then requests came and went
+// at random, so its deviation grows with the root of their number. The expected wait is that for
+// the mean excess over the places.
+double wait_for_place_ms(const question& asked, const load_estimate& load, double room) {
+  const double places = load.last_report().max_running;
+  const double stale_ms = static_cast<double>(load.staleness(asked.now).count());
+  const double changes = 2.0 * load.at_endpoint() * std::max(0.0, stale_ms) / asked.service_ms;
+  const double deviation = std::sqrt(std::clamp(changes, least_changes, places * places));
+  const double excess = deviation * normal_loss((room - 0.5) / deviation);
+  return excess * asked.service_ms / places;
+}
+
 estimate estimate_of(const question& asked, const candidate& c) {
   const endpoint_table::record& known = asked.table.records()[c.slot];
   const load_report& report = known.load.last_report();
@@ -79,9 +103,9 @@
   const double room = known.load.room();
 
   estimate result;
-  if (room < 1.0 && places > 0.0)
-    result.queue_ms = (1.0 - room) * asked.service_ms / places;
-  result.queue_ms += known.load.unread_prompt() / rate * ms_per_s;
+  if (places > 0.0)
+    result.queue_ms = wait_for_place_ms(asked, known.load, room);
+  result.queue_ms += known.load.unread_before(asked.need.kind) / rate * ms_per_s;
   result.total_ms = result.queue_ms + unread / rate * ms_per_s;
   return result;
 }
@@ -91,9 +115,11 @@
   const choice_policy& policy = asked.table.policy();
   const double places = std::max(1.0, static_cast<double>(known.load.last_report().max_running));
   const double crowding = std::min(1.0, known.load.at_endpoint() / places);
-  // A replica that has lately been slower than expected is expected to be so again.
-  double score = expected.total_ms * std::max(1.0, known.health.slowness) +
-                 crowding * policy.crowding_ms + 2.0 * asked.table.distance_ms(known.data_centre);
+  // A replica that has lately been much slower than expected is expected to be so again; up to
+  // twice as slow is what unseen work of other hosts makes of any.
+  const double slower = std::max(1.0, slowness(known.health) - tolerated_slowness);
+  double score = expected.total_ms * slower + crowding * policy.crowding_ms +
+                 2.0 * asked.table.distance_ms(known.data_centre);
   if (std::ranges::find(asked.need.avoid, known.info.id) != asked.need.avoid.end())
     score += avoided_ms;
   // Two suspects on one endpoint that ends could not be told apart.
@@ -109,7 +135,7 @@
     const std::uint32_t slot = from.members[random.below(from.members.size())];
     if (!fits(asked, slot))
       continue;
-    found.add({slot, choice_reason::random, 0.0});
+    found.add({slot, choice_reason::random, 0.0, {}});
     ++drawn;
   }
 }
@@ -118,7 +144,12 @@
   for (const endpoint_index::bucket& bucket : group.buckets)
     for (const std::uint32_t slot : bucket.members)
       if (fits(asked, slot))
-        found.add({slot, choice_reason::random, 0.0});
+        found.add({slot, choice_reason::random, 0.0, {}});
+}
+
+// Certain up to half the usual life, impossible beyond one and a half.
+double still_cached(double lives) {
+  return std::clamp(1.5 - lives, 0.0, 1.0);
 }
 
 // Endpoints of which a prefix was seen; what was seen long ago is worth less.
@@ -131,9 +162,10 @@
     if (!known.active || !fits(asked, match.endpoint))
       continue;
     const double age_ms = static_cast<double>(match.age.count());
-    const double trust = match.confidence * std::exp(-age_ms / known.cache_life_ms);
-    found.add(
-        {match.endpoint, choice_reason::cached, trust * match.blocks * asked.tokens_per_block});
+    const double trust =
+        match.confidence * known.event_trust * still_cached(age_ms / known.cache_life_ms);
+    found.add({match.endpoint, choice_reason::cached, trust * match.blocks * asked.tokens_per_block,
+               match.age});
   }
 }
 
@@ -149,8 +181,10 @@
       continue;
     const std::uint32_t slot = local.home_of(asked.need.blocks[length - 1]);
     if (fits(asked, slot))
-      found.add({slot, choice_reason::home,
-                 asked.table.home_trust() * static_cast<double>(length) * asked.tokens_per_block});
+      found.add({slot,
+                 choice_reason::home,
+                 asked.table.home_trust() * static_cast<double>(length) * asked.tokens_per_block,
+                 {}});
   }
 }
 
@@ -160,7 +194,7 @@
   for (const endpoint_index::bucket& bucket : group.buckets) {
     const std::uint32_t slot = bucket.home_of(asked.need.suspect);
     if (fits(asked, slot))
-      found.add({slot, choice_reason::home, 0.0});
+      found.add({slot, choice_reason::home, 0.0, {}});
   }
 }
 
@@ -187,8 +221,8 @@
   }
 }
 
-question ask(const endpoint_table& table, const route_need& need) {
-  question asked{table, need};
+question ask(const endpoint_table& table, const route_need& need, time_ms now) {
+  question asked{table, need, 0, 0, 0.0, 0.0, now};
   if (!need.model.model.empty())
     asked.model = model_capability(need.model);
   if (!need.adapter.empty())
@@ -237,7 +271,8 @@
                         expected.total_ms + 2.0 * asked.table.distance_ms(known.data_centre),
                         expected.queue_ms,
                         static_cast<std::uint32_t>(c.cached_tokens),
-                        known.load.room() >= 1.0,
+                        c.cached_age,
+                        known.load.room(),
                         static_cast<std::uint32_t>(found.size())};
   }
   if (best && found.size() == 1)
@@ -250,7 +285,7 @@
 std::optional<route_choice> choose_endpoint(const endpoint_table& table, const route_need& need,
                                             const data_centre_id& here, random_source& random,
                                             time_ms now) {
-  const question asked = ask(table, need);
+  const question asked = ask(table, need, now);
   const std::uint64_t pool = stable_hash(need.pool.str());
   const std::uint64_t capability = asked.adapter != 0 ? asked.adapter : asked.model;
   for (const endpoint_index* const index : {&table.active(), &table.last_resort()}) {
@@ -264,8 +299,19 @@
   return std::nullopt;
 }
 
+// Chat finds a place at once only if some are left free, and reports are too old to say where. So
+// work that can wait leaves a few places at each endpoint, and goes on without them only once it
+// has waited: then the pool is full, and this host's credit says what it may take of it.
+bool may_start(const fair_queue& queue, const queue_head& head, const route_choice& choice,
+               const start_policy& policy) noexcept {
+  const auto kind = static_cast<std::size_t>(head.kind);
+  if (choice.room >= 1.0 + policy.places_left[kind])
+    return true;
+  return queue.within_credit() && head.waited >= policy.wait_for_place[kind];
+}
+
 bool may_start(const fair_queue& queue, const route_choice& choice) noexcept {
-  return queue.within_credit() || choice.has_room;
+  return queue.within_credit() || choice.room >= 1.0;
 }
 
 } // namespace sedgechute
--- a/src/routing/impl/choose_endpoint.hpp
+++ b/src/routing/impl/choose_endpoint.hpp
@@ -3,6 +3,7 @@
 #include "routing/impl/endpoint_table.hpp"
 #include "routing/impl/fair_queue.hpp"
 
+#include <array>
 #include <optional>
 
 namespace sedgechute {
@@ -17,8 +18,20 @@
                                                           const data_centre_id& here,
                                                           random_source& random, time_ms now);
 
-/// \returns whether the next request may go to the chosen endpoint now: within this host's part of
-/// the pool, or beyond it while places seem free that other hosts do not use
+/// \brief When a request that is next may go to the endpoint chosen for it.
+struct start_policy {
+  /// Places that each class leaves free at an endpoint for more urgent ones.
+  std::array<double, work_class_count> places_left{0.0, 2.0, 4.0};
+  /// After this wait a class takes any place within this host's credit.
+  std::array<time_ms, work_class_count> wait_for_place{time_ms{0}, time_ms{500}, time_ms{3000}};
+};
+
+/// \returns whether the next request may go to the chosen endpoint now: into a place believed to be
+/// free, whoever's it is, or else within this host's credit
+[[nodiscard]] bool may_start(const fair_queue& queue, const queue_head& head,
+                             const route_choice& choice, const start_policy& policy) noexcept;
+
+/// \brief The same without regard to classes, for pools that have only one.
 [[nodiscard]] bool may_start(const fair_queue& queue, const route_choice& choice) noexcept;
 
 } // namespace sedgechute
--- a/src/routing/impl/endpoint_health.cpp
+++ b/src/routing/impl/endpoint_health.cpp
@@ -9,7 +9,6 @@
 
 constexpr double gain = 0.2;
 constexpr double small_ms = 30.0; // keeps ratios of tiny times from looking large
-constexpr double most_ratio = 50.0;
 constexpr std::uint32_t most_doublings = 5;
 
 void moving_average(double& average, double value, std::uint32_t samples) {
@@ -37,25 +36,25 @@
 
 peer_medians medians_of(std::span<endpoint_health* const> pool, const health_policy& policy,
                         time_ms now) {
-  std::vector<double> slowness;
+  std::vector<double> ratios;
   std::vector<double> pace;
   std::vector<double> failures;
   for (const endpoint_health* const health : pool) {
     if (!judged(*health, policy, now))
       continue;
-    slowness.push_back(health->slowness);
+    ratios.push_back(slowness(*health));
     failures.push_back(health->failures);
     if (health->pace_ms > 0.0)
       pace.push_back(health->pace_ms);
   }
-  return {median(std::move(slowness), 1.0), median(std::move(pace), 0.0),
+  return {median(std::move(ratios), 1.0), median(std::move(pace), 0.0),
           median(std::move(failures), 0.0)};
 }
 
 // How far beyond what is tolerated the endpoint is; below 1 it may stay.
 double badness(const endpoint_health& health, const peer_medians& peers,
                const health_policy& policy) {
-  double worst = health.slowness / (std::max(1.0, peers.slowness) * policy.slow_ratio);
+  double worst = slowness(health) / (std::max(1.0, peers.slowness) * policy.slow_ratio);
   if (peers.pace_ms > 0.0)
     worst = std::max(worst, health.pace_ms / (peers.pace_ms * policy.slow_ratio));
   if (peers.failures < policy.failure_share / 2)
@@ -72,7 +71,8 @@
 void take_back(endpoint_health& health) {
   health.state = endpoint_state::serving;
   health.samples = 0;
-  health.slowness = 1.0;
+  health.observed_ms = 0.0;
+  health.expected_ms = 0.0;
   health.pace_ms = 0.0;
   health.failures = 0.0;
   health.failed_connects = 0;
@@ -80,10 +80,14 @@
 
 } // namespace
 
+double slowness(const endpoint_health& health) noexcept {
+  return (health.observed_ms + small_ms) / (health.expected_ms + small_ms);
+}
+
 void note_first_token(endpoint_health& health, double observed_ms, double expected_ms,
                       time_ms now) {
-  const double ratio = (observed_ms + small_ms) / (std::max(0.0, expected_ms) + small_ms);
-  moving_average(health.slowness, std::min(ratio, most_ratio), health.samples);
+  moving_average(health.observed_ms, observed_ms, health.samples);
+  moving_average(health.expected_ms, std::max(0.0, expected_ms), health.samples);
   health.last_sample = now;
 }
 
--- a/src/routing/impl/endpoint_health.hpp
+++ b/src/routing/impl/endpoint_health.hpp
@@ -38,7 +38,8 @@
 /// expected of it, so that long prompts do not make it look slow.
 struct endpoint_health {
   endpoint_state state{endpoint_state::serving};
-  double slowness{1.0}; ///< moving average of observed over expected time to the first token
+  double observed_ms{}; ///< moving average of the time to the first token
+  double expected_ms{}; ///< moving average of what was expected
   double pace_ms{};     ///< moving average between tokens; 0 when not known
   double failures{};    ///< moving average, 0..1
   std::uint32_t samples{};
@@ -48,6 +49,10 @@
   time_ms until; ///< end of `unreachable` or `ejected`
 };
 
+/// \returns observed over expected time to the first token. A ratio of averages, as short requests
+/// behind an unseen long one have single ratios of ten on any endpoint.
+[[nodiscard]] double slowness(const endpoint_health& health) noexcept;
+
 void note_first_token(endpoint_health& health, double observed_ms, double expected_ms, time_ms now);
 void note_pace(endpoint_health& health, double between_tokens_ms, time_ms now);
 void note_outcome(endpoint_health& health, bool failed, time_ms now);
--- a/src/routing/impl/endpoint_info.hpp
+++ b/src/routing/impl/endpoint_info.hpp
@@ -81,7 +81,8 @@
   double expected_wait_ms{};        ///< until the prompt is read and the first token comes
   double queue_ms{};                ///< the part of it that is spent waiting at the endpoint
   std::uint32_t predicted_cached{}; ///< prompt tokens expected to be cached
-  bool has_room{};                  ///< a place is believed to be free
+  time_ms cached_age;               ///< since that prefix was last known to be there
+  double room{};                    ///< places believed to be free there
   std::uint32_t considered{};       ///< how many endpoints were compared
 };
 
--- a/src/routing/impl/endpoint_table.cpp
+++ b/src/routing/impl/endpoint_table.cpp
@@ -1,7 +1,6 @@
 #include "routing/impl/endpoint_table.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace sedgechute {
 
@@ -9,11 +8,14 @@
 
 constexpr double service_gain = 0.05;
 constexpr double trust_gain = 0.1;
-constexpr double life_gain = 0.25;
-constexpr double life_growth = 1.05;
+constexpr double miss_gain = 0.3;
+constexpr double hit_gain = 0.3;
+constexpr double proved_factor = 1.5;
+constexpr double settled_age_ms = 2000.0;
 constexpr double least_life_ms = 1000.0;
 constexpr double most_life_ms = 3'600'000.0;
-constexpr double trust_per_missed_event = 0.995;
+constexpr double doubt_per_missed_event = 0.001;
+constexpr double most_doubt = 0.2;
 constexpr double proved = 1.0;   // confidence of the engine's own word
 constexpr double presumed = 0.9; // confidence of having sent the prompt there
 
@@ -33,6 +35,18 @@
   return all;
 }
 
+// An engine drops what was least recently used, so a prefix is there until a certain age, which
+// depends on the engine's memory and traffic. A miss bounds that age from above, a hit from below.
+// Misses of what was sent just now are left out: the first request's prompt was not yet read.
+void learn_cache_life(double& life_ms, double age_ms, bool missed) {
+  if (missed && age_ms > settled_age_ms && age_ms < life_ms)
+    life_ms += miss_gain * (age_ms - life_ms);
+  const double proved_ms = age_ms * proved_factor;
+  if (!missed && proved_ms > life_ms)
+    life_ms += hit_gain * (proved_ms - life_ms);
+  life_ms = std::clamp(life_ms, least_life_ms, most_life_ms);
+}
+
 } // namespace
 
 std::uint64_t model_capability(const model_version& model) {
@@ -202,14 +216,14 @@
     prefixes_.forget_one(block, *slot);
 }
 
-// Missed events may have been evictions, so what is believed to be cached is believed for less
-// long; hits seen later bring the belief back.
+// Missed events may have been evictions, so what is believed to be cached is believed a little
+// less, until hits prove it again.
 void endpoint_table::note_cache_gap(const endpoint_id& id, std::uint64_t missed) {
   record* const known = find(id);
   if (known == nullptr)
     return;
-  const double factor = std::pow(trust_per_missed_event, static_cast<double>(missed));
-  known->cache_life_ms = std::max(least_life_ms, known->cache_life_ms * std::max(0.5, factor));
+  const double doubt = std::min(most_doubt, static_cast<double>(missed) * doubt_per_missed_event);
+  known->event_trust = std::max(1.0 - most_doubt, known->event_trust - doubt);
 }
 
 route_attempt endpoint_table::start(const route_choice& choice, const route_need& need,
@@ -217,16 +231,19 @@
   record& known = records_[choice.slot];
   route_attempt attempt;
   attempt.slot = choice.slot;
+  attempt.kind = need.kind;
   attempt.life = known.life;
   attempt.unread = need.prompt_tokens - std::min(need.prompt_tokens, choice.predicted_cached);
   attempt.predicted_cached = choice.predicted_cached;
+  attempt.cached_age = choice.cached_age;
   attempt.expected_ms = choice.expected_wait_ms;
   attempt.reason = choice.reason;
   attempt.suspect = need.suspect != 0;
   attempt.started = now;
   known.suspects += attempt.suspect ? 1 : 0;
-  known.load.started(attempt.unread, now);
+  known.load.started(need.kind, attempt.unread, now);
   prefixes_.learn(need.blocks, choice.slot, presumed, now);
+  note_placed(need.blocks, known.info.id);
   return attempt;
 }
 
@@ -236,13 +253,11 @@
     return;
   attempt.prompt_read = true;
   attempt.first_token_at = now;
-  known->load.prompt_read(attempt.unread);
+  known->load.prompt_read(attempt.kind, attempt.unread);
   note_first_token(known->health, static_cast<double>((now - attempt.started).count()),
                    attempt.expected_ms, now);
 }
 
-// How long a prefix stays cached is learned from the misses: one that was believed present at age
-// `a` and was not bounds the life from above, one that was there lets it grow.
 void endpoint_table::learn_cache(record& known, const route_attempt& attempt,
                                  const route_need& need, std::uint32_t cached, time_ms now) {
   if (need.prompt_tokens == 0 || need.blocks.empty())
@@ -251,11 +266,11 @@
       std::min(1.0, static_cast<double>(cached) / static_cast<double>(need.prompt_tokens));
   if (attempt.reason == choice_reason::home)
     home_trust_ += trust_gain * (share - home_trust_);
-  if (attempt.predicted_cached > 0) {
+  if (attempt.reason == choice_reason::cached && attempt.predicted_cached > 0) {
     const bool missed = cached * 2 < attempt.predicted_cached;
-    known.cache_life_ms =
-        missed ? known.cache_life_ms * (1.0 - life_gain) : known.cache_life_ms * life_growth;
-    known.cache_life_ms = std::clamp(known.cache_life_ms, least_life_ms, most_life_ms);
+    learn_cache_life(known.cache_life_ms, static_cast<double>(attempt.cached_age.count()), missed);
+    if (!missed)
+      known.event_trust += trust_gain * (1.0 - known.event_trust);
   }
   prefixes_.learn(need.blocks, attempt.slot, proved, now);
 }
@@ -266,7 +281,7 @@
   if (known == nullptr)
     return;
   if (!attempt.prompt_read)
-    known->load.prompt_read(attempt.unread);
+    known->load.prompt_read(attempt.kind, attempt.unread);
   known->load.ended(now);
   if (attempt.suspect)
     --known->suspects;
@@ -299,6 +314,12 @@
     refresh(slots_.at(id));
 }
 
+void endpoint_table::unreachable(const endpoint_id& id, time_ms now) {
+  record* const known = find(id);
+  if (known != nullptr && note_connect_failure(known->health, health_, now))
+    refresh(slots_.at(id));
+}
+
 std::size_t endpoint_table::review(time_ms now) {
   absl::flat_hash_map<pool_id, std::vector<endpoint_health*>> pools;
   for (record& known : records_)
--- a/src/routing/impl/endpoint_table.hpp
+++ b/src/routing/impl/endpoint_table.hpp
@@ -5,6 +5,7 @@
 #include "routing/impl/endpoint_info.hpp"
 #include "routing/impl/load_estimate.hpp"
 #include "routing/impl/prefix_table.hpp"
+#include "routing/impl/use_report.hpp"
 
 #include <optional>
 
@@ -22,15 +23,19 @@
   double usual_service_ms{4000.0};      ///< duration of a request, until learned
   double usual_cache_life_ms{120000.0}; ///< until learned
   std::uint32_t most_tokens_per_block{512};
+  std::size_t most_places_told{256};
+  time_ms use_life{1500}; ///< after which another host's word on its use is too old
 };
 
 /// \brief One attempt of a request at an endpoint, kept by the caller until it ends.
 struct route_attempt {
   std::uint32_t slot{};
-  std::uint64_t life{};   ///< of the table's record; a removed endpoint's attempts are void
+  std::uint64_t life{}; ///< of the table's record; a removed endpoint's attempts are void
+  work_class kind{work_class::standard};
   std::uint32_t unread{}; ///< prompt tokens counted as waiting to be read
   bool prompt_read{};
   std::uint32_t predicted_cached{};
+  time_ms cached_age;
   double expected_ms{};
   choice_reason reason{choice_reason::random};
   bool suspect{};
@@ -73,7 +78,8 @@
     std::vector<std::uint64_t> capabilities;
     load_estimate load;
     endpoint_health health;
-    double cache_life_ms{};
+    double cache_life_ms{};   ///< usual age at which a prefix is dropped
+    double event_trust{1.0};  ///< lowered by missed cache events, raised by hits
     std::uint32_t suspects{}; ///< runs of suspected content that this host has there
     bool present{};
     bool active{}; ///< in the index of those that take new work
@@ -99,6 +105,14 @@
   /// \brief Events were missed: what was predicted of this endpoint is trusted less.
   void note_cache_gap(const endpoint_id& id, std::uint64_t missed);
 
+  /// \returns this host's own requests and what it has placed since the last call, for the others
+  [[nodiscard]] use_report own_use(const incarnation& self);
+  /// \brief Another host's word on its requests.
+  void apply_use(const use_report& report, time_ms now);
+  /// \brief Says which hosts send to these endpoints. Only while each has told of its use lately is
+  /// their word taken in place of the endpoints' reports. To be called about once a second.
+  void set_senders(std::span<const incarnation> others, time_ms now);
+
   [[nodiscard]] route_attempt start(const route_choice& choice, const route_need& need,
                                     time_ms now);
   void first_token(route_attempt& attempt, time_ms now);
@@ -107,6 +121,8 @@
 
   /// \brief A probe on a new connection, or a load report, worked.
   void reachable(const endpoint_id& id);
+  /// \brief A probe or the fetching of a load report found no connection.
+  void unreachable(const endpoint_id& id, time_ms now);
   /// \brief Ejects and takes back; to be called about once a second.
   /// \returns endpoints whose state changed
   std::size_t review(time_ms now);
@@ -139,6 +155,15 @@
     bool reachable{true};
   };
 
+  struct heard_use {
+    std::uint64_t sequence{};
+    time_ms at;
+    std::vector<std::pair<std::uint32_t, endpoint_use>> uses; ///< by slot
+  };
+
+  void note_placed(std::span<const std::uint64_t> blocks, const endpoint_id& endpoint);
+  void take_back_use(const heard_use& heard);
+  void update_view();
   [[nodiscard]] record* find(const endpoint_id& id);
   [[nodiscard]] record* record_of(const route_attempt& attempt);
   void refresh(std::uint32_t slot);
@@ -157,6 +182,11 @@
   absl::flat_hash_map<pool_id, double> service_ms_;
   double home_trust_{0.1};
   std::uint64_t lives_{};
+  std::uint64_t use_sequence_{};
+  std::vector<prefix_place> placed_; ///< not told to the other hosts yet
+  absl::flat_hash_map<incarnation, heard_use> heard_;
+  std::vector<incarnation> senders_;
+  bool senders_known_{};
 };
 
 /// \returns hash of a need or a loaded item, as the index keeps it
--- a/src/routing/impl/fair_queue.cpp
+++ b/src/routing/impl/fair_queue.cpp
@@ -143,13 +143,13 @@
   const std::uint32_t slot = slot_of(team);
   queued_work checked = work;
   checked.cost = std::max(work.cost, least_cost);
-  const admission answer = check(teams_[slot], checked, now);
+  team_state& state = teams_[slot];
+  state.arrived_cost += checked.cost;
+  const admission answer = check(state, checked, now);
   if (!answer.admitted)
     return answer;
-  team_state& state = teams_[slot];
   state.request_rate.take(1.0, now);
   state.cost_rate.take(checked.cost, now);
-  state.arrived_cost += checked.cost;
   insert(slot, checked, now, now);
   return answer;
 }
@@ -220,10 +220,14 @@
   const team_limits& limits = team.limits;
   const bool at_limit = limits.max_running > 0 && static_cast<double>(team.running) >=
                                                       part_of(limits.max_running, limits.fraction);
-  if (team.queued == 0 || at_limit)
-    ready_.remove(slot);
-  else
-    ready_.set(slot, team.finish);
+  bool has_work = false;
+  for (std::size_t c = 0; c < work_class_count; ++c) {
+    has_work = has_work || team.classes[c].waiting > 0;
+    if (has_work && !at_limit)
+      ready_[c].set(slot, team.finish);
+    else
+      ready_[c].remove(slot);
+  }
 }
 
 void fair_queue::drop_void(std::vector<entry>& heap) const {
@@ -233,9 +237,9 @@
 
 // The first class with work, unless a later one has been passed over for longer than its patience
 // and is owed at least the cost of its next request.
-std::size_t fair_queue::next_class(team_state& team, time_ms now) {
+std::size_t fair_queue::next_class(team_state& team, work_class last, time_ms now) {
   std::size_t first = work_class_count;
-  for (std::size_t c = 0; c < work_class_count; ++c) {
+  for (std::size_t c = 0; c <= static_cast<std::size_t>(last); ++c) {
     class_queue& queue = team.classes[c];
     if (queue.waiting == 0)
       continue;
@@ -251,12 +255,19 @@
   return first;
 }
 
-std::optional<std::uint64_t> fair_queue::peek(time_ms now) {
-  if (ready_.empty())
+std::optional<queue_head> fair_queue::head(time_ms now, work_class last) {
+  const slot_heap& ready = ready_[static_cast<std::size_t>(last)];
+  if (ready.empty())
     return std::nullopt;
-  team_state& team = teams_[ready_.top()];
-  const class_queue& queue = team.classes[next_class(team, now)];
-  return items_[queue.heap.front().item].work.ticket;
+  team_state& team = teams_[ready.top()];
+  const class_queue& queue = team.classes[next_class(team, last, now)];
+  const item& next = items_[queue.heap.front().item];
+  return queue_head{next.work.ticket, next.work.kind, now - next.arrived};
+}
+
+std::optional<std::uint64_t> fair_queue::peek(time_ms now) {
+  const auto next = head(now);
+  return next ? std::optional{next->ticket} : std::nullopt;
 }
 
 void fair_queue::pay_owed(team_state& team, std::size_t served, double cost) const noexcept {
@@ -269,12 +280,13 @@
   }
 }
 
-std::optional<work_grant> fair_queue::dequeue(time_ms now) {
-  if (ready_.empty())
+std::optional<work_grant> fair_queue::dequeue(time_ms now, work_class last) {
+  const slot_heap& ready = ready_[static_cast<std::size_t>(last)];
+  if (ready.empty())
     return std::nullopt;
-  const std::uint32_t slot = ready_.top();
+  const std::uint32_t slot = ready.top();
   team_state& team = teams_[slot];
-  const std::size_t kind = next_class(team, now);
+  const std::size_t kind = next_class(team, last, now);
   class_queue& queue = team.classes[kind];
   const std::uint32_t index = queue.heap.front().item;
   pop(queue.heap);
--- a/src/routing/impl/fair_queue.hpp
+++ b/src/routing/impl/fair_queue.hpp
@@ -51,11 +51,17 @@
   /// \brief Takes a request in, or says why not and when to come back.
   [[nodiscard]] admission enqueue(const team_id& team, const queued_work& work, time_ms now);
 
-  /// \returns the ticket that `dequeue` would start, if any may start
+  /// \param last  the least urgent class to consider
+  /// \returns the request that `dequeue` would start, if any may start
+  [[nodiscard]] std::optional<queue_head> head(time_ms now,
+                                               work_class last = work_class::long_running);
+
+  /// \returns the ticket of `head` among all classes
   [[nodiscard]] std::optional<std::uint64_t> peek(time_ms now);
 
   /// \brief Starts the next request; the team is charged its expected cost.
-  [[nodiscard]] std::optional<work_grant> dequeue(time_ms now);
+  [[nodiscard]] std::optional<work_grant> dequeue(time_ms now,
+                                                  work_class last = work_class::long_running);
 
   /// \brief Puts a started request back, first in its class, as if it had not been started.
   void put_back(const work_grant& grant, time_ms deadline, time_ms now);
@@ -91,7 +97,7 @@
     double queued_cost{};
     std::size_t running{};
     double started_cost{}; ///< since the start of the host, corrected by real costs
-    double arrived_cost{}; ///< admitted since the start of the host
+    double arrived_cost{}; ///< since the start of the host, what was refused included
   };
 
   /// \returns the teams that have work here or ever had
@@ -148,7 +154,7 @@
   void change_weight(team_state& team, double weight) noexcept;
   void drop_void(std::vector<entry>& heap) const;
   void compact_deadlines();
-  [[nodiscard]] std::size_t next_class(team_state& team, time_ms now);
+  [[nodiscard]] std::size_t next_class(team_state& team, work_class last, time_ms now);
   void pay_owed(team_state& team, std::size_t served, double cost) const noexcept;
   void note_service(double cost, time_ms now) noexcept;
 
@@ -159,7 +165,8 @@
   std::vector<std::uint32_t> free_items_;
   absl::flat_hash_map<std::uint64_t, std::uint32_t> tickets_;
   std::vector<entry> deadlines_;
-  slot_heap ready_;
+  /// By class: teams that may start work of this class or a more urgent one.
+  std::array<slot_heap, work_class_count> ready_;
   double virtual_time_{};
   double queued_weight_{};
   std::uint64_t sequence_{};
--- a/src/routing/impl/load_estimate.cpp
+++ b/src/routing/impl/load_estimate.cpp
@@ -18,8 +18,6 @@
     changes_.erase(changes_.begin(), changes_.begin() + most_changes / 2);
   changes_.push_back(latest);
   since_running_ += latest.delta;
-  if (latest.delta > 0)
-    since_prompt_ += latest.prompt_tokens;
 }
 
 void load_estimate::apply(const load_report& report, time_ms now) {
@@ -31,41 +29,67 @@
   taken_at_ = taken_at;
   std::erase_if(changes_, [taken_at](const change& c) { return c.at <= taken_at; });
   since_running_ = 0.0;
-  since_prompt_ = 0.0;
-  for (const change& c : changes_) {
+  for (const change& c : changes_)
     since_running_ += c.delta;
-    since_prompt_ += c.delta > 0 ? c.prompt_tokens : 0U;
-  }
 }
 
-void load_estimate::started(std::uint32_t prompt_tokens, time_ms now) {
+void load_estimate::started(work_class kind, std::uint32_t prompt_tokens, time_ms now) {
   ++own_running_;
-  own_unread_ += prompt_tokens;
+  own_unread_[static_cast<std::size_t>(kind)] += prompt_tokens;
   usual_prompt_ += prompt_gain * (prompt_tokens - usual_prompt_);
-  record({now, 1, prompt_tokens});
+  record({now, 1});
 }
 
-void load_estimate::prompt_read(std::uint32_t prompt_tokens) noexcept {
-  own_unread_ = std::max(0.0, own_unread_ - prompt_tokens);
+void load_estimate::prompt_read(work_class kind, std::uint32_t prompt_tokens) noexcept {
+  double& unread = own_unread_[static_cast<std::size_t>(kind)];
+  unread = std::max(0.0, unread - prompt_tokens);
 }
 
 void load_estimate::ended(time_ms now) {
   if (own_running_ > 0)
     --own_running_;
   if (own_running_ == 0)
-    own_unread_ = 0.0;
-  record({now, -1, 0});
+    own_unread_ = {};
+  record({now, -1});
+}
+
+void load_estimate::change_others(double running, const unread_by_class& unread,
+                                  double sign) noexcept {
+  others_running_ = std::max(0.0, others_running_ + sign * running);
+  for (std::size_t c = 0; c < work_class_count; ++c)
+    others_unread_[c] = std::max(0.0, others_unread_[c] + sign * unread[c]);
+}
+
+void load_estimate::set_view(bool all_heard, time_ms heard_at) noexcept {
+  all_heard_ = all_heard;
+  heard_at_ = heard_at;
 }
 
+// What the other hosts say of their own requests is fresher than the endpoint's report, but only
+// complete if all of them were heard.
 double load_estimate::at_endpoint() const noexcept {
+  const double told = own_running_ + others_running_;
+  if (all_heard_)
+    return told;
   const double reported = static_cast<double>(report_.running) + report_.waiting;
   return std::max(static_cast<double>(own_running_), reported + since_running_);
 }
 
-// This host knows exactly what it sent itself; of the others' only what waited at the report.
-double load_estimate::unread_prompt() const noexcept {
-  const double reported = report_.waiting * usual_prompt_;
-  return std::max(own_unread_, reported);
+// Without the others' word, what waited at the last report stands for their unread prompts.
+double load_estimate::unread_before(work_class kind) const noexcept {
+  double own = 0.0;
+  double others = 0.0;
+  for (std::size_t c = 0; c <= static_cast<std::size_t>(kind); ++c) {
+    own += own_unread_[c];
+    others += others_unread_[c];
+  }
+  if (all_heard_)
+    return own + others;
+  return std::max(own, report_.waiting * usual_prompt_);
+}
+
+time_ms load_estimate::staleness(time_ms now) const noexcept {
+  return now - (all_heard_ ? std::max(heard_at_, taken_at_) : taken_at_);
 }
 
 double load_estimate::room() const noexcept {
--- a/src/routing/impl/load_estimate.hpp
+++ b/src/routing/impl/load_estimate.hpp
@@ -2,39 +2,51 @@
 
 #include "routing/impl/endpoint_info.hpp"
 
+#include <array>
 #include <vector>
 
 namespace sedgechute {
 
+/// \brief Prompt tokens that wait to be read, by class: engines read the more urgent first.
+using unread_by_class = std::array<double, work_class_count>;
+
 /// \brief An endpoint's load as this host best knows it: its last report, corrected by what this
 /// host has started and ended there since the figures were taken.
 class load_estimate {
  public:
   void apply(const load_report& report, time_ms now);
 
-  void started(std::uint32_t prompt_tokens, time_ms now);
-  /// \brief The prompt has been read: `prompt_tokens` as given to `started`.
-  void prompt_read(std::uint32_t prompt_tokens) noexcept;
+  void started(work_class kind, std::uint32_t prompt_tokens, time_ms now);
+  /// \brief The prompt has been read: kind and tokens as given to `started`.
+  void prompt_read(work_class kind, std::uint32_t prompt_tokens) noexcept;
   void ended(time_ms now);
 
+  /// \brief Another host's requests there have changed, by its own word.
+  void change_others(double running, const unread_by_class& unread, double sign) noexcept;
+
+  /// \param all_heard  every host that sends to this endpoint has told of its use lately
+  void set_view(bool all_heard, time_ms heard_at) noexcept;
+
   /// \returns requests believed to be at the endpoint, running or waiting
   [[nodiscard]] double at_endpoint() const noexcept;
-  /// \returns prompt tokens believed to wait for being read
-  [[nodiscard]] double unread_prompt() const noexcept;
+  /// \returns prompt tokens believed to be read before those of a new request of this class
+  [[nodiscard]] double unread_before(work_class kind) const noexcept;
   /// \returns places believed to be free; negative when requests wait for one
   [[nodiscard]] double room() const noexcept;
+  /// \returns how old the knowledge of other hosts' requests is
+  [[nodiscard]] time_ms staleness(time_ms now) const noexcept;
 
   [[nodiscard]] const load_report& last_report() const noexcept { return report_; }
   [[nodiscard]] bool reported() const noexcept { return reported_; }
   [[nodiscard]] time_ms taken_at() const noexcept { return taken_at_; }
   [[nodiscard]] std::uint32_t own_running() const noexcept { return own_running_; }
+  [[nodiscard]] const unread_by_class& own_unread() const noexcept { return own_unread_; }
 
  private:
   /// One start (+1) or end (-1) by this host.
   struct change {
     time_ms at;
     std::int32_t delta{};
-    std::uint32_t prompt_tokens{};
   };
 
   void record(change latest);
@@ -43,9 +55,12 @@
   time_ms taken_at_;
   bool reported_{};
   std::uint32_t own_running_{};
-  double own_unread_{};
+  unread_by_class own_unread_{};
+  double others_running_{};
+  unread_by_class others_unread_{};
+  bool all_heard_{};
+  time_ms heard_at_;
   double since_running_{};
-  double since_prompt_{};
   double usual_prompt_{};
   std::vector<change> changes_;
 };
--- a/src/routing/impl/queued_work.hpp
+++ b/src/routing/impl/queued_work.hpp
@@ -12,6 +12,13 @@
   time_ms deadline; ///< latest useful start
 };
 
+/// \brief The request that would start next.
+struct queue_head {
+  std::uint64_t ticket{};
+  work_class kind{work_class::standard};
+  time_ms waited;
+};
+
 /// \brief A request that may go to an endpoint now. Keep it and hand it to `fair_queue::settle`.
 struct work_grant {
   std::uint64_t ticket{};
--- a/src/routing/impl/share_plan.cpp
+++ b/src/routing/impl/share_plan.cpp
@@ -9,6 +9,15 @@
 namespace {
 
 constexpr double least_demand = 1e-9;
+// Of an equal part: a team that has hardly asked here so far must not start from nothing.
+constexpr double least_part = 0.25;
+// Of a team's limits, divided equally over the hosts; the rest goes by demand, so all parts sum
+// to 1.
+constexpr double equal_part = 0.2;
+
+double hosts_of(const share_report& all) noexcept {
+  return std::max<std::uint32_t>(1, all.hosts);
+}
 
 void add(team_demand& sum, const team_demand& part) noexcept {
   sum.wanted += part.wanted;
@@ -112,14 +121,16 @@
     if (own == nullptr || all.wanted <= least_demand)
       continue;
     const double part = std::min(1.0, own->wanted / all.wanted);
+    const double equal = 1.0 / hosts_of(inputs.all);
     granted_here += c.granted * part;
     const double factor = short_of ? correction(c.granted, all.served, policy) : 1.0;
-    plan.teams.push_back({all.team, std::max(c.granted * part * factor, least_demand), part});
+    // A team that wants less than its share keeps the whole weight, so that it never waits.
+    plan.teams.push_back({all.team, c.weight * std::max(part, least_part * equal) * factor,
+                          (1.0 - equal_part) * part + equal_part * equal});
   }
-  const double part_here = granted_all <= least_demand
-                               ? 1.0 / std::max<std::uint32_t>(1, inputs.all.hosts)
-                               : granted_here / granted_all;
-  const double floors = policy.floor_slots * std::max<std::uint32_t>(1, inputs.all.hosts);
+  const double part_here =
+      granted_all <= least_demand ? 1.0 / hosts_of(inputs.all) : granted_here / granted_all;
+  const double floors = policy.floor_slots * hosts_of(inputs.all);
   plan.slots = policy.floor_slots + std::max(0.0, inputs.pool_slots - floors) * part_here;
   return plan;
 }
--- a/src/routing/impl/share_plan.hpp
+++ b/src/routing/impl/share_plan.hpp
@@ -53,6 +53,7 @@
   double most_feedback{2.0};
   std::size_t most_teams{64}; ///< named in a report
   time_ms horizon{2000};      ///< in which a backlog counts as demand
+  time_ms silence{3500};      ///< after which a host's last report counts no more
 };
 
 /// \brief What the plan is made from.
--- /dev/null
+++ b/src/routing/impl/share_table.cpp
@@ -0,0 +1,111 @@
+#include "routing/impl/share_table.hpp"
+
+#include <algorithm>
+
+namespace sedgechute {
+
+namespace {
+
+constexpr double ms_per_s = 1000.0;
+constexpr double smoothing = 0.25; // of the newest second in a team's usual figures
+constexpr double least_rate = 1e-3;
+
+} // namespace
+
+share_table::share_table(pool_id pool, incarnation self, share_policy policy)
+    : pool_{std::move(pool)}, self_{std::move(self)}, policy_{policy} {}
+
+share_report share_table::measure(const fair_queue& queue, time_ms now) {
+  const double elapsed_s =
+      std::max(0.001, static_cast<double>((now - measured_).count()) / ms_per_s);
+  const double horizon_s = static_cast<double>(policy_.horizon.count()) / ms_per_s;
+  share_report full;
+  full.pool = pool_;
+  weights_.clear();
+  for (const fair_queue::team_figures& team : queue.teams()) {
+    team_totals& last = totals_[team.team];
+    if (ever_measured_) {
+      const double arriving = (team.arrived_cost - last.arrived) / elapsed_s;
+      const double served = std::max(0.0, (team.started_cost - last.started) / elapsed_s);
+      const double wanted = arriving + team.queued_cost / horizon_s;
+      if (wanted > least_rate || served > least_rate)
+        full.teams.push_back({team.team, wanted, served});
+    }
+    last = {team.started_cost, team.arrived_cost};
+    weights_.push_back({team.team, team.weight});
+  }
+  measured_ = now;
+  ever_measured_ = true;
+  share_report report = merge_reports({&full, 1}, policy_.most_teams);
+  report.pool = pool_;
+  report.from = self_;
+  report.hosts = 1;
+  report.sequence = ++sequence_;
+  merge(report, now);
+  return report;
+}
+
+void share_table::merge(const share_report& report, time_ms now) {
+  if (report.pool != pool_)
+    return;
+  heard_report& known = heard_[report.from];
+  if (known.report.sequence >= report.sequence && known.report.sequence != 0)
+    return;
+  known = {report, now};
+}
+
+void share_table::forget_silent(time_ms now) {
+  absl::erase_if(heard_, [&](const auto& heard) {
+    return heard.first != self_ && now - heard.second.at > policy_.silence;
+  });
+}
+
+std::uint32_t share_table::hosts() const {
+  std::uint32_t sum = 0;
+  for (const auto& [from, heard] : heard_)
+    sum += heard.report.hosts;
+  return std::max<std::uint32_t>(1, sum);
+}
+
+// One second's service of a team is a handful of requests, so it is averaged before it is compared
+// with what the team should have had.
+share_inputs share_table::inputs(double pool_slots) {
+  std::vector<share_report> reports;
+  reports.reserve(heard_.size());
+  for (const auto& [from, heard] : heard_)
+    reports.push_back(heard.report);
+  share_inputs result;
+  result.pool_slots = pool_slots;
+  result.all = merge_reports(reports, policy_.most_teams);
+  const auto own = heard_.find(self_);
+  if (own != heard_.end())
+    result.own = own->second.report;
+
+  absl::flat_hash_map<team_id, smoothed> usual;
+  double rate = result.all.others.served;
+  for (team_demand& team : result.all.teams) {
+    const auto known = usual_.find(team.team);
+    smoothed next{team.wanted, team.served};
+    if (known != usual_.end()) {
+      next.wanted = known->second.wanted + smoothing * (team.wanted - known->second.wanted);
+      next.served = known->second.served + smoothing * (team.served - known->second.served);
+    }
+    usual[team.team] = next;
+    team.served = next.served;
+    rate += next.served;
+  }
+  usual_ = std::move(usual);
+  result.pool_rate = rate;
+  return result;
+}
+
+void share_table::apply_plan(fair_queue& queue, double pool_slots, time_ms now) {
+  forget_silent(now);
+  const share_inputs current = inputs(pool_slots);
+  const share_plan plan = plan_shares(current, weights_, policy_);
+  queue.set_credit(plan.slots);
+  for (const team_share& share : plan.teams)
+    queue.set_share(share.team, share.weight, share.fraction, now);
+}
+
+} // namespace sedgechute
--- a/src/routing/impl/work_class.hpp
+++ b/src/routing/impl/work_class.hpp
@@ -24,6 +24,12 @@
   return priority <= last_standard ? work_class::standard : work_class::long_running;
 }
 
+/// \returns the next more urgent class
+/// \pre not interactive
+[[nodiscard]] constexpr work_class more_urgent(work_class kind) noexcept {
+  return static_cast<work_class>(static_cast<int>(kind) - 1);
+}
+
 template <>
 struct enum_names<work_class> {
   static constexpr auto entries =
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -16,10 +16,16 @@
 /// Whenever a request came in, one ended, or a report arrived:
 /// ```cpp
 /// for (ticket : queue.expire(now)) refuse(ticket, error_kind::deadline_unreachable);
-/// while (const auto ticket = queue.peek(now)) {
-///   const auto choice = choose_endpoint(table, need_of(*ticket), here, random, now);
-///   if (!choice || !may_start(queue, *choice)) break; // try again at the next event or in 20 ms
-///   const work_grant grant = *queue.dequeue(now);
+/// work_class last = work_class::long_running;
+/// while (const auto head = queue.head(now, last)) {
+///   const auto choice = choose_endpoint(table, need_of(head->ticket), here, random, now);
+///   if (!choice) break;                   // nothing can take it; try again at the next event
+///   if (!may_start(queue, *head, *choice, policy)) {
+///     if (head->kind == work_class::interactive) break;
+///     last = more_urgent(head->kind);     // what can wait does not hold up what cannot
+///     continue;
+///   }
+///   const work_grant grant = *queue.dequeue(now, last);
 ///   route_attempt attempt = table.start(*choice, need, now);
 ///   send(grant, attempt, choice->endpoint);
 /// }
@@ -30,10 +36,14 @@
 /// `suspects.note_survived(content, ran_for, true, now)`; after failure `decide_retry(...)`, and if
 /// the endpoint ended, `suspects.note_death(endpoint, life, runs_on_it, now)`.
 ///
-/// Once a second: `table.review(now)`, `suspects.expire(now)`, and per pool a `share_report` to the
-/// other hosts; from the sum of theirs `plan_shares` gives what to hand to `queue.set_credit` and
-/// `queue.set_share`. `suspects.take_news()` goes to all hosts as soon as it is not empty. Both
-/// travel as a `routing_message`.
+/// Once a second: `table.review(now)`, `suspects.expire(now)`, and per pool
+/// `shares.measure(queue, now)` to the other hosts, whose reports go to `shares.merge(report,
+/// now)`, then `shares.apply_plan(queue, table.load_of(pool).places, now)`, and
+/// `table.set_senders(hosts)` with the other hosts that feed the pools. Where these are few (up to
+/// about 16), `table.own_use` goes to them every 100 ms and theirs to `table.apply_use`: load
+/// reports are seconds old, and without the others' own word two hosts choose the same free place.
+/// `suspects.take_news()` goes to all hosts as soon as it is not empty. All travel as a
+/// `routing_message`.
 ///
 /// Orders to engines: `pool_claims` replays `pool_claim` records; when `due_claim` gives one,
 /// append it. The host whose `epoch_of` is not 0 hands it to its `order_planner` by `set_epoch`,
@@ -56,8 +66,10 @@
 #include "routing/impl/retry_policy.hpp"
 #include "routing/impl/routing_message.hpp"
 #include "routing/impl/share_plan.hpp"
+#include "routing/impl/share_table.hpp"
 #include "routing/impl/slot_heap.hpp"
 #include "routing/impl/stall_policy.hpp"
 #include "routing/impl/team_limits.hpp"
 #include "routing/impl/token_bucket.hpp"
+#include "routing/impl/use_report.hpp"
 #include "routing/impl/work_class.hpp"
--- a/src/wire/impl/routing_codec.cpp
+++ b/src/wire/impl/routing_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <unordered_map>
 
 namespace sedgechute {
 
@@ -118,6 +119,69 @@
   return out;
 }
 
+/// Places of endpoints in a message's list of names, each named once.
+class name_list {
+ public:
+  explicit name_list(wire::use_report& out) : out_{out} {}
+
+  std::uint32_t place_of(const endpoint_id& name) {
+    const auto [found, added] =
+        places_.try_emplace(name, static_cast<std::uint32_t>(places_.size()));
+    if (added)
+      out_.add_endpoints(name.str());
+    return found->second;
+  }
+
+ private:
+  wire::use_report& out_;
+  std::unordered_map<endpoint_id, std::uint32_t> places_;
+};
+
+void to_wire(const use_report& report, wire::use_report& out) {
+  out.set_host(report.from.host.str());
+  out.set_number(report.from.number);
+  out.set_sequence(report.sequence);
+  name_list names{out};
+  for (const endpoint_use& use : report.uses) {
+    wire::endpoint_use& added = *out.add_uses();
+    added.set_endpoint(names.place_of(use.endpoint));
+    added.set_running(use.running);
+    for (const double unread : use.unread)
+      added.add_unread(static_cast<std::uint32_t>(unread));
+  }
+  for (const prefix_place& place : report.places) {
+    wire::prefix_place& added = *out.add_places();
+    added.set_block(place.block);
+    added.set_endpoint(names.place_of(place.endpoint));
+  }
+}
+
+endpoint_id named(const wire::use_report& report, std::uint32_t place) {
+  if (place >= static_cast<std::uint32_t>(report.endpoints_size()))
+    reject("use.endpoint", "beyond the list of names");
+  return endpoint_id{checked_name(report.endpoints(static_cast<int>(place)), "use.endpoints")};
+}
+
+use_report from_wire(const wire::use_report& report) {
+  check_count(report.endpoints_size(), max_endpoints_in_use, "use.endpoints");
+  check_count(report.uses_size(), max_endpoints_in_use, "use.uses");
+  check_count(report.places_size(), max_prefix_places, "use.places");
+  use_report out;
+  out.from = {host_id{checked_name(report.host(), "use.host")}, report.number()};
+  out.sequence = report.sequence();
+  for (const wire::endpoint_use& use : report.uses()) {
+    if (use.unread_size() > static_cast<int>(work_class_count))
+      reject("use.unread", "more classes than there are");
+    endpoint_use added{named(report, use.endpoint()), use.running(), {}};
+    for (int i = 0; i < use.unread_size(); ++i)
+      added.unread[static_cast<std::size_t>(i)] = use.unread(i);
+    out.uses.push_back(std::move(added));
+  }
+  for (const wire::prefix_place& place : report.places())
+    out.places.push_back({place.block(), named(report, place.endpoint())});
+  return out;
+}
+
 } // namespace
 
 wire::routing_message to_wire(const routing_message& message) {
@@ -125,6 +189,8 @@
   for (const share_report& report : message.shares)
     to_wire(report, *out.add_shares());
   to_wire(message.news, out);
+  if (message.use)
+    to_wire(*message.use, *out.mutable_use());
   return out;
 }
 
@@ -144,6 +210,8 @@
     out.news.acquittals.push_back({cleared.content(), checked_span(cleared.age_ms(), "age_ms")});
   for (const wire::quarantine_record& record : message.records())
     out.news.records.push_back(from_wire(record));
+  if (message.has_use())
+    out.use = from_wire(message.use());
   return out;
 }
 
--- a/src/wire/impl/routing_codec.hpp
+++ b/src/wire/impl/routing_codec.hpp
@@ -10,6 +10,8 @@
 inline constexpr int max_share_reports = 64;
 inline constexpr int max_teams_in_report = 256;
 inline constexpr int max_quarantine_items = 1024;
+inline constexpr int max_endpoints_in_use = 4096;
+inline constexpr int max_prefix_places = 1024;
 
 [[nodiscard]] wire::routing_message to_wire(const routing_message& message);
 
--- a/tests/routing/choose_endpoint_test.cpp
+++ b/tests/routing/choose_endpoint_test.cpp
@@ -85,8 +85,8 @@
 
   TEST_CASE("a report takes the place of what was sent before it was made, not after") {
     load_estimate load;
-    load.started(100, 100_ms);
-    load.started(100, 900_ms);
+    load.started(work_class::interactive, 100, 100_ms);
+    load.started(work_class::interactive, 100, 900_ms);
     load_report report = idle_report();
     report.running = 5;
     report.age = 500_ms;
@@ -227,6 +227,45 @@
       CHECK(f.table.records()[f.choose(plain(), 1_s)->slot].info.data_centre == here);
   }
 
+  TEST_CASE("what other hosts say of their requests counts at once, while all of them are heard") {
+    // Chat waits behind another host's long prompt: the replica's own report, two seconds old,
+    // shows it idle, and so do both hosts' own books.
+    fleet f{2};
+    const incarnation other{host_id{"b"}, 1};
+    const incarnation silent{host_id{"c"}, 1};
+    use_report use{other, 1, {{name(0), 31, {40000.0, 0.0, 0.0}}}, {}};
+    f.table.apply_use(use, 1_s);
+    f.table.set_senders(std::vector{other}, 1_s);
+    for (int i = 0; i < 50; ++i)
+      CHECK(f.choose(plain(), 1_s)->endpoint == name(1));
+    // An older word that comes late changes nothing; a newer one replaces it.
+    f.table.apply_use({other, 1, {}, {}}, 1_s);
+    CHECK(f.choose(plain(), 1_s)->endpoint == name(1));
+    f.table.apply_use({other, 2, {{name(1), 31, {40000.0, 0.0, 0.0}}}, {}}, 1_s);
+    CHECK(f.choose(plain(), 1_s)->endpoint == name(0));
+    // With one host unheard the sum would be too small, so the reports count again.
+    f.table.set_senders(std::vector{other, silent}, 1_s);
+    f.report(0, 31, 1_s);
+    f.report(1, 1, 1_s);
+    CHECK(f.choose(plain(), 1_s)->endpoint == name(1));
+  }
+
+  TEST_CASE("a conversation's next turn finds its prefix although another host sent the last one") {
+    fleet a{20};
+    fleet b{20};
+    const auto turns = blocks(9, 12);
+    route_need need = plain(2000);
+    need.blocks = std::span{turns}.first(8);
+    const auto first = a.choose(need, time_ms{0});
+    (void)a.table.start(*first, need, time_ms{0});
+    b.table.apply_use(a.table.own_use({host_id{"a"}, 1}), 50_ms);
+    need.blocks = turns;
+    need.prompt_tokens = 3000;
+    const auto next = b.choose(need, 5_s);
+    CHECK(next->endpoint == first->endpoint);
+    CHECK(next->reason == choice_reason::cached);
+  }
+
   TEST_CASE("suspects are spread so that no two share an endpoint while there is room") {
     fleet f{16};
     std::set<std::uint32_t> used;
--- a/tests/routing/endpoint_health_test.cpp
+++ b/tests/routing/endpoint_health_test.cpp
@@ -78,7 +78,7 @@
       for (const endpoint_health& out : p.members)
         for (const endpoint_health& in : p.members)
           if (out.state == endpoint_state::ejected && in.state == endpoint_state::serving)
-            RC_ASSERT(out.slowness >= in.slowness);
+            RC_ASSERT(slowness(out) >= slowness(in));
     }));
   }
 
--- a/tests/routing/fair_queue_test.cpp
+++ b/tests/routing/fair_queue_test.cpp
@@ -251,11 +251,11 @@
           if (queue.enqueue(team, added, now).admitted)
             waiting.insert(ticket);
         } else if (step == 2) {
-          const auto next = queue.peek(now);
+          const auto next = queue.head(now);
           const auto grant = queue.dequeue(now);
           RC_ASSERT(grant.has_value() == !waiting.empty());
           if (grant) {
-            RC_ASSERT(next == grant->ticket);
+            RC_ASSERT(next->ticket == grant->ticket);
             RC_ASSERT(waiting.erase(grant->ticket) == 1);
             running.push_back(*grant);
           }
--- a/tests/routing/share_plan_test.cpp
+++ b/tests/routing/share_plan_test.cpp
@@ -76,9 +76,15 @@
     const share_report of_groups = merge_reports(groups, 64);
     CHECK(of_groups.hosts == sum.hosts);
     CHECK(of_groups.teams[0].wanted == sum.teams[0].wanted);
-    const share_plan plan = plan_of(reports, 1, 10.0, 1000.0);
-    // South gets the 900 that north leaves, a share of 900/9900 of it here.
-    CHECK(plan.teams[0].fraction == doctest::Approx(900.0 / 9900.0));
+    const share_plan first = plan_of(reports, 0, 10.0, 1000.0);
+    const share_plan second = plan_of(reports, 1, 10.0, 1000.0);
+    // South gets the 900 that north leaves, 900/9900 of it on the second host.
+    const double of_slots = (1000.0 - 100.0) * 900.0 / 9900.0 / 1000.0;
+    CHECK(second.slots == doctest::Approx(1.0 + 8.0 * of_slots));
+    // The parts of a limit sum to the limit.
+    CHECK(first.teams.back().team == south);
+    CHECK(first.teams.back().fraction + second.teams[0].fraction == doctest::Approx(1.0));
+    CHECK(first.teams.back().fraction > 4 * second.teams[0].fraction);
   }
 
   TEST_CASE("a report names a bounded number of teams and loses no demand") {
--- a/tests/routing/wire_test.cpp
+++ b/tests/routing/wire_test.cpp
@@ -20,6 +20,11 @@
   message.news.deaths.push_back({42, endpoint_id{"lm-1"}, 3, 800_ms, 20_ms});
   message.news.acquittals.push_back({43, 1_s});
   message.news.records.push_back({44, 2, true, 3600_s, {endpoint_id{"lm-1"}, endpoint_id{"lm-2"}}});
+  use_report& use = message.use.emplace();
+  use.from = {host_id{"hf-a-1"}, 77};
+  use.sequence = 5;
+  use.uses.push_back({endpoint_id{"lm-1"}, 3, {100.0, 0.0, 2000.0}});
+  use.places = {{0xabcdef, endpoint_id{"lm-2"}}, {0x123, endpoint_id{"lm-1"}}};
   return message;
 }
 
@@ -42,6 +47,11 @@
     CHECK(back.news.acquittals.at(0).age == 1_s);
     CHECK(back.news.records.at(0).lifted);
     CHECK(back.news.records.at(0).endpoints.size() == 2);
+    CHECK(back.use->sequence == 5);
+    CHECK(back.use->uses.at(0).endpoint == endpoint_id{"lm-1"});
+    CHECK(back.use->uses.at(0).unread == unread_by_class{100.0, 0.0, 2000.0});
+    CHECK(back.use->places.at(0).endpoint == endpoint_id{"lm-2"});
+    CHECK(back.use->places.at(1).block == 0x123);
 
     const pool_claim claim{pool_id{"lm"}, {host_id{"hf-a-1"}, 5}, 17};
     const pool_claim claim_back = from_wire(to_wire(claim));
@@ -61,6 +71,8 @@
     rejected([](auto& m) {
       m.mutable_shares(0)->set_others_wanted(std::numeric_limits<float>::quiet_NaN());
     });
+    rejected([](auto& m) { m.mutable_use()->mutable_uses(0)->set_endpoint(9); });
+    rejected([](auto& m) { m.mutable_use()->mutable_uses(0)->add_unread(1); });
     rejected([](auto& m) { m.mutable_deaths(0)->set_age_ms(~std::uint64_t{0}); });
     rejected([](auto& m) {
       for (int i = 0; i <= max_quarantine_items; ++i)
