--- a/fuzz/fuzz_documents.cpp
+++ b/fuzz/fuzz_documents.cpp
@@ -28,6 +28,8 @@
 
 } // namespace
 
+// The fuzzer calls it by this name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   const std::string_view text{reinterpret_cast<const char*>(data), size};
   check_kind(host_settings_table(), text);
--- a/fuzz/fuzz_records.cpp
+++ b/fuzz/fuzz_records.cpp
@@ -33,6 +33,8 @@
 
 } // namespace
 
+// The fuzzer calls it by this name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   const std::string bytes{reinterpret_cast<const char*>(data), size};
   try_message<wire::document_record>(bytes, [](const wire::document_record& message) {
