--- a/src/claims/impl/answer_store.hpp
+++ b/src/claims/impl/answer_store.hpp
@@ -2,11 +2,10 @@
 
 #include "claims/impl/claim.hpp"
 
-#include "absl/container/node_hash_map.h"
-
 #include <list>
 #include <map>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace sedgechute {
@@ -20,6 +19,7 @@
   int status{};             ///< HTTP status, once complete
   std::string content_type;
   std::string body;
+  std::uint32_t run_attempt{}; ///< attempt under which the endpoint knows the run
 
   bool operator==(const retained_answer&) const = default;
 };
@@ -60,7 +60,7 @@
   std::size_t largest_;
   std::size_t used_{0};
   std::size_t evicted_{0};
-  absl::node_hash_map<claim_id, entry> entries_;
+  std::unordered_map<claim_id, entry, claim_id_hash> entries_;
   std::map<team_id, team_share> teams_;
   std::set<std::pair<std::size_t, team_id>> by_use_;
 };
--- a/src/claims/impl/claim.hpp
+++ b/src/claims/impl/claim.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace sedgechute {
 
@@ -13,9 +14,12 @@
   std::string key;
 
   auto operator<=>(const claim_id&) const = default;
-  template <typename H>
-  friend H AbslHashValue(H state, const claim_id& id) { // NOLINT(readability-identifier-naming)
-    return H::combine(std::move(state), id.team, id.key);
+};
+
+/// \brief A hash that is the same in every process, so that a seed replays a run exactly.
+struct claim_id_hash {
+  [[nodiscard]] std::size_t operator()(const claim_id& id) const noexcept {
+    return mix_hash(stable_hash(id.team.str()), stable_hash(id.key));
   }
 };
 
@@ -32,15 +36,25 @@
   incarnation resume_from; ///< peer of the attempt before this one
   request_state state{request_state::claimed};
   bool may_have_run{}; ///< an earlier attempt may have been dispatched
+  /// Hosts of earlier attempts that had not ended: they may be paused and dispatch at any time.
+  std::vector<incarnation> unfinished;
 
   bool operator==(const claim&) const = default;
 };
 
+/// \brief Most earlier attempts of one key that had not ended; no further one is granted then.
+inline constexpr std::size_t max_unfinished = 8;
+
 /// \returns whether both are about the same attempt of the same entry host
 [[nodiscard]] inline bool same_attempt(const claim& a, const claim& b) {
   return a.attempt == b.attempt && a.ticket == b.ticket && a.entry == b.entry;
 }
 
+/// \returns whether both are about the same ticket of the same entry host
+[[nodiscard]] inline bool same_request(const claim& a, const claim& b) {
+  return a.ticket == b.ticket && a.entry == b.entry && a.id == b.id;
+}
+
 /// \brief A host that is not known to be dead.
 struct live_host {
   incarnation who;
--- a/src/claims/impl/claim_decision.hpp
+++ b/src/claims/impl/claim_decision.hpp
@@ -21,10 +21,11 @@
 struct proceed_decision {
   std::uint64_t epoch{};
   std::uint32_t attempt{};
-  bool may_have_run{};      ///< an earlier attempt may have run: no refusal may say `not run`
-  bool resume_only{};       ///< take up the engine's stream; never start the request anew
-  endpoint_id endpoint;     ///< of an earlier attempt, empty if not known
-  std::uint64_t position{}; ///< tokens that the earlier attempt passed on
+  bool may_have_run{};         ///< an earlier attempt may have run: no refusal may say `not run`
+  bool resume_only{};          ///< take up the engine's stream; never start the request anew
+  endpoint_id endpoint;        ///< of an earlier attempt, empty if not known
+  std::uint64_t position{};    ///< tokens that the earlier attempt passed on
+  std::uint32_t run_attempt{}; ///< attempt under which that endpoint knows the run
 
   bool operator==(const proceed_decision&) const = default;
 };
@@ -53,6 +54,8 @@
 struct claim_decision {
   std::uint64_t ticket{};
   std::variant<proceed_decision, join_decision, retained_decision, refuse_decision> body;
+
+  bool operator==(const claim_decision&) const = default;
 };
 
 /// \brief How a key stands, as far as this host knows without asking.
--- a/src/claims/impl/claim_entry.cpp
+++ b/src/claims/impl/claim_entry.cpp
@@ -5,47 +5,37 @@
 
 namespace sedgechute {
 
-namespace {
-
-// How long a given-up ticket is remembered after its report was acknowledged. A grant that arrives
-// later than this leaves the key claimed by an attempt that never runs: retries are then told
-// `outcome unknown`, which is safe.
-constexpr time_ms late_grant_window{60000};
-constexpr time_ms longest_report_wait{16000};
-
-} // namespace
-
 claim_entry::claim_entry(incarnation self, data_centre_id data_centre,
                          const claims_options& options, const shard_map& shards,
                          const host_list& hosts, std::vector<addressed_claims_message>& output,
                          std::vector<claim_decision>& decisions)
     : self_{std::move(self)}, data_centre_{std::move(data_centre)}, options_{options},
-      shards_{&shards}, hosts_{&hosts}, output_{&output},
-      decisions_{&decisions}, answers_{options.answer_bytes, options.max_answer_bytes} {}
+      shards_{&shards}, hosts_{&hosts}, output_{&output}, decisions_{&decisions},
+      answers_{options.answer_bytes, options.max_answer_bytes}, reporter_{options, shards,
+                                                                          hosts,   answers_,
+                                                                          output,  decisions} {}
 
 std::uint64_t claim_entry::begin(time_ms now, const claimed_request& wanted, bool look_up) {
   const std::uint64_t ticket = ++last_ticket_;
+  const claim_id id{wanted.team, wanted.key};
+  if (const claim* local = running(id)) {
+    const bool reused = !look_up && local->fingerprint != wanted.fingerprint;
+    if (reused)
+      decisions_->push_back({ticket, refuse_decision{error_kind::key_reused}});
+    else
+      decisions_->push_back({ticket, join_decision{self_}});
+    return ticket;
+  }
   open_request& request = open_[ticket];
-  request.subject.id = {wanted.team, wanted.key};
+  request.subject.id = id;
   request.subject.fingerprint = wanted.fingerprint;
   request.subject.idempotent = wanted.idempotent;
   request.subject.entry = self_;
   request.subject.ticket = ticket;
-  request.subject.peer = choose_peer(request.subject.id);
-  request.shard = shard_of(request.subject.id, options_);
+  request.subject.peer = choose_peer(id);
+  request.shard = shard_of(id, options_);
   request.fresh = wanted.fresh;
   request.look_up = look_up;
-
-  const claim* local = running(request.subject.id);
-  if (local != nullptr) {
-    const bool reused = !look_up && local->fingerprint != wanted.fingerprint;
-    if (reused)
-      refuse(request, error_kind::key_reused);
-    else
-      decide(request, {ticket, join_decision{self_}});
-    open_.erase(ticket);
-    return ticket;
-  }
   request.deadline = now + options_.begin_timeout;
   ask(now, request);
   schedule(ticket);
@@ -62,37 +52,28 @@
 
 void claim_entry::on_reply(time_ms now, const claim_reply& reply) {
   open_request* request = find(reply.ticket);
-  if (request == nullptr)
+  const bool granted = reply.verdict == claim_verdict::granted;
+  if (request == nullptr && granted)
+    reporter_.on_late_grant(now, reply.current);
+  if (request == nullptr || request->step != phase::asking)
     return;
-  if (reply.verdict == claim_verdict::granted)
+  if (granted)
     on_granted(now, *request, reply);
-  else if (request->step == phase::asking)
+  else
     on_verdict(now, *request, reply);
   schedule(reply.ticket);
 }
 
 void claim_entry::on_granted(time_ms now, open_request& request, const claim_reply& reply) {
-  const claim& granted = reply.current;
-  if (granted.ticket != request.subject.ticket || granted.entry != self_)
-    return;
-  if (request.step == phase::asking) {
-    request.subject = granted;
-    request.epoch = reply.epoch;
-    request.granted = true;
-    if (granted.may_have_run && !granted.resume_from.host.empty())
-      fetch(now, request, {granted.resume_from});
-    else
-      start_running(now, request);
+  if (!same_request(request.subject, reply.current))
     return;
-  }
-  // The caller was refused before this grant arrived. The attempt will never be dispatched here,
-  // and the holder must learn it, or the key would stay claimed.
-  if (request.step == phase::reporting && !request.granted) {
-    request.subject = granted;
-    request.subject.state = request_state::refused;
-    request.granted = true;
-    report(now, request);
-  }
+  request.subject = reply.current;
+  request.epoch = reply.epoch;
+  request.granted = true;
+  if (request.subject.may_have_run && !request.subject.resume_from.host.empty())
+    fetch(now, request, {request.subject.resume_from});
+  else
+    start_running(now, request);
 }
 
 void claim_entry::on_verdict(time_ms now, open_request& request, const claim_reply& reply) {
@@ -101,8 +82,8 @@
     // A claim of this host that does not run here is about to start or to be given up.
     if (reply.current.entry == self_ && running(request.subject.id) == nullptr)
       return;
-    decide(request, {request.subject.ticket, join_decision{reply.current.entry}});
-    linger(now, request);
+    decisions_->push_back({request.subject.ticket, join_decision{reply.current.entry}});
+    end_ungranted(now, request, false);
     return;
   case claim_verdict::answered:
     fetch(now, request, {reply.current.entry, reply.current.peer});
@@ -131,10 +112,9 @@
   request.unheard.clear();
   if (const retained_answer* own = answers_.find(request.subject.id))
     request.position = *own;
-  if (!request.position.complete)
-    for (const incarnation& host : from)
-      if (host != self_ && hosts_->is_live(host))
-        request.unheard.push_back(host);
+  for (const incarnation& host : from)
+    if (!request.position.complete && host != self_ && hosts_->is_live(host))
+      request.unheard.push_back(host);
   if (request.unheard.empty()) {
     conclude_fetch(now, request);
     return;
@@ -168,11 +148,11 @@
 void claim_entry::conclude_fetch(time_ms now, open_request& request) {
   if (request.position.complete) {
     answers_.put(request.subject.id, request.position);
-    decide(request, {request.subject.ticket, retained_decision{request.position}});
+    decisions_->push_back({request.subject.ticket, retained_decision{request.position}});
     if (request.granted)
       end(now, request, request_state::answered);
     else
-      linger(now, request);
+      end_ungranted(now, request, false);
     return;
   }
   if (request.granted) {
@@ -191,7 +171,8 @@
 }
 
 void claim_entry::start_running(time_ms now, open_request& request) {
-  const bool resume_only = request.subject.may_have_run && !request.subject.idempotent;
+  const claim& subject = request.subject;
+  const bool resume_only = subject.may_have_run && !subject.idempotent;
   if (resume_only && request.position.endpoint.empty()) {
     refuse(request, error_kind::outcome_unknown);
     end(now, request, request_state::abandoned);
@@ -199,46 +180,49 @@
   }
   request.step = phase::running;
   request.next_copy = now;
-  running_[request.subject.id] = request.subject.ticket;
-  decide(request,
-         {request.subject.ticket,
-          proceed_decision{request.epoch, request.subject.attempt, request.subject.may_have_run,
-                           resume_only, request.position.endpoint, request.position.position}});
+  running_[subject.id] = subject.ticket;
+  // The earlier attempt's place goes to this attempt's peer at once, so that it survives this host
+  // too.
+  request.position.attempt = subject.attempt;
+  if (!request.position.endpoint.empty() && !subject.peer.host.empty())
+    send(subject.peer, replica_put{subject.ticket, subject.id, request.position});
+  decisions_->push_back(
+      {subject.ticket, proceed_decision{request.epoch, subject.attempt, subject.may_have_run,
+                                        resume_only, request.position.endpoint,
+                                        request.position.position, request.position.run_attempt}});
 }
 
 void claim_entry::progress(time_ms now, std::uint64_t ticket, const endpoint_id& endpoint,
-                           std::uint64_t position) {
-  open_request* request = find(ticket);
-  if (request == nullptr || request->step != phase::running)
+                           std::uint64_t position, std::uint32_t run_attempt) {
+  open_request* request = find_running(ticket);
+  if (request == nullptr)
     return;
-  request->subject.state = request_state::dispatched;
-  request->position.attempt = request->subject.attempt;
+  claim& subject = request->subject;
+  subject.state = request_state::dispatched;
+  request->position.attempt = subject.attempt;
+  request->position.run_attempt = run_attempt == 0 ? subject.attempt : run_attempt;
   request->position.endpoint = endpoint;
   request->position.position = position;
-  if (now < request->next_copy)
+  if (now < request->next_copy || subject.peer.host.empty())
     return;
   request->next_copy = now + options_.report_interval;
-  copy_to_peer(*request, request->position);
+  send(subject.peer, replica_put{ticket, subject.id, request->position});
 }
 
 void claim_entry::finish_answered(time_ms now, std::uint64_t ticket, retained_answer answer) {
-  open_request* request = find(ticket);
-  if (request == nullptr || request->step != phase::running)
+  open_request* request = find_running(ticket);
+  if (request == nullptr)
     return;
   answer.complete = true;
   answer.attempt = request->subject.attempt;
   answers_.put(request->subject.id, answer);
-  copy_to_peer(*request, answer);
   end(now, *request, request_state::answered);
-  schedule(ticket);
 }
 
 void claim_entry::finish_unknown(time_ms now, std::uint64_t ticket) {
-  open_request* request = find(ticket);
-  if (request == nullptr || request->step != phase::running)
-    return;
-  end(now, *request, request_state::abandoned);
-  schedule(ticket);
+  const open_request* request = find_running(ticket);
+  if (request != nullptr)
+    end(now, *request, request_state::abandoned);
 }
 
 // The caller may be told `not run` only if nothing ran under the key at some instant of this call.
@@ -246,165 +230,99 @@
 // request may have been given to another host while this one was paused and believed dead, so the
 // holder and its witness have to confirm that this attempt is still the latest one.
 void claim_entry::finish_refused(time_ms now, std::uint64_t ticket, error_kind kind) {
-  open_request* request = find(ticket);
-  if (request == nullptr || request->step != phase::running)
+  const open_request* request = find_running(ticket);
+  if (request == nullptr)
     return;
   const claim& subject = request->subject;
   if (subject.state == request_state::dispatched) {
     refuse(*request, error_kind::outcome_unknown);
     end(now, *request, request_state::abandoned);
   } else if (subject.idempotent && !subject.may_have_run && !request->fresh) {
-    end(now, *request, request_state::refused);
-    request->step = phase::refusing;
-    request->refusal = kind;
-    request->deadline = now + options_.begin_timeout;
+    end(now, *request, request_state::refused, kind);
   } else {
     refuse(*request, subject.may_have_run ? error_kind::outcome_unknown : kind);
     end(now, *request, request_state::refused);
   }
-  schedule(ticket);
-}
-
-void claim_entry::end(time_ms now, open_request& request, request_state state) {
-  running_.erase(request.subject.id);
-  request.step = phase::reporting;
-  request.ended = now;
-  request.subject.state = state;
-  request.report_wait = options_.report_interval;
-  report(now, request);
 }
 
-// Nothing was granted, but a late copy of the question may still be. The ticket is remembered for a
-// while so that such a grant can be given back.
-void claim_entry::linger(time_ms now, open_request& request) {
-  request.step = phase::reporting;
-  request.ended = now;
-  request.acknowledged = true;
-  request.report_wait = options_.report_interval;
-  request.subject.attempt = 0;
-  request.subject.state = request_state::refused;
-  request.position = {};
-}
-
-void claim_entry::give_up(time_ms now, open_request& request, error_kind kind) {
+void claim_entry::end(time_ms now, const open_request& request, request_state state,
+                      std::optional<error_kind> unconfirmed) {
+  const std::uint64_t ticket = request.subject.ticket;
+  ended_request ended{request.shard, request.subject};
+  ended.subject.state = state;
+  ended.granted = true;
+  ended.copied = state != request_state::answered;
+  ended.unconfirmed = unconfirmed;
+  const auto local = running_.find(request.subject.id);
+  if (local != running_.end() && local->second == ticket)
+    running_.erase(local);
+  open_.erase(ticket);
+  reporter_.add(now, std::move(ended));
+}
+
+// The holder may have granted this ticket, or may do so when a late copy of the request arrives.
+// Attempt 0 gives back whatever was granted.
+void claim_entry::end_ungranted(time_ms now, const open_request& request, bool asked) {
+  const std::uint64_t ticket = request.subject.ticket;
+  ended_request ended{request.shard, request.subject};
+  ended.subject.attempt = 0;
+  ended.subject.state = request_state::refused;
+  ended.asked = asked;
+  const bool look_up = request.look_up;
+  open_.erase(ticket);
+  if (!look_up)
+    reporter_.add(now, std::move(ended));
+}
+
+void claim_entry::give_up(time_ms now, const open_request& request, error_kind kind) {
   refuse(request, kind);
-  if (request.look_up) {
-    open_.erase(request.subject.ticket);
-    return;
-  }
-  // The holder may have granted this ticket, or may do so when a late copy of the request arrives.
-  request.subject.attempt = 0;
-  end(now, request, request_state::refused);
-}
-
-void claim_entry::report(time_ms now, open_request& request) {
-  request.acknowledged = false;
-  request.next_send = now + request.report_wait;
-  request.report_wait = std::min(request.report_wait * 2, longest_report_wait);
-  const shard_status* status = shards_->find(request.shard);
-  if (status != nullptr)
-    send(status->holder, claim_report{request.shard, request.subject});
-}
-
-void claim_entry::on_report_ack(time_ms now, const claim_report_ack& ack) {
-  open_request* request = find(ack.ticket);
-  if (request == nullptr || request->subject.state != ack.state)
-    return;
-  if (request->step == phase::refusing) {
-    refuse(*request, ack.current ? request->refusal : error_kind::outcome_unknown);
-    request->step = phase::reporting;
-    request->ended = now;
-  }
-  if (request->step != phase::reporting)
-    return;
-  request->acknowledged = true;
-  if (request->granted)
-    open_.erase(ack.ticket);
-  else
-    schedule(ack.ticket);
+  end_ungranted(now, request, true);
 }
 
 void claim_entry::schedule(std::uint64_t ticket) {
   open_request* request = find(ticket);
   if (request == nullptr || request->step == phase::running)
     return;
-  switch (request->step) {
-  case phase::asking:
-  case phase::refusing:
-    request->due = std::min(request->deadline, request->next_send);
-    break;
-  case phase::fetching:
-    request->due = request->deadline;
-    break;
-  default:
-    request->due = request->acknowledged ? request->ended + late_grant_window : request->next_send;
-  }
-  due_.emplace(request->due, ticket);
+  request->due = request->step == phase::asking ? std::min(request->deadline, request->next_send)
+                                                : request->deadline;
+  due_.add(request->due, ticket);
 }
 
 void claim_entry::tick(time_ms now) {
-  while (!due_.empty() && due_.top().first <= now) {
-    const auto [due, ticket] = due_.top();
-    due_.pop();
-    open_request* request = find(ticket);
-    // Entries of an earlier schedule of this ticket are passed over.
-    if (request == nullptr || request->step == phase::running || request->due != due)
+  while (const auto next = due_.take(now)) {
+    open_request* request = find(next->second);
+    if (request == nullptr || request->step == phase::running || request->due != next->first)
       continue;
     handle_due(now, *request);
-    schedule(ticket);
+    schedule(next->second);
   }
+  reporter_.tick(now);
 }
 
 void claim_entry::handle_due(time_ms now, open_request& request) {
-  const bool waits = request.step != phase::reporting;
-  if (waits && now >= request.deadline)
-    miss_deadline(now, request);
-  else if (request.step == phase::asking)
+  if (request.step == phase::fetching)
+    conclude_fetch(now, request);
+  else if (now < request.deadline)
     ask(now, request);
-  else if (request.acknowledged)
-    open_.erase(request.subject.ticket);
   else
-    report(now, request);
+    // Whoever decides for the key can't be reached. An attempt under it may run elsewhere, unless
+    // the key was minted for this very request and nobody else has seen it.
+    give_up(now, request, request.fresh ? error_kind::not_ready : error_kind::outcome_unknown);
 }
 
-void claim_entry::miss_deadline(time_ms now, open_request& request) {
-  switch (request.step) {
-  case phase::asking:
-    give_up(now, request, unreachable_kind(request));
-    return;
-  case phase::fetching:
-    conclude_fetch(now, request);
-    return;
-  case phase::refusing:
-    refuse(request, error_kind::outcome_unknown);
-    request.step = phase::reporting;
-    request.ended = now;
-    return;
-  case phase::running:
-  case phase::reporting:
-    return;
-  }
-}
-
-// Whoever decides for the key can't be reached. An attempt under it may run elsewhere, unless the
-// key was minted for this very request and nobody else has seen it.
-error_kind claim_entry::unreachable_kind(const open_request& request) const {
-  return request.fresh ? error_kind::not_ready : error_kind::outcome_unknown;
-}
-
-void claim_entry::on_blank_epoch(const claim_shard& shard) {
+void claim_entry::on_new_epoch(time_ms now, const claim_shard& shard, bool is_blank) {
+  const shard_status* status = shards_->find(shard);
   for (auto& [ticket, request] : open_) {
-    if (request.shard != shard || request.step != phase::running)
+    if (request.shard != shard)
       continue;
-    const shard_status* status = shards_->find(shard);
-    send(status->holder, claim_report{shard, request.subject});
+    if (request.step == phase::asking) {
+      request.next_send = now;
+      schedule(ticket);
+    } else if (request.step == phase::running && is_blank) {
+      send(status->holder, claim_report{shard, request.subject});
+    }
   }
-}
-
-bool claim_entry::idle() const {
-  return std::all_of(open_.begin(), open_.end(), [](const auto& entry) {
-    return entry.second.step == phase::reporting && entry.second.acknowledged;
-  });
+  reporter_.on_new_epoch(now, shard);
 }
 
 const claim* claim_entry::running(const claim_id& id) const {
@@ -412,21 +330,14 @@
   return found == running_.end() ? nullptr : &open_.at(found->second).subject;
 }
 
-void claim_entry::on_replica_put(const replica_put& put) {
+void claim_entry::on_replica_put(const incarnation& from, const replica_put& put) {
   answers_.put(put.id, put.answer);
-}
-
-void claim_entry::copy_to_peer(const open_request& request, const retained_answer& answer) {
-  if (!request.subject.peer.host.empty())
-    send(request.subject.peer, replica_put{request.subject.id, answer});
-}
-
-void claim_entry::decide(const open_request&, claim_decision decision) {
-  decisions_->push_back(std::move(decision));
+  if (put.answer.complete)
+    send(from, replica_stored{put.ticket});
 }
 
 void claim_entry::refuse(const open_request& request, error_kind kind) {
-  decide(request, {request.subject.ticket, refuse_decision{kind}});
+  decisions_->push_back({request.subject.ticket, refuse_decision{kind}});
 }
 
 incarnation claim_entry::choose_peer(const claim_id& id) const {
@@ -450,6 +361,11 @@
   return found == open_.end() ? nullptr : &found->second;
 }
 
+claim_entry::open_request* claim_entry::find_running(std::uint64_t ticket) {
+  open_request* request = find(ticket);
+  return request != nullptr && request->step == phase::running ? request : nullptr;
+}
+
 void claim_entry::send(const incarnation& to, claims_message message) {
   output_->push_back({to, std::move(message)});
 }
--- a/src/claims/impl/claim_host.cpp
+++ b/src/claims/impl/claim_host.cpp
@@ -36,8 +36,8 @@
     return;
   const shard_status& after = *shards_.find(delegation->shard);
   keeper_.on_delegation(now, before, after);
-  if (after.known_since > before.known_since && before.epoch != 0)
-    entry_.on_blank_epoch(after.shard);
+  const bool is_blank = before.epoch != 0 && after.known_since > before.known_since;
+  entry_.on_new_epoch(now, after.shard, is_blank);
   deliver_own(now);
 }
 
@@ -52,11 +52,12 @@
                         [&](const countersign_request& m) { keeper_.on_countersign(now, from, m); },
                         [&](const countersign_reply& m) { keeper_.on_countersigned(now, m); },
                         [&](const claim_report& m) { keeper_.on_report(now, m); },
-                        [&](const claim_report_ack& m) { entry_.on_report_ack(now, m); },
+                        [&](const claim_report_ack& m) { entry_.reporter().on_report_ack(m); },
                         [&](const table_part& m) { keeper_.on_part(now, from, m); },
                         [&](const table_part_ack& m) { keeper_.on_part_ack(m); },
                         [&](const epoch_seen& m) { keeper_.on_epoch_seen(now, from, m); },
-                        [&](const replica_put& m) { entry_.on_replica_put(m); },
+                        [&](const replica_put& m) { entry_.on_replica_put(from, m); },
+                        [&](const replica_stored& m) { entry_.reporter().on_replica_stored(m); },
                         [&](const replica_fetch& m) { entry_.on_replica_fetch(from, m); },
                         [&](const replica_reply& m) { entry_.on_replica_reply(now, m); }},
              message);
@@ -127,8 +128,8 @@
 }
 
 void claim_host::progress(time_ms now, std::uint64_t ticket, const endpoint_id& endpoint,
-                          std::uint64_t position) {
-  entry_.progress(now, ticket, endpoint, position);
+                          std::uint64_t position, std::uint32_t run_attempt) {
+  entry_.progress(now, ticket, endpoint, position, run_attempt);
 }
 
 void claim_host::finish_answered(time_ms now, std::uint64_t ticket, const retained_answer& answer) {
--- a/src/claims/impl/claim_host.hpp
+++ b/src/claims/impl/claim_host.hpp
@@ -60,8 +60,10 @@
   std::uint64_t look_up(time_ms now, const team_id& team, const std::string& key);
   /// \brief Says that a request that may proceed was dispatched, and how far its stream has come.
   /// To be called before the dispatch, and then as often as is convenient.
+  /// \param run_attempt  the attempt under which the endpoint knows the run, when an earlier one's
+  /// is taken up again; 0 for this one
   void progress(time_ms now, std::uint64_t ticket, const endpoint_id& endpoint,
-                std::uint64_t position);
+                std::uint64_t position, std::uint32_t run_attempt = 0);
   void finish_answered(time_ms now, std::uint64_t ticket, const retained_answer& answer);
   /// \brief The request will not be dispatched, for the reason `kind`. A decision to refuse
   /// follows: of this kind if the caller may be told `not run`, else of kind outcome_unknown.
--- a/src/claims/impl/claim_keeper.cpp
+++ b/src/claims/impl/claim_keeper.cpp
@@ -18,7 +18,7 @@
 
 void claim_keeper::on_delegation(time_ms now, const shard_status& before,
                                  const shard_status& after) {
-  update_relinquished(before, after);
+  relinquish(before, after);
   if (after.witness == self_) {
     kept_shard& kept = keep(after.shard);
     kept.table.drop_proposals();
@@ -48,25 +48,13 @@
 // This host and its partner were wrongly believed to be lost, and others began an epoch that does
 // not know their claims. Having read of it, this host acts under the old epoch no more, and since
 // nothing could be granted there without it, its table is all that the new holder lacks.
-void claim_keeper::update_relinquished(const shard_status& before, const shard_status& after) {
-  const auto earlier = relinquished_.find(after.shard);
-  if (earlier != relinquished_.end()) {
-    table_transfer& transfer = earlier->second;
-    transfer.acknowledged.assign(transfer.parts.size(), false);
-    if (after.known_since <= transfer.known_since || after.holder == self_)
-      relinquished_.erase(earlier);
-  }
+void claim_keeper::relinquish(const shard_status& before, const shard_status& after) {
+  relinquished_.on_delegation(self_, after);
   const auto kept = kept_.find(after.shard);
   if (after.holder == self_ || after.known_since <= before.known_since || kept == kept_.end())
     return;
-  const bool knows_all =
-      before.holder == self_ || (before.witness == self_ && kept->second.complete);
-  if (!knows_all)
-    return;
-  table_transfer& transfer = relinquished_[after.shard];
-  transfer = start_transfer(++last_transfer_, kept->second.table.committed());
-  transfer.known_since = before.known_since;
-  transfer.until = after.known_since;
+  if (before.holder == self_ || (before.witness == self_ && kept->second.complete))
+    relinquished_.add(++last_transfer_, before, after, kept->second.table.committed());
 }
 
 void claim_keeper::on_request(time_ms now, const claim_request& request) {
@@ -181,12 +169,11 @@
   kept_shard& kept = keep(status.shard);
   stored_claim& stored = kept.table.insert(subject.id);
   stored.proposed.reset();
-  kept.table.merge(now, subject);
-  if (subject.state != request_state::claimed) {
-    acknowledge(subject, true);
-    return;
-  }
-  send(subject.entry, claim_reply{subject.ticket, claim_verdict::granted, status.epoch, subject});
+  const bool current = kept.table.merge(now, subject);
+  if (subject.state != request_state::claimed)
+    send(subject.entry, claim_report_ack{subject.ticket, subject.state, current});
+  else if (current)
+    send(subject.entry, claim_reply{subject.ticket, claim_verdict::granted, status.epoch, subject});
 }
 
 void claim_keeper::reply(const claim_request& request, const shard_status& status,
@@ -197,69 +184,24 @@
   send(request.wanted.entry, std::move(answer));
 }
 
-void claim_keeper::acknowledge(const claim& subject, bool current) {
-  send(subject.entry, claim_report_ack{subject.ticket, subject.state, current});
-}
-
 void claim_keeper::on_report(time_ms now, const claim_report& report) {
   const shard_status* status = held(report.shard);
   if (status == nullptr || keep(report.shard).refused)
     return;
-  const claim& subject = report.subject;
   claim_table& table = keep(report.shard).table;
-  stored_claim* stored = table.find(subject.id);
-  if (stored == nullptr && subject.attempt == 0) {
-    acknowledge(subject, false);
+  const claim_id& id = report.subject.id;
+  const report_step step = judge_report(report.subject, table.find(id));
+  switch (step.action) {
+  case report_action::propose:
+    propose(now, *status, table.insert(id), step.next);
     return;
-  }
-  // The claim was granted under an epoch whose holder and witness are lost, and this host learns of
-  // it from the host that ran it. A later attempt may have been granted there as well, so even an
-  // attempt that was never dispatched doesn't show that none was.
-  if (stored == nullptr) {
-    claim adopted = subject;
-    adopted.may_have_run = true;
-    if (adopted.state == request_state::refused)
-      adopted.state = request_state::abandoned;
-    propose(now, *status, table.insert(subject.id), adopted);
+  case report_action::acknowledge:
+    send(report.subject.entry,
+         claim_report_ack{report.subject.ticket, report.subject.state, step.current});
     return;
-  }
-  if (subject.attempt == 0)
-    give_up(now, *status, *stored, subject);
-  else
-    report_on_stored(now, *status, *stored, subject);
-}
-
-void claim_keeper::give_up(time_ms now, const shard_status& status, stored_claim& stored,
-                           const claim& subject) {
-  std::optional<claim>& latest = stored.proposed ? stored.proposed : stored.committed;
-  if (!latest || latest->ticket != subject.ticket || latest->entry != subject.entry ||
-      (is_final(latest->state) && !stored.proposed)) {
-    acknowledge(subject, false);
+  case report_action::wait:
     return;
   }
-  claim ended = *latest;
-  if (may_become(ended.state, request_state::refused))
-    ended.state = request_state::refused;
-  propose(now, status, stored, ended);
-}
-
-void claim_keeper::report_on_stored(time_ms now, const shard_status& status, stored_claim& stored,
-                                    const claim& subject) {
-  const claim& latest = stored.proposed ? *stored.proposed : *stored.committed;
-  if (!same_attempt(latest, subject)) {
-    if (subject.attempt > latest.attempt && !stored.proposed)
-      propose(now, status, stored, subject);
-    else if (subject.attempt <= latest.attempt)
-      acknowledge(subject, false);
-    return;
-  }
-  if (may_become(latest.state, subject.state)) {
-    propose(now, status, stored, subject);
-    return;
-  }
-  // Repeats are acknowledged only once the witness has stored what they say.
-  if (!stored.proposed)
-    acknowledge(subject, latest.state == subject.state);
 }
 
 void claim_keeper::on_part(time_ms now, const incarnation& from, const table_part& part) {
@@ -288,7 +230,7 @@
     return;
   kept_shard& kept = keep(part.shard);
   for (const claim& subject : part.claims)
-    kept.table.merge(now, subject);
+    kept.table.merge_regained(now, subject);
   if (note_arrival(kept.regained[from], part) && kept.regained_since == 0) {
     // The witness needs the whole table before the log may say that nothing is unknown.
     kept.regained_since = part.known_since;
@@ -302,9 +244,7 @@
   const shard_status* status = shards_->find(ack.shard);
   if (status == nullptr || status->epoch != ack.epoch)
     return;
-  const auto given_up = relinquished_.find(ack.shard);
-  if (given_up != relinquished_.end())
-    note_ack(given_up->second, ack);
+  relinquished_.on_ack(ack);
   if (status->holder == self_)
     note_ack(keep(ack.shard).to_witness, ack);
 }
@@ -329,19 +269,12 @@
     if (cleanup)
       forget_expired(now, *status, kept);
   }
-  if (cleanup)
+  if (cleanup) {
     for (const auto& [shard, status] : shards_->all())
       tell_stopped(status);
-  if (cleanup)
-    std::erase_if(relinquished_, [&](const auto& entry) {
-      return !shards_->is_blind(now, *shards_->find(entry.first));
-    });
-  for (auto& [shard, transfer] : relinquished_) {
-    const shard_status* status = shards_->find(shard);
-    for (table_part& part :
-         due_parts(transfer, now, options_.report_interval, shard, status->epoch))
-      send(status->holder, std::move(part));
+    relinquished_.drop_useless(now, *shards_);
   }
+  relinquished_.send_due(now, options_.report_interval, *shards_, *output_);
 }
 
 // Until it is proven that this host can't act under a lost epoch, the holder must assume that it
@@ -367,7 +300,9 @@
     if (stored.proposed || !stored.committed)
       return false;
     const claim& known = *stored.committed;
-    const bool over = is_final(known.state) || shards_->has_ended(now, known.entry);
+    const auto has_ended = [&](const incarnation& who) { return shards_->has_ended(now, who); };
+    const bool over = (is_final(known.state) || has_ended(known.entry)) &&
+                      std::all_of(known.unfinished.begin(), known.unfinished.end(), has_ended);
     if (const auto minted = parse_key(known.id.key))
       return over && minted->mark < oldest_mark;
     return over && now - stored.touched >= options_.retention;
--- a/src/claims/impl/claim_keeper.hpp
+++ b/src/claims/impl/claim_keeper.hpp
@@ -2,6 +2,7 @@
 
 #include "claims/impl/claim_table.hpp"
 #include "claims/impl/host_list.hpp"
+#include "claims/impl/relinquished_tables.hpp"
 #include "claims/impl/shard_map.hpp"
 #include "claims/impl/table_transfer.hpp"
 
@@ -67,11 +68,7 @@
   void commit(time_ms now, const shard_status& status, const claim& subject);
   void reply(const claim_request& request, const shard_status& status, claim_verdict verdict,
              const stored_claim* stored);
-  void acknowledge(const claim& subject, bool current);
-  void report_on_stored(time_ms now, const shard_status& status, stored_claim& stored,
-                        const claim& subject);
-  void give_up(time_ms now, const shard_status& status, stored_claim& stored, const claim& subject);
-  void update_relinquished(const shard_status& before, const shard_status& after);
+  void relinquish(const shard_status& before, const shard_status& after);
   void tell_stopped(const shard_status& status);
   void accept_regained(time_ms now, const incarnation& from, const shard_status& status,
                        const table_part& part);
@@ -86,7 +83,7 @@
   std::vector<addressed_claims_message>* output_;
   claim_counts counts_;
   std::map<claim_shard, kept_shard> kept_;
-  std::map<claim_shard, table_transfer> relinquished_; ///< to the present holder
+  relinquished_tables relinquished_;
   time_ms next_cleanup_;
   std::uint64_t last_transfer_{0};
 };
--- a/src/claims/impl/claim_table.hpp
+++ b/src/claims/impl/claim_table.hpp
@@ -2,11 +2,9 @@
 
 #include "claims/impl/claims_message.hpp"
 
-#include "absl/container/flat_hash_map.h"
-#include "absl/container/node_hash_map.h"
-
 #include <functional>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace sedgechute {
@@ -22,7 +20,7 @@
 /// \brief Counts over all tables of a host.
 struct claim_counts {
   std::size_t total{0};
-  absl::flat_hash_map<team_id, std::size_t> by_team;
+  std::unordered_map<team_id, std::size_t> by_team;
 };
 
 /// \brief The claims of one shard. Copies of a claim are ordered by attempt, then by progress, so
@@ -39,6 +37,10 @@
   /// \brief Takes in a countersigned state unless a later one is known.
   /// \returns whether the stored state is now `subject`
   bool merge(time_ms now, const claim& subject);
+  /// \brief Takes in a claim of an earlier epoch that this table began without. Both may have
+  /// counted attempts on their own, so the one that is dropped still counts as a run that may have
+  /// been.
+  void merge_regained(time_ms now, const claim& subject);
 
   [[nodiscard]] std::vector<claim> committed() const;
   [[nodiscard]] std::size_t size() const noexcept { return claims_.size(); }
@@ -49,10 +51,11 @@
 
  private:
   claim_counts* counts_;
-  absl::node_hash_map<claim_id, stored_claim> claims_;
+  std::unordered_map<claim_id, stored_claim, claim_id_hash> claims_;
 };
 
-/// \returns whether `a` is a later state of the claim than `b`
+/// \returns whether `a` is a later state of the claim than `b`; a total order, so that copies
+/// converge
 [[nodiscard]] bool is_later(const claim& a, const claim& b);
 
 /// \brief What the holder can know of a key before it decides.
@@ -68,6 +71,23 @@
 [[nodiscard]] std::optional<claim_verdict> decide(const claim_request& request,
                                                   const decision_basis& basis);
 
+enum class report_action {
+  propose,     ///< have the witness store `next`
+  acknowledge, ///< nothing to change
+  wait,        ///< another change is under way; the report will be repeated
+};
+
+/// \brief What follows from a report of an entry host.
+struct report_step {
+  report_action action{report_action::wait};
+  claim next;
+  bool current{}; ///< no later attempt was granted
+};
+
+/// \param subject  the attempt as its entry host tells it; attempt 0 gives up a ticket
+/// \param stored  what is known under the key, or null
+[[nodiscard]] report_step judge_report(const claim& subject, const stored_claim* stored);
+
 /// \returns the claim to propose for a granted request
 [[nodiscard]] claim next_attempt(const claim_request& request, const stored_claim* stored);
 
--- a/src/claims/impl/claims_message.hpp
+++ b/src/claims/impl/claims_message.hpp
@@ -138,12 +138,20 @@
 
 /// \brief Entry host to its peer: copy of an answer or stream position.
 struct replica_put {
+  std::uint64_t ticket{};
   claim_id id;
   retained_answer answer;
 
   bool operator==(const replica_put&) const = default;
 };
 
+/// \brief Peer to entry host: the complete answer was taken in.
+struct replica_stored {
+  std::uint64_t ticket{};
+
+  bool operator==(const replica_stored&) const = default;
+};
+
 struct replica_fetch {
   std::uint64_t ticket{};
   claim_id id;
@@ -162,7 +170,7 @@
 using claims_message =
     std::variant<claim_request, claim_reply, countersign_request, countersign_reply, claim_report,
                  claim_report_ack, table_part, table_part_ack, epoch_seen, replica_put,
-                 replica_fetch, replica_reply>;
+                 replica_stored, replica_fetch, replica_reply>;
 
 struct addressed_claims_message {
   incarnation to;
--- a/src/claims/impl/claims_options.hpp
+++ b/src/claims/impl/claims_options.hpp
@@ -16,7 +16,8 @@
   time_ms fetch_timeout{400};   ///< wait for a copy of an answer
   time_ms resend_interval{150}; ///< of unanswered messages
   time_ms report_interval{500}; ///< of unacknowledged reports and positions
-  time_ms append_interval{2000}; ///< of records not yet read back
+  time_ms report_patience{30000}; ///< an unacknowledged report holds up a planned stop this long
+  time_ms append_interval{2000};  ///< of records not yet read back
 
   time_ms settle_time{3000};    ///< after start, before any delegation is proposed
   time_ms loss_wait{1000};      ///< a host must be missing this long before it is replaced
--- a/src/claims/impl/delegation_policy.cpp
+++ b/src/claims/impl/delegation_policy.cpp
@@ -10,6 +10,18 @@
 
 constexpr time_ms consider_interval{200};
 
+std::vector<claim_shard> shards_of(const data_centre_id& data_centre,
+                                   const claims_options& options) {
+  std::vector<claim_shard> shards;
+  for (std::uint32_t i = 0; i < options.shards_without_home; ++i)
+    shards.push_back({data_centre_id{}, false, i});
+  for (std::uint32_t i = 0; i < options.shards_per_data_centre; ++i) {
+    shards.push_back({data_centre, false, i});
+    shards.push_back({data_centre, true, i});
+  }
+  return shards;
+}
+
 } // namespace
 
 delegation_policy::delegation_policy(incarnation self, data_centre_id data_centre,
@@ -17,7 +29,8 @@
                                      host_list& hosts, claim_keeper& keeper, std::uint64_t seed,
                                      std::vector<claims_record>& records)
     : self_{std::move(self)}, data_centre_{std::move(data_centre)}, options_{options},
-      shards_{&shards}, hosts_{&hosts}, keeper_{&keeper}, random_{seed}, records_{&records} {}
+      shards_{&shards}, hosts_{&hosts}, keeper_{&keeper}, random_{seed}, records_{&records},
+      own_shards_{shards_of(data_centre_, options)} {}
 
 void delegation_policy::tick(time_ms now) {
   if (!settled_) {
@@ -27,7 +40,7 @@
   if (now < *settled_ || now < next_)
     return;
   next_ = now + consider_interval;
-  for (const claim_shard& shard : own_shards())
+  for (const claim_shard& shard : own_shards_)
     if (shards_->find(shard) == nullptr)
       consider_missing(now, shard);
   for (const auto& [shard, status] : shards_->all())
@@ -38,17 +51,6 @@
   }
 }
 
-std::vector<claim_shard> delegation_policy::own_shards() const {
-  std::vector<claim_shard> shards;
-  for (std::uint32_t i = 0; i < options_.shards_without_home; ++i)
-    shards.push_back({data_centre_id{}, false, i});
-  for (std::uint32_t i = 0; i < options_.shards_per_data_centre; ++i) {
-    shards.push_back({data_centre_, false, i});
-    shards.push_back({data_centre_, true, i});
-  }
-  return shards;
-}
-
 void delegation_policy::consider_missing(time_ms now, const claim_shard& shard) {
   if (draining_ || !is_initiator(shard, shard.data_centre))
     return;
@@ -91,13 +93,13 @@
 // The holder may only be paused or cut off from here, so the epoch is sealed first: whatever the
 // holder does when it wakes up, its next claim is refused.
 void delegation_policy::consider_as_witness(time_ms now, const shard_status& status) {
-  const incarnation witness = pick_witness(status.shard, self_);
   if (!keeper_->is_sealed(status.shard)) {
-    const bool alone = witness.host.empty();
+    const bool alone = hosts_->all().size() <= 1;
     if (!is_gone(now, status.holder, alone ? options_.lone_wait : options_.loss_wait))
       return;
     keeper_->seal(status.shard);
   }
+  const incarnation witness = pick_witness(status.shard, self_);
   const std::uint64_t known_since =
       keeper_->is_complete(status.shard) ? status.known_since : status.epoch;
   propose(now, status.shard,
@@ -116,7 +118,7 @@
   if (!both_gone || draining_)
     return;
   const bool ended = both_ended(now, status);
-  const bool blank = status.known_since == status.epoch;
+  const bool blank = status.blind && status.known_since == status.epoch;
   if (!ended && blank && age < options_.blank_interval)
     return;
   data_centre_id among = status.shard.data_centre;
@@ -164,21 +166,23 @@
 void delegation_policy::balance(time_ms now) {
   if (draining_)
     return;
-  const load own = load_of(self_);
+  const std::map<incarnation, load> all = loads();
+  const auto load_of = [&](const incarnation& who) {
+    const auto found = all.find(who);
+    return found == all.end() ? load{} : found->second;
+  };
   for (const auto& [shard, status] : shards_->all()) {
     if (status.holder != self_ || !is_usable(status.witness) ||
         !keeper_->witness_is_complete(shard))
       continue;
-    if (load_of(status.witness).holds + 1 < own.holds) {
+    const load theirs = load_of(status.witness);
+    if (theirs.holds + 1 < load_of(self_).holds) {
       propose(now, shard,
               claim_delegation{shard, status.epoch, status.witness, self_, status.known_since});
       return;
     }
-    const incarnation lighter = pick_witness(status.shard, self_);
-    const load theirs = load_of(status.witness);
-    const load other = load_of(lighter);
-    if (!lighter.host.empty() &&
-        other.holds + other.witnesses + 2 < theirs.holds + theirs.witnesses) {
+    const incarnation lighter = pick_witness(shard, self_);
+    if (load_of(lighter).sum() + 2 < theirs.sum()) {
       propose(now, shard,
               claim_delegation{shard, status.epoch, self_, lighter, status.known_since});
       return;
@@ -205,13 +209,14 @@
   const std::uint64_t name = stable_hash(shard_name(shard));
   const live_host* of_holder = hosts_->find(holder);
   const data_centre_id& wanted = of_holder == nullptr ? data_centre_ : of_holder->data_centre;
+  const std::map<incarnation, load> all = loads();
   const live_host* best = nullptr;
   std::tuple<bool, std::size_t, std::uint64_t> best_rank;
   for (const live_host& host : hosts_->all()) {
     if (host.who == holder || host.leaving || (draining_ && host.who == self_))
       continue;
-    const load its = load_of(host.who);
-    const std::tuple rank{host.data_centre != wanted, its.holds + its.witnesses,
+    const auto known = all.find(host.who);
+    const std::tuple rank{host.data_centre != wanted, known == all.end() ? 0 : known->second.sum(),
                           mix_hash(name, host.who.number)};
     if (best != nullptr && rank >= best_rank)
       continue;
@@ -241,20 +246,21 @@
   return host != nullptr && !host->leaving;
 }
 
-delegation_policy::load delegation_policy::load_of(const incarnation& who) const {
-  load sum;
+std::map<incarnation, delegation_policy::load> delegation_policy::loads() const {
+  std::map<incarnation, load> sums;
   for (const auto& [shard, status] : shards_->all()) {
-    sum.holds += status.holder == who ? 1 : 0;
-    sum.witnesses += status.witness == who ? 1 : 0;
+    ++sums[status.holder].holds;
+    ++sums[status.witness].witnesses;
   }
-  return sum;
+  return sums;
 }
 
 bool delegation_policy::drained() const {
   if (hosts_->all().size() <= 1)
     return true;
-  const load own = load_of(self_);
-  return own.holds + own.witnesses == 0;
+  return std::none_of(shards_->all().begin(), shards_->all().end(), [&](const auto& entry) {
+    return entry.second.holder == self_ || entry.second.witness == self_;
+  });
 }
 
 } // namespace sedgechute
--- a/src/claims/impl/delegation_policy.hpp
+++ b/src/claims/impl/delegation_policy.hpp
@@ -33,9 +33,9 @@
   struct load {
     std::size_t holds{};
     std::size_t witnesses{};
+    [[nodiscard]] std::size_t sum() const noexcept { return holds + witnesses; }
   };
 
-  [[nodiscard]] std::vector<claim_shard> own_shards() const;
   void consider_missing(time_ms now, const claim_shard& shard);
   void consider(time_ms now, const shard_status& status);
   void consider_as_holder(time_ms now, const shard_status& status);
@@ -51,7 +51,7 @@
   [[nodiscard]] bool is_initiator(const claim_shard& shard, const data_centre_id& among) const;
   [[nodiscard]] bool is_gone(time_ms now, const incarnation& who, time_ms wait);
   [[nodiscard]] bool is_usable(const incarnation& who) const;
-  [[nodiscard]] load load_of(const incarnation& who) const;
+  [[nodiscard]] std::map<incarnation, load> loads() const;
 
   incarnation self_;
   data_centre_id data_centre_;
@@ -61,6 +61,7 @@
   claim_keeper* keeper_;
   random_source random_;
   std::vector<claims_record>* records_;
+  std::vector<claim_shard> own_shards_; ///< those that a host of this data centre may begin
   std::map<claim_shard, proposal> proposals_;
   std::map<claim_shard, seen_number> marks_;
   std::map<claim_shard, seen_number> epochs_;
--- a/src/wire/impl/claims_codec.cpp
+++ b/src/wire/impl/claims_codec.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+// Tables regained from an earlier epoch may add to the list.
+constexpr int max_unfinished_on_wire = 64;
+
 [[noreturn]] void reject(const char* field, const char* why) {
   throw error{error_kind::malformed_request, std::string{"claims."} + field, why};
 }
@@ -66,6 +69,8 @@
   put(c.resume_from, out->mutable_resume_from());
   out->set_state(static_cast<wire::claim_state>(c.state));
   out->set_may_have_run(c.may_have_run);
+  for (const incarnation& who : c.unfinished)
+    put(who, out->add_unfinished());
 }
 
 claim_id take_id(const std::string& team, const std::string& key) {
@@ -84,6 +89,10 @@
   out.resume_from = take_any(c.resume_from(), "resume_from");
   out.state = checked_enum<request_state>(c.state(), "state");
   out.may_have_run = c.may_have_run();
+  if (c.unfinished_size() > max_unfinished_on_wire)
+    reject("claim.unfinished", "more than any sender packs");
+  for (const wire::claims_incarnation& who : c.unfinished())
+    out.unfinished.push_back(take(who, "unfinished"));
   return out;
 }
 
@@ -95,12 +104,14 @@
   out->set_status(answer.status);
   out->set_content_type(answer.content_type);
   out->set_body(answer.body);
+  out->set_run_attempt(answer.run_attempt);
 }
 
 retained_answer take(const wire::retained_answer& answer) {
-  return {answer.complete(), answer.attempt(), endpoint_id{checked(answer.endpoint(), "endpoint")},
-          answer.position(), answer.status(),  checked(answer.content_type(), "content_type"),
-          answer.body()};
+  return {
+      answer.complete(), answer.attempt(),    endpoint_id{checked(answer.endpoint(), "endpoint")},
+      answer.position(), answer.status(),     checked(answer.content_type(), "content_type"),
+      answer.body(),     answer.run_attempt()};
 }
 
 struct body_writer {
@@ -170,10 +181,12 @@
   }
   void operator()(const replica_put& m) const {
     auto* body = out.mutable_put();
+    body->set_ticket(m.ticket);
     body->set_team(m.id.team.str());
     body->set_key(m.id.key);
     put(m.answer, body->mutable_answer());
   }
+  void operator()(const replica_stored& m) const { out.mutable_stored()->set_ticket(m.ticket); }
   void operator()(const replica_fetch& m) const {
     auto* body = out.mutable_fetch();
     body->set_ticket(m.ticket);
@@ -252,7 +265,10 @@
   case body::kSeen:
     return epoch_seen{take(m.seen().shard()), m.seen().epoch()};
   case body::kPut:
-    return replica_put{take_id(m.put().team(), m.put().key()), take(m.put().answer())};
+    return replica_put{m.put().ticket(), take_id(m.put().team(), m.put().key()),
+                       take(m.put().answer())};
+  case body::kStored:
+    return replica_stored{m.stored().ticket()};
   case body::kFetch:
     return replica_fetch{m.fetch().ticket(), take_id(m.fetch().team(), m.fetch().key())};
   case body::kFetched:
--- a/tests/claims/claims_world.hpp
+++ b/tests/claims/claims_world.hpp
@@ -25,8 +25,40 @@
   run_resume_only,        ///< an attempt that may only resume starts anew
 };
 
+enum class action_kind {
+  begin,      ///< a caller sends key `a` to host `b`
+  advance,    ///< time passes and some messages arrive
+  end_run,    ///< run `a` ends as `b` says
+  crash,      ///< host `a` is replaced by a new process
+  pause,      ///< host `a` stops for a while
+  resume,     ///< host `a` goes on
+  cut,        ///< hosts `a` and `b` lose each other, or whole data centres do
+  heal,       ///< all links work again
+  log_outage, ///< the log is down
+  log_back,
+  suspect, ///< host `a` wrongly believes that host `b` is dead
+  drain,   ///< host `a` stops as planned and is replaced
+};
+
 } // namespace sedgechute::test
 
+template <>
+struct sedgechute::enum_names<sedgechute::test::action_kind> {
+  using action_kind = sedgechute::test::action_kind;
+  static constexpr auto entries = enum_table<action_kind>({{action_kind::begin, "begin"},
+                                                           {action_kind::advance, "advance"},
+                                                           {action_kind::end_run, "end_run"},
+                                                           {action_kind::crash, "crash"},
+                                                           {action_kind::pause, "pause"},
+                                                           {action_kind::resume, "resume"},
+                                                           {action_kind::cut, "cut"},
+                                                           {action_kind::heal, "heal"},
+                                                           {action_kind::log_outage, "log_outage"},
+                                                           {action_kind::log_back, "log_back"},
+                                                           {action_kind::suspect, "suspect"},
+                                                           {action_kind::drain, "drain"}});
+};
+
 template <>
 struct sedgechute::enum_names<sedgechute::test::mutation> {
   using mutation = sedgechute::test::mutation;
@@ -50,7 +82,8 @@
   std::size_t ran_twice{};
   std::size_t false_not_run{};
   std::size_t mixed_answers{};
-  std::size_t unresolved{};
+  std::size_t unresolved{}; ///< calls without exactly one decision, or of a kind never asked for
+  std::size_t stuck{};      ///< new keys refused long after the last failure
   std::size_t refused_unknown{};
   std::size_t refused_not_run{};
   std::size_t retained{};
@@ -58,25 +91,10 @@
 
   findings& operator+=(const findings& other);
   [[nodiscard]] bool clean() const noexcept {
-    return ran_twice + false_not_run + mixed_answers + unresolved == 0;
+    return ran_twice + false_not_run + mixed_answers + unresolved + stuck == 0;
   }
 };
 
-enum class action_kind {
-  begin,      ///< a caller sends key `a` to host `b`
-  advance,    ///< time passes and some messages arrive
-  end_run,    ///< run `a` ends as `b` says
-  crash,      ///< host `a` is replaced by a new process
-  pause,      ///< host `a` stops for a while
-  resume,     ///< host `a` goes on
-  cut,        ///< hosts `a` and `b` lose each other, or whole data centres do
-  heal,       ///< all links work again
-  log_outage, ///< the log is down
-  log_back,
-  suspect, ///< host `a` wrongly believes that host `b` is dead
-};
-inline constexpr std::size_t action_kinds = 11;
-
 struct action {
   action_kind kind{action_kind::advance};
   std::uint32_t a{};
@@ -92,6 +110,8 @@
   void apply(const action& step);
   /// \brief Heals everything and lets time pass until every call must have been decided.
   void settle();
+  /// \brief After `settle`: checks that new keys are decided again everywhere.
+  void check_recovery();
   [[nodiscard]] const findings& found() const noexcept { return found_; }
   /// \returns a random action, weighted so that most schedules make progress
   [[nodiscard]] action random_action();
@@ -105,6 +125,7 @@
     std::unique_ptr<claim_host> host;
     std::size_t read{0}; ///< records of the log applied
     bool paused{false};
+    bool draining{false};
   };
   struct in_flight {
     incarnation from;
@@ -121,12 +142,13 @@
     std::string key;
     std::size_t host{};
     std::uint64_t number{}; ///< of the host's incarnation
+    std::uint64_t ticket{};
     bool idempotent{};
+    bool look_up{};
     bool decided{};
     bool ran{};
     bool running{};
     bool told_not_run{};
-    time_ms began;
     std::uint64_t began_at{}; ///< event counters order what happens in the same millisecond
     std::uint64_t granted_at{};
   };
@@ -140,6 +162,7 @@
   static claims_options options();
   void start(std::size_t slot);
   void begin(std::uint32_t key, std::size_t slot);
+  std::size_t call_host(const caller_key& key, std::size_t slot, bool fresh, bool look_up);
   void advance(time_ms span);
   void end_run(std::uint32_t chosen, std::uint32_t how);
   void crash(std::size_t slot);
--- a/tests/claims/claims_world.ipp
+++ b/tests/claims/claims_world.ipp
@@ -12,6 +12,7 @@
   false_not_run += other.false_not_run;
   mixed_answers += other.mixed_answers;
   unresolved += other.unresolved;
+  stuck += other.stuck;
   refused_unknown += other.refused_unknown;
   refused_not_run += other.refused_not_run;
   retained += other.retained;
@@ -28,6 +29,7 @@
   chosen.rotation_period = time_ms{8000};
   chosen.successor_wait = time_ms{3000};
   chosen.blank_interval = time_ms{6000};
+  chosen.report_patience = time_ms{5000};
   chosen.lone_wait = time_ms{3000};
   return chosen;
 }
@@ -61,12 +63,18 @@
       std::make_unique<claim_host>(started.who, place(slot), options(), started.who.number);
   started.read = 0;
   started.paused = false;
+  started.draining = false;
+  const host_slot& donor = hosts_[random_.below(host_count)];
+  if (&donor != &started && random_.below(2) == 0) {
+    started.host->restore(now_, donor.host->snapshot());
+    started.read = donor.read;
+  }
   if (!log_down_)
     read_log(slot);
 }
 
 inline action claims_world::random_action() {
-  static constexpr std::array weights{30U, 45U, 12U, 2U, 3U, 3U, 2U, 2U, 1U, 2U, 2U};
+  static constexpr std::array weights{30U, 45U, 12U, 2U, 3U, 3U, 2U, 2U, 1U, 2U, 2U, 1U};
   std::uint64_t total = 0;
   for (const unsigned weight : weights)
     total += weight;
@@ -116,6 +124,14 @@
   case action_kind::log_back:
     log_down_ = false;
     break;
+  case action_kind::drain:
+    // One host of a data centre at a time, as in a rolling replacement.
+    for (std::size_t other = 0; other < host_count; ++other)
+      if (hosts_[other].draining && place(other) == place(slot))
+        return;
+    hosts_[slot].draining = true;
+    hosts_[slot].host->drain(now_);
+    break;
   case action_kind::suspect:
     suspected_until_[slot][step.b % host_count] = now_ + time_ms{4000};
     break;
@@ -124,31 +140,45 @@
 
 inline void claims_world::begin(std::uint32_t chosen, std::size_t slot) {
   host_slot& entry = hosts_[slot];
-  if (entry.paused)
+  if (entry.paused || entry.draining)
     return;
   caller_key& key = keys_[chosen % key_count];
   const bool old = now_ - key.first_used > time_ms{60000} || chosen % 41 == 0;
+  bool fresh = false;
   if (key.text.empty() || (old && !key.text.starts_with("f1."))) {
     const std::uint32_t form = (chosen / 41) % 4;
     key = {"k" + std::to_string(random_.below(1000000)), random_(), (chosen / 7) % 3 == 0, now_};
     if (form == 1)
       key.text = "@a/" + key.text;
+    const auto minted = entry.host->mint_key(now_);
+    fresh = form == 2 && minted;
     if (form >= 2)
-      key.text = entry.host->mint_key(now_).value_or(key.text);
+      key.text = minted.value_or(key.text);
   }
+  call_host(key, slot, fresh, !fresh && chosen % 17 == 0);
+}
+
+inline std::size_t claims_world::call_host(const caller_key& key, std::size_t slot, bool fresh,
+                                           bool look_up) {
+  host_slot& entry = hosts_[slot];
+  const team_id team{"t"};
   const std::uint64_t ticket =
-      entry.host->begin(now_, {team_id{"t"}, key.text, key.fingerprint, key.idempotent, false});
+      look_up ? entry.host->look_up(now_, team, key.text)
+              : entry.host->begin(now_, {team, key.text, key.fingerprint, key.idempotent, fresh});
   ++found_.calls;
-  history_[key.text].calls.push_back(calls_.size());
-  call_of_[{entry.who.number, ticket}] = calls_.size();
+  const std::size_t index = calls_.size();
+  history_[key.text].calls.push_back(index);
+  call_of_[{entry.who.number, ticket}] = index;
   call& started = calls_.emplace_back();
   started.key = key.text;
   started.host = slot;
   started.number = entry.who.number;
+  started.ticket = ticket;
   started.idempotent = key.idempotent;
-  calls_.back().began = now_;
-  calls_.back().began_at = ++events_;
+  started.look_up = look_up;
+  started.began_at = ++events_;
   collect(slot);
+  return index;
 }
 
 inline void claims_world::advance(time_ms span) {
@@ -168,6 +198,8 @@
         read_log(slot);
       hosts_[slot].host->tick(now_);
       collect(slot);
+      if (hosts_[slot].draining && hosts_[slot].host->drained())
+        crash(slot);
     }
     if (!log_down_ && !late_appends_.empty()) {
       log_.push_back(late_appends_.back());
@@ -184,7 +216,7 @@
     for (std::size_t other = 0; other < host_count; ++other) {
       const bool suspected = suspected_until_[viewer][other] > now_;
       if (viewer == other || (!hosts_[other].paused && !is_cut(viewer, other) && !suspected))
-        view.push_back({hosts_[other].who, place(other), false});
+        view.push_back({hosts_[other].who, place(other), hosts_[other].draining});
     }
     hosts_[viewer].host->on_members(now_, view);
   }
@@ -289,17 +321,15 @@
 
 inline void claims_world::proceed(std::size_t index, const proceed_decision& decision) {
   call& granted = calls_[index];
+  found_.unresolved += granted.look_up ? 1 : 0;
   claim_host& host = *hosts_[granted.host].host;
   granted.granted_at = ++events_;
-  const std::uint64_t ticket = std::find_if(call_of_.begin(), call_of_.end(), [&](const auto& e) {
-                                 return e.second == index;
-                               })->first.second;
   if (random_.below(5) == 0 && !settling_) {
     granted.decided = false;
-    host.finish_refused(now_, ticket, error_kind::no_capacity);
+    host.finish_refused(now_, granted.ticket, error_kind::no_capacity);
     return;
   }
-  host.progress(now_, ticket, endpoint_id{"e"}, 0);
+  host.progress(now_, granted.ticket, endpoint_id{"e"}, 0);
   granted.running = true;
   running_.push_back(index);
   if (decision.resume_only && fault_ != mutation::run_resume_only)
@@ -346,16 +376,13 @@
   running_.erase(running_.begin() + static_cast<std::ptrdiff_t>(place_in_list));
   ending.running = false;
   claim_host& host = *hosts_[ending.host].host;
-  const std::uint64_t ticket = std::find_if(call_of_.begin(), call_of_.end(), [&](const auto& e) {
-                                 return e.second == index;
-                               })->first.second;
   if (how % 4 == 0) {
-    host.finish_unknown(now_, ticket);
+    host.finish_unknown(now_, ending.ticket);
   } else {
     retained_answer answer;
     answer.status = 200;
     answer.body = "answer to " + ending.key;
-    host.finish_answered(now_, ticket, answer);
+    host.finish_answered(now_, ending.ticket, answer);
   }
   collect(ending.host);
 }
@@ -380,6 +407,20 @@
     found_.unresolved += one.decided ? 0 : 1;
 }
 
+inline void claims_world::check_recovery() {
+  advance(time_ms{20000});
+  std::vector<std::size_t> fresh_calls;
+  for (std::size_t slot = 0; slot < host_count; ++slot) {
+    const auto minted = hosts_[slot].host->mint_key(now_);
+    found_.stuck += minted ? 0 : 1;
+    if (minted && !hosts_[slot].draining)
+      fresh_calls.push_back(call_host({*minted, random_(), false, now_}, slot, false, false));
+  }
+  advance(time_ms{2500});
+  for (const std::size_t index : fresh_calls)
+    found_.stuck += calls_[index].ran ? 0 : 1;
+}
+
 inline bool claims_world::mutate(std::size_t slot, const addressed_claims_message& sent) {
   if (const auto* asked = std::get_if<countersign_request>(&sent.message)) {
     if (fault_ != mutation::skip_witness)
@@ -424,6 +465,9 @@
   for (std::size_t i = 0; i < steps; ++i)
     world.apply(world.random_action());
   world.settle();
+  constexpr std::uint64_t recovery_checks = 8;
+  if (seed % recovery_checks == 0)
+    world.check_recovery();
   return world.found();
 }
 
--- /dev/null
+++ b/tests/claims/key_test.cpp
@@ -0,0 +1,47 @@
+#include "claims/claims.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace sedgechute;
+
+TEST_CASE("a minted key tells its data centre, shard and mark") {
+  const minted_key key{data_centre_id{"rvk.c-1"}, 7, 123456789, 0xfedcba9876543210ULL};
+  const std::string text = format_key(key);
+  const auto parsed = parse_key(text);
+  REQUIRE(parsed);
+  CHECK(parsed->data_centre == key.data_centre);
+  CHECK(parsed->index == key.index);
+  CHECK(parsed->mark == key.mark);
+  CHECK(parsed->number == key.number);
+  for (const char* other :
+       {"", "f1", "f1.", "f1.a", "f1.a.1.2", "f1..1.2.3", "f1.a.x.2.3", "f1.a.1.-2.3", "f1.a.1.2.",
+        "f2.a.1.2.3", "f1.a.1.99999999999999999999.3"})
+    CHECK_FALSE(parse_key(other));
+}
+
+TEST_CASE("any text is a key of exactly one shard, and parsing it never fails") {
+  const claims_options options;
+  CHECK(rc::check([&](const std::string& text) {
+    const claim_shard shard = shard_of({team_id{"t"}, text}, options);
+    RC_ASSERT(shard == shard_of({team_id{"t"}, text}, options));
+    if (!shard.minted)
+      RC_ASSERT(shard.index < options.shards_without_home);
+  }));
+  CHECK(shard_of({team_id{"t"}, "@kop-b/x"}, options).data_centre == data_centre_id{"kop-b"});
+  CHECK(shard_of({team_id{"t"}, "@/x"}, options).data_centre.empty());
+  CHECK(shard_of({team_id{"t"}, "plain"}, options).data_centre.empty());
+}
+
+TEST_CASE("an attempt ends once, and only a claimed one can be dispatched") {
+  using enum request_state;
+  for (const auto& [from, from_name] : enum_names<request_state>::entries)
+    for (const auto& [to, to_name] : enum_names<request_state>::entries)
+      if (is_final(from))
+        CHECK_FALSE(may_become(from, to));
+  CHECK(may_become(claimed, dispatched));
+  CHECK(may_become(claimed, refused));
+  CHECK(may_become(dispatched, answered));
+  CHECK_FALSE(may_become(dispatched, refused));
+  CHECK_FALSE(may_become(accepted, dispatched));
+}
--- a/tests/claims/wire_test.cpp
+++ b/tests/claims/wire_test.cpp
@@ -12,14 +12,23 @@
 }
 
 claim some_claim() {
-  return {{team_id{"team"}, "key"},  7,   true, 3, some_host(1), 9, some_host(2), some_host(3),
-          request_state::dispatched, true};
+  return {{team_id{"team"}, "key"},
+          7,
+          true,
+          3,
+          some_host(1),
+          9,
+          some_host(2),
+          some_host(3),
+          request_state::dispatched,
+          true,
+          {some_host(4)}};
 }
 
 const claim_shard shard{data_centre_id{"hf-a"}, true, 5};
 
 std::vector<claims_message> one_of_each() {
-  const retained_answer answer{true, 2, endpoint_id{"e"}, 5, 200, "text/plain", "body"};
+  const retained_answer answer{true, 2, endpoint_id{"e"}, 5, 200, "text/plain", "body", 1};
   return {claim_request{shard, some_claim(), true, false},
           claim_reply{1, claim_verdict::full, 2, some_claim()},
           countersign_request{shard, 3, some_claim()},
@@ -29,7 +38,8 @@
           table_part{shard, 5, 6, 7, 8, 0, 2, {some_claim(), some_claim()}},
           table_part_ack{shard, 5, 8, 1},
           epoch_seen{shard, 5},
-          replica_put{some_claim().id, answer},
+          replica_put{4, some_claim().id, answer},
+          replica_stored{4},
           replica_fetch{4, some_claim().id},
           replica_reply{4, true, answer}};
 }
