Rename the reporter's record of an ended claim

Cause: the daemon has a type of the former name in the same namespace. Change: ended_request is now ended_claim in src/claims. Conclusion: both build together.

--- a/src/claims/impl/claim_entry.cpp
+++ b/src/claims/impl/claim_entry.cpp
@@ -248,7 +248,7 @@
 void claim_entry::end(time_ms now, const open_request& request, request_state state,
                       std::optional<error_kind> unconfirmed) {
   const std::uint64_t ticket = request.subject.ticket;
-  ended_request ended{request.shard, request.subject};
+  ended_claim ended{request.shard, request.subject};
   ended.subject.state = state;
   ended.granted = true;
   ended.copied = state != request_state::answered;
@@ -264,7 +264,7 @@
 // Attempt 0 gives back whatever was granted.
 void claim_entry::end_ungranted(time_ms now, const open_request& request, bool asked) {
   const std::uint64_t ticket = request.subject.ticket;
-  ended_request ended{request.shard, request.subject};
+  ended_claim ended{request.shard, request.subject};
   ended.subject.attempt = 0;
   ended.subject.state = request_state::refused;
   ended.asked = asked;
--- a/src/claims/impl/claim_reporter.cpp
+++ b/src/claims/impl/claim_reporter.cpp
@@ -22,7 +22,7 @@
     : options_{options}, shards_{&shards}, hosts_{&hosts}, answers_{&answers}, output_{&output},
       decisions_{&decisions} {}
 
-void claim_reporter::add(time_ms now, ended_request ended) {
+void claim_reporter::add(time_ms now, ended_claim ended) {
   entry& added = ended_[ended.subject.ticket];
   added.request = std::move(ended);
   added.ended = now;
--- a/src/claims/impl/claim_reporter.hpp
+++ b/src/claims/impl/claim_reporter.hpp
@@ -13,7 +13,7 @@
 namespace sedgechute {
 
 /// \brief A request of this host that runs no more, or never will.
-struct ended_request {
+struct ended_claim {
   claim_shard shard;
   claim subject;     ///< attempt 0 if no grant was seen
   bool granted{};    ///< the holder's grant was seen
@@ -31,7 +31,7 @@
                  answer_store& answers, std::vector<addressed_claims_message>& output,
                  std::vector<claim_decision>& decisions);
 
-  void add(time_ms now, ended_request ended);
+  void add(time_ms now, ended_claim ended);
   /// \brief A grant for a request that may have ended already.
   void on_late_grant(time_ms now, const claim& granted);
   void on_report_ack(const claim_report_ack& ack);
@@ -47,7 +47,7 @@
 
  private:
   struct entry {
-    ended_request request;
+    ended_claim request;
     bool acknowledged{};
     time_ms ended;
     time_ms next_send;
