--- a/src/daemon/impl/admin_api.hpp
+++ b/src/daemon/impl/admin_api.hpp
@@ -33,6 +33,7 @@
   metrics& figures;
   peer_links& peers;
   std::function<membership_view()> members;
+  std::function<std::vector<host_list_entry>()> listed_hosts; ///< as the platform names them
   std::function<void()> start_drain;
 };
 
--- a/src/daemon/impl/admin_documents.cpp
+++ b/src/daemon/impl/admin_documents.cpp
@@ -5,6 +5,9 @@
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 
+#include <chrono>
+#include <thread>
+
 namespace sedgechute {
 
 namespace {
@@ -13,6 +16,7 @@
 
 constexpr int status_pending = 202;
 constexpr time_ms append_repeat{500};
+constexpr std::chrono::milliseconds log_check{50};
 constexpr std::uint64_t default_page = 200;
 constexpr std::uint64_t largest_page = 2000;
 constexpr std::size_t longest_record_id = 64;
@@ -168,7 +172,7 @@
     const publish_outcome expected = host.documents.preview(record, committed(host));
     if (expected.verdict != publish_verdict::in_force)
       return answer(call, host, record, expected, false);
-    if (!host.replayer.status().log_reachable)
+    if (!wait_for_log(host))
       throw error{error_kind::log_unavailable, "log", "publish again once it can be reached"};
     const auto outcome = append_and_wait(host, record);
     if (outcome)
@@ -179,6 +183,17 @@
     send_json(call, status_pending, body);
   }
 
+  // A host that has just started, or whose last read failed, may reach the log a moment later.
+  static bool wait_for_log(admin_context& host) {
+    const time_ms deadline = host.time.now() + host.settings.platform.timeout;
+    while (!host.replayer.status().log_reachable) {
+      if (host.time.now() >= deadline)
+        return false;
+      std::this_thread::sleep_for(log_check);
+    }
+    return true;
+  }
+
   // An answer to an append can be lost after it took effect, and an append can be lost altogether.
   // The record is repeated with its id, which replay recognises, until it is read back.
   static std::optional<publish_outcome> append_and_wait(admin_context& host,
--- a/src/daemon/impl/dispatch_service.cpp
+++ b/src/daemon/impl/dispatch_service.cpp
@@ -63,9 +63,12 @@
 void dispatch_service::on_host_list(const host_listing& list) {
   const std::scoped_lock lock{mutex_};
   std::map<endpoint_id, host_list_entry> now_listed;
+  entry_hosts_.clear();
   for (const host_list_entry& entry : list.hosts) {
-    if (entry.kind != listed_kind::endpoint)
+    if (entry.kind != listed_kind::endpoint) {
+      entry_hosts_.push_back(entry);
       continue;
+    }
     const endpoint_id id{entry.name};
     now_listed.emplace(id, entry);
     table_.add({id, entry.pool, entry.data_centre});
@@ -163,6 +166,11 @@
   return all;
 }
 
+std::vector<host_list_entry> dispatch_service::entry_hosts() const {
+  const std::scoped_lock lock{mutex_};
+  return entry_hosts_;
+}
+
 std::string dispatch_service::address_of(const endpoint_id& endpoint) const {
   const std::scoped_lock lock{mutex_};
   const auto found = listed_.find(endpoint);
--- a/src/daemon/impl/dispatch_service.hpp
+++ b/src/daemon/impl/dispatch_service.hpp
@@ -39,6 +39,9 @@
   /// \returns endpoints of the host list, for the loops that ask them for their load.
   [[nodiscard]] std::vector<host_list_entry> endpoints() const;
 
+  /// \returns the entry hosts that the platform's list names.
+  [[nodiscard]] std::vector<host_list_entry> entry_hosts() const;
+
   /// \returns where an endpoint serves; empty when it is not listed.
   [[nodiscard]] std::string address_of(const endpoint_id& endpoint) const;
 
@@ -118,6 +121,7 @@
   contract_source contracts_;
   std::map<team_id, known_team> teams_; ///< those that have had work here
   std::map<endpoint_id, host_list_entry> listed_;
+  std::vector<host_list_entry> entry_hosts_;
   std::map<endpoint_id, bool> own_word_leaving_;
   std::shared_ptr<const fleet_settings> fleet_;
   std::unordered_map<std::uint64_t, running> running_;
--- a/src/daemon/impl/host.cpp
+++ b/src/daemon/impl/host.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Net/ServerSocket.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -15,7 +16,8 @@
 constexpr time_ms dispatch_tick{20};
 constexpr time_ms control_tick{50};
 constexpr time_ms review_tick{1000};
-constexpr time_ms handover_limit{10000};
+constexpr time_ms handover_limit{8000};
+constexpr time_ms handover_limit_alone{2000};
 
 incarnation new_incarnation(const host_id& name) {
   return {name, random_source::from_system()()};
@@ -121,10 +123,10 @@
   replayer_.start();
   loads_.start();
   start_loops();
-  admin_ = std::make_unique<admin_router>(
-      admin_context{settings_, self_, time_, documents_, budgets_, claims_, dispatch_, appender_,
-                    replayer_, status_, events_, metrics_, peers_,
-                    [this] { return membership_->view(); }, [this] { request_stop(); }});
+  admin_ = std::make_unique<admin_router>(admin_context{
+      settings_, self_, time_, documents_, budgets_, claims_, dispatch_, appender_, replayer_,
+      status_, events_, metrics_, peers_, [this] { return membership_->view(); },
+      [this] { return dispatch_.entry_hosts(); }, [this] { request_stop(); }});
   operators_ = listen(settings_.listen.admin,
                       [this](caller_exchange& exchange) { admin_->serve(exchange); });
   callers_ = listen(settings_.listen.callers,
@@ -261,10 +263,21 @@
   log_.write(severity::info, "stopped");
 }
 
+bool host::has_successor() {
+  if (!membership_)
+    return false;
+  const membership_view view = membership_->view();
+  return std::any_of(view.members.begin(), view.members.end(), [this](const member& one) {
+    return one.who != self_ && !one.leaving;
+  });
+}
+
 void host::hand_over() {
   budgets_.drain();
   claims_.drain();
-  const time_ms deadline = time_.now() + handover_limit;
+  // With every other host stopping as well there is nobody to take over; only the log is left to
+  // hear what is given back.
+  const time_ms deadline = time_.now() + (has_successor() ? handover_limit : handover_limit_alone);
   while (!(budgets_.drained() && claims_.drained()) && time_.now() < deadline)
     std::this_thread::sleep_for(std::chrono::milliseconds{control_tick.count()});
   if (!budgets_.drained() || !claims_.drained())
--- a/src/daemon/impl/host.hpp
+++ b/src/daemon/impl/host.hpp
@@ -46,6 +46,7 @@
   void poll_host_list();
   void update_readiness();
   void hand_over();
+  [[nodiscard]] bool has_successor();
 
   host_settings settings_;
   steady_clock time_;
