Process tests of the failures, and two faults that they found

Cause: (1) sockets connected outside the HTTP session never got its receive timeout, so a silent engine connection held its caller for good; ruled out: the stand-in, whose new connections worked. (2) In the first seconds of a fleet nobody decides for idempotency keys, and a keyed request was told outcome_unknown although nothing had run; ruled out: the claim's own timeout. Change: one place connects and sets the timeouts; a host is ready only once every shard of the keys has a holder (or after 15 s, should the log be down). tests/fleet runs hosts and stand-ins as processes: killed and paused hosts, log outage, lost answers, a host cut off from the log, graceful stop, silent connection, an order sent twice.

--- a/src/daemon/impl/document_service.cpp
+++ b/src/daemon/impl/document_service.cpp
@@ -41,6 +41,7 @@
   require(allows_service(agreed, pool->name), error_kind::forbidden, "",
           "the contract does not cover service \"" + wanted + "\"");
   grant.pool = pool->name;
+  grant.answer_timeout = pool->answer_timeout;
   grant.tokens_per_call = static_cast<std::uint64_t>(pool->tokens_per_call);
   grant.idempotent_by_default = !is_non_idempotent(*pool, method);
 }
--- a/src/daemon/impl/host.cpp
+++ b/src/daemon/impl/host.cpp
@@ -16,6 +16,7 @@
 constexpr time_ms dispatch_tick{20};
 constexpr time_ms control_tick{50};
 constexpr time_ms review_tick{1000};
+constexpr time_ms key_settle_limit{15000};
 constexpr time_ms handover_limit{8000};
 constexpr time_ms handover_limit_alone{2000};
 
@@ -114,6 +115,7 @@
 }
 
 void host::start() {
+  started_ = time_.now();
   peer_server_ = std::make_unique<peer_server>(settings_.listen.peers.str(), listener_);
   membership_ = std::make_unique<membership_service>(
       self_, settings_.data_centre, target_of(settings_.listen.peers), time_,
@@ -231,9 +233,22 @@
     return status_.set_not_ready("the log and all peers are out of reach, or replay goes on");
   if (!documents_.fleet())
     return status_.set_not_ready("no fleet settings were published yet");
+  if (!keys_decided())
+    return status_.set_not_ready("nobody decides for idempotency keys yet");
   status_.set_not_ready("");
 }
 
+// A fleet that just started has nobody who decides for keys; a keyed request would be told "outcome
+// unknown" for nothing. Once that was settled, or if it cannot be (the log may be down), the host
+// serves: most requests have no key.
+bool host::keys_decided() {
+  if (!keys_settled_) {
+    const bool waited = time_.now() > started_ + key_settle_limit;
+    keys_settled_ = waited || claims_.statistics().shards_without_holder == 0;
+  }
+  return keys_settled_;
+}
+
 // Order matters: as long as requests run, their tokens and claims are needed here; and the other
 // hosts must hear of the handed-over parts before this one is gone.
 void host::drain() {
@@ -267,9 +282,8 @@
   if (!membership_)
     return false;
   const membership_view view = membership_->view();
-  return std::any_of(view.members.begin(), view.members.end(), [this](const member& one) {
-    return one.who != self_ && !one.leaving;
-  });
+  return std::any_of(view.members.begin(), view.members.end(),
+                     [this](const member& one) { return one.who != self_ && !one.leaving; });
 }
 
 void host::hand_over() {
--- a/src/daemon/impl/host.hpp
+++ b/src/daemon/impl/host.hpp
@@ -45,6 +45,7 @@
   void every(time_ms interval, std::function<void()> step);
   void poll_host_list();
   void update_readiness();
+  [[nodiscard]] bool keys_decided();
   void hand_over();
   [[nodiscard]] bool has_successor();
 
@@ -79,6 +80,8 @@
   ordered_mutex stop_mutex_{lock_rank::lifecycle};
   std::condition_variable_any stop_wanted_;
   bool stop_requested_{false};
+  time_ms started_;
+  bool keys_settled_{false};
   std::atomic<bool> draining_{false};
   std::atomic<bool> stopping_{false};
   std::vector<std::thread> loops_;
--- a/src/gateway/impl/endpoint_connections.cpp
+++ b/src/gateway/impl/endpoint_connections.cpp
@@ -2,6 +2,8 @@
 
 #include "platform/platform.hpp"
 
+#include <Poco/Exception.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/Timespan.h>
 
 #include <utility>
@@ -36,6 +38,25 @@
   return {open(address), false};
 }
 
+bool endpoint_connections::connect(Poco::Net::HTTPClientSession& session,
+                                   const std::string& address, time_ms silence) const {
+  try {
+    Poco::Net::StreamSocket& socket = session.socket();
+    if (!session.connected()) {
+      const http_target target = http_target::parse(address);
+      socket.connect(Poco::Net::SocketAddress{target.ip, target.port},
+                     to_timespan(timeouts_.connect));
+      socket.setNoDelay(true);
+      socket.setSendTimeout(to_timespan(timeouts_.send));
+    }
+    // The session applies its timeouts only to connections that it opens itself.
+    socket.setReceiveTimeout(to_timespan(silence));
+    return true;
+  } catch (const Poco::Exception&) {
+    return false;
+  }
+}
+
 void endpoint_connections::give_back(const std::string& address, session_ptr session) {
   const std::scoped_lock lock{mutex_};
   auto& sessions = idle_[address];
--- a/src/gateway/impl/endpoint_connections.hpp
+++ b/src/gateway/impl/endpoint_connections.hpp
@@ -34,6 +34,14 @@
   /// \returns a session and whether it has been used before
   [[nodiscard]] std::pair<session_ptr, bool> take(const std::string& address, bool reuse);
 
+  /// \brief Connects a session that `take` returned, if it is not connected yet.
+  /// \param silence  longest wait for any byte
+  /// \returns false when the endpoint cannot be reached: nothing was sent to it
+  [[nodiscard]] bool connect(Poco::Net::HTTPClientSession& session, const std::string& address,
+                             time_ms silence) const;
+
+  [[nodiscard]] const connection_timeouts& timeouts() const noexcept { return timeouts_; }
+
   /// \brief Keeps a connection for the next user.
   void give_back(const std::string& address, session_ptr session);
 
--- a/src/gateway/impl/engine_stream.cpp
+++ b/src/gateway/impl/engine_stream.cpp
@@ -49,14 +49,7 @@
 
 open_result engine_stream::send(const std::string& method, const std::string& path,
                                 const std::string& body, int priority) {
-  try {
-    if (!session_->connected()) {
-      const http_target target = http_target::parse(address_);
-      Poco::Net::StreamSocket& socket = session_->socket();
-      socket.connect(Poco::Net::SocketAddress{target.ip, target.port}, session_->getTimeout());
-      socket.setNoDelay(true);
-    }
-  } catch (const Poco::Exception&) {
+  if (!connections_.connect(*session_, address_, connections_.timeouts().silence)) {
     session_.reset();
     return open_result::not_dispatched;
   }
--- a/src/gateway/impl/ports.hpp
+++ b/src/gateway/impl/ports.hpp
@@ -32,6 +32,7 @@
   std::uint64_t max_output_tokens{};
   bool idempotent_by_default{true};
   std::uint64_t tokens_per_call{0}; ///< price of a call to a plain service
+  time_ms answer_timeout{30000};    ///< longest silence of a plain service
 };
 
 /// \brief Contracts and fleet settings, as far as a request needs them.
--- a/src/gateway/impl/service_call.cpp
+++ b/src/gateway/impl/service_call.cpp
@@ -122,7 +122,7 @@
   call_end run(const caller_body& body) {
     auto [session, reused] = host_.connections.take(turn_.address, call_.idempotent);
     session_ = std::move(session);
-    if (!connect())
+    if (!host_.connections.connect(*session_, turn_.address, call_.grant.answer_timeout))
       return call_end::not_dispatched;
     HTTPResponse response;
     std::istream* in = exchange_headers(body, response);
@@ -135,19 +135,6 @@
   [[nodiscard]] const kept_answer& kept() const noexcept { return kept_; }
 
  private:
-  bool connect() {
-    try {
-      if (session_->connected())
-        return true;
-      const http_target target = http_target::parse(turn_.address);
-      session_->socket().connect(SocketAddress{target.ip, target.port}, session_->getTimeout());
-      session_->socket().setNoDelay(true);
-      return true;
-    } catch (const Poco::Exception&) {
-      return false;
-    }
-  }
-
   std::istream* exchange_headers(const caller_body& body, HTTPResponse& response) {
     try {
       HTTPRequest request{call_.method, call_.path, HTTPMessage::HTTP_1_1};
--- /dev/null
+++ b/tests/fleet/running_fleet.cpp
@@ -0,0 +1,245 @@
+#include "running_fleet.hpp"
+
+#include "config/config.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/JSONString.h>
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <fstream>
+#include <thread>
+#include <unistd.h>
+
+namespace sedgechute::fleet_test {
+
+namespace {
+
+constexpr const char* programs = SEDGECHUTE_PROGRAMS;
+constexpr const char* salt = "00112233445566778899aabbccddeeff";
+constexpr const char* team_secret = "sk-team-00000000000000000000000000000001";
+constexpr const char* operator_secret = "sk-oper-00000000000000000000000000000002";
+
+std::string at(std::uint16_t port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+std::string quoted(const std::string& text) {
+  return Poco::toJSON(text);
+}
+
+std::string hashed(const char* secret) {
+  const hashed_key key = hash_bearer_key(secret, salt);
+  return R"({"id":")" + key.id + R"(","salt":")" + key.salt + R"(","sha256":")" + key.sha256 +
+         "\"}";
+}
+
+void write(const std::filesystem::path& file, const std::string& text) {
+  std::filesystem::create_directories(file.parent_path());
+  std::ofstream{file} << text;
+}
+
+std::string entry(const std::string& name, const std::string& kind, std::uint16_t port,
+                  const std::string& rest) {
+  return R"({"name":")" + name + R"(","kind":")" + kind + R"(","data_centre":"one","address":")" +
+         at(port) + R"(","state":"live")" + rest + "}";
+}
+
+} // namespace
+
+running_fleet::running_fleet(const fleet_shape& shape)
+    : folder_{std::filesystem::temp_directory_path() /
+              ("sedgechute-test-" + std::to_string(::getpid()) + "-" +
+               std::to_string(free_port()))},
+      team_key_{team_secret}, operator_key_{operator_secret} {
+  log_port_ = free_port();
+  list_port_ = free_port();
+  weights_port_ = free_port();
+  service_port_ = free_port();
+  for (int i = 0; i < shape.engines; ++i)
+    engine_ports_.push_back(free_port());
+  for (int i = 0; i < shape.hosts; ++i)
+    addresses_.push_back({"h" + std::to_string(i), free_port(), free_port(), free_port()});
+  write_files(shape);
+  standins_ = std::make_unique<process>(std::string{programs} + "/sedgechute-standin",
+                                        std::vector<std::string>{"fleet", "--example", folder_},
+                                        folder_ / "standins.log");
+  hosts_.resize(static_cast<std::size_t>(shape.hosts));
+  for (int i = 0; i < shape.hosts; ++i)
+    start_host(i);
+  publish_all();
+  for (int i = 0; i < shape.hosts; ++i)
+    REQUIRE(wait_until_ready(i, 15000));
+}
+
+running_fleet::~running_fleet() {
+  hosts_.clear();
+  standins_.reset();
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+void running_fleet::write_files(const fleet_shape& shape) {
+  std::string list;
+  for (const host_addresses& host : addresses_)
+    list +=
+        entry(host.name, "entry", host.callers, R"(,"peer_address":")" + at(host.peers) + "\"") +
+        ",";
+  for (std::size_t i = 0; i < engine_ports_.size(); ++i)
+    list += entry("e" + std::to_string(i), "endpoint", engine_ports_[i], R"(,"pool":"lm")") + ",";
+  list += entry("s0", "endpoint", service_port_, R"(,"pool":"orders")");
+  write(folder_ / "hosts.json",
+        R"({"standins":{"log":")" + at(log_port_) + R"(","hosts":")" + at(list_port_) +
+            R"(","weights":")" + at(weights_port_) +
+            R"(","pools":{"lm":{"model":"m","max_running":32,"first_token_ms":20,"token_ms":)" +
+            std::to_string(shape.token_ms) +
+            R"(,"answer_tokens":100000},"orders":{"service":"orders","work_ms":5}}},"hosts":[)" +
+            list + "]}");
+  for (std::size_t i = 0; i < addresses_.size(); ++i) {
+    const bool cut = std::find(shape.without_log.begin(), shape.without_log.end(),
+                               static_cast<int>(i)) != shape.without_log.end();
+    const host_addresses& host = addresses_[i];
+    write(folder_ / (host.name + ".json"),
+          R"({"schema":1,"name":")" + host.name + R"(","data_centre":"one","listen":{"callers":")" +
+              at(host.callers) + R"(","peers":")" + at(host.peers) + R"(","admin":")" +
+              at(host.admin) + R"("},"platform":{"log":")" + at(cut ? free_port() : log_port_) +
+              R"(","host_list":")" + at(list_port_) + R"(","weights":")" + at(weights_port_) +
+              R"("},"operators":[{"name":"op","right":"publish","key":)" + hashed(operator_secret) +
+              "}]}");
+  }
+}
+
+void running_fleet::start_host(int number) {
+  const std::string& name = addresses_[static_cast<std::size_t>(number)].name;
+  hosts_[static_cast<std::size_t>(number)] =
+      std::make_unique<process>(std::string{programs} + "/sedgechuted",
+                                std::vector<std::string>{"--settings", folder_ / (name + ".json")},
+                                folder_ / (name + ".log"));
+}
+
+void running_fleet::restart(int number) {
+  start_host(number);
+}
+
+std::string running_fleet::contract(long budget) const {
+  return R"({"schema":1,"team":"team","top_ups":[{"id":"1","tokens":)" + std::to_string(budget) +
+         R"(}],"keys":[)" + hashed(team_secret) +
+         R"(],"share":100,"classes":[{"name":"chat","priority":1,"deadline_ms":20000}],"default_class":"chat","pools":["lm"],"services":["orders"]})";
+}
+
+void running_fleet::publish_all() const {
+  const std::string fleet =
+      R"({"schema":1,"data_centres":[{"name":"one","region":"r"}],"pools":[{"name":"lm","kind":"engine","models":[{"name":"m","max_output_tokens":4096}]},{"name":"orders","kind":"service","non_idempotent_methods":["POST"],"tokens_per_call":5}]})";
+  const std::string body =
+      R"({"record_id":"f1","replaces":0,"based_on":0,"body":)" + quoted(fleet) + "}";
+  answer published;
+  for (int i = 0; i < 100 && published.status != 200; ++i) {
+    published = operate(0, "POST", "documents/fleet/fleet", body);
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+  }
+  REQUIRE_MESSAGE(published.status == 200, published.body);
+  REQUIRE(publish(0, 0, "c1") == 200);
+}
+
+int running_fleet::publish(int host, long budget, const std::string& record_id) const {
+  const answer shown = operate(host, "GET", "documents/contract/team");
+  Poco::JSON::Parser parser;
+  const auto object = parser.parse(shown.body).extract<Poco::JSON::Object::Ptr>();
+  const auto revision = object->optValue<Poco::UInt64>("revision", 0);
+  const auto sequence = object->optValue<Poco::UInt64>("sequence", 0);
+  const long tokens = budget == 0 ? 1'000'000 : budget;
+  return operate(host, "POST", "documents/contract/team",
+                 R"({"record_id":")" + record_id + R"(","replaces":)" + std::to_string(revision) +
+                     R"(,"based_on":)" + std::to_string(sequence) + R"(,"body":)" +
+                     quoted(contract(tokens)) + "}")
+      .status;
+}
+
+running_fleet::answer running_fleet::call(std::uint16_t port, const std::string& method,
+                                          const std::string& path, const std::string& body,
+                                          const std::string& bearer, const std::string& key,
+                                          int most_ms) const {
+  std::vector<std::pair<std::string, std::string>> headers;
+  if (!bearer.empty())
+    headers.emplace_back("Authorization", "Bearer " + bearer);
+  if (!key.empty())
+    headers.emplace_back("Idempotency-Key", key);
+  try {
+    const http_answer got =
+        http_call({"127.0.0.1", port}, method, path, body, time_ms{most_ms}, headers);
+    return {got.status, got.body};
+  } catch (const Poco::Exception& failure) {
+    return {0, failure.displayText()};
+  }
+}
+
+running_fleet::answer running_fleet::ask(int host, const std::string& prompt, int tokens,
+                                         bool stream, const std::string& key) const {
+  const std::string body = R"({"model":"m","messages":[{"role":"user","content":)" +
+                           quoted(prompt) + R"(}],"max_tokens":)" + std::to_string(tokens) +
+                           (stream ? R"(,"stream":true})" : "}");
+  return call(addresses_[static_cast<std::size_t>(host)].callers, "POST", "/v1/chat/completions",
+              body, team_key_, key, 20000);
+}
+
+running_fleet::answer running_fleet::get(int host, const std::string& path) const {
+  return call(addresses_[static_cast<std::size_t>(host)].callers, "GET", path, {}, team_key_, {},
+              5000);
+}
+
+running_fleet::answer running_fleet::service(int host, const std::string& method,
+                                             const std::string& path,
+                                             const std::string& key) const {
+  return call(addresses_[static_cast<std::size_t>(host)].callers, method, "/services/orders" + path,
+              method == "POST" ? "{}" : "", team_key_, key, 10000);
+}
+
+running_fleet::answer running_fleet::operate(int host, const std::string& method,
+                                             const std::string& path,
+                                             const std::string& body) const {
+  return call(addresses_[static_cast<std::size_t>(host)].admin, method, "/admin/v1/" + path, body,
+              operator_key_, {}, 5000);
+}
+
+void running_fleet::fault_in_log(const std::string& json) const {
+  REQUIRE(call(log_port_, "POST", "/admin/faults", json, {}, {}, 2000).status == 200);
+}
+
+void running_fleet::fault_in_engines(const std::string& json) const {
+  for (const std::uint16_t port : engine_ports_)
+    REQUIRE(call(port, "POST", "/admin/faults", json, {}, {}, 2000).status == 200);
+}
+
+int running_fleet::runs(const std::string& prefix) const {
+  int count = 0;
+  std::vector<std::uint16_t> ports = engine_ports_;
+  ports.push_back(service_port_);
+  for (const std::uint16_t port : ports) {
+    const answer stats = call(port, "GET", "/admin/stats", {}, {}, {}, 2000);
+    Poco::JSON::Parser parser;
+    const auto whole = parser.parse(stats.body).extract<Poco::JSON::Object::Ptr>();
+    const auto requests = whole->getObject("requests");
+    if (!requests)
+      continue;
+    for (const auto& [id, about] : *requests)
+      if (id.rfind(prefix, 0) == 0)
+        count += about.extract<Poco::JSON::Object::Ptr>()->getValue<int>("runs");
+  }
+  return count;
+}
+
+bool running_fleet::wait_until_ready(int host, int most_ms) const {
+  constexpr int step_ms = 50;
+  for (int waited = 0; waited < most_ms; waited += step_ms) {
+    if (get(host, "/readyz").status == 200)
+      return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds{step_ms});
+  }
+  return false;
+}
+
+} // namespace sedgechute::fleet_test
--- /dev/null
+++ b/tests/fleet/running_fleet.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "platform/platform.hpp"
+#include "process.hpp"
+
+#include <Poco/JSON/Object.h>
+
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sedgechute::fleet_test {
+
+struct fleet_shape {
+  int hosts{3};
+  int engines{3};
+  int token_ms{10};
+  long budget{1'000'000};
+  /// Hosts, by number, whose log address leads nowhere: cut off from it for good.
+  std::vector<int> without_log{};
+};
+
+/// \brief Stand-ins and hosts of one data centre in processes, with one team's contract in force.
+class running_fleet {
+ public:
+  explicit running_fleet(const fleet_shape& shape);
+  running_fleet(const running_fleet&) = delete;
+  running_fleet& operator=(const running_fleet&) = delete;
+  ~running_fleet();
+
+  [[nodiscard]] process& host(int number) { return *hosts_.at(static_cast<std::size_t>(number)); }
+  /// \brief Starts a host again, as a new incarnation at the same addresses.
+  void restart(int number);
+
+  struct answer {
+    int status{}; ///< 0 when the connection failed
+    std::string body;
+  };
+  /// \brief A chat request of the team.
+  [[nodiscard]] answer ask(int host, const std::string& prompt, int tokens, bool stream = false,
+                           const std::string& key = {}) const;
+  [[nodiscard]] answer get(int host, const std::string& path) const;
+  [[nodiscard]] answer service(int host, const std::string& method, const std::string& path,
+                               const std::string& key) const;
+  [[nodiscard]] answer operate(int host, const std::string& method, const std::string& path,
+                               const std::string& body = {}) const;
+  /// \brief Publishes the team's contract with another budget.
+  [[nodiscard]] int publish(int host, long budget, const std::string& record_id) const;
+
+  void fault_in_log(const std::string& json) const;
+  void fault_in_engines(const std::string& json) const;
+  /// \returns how often the engines and services ran anything under ids that begin with `prefix`.
+  [[nodiscard]] int runs(const std::string& prefix) const;
+
+  [[nodiscard]] bool wait_until_ready(int host, int most_ms) const;
+
+ private:
+  struct host_addresses {
+    std::string name;
+    std::uint16_t callers{}, peers{}, admin{};
+  };
+
+  void write_files(const fleet_shape& shape);
+  void start_host(int number);
+  void publish_all() const;
+  [[nodiscard]] std::string contract(long budget) const;
+  [[nodiscard]] answer call(std::uint16_t port, const std::string& method, const std::string& path,
+                            const std::string& body, const std::string& bearer,
+                            const std::string& key, int most_ms) const;
+
+  std::filesystem::path folder_;
+  std::string team_key_;
+  std::string operator_key_;
+  std::uint16_t log_port_{}, list_port_{}, weights_port_{};
+  std::vector<std::uint16_t> engine_ports_;
+  std::uint16_t service_port_{};
+  std::vector<host_addresses> addresses_;
+  std::unique_ptr<process> standins_;
+  std::vector<std::unique_ptr<process>> hosts_;
+};
+
+} // namespace sedgechute::fleet_test
