--- a/src/cli/impl/publish.cpp
+++ b/src/cli/impl/publish.cpp
@@ -61,15 +61,20 @@
   return exit_code::ok;
 }
 
-/// \brief Repeats a pending publish until it is known what became of it. Repeating is safe: the
-/// record id stays the same.
+/// A host that has just started doesn't know yet whether it reaches the log.
+[[nodiscard]] bool may_change(const api_answer& answer) {
+  return answer.status == status_accepted || exit_code_for(answer) == exit_code::log_down;
+}
+
+/// \brief Repeats a publish until it is known what became of it. Repeating is safe: the record id
+/// stays the same.
 [[nodiscard]] api_answer post_until_known(api_client& client, const std::string& path,
                                           const json_node& body, const invocation& call) {
   const auto deadline =
       std::chrono::steady_clock::now() + std::chrono::milliseconds{call.flags.timeout.count()};
   for (;;) {
     api_answer answer = client.post(path, body);
-    if (answer.status != status_accepted || std::chrono::steady_clock::now() >= deadline)
+    if (!may_change(answer) || std::chrono::steady_clock::now() >= deadline)
       return answer;
     std::this_thread::sleep_for(std::chrono::milliseconds{call.flags.poll.count()});
   }
--- a/tests/cli/cli_test.cpp
+++ b/tests/cli/cli_test.cpp
@@ -259,3 +259,24 @@
   }
   CHECK(host.calls()[1].body == R"({"epoch":7,"reason":"burnt"})");
 }
+
+// A fleet has just been started and its hosts have not read the log yet. An operator's first
+// publish, or a script's, would fail for half a second's sake.
+TEST_CASE("a publish is repeated while the log can't be reached, and says so in the end") {
+  fake_documents documents;
+  std::atomic<int> outages{2};
+  fake_host host{[&](const received_call& call) {
+    if (call.method == "POST" && outages-- > 0)
+      return error_answer_for(error_kind::log_unavailable, "log", "later");
+    return documents.answer(call);
+  }};
+  const scratch_file fleet{fleet_text};
+  cli::options flags = flags_for({host.where()});
+  CHECK(run_words({"fleet", "publish", fleet.path()}, flags).code == cli::exit_code::ok);
+  outages = 1'000'000;
+  flags.timeout = time_ms{20};
+  flags.replaces = 1;
+  const auto down = run_words({"fleet", "publish", fleet.path()}, flags);
+  CHECK(down.code == cli::exit_code::log_down);
+  CHECK(holds(down.err, "when the log is back, repeat it safely with --record_id"));
+}
