--- a/src/claims/impl/answer_store.cpp
+++ b/src/claims/impl/answer_store.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-// Map node, list node and the share of the hash table, measured generously.
-constexpr std::size_t entry_overhead = 256;
+// Map node, list node, strings and the share of the hash table; about 420 bytes were measured.
+constexpr std::size_t entry_overhead = 448;
 
 std::size_t size_of(const claim_id& id, const retained_answer& answer) {
   return entry_overhead + 2 * (id.key.size() + id.team.str().size()) + answer.body.size() +
@@ -32,7 +32,7 @@
     return;
   team_share& share = teams_[id.team];
   if (is_new) {
-    share.recent.push_front(id);
+    share.recent.push_front(&place->first);
     stored.place = share.recent.begin();
   }
   charge(id.team, bytes, stored.bytes);
@@ -63,7 +63,7 @@
 void answer_store::evict_one() {
   const team_id team = by_use_.rbegin()->second;
   team_share& share = teams_[team];
-  const claim_id victim = share.recent.back();
+  const claim_id victim = *share.recent.back();
   share.recent.pop_back();
   charge(team, 0, entries_.at(victim).bytes);
   entries_.erase(victim);
--- a/src/claims/impl/answer_store.hpp
+++ b/src/claims/impl/answer_store.hpp
@@ -46,11 +46,11 @@
   struct entry {
     retained_answer answer;
     std::size_t bytes{};
-    std::list<claim_id>::iterator place;
+    std::list<const claim_id*>::iterator place;
   };
   struct team_share {
     std::size_t bytes{};
-    std::list<claim_id> recent; ///< most recently used first
+    std::list<const claim_id*> recent; ///< most recently used first; keys of `entries_`
   };
 
   void charge(const team_id& team, std::size_t added, std::size_t removed);
--- a/src/claims/impl/claim.hpp
+++ b/src/claims/impl/claim.hpp
@@ -45,14 +45,20 @@
 /// \brief Most earlier attempts of one key that had not ended; no further one is granted then.
 inline constexpr std::size_t max_unfinished = 8;
 
+/// \returns whether both are the same process; compares the numbers first, which nearly always
+/// tells
+[[nodiscard]] inline bool same_process(const incarnation& a, const incarnation& b) {
+  return a.number == b.number && a.host == b.host;
+}
+
 /// \returns whether both are about the same attempt of the same entry host
 [[nodiscard]] inline bool same_attempt(const claim& a, const claim& b) {
-  return a.attempt == b.attempt && a.ticket == b.ticket && a.entry == b.entry;
+  return a.attempt == b.attempt && a.ticket == b.ticket && same_process(a.entry, b.entry);
 }
 
 /// \returns whether both are about the same ticket of the same entry host
 [[nodiscard]] inline bool same_request(const claim& a, const claim& b) {
-  return a.ticket == b.ticket && a.entry == b.entry && a.id == b.id;
+  return a.ticket == b.ticket && same_process(a.entry, b.entry) && a.id == b.id;
 }
 
 /// \brief A host that is not known to be dead.
--- a/src/claims/impl/claim_host.cpp
+++ b/src/claims/impl/claim_host.cpp
@@ -67,7 +67,7 @@
 // never reaches the network.
 void claim_host::deliver_own(time_ms now) {
   for (std::size_t i = 0; i < messages_.size(); ++i) {
-    if (messages_[i].to != self_)
+    if (!same_process(messages_[i].to, self_))
       continue;
     const claims_message own = std::move(messages_[i].message);
     messages_[i].to = {};
@@ -160,10 +160,9 @@
     description.witness = status->witness;
     description.epoch = status->epoch;
   }
-  const claim* known = entry_.running(id);
-  if (known == nullptr)
-    known = keeper_.find(shard, id);
-  if (known != nullptr) {
+  const claim* running = entry_.running(id);
+  const auto known = running != nullptr ? std::optional{*running} : keeper_.find(shard, id);
+  if (known) {
     description.known = true;
     description.state = known->state;
     description.attempt = known->attempt;
--- a/src/claims/impl/claim_keeper.cpp
+++ b/src/claims/impl/claim_keeper.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr time_ms cleanup_period{10000};
+constexpr time_ms sweep_period{100};
+constexpr std::size_t sweep_parts = 100; // so that a table is gone through in ten seconds
 
 } // namespace
 
@@ -21,7 +23,7 @@
   relinquish(before, after);
   if (after.witness == self_) {
     kept_shard& kept = keep(after.shard);
-    kept.table.drop_proposals();
+    kept.table.withdraw_all();
     // A former holder may lack what the witness stored while its reply was lost, so even it needs
     // the new holder's table to be complete.
     kept.complete = before.witness == self_ && kept.complete;
@@ -42,7 +44,8 @@
     kept.to_witness = after.witness.host.empty()
                           ? table_transfer{}
                           : start_transfer(++last_transfer_, kept.table.committed());
-  kept.table.for_each_proposed([&](stored_claim& stored) { ask_witness(now, after, stored); });
+  for (const claim& next : kept.table.due_proposals(now, time_ms{0}))
+    ask_witness(now, after, next);
 }
 
 // This host and its partner were wrongly believed to be lost, and others began an epoch that does
@@ -83,36 +86,31 @@
     return;
   const bool granted = *verdict == claim_verdict::granted;
   if (granted && request.look_up) {
-    const bool may_have_run = basis.stored != nullptr && basis.stored->committed &&
+    const bool may_have_run = basis.stored && basis.stored->committed &&
                               (basis.stored->committed->may_have_run ||
                                basis.stored->committed->state != request_state::refused);
     reply(request, *status, may_have_run ? claim_verdict::unknown : claim_verdict::absent,
           basis.stored);
     return;
   }
-  const bool repeated = basis.stored != nullptr && basis.stored->committed &&
-                        basis.stored->committed->ticket == request.wanted.ticket &&
-                        basis.stored->committed->entry == request.wanted.entry;
+  const bool repeated = basis.stored && basis.stored->committed &&
+                        same_request(*basis.stored->committed, request.wanted);
   if (granted && !repeated)
-    propose(now, *status, kept.table.insert(id), next_attempt(request, basis.stored));
+    propose(now, *status, next_attempt(request, basis.stored));
   else
     reply(request, *status, *verdict, basis.stored);
 }
 
-void claim_keeper::propose(time_ms now, const shard_status& status, stored_claim& stored,
-                           const claim& next) {
-  stored.proposed = next;
-  stored.touched = now;
-  ask_witness(now, status, stored);
+void claim_keeper::propose(time_ms now, const shard_status& status, const claim& next) {
+  keep(status.shard).table.propose(now, next);
+  ask_witness(now, status, next);
 }
 
-void claim_keeper::ask_witness(time_ms now, const shard_status& status, stored_claim& stored) {
-  if (status.witness.host.empty()) {
-    commit(now, status, claim{*stored.proposed});
-    return;
-  }
-  stored.asked = now;
-  send(status.witness, countersign_request{status.shard, status.epoch, *stored.proposed});
+void claim_keeper::ask_witness(time_ms now, const shard_status& status, const claim& next) {
+  if (status.witness.host.empty())
+    commit(now, status, next);
+  else
+    send(status.witness, countersign_request{status.shard, status.epoch, next});
 }
 
 // Failure guarded against: this host was paused, its holder replaced or its epoch sealed, and a
@@ -136,8 +134,8 @@
       answer.subject = *table.find(request.subject.id)->committed;
     }
   } else if (found != kept_.end()) {
-    const stored_claim* stored = found->second.table.find(request.subject.id);
-    if (stored != nullptr && stored->committed && *stored->committed == request.subject)
+    const auto stored = found->second.table.find(request.subject.id);
+    if (stored && stored->committed && *stored->committed == request.subject)
       answer.result = countersign_result::accepted;
   }
   send(from, std::move(answer));
@@ -152,11 +150,11 @@
     kept.refused = true;
     return;
   }
-  stored_claim* stored = kept.table.find(reply.subject.id);
-  if (stored == nullptr || !stored->proposed)
+  const auto stored = kept.table.find(reply.subject.id);
+  if (!stored || !stored->proposed)
     return;
   if (reply.result == countersign_result::newer) {
-    stored->proposed.reset();
+    kept.table.withdraw(reply.subject.id);
     kept.table.merge(now, reply.subject);
     return;
   }
@@ -167,8 +165,7 @@
 
 void claim_keeper::commit(time_ms now, const shard_status& status, const claim& subject) {
   kept_shard& kept = keep(status.shard);
-  stored_claim& stored = kept.table.insert(subject.id);
-  stored.proposed.reset();
+  kept.table.withdraw(subject.id);
   const bool current = kept.table.merge(now, subject);
   if (subject.state != request_state::claimed)
     send(subject.entry, claim_report_ack{subject.ticket, subject.state, current});
@@ -177,9 +174,9 @@
 }
 
 void claim_keeper::reply(const claim_request& request, const shard_status& status,
-                         claim_verdict verdict, const stored_claim* stored) {
+                         claim_verdict verdict, const std::optional<stored_claim>& stored) {
   claim_reply answer{request.wanted.ticket, verdict, status.epoch, request.wanted};
-  if (stored != nullptr && stored->committed)
+  if (stored && stored->committed)
     answer.current = *stored->committed;
   send(request.wanted.entry, std::move(answer));
 }
@@ -188,12 +185,11 @@
   const shard_status* status = held(report.shard);
   if (status == nullptr || keep(report.shard).refused)
     return;
-  claim_table& table = keep(report.shard).table;
-  const claim_id& id = report.subject.id;
-  const report_step step = judge_report(report.subject, table.find(id));
+  const claim_table& table = keep(report.shard).table;
+  const report_step step = judge_report(report.subject, table.find(report.subject.id));
   switch (step.action) {
   case report_action::propose:
-    propose(now, *status, table.insert(id), step.next);
+    propose(now, *status, step.next);
     return;
   case report_action::acknowledge:
     send(report.subject.entry,
@@ -250,6 +246,9 @@
 }
 
 void claim_keeper::tick(time_ms now) {
+  const bool sweep = now >= next_sweep_;
+  if (sweep)
+    next_sweep_ = now + sweep_period;
   const bool cleanup = now >= next_cleanup_;
   if (cleanup)
     next_cleanup_ = now + cleanup_period;
@@ -261,12 +260,10 @@
       for (table_part& part :
            due_parts(kept.to_witness, now, options_.resend_interval, shard, status->epoch))
         send(status->witness, std::move(part));
-      kept.table.for_each_proposed([&](stored_claim& stored) {
-        if (now - stored.asked >= options_.resend_interval)
-          ask_witness(now, *status, stored);
-      });
+      for (const claim& next : kept.table.due_proposals(now, options_.resend_interval))
+        ask_witness(now, *status, next);
     }
-    if (cleanup)
+    if (sweep)
       forget_expired(now, *status, kept);
   }
   if (cleanup) {
@@ -296,16 +293,13 @@
 // the host that holds the claim may still dispatch it, however long it has been paused.
 void claim_keeper::forget_expired(time_ms now, const shard_status& status, kept_shard& kept) {
   const std::uint64_t oldest_mark = shards_->oldest_mark(status);
-  kept.table.erase_if([&](const stored_claim& stored) {
-    if (stored.proposed || !stored.committed)
-      return false;
-    const claim& known = *stored.committed;
+  kept.table.sweep(sweep_parts, [&](const claim& known, time_ms touched) {
     const auto has_ended = [&](const incarnation& who) { return shards_->has_ended(now, who); };
     const bool over = (is_final(known.state) || has_ended(known.entry)) &&
                       std::all_of(known.unfinished.begin(), known.unfinished.end(), has_ended);
     if (const auto minted = parse_key(known.id.key))
       return over && minted->mark < oldest_mark;
-    return over && now - stored.touched >= options_.retention;
+    return over && now - touched >= options_.retention;
   });
 }
 
@@ -337,27 +331,26 @@
   return status != nullptr && found != kept_.end() && found->second.sealed == status->epoch;
 }
 
-const claim* claim_keeper::find(const claim_shard& shard, const claim_id& id) {
+std::optional<claim> claim_keeper::find(const claim_shard& shard, const claim_id& id) const {
   const auto found = kept_.find(shard);
-  if (found == kept_.end())
-    return nullptr;
-  const stored_claim* stored = found->second.table.find(id);
-  return stored != nullptr && stored->committed ? &*stored->committed : nullptr;
+  const auto stored = found == kept_.end() ? std::nullopt : found->second.table.find(id);
+  return stored ? stored->committed : std::nullopt;
 }
 
 const shard_status* claim_keeper::held(const claim_shard& shard) const {
   const shard_status* status = shards_->find(shard);
-  return status != nullptr && status->holder == self_ ? status : nullptr;
+  return status != nullptr && same_process(status->holder, self_) ? status : nullptr;
 }
 
 claim_keeper::kept_shard& claim_keeper::keep(const claim_shard& shard) {
-  return kept_.try_emplace(shard, counts_).first->second;
+  return kept_.try_emplace(shard, pool_).first->second;
 }
 
 bool claim_keeper::has_room(const team_id& team) const {
-  const auto used = counts_.by_team.find(team);
-  const std::size_t of_team = used == counts_.by_team.end() ? 0 : used->second;
-  return counts_.total < options_.max_claims && of_team < options_.max_claims_per_team;
+  const std::uint32_t* number = pool_.teams.find(team);
+  const bool is_known = number != nullptr && *number < pool_.claims_by_team.size();
+  const std::size_t of_team = is_known ? pool_.claims_by_team[*number] : 0;
+  return pool_.claims < options_.max_claims && of_team < options_.max_claims_per_team;
 }
 
 void claim_keeper::send(const incarnation& to, claims_message message) {
--- a/src/claims/impl/claim_keeper.hpp
+++ b/src/claims/impl/claim_keeper.hpp
@@ -44,13 +44,13 @@
   /// it and its witness now have; 0 if there was none
   [[nodiscard]] std::uint64_t regained_since(const claim_shard& shard) const;
   [[nodiscard]] bool is_sealed(const claim_shard& shard) const;
-  /// \returns the countersigned claim under a key, or null
-  [[nodiscard]] const claim* find(const claim_shard& shard, const claim_id& id);
-  [[nodiscard]] std::size_t stored_claims() const noexcept { return counts_.total; }
+  /// \returns the countersigned claim under a key, if this host keeps it
+  [[nodiscard]] std::optional<claim> find(const claim_shard& shard, const claim_id& id) const;
+  [[nodiscard]] std::size_t stored_claims() const noexcept { return pool_.claims; }
 
  private:
   struct kept_shard {
-    explicit kept_shard(claim_counts& counts) : table{counts} {}
+    explicit kept_shard(claim_pool& pool) : table{pool} {}
     claim_table table;
     std::uint64_t sealed{};     ///< epoch under which this host countersigns nothing more
     bool complete{};            ///< as witness: all parts of the holder's table arrived
@@ -63,11 +63,11 @@
 
   [[nodiscard]] const shard_status* held(const claim_shard& shard) const;
   [[nodiscard]] kept_shard& keep(const claim_shard& shard);
-  void propose(time_ms now, const shard_status& status, stored_claim& stored, const claim& next);
-  void ask_witness(time_ms now, const shard_status& status, stored_claim& stored);
+  void propose(time_ms now, const shard_status& status, const claim& next);
+  void ask_witness(time_ms now, const shard_status& status, const claim& next);
   void commit(time_ms now, const shard_status& status, const claim& subject);
   void reply(const claim_request& request, const shard_status& status, claim_verdict verdict,
-             const stored_claim* stored);
+             const std::optional<stored_claim>& stored);
   void relinquish(const shard_status& before, const shard_status& after);
   void tell_stopped(const shard_status& status);
   void accept_regained(time_ms now, const incarnation& from, const shard_status& status,
@@ -81,10 +81,11 @@
   shard_map* shards_;
   const host_list* hosts_;
   std::vector<addressed_claims_message>* output_;
-  claim_counts counts_;
+  claim_pool pool_;
   std::map<claim_shard, kept_shard> kept_;
   relinquished_tables relinquished_;
   time_ms next_cleanup_;
+  time_ms next_sweep_;
   std::uint64_t last_transfer_{0};
 };
 
--- a/src/claims/impl/claim_key.hpp
+++ b/src/claims/impl/claim_key.hpp
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string_view>
+#include <tuple>
 
 namespace sedgechute {
 
@@ -14,7 +15,14 @@
   bool minted{};              ///< keys minted by the fleet
   std::uint32_t index{};
 
-  auto operator<=>(const claim_shard&) const = default;
+  bool operator==(const claim_shard& other) const {
+    return index == other.index && minted == other.minted && data_centre == other.data_centre;
+  }
+  // By number first: shards are looked up for every message, and numbers compare faster than names.
+  std::strong_ordering operator<=>(const claim_shard& other) const {
+    return std::tie(index, minted, data_centre) <=>
+           std::tie(other.index, other.minted, other.data_centre);
+  }
   friend std::ostream& operator<<(std::ostream& out, const claim_shard& shard) {
     return out << (shard.minted ? "minted/" : "caller/") << shard.data_centre << '/' << shard.index;
   }
--- a/src/claims/impl/delegation_policy.cpp
+++ b/src/claims/impl/delegation_policy.cpp
@@ -58,9 +58,9 @@
 }
 
 void delegation_policy::consider(time_ms now, const shard_status& status) {
-  if (status.holder == self_)
+  if (same_process(status.holder, self_))
     consider_as_holder(now, status);
-  else if (status.witness == self_)
+  else if (same_process(status.witness, self_))
     consider_as_witness(now, status);
   else
     consider_lost(now, status);
@@ -112,11 +112,11 @@
 // not do so again soon, or two parts of a data centre that reach the log but not each other would
 // take the shard from each other for ever. Once both have provably ended, any host may.
 void delegation_policy::consider_lost(time_ms now, const shard_status& status) {
-  const time_ms age = epoch_age(now, status);
   const bool both_gone = is_gone(now, status.holder, options_.both_lost_wait) &&
                          is_gone(now, status.witness, options_.both_lost_wait);
   if (!both_gone || draining_)
     return;
+  const time_ms age = epoch_age(now, status);
   const bool ended = both_ended(now, status);
   const bool blank = status.blind && status.known_since == status.epoch;
   if (!ended && blank && age < options_.blank_interval)
--- a/src/claims/impl/host_list.cpp
+++ b/src/claims/impl/host_list.cpp
@@ -1,6 +1,7 @@
 #include "claims/impl/host_list.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace sedgechute {
 
@@ -8,15 +9,16 @@
 
 constexpr std::size_t most_missing = 4096;
 
-bool before(const live_host& a, const live_host& b) {
-  return a.who < b.who;
+bool comes_before(const incarnation& a, const incarnation& b) {
+  return std::tie(a.number, a.host) < std::tie(b.number, b.host);
 }
 
 } // namespace
 
 void host_list::update(time_ms now, const std::vector<live_host>& hosts) {
   std::vector<live_host> sorted = hosts;
-  std::sort(sorted.begin(), sorted.end(), before);
+  std::sort(sorted.begin(), sorted.end(),
+            [](const live_host& a, const live_host& b) { return comes_before(a.who, b.who); });
   hosts_.swap(sorted);
   for (const live_host& host : hosts_)
     places_[host.who.host] = host.data_centre;
@@ -29,9 +31,11 @@
 }
 
 const live_host* host_list::find(const incarnation& who) const {
-  const auto found =
-      std::lower_bound(hosts_.begin(), hosts_.end(), live_host{who, {}, false}, before);
-  return found != hosts_.end() && found->who == who ? &*found : nullptr;
+  const auto found = std::lower_bound(hosts_.begin(), hosts_.end(), who,
+                                      [](const live_host& host, const incarnation& wanted) {
+                                        return comes_before(host.who, wanted);
+                                      });
+  return found != hosts_.end() && same_process(found->who, who) ? &*found : nullptr;
 }
 
 const data_centre_id* host_list::last_data_centre(const host_id& host) const {
--- /dev/null
+++ b/src/claims/impl/packed_claim.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "claims/impl/claim.hpp"
+
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+namespace sedgechute {
+
+/// \brief Small numbers for names that occur in many claims.
+template <typename Name>
+class name_numbers {
+ public:
+  [[nodiscard]] std::uint32_t number_of(const Name& name) {
+    const auto [place, is_new] =
+        numbers_.try_emplace(name, static_cast<std::uint32_t>(names_.size()));
+    if (is_new)
+      names_.push_back(name);
+    return place->second;
+  }
+  /// \returns the number if the name has one already
+  [[nodiscard]] const std::uint32_t* find(const Name& name) const {
+    const auto found = numbers_.find(name);
+    return found == numbers_.end() ? nullptr : &found->second;
+  }
+  [[nodiscard]] const Name& name_of(std::uint32_t number) const { return names_[number]; }
+
+ private:
+  struct hash {
+    std::size_t operator()(const team_id& id) const noexcept { return stable_hash(id.str()); }
+    std::size_t operator()(const incarnation& who) const noexcept {
+      return mix_hash(stable_hash(who.host.str()), who.number);
+    }
+  };
+  std::unordered_map<Name, std::uint32_t, hash> numbers_;
+  std::deque<Name> names_;
+};
+
+/// \brief What the tables of a host share: names, and counts for the bounds.
+struct claim_pool {
+  name_numbers<team_id> teams;
+  name_numbers<incarnation> hosts;
+  std::vector<std::size_t> claims_by_team; ///< indexed by the team's number
+  std::size_t claims{0};
+};
+
+/// \brief A claim as it lies in memory; a host stores some hundred thousand.
+struct packed_claim {
+  std::string key;
+  std::uint64_t fingerprint{};
+  std::uint64_t ticket{};
+  time_ms touched; ///< local time of the last change
+  std::uint32_t team{};
+  std::uint32_t entry{};
+  std::uint32_t peer{};
+  std::uint32_t resume_from{};
+  std::uint32_t attempt{};
+  request_state state{};
+  bool idempotent{};
+  bool may_have_run{};
+  std::vector<std::uint32_t> unfinished;
+};
+
+[[nodiscard]] packed_claim pack(const claim& unpacked, time_ms touched, claim_pool& pool);
+[[nodiscard]] claim unpack(const packed_claim& packed, const claim_pool& pool);
+
+} // namespace sedgechute
--- a/src/claims/impl/shard_map.cpp
+++ b/src/claims/impl/shard_map.cpp
@@ -90,6 +90,16 @@
 
 // Stale gossip can show an old incarnation for a moment, so a successor counts only after a while.
 void shard_map::note_running(time_ms now, const std::vector<live_host>& hosts) {
+  const bool unchanged =
+      hosts.size() == running_.size() &&
+      std::all_of(hosts.begin(), hosts.end(), [&](const live_host& host) {
+        const auto before = running_.find(host.who.host);
+        return before != running_.end() && before->second.number == host.who.number;
+      });
+  if (unchanged) {
+    forget_lost(now, [&](const incarnation& lost) { return has_ended(now, lost); });
+    return;
+  }
   std::map<host_id, sighting> seen;
   for (const live_host& host : hosts) {
     const auto before = running_.find(host.who.host);
--- a/tests/claims/claims_world.hpp
+++ b/tests/claims/claims_world.hpp
@@ -126,6 +126,7 @@
     std::size_t read{0}; ///< records of the log applied
     bool paused{false};
     bool draining{false};
+    std::vector<live_host> view; ///< as last told
   };
   struct in_flight {
     incarnation from;
--- a/tests/claims/claims_world.ipp
+++ b/tests/claims/claims_world.ipp
@@ -63,6 +63,7 @@
       std::make_unique<claim_host>(started.who, place(slot), options(), started.who.number);
   started.read = 0;
   started.paused = false;
+  started.view.clear();
   started.draining = false;
   const host_slot& donor = hosts_[random_.below(host_count)];
   if (&donor != &started && random_.below(2) == 0) {
@@ -218,7 +219,10 @@
       if (viewer == other || (!hosts_[other].paused && !is_cut(viewer, other) && !suspected))
         view.push_back({hosts_[other].who, place(other), hosts_[other].draining});
     }
+    if (view == hosts_[viewer].view)
+      continue;
     hosts_[viewer].host->on_members(now_, view);
+    hosts_[viewer].view = std::move(view);
   }
 }
 
@@ -389,7 +393,7 @@
 
 inline std::optional<std::size_t> claims_world::slot_of(const incarnation& who) const {
   for (std::size_t slot = 0; slot < host_count; ++slot)
-    if (hosts_[slot].who == who)
+    if (same_process(hosts_[slot].who, who))
       return slot;
   return std::nullopt;
 }
