Claims: a holder that may have missed claims trusts no refused attempt

A witness that had not got the whole table took over and took an attempt that it remembered as refused for the latest one; a later attempt had been granted again without the new witness's signature. Change: what a table says before an epoch that may have missed claims is doubted as a whole; a repeated grant is countersigned again.

--- a/src/claims/impl/claim_keeper.cpp
+++ b/src/claims/impl/claim_keeper.cpp
@@ -40,6 +40,8 @@
   kept.refused = false;
   kept.regained.clear();
   kept.regained_since = 0;
+  if (after.known_since > before.known_since)
+    kept.table.doubt_all();
   if (!same_pair)
     kept.to_witness = after.witness.host.empty()
                           ? table_transfer{}
@@ -95,8 +97,11 @@
   }
   const bool repeated = basis.stored && basis.stored->committed &&
                         same_request(*basis.stored->committed, request.wanted);
-  if (granted && !repeated)
-    propose(now, *status, next_attempt(request, basis.stored));
+  // The witness of this epoch may not have a claim that was stored under an earlier one, so a
+  // repeated grant is countersigned again.
+  if (granted)
+    propose(now, *status,
+            repeated ? *basis.stored->committed : next_attempt(request, basis.stored));
   else
     reply(request, *status, *verdict, basis.stored);
 }
--- a/src/claims/impl/claim_rules.cpp
+++ b/src/claims/impl/claim_rules.cpp
@@ -21,6 +21,13 @@
   return rank(a) > rank(b);
 }
 
+claim doubted(claim known) {
+  known.may_have_run = true;
+  if (known.state == request_state::refused)
+    known.state = request_state::abandoned;
+  return known;
+}
+
 claim merge_forked(const claim& a, const claim& b) {
   const auto may_have_run = [](const claim& c) {
     return c.may_have_run || c.state != request_state::refused;
@@ -79,14 +86,9 @@
 namespace {
 
 // The attempt was granted under an epoch whose holder and witness are lost, and this holder learns
-// of it from the host that ran it. A later attempt may have been granted there as well, so even an
-// attempt that was never dispatched doesn't show that none was.
+// of it from the host that ran it. A later attempt may have been granted there as well.
 report_step adopt(const claim& subject) {
-  report_step step{report_action::propose, subject};
-  step.next.may_have_run = true;
-  if (subject.state == request_state::refused)
-    step.next.state = request_state::abandoned;
-  return step;
+  return {report_action::propose, doubted(subject)};
 }
 
 report_step give_up(const claim& subject, const stored_claim& stored) {
--- a/src/claims/impl/claim_rules.hpp
+++ b/src/claims/impl/claim_rules.hpp
@@ -17,6 +17,10 @@
 /// converge
 [[nodiscard]] bool is_later(const claim& a, const claim& b);
 
+/// \returns the claim as it must be taken if later attempts may have been granted unnoticed: even
+/// one that was never dispatched doesn't show that none was
+[[nodiscard]] claim doubted(claim known);
+
 /// \brief Merges claims of two epochs that did not know of each other. Both may have counted
 /// attempts on their own, so the one that is dropped still counts as a run that may have been.
 [[nodiscard]] claim merge_forked(const claim& a, const claim& b);
--- a/src/claims/impl/claim_table.cpp
+++ b/src/claims/impl/claim_table.cpp
@@ -71,6 +71,11 @@
     store(now, merge_forked(subject, unpack(place->second, *pool_)));
 }
 
+void claim_table::doubt_all() {
+  for (auto& [hash, packed] : claims_)
+    packed = pack(doubted(unpack(packed, *pool_)), packed.touched, *pool_);
+}
+
 std::vector<claim> claim_table::committed() const {
   std::vector<claim> all;
   all.reserve(claims_.size());
--- a/src/claims/impl/claim_table.hpp
+++ b/src/claims/impl/claim_table.hpp
@@ -30,6 +30,8 @@
   bool merge(time_ms now, const claim& subject);
   /// \brief Takes in a claim of an earlier epoch that this table began without.
   void merge_regained(time_ms now, const claim& subject);
+  /// \brief Later attempts may have been granted that this table doesn't know.
+  void doubt_all();
   [[nodiscard]] std::vector<claim> committed() const;
 
   void propose(time_ms now, const claim& next);
--- /dev/null
+++ b/tests/claims/rules_test.cpp
@@ -0,0 +1,134 @@
+#include "claims/claims.hpp"
+#include "claims/impl/claim_table.hpp"
+#include "claims/impl/table_transfer.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace sedgechute;
+using namespace sedgechute::literals;
+
+namespace {
+
+incarnation host(std::uint64_t number) {
+  return {host_id{"h" + std::to_string(number)}, number};
+}
+
+claim attempt(std::uint32_t number, request_state state, std::uint64_t entry = 1) {
+  claim c;
+  c.id = {team_id{"t"}, "order-17"};
+  c.fingerprint = 7;
+  c.attempt = number;
+  c.entry = host(entry);
+  c.ticket = number;
+  c.state = state;
+  return c;
+}
+
+claim_request request_by(std::uint64_t entry) {
+  claim_request request;
+  request.wanted = attempt(0, request_state::claimed, entry);
+  request.wanted.ticket = 99;
+  return request;
+}
+
+std::optional<claim_verdict> verdict_on(const std::optional<stored_claim>& stored) {
+  decision_basis basis;
+  basis.stored = stored;
+  basis.is_live = [](const incarnation&) { return true; };
+  return decide(request_by(5), basis);
+}
+
+} // namespace
+
+// Both hosts that decided for a key are lost. A host that gave up the first attempt reports it to
+// the new holder, who knows nothing of the second one, which ran. The caller sends the order once
+// more.
+TEST_CASE("a reported attempt that never ran doesn't show that no other one did") {
+  const report_step step = judge_report(attempt(1, request_state::refused), std::nullopt);
+  REQUIRE(step.action == report_action::propose);
+  CHECK(step.next.may_have_run);
+  CHECK(verdict_on(stored_claim{step.next, std::nullopt}) == claim_verdict::unknown);
+
+  const stored_claim first{attempt(1, request_state::abandoned), std::nullopt};
+  const report_step later = judge_report(attempt(2, request_state::refused), first);
+  REQUIRE(later.action == report_action::propose);
+  CHECK(verdict_on(stored_claim{later.next, std::nullopt}) == claim_verdict::unknown);
+}
+
+// A witness takes over that had not got the whole table yet. It remembers that the first attempt
+// was refused, but not that a second one was granted since.
+TEST_CASE("a holder that may have missed claims trusts no refused attempt of before") {
+  claim_pool pool;
+  claim_table table{pool};
+  table.merge(1_s, attempt(1, request_state::refused));
+  CHECK(verdict_on(table.find(attempt(1, request_state::refused).id)) == claim_verdict::granted);
+  table.doubt_all();
+  CHECK(verdict_on(table.find(attempt(1, request_state::refused).id)) == claim_verdict::unknown);
+}
+
+// Two epochs that did not know of each other have both granted a third attempt. One was refused,
+// the other ran. Whichever is kept, a retry must not be told that nothing ran.
+TEST_CASE("of two attempts with one number the dropped one still counts") {
+  const claim ran = attempt(3, request_state::answered, 1);
+  const claim refused = attempt(3, request_state::refused, 2);
+  for (const auto& [a, b] : {std::pair{ran, refused}, std::pair{refused, ran}}) {
+    const claim kept = merge_forked(a, b);
+    CHECK((kept.may_have_run || kept.state == request_state::answered));
+    CHECK(merge_forked(kept, a) == merge_forked(merge_forked(kept, a), a));
+  }
+  const claim paused = attempt(2, request_state::claimed, 3);
+  CHECK(merge_forked(paused, refused).unfinished == std::vector{host(3)});
+}
+
+TEST_CASE("copies of a claim converge in whatever order they arrive") {
+  const std::vector<claim> states{
+      attempt(1, request_state::claimed), attempt(1, request_state::refused),
+      attempt(2, request_state::claimed, 2), attempt(2, request_state::answered, 2)};
+  std::vector<std::size_t> order{0, 1, 2, 3};
+  do {
+    claim_pool pool;
+    claim_table table{pool};
+    for (const std::size_t i : order)
+      table.merge(1_s, states[i]);
+    CHECK(table.find(states[0].id)->committed == states.back());
+    CHECK(pool.claims == 1);
+  } while (std::next_permutation(order.begin(), order.end()));
+}
+
+// The empty table of a new holder was sent and acknowledged; then it regained a lost table and
+// sends again. A late copy of the first acknowledgement must not count for the second transfer.
+TEST_CASE("a late acknowledgement of an earlier transfer counts for nothing") {
+  table_transfer second = start_transfer(2, {attempt(1, request_state::answered)});
+  note_ack(second, {claim_shard{}, 5, 1, 0});
+  CHECK_FALSE(is_finished(second));
+  note_ack(second, {claim_shard{}, 5, 2, 0});
+  CHECK(is_finished(second));
+}
+
+TEST_CASE("a delegation counts only if it replaces the present epoch") {
+  shard_map map{claims_options{}};
+  const claim_shard shard{data_centre_id{"a"}, true, 0};
+  CHECK(map.apply(1_s, 10, {1, claim_delegation{shard, 0, host(1), host(2), 0}}));
+  CHECK_FALSE(map.apply(1_s, 11, {2, claim_delegation{shard, 0, host(3), host(4), 0}}));
+  CHECK(map.apply(1_s, 12, {3, claim_delegation{shard, 10, host(2), host(3), 10}}));
+  CHECK_FALSE(map.apply(1_s, 13, {3, claim_delegation{shard, 10, host(2), host(3), 10}}));
+  CHECK(map.find(shard)->epoch == 12);
+  CHECK(map.find(shard)->known_since == 10);
+  CHECK_FALSE(map.is_blind(1_s, *map.find(shard)));
+  CHECK(map.apply(2_s, 14, {4, claim_delegation{shard, 12, host(5), host(6), 0}}));
+  CHECK(map.is_blind(2_s, *map.find(shard)));
+  CHECK(map.find(shard)->lost.size() == 2);
+}
+
+TEST_CASE("a host lost twice has to say twice that it stopped") {
+  shard_map map{claims_options{}};
+  const claim_shard shard{data_centre_id{"a"}, false, 0};
+  CHECK(map.apply(1_s, 1, {1, claim_delegation{shard, 0, host(1), {}, 0}}));
+  CHECK(map.apply(1_s, 2, {2, claim_delegation{shard, 1, host(2), {}, 0}}));
+  map.note_stopped(1_s, shard, 2, host(1));
+  CHECK(map.find(shard)->lost.empty());
+  CHECK(map.apply(1_s, 3, {3, claim_delegation{shard, 2, host(1), {}, 0}}));
+  CHECK(map.apply(1_s, 4, {4, claim_delegation{shard, 3, host(2), {}, 0}}));
+  map.note_stopped(1_s, shard, 2, host(1));
+  CHECK(map.find(shard)->lost.size() == 2);
+}
