--- a/src/daemon/impl/host.cpp
+++ b/src/daemon/impl/host.cpp
@@ -93,7 +93,8 @@
                                                                   time_,
                                                                   replay_options_of(settings_)},
       loads_{self_, settings_.data_centre, dispatch_, peers_, time_, time_ms{500}},
-      shares_{self_, dispatch_, peers_, time_}, connections_{timeouts_of(settings_)},
+      shares_{self_, settings_.data_centre, dispatch_, peers_, time_}, connections_{timeouts_of(
+                                                                           settings_)},
       answers_{static_cast<std::size_t>(settings_.limits.retained_answer_bytes), most_answer_bytes},
       followed_{peers_}, gateway_{settings_.name,
                                   time_,
@@ -289,10 +290,11 @@
 void host::hand_over() {
   budgets_.drain();
   claims_.drain();
+  const time_ms began = time_.now();
   // With every other host stopping as well there is nobody to take over; only the log is left to
-  // hear what is given back.
-  const time_ms deadline = time_.now() + (has_successor() ? handover_limit : handover_limit_alone);
-  while (!(budgets_.drained() && claims_.drained()) && time_.now() < deadline)
+  // hear what is given back. That shows only once the others' farewells have arrived.
+  const auto limit = [this] { return has_successor() ? handover_limit : handover_limit_alone; };
+  while (!(budgets_.drained() && claims_.drained()) && time_.now() < began + limit())
     std::this_thread::sleep_for(std::chrono::milliseconds{control_tick.count()});
   if (!budgets_.drained() || !claims_.drained())
     log_.write(severity::warning, "handover_unfinished", {},
--- a/src/daemon/impl/load_poller.cpp
+++ b/src/daemon/impl/load_poller.cpp
@@ -16,6 +16,9 @@
 
 constexpr time_ms poll_timeout{500};
 constexpr std::int64_t silent_rounds = 4;
+constexpr std::uint64_t far_every = 5;      ///< rounds between batches to other data centres
+constexpr std::uint64_t full_every = 10;    ///< rounds between batches that name what is loaded
+constexpr std::int64_t ms_per_endpoint = 4; ///< of a round, for each endpoint of the data centre
 
 std::vector<std::string> names_in(const Object& object, const std::string& field) {
   std::vector<std::string> names;
@@ -116,18 +119,26 @@
   while (!stopping_) {
     const time_ms began = time_.now();
     poll_round();
-    const time_ms left = began + interval_ - time_.now();
+    const time_ms left = began + round_interval() - time_.now();
     if (left > time_ms{0})
       std::this_thread::sleep_for(std::chrono::milliseconds{left.count()});
   }
 }
 
+time_ms load_poller::round_interval() const {
+  const auto near = static_cast<std::int64_t>(near_endpoints_.load());
+  return std::max(interval_, time_ms{near * ms_per_endpoint});
+}
+
 void load_poller::poll_round() {
   wire::load_batch batch;
   const time_ms now = time_.now();
+  ++round_;
+  std::size_t near = 0;
   for (const host_list_entry& endpoint : dispatch_.endpoints()) {
     if (stopping_)
       return;
+    near += endpoint.data_centre == here_ ? 1 : 0;
     if (!is_mine(endpoint, now))
       continue;
     wire::endpoint_load load;
@@ -137,6 +148,7 @@
     apply(load);
     *batch.add_loads() = std::move(load);
   }
+  near_endpoints_ = near;
   share(batch);
 }
 
@@ -149,8 +161,12 @@
   const auto place = rendezvous(endpoint.name, near, 1);
   if (!place.empty() && place.front() == self_.host)
     return true;
+  // An endpoint elsewhere is asked from here only when its whole data centre has fallen silent.
+  const std::int64_t rounds = endpoint.data_centre == here_
+                                  ? silent_rounds
+                                  : silent_rounds * static_cast<std::int64_t>(far_every);
   const auto [heard, fresh] = heard_.try_emplace(endpoint.name, now);
-  return !fresh && now - heard->second > interval_ * silent_rounds;
+  return !fresh && now - heard->second > round_interval() * rounds;
 }
 
 bool load_poller::poll(const host_list_entry& endpoint, wire::endpoint_load& load) {
@@ -192,7 +208,19 @@
   }
 }
 
-void load_poller::apply(const wire::endpoint_load& load) {
+// What is loaded changes seldom and makes most of a report's bytes, so most reports leave it out.
+void load_poller::apply(wire::endpoint_load load) {
+  {
+    const std::scoped_lock lock{mutex_};
+    wire::endpoint_load& known = loaded_[load.endpoint()];
+    if (load.models_size() + load.adapters_size() > 0) {
+      *known.mutable_models() = load.models();
+      *known.mutable_adapters() = load.adapters();
+    } else {
+      *load.mutable_models() = known.models();
+      *load.mutable_adapters() = known.adapters();
+    }
+  }
   const endpoint_id id{load.endpoint()};
   dispatch_.on_load(id, report_of(load));
   dispatch_.on_leaving(id, load.leaving());
@@ -201,16 +229,25 @@
 void load_poller::share(const wire::load_batch& batch) {
   if (batch.loads_size() == 0)
     return;
+  wire::load_batch brief = batch;
+  const bool full = round_ % full_every == 1;
+  for (wire::endpoint_load& load : *brief.mutable_loads()) {
+    if (!full) {
+      load.clear_models();
+      load.clear_adapters();
+    }
+  }
   std::vector<incarnation> to;
   {
     const std::scoped_lock lock{mutex_};
+    const bool far = round_ % far_every == 1;
     for (const member& one : members_)
-      if (one.who.host != self_.host)
+      if (one.who.host != self_.host && (far || one.data_centre == here_))
         to.push_back(one.who);
   }
   for (const incarnation& peer : to) {
     wire::envelope message;
-    *message.mutable_loads() = batch;
+    *message.mutable_loads() = brief;
     peers_.send(peer, std::move(message));
   }
 }
