Keyed retries wait for a takeover instead of giving up before it

A keyed call to a service that ran elsewhere was told so instead of waiting for its answer. Ruled out: lost claims; each refusal was truthful, but needless. Change: following goes on for 10 s while the caller is there; claims are waited for 3 s and reservations 5 s; a joined call to a service waits for the kept answer. The test waits until the engine runs the request instead of a fixed time. Conclusion: retries outlast a takeover; a truly unreachable decider is told 5 to 10 s later than before.

--- a/src/daemon/impl/host.cpp
+++ b/src/daemon/impl/host.cpp
@@ -16,6 +16,8 @@
 constexpr time_ms dispatch_tick{20};
 constexpr time_ms control_tick{50};
 constexpr time_ms review_tick{1000};
+constexpr time_ms key_decision_wait{3000};
+constexpr time_ms budget_decision_wait{5000};
 constexpr time_ms key_settle_limit{15000};
 constexpr time_ms handover_limit{8000};
 constexpr time_ms handover_limit_alone{2000};
@@ -60,8 +62,17 @@
   return options;
 }
 
+ledger::ledger_options ledger_options_of() {
+  ledger::ledger_options options;
+  // Long enough for a lost holder to be noticed and its tokens to be granted anew.
+  options.reserve_wait = budget_decision_wait;
+  return options;
+}
+
 claims_options claims_options_of(const host_settings& settings) {
   claims_options options;
+  // Long enough for a lost decider's witness to take over while the request waits.
+  options.begin_timeout = key_decision_wait;
   options.answer_bytes = static_cast<std::size_t>(settings.limits.retained_answer_bytes);
   return options;
 }
@@ -78,7 +89,7 @@
       appender_{self_, settings_.data_centre, make_log(settings_.platform), peers_},
       dispatch_{settings_.data_centre, time_, self_.number,
                 [this](const team_id& team) { return documents_.find(team); }},
-      budgets_{self_, settings_.data_centre, {}, time_, peers_, appender_},
+      budgets_{self_, settings_.data_centre, ledger_options_of(), time_, peers_, appender_},
       claims_{self_,
               settings_.data_centre,
               claims_options_of(settings_),
--- a/src/gateway/impl/chat_sinks.cpp
+++ b/src/gateway/impl/chat_sinks.cpp
@@ -10,7 +10,7 @@
 
 namespace sedgechute {
 
-bool has_hung_up(caller_exchange& exchange) noexcept {
+bool has_hung_up(const caller_exchange& exchange) noexcept {
   try {
     auto& socket = exchange.request.socket();
     if (!socket.poll(Poco::Timespan{0}, Poco::Net::Socket::SELECT_READ))
--- a/src/gateway/impl/chat_sinks.hpp
+++ b/src/gateway/impl/chat_sinks.hpp
@@ -49,6 +49,6 @@
 };
 
 /// \returns whether the caller closed its side: its socket is readable and at its end.
-[[nodiscard]] bool has_hung_up(caller_exchange& exchange) noexcept;
+[[nodiscard]] bool has_hung_up(const caller_exchange& exchange) noexcept;
 
 } // namespace sedgechute
--- a/src/gateway/impl/keyed_answer.cpp
+++ b/src/gateway/impl/keyed_answer.cpp
@@ -3,15 +3,19 @@
 #include "gateway/impl/bill_request.hpp"
 #include "gateway/impl/kept_chat.hpp"
 
+#include <chrono>
+#include <thread>
 #include <utility>
 
 namespace sedgechute {
 
 namespace {
 
-// Each round follows an attempt whose host then proved unreachable; two hosts may go down during
-// one retry, hardly more.
-constexpr int most_follow_rounds = 3;
+// A host that dies is still named as the one that runs the attempt until the others have noticed
+// and its claims have passed on, some seconds later. Only a retry that outlasts that gets its
+// answer.
+constexpr time_ms follow_patience{10000};
+constexpr std::chrono::milliseconds between_follows{250};
 constexpr int ok_status = 200;
 
 /// Records the answer for retries while it passes it on to the caller that is here now.
@@ -88,7 +92,8 @@
 void answer_keyed(gateway& host, admitted_chat& request, const std::string& key,
                   answer_sink& sink) {
   const key_request wanted{request.grant.team, key, request.chat.fingerprint, request.idempotent};
-  for (int round = 0; round < most_follow_rounds; ++round) {
+  const time_ms give_up = host.time.now() + follow_patience;
+  while (host.time.now() < give_up && !sink.gone()) {
     const key_decision decision = host.claims.begin(wanted);
     switch (decision.action) {
     case key_action::refuse:
@@ -105,6 +110,7 @@
     // Events of the lost answer may be with the caller already; another may not follow them.
     if (sink.delivered())
       break;
+    std::this_thread::sleep_for(between_follows);
   }
   sink.fail({error_kind::outcome_unknown, "the answer cannot be reached now", request.id, {}});
 }
--- a/src/gateway_api/impl/service_api.cpp
+++ b/src/gateway_api/impl/service_api.cpp
@@ -1,12 +1,16 @@
 #include "gateway/gateway.hpp"
 
+#include <chrono>
 #include <memory>
+#include <thread>
 
 namespace sedgechute {
 
 namespace {
 
 constexpr std::string_view path_prefix = "/services/";
+constexpr time_ms join_patience{10000};
+constexpr std::chrono::milliseconds between_questions{100};
 
 service_call admit(const caller_exchange& exchange, gateway& host, const caller_headers& headers) {
   const std::string rest = exchange.path.substr(path_prefix.size());
@@ -96,12 +100,25 @@
   response.sendBuffer(kept.body.data(), kept.body.size());
 }
 
-/// A call with a key runs once; a retry gets the kept answer or the truth.
-void answer_keyed_call(gateway& host, caller_exchange& exchange, service_call& call) {
+/// Asks for the right to run; waits for an attempt that runs elsewhere, whose answer is then kept.
+key_decision decide(gateway& host, const caller_exchange& exchange, const service_call& call) {
   const std::uint64_t fingerprint =
       mix_hash(stable_hash(call.method + " " + call.path), stable_hash(call.grant.pool.str()));
-  const key_decision decision =
-      host.claims.begin({call.grant.team, call.key, fingerprint, call.idempotent});
+  const key_request wanted{call.grant.team, call.key, fingerprint, call.idempotent};
+  const time_ms give_up = host.time.now() + join_patience;
+  for (;;) {
+    key_decision decision = host.claims.begin(wanted);
+    const bool wait = decision.action == key_action::follow && host.time.now() < give_up &&
+                      !has_hung_up(exchange);
+    if (!wait)
+      return decision;
+    std::this_thread::sleep_for(between_questions);
+  }
+}
+
+/// A call with a key runs once; a retry gets the kept answer or the truth.
+void answer_keyed_call(gateway& host, caller_exchange& exchange, service_call& call) {
+  const key_decision decision = decide(host, exchange, call);
   switch (decision.action) {
   case key_action::proceed:
     break;
--- a/tests/fleet/faults_test.cpp
+++ b/tests/fleet/faults_test.cpp
@@ -58,7 +58,7 @@
   REQUIRE(fleet.ask(1, "warm", 2).status == 200);
   running_fleet::answer cut;
   std::thread caller{[&] { cut = fleet.ask(0, "a long draft", 100, true, "draft-1"); }};
-  sleep_ms(700);
+  REQUIRE(eventually([&] { return fleet.runs("k") == 1; }));
   fleet.host(0).crash();
   caller.join();
   CHECK(cut.body.find("[DONE]") == std::string::npos);
