Burn report over all hosts, from the operators' API

Cause: objectives were counted but nobody could read how fast error budgets burn. Change: every ended request counts towards its class; report/burn asks the other hosts and gives JSON, a table or a page. Measured: built only; the report was not read from a running fleet yet.

--- a/src/daemon/impl/admin_api.hpp
+++ b/src/daemon/impl/admin_api.hpp
@@ -30,6 +30,7 @@
   log_replayer& replayer;
   host_status& status;
   decision_events& events;
+  burn_tracker& burn;
   metrics& figures;
   peer_links& peers;
   std::function<membership_view()> members;
--- a/src/daemon/impl/document_service.cpp
+++ b/src/daemon/impl/document_service.cpp
@@ -202,6 +202,7 @@
   grant.priority = static_cast<int>(kind->priority);
   grant.deadline = kind->deadline;
   grant.first_token_objective = kind->first_token;
+  grant.objective = kind->objective;
   grant.idempotent_by_default = agreed.idempotent_by_default;
   if (request.service.empty())
     grant_model(grant, *settings, agreed, request.model);
--- a/src/daemon/impl/host.cpp
+++ b/src/daemon/impl/host.cpp
@@ -85,7 +85,7 @@
       metrics_{settings_.name.str()}, events_{static_cast<std::size_t>(
                                                   settings_.limits.decision_events),
                                               routine_events_per_second},
-      status_{self_, log_, metrics_, events_}, peers_{self_, settings_.timeouts.peer_call},
+      status_{self_, log_, metrics_, events_, burn_}, peers_{self_, settings_.timeouts.peer_call},
       appender_{self_, settings_.data_centre, make_log(settings_.platform), peers_},
       dispatch_{settings_.data_centre, time_, self_.number,
                 [this](const team_id& team) { return documents_.find(team); }},
@@ -119,7 +119,8 @@
                                   followed_,
                                   connections_,
                                   answers_},
-      listener_{self_, {budgets_, claims_, shares_, loads_, appender_, state_, answers_, log_}},
+      listener_{self_,
+                {budgets_, claims_, shares_, loads_, appender_, state_, answers_, burn_, log_}},
       router_{gateway_} {}
 
 host::~host() {
@@ -139,7 +140,7 @@
   start_loops();
   admin_ = std::make_unique<admin_router>(admin_context{
       settings_, self_, time_, documents_, budgets_, claims_, dispatch_, appender_, replayer_,
-      status_, events_, metrics_, peers_, [this] { return membership_->view(); },
+      status_, events_, burn_, metrics_, peers_, [this] { return membership_->view(); },
       [this] { return dispatch_.entry_hosts(); }, [this] { request_stop(); }});
   operators_ = listen(settings_.listen.admin,
                       [this](caller_exchange& exchange) { admin_->serve(exchange); });
--- a/src/daemon/impl/host.hpp
+++ b/src/daemon/impl/host.hpp
@@ -55,6 +55,7 @@
   structured_log log_;
   metrics metrics_;
   decision_events events_;
+  burn_tracker burn_;
   host_status status_;
   peer_links peers_;
   record_appender appender_;
--- a/src/daemon/impl/host_listener.cpp
+++ b/src/daemon/impl/host_listener.cpp
@@ -1,5 +1,6 @@
 #include "daemon/impl/host_listener.hpp"
 
+#include "daemon/impl/burn_rows.hpp"
 #include "daemon/impl/checkpoint_bytes.hpp"
 #include "wire/wire.hpp"
 
@@ -46,6 +47,10 @@
   return to_.state.position() == 0 ? "" : compress(to_.state.snapshot());
 }
 
+wire::burn_reply host_listener::burn() {
+  return to_wire(to_.burn.rows(wall_time()));
+}
+
 std::shared_ptr<answer_record> host_listener::answer(const team_id& team, const std::string& key) {
   return to_.answers.find(team, key);
 }
--- a/src/daemon/impl/host_listener.hpp
+++ b/src/daemon/impl/host_listener.hpp
@@ -19,6 +19,7 @@
     record_appender& log;
     replicated_state& state;
     answer_table& answers;
+    burn_tracker& burn;
     structured_log& lines;
   };
 
@@ -27,6 +28,7 @@
   void on_envelope(const wire::envelope& message) override;
   [[nodiscard]] wire::records_reply records_after(std::uint64_t after, std::size_t most) override;
   [[nodiscard]] std::string state() override;
+  [[nodiscard]] wire::burn_reply burn() override;
   [[nodiscard]] std::shared_ptr<answer_record> answer(const team_id& team,
                                                       const std::string& key) override;
 
--- a/src/daemon/impl/host_status.cpp
+++ b/src/daemon/impl/host_status.cpp
@@ -48,8 +48,8 @@
 } // namespace
 
 host_status::host_status(incarnation self, structured_log& log, metrics& figures,
-                         decision_events& events)
-    : self_{std::move(self)}, log_{log}, metrics_{figures}, events_{events} {}
+                         decision_events& events, burn_tracker& burn)
+    : self_{std::move(self)}, log_{log}, metrics_{figures}, events_{events}, burn_{burn} {}
 
 void host_status::set_not_ready(const std::string& reason) {
   {
@@ -141,6 +141,8 @@
   if (!counts_for_objective(ended))
     return;
   metrics_.add(metric::slo_total, {ended.team.str(), ended.class_name});
+  burn_.record(ended.team.str(), ended.class_name, ended.objective_share, met_objective(ended),
+               wall_time());
   if (met_objective(ended))
     metrics_.add(metric::slo_good, {ended.team.str(), ended.class_name});
 }
--- a/src/daemon/impl/host_status.hpp
+++ b/src/daemon/impl/host_status.hpp
@@ -11,7 +11,8 @@
 /// \brief Whether the host is ready, which requests are in it, and how they ended. Thread-safe.
 class host_status final : public host_port {
  public:
-  host_status(incarnation self, structured_log& log, metrics& figures, decision_events& events);
+  host_status(incarnation self, structured_log& log, metrics& figures, decision_events& events,
+              burn_tracker& burn);
 
   /// \param reason  empty makes the host ready
   void set_not_ready(const std::string& reason);
@@ -37,6 +38,7 @@
   structured_log& log_;
   metrics& metrics_;
   decision_events& events_;
+  burn_tracker& burn_;
   mutable ordered_mutex mutex_{lock_rank::lifecycle};
   std::condition_variable_any left_;
   std::string not_ready_{"starting"};
--- a/src/daemon/impl/peer_server.cpp
+++ b/src/daemon/impl/peer_server.cpp
@@ -102,6 +102,12 @@
     }
     return grpc::Status::OK;
   }
+
+  grpc::Status Burn(grpc::ServerContext*, const wire::burn_request*,
+                    wire::burn_reply* reply) override {
+    *reply = listener_.burn();
+    return grpc::Status::OK;
+  }
   // NOLINTEND(readability-identifier-naming)
 
  private:
--- a/src/daemon/impl/peer_server.hpp
+++ b/src/daemon/impl/peer_server.hpp
@@ -24,6 +24,8 @@
                                                           std::size_t most) = 0;
   /// \returns the replayed state as checkpoint bytes; empty when this host has none.
   [[nodiscard]] virtual std::string state() = 0;
+  /// \returns how this host's requests did against their objectives.
+  [[nodiscard]] virtual wire::burn_reply burn() = 0;
   /// \returns the retained or running answer, or null.
   [[nodiscard]] virtual std::shared_ptr<answer_record> answer(const team_id& team,
                                                               const std::string& key) = 0;
--- a/src/gateway/impl/bill_request.cpp
+++ b/src/gateway/impl/bill_request.cpp
@@ -22,6 +22,7 @@
   ended.class_name = request.grant.class_name;
   ended.pool = request.grant.pool;
   ended.objective = request.grant.first_token_objective;
+  ended.objective_share = request.grant.objective;
   ended.endpoint = result.summary.endpoint;
   ended.attempts = result.attempts;
   ended.tokens_billed = billed;
--- a/src/gateway/impl/ports.hpp
+++ b/src/gateway/impl/ports.hpp
@@ -28,6 +28,7 @@
   int priority{5};
   time_ms deadline{};
   time_ms first_token_objective{};
+  double objective{0.99}; ///< part of the class's requests that must meet it
   pool_id pool;
   std::uint64_t max_output_tokens{};
   bool idempotent_by_default{true};
@@ -50,6 +51,7 @@
   std::uint64_t tokens_billed{};
   std::optional<time_ms> first_token; ///< from acceptance
   time_ms objective;                  ///< for the first token; 0 without one
+  double objective_share{0.99};       ///< part of the class's requests that must meet it
   time_ms total{};
 };
 
--- a/src/gateway_api/impl/service_api.cpp
+++ b/src/gateway_api/impl/service_api.cpp
@@ -66,6 +66,7 @@
   ended.team = call.grant.team;
   ended.class_name = call.grant.class_name;
   ended.pool = call.grant.pool;
+  ended.objective_share = call.grant.objective;
   ended.endpoint = result.endpoint;
   ended.attempts = result.attempts;
   ended.refused = result.refused;
