--- /dev/null
+++ b/bench/config/samples.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <algorithm>
+#include <vector>
+
+namespace sedgechute::bench {
+
+/// \returns the sample below which `share` of all lie; 0 without samples
+[[nodiscard]] inline double quantile(std::vector<double> samples, double share) {
+  if (samples.empty())
+    return 0;
+  std::sort(samples.begin(), samples.end());
+  const auto last = static_cast<double>(samples.size() - 1);
+  return samples[static_cast<std::size_t>(last * share + 0.5)];
+}
+
+} // namespace sedgechute::bench
--- a/src/cli/impl/output.cpp
+++ b/src/cli/impl/output.cpp
@@ -1,9 +1,35 @@
 #include "cli/impl/output.hpp"
 
 #include <algorithm>
+#include <array>
 #include <iomanip>
 
 namespace sedgechute::cli {
+namespace {
+
+/// Columns come in this order and others after them, for hosts may list members in any order.
+constexpr std::array<std::string_view, 24> usual_order{
+    "name",        "value",  "host",  "seq",  "at_ms",    "offset",   "epoch",   "holder",
+    "data_centre", "state",  "ready", "team", "class",    "verdict",  "tokens",  "spent",
+    "outstanding", "opened", "stage", "ms",   "endpoint", "revision", "address", "meaning"};
+
+[[nodiscard]] std::size_t usual_place(const std::string& column) {
+  const auto found = std::find(usual_order.begin(), usual_order.end(), column);
+  return static_cast<std::size_t>(found - usual_order.begin());
+}
+
+} // namespace
+
+std::vector<std::string> columns_of(const json_node& rows) {
+  std::vector<std::string> columns;
+  for (const auto& row : rows.children)
+    for (const auto& name : row.names)
+      if (std::find(columns.begin(), columns.end(), name) == columns.end())
+        columns.push_back(name);
+  std::stable_sort(columns.begin(), columns.end(),
+                   [](const auto& a, const auto& b) { return usual_place(a) < usual_place(b); });
+  return columns;
+}
 
 std::string shown(const json_node* value) {
   if (value == nullptr)
@@ -35,7 +61,8 @@
 void print_members(std::ostream& out, const json_node& object) {
   for (std::size_t i = 0; i < object.names.size(); ++i) {
     const json_node& value = object.children[i];
-    if (value.type != json_type::array && value.type != json_type::object)
+    const bool plain = value.type != json_type::array && value.type != json_type::object;
+    if (plain && !shown(&value).empty())
       out << object.names[i] << ": " << shown(&value) << '\n';
   }
 }
--- a/src/cli/impl/output.hpp
+++ b/src/cli/impl/output.hpp
@@ -10,7 +10,11 @@
 /// \param columns names of the members to show
 void print_table(std::ostream& out, const json_node& rows, const std::vector<std::string>& columns);
 
-/// \brief Writes the plain members of an object, one a line; lists and objects are left out.
+/// \returns the names of all members of the rows, in the order that readers expect
+[[nodiscard]] std::vector<std::string> columns_of(const json_node& rows);
+
+/// \brief Writes the plain members of an object, one a line; lists, objects and empty texts are
+/// left out.
 void print_members(std::ostream& out, const json_node& object);
 
 /// \returns a value as a reader wants it: text without quotes, nothing for a missing value
--- a/src/cli/impl/query_commands.cpp
+++ b/src/cli/impl/query_commands.cpp
@@ -29,7 +29,7 @@
     if (value.type != json_type::array || value.children.empty())
       continue;
     call.out << body.names[i] << ":\n";
-    print_table(call.out, value, value.children.front().names);
+    print_table(call.out, value, columns_of(value));
   }
 }
 
