--- a/bench/config/samples.hpp
+++ b/bench/config/samples.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace sedgechute::bench {
@@ -11,7 +12,7 @@
     return 0;
   std::sort(samples.begin(), samples.end());
   const auto last = static_cast<double>(samples.size() - 1);
-  return samples[static_cast<std::size_t>(last * share + 0.5)];
+  return samples[static_cast<std::size_t>(std::lround(last * share))];
 }
 
 } // namespace sedgechute::bench
