Claims: gaps in the log, and refusals that always end in a decision

Cause: a host that goes on from a checkpoint because the log has dropped what it had not read could take itself for the holder with a whole table, though others may have held the shard in between. A refusal reported twice never got its decision. `describe` could show a refused attempt as the last word although only a decision may say `not run`. Change: `restore` may be called at any time; a holder with a gap begins a blank epoch before it grants anything. finish_refused is always answered. describe leaves refused attempts out. Schedules contain gaps.

--- a/src/claims/impl/claim_entry.cpp
+++ b/src/claims/impl/claim_entry.cpp
@@ -231,8 +231,10 @@
 // holder and its witness have to confirm that this attempt is still the latest one.
 void claim_entry::finish_refused(time_ms now, std::uint64_t ticket, error_kind kind) {
   const open_request* request = find_running(ticket);
-  if (request == nullptr)
+  if (request == nullptr) {
+    decisions_->push_back({ticket, refuse_decision{error_kind::outcome_unknown}});
     return;
+  }
   const claim& subject = request->subject;
   if (subject.state == request_state::dispatched) {
     refuse(*request, error_kind::outcome_unknown);
--- a/src/claims/impl/claim_host.cpp
+++ b/src/claims/impl/claim_host.cpp
@@ -162,7 +162,7 @@
   }
   const claim* running = entry_.running(id);
   const auto known = running != nullptr ? std::optional{*running} : keeper_.find(shard, id);
-  if (known) {
+  if (known && known->state != request_state::refused) {
     description.known = true;
     description.state = known->state;
     description.attempt = known->attempt;
@@ -193,6 +193,16 @@
   return sum;
 }
 
+void claim_host::restore(time_ms now, const claims_snapshot& snapshot) {
+  const std::map<claim_shard, shard_status> before = shards_.all();
+  shards_.restore(now, snapshot);
+  for (const auto& [shard, after] : shards_.all()) {
+    const auto known = before.find(shard);
+    if (known == before.end() || known->second.epoch != after.epoch)
+      keeper_.on_gap(after);
+  }
+}
+
 void claim_host::drain(time_ms) {
   policy_.drain();
 }
--- a/src/claims/impl/claim_host.hpp
+++ b/src/claims/impl/claim_host.hpp
@@ -73,6 +73,8 @@
 
   [[nodiscard]] claims_output take_output();
 
+  /// \returns what this host knows by itself. A key that was only refused undispatched is not
+  /// known: only a decision may say `not run`.
   [[nodiscard]] claim_description describe(const team_id& team, const std::string& key);
   /// \returns the answer retained on this host, or null
   [[nodiscard]] const retained_answer* retained(const team_id& team, const std::string& key);
@@ -85,8 +87,9 @@
   [[nodiscard]] bool drained() const;
 
   [[nodiscard]] claims_snapshot snapshot() const { return shards_.snapshot(); }
-  /// \brief Starts from a checkpoint instead of the beginning of the log.
-  void restore(time_ms now, const claims_snapshot& snapshot) { shards_.restore(now, snapshot); }
+  /// \brief Goes on from a checkpoint instead of reading the log up to there: at the start, or when
+  /// the log has dropped what this host has not read.
+  void restore(time_ms now, const claims_snapshot& snapshot);
 
  private:
   void deliver(time_ms now, const incarnation& from, const claims_message& message);
--- a/src/claims/impl/claim_keeper.cpp
+++ b/src/claims/impl/claim_keeper.cpp
@@ -36,7 +36,9 @@
     return;
   }
   kept_shard& kept = keep(after.shard);
-  const bool same_pair = before.holder == self_ && before.witness == after.witness;
+  const bool same_pair =
+      !kept.lost_track && before.holder == self_ && before.witness == after.witness;
+  kept.lost_track = false;
   kept.refused = false;
   kept.regained.clear();
   kept.regained_since = 0;
@@ -50,6 +52,23 @@
     ask_witness(now, after, next);
 }
 
+// Others may have held the shard in between. As holder this host grants nothing until it has begun
+// an epoch that says what it doesn't know; as witness it counts as having seen nothing before this
+// epoch.
+void claim_keeper::on_gap(const shard_status& after) {
+  if (after.holder != self_ && after.witness != self_) {
+    kept_.erase(after.shard);
+    return;
+  }
+  kept_shard& kept = keep(after.shard);
+  kept.table.withdraw_all();
+  kept.to_witness = {};
+  kept.from_holder = {};
+  kept.complete = false;
+  kept.lost_track = after.holder == self_;
+  kept.refused = kept.lost_track;
+}
+
 // This host and its partner were wrongly believed to be lost, and others began an epoch that does
 // not know their claims. Having read of it, this host acts under the old epoch no more, and since
 // nothing could be granted there without it, its table is all that the new holder lacks.
@@ -330,6 +349,11 @@
   return stored_twice && held(shard) != nullptr ? found->second.regained_since : 0;
 }
 
+bool claim_keeper::has_lost_track(const claim_shard& shard) const {
+  const auto found = kept_.find(shard);
+  return found != kept_.end() && found->second.lost_track;
+}
+
 bool claim_keeper::is_sealed(const claim_shard& shard) const {
   const shard_status* status = shards_->find(shard);
   const auto found = kept_.find(shard);
--- a/src/claims/impl/claim_keeper.hpp
+++ b/src/claims/impl/claim_keeper.hpp
@@ -24,6 +24,9 @@
   /// \param before  the status that was replaced
   void on_delegation(time_ms now, const shard_status& before, const shard_status& after);
 
+  /// \brief The shard was delegated by records that this host has not read.
+  void on_gap(const shard_status& after);
+
   void on_request(time_ms now, const claim_request& request);
   void on_countersign(time_ms now, const incarnation& from, const countersign_request& request);
   void on_countersigned(time_ms now, const countersign_reply& reply);
@@ -43,6 +46,8 @@
   /// \returns since when this holder knows all claims, thanks to a table of an earlier epoch that
   /// it and its witness now have; 0 if there was none
   [[nodiscard]] std::uint64_t regained_since(const claim_shard& shard) const;
+  /// \returns whether this host holds the shard but may lack claims, so that it needs a new epoch
+  [[nodiscard]] bool has_lost_track(const claim_shard& shard) const;
   [[nodiscard]] bool is_sealed(const claim_shard& shard) const;
   /// \returns the countersigned claim under a key, if this host keeps it
   [[nodiscard]] std::optional<claim> find(const claim_shard& shard, const claim_id& id) const;
@@ -55,6 +60,7 @@
     std::uint64_t sealed{};     ///< epoch under which this host countersigns nothing more
     bool complete{};            ///< as witness: all parts of the holder's table arrived
     arriving_table from_holder; ///< as new witness
+    bool lost_track{};          ///< as holder: claims may have been granted unnoticed
     bool refused{};             ///< as holder: the witness has sealed this epoch
     table_transfer to_witness;  ///< as holder
     std::map<incarnation, arriving_table> regained; ///< as holder: tables of an earlier epoch
--- a/src/claims/impl/delegation_policy.cpp
+++ b/src/claims/impl/delegation_policy.cpp
@@ -67,6 +67,12 @@
 }
 
 void delegation_policy::consider_as_holder(time_ms now, const shard_status& status) {
+  if (keeper_->has_lost_track(status.shard)) {
+    propose(
+        now, status.shard,
+        claim_delegation{status.shard, status.epoch, self_, pick_witness(status.shard, self_), 0});
+    return;
+  }
   if (draining_ && hand_over(now, status))
     return;
   if (is_gone(now, status.witness, options_.loss_wait) || !is_usable(status.witness)) {
--- a/tests/claims/claims_world.hpp
+++ b/tests/claims/claims_world.hpp
@@ -31,7 +31,7 @@
   end_run,    ///< run `a` ends as `b` says
   crash,      ///< host `a` is replaced by a new process
   pause,      ///< host `a` stops for a while
-  resume,     ///< host `a` goes on
+  resume,     ///< host `a` goes on, sometimes with a gap in what it has read of the log
   cut,        ///< hosts `a` and `b` lose each other, or whole data centres do
   heal,       ///< all links work again
   log_outage, ///< the log is down
@@ -170,6 +170,8 @@
   void collect(std::size_t slot);
   void append(std::size_t slot, const claims_record& record);
   void read_log(std::size_t slot);
+  /// \brief The log has dropped what the host has not read; it goes on from another's checkpoint.
+  void skip_log(std::size_t slot);
   void refresh_views();
   void deliver_some();
   bool mutate(std::size_t slot, const addressed_claims_message& sent);
--- a/tests/claims/claims_world.ipp
+++ b/tests/claims/claims_world.ipp
@@ -106,6 +106,8 @@
     hosts_[slot].paused = true;
     break;
   case action_kind::resume:
+    if (hosts_[slot].paused && step.b % 3 == 0)
+      skip_log(slot);
     hosts_[slot].paused = false;
     break;
   case action_kind::cut:
@@ -290,6 +292,17 @@
   }
 }
 
+inline void claims_world::skip_log(std::size_t slot) {
+  const auto donor =
+      std::max_element(hosts_.begin(), hosts_.end(), [](const host_slot& a, const host_slot& b) {
+        return a.read < b.read;
+      });
+  if (donor->read <= hosts_[slot].read)
+    return;
+  hosts_[slot].host->restore(now_, donor->host->snapshot());
+  hosts_[slot].read = donor->read;
+}
+
 inline void claims_world::crash(std::size_t slot) {
   for (call& affected : calls_)
     if (affected.host == slot && affected.number == hosts_[slot].who.number) {
--- a/tests/claims/takeover_test.cpp
+++ b/tests/claims/takeover_test.cpp
@@ -142,3 +142,22 @@
   }
   CHECK(std::get<join_decision>(fleet.ask(2, key).body).host == fleet.who(0));
 }
+
+// A holder was cut off from the log for so long that the log has dropped what it has not read. In
+// the checkpoint it is the holder again, but others were in between.
+TEST_CASE("a holder with a gap in its log grants nothing that may have been granted meanwhile") {
+  small_fleet fleet{4};
+  const std::size_t holder = fleet.holder_of(key);
+  claims_snapshot checkpoint = fleet.at(holder).snapshot();
+  for (shard_status& status : checkpoint.shards)
+    status.epoch += 100;
+  fleet.at(holder).restore(fleet.now, checkpoint);
+  const std::size_t records = fleet.log.size();
+  CHECK(refuses(fleet.ask(fleet.bystander_of(key), key), error_kind::outcome_unknown));
+  REQUIRE(fleet.log.size() > records);
+  for (std::size_t i = records; i < fleet.log.size(); ++i) {
+    const auto* delegation = std::get_if<claim_delegation>(&fleet.log[i].body);
+    if (delegation != nullptr && delegation->holder == fleet.who(holder))
+      CHECK(delegation->known_since == 0);
+  }
+}
