--- a/bench/config/store_run.cpp
+++ b/bench/config/store_run.cpp
@@ -4,14 +4,12 @@
 #include "history_model.hpp"
 #include "wire/impl/document_codec.hpp"
 
-#include <array>
 #include <chrono>
 #include <stdexcept>
 
 namespace sedgechute::bench {
 namespace {
 
-constexpr std::size_t longest_history = 60;
 constexpr std::size_t part_bytes = 256 << 10;
 constexpr std::string_view salt = "00112233445566778899aabbccddeeff";
 
@@ -21,23 +19,6 @@
   return std::chrono::duration<double>(wall::now() - start).count();
 }
 
-[[nodiscard]] std::vector<testing::history_step> random_history(std::uint64_t seed) {
-  using testing::step_kind;
-  constexpr std::array kinds{step_kind::publish, step_kind::publish, step_kind::publish,
-                             step_kind::repeat,  step_kind::read,    step_kind::read,
-                             step_kind::relay,   step_kind::relay,   step_kind::checkpoint,
-                             step_kind::restart};
-  random_source random{seed};
-  std::vector<testing::history_step> steps(1 + random.below(longest_history));
-  for (auto& step : steps) {
-    step.kind = kinds[random.below(kinds.size())];
-    step.a = static_cast<unsigned>(random.below(1000));
-    step.b = static_cast<unsigned>(random.below(1000));
-    step.c = static_cast<unsigned>(random.below(1000));
-  }
-  return steps;
-}
-
 [[nodiscard]] contract sample_contract(std::size_t number) {
   contract agreed;
   agreed.team = team_id{"customer-" + std::to_string(number)};
@@ -87,7 +68,7 @@
   history_result sum;
   for (; sum.histories < count; ++sum.histories) {
     const auto faults =
-        testing::play_history(random_history(sum.histories), testing::mutation::none);
+        testing::play_history(testing::random_history(sum.histories), testing::mutation::none);
     sum.reverted += faults.reverted;
     sum.half_applied += faults.half_applied;
     sum.lost += faults.lost;
--- a/tests/config/document_history_test.cpp
+++ b/tests/config/document_history_test.cpp
@@ -12,29 +12,12 @@
 
 constexpr int short_run_histories = 2000;
 constexpr int mutation_histories = 400;
-constexpr std::size_t longest_history = 60;
 
 [[nodiscard]] int wanted_histories() {
   const char* text = std::getenv("SEDGECHUTE_HISTORIES");
   return text == nullptr ? short_run_histories : std::atoi(text);
 }
 
-[[nodiscard]] std::vector<history_step> random_history(std::uint64_t seed) {
-  random_source random{seed};
-  std::vector<history_step> steps(1 + random.below(longest_history));
-  for (auto& step : steps) {
-    constexpr std::array kinds{step_kind::publish, step_kind::publish, step_kind::publish,
-                               step_kind::repeat,  step_kind::read,    step_kind::read,
-                               step_kind::relay,   step_kind::relay,   step_kind::checkpoint,
-                               step_kind::restart};
-    step.kind = kinds[random.below(kinds.size())];
-    step.a = static_cast<unsigned>(random.below(1000));
-    step.b = static_cast<unsigned>(random.below(1000));
-    step.c = static_cast<unsigned>(random.below(1000));
-  }
-  return steps;
-}
-
 } // namespace
 
 // An operator publishes through one host while another operator publishes through a second; an
--- a/tests/config/history_model.cpp
+++ b/tests/config/history_model.cpp
@@ -1,11 +1,14 @@
 #include "history_model.hpp"
 
+#include <array>
+
 namespace sedgechute::testing {
 namespace {
 
 constexpr std::size_t host_count = 3;
 constexpr std::size_t window = 6;
 constexpr unsigned team_count = 2;
+constexpr std::size_t longest_history = 60;
 
 struct log_entry {
   std::uint64_t offset;
@@ -304,6 +307,22 @@
 
 } // namespace
 
+std::vector<history_step> random_history(std::uint64_t seed) {
+  constexpr std::array kinds{step_kind::publish, step_kind::publish, step_kind::publish,
+                             step_kind::repeat,  step_kind::read,    step_kind::read,
+                             step_kind::relay,   step_kind::relay,   step_kind::checkpoint,
+                             step_kind::restart};
+  random_source random{seed};
+  std::vector<history_step> steps(1 + random.below(longest_history));
+  for (auto& step : steps) {
+    step.kind = kinds[random.below(kinds.size())];
+    step.a = static_cast<unsigned>(random.below(1000));
+    step.b = static_cast<unsigned>(random.below(1000));
+    step.c = static_cast<unsigned>(random.below(1000));
+  }
+  return steps;
+}
+
 history_faults play_history(const std::vector<history_step>& steps, mutation fault) {
   history played{fault};
   try {
--- a/tests/config/history_model.hpp
+++ b/tests/config/history_model.hpp
@@ -17,6 +17,9 @@
   unsigned c{0};
 };
 
+/// \returns a history of at most 60 steps, the same for the same seed
+[[nodiscard]] std::vector<history_step> random_history(std::uint64_t seed);
+
 /// \brief Faults put into the hosts on purpose, to see whether the comparison notices.
 enum class mutation {
   none,
--- a/tests/config/wire/document_codec_test.cpp
+++ b/tests/config/wire/document_codec_test.cpp
@@ -2,9 +2,6 @@
 
 #include <doctest/doctest.h>
 
-#include <chrono>
-#include <fstream>
-
 using namespace sedgechute;
 
 namespace {
@@ -54,20 +51,6 @@
   return store;
 }
 
-[[nodiscard]] long resident_kb() {
-  std::ifstream status{"/proc/self/status"};
-  std::string word;
-  long value = 0;
-  while (status >> word)
-    if (word == "VmRSS:" && status >> value)
-      return value;
-  return 0;
-}
-
-[[nodiscard]] double seconds_since(std::chrono::steady_clock::time_point start) {
-  return std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
-}
-
 } // namespace
 
 TEST_CASE("records and relayed records survive the wire") {
@@ -105,58 +88,3 @@
   restored.restore(*whole);
   CHECK(restored.digest() == store.digest());
 }
-
-// Run by hand: test_config_wire --no-skip -tc="start*"
-TEST_CASE("start of a host from a checkpoint of 220,000 contracts" * doctest::skip()) {
-  constexpr std::size_t contracts = 220'000;
-  const auto parts = split_snapshot(store_of(contracts).snapshot(), 256 << 10);
-  const long before = resident_kb();
-  const auto start = std::chrono::steady_clock::now();
-  snapshot_assembler assembler;
-  std::optional<document_snapshot> whole;
-  std::size_t bytes = 0;
-  for (const auto& part : parts) {
-    bytes += part.slice().size();
-    whole = assembler.add(part);
-  }
-  REQUIRE(whole);
-  document_store store;
-  store.restore(*whole);
-  const double seconds = seconds_since(start);
-  CHECK(store.contracts().size() == contracts);
-  CHECK(store.authenticate("sk-k219999-secret") != nullptr);
-  MESSAGE("snapshot bytes " << bytes << ", parts " << parts.size() << ", seconds " << seconds);
-  whole.reset();
-  const auto copy = std::make_unique<document_store>(store);
-  const long after_copy = resident_kb();
-  const auto second = std::make_unique<document_store>(store);
-  MESSAGE("resident KB of one more store " << resident_kb() - after_copy << ", before " << before);
-}
-
-// Run by hand: test_config_wire --no-skip -tc="cost*"
-TEST_CASE("cost of a change, by the number of contracts in force" * doctest::skip()) {
-  constexpr std::size_t changes = 3700;
-  for (const std::size_t contracts :
-       {std::size_t{830}, std::size_t{22'000}, std::size_t{220'000}}) {
-    document_store store = store_of(contracts);
-    std::size_t bytes = 0;
-    double seconds = 0;
-    for (std::size_t i = 0; i < changes; ++i) {
-      document_record record;
-      contract agreed = sample_contract(i % contracts);
-      agreed.top_ups.push_back({"more-" + std::to_string(i), 500});
-      record.record_id = "change-" + std::to_string(i);
-      record.name = agreed.team.str();
-      record.replaces = store.revision_of(record.kind, record.name);
-      record.based_on = store.sequence();
-      record.body = to_text(contract_table().write(agreed));
-      bytes += to_wire(record).ByteSizeLong();
-      const auto start = std::chrono::steady_clock::now();
-      const auto done = store.apply(store.last_offset() + 1, record, {});
-      seconds += seconds_since(start);
-      CHECK(done.outcome.verdict == publish_verdict::in_force);
-    }
-    MESSAGE(contracts << " contracts: " << seconds / changes * 1e6 << " us and " << bytes / changes
-                      << " bytes a change");
-  }
-}
