--- a/bench/faults/main.cpp
+++ b/bench/faults/main.cpp
@@ -63,11 +63,13 @@
   return sum.failed == 0 ? 0 : 1;
 }
 
-/// \returns the seed of the first schedule that notices the mutation, or 0.
+/// \returns the seed of the first schedule that is wrong with the mutation alone, or 0.
 std::uint64_t caught_by(mutation fault, std::uint64_t count, std::uint64_t seed) {
-  for (std::uint64_t i = 0; i < count; ++i)
-    if (!run_schedule(make_schedule(seed + i, fault)).clean())
+  for (std::uint64_t i = 0; i < count; ++i) {
+    const bool noticed = !run_schedule(make_schedule(seed + i, fault)).clean();
+    if (noticed && run_schedule(make_schedule(seed + i, mutation::none)).clean())
       return seed + i;
+  }
   return 0;
 }
 
--- a/bench/faults/schedule.cpp
+++ b/bench/faults/schedule.cpp
@@ -34,8 +34,9 @@
   s.model.ledger.fault = fault;
   const std::size_t steps = least_steps + random.below(more_steps);
   s.steps.reserve(steps);
+  step_source source{random};
   for (std::size_t i = 0; i < steps; ++i)
-    s.steps.push_back(random_step(random));
+    s.steps.push_back(source.next());
   return s;
 }
 
--- a/src/ledger/impl/budget_host.cpp
+++ b/src/ledger/impl/budget_host.cpp
@@ -129,16 +129,19 @@
   entry_.disown(now, ticket);
 }
 
-void budget_host::release(time_ms now, const team_id& team, epoch_number epoch, token_count tokens,
-                          release_proof proof, std::string statement) {
-  sedgechute::ledger::release body;
-  body.team = team;
-  body.epoch = epoch;
-  body.tokens = tokens;
-  body.proof = proof;
-  body.statement = std::move(statement);
+record_id budget_host::release(time_ms now, sedgechute::ledger::release body) {
   body.basis = context_.state.offset();
-  context_.append(now, std::move(body));
+  return context_.append(now, std::move(body));
+}
+
+record_id budget_host::release(time_ms now, const team_id& team, epoch_number epoch,
+                               token_count tokens, release_proof proof, std::string statement) {
+  token_count of = 0;
+  if (const delegation* const d = context_.state.find(epoch))
+    of = d->remainder();
+  else if (const name_index index = context_.state.find_team(team); index != no_name)
+    of = context_.state.orphaned(index);
+  return release(now, {team, epoch, tokens, of, proof, std::move(statement), 0});
 }
 
 budget_output budget_host::take_output() {
--- a/src/ledger/impl/budget_host.hpp
+++ b/src/ledger/impl/budget_host.hpp
@@ -54,9 +54,12 @@
   /// will answer: nothing is billed, and the bound is written off because it may have been used.
   void disown(time_ms now, ticket_number ticket);
 
-  /// \brief Appends an operator's release of written-off tokens.
-  void release(time_ms now, const team_id& team, epoch_number epoch, token_count tokens,
-               release_proof proof, std::string statement);
+  /// \brief Appends an operator's release of written-off tokens; `basis` is set here.
+  /// \returns the id by which the record can be found in the log
+  record_id release(time_ms now, sedgechute::ledger::release body);
+  /// \brief The same, of what is written off as far as this host has read.
+  record_id release(time_ms now, const team_id& team, epoch_number epoch, token_count tokens,
+                    release_proof proof, std::string statement);
 
   [[nodiscard]] budget_output take_output();
 
--- a/src/ledger/impl/entry_role.cpp
+++ b/src/ledger/impl/entry_role.cpp
@@ -4,6 +4,23 @@
 
 namespace sedgechute::ledger {
 
+namespace {
+
+// A holder knows an attempt by its ticket and how many holders it had asked before. A withdrawal
+// that comes late, after the attempt has returned to that holder, then cannot end the newer ask.
+constexpr unsigned asks_bits = 8;
+constexpr ticket_number most_asks = (1U << asks_bits) - 1;
+
+constexpr ticket_number first_wire(ticket_number ticket) {
+  return ticket << asks_bits;
+}
+
+constexpr ticket_number ticket_of(ticket_number wire) {
+  return wire >> asks_bits;
+}
+
+} // namespace
+
 // A holder in the same data centre goes on when the data centre is cut off. Failing that, the
 // holder with most left is asked, because near exhaustion the others have nothing.
 name_index entry_role::pick_holder(const attempt& a) const {
@@ -35,6 +52,7 @@
 budget_decision entry_role::reserve(time_ms now, const budget_request& request) {
   const ticket_number ticket = ++last_ticket_;
   attempt& a = attempts_[ticket];
+  a.wire = first_wire(ticket);
   a.team = context_.state.intern_team(request.team);
   a.key = request.key;
   a.bound = request.bound;
@@ -44,7 +62,7 @@
   a.holder = pick_holder(a);
   unfinished_.insert(ticket);
   const std::size_t decided = context_.out.decisions.size();
-  ask(now, ticket, a);
+  ask(now, a);
   deliver_local(now);
   // A local holder usually decides at once; then the decision is returned rather than queued.
   for (std::size_t i = decided; i < context_.out.decisions.size(); ++i) {
@@ -57,13 +75,13 @@
   return {ticket, budget_outcome::pending, {}, 0, 0};
 }
 
-void entry_role::ask(time_ms now, ticket_number ticket, attempt& a) {
+void entry_role::ask(time_ms now, attempt& a) {
   a.sent = now;
   if (a.holder == no_name)
     return;
-  reserve_request request{ticket, {}, a.key, a.bound, a.deadline - now};
+  reserve_request request{a.wire, {}, a.key, a.bound, a.deadline - now};
   if (a.holder == context_.self_index()) {
-    holder_.reserve(now, a.team, {a.holder, ticket}, request);
+    holder_.reserve(now, a.team, {a.holder, a.wire}, request);
     return;
   }
   request.team = context_.state.team_name(a.team);
@@ -78,38 +96,45 @@
   }
 }
 
+entry_role::attempt* entry_role::find_wire(name_index from, ticket_number wire) {
+  const auto found = attempts_.find(ticket_of(wire));
+  const bool same =
+      found != attempts_.end() && found->second.wire == wire && found->second.holder == from;
+  return same ? &found->second : nullptr;
+}
+
 void entry_role::on_reply(time_ms now, name_index from, const reserve_reply& message) {
-  const auto found = attempts_.find(message.ticket);
-  const bool expected = found != attempts_.end() && found->second.holder == from;
+  attempt* const known = find_wire(from, message.ticket);
   // An answer that nobody waits for any more needs nothing here: the holder asks about the
   // reservation later and is told to withdraw it.
-  if (!expected || found->second.where != phase::asking)
+  if (known == nullptr || known->where != phase::asking)
     return;
-  attempt& a = found->second;
+  const ticket_number ticket = ticket_of(message.ticket);
+  attempt& a = *known;
   switch (message.verdict) {
   case reserve_verdict::granted:
     a.where = phase::open;
     a.epoch = message.epoch;
     a.bound = message.bound;
-    unfinished_.erase(message.ticket);
-    decide(message.ticket, a, budget_outcome::granted, message.bound);
+    unfinished_.erase(ticket);
+    decide(ticket, a, budget_outcome::granted, message.bound);
     return;
   case reserve_verdict::already_settled:
-    decide(message.ticket, a, budget_outcome::already_settled, message.bound);
+    decide(ticket, a, budget_outcome::already_settled, message.bound);
     break;
   case reserve_verdict::exhausted:
-    decide(message.ticket, a, budget_outcome::exhausted, 0);
+    decide(ticket, a, budget_outcome::exhausted, 0);
     break;
   case reserve_verdict::unreachable:
-    decide(message.ticket, a, budget_outcome::unreachable, 0);
+    decide(ticket, a, budget_outcome::unreachable, 0);
     break;
   case reserve_verdict::elsewhere:
     a.avoid = from;
-    ask_again(now, message.ticket, a);
+    ask_again(now, ticket, a);
     return;
   }
-  unfinished_.erase(message.ticket);
-  attempts_.erase(found);
+  unfinished_.erase(ticket);
+  attempts_.erase(ticket);
 }
 
 void entry_role::decide(ticket_number ticket, const attempt& a, budget_outcome outcome,
@@ -120,6 +145,17 @@
   context_.out.decisions.push_back(std::move(decision));
 }
 
+// A holder that is short collects tokens for this attempt from the others, so the attempt stays
+// with it. Were it to follow the tokens, it would leave each holder as they arrive.
+void entry_role::repeat_ask(time_ms now, ticket_number ticket, attempt& a) {
+  const bool sent_away = a.avoid != no_name;
+  a.avoid = no_name;
+  if (!sent_away && context_.live.is_live(a.holder))
+    ask(now, a);
+  else
+    ask_again(now, ticket, a);
+}
+
 void entry_role::ask_again(time_ms now, ticket_number ticket, attempt& a) {
   const name_index holder = pick_holder(a);
   if (holder == a.avoid || holder == no_name)
@@ -127,29 +163,25 @@
   if (holder != a.holder)
     change_holder(now, ticket, a, holder);
   else
-    ask(now, ticket, a);
+    ask(now, a);
 }
 
-// The holder asked before may have reserved without our knowing.
+// The holder asked before may have reserved without this host's knowing.
 void entry_role::change_holder(time_ms now, ticket_number ticket, attempt& a, name_index holder) {
-  if (a.holder == context_.self_index())
+  if ((a.wire & most_asks) == most_asks)
+    return;
+  if (a.holder != no_name)
     tell_holder(now, ticket, a, settle_kind::withdraw, 0);
-  else if (a.holder != no_name)
-    send_withdraw(a.holder, ticket, context_.state.team_name(a.team), a.key);
+  ++a.wire;
   a.holder = holder;
-  ask(now, ticket, a);
-}
-
-void entry_role::send_withdraw(name_index to, ticket_number ticket, const team_id& team,
-                               const request_id& key) {
-  context_.send(to, settle_request{ticket, team, key, settle_kind::withdraw, 0});
+  ask(now, a);
 }
 
 void entry_role::tell_holder(time_ms now, ticket_number ticket, attempt& a, settle_kind kind,
                              token_count tokens) {
-  settle_request request{ticket, {}, a.key, kind, tokens};
+  settle_request request{a.wire, {}, a.key, kind, tokens};
   if (a.holder == context_.self_index()) {
-    holder_.settle(now, a.team, {a.holder, ticket}, request);
+    holder_.settle(now, a.team, {a.holder, a.wire}, request);
     return;
   }
   request.team = context_.state.team_name(a.team);
@@ -203,23 +235,23 @@
   deliver_local(now);
 }
 
-void entry_role::on_message(time_ms, name_index, const settle_reply& message) {
-  const auto found = attempts_.find(message.ticket);
-  if (found == attempts_.end() || found->second.where != phase::settling)
+void entry_role::on_message(time_ms, name_index from, const settle_reply& message) {
+  const attempt* const known = find_wire(from, message.ticket);
+  if (known == nullptr || known->where != phase::settling)
     return;
-  unfinished_.erase(message.ticket);
-  attempts_.erase(found);
+  unfinished_.erase(ticket_of(message.ticket));
+  attempts_.erase(ticket_of(message.ticket));
 }
 
-// Only an attempt that this host does not know, or holds with another host, is withdrawn.
+// Only an attempt that this host does not know, or has with another holder, is withdrawn.
 void entry_role::on_message(time_ms, name_index from, const reservation_probe& message) {
-  const auto found = attempts_.find(message.ticket);
-  if (found != attempts_.end() && found->second.holder == from)
+  if (find_wire(from, message.ticket) != nullptr)
     return;
-  send_withdraw(from, message.ticket, message.team, message.key);
+  context_.send(
+      from, settle_request{message.ticket, message.team, message.key, settle_kind::withdraw, 0});
 }
 
-bool entry_role::settled_or_lost(time_ms now, ticket_number ticket, attempt& a) {
+bool entry_role::settled_or_lost(time_ms now, attempt& a) {
   const ledger_options& options = context_.options();
   const bool lost = !context_.live.is_live(a.holder) &&
                     now - context_.live.missed_since(a.holder) >= options.settle_give_up;
@@ -228,7 +260,6 @@
   const std::int64_t patience = context_.live.is_live(a.holder) ? 1 : 8;
   if (now - a.sent >= options.message_resend * patience) {
     a.sent = now;
-    static_cast<void>(ticket);
     context_.send(a.holder, a.settling);
   }
   return false;
@@ -243,7 +274,7 @@
       continue;
     attempt& a = found->second;
     if (a.where == phase::settling) {
-      if (settled_or_lost(now, ticket, a)) {
+      if (settled_or_lost(now, a)) {
         unfinished_.erase(ticket);
         attempts_.erase(ticket);
       }
@@ -253,8 +284,7 @@
       decide(ticket, a, budget_outcome::unreachable, 0);
       withdraw(now, ticket);
     } else if (now - a.sent >= context_.options().message_resend) {
-      a.avoid = no_name;
-      ask_again(now, ticket, a);
+      repeat_ask(now, ticket, a);
     }
   }
   deliver_local(now);
--- a/src/ledger/impl/entry_role.hpp
+++ b/src/ledger/impl/entry_role.hpp
@@ -35,6 +35,7 @@
 
   struct attempt {
     phase where{phase::asking};
+    ticket_number wire{}; ///< what the holder knows this attempt by
     name_index team{no_name};
     request_id key;
     token_count bound{};
@@ -49,17 +50,17 @@
   };
 
   [[nodiscard]] name_index pick_holder(const attempt& a) const;
-  void ask(time_ms now, ticket_number ticket, attempt& a);
+  void ask(time_ms now, attempt& a);
+  void repeat_ask(time_ms now, ticket_number ticket, attempt& a);
   void ask_again(time_ms now, ticket_number ticket, attempt& a);
   void change_holder(time_ms now, ticket_number ticket, attempt& a, name_index holder);
+  [[nodiscard]] attempt* find_wire(name_index from, ticket_number wire);
   void decide(ticket_number ticket, const attempt& a, budget_outcome outcome, token_count bound);
   void tell_holder(time_ms now, ticket_number ticket, attempt& a, settle_kind kind,
                    token_count tokens);
-  void send_withdraw(name_index to, ticket_number ticket, const team_id& team,
-                     const request_id& key);
   void deliver_local(time_ms now);
   void end(time_ms now, ticket_number ticket, settle_kind kind, token_count tokens);
-  [[nodiscard]] bool settled_or_lost(time_ms now, ticket_number ticket, attempt& a);
+  [[nodiscard]] bool settled_or_lost(time_ms now, attempt& a);
 
   host_context& context_;
   holder_role& holder_;
--- a/src/ledger/impl/holder_report.cpp
+++ b/src/ledger/impl/holder_report.cpp
@@ -65,8 +65,7 @@
   }
   // A holder that was paused for long reads here that its epoch is over. What it had opened stays
   // its own, written off in the log, until it reports what it did not use.
-  if (d.state != delegation_state::live && s->state == slice_state::live &&
-      !context_.mutated(mutation::reuse_epoch))
+  if (d.state != delegation_state::live && s->state == slice_state::live)
     s->state = slice_state::ended;
 }
 
@@ -74,11 +73,13 @@
   for (slice& s : a.slices) {
     const delegation* const d = context_.state.find(s.epoch);
     const bool over = d == nullptr || d->state == delegation_state::closed;
-    if (over && s.state == slice_state::live && !context_.mutated(mutation::reuse_epoch))
+    if (over && s.state == slice_state::live)
       s.state = slice_state::ended;
+    // A transfer may arrive before this host has read the grant of the epoch that sent it.
     std::erase_if(s.receipts, [&](const transfer_receipt& r) {
       const delegation* const from = context_.state.find(r.from);
-      return from == nullptr || from->has_moved(r.sequence);
+      const bool gone = from == nullptr && r.from <= context_.state.offset();
+      return gone || (from != nullptr && from->has_moved(r.sequence));
     });
   }
   std::erase_if(a.slices, [&](const slice& s) {
@@ -88,14 +89,13 @@
   });
 }
 
-void holder_role::on_message(time_ms now, name_index from, const chunk_opened& message) {
+void holder_role::on_message(time_ms now, name_index, const chunk_opened& message) {
   const delegation* const d = context_.state.find(message.epoch);
   slice* const s = d == nullptr ? nullptr : slice_of(d->team, message.epoch);
   if (s == nullptr || s->term != message.term || s->state != slice_state::live)
     return;
   if (s->replacing && !context_.mutated(mutation::open_while_replacing))
     return;
-  static_cast<void>(from);
   s->opened = std::max(s->opened, std::min(message.upto, s->opening));
   s->opening = std::max(s->opening, s->opened);
   advance(now, *accounts_.at(d->team));
@@ -104,9 +104,11 @@
 void holder_role::on_message(time_ms now, name_index, const chunk_refused& message) {
   const delegation* const d = context_.state.find(message.epoch);
   slice* const s = d == nullptr ? nullptr : slice_of(d->team, message.epoch);
-  if (s == nullptr || s->term != message.term || context_.mutated(mutation::reuse_epoch))
+  if (s == nullptr || s->term != message.term)
     return;
   s->refused = true;
+  if (context_.mutated(mutation::reuse_epoch))
+    s->opened = s->opening;
   s->opening = s->opened;
   advance(now, *accounts_.at(d->team));
 }
@@ -187,7 +189,8 @@
         s.state = slice_state::closing;
         s.report_due = now;
       }
-      const bool urgent = s.state == slice_state::closing || s.returned != d->returned;
+      const bool wanted = !a->wants.empty() && !s.receipts.empty();
+      const bool urgent = s.state == slice_state::closing || s.returned != d->returned || wanted;
       if (is_changed(s, *d) && (regular || (urgent && now >= s.report_due)))
         body.epochs.push_back(make_report(now, s));
     }
--- a/src/ledger/impl/holder_role.cpp
+++ b/src/ledger/impl/holder_role.cpp
@@ -39,6 +39,10 @@
     context_.reply(attempt, {0, reserve_verdict::elsewhere, 0, 0});
     return;
   }
+  if (is_forgotten(attempt)) {
+    context_.reply(attempt, {0, reserve_verdict::unreachable, 0, 0});
+    return;
+  }
   count_origin(now, a, attempt.entry);
   const bool fits = a.waiting.empty() && !giving_back(a) &&
                     reserve_now(now, a, attempt, request.key, request.bound);
@@ -49,6 +53,23 @@
     advance(now, a);
 }
 
+// Copies of a request for a reservation and of its settlement may both come after the billed
+// reservation was forgotten, and would be billed a second time. Tickets of an entry host ascend and
+// wait for seconds only, so one at or below a forgotten ticket can only be such a copy.
+bool holder_role::is_forgotten(const attempt_id& attempt) const {
+  const auto found = forgotten_upto_.find(attempt.entry);
+  return found != forgotten_upto_.end() && attempt.ticket <= found->second &&
+         !context_.mutated(mutation::forget_tickets);
+}
+
+void holder_role::forget(const reservation_key& key, const reservation& r) {
+  for (const attempt_id& attempt : r.attempts) {
+    ticket_number& upto = forgotten_upto_[attempt.entry];
+    upto = std::max(upto, attempt.ticket);
+  }
+  reservations_.erase(key);
+}
+
 // Attempts of one request share its reservation, so that however many run there is one bill, and a
 // repeated or late request for a reservation makes no second one.
 bool holder_role::join(time_ms now, account& a, const attempt_id& attempt,
@@ -63,17 +84,16 @@
     context_.reply(attempt, {0, reserve_verdict::already_settled, r->epoch, r->bill});
     return true;
   }
-  slice* const s = a.find(r->epoch);
-  const bool usable = s != nullptr && s->state != slice_state::closing;
+  slice* const s = a.usable(r->epoch);
   if (r->state == reservation_state::orphaned) {
     r->state = reservation_state::open;
     reservations_.look_again({a.team, request.key}, *r, now + context_.options().probe_after);
-    if (usable) {
+    if (s != nullptr) {
       s->lost -= r->bound;
       s->reserved += r->bound;
     }
   }
-  if (usable && request.bound > r->bound && s->state == slice_state::live) {
+  if (s != nullptr && request.bound > r->bound && s->state == slice_state::live) {
     const token_count more = std::min(request.bound - r->bound, s->free());
     s->reserved += more;
     r->bound += more;
@@ -105,7 +125,11 @@
   account& a = account_of(now, team);
   const reservation_key key{team, request.key};
   reservation* const r = reservations_.find(key);
-  if (r != nullptr && r->state != reservation_state::settled)
+  // A copy of a settlement that comes very late may meet another attempt's reservation of the key.
+  const bool concerned =
+      r != nullptr && r->state != reservation_state::settled &&
+      std::find(r->attempts.begin(), r->attempts.end(), attempt) != r->attempts.end();
+  if (concerned)
     apply_settle(now, a, key, *r, attempt, request);
   if (request.kind == settle_kind::withdraw)
     std::erase_if(a.waiting, [&](const waiting_attempt& w) { return w.attempt == attempt; });
@@ -138,11 +162,11 @@
 }
 
 void holder_role::shrink(account& a, reservation& r, token_count bound) {
-  slice* const s = a.find(r.epoch);
-  if (r.state != reservation_state::open || s == nullptr)
+  if (r.state != reservation_state::open)
     return;
   const token_count smaller = std::clamp<token_count>(bound, 0, r.bound);
-  s->reserved -= r.bound - smaller;
+  if (slice* const s = a.usable(r.epoch))
+    s->reserved -= r.bound - smaller;
   r.bound = smaller;
 }
 
@@ -153,7 +177,7 @@
   if (!r.attempts.empty())
     return;
   if (!r.disowned) {
-    unreserve(key.team, r);
+    unreserve(now, key.team, r);
     reservations_.erase(key);
   } else if (r.state == reservation_state::open) {
     write_off(now, key, r);
@@ -167,7 +191,7 @@
   token_count charged = std::clamp<token_count>(used, 0, r.bound);
   if (context_.mutated(mutation::bill_above_bound))
     charged = used;
-  if (slice* const s = a.find(r.epoch); s != nullptr && s->state != slice_state::closing) {
+  if (slice* const s = a.usable(r.epoch)) {
     token_count& from = r.state == reservation_state::orphaned ? s->lost : s->reserved;
     from -= r.bound;
     s->spent += charged;
@@ -182,9 +206,9 @@
     reservations_.look_again(key, r, now + context_.options().settled_kept);
 }
 
-void holder_role::unreserve(name_index team, reservation& r) {
-  slice* const s = slice_of(team, r.epoch);
-  if (s == nullptr || s->state == slice_state::closing)
+void holder_role::unreserve(time_ms now, name_index team, reservation& r) {
+  slice* const s = account_of(now, team).usable(r.epoch);
+  if (s == nullptr)
     return;
   token_count& from = r.state == reservation_state::orphaned ? s->lost : s->reserved;
   from -= r.bound;
@@ -219,7 +243,7 @@
     if (r->state == reservation_state::open)
       look_at(now, *key, *r);
     else
-      reservations_.erase(*key);
+      forget(*key, *r);
   }
 }
 
@@ -249,8 +273,7 @@
 
 void holder_role::write_off(time_ms now, const reservation_key& key, reservation& r) {
   r.state = reservation_state::orphaned;
-  slice* const s = slice_of(key.team, r.epoch);
-  if (s != nullptr && s->state != slice_state::closing) {
+  if (slice* const s = account_of(now, key.team).usable(r.epoch)) {
     s->reserved -= r.bound;
     s->lost += r.bound;
   }
--- a/src/ledger/impl/holder_role.hpp
+++ b/src/ledger/impl/holder_role.hpp
@@ -56,6 +56,8 @@
   slice* slice_of(name_index team, epoch_number epoch);
 
   // holder_role.cpp: reservations
+  [[nodiscard]] bool is_forgotten(const attempt_id& attempt) const;
+  void forget(const reservation_key& key, const reservation& r);
   bool join(time_ms now, account& a, const attempt_id& attempt, const reserve_request& request);
   bool reserve_now(time_ms now, account& a, const attempt_id& attempt, const request_id& key,
                    token_count bound);
@@ -65,7 +67,7 @@
               token_count used);
   static void shrink(account& a, reservation& r, token_count bound);
   void leave(time_ms now, const reservation_key& key, reservation& r, const attempt_id& attempt);
-  void unreserve(name_index team, reservation& r);
+  void unreserve(time_ms now, name_index team, reservation& r);
   void count_origin(time_ms now, account& a, name_index entry);
   void look_at_due(time_ms now);
   void look_at(time_ms now, const reservation_key& key, reservation& r);
@@ -81,6 +83,7 @@
   void decide_waiting(time_ms now, account& a);
   [[nodiscard]] std::optional<reserve_verdict> verdict_for(time_ms now, account& a,
                                                            const waiting_attempt& w);
+  [[nodiscard]] token_count most_left(const account& a) const;
   [[nodiscard]] token_count chunk_size(const account& a) const;
   [[nodiscard]] token_count slice_size(const account& a, token_count need) const;
   [[nodiscard]] token_count unopened(const slice& s) const;
@@ -88,6 +91,8 @@
 
   // holder_transfer.cpp: tokens between holders
   void serve_wants(time_ms now, account& a);
+  void note_told(account& a, const token_refusal& message);
+  [[nodiscard]] static token_count sendable(const slice& s);
   bool serve_want(time_ms now, account& a, slice& s, const token_want& want);
   void transfer(time_ms now, account& a, slice& s, const token_want& want, token_count tokens);
   void resend_transfers(time_ms now, account& a);
@@ -108,6 +113,8 @@
   absl::btree_map<name_index, std::unique_ptr<account>> accounts_; ///< ordered, for replay
   reservation_table reservations_;
   absl::flat_hash_set<std::pair<epoch_number, std::uint32_t>> credited_;
+  // By entry host: the newest ticket whose reservation was settled and is no longer remembered.
+  absl::btree_map<name_index, ticket_number> forgotten_upto_;
   bool draining_{false};
   time_ms next_report_;
 };
--- a/src/ledger/impl/holder_supply.cpp
+++ b/src/ledger/impl/holder_supply.cpp
@@ -121,7 +121,8 @@
   if (witness != no_name)
     body.witness = context_.state.host(witness);
   body.opened = witness == no_name ? s.granted : s.opened;
-  s.opening = s.opened;
+  if (!context_.mutated(mutation::open_while_replacing))
+    s.opening = s.opened;
   s.replacing = context_.append(now, std::move(body));
 }
 
@@ -179,38 +180,50 @@
   }
 }
 
-// `exhausted` must be true: it is said only when the pool is empty and every other holder has said
-// that it has nothing. What is out of reach, or still reserved, may come back within the wait.
+// The log lags behind what holders have spent; their own words and this host's slices are newer.
+token_count holder_role::most_left(const account& a) const {
+  const team_totals totals = context_.state.totals(a.team);
+  token_count left = totals.contract - totals.spent - totals.written_off;
+  const auto newer = [&](epoch_number epoch, token_count spent) {
+    const delegation* const d = context_.state.find(epoch);
+    if (d != nullptr)
+      left -= std::max<token_count>(spent - d->spent, 0);
+  };
+  // A holder that was suspected wrongly gives back what it did not use.
+  context_.state.for_each_of(a.team, [&](const delegation& d) {
+    if (d.state != delegation_state::live && context_.live.is_live(d.holder))
+      left += d.written_off();
+  });
+  for (const told_spent& told : a.told)
+    newer(told.epoch, told.spent);
+  for (const slice& s : a.slices)
+    newer(s.epoch, s.spent);
+  return left;
+}
+
+// `exhausted` must be true: it is said only when what is known to be spent proves that the request
+// cannot be covered. Asking who still has tokens would not do, for tokens on their way between two
+// holders are missed by asking each in turn. What is reserved, on its way or out of reach may still
+// come within the wait.
 std::optional<reserve_verdict> holder_role::verdict_for(time_ms now, account& a,
                                                         const waiting_attempt& w) {
-  const team_totals totals = context_.state.totals(a.team);
-  if (w.bound > totals.contract - totals.spent - totals.written_off)
+  if (w.bound > most_left(a))
     return reserve_verdict::exhausted;
   if (draining_)
     return reserve_verdict::elsewhere;
-  bool others = false;
-  bool out_of_reach = false;
-  context_.state.for_each_of(a.team, [&](const delegation& d) {
-    if (d.holder == context_.self_index() || d.state != delegation_state::live ||
-        d.remainder() <= 0)
-      return;
-    (context_.live.is_live(d.holder) ? others : out_of_reach) = true;
-  });
-  const slice* const s = a.live_slice();
-  const bool supplied = totals.pool() <= 0 && !a.grant_sent;
-  if (s == nullptr && supplied && others)
-    return reserve_verdict::elsewhere;
-  const bool asked = !others || (a.round.number != 0 && a.round.started >= w.since &&
-                                 a.round.complete() && !a.round.gained);
-  const bool refused = s != nullptr && s->refused;
-  const bool nothing_left = supplied && asked && !out_of_reach && !refused && !a.closing() &&
-                            (s == nullptr || s->unopened() <= 0);
-  const token_count elsewhere_reserved = others ? a.round.reserved() : 0;
-  if (nothing_left && a.reserved() == 0 && elsewhere_reserved == 0)
-    return reserve_verdict::exhausted;
-  if (now < w.deadline)
-    return std::nullopt;
-  return nothing_left ? reserve_verdict::exhausted : reserve_verdict::unreachable;
+  const bool supplied = context_.state.totals(a.team).pool() <= 0 && !a.grant_sent;
+  if (a.live_slice() == nullptr && supplied) {
+    bool others = false;
+    context_.state.for_each_of(a.team, [&](const delegation& d) {
+      others |= d.holder != context_.self_index() && d.state == delegation_state::live &&
+                context_.live.is_live(d.holder);
+    });
+    if (others)
+      return reserve_verdict::elsewhere;
+  }
+  if (now >= w.deadline)
+    return reserve_verdict::unreachable;
+  return std::nullopt;
 }
 
 } // namespace sedgechute::ledger
--- a/src/ledger/impl/holder_transfer.cpp
+++ b/src/ledger/impl/holder_transfer.cpp
@@ -27,7 +27,7 @@
     context_.state.for_each_of(a.team, [&](const delegation& d) {
       if (d.holder != context_.self_index() && d.state == delegation_state::live &&
           context_.live.is_live(d.holder))
-        round.holders.push_back({d.epoch, false, 0});
+        round.holders.push_back({d.epoch, false});
     });
   } else if (round.complete() || now - round.sent < resend) {
     return;
@@ -74,19 +74,30 @@
   }
 }
 
+// Only what the log knows this epoch to have is sent on. If tokens were passed on before their
+// receipt is in the log, the next receiver's report would claim more of this epoch than it has, and
+// two holders that sent each other tokens could make each other's reports void for good.
+token_count holder_role::sendable(const slice& s) {
+  token_count unreported = 0;
+  for (const transfer_receipt& receipt : s.receipts)
+    unreported += receipt.tokens;
+  return std::max<token_count>(s.free() - unreported, 0);
+}
+
 // Two holders that are both short must not pass the same tokens to and fro: the one with the older
 // epoch collects.
 bool holder_role::serve_want(time_ms now, account& a, slice& s, const token_want& want) {
   const bool needed_here = !a.waiting.empty() && s.epoch < want.to;
-  const token_count spare = needed_here ? 0 : std::max<token_count>(s.free(), 0);
-  if (!needed_here && spare < want.tokens && unopened(s) > 0 && now < want.deadline)
+  const token_count spare = needed_here ? 0 : sendable(s);
+  const bool more_soon = unopened(s) > 0 || s.free() > sendable(s);
+  if (!needed_here && spare < want.tokens && more_soon && now < want.deadline)
     return false;
   const token_count given = std::min(spare, want.tokens);
   if (given > 0)
     transfer(now, a, s, want, given);
   else
-    context_.send(want.from, token_refusal{context_.state.team_name(a.team), want.round, s.epoch,
-                                           a.reserved()});
+    context_.send(want.from,
+                  token_refusal{context_.state.team_name(a.team), want.round, s.epoch, s.spent});
   return true;
 }
 
@@ -132,7 +143,7 @@
   context_.send(from, transfer_ack{message.from, message.sequence});
   account& a = *accounts_.at(team);
   a.round.gained = true;
-  a.round.note_answer(message.from, 0);
+  a.round.note_answer(message.from);
   advance(now, a);
 }
 
@@ -159,6 +170,14 @@
   advance(now, *accounts_.at(d->team));
 }
 
+void holder_role::note_told(account& a, const token_refusal& message) {
+  std::erase_if(a.told, [&](const told_spent& t) {
+    return t.epoch == message.epoch || context_.state.find(t.epoch) == nullptr;
+  });
+  if (message.epoch != 0)
+    a.told.push_back({message.epoch, message.spent});
+}
+
 void holder_role::on_message(time_ms now, name_index from, const token_refusal& message) {
   const name_index team = context_.state.find_team(message.team);
   const auto found = accounts_.find(team);
@@ -170,7 +189,8 @@
     if (epoch == 0 && d.holder == from && d.state == delegation_state::live)
       epoch = d.epoch;
   });
-  a.round.note_answer(epoch, message.reserved);
+  a.round.note_answer(epoch);
+  note_told(a, message);
   advance(now, a);
 }
 
--- a/src/ledger/impl/ledger_replay.cpp
+++ b/src/ledger/impl/ledger_replay.cpp
@@ -145,7 +145,8 @@
 }
 
 // Only the witness of the current term knows all that was countersigned: a replaced one may have
-// missed what its successor signed.
+// missed what its successor signed. What was released before may be among what it never signed, so
+// it counts against that.
 record_verdict ledger_state::apply_reclaim(const reclaim& item) {
   delegation* const d = find_mutable(item.epoch);
   if (d == nullptr)
@@ -154,9 +155,10 @@
     return not_live;
   if (item.term != d->term && fault_ != mutation::ignore_term)
     return wrong_term;
-  const token_count unopened = std::max<token_count>(d->granted - item.opened, 0);
   if (item.opened < 0)
     return out_of_range;
+  const token_count released = fault_ == mutation::reclaim_released ? 0 : d->gone;
+  const token_count unopened = std::max<token_count>(d->granted - item.opened - released, 0);
   take_out(*d);
   d->gone += std::min(unopened, d->remainder());
   d->lost = 0;
@@ -197,23 +199,23 @@
 }
 
 record_verdict ledger_state::apply(log_offset offset, const record_id& id, const release& body) {
-  if (body.basis + repeat_window_ < offset)
+  if (body.basis + repeat_window_ < offset && fault_ != mutation::ignore_basis)
     return outdated;
   if (!note_id(offset, id))
     return repeated;
   const name_index team = intern_team(body.team);
   touch(team);
-  if (body.tokens <= 0)
+  if (body.tokens <= 0 || body.tokens > body.of)
     return out_of_range;
   if (body.epoch == 0)
-    return release_orphaned(team, body.tokens);
+    return release_orphaned(team, body);
   delegation* const d = find_mutable(body.epoch);
   if (d == nullptr || d->team != team)
     return unknown_epoch;
   if (d->state == delegation_state::live)
     return not_live;
-  if (body.tokens > d->remainder())
-    return out_of_range;
+  if (body.of != d->remainder())
+    return changed;
   take_out(*d);
   d->gone += body.tokens;
   put_back(*d);
@@ -221,12 +223,12 @@
   return applied;
 }
 
-record_verdict ledger_state::release_orphaned(name_index team, token_count tokens) {
+record_verdict ledger_state::release_orphaned(name_index team, const release& body) {
   team_row& row = teams_[team];
-  if (tokens > row.orphaned)
-    return out_of_range;
-  row.orphaned -= tokens;
-  row.written_off -= tokens;
+  if (body.of != row.orphaned)
+    return changed;
+  row.orphaned -= body.tokens;
+  row.written_off -= body.tokens;
   return applied;
 }
 
--- a/src/ledger/impl/ledger_state.hpp
+++ b/src/ledger/impl/ledger_state.hpp
@@ -103,7 +103,7 @@
   record_verdict apply_reclaim(const reclaim& item);
   void apply_receipts(delegation& to, const epoch_report& item);
   void close(delegation& d, const epoch_report& item);
-  record_verdict release_orphaned(name_index team, token_count tokens);
+  record_verdict release_orphaned(name_index team, const release& body);
 
   [[nodiscard]] delegation* find_mutable(epoch_number epoch);
   void take_out(const delegation& d);
--- a/src/ledger/impl/messages.hpp
+++ b/src/ledger/impl/messages.hpp
@@ -112,8 +112,8 @@
 struct token_refusal {
   team_id team;
   std::uint32_t round{};
-  epoch_number epoch{};
-  token_count reserved{}; ///< tokens that may become free as requests end
+  epoch_number epoch{}; ///< 0 if nothing is held
+  token_count spent{};  ///< of the epoch, reported or not
 };
 
 /// \brief Holder to a host of a busy data centre: take a slice of your own.
--- a/src/ledger/impl/options.hpp
+++ b/src/ledger/impl/options.hpp
@@ -10,17 +10,20 @@
   skip_witness,          ///< use tokens that no witness countersigned
   unseal,                ///< a witness countersigns after it has reclaimed
   trust_append,          ///< use a grant before it is read back
-  reuse_epoch,           ///< go on with an epoch that the log has ended
-  forget_record_ids,     ///< apply a repeated grant again
-  ignore_basis,          ///< apply a grant whose repeats may be forgotten
+  reuse_epoch,           ///< a holder goes on with an epoch that its witness has sealed
+  forget_record_ids,     ///< apply a repeated record again
+  ignore_basis,          ///< apply a record whose repeats may be forgotten
   ignore_term,           ///< accept a reclaim of a replaced witness
+  forget_early_opening,  ///< a new witness forgets what it signed before it read of its role
   open_while_replacing,  ///< use the old witness's answer after a replacement was sent
   forget_transfer_ids,   ///< credit a repeated transfer again
   send_without_debit,    ///< transfer tokens that stay usable at the sender
   forget_settled,        ///< a retry of a billed request is billed again
+  forget_tickets,        ///< a copy of a request that was settled long ago is billed again
   bill_above_bound,      ///< bill what the engine reported, however much
   return_reserved,       ///< close an epoch that still has open reservations
   grant_above_pool,      ///< a grant may exceed the pool
+  reclaim_released,      ///< reclaim what an operator has released before
   trust_old_incarnation, ///< answer messages addressed to an earlier incarnation
 };
 
@@ -66,12 +69,15 @@
                                                 {forget_record_ids, "forget_record_ids"},
                                                 {ignore_basis, "ignore_basis"},
                                                 {ignore_term, "ignore_term"},
+                                                {forget_early_opening, "forget_early_opening"},
                                                 {open_while_replacing, "open_while_replacing"},
                                                 {forget_transfer_ids, "forget_transfer_ids"},
                                                 {send_without_debit, "send_without_debit"},
                                                 {forget_settled, "forget_settled"},
+                                                {forget_tickets, "forget_tickets"},
                                                 {bill_above_bound, "bill_above_bound"},
                                                 {return_reserved, "return_reserved"},
                                                 {grant_above_pool, "grant_above_pool"},
+                                                {reclaim_released, "reclaim_released"},
                                                 {trust_old_incarnation, "trust_old_incarnation"}});
 };
--- a/src/ledger/impl/records.hpp
+++ b/src/ledger/impl/records.hpp
@@ -81,11 +81,13 @@
   fencing,          ///< every endpoint has acknowledged a newer fencing number
 };
 
-/// \brief Returns written-off tokens to the pool.
+/// \brief Returns written-off tokens to the pool. Void unless exactly `of` are written off where it
+/// stands, so that two operators cannot both release on one proof.
 struct release {
   team_id team;
   epoch_number epoch{}; ///< 0 for tokens lost with entry hosts in epochs that are over
   token_count tokens{};
+  token_count of{}; ///< written off, as the operator saw it
   release_proof proof{};
   std::string statement; ///< who says so and where it can be checked
   log_offset basis{};    ///< offset up to which the writer had replayed
@@ -111,6 +113,7 @@
   already_holding, ///< the holder has a live epoch of this team
   pool_empty,
   out_of_range, ///< an amount that the epoch cannot have
+  changed,      ///< not what the writer saw
 };
 
 } // namespace sedgechute::ledger
@@ -137,5 +140,6 @@
                                                       {wrong_holder, "wrong_holder"},
                                                       {already_holding, "already_holding"},
                                                       {pool_empty, "pool_empty"},
-                                                      {out_of_range, "out_of_range"}});
+                                                      {out_of_range, "out_of_range"},
+                                                      {changed, "changed"}});
 };
--- a/src/ledger/impl/slice.cpp
+++ b/src/ledger/impl/slice.cpp
@@ -8,20 +8,9 @@
   return std::all_of(holders.begin(), holders.end(), [](const asked& a) { return a.answered; });
 }
 
-token_count asking_round::reserved() const noexcept {
-  token_count sum = 0;
-  for (const asked& a : holders)
-    sum += a.reserved;
-  return sum;
-}
-
-void asking_round::note_answer(epoch_number epoch, token_count held) {
-  for (asked& a : holders) {
-    if (a.epoch != epoch)
-      continue;
-    a.answered = true;
-    a.reserved = held;
-  }
+void asking_round::note_answer(epoch_number epoch) {
+  for (asked& a : holders)
+    a.answered |= a.epoch == epoch;
 }
 
 slice* account::live_slice() noexcept {
@@ -38,6 +27,11 @@
   return nullptr;
 }
 
+slice* account::usable(epoch_number epoch) noexcept {
+  slice* const s = find(epoch);
+  return s == nullptr || s->state == slice_state::closing ? nullptr : s;
+}
+
 token_count account::reserved() const noexcept {
   token_count sum = 0;
   for (const slice& s : slices)
--- a/src/ledger/impl/slice.hpp
+++ b/src/ledger/impl/slice.hpp
@@ -76,7 +76,6 @@
   struct asked {
     epoch_number epoch{};
     bool answered{};
-    token_count reserved{};
   };
   std::uint32_t number{};
   time_ms started;
@@ -85,8 +84,13 @@
   bool gained{}; ///< someone sent tokens, so asking again may bring more
 
   [[nodiscard]] bool complete() const noexcept;
-  [[nodiscard]] token_count reserved() const noexcept;
-  void note_answer(epoch_number epoch, token_count reserved);
+  void note_answer(epoch_number epoch);
+};
+
+/// \brief What another holder said it has spent; sums only grow, so it never becomes untrue.
+struct told_spent {
+  epoch_number epoch{};
+  token_count spent{};
 };
 
 /// \brief Requests that came from one data centre lately.
@@ -108,6 +112,7 @@
   time_ms last_used;
   bool invited{}; ///< asked to hold a slice
   asking_round round;
+  std::vector<told_spent> told;
 
   token_count reserved_since_tick{};
   token_count spent_since_tick{};
@@ -119,6 +124,8 @@
 
   [[nodiscard]] slice* live_slice() noexcept;
   [[nodiscard]] slice* find(epoch_number epoch) noexcept;
+  /// \returns the slice, or null once its last report has been made: its sums are then final.
+  [[nodiscard]] slice* usable(epoch_number epoch) noexcept;
   [[nodiscard]] token_count reserved() const noexcept;
   [[nodiscard]] token_count waiting_tokens() const noexcept;
   [[nodiscard]] bool closing() const noexcept;
--- a/src/ledger/impl/witness_role.cpp
+++ b/src/ledger/impl/witness_role.cpp
@@ -45,13 +45,21 @@
     epoch.opened = std::max(epoch.opened, d.opened);
 }
 
+std::optional<countersigned_part> witness_role::countersigned(epoch_number epoch) const {
+  const auto found = epochs_.find(epoch);
+  if (found == epochs_.end())
+    return std::nullopt;
+  return countersigned_part{found->second.term, found->second.opened};
+}
+
 void witness_role::sync(name_index team) {
   context_.state.for_each_of(team, [&](const delegation& d) {
     const bool mine = d.witness == context_.self_index();
     const auto known = epochs_.find(d.epoch);
     // The holder may have read the record that names this host before this host has. What was
     // countersigned meanwhile must not be forgotten when an older record of the epoch is read.
-    const bool ahead = known != epochs_.end() && known->second.term > d.term;
+    const bool ahead = known != epochs_.end() && known->second.term > d.term &&
+                       !context_.mutated(mutation::forget_early_opening);
     if (mine && d.state == delegation_state::live)
       take_up(d);
     else if (known != epochs_.end() && !ahead &&
--- a/src/ledger/impl/witness_role.hpp
+++ b/src/ledger/impl/witness_role.hpp
@@ -4,8 +4,16 @@
 
 #include <absl/container/btree_map.h>
 
+#include <optional>
+
 namespace sedgechute::ledger {
 
+/// \brief What a witness has countersigned of one epoch.
+struct countersigned_part {
+  witness_term term{};
+  token_count opened{};
+};
+
 /// \brief Countersigns the use of other hosts' epochs, and seals those whose holder is lost.
 class witness_role {
  public:
@@ -17,6 +25,7 @@
   /// \brief Seals the epochs whose holder is not live.
   void tick(time_ms now);
 
+  [[nodiscard]] std::optional<countersigned_part> countersigned(epoch_number epoch) const;
   [[nodiscard]] std::size_t watched() const noexcept { return epochs_.size(); }
 
  private:
--- a/src/wire/impl/ledger_codec.cpp
+++ b/src/wire/impl/ledger_codec.cpp
@@ -80,6 +80,7 @@
   body.set_tokens(in.tokens);
   body.set_proof(to_wire_enum<wire::ledger_release_proof>(in.proof));
   body.set_statement(in.statement);
+  body.set_of(in.of);
   body.set_basis(in.basis);
 }
 
@@ -146,6 +147,7 @@
   out.tokens = check.tokens(in.tokens(), "tokens");
   out.proof = check.enumerator<ledger::release_proof>(in.proof(), "proof");
   out.statement = in.statement();
+  out.of = check.tokens(in.of(), "of");
   out.basis = in.basis();
   return out;
 }
--- a/src/wire/impl/ledger_message_codec.cpp
+++ b/src/wire/impl/ledger_message_codec.cpp
@@ -102,7 +102,7 @@
   body.set_team(in.team.str());
   body.set_round(in.round);
   body.set_epoch(in.epoch);
-  body.set_reserved(in.reserved);
+  body.set_spent(in.spent);
 }
 
 void put(const ledger::hold_budget& in, wire::ledger_message& out) {
@@ -193,7 +193,7 @@
   case wire::ledger_message::kTokenRefusal: {
     const wire::ledger_token_refusal& in = message.token_refusal();
     return ledger::token_refusal{team_of(in.team()), in.round(), in.epoch(),
-                                 check.tokens(in.reserved(), "reserved")};
+                                 check.tokens(in.spent(), "spent")};
   }
   case wire::ledger_message::kHoldBudget:
     return ledger::hold_budget{team_of(message.hold_budget().team())};
--- a/tests/ledger/fleet_model.cpp
+++ b/tests/ledger/fleet_model.cpp
@@ -27,30 +27,37 @@
                              weighted_kind{cut_hosts, 3},   weighted_kind{cut_data_centre, 2},
                              weighted_kind{cut_log, 2},     weighted_kind{log_outage, 2},
                              weighted_kind{checkpoint, 1},  weighted_kind{trim, 1},
-                             weighted_kind{drain, 1},       weighted_kind{long_wait, 1}};
+                             weighted_kind{release, 2},     weighted_kind{drain, 1},
+                             weighted_kind{long_wait, 1}};
 
-constexpr std::uint32_t total_weight() {
-  std::uint32_t sum = 0;
-  for (const weighted_kind& w : weights)
-    sum += w.weight;
-  return sum;
-}
+constexpr std::uint32_t favoured = 5;
 
 constexpr time_ms round_span{60};
 
 } // namespace
 
-step random_step(random_source& random) {
-  auto drawn = static_cast<std::uint32_t>(random.below(total_weight()));
-  const std::uint64_t numbers = random();
-  const auto a = static_cast<std::uint32_t>(numbers);
-  const auto b = static_cast<std::uint32_t>(numbers >> 32U);
+step_source::step_source(random_source& random) : random_{random} {
   for (const weighted_kind& w : weights) {
-    if (drawn < w.weight)
-      return {w.kind, a, b};
-    drawn -= w.weight;
+    const std::uint64_t drawn = random_.below(10);
+    const bool needed = w.kind == run || w.kind == request || w.kind == settle;
+    std::uint32_t weight = w.weight;
+    if (drawn < 2 && !needed)
+      weight = 0;
+    else if (drawn > 7)
+      weight *= favoured;
+    weights_.push_back(weight);
+    total_ += weight;
   }
-  return {run, a, b};
+}
+
+step step_source::next() {
+  auto drawn = static_cast<std::uint32_t>(random_.below(total_));
+  const std::uint64_t numbers = random_();
+  std::size_t kind = 0;
+  while (drawn >= weights_[kind])
+    drawn -= weights_[kind++];
+  return {weights[kind].kind, static_cast<std::uint32_t>(numbers),
+          static_cast<std::uint32_t>(numbers >> 32U)};
 }
 
 std::string to_text(const step& s) {
@@ -104,8 +111,11 @@
 void fleet_model::collect(std::uint32_t index) {
   fake_host& h = hosts_[index];
   budget_output out = h.budgets->take_output();
-  for (outgoing_message& m : out.messages)
+  for (outgoing_message& m : out.messages) {
+    if (const auto* const t = std::get_if<token_transfer>(&m.body))
+      transfers_[{t->from, t->sequence}] = t->tokens;
     network_.push_back({h.id, std::move(m)});
+  }
   for (ledger_record& r : out.records)
     appends_.push_back(std::move(r));
   for (const budget_decision& d : out.decisions)
@@ -113,6 +123,7 @@
   for (const bill& made : out.bills) {
     claim& c = claims_[std::stoul(made.key.str())];
     truths_[c.team].billed += made.tokens;
+    billed_of_[made.epoch] += made.tokens;
     truths_[c.team].unbilled -= std::exchange(c.consumed, 0);
     if (++c.bills > 1) {
       ++found_.double_billed;
@@ -143,12 +154,24 @@
   if (log_down_)
     return;
   const ledger_record record = appends_[index];
+  std::vector<token_count> before;
+  for (const team_id& team : teams_)
+    before.push_back(reference_.totals(reference_.find_team(team)).committed());
   if (!keep) {
     appends_[index] = std::move(appends_.back());
     appends_.pop_back();
   }
   log_.push_back({record, {}, 0});
-  reference_.on_record(log_.size(), record);
+  const record_verdict verdict = reference_.on_record(log_.size(), record);
+  const bool once = std::holds_alternative<grant>(record.body) ||
+                    std::holds_alternative<sedgechute::ledger::release>(record.body);
+  if (once && verdict == record_verdict::applied && !applied_.insert(record.id).second)
+    report("a repeated record was applied twice");
+  for (std::uint32_t team = 0; team < teams_.size(); ++team) {
+    const token_count after = reference_.totals(reference_.find_team(teams_[team])).committed();
+    if (after > std::max(before[team], truths_[team].contract))
+      report("a record committed more of " + teams_[team].str() + " than was bought");
+  }
 }
 
 void fleet_model::read_log(std::uint32_t index, std::size_t most) {
@@ -178,7 +201,7 @@
 }
 
 std::size_t fleet_model::start_request(std::uint32_t host, std::uint32_t team, token_count bound) {
-  claims_.push_back({team, bound, std::nullopt, false, 0, {}});
+  claims_.push_back({team, bound, std::nullopt, false, 0, {}, 0});
   begin(host, static_cast<std::uint32_t>(claims_.size() - 1));
   return requests_.size() - 1;
 }
@@ -243,6 +266,7 @@
   }
   if (!denied) {
     c.holder = r.holder;
+    c.epochs.insert(r.epoch);
     return;
   }
   r.over = true;
--- a/tests/ledger/fleet_model.hpp
+++ b/tests/ledger/fleet_model.hpp
@@ -2,9 +2,12 @@
 
 #include "ledger/ledger.hpp"
 
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sedgechute::ledger {
@@ -37,7 +40,8 @@
   cut_log, ///< one host loses the log, or meets it again
   log_outage,
   checkpoint,
-  trim, ///< the log forgets what is before the newest checkpoint
+  trim,    ///< the log forgets what is before the newest checkpoint
+  release, ///< an operator proves which written-off tokens were not used
   drain,
   long_wait, ///< the clock moves past every timeout
 };
@@ -48,8 +52,19 @@
   std::uint32_t b{};
 };
 
-/// \returns a random step; the frequent ones let work move on between faults.
-[[nodiscard]] step random_step(random_source& random);
+/// \brief Draws steps; the frequent kinds let work move on between faults. Each source favours some
+/// kinds and never draws others, so that schedules differ more than if all drew alike.
+class step_source {
+ public:
+  explicit step_source(random_source& random);
+  [[nodiscard]] step next();
+
+ private:
+  random_source& random_;
+  std::vector<std::uint32_t> weights_; ///< by kind
+  std::uint32_t total_{};
+};
+
 [[nodiscard]] std::string to_text(const step& s);
 
 /// \brief What one run of a schedule showed to be wrong.
@@ -144,7 +159,8 @@
     std::optional<incarnation> holder;
     bool finished{};
     std::uint32_t bills{};
-    token_count consumed{}; ///< by attempts of dead entry hosts, until the request is billed
+    std::set<epoch_number> epochs; ///< of the reservations that its attempts had
+    token_count consumed{};        ///< by attempts of dead entry hosts, until the request is billed
   };
 
   void start_host(std::uint32_t index);
@@ -161,6 +177,10 @@
   [[nodiscard]] std::optional<std::uint32_t> host_named(const host_id& name) const;
   void report(const std::string& what);
   void check_team(std::uint32_t team);
+  [[nodiscard]] bool runs_alone(const running_request& r) const;
+  void check_slice(const slice& s);
+  void release(std::uint32_t choice);
+  [[nodiscard]] token_count unproven(const delegation& d) const;
 
   model_options options_;
   random_source random_;
@@ -173,11 +193,14 @@
   log_offset first_retained_{1};
   std::optional<ledger_snapshot> checkpoint_;
   bool log_down_{};
-  ledger_state reference_; ///< has read everything
+  std::set<record_id> applied_; ///< grants and releases
+  ledger_state reference_;      ///< has read everything
   std::vector<team_id> teams_;
   std::vector<truth> truths_;
   std::vector<claim> claims_;
   std::vector<running_request> requests_;
+  std::map<epoch_number, token_count> billed_of_; ///< by epoch
+  std::map<std::pair<epoch_number, std::uint32_t>, token_count> transfers_;
   findings found_;
 };
 
@@ -213,6 +236,7 @@
                                                  {log_outage, "log_outage"},
                                                  {checkpoint, "checkpoint"},
                                                  {trim, "trim"},
+                                                 {release, "release"},
                                                  {drain, "drain"},
                                                  {long_wait, "long_wait"}});
 };
--- a/tests/ledger/fleet_steps.cpp
+++ b/tests/ledger/fleet_steps.cpp
@@ -74,7 +74,7 @@
       end_request(*r, std::nullopt);
     break;
   case step_kind::shrink:
-    if (running_request* const r = running(s.b); r != nullptr && hosts_[r->host].id == r->entry) {
+    if (running_request* const r = running(s.b); r != nullptr && runs_alone(*r)) {
       r->bound = static_cast<token_count>(s.a) % (r->bound + 1);
       hosts_[r->host].budgets->shrink(now_, r->ticket, r->bound);
       collect(r->host);
@@ -127,6 +127,9 @@
     if (checkpoint_)
       first_retained_ = std::max(first_retained_, checkpoint_->offset + 1);
     break;
+  case step_kind::release:
+    release(s.b);
+    break;
   case step_kind::drain:
     if (!h.paused) {
       h.draining = true;
@@ -138,6 +141,70 @@
     collect(index);
 }
 
+// A shared reservation must not shrink below what an attempt of a dead entry host may have used.
+bool fleet_model::runs_alone(const running_request& r) const {
+  const auto same_key = [&](const running_request& other) { return other.key == r.key; };
+  return hosts_[r.host].id == r.entry && claims_[r.key].consumed == 0 &&
+         std::count_if(requests_.begin(), requests_.end(), same_key) == 1;
+}
+
+// What of an epoch an operator must leave written off: tokens that were used, might be, or were
+// sent to another holder, and that the log does not show.
+token_count fleet_model::unproven(const delegation& d) const {
+  token_count used = 0;
+  if (const auto found = billed_of_.find(d.epoch); found != billed_of_.end())
+    used += found->second;
+  for (const claim& c : claims_)
+    if (c.bills == 0 && c.epochs.contains(d.epoch))
+      used += c.bound;
+  token_count sent = 0;
+  for (const auto& [id, tokens] : transfers_)
+    if (id.first == d.epoch)
+      sent += tokens;
+  return std::max<token_count>(used - d.spent, 0) + std::max<token_count>(sent - d.moved, 0);
+}
+
+void fleet_model::release(std::uint32_t choice) {
+  std::vector<const delegation*> lost;
+  reference_.for_each([&](const delegation& d) {
+    const std::optional<std::uint32_t> host = host_named(reference_.host(d.holder).host);
+    const bool destroyed = hosts_[*host].id != reference_.host(d.holder);
+    if (destroyed && d.state != delegation_state::live && d.remainder() > unproven(d))
+      lost.push_back(&d);
+  });
+  if (lost.empty())
+    return;
+  std::sort(lost.begin(), lost.end(), [](auto* a, auto* b) { return a->epoch < b->epoch; });
+  const delegation& d = *lost[choice % lost.size()];
+  const std::uint32_t by = choice % options_.hosts;
+  if (hosts_[by].paused)
+    return;
+  hosts_[by].budgets->release(now_,
+                              {reference_.team_name(d.team), d.epoch, d.remainder() - unproven(d),
+                               d.remainder(), release_proof::usage_statement, "model", 0});
+  collect(by);
+}
+
+// A witness of the newest term must know of all that is open, for it may reclaim the rest.
+void fleet_model::check_slice(const slice& s) {
+  if (s.free() < 0 || s.reserved < 0 || s.lost < 0 || s.opened > s.granted)
+    report("a slice of epoch " + std::to_string(s.epoch) + " is negative");
+  const delegation* const d = reference_.find(s.epoch);
+  if (d == nullptr || d->state != delegation_state::live || d->witness == no_name ||
+      s.state != slice_state::live)
+    return;
+  const incarnation& witness = reference_.host(d->witness);
+  const fake_host& w = hosts_[*host_named(witness.host)];
+  if (w.id != witness)
+    return;
+  token_count known = d->opened;
+  const auto signed_part = w.budgets->witness().countersigned(s.epoch);
+  if (signed_part && signed_part->term >= d->term)
+    known = std::max(known, signed_part->opened);
+  if (s.opened > known)
+    report("epoch " + std::to_string(s.epoch) + " is open beyond what its witness knows");
+}
+
 // At any moment, what was billed and what live hosts could still use is covered by what the log has
 // committed, and that by what was bought. A breach is a possible overspend before it becomes one.
 void fleet_model::check_team(std::uint32_t team) {
@@ -161,8 +228,7 @@
     if (a == nullptr)
       continue;
     for (const slice& s : a->slices) {
-      if (s.free() < 0 || s.reserved < 0 || s.lost < 0 || s.opened > s.granted)
-        report("a slice of " + teams_[team].str() + " is negative");
+      check_slice(s);
       if (s.state != slice_state::closing)
         usable += s.free() + s.reserved;
     }
--- a/tests/ledger/ledger_codec_test.cpp
+++ b/tests/ledger/ledger_codec_test.cpp
@@ -20,12 +20,13 @@
   reports.epochs.push_back({4, 2, 10, 11, 12, 13, true, {{3, 1, 9}}});
   reclaim_batch reclaims;
   reclaims.epochs.push_back({4, 1, 100});
-  return {{id, grant{team_id{"t"}, 3, holder, {}, data_centre_id{"hf-a"}, 50, 5, 9}},
-          {id, reports},
-          {id, reclaims},
-          {id, abandon{4}},
-          {id, replace_witness{4, 1, holder, 20}},
-          {id, sedgechute::ledger::release{team_id{"t"}, 4, 5, release_proof::fencing, "ops", 8}}};
+  return {
+      {id, grant{team_id{"t"}, 3, holder, {}, data_centre_id{"hf-a"}, 50, 5, 9}},
+      {id, reports},
+      {id, reclaims},
+      {id, abandon{4}},
+      {id, replace_witness{4, 1, holder, 20}},
+      {id, sedgechute::ledger::release{team_id{"t"}, 4, 5, 6, release_proof::fencing, "ops", 8}}};
 }
 
 std::vector<ledger_message> every_message() {
