Process test of two data centres cut off from each other and the log

Cause: the budget's promise in a two-sided partition was shown by schedules of the pure logic, not by processes. Change: tests/fleet can start two data centres that never hear of each other; both spend while the log is down and after it. Conclusion: no overspend, both sides served, the account adds up; waiting out refusals at an exhausted budget stays slow.

--- a/tests/fleet/faults_test.cpp
+++ b/tests/fleet/faults_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <chrono>
 #include <csignal>
 #include <functional>
@@ -121,6 +122,41 @@
         field(shown, "bought"));
 }
 
+// Two data centres have never been able to reach each other, and now the log is gone as well. Each
+// goes on with what was delegated to it. Together they must not spend more than was bought, however
+// long this lasts, and when the log is back the account must add up.
+TEST_CASE("two data centres cut off from each other and the log spend no more than was bought") {
+  constexpr long bought = 6000;
+  running_fleet fleet{{.hosts = 4, .engines = 2, .token_ms = 0, .partitioned = true}};
+  REQUIRE(fleet.publish(0, bought, "small") == 200);
+  REQUIRE(eventually([&] { return field(budget(fleet, 3), "bought") == bought; }));
+  std::array<long, 4> used{};
+  const auto spend = [&](int times) {
+    std::array<bool, 4> refused{};
+    for (int i = 0; i < 4 * times; ++i) {
+      const auto host = static_cast<std::size_t>(i % 4);
+      if (refused[host])
+        continue;
+      const auto got = fleet.ask(i % 4, "x", 20);
+      REQUIRE_MESSAGE((got.status == 200 || got.status == 402 || got.status == 503), got.body);
+      refused[host] = got.status != 200;
+      used[host] += got.status == 200 ? 20 : 0;
+    }
+  };
+  spend(3);
+  fleet.fault_in_log(R"({"outage":true})");
+  spend(10);
+  CHECK(used[0] + used[1] > 0);
+  CHECK(used[2] + used[3] > 0);
+  fleet.fault_in_log(R"({"outage":false})");
+  spend(100);
+  CHECK(used[0] + used[1] + used[2] + used[3] <= bought);
+  const auto shown = budget(fleet, 2);
+  CHECK(field(shown, "pool") + field(shown, "outstanding") + field(shown, "spent") +
+            field(shown, "written_off") ==
+        field(shown, "bought"));
+}
+
 // The platform's log is down. Requests need it for nothing, and go on. A publish is refused at once
 // with the reason, and succeeds once the log is back, under the same record id.
 TEST_CASE("a log outage stops publishing and nothing else") {
--- a/tests/fleet/running_fleet.cpp
+++ b/tests/fleet/running_fleet.cpp
@@ -44,9 +44,9 @@
 }
 
 std::string entry(const std::string& name, const std::string& kind, std::uint16_t port,
-                  const std::string& rest) {
-  return R"({"name":")" + name + R"(","kind":")" + kind + R"(","data_centre":"one","address":")" +
-         at(port) + R"(","state":"live")" + rest + "}";
+                  const std::string& data_centre, const std::string& rest) {
+  return R"({"name":")" + name + R"(","kind":")" + kind + R"(","data_centre":")" + data_centre +
+         R"(","address":")" + at(port) + R"(","state":"live")" + rest + "}";
 }
 
 } // namespace
@@ -58,16 +58,24 @@
       team_key_{team_secret}, operator_key_{operator_secret} {
   log_port_ = free_port();
   list_port_ = free_port();
+  other_list_port_ = free_port();
   weights_port_ = free_port();
   service_port_ = free_port();
   for (int i = 0; i < shape.engines; ++i)
     engine_ports_.push_back(free_port());
   for (int i = 0; i < shape.hosts; ++i)
-    addresses_.push_back({"h" + std::to_string(i), free_port(), free_port(), free_port()});
+    addresses_.push_back({"h" + std::to_string(i), free_port(), free_port(), free_port(),
+                          shape.partitioned && i >= shape.hosts / 2 ? "two" : "one"});
   write_files(shape);
   standins_ = std::make_unique<process>(std::string{programs} + "/sedgechute-standin",
                                         std::vector<std::string>{"fleet", "--example", folder_},
                                         folder_ / "standins.log");
+  if (shape.partitioned)
+    other_list_ = std::make_unique<process>(
+        std::string{programs} + "/sedgechute-standin",
+        std::vector<std::string>{"hosts", "--port", std::to_string(other_list_port_), "--file",
+                                 folder_ / "other-hosts.json"},
+        folder_ / "other-list.log");
   hosts_.resize(static_cast<std::size_t>(shape.hosts));
   for (int i = 0; i < shape.hosts; ++i)
     start_host(i);
@@ -83,33 +91,40 @@
   std::filesystem::remove_all(folder_, ignored);
 }
 
-void running_fleet::write_files(const fleet_shape& shape) {
+std::string running_fleet::list_of(const std::string& data_centre) const {
   std::string list;
   for (const host_addresses& host : addresses_)
-    list +=
-        entry(host.name, "entry", host.callers, R"(,"peer_address":")" + at(host.peers) + "\"") +
-        ",";
+    if (host.data_centre == data_centre)
+      list += entry(host.name, "entry", host.callers, data_centre,
+                    R"(,"peer_address":")" + at(host.peers) + "\"") +
+              ",";
   for (std::size_t i = 0; i < engine_ports_.size(); ++i)
-    list += entry("e" + std::to_string(i), "endpoint", engine_ports_[i], R"(,"pool":"lm")") + ",";
-  list += entry("s0", "endpoint", service_port_, R"(,"pool":"orders")");
+    list += entry("e" + std::to_string(i), "endpoint", engine_ports_[i], "one", R"(,"pool":"lm")") +
+            ",";
+  return list + entry("s0", "endpoint", service_port_, "one", R"(,"pool":"orders")");
+}
+
+void running_fleet::write_files(const fleet_shape& shape) {
   write(folder_ / "hosts.json",
         R"({"standins":{"log":")" + at(log_port_) + R"(","hosts":")" + at(list_port_) +
             R"(","weights":")" + at(weights_port_) +
             R"(","pools":{"lm":{"model":"m","max_running":32,"first_token_ms":20,"token_ms":)" +
             std::to_string(shape.token_ms) +
             R"(,"answer_tokens":100000},"orders":{"service":"orders","work_ms":5}}},"hosts":[)" +
-            list + "]}");
+            list_of("one") + "]}");
+  write(folder_ / "other-hosts.json", R"({"hosts":[)" + list_of("two") + "]}");
   for (std::size_t i = 0; i < addresses_.size(); ++i) {
     const bool cut = std::find(shape.without_log.begin(), shape.without_log.end(),
                                static_cast<int>(i)) != shape.without_log.end();
     const host_addresses& host = addresses_[i];
     write(folder_ / (host.name + ".json"),
-          R"({"schema":1,"name":")" + host.name + R"(","data_centre":"one","listen":{"callers":")" +
-              at(host.callers) + R"(","peers":")" + at(host.peers) + R"(","admin":")" +
-              at(host.admin) + R"("},"platform":{"log":")" + at(cut ? free_port() : log_port_) +
-              R"(","host_list":")" + at(list_port_) + R"(","weights":")" + at(weights_port_) +
-              R"("},"operators":[{"name":"op","right":"publish","key":)" + hashed(operator_secret) +
-              "}]}");
+          R"({"schema":1,"name":")" + host.name + R"(","data_centre":")" + host.data_centre +
+              R"(","listen":{"callers":")" + at(host.callers) + R"(","peers":")" + at(host.peers) +
+              R"(","admin":")" + at(host.admin) + R"("},"platform":{"log":")" +
+              at(cut ? free_port() : log_port_) + R"(","host_list":")" +
+              at(host.data_centre == "two" ? other_list_port_ : list_port_) + R"(","weights":")" +
+              at(weights_port_) + R"("},"operators":[{"name":"op","right":"publish","key":)" +
+              hashed(operator_secret) + "}]}");
   }
 }
 
@@ -133,7 +148,7 @@
 
 void running_fleet::publish_all() const {
   const std::string fleet =
-      R"({"schema":1,"data_centres":[{"name":"one","region":"r"}],"pools":[{"name":"lm","kind":"engine","models":[{"name":"m","max_output_tokens":4096}]},{"name":"orders","kind":"service","non_idempotent_methods":["POST"],"tokens_per_call":5}]})";
+      R"({"schema":1,"data_centres":[{"name":"one","region":"r"},{"name":"two","region":"r"}],"pools":[{"name":"lm","kind":"engine","models":[{"name":"m","max_output_tokens":4096}]},{"name":"orders","kind":"service","non_idempotent_methods":["POST"],"tokens_per_call":5}]})";
   const std::string body =
       R"({"record_id":"f1","replaces":0,"based_on":0,"body":)" + quoted(fleet) + "}";
   answer published;
--- a/tests/fleet/running_fleet.hpp
+++ b/tests/fleet/running_fleet.hpp
@@ -20,9 +20,12 @@
   long budget{1'000'000};
   /// Hosts, by number, whose log address leads nowhere: cut off from it for good.
   std::vector<int> without_log{};
+  /// The second half of the hosts is a data centre of its own, and the two never hear of each
+  /// other: each has a host list that names its own hosts only. They share the log and endpoints.
+  bool partitioned{false};
 };
 
-/// \brief Stand-ins and hosts of one data centre in processes, with one team's contract in force.
+/// \brief Stand-ins and hosts in processes, with one team's contract in force.
 class running_fleet {
  public:
   explicit running_fleet(const fleet_shape& shape);
@@ -60,9 +63,11 @@
   struct host_addresses {
     std::string name;
     std::uint16_t callers{}, peers{}, admin{};
+    std::string data_centre;
   };
 
   void write_files(const fleet_shape& shape);
+  [[nodiscard]] std::string list_of(const std::string& data_centre) const;
   void start_host(int number);
   void publish_all() const;
   [[nodiscard]] std::string contract(long budget) const;
@@ -73,11 +78,12 @@
   std::filesystem::path folder_;
   std::string team_key_;
   std::string operator_key_;
-  std::uint16_t log_port_{}, list_port_{}, weights_port_{};
+  std::uint16_t log_port_{}, list_port_{}, other_list_port_{}, weights_port_{};
   std::vector<std::uint16_t> engine_ports_;
   std::uint16_t service_port_{};
   std::vector<host_addresses> addresses_;
   std::unique_ptr<process> standins_;
+  std::unique_ptr<process> other_list_;
   std::vector<std::unique_ptr<process>> hosts_;
 };
 
