Operators' document calls answered by one piece of code; TLS settings refused

Cause: the daemon composed answers about documents that src/config composes as well; and a host whose settings named certificates started and talked in plain text. Change: admin_documents uses the answers of src/config; a start with certificate files is refused with the reason. Conclusion: TLS is open, and nobody can believe to have it.

--- a/src/daemon/impl/admin_api.cpp
+++ b/src/daemon/impl/admin_api.cpp
@@ -17,15 +17,22 @@
   std::ostringstream text;
   body.stringify(text);
   text << '\n';
-  const std::string bytes = text.str();
+  send_text(call, status, text.str());
+}
+
+void send_text(const admin_call& call, int status, const std::string& json) {
   auto& response = call.exchange.response;
   response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
   response.setContentType("application/json");
-  response.sendBuffer(bytes.data(), bytes.size());
+  response.sendBuffer(json.data(), json.size());
+}
+
+std::string read_text(const admin_call& call, const clock& time) {
+  return read_body(call.exchange, most_body_bytes, body_time, time);
 }
 
 Poco::JSON::Object::Ptr read_json(const admin_call& call, const clock& time) {
-  const std::string body = read_body(call.exchange, most_body_bytes, body_time, time);
+  const std::string body = read_text(call, time);
   try {
     Poco::JSON::Parser parser;
     parser.setDepth(64);
--- a/src/daemon/impl/admin_api.hpp
+++ b/src/daemon/impl/admin_api.hpp
@@ -63,6 +63,12 @@
 /// \brief Sends a JSON answer.
 void send_json(const admin_call& call, int status, const Poco::JSON::Object& body);
 
+/// \brief Sends JSON text as an answer.
+void send_text(const admin_call& call, int status, const std::string& json);
+
+/// \returns the body as it came.
+[[nodiscard]] std::string read_text(const admin_call& call, const clock& time);
+
 /// \throws error `malformed_json` when the body is not a JSON object
 [[nodiscard]] Poco::JSON::Object::Ptr read_json(const admin_call& call, const clock& time);
 
--- a/src/daemon/impl/document_service.cpp
+++ b/src/daemon/impl/document_service.cpp
@@ -126,37 +126,10 @@
   return store_.body_of(kind, name);
 }
 
-std::vector<document_service::listed_document>
-document_service::names(document_kind kind, const std::string& after, std::size_t most) const {
-  std::vector<listed_document> found;
-  {
-    const std::scoped_lock lock{mutex_};
-    if (kind == document_kind::fleet) {
-      if (store_.fleet())
-        found.push_back({std::string{fleet_document_name}, store_.fleet()->revision});
-    } else {
-      store_.contracts().for_each_team([&](const team_id& team, document_revision revision) {
-        if (team.str() > after)
-          found.push_back({team.str(), revision});
-      });
-    }
-  }
-  const std::size_t count = std::min(most, found.size());
-  std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(count), found.end(),
-                    [](const auto& a, const auto& b) { return a.name < b.name; });
-  found.resize(count);
-  return found;
-}
-
-std::vector<relayed_document> document_service::history(document_kind kind, const std::string& name,
-                                                        std::uint64_t most) const {
-  std::vector<relayed_document> found;
+document_answer
+document_service::answer(const std::function<document_answer(document_store&)>& compose) {
   const std::scoped_lock lock{mutex_};
-  const auto& kept = store_.tail().records();
-  for (auto entry = kept.rbegin(); entry != kept.rend() && found.size() < most; ++entry)
-    if (entry->record.kind == kind && entry->record.name == name)
-      found.push_back(*entry);
-  return found;
+  return compose(store_);
 }
 
 std::uint64_t document_service::sequence() const {
--- a/src/daemon/impl/document_service.hpp
+++ b/src/daemon/impl/document_service.hpp
@@ -4,6 +4,7 @@
 #include "gateway/gateway.hpp"
 
 #include <condition_variable>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,17 +35,9 @@
                                                                 time_ms most);
   [[nodiscard]] document_revision revision_of(document_kind kind, const std::string& name) const;
   [[nodiscard]] std::string body_of(document_kind kind, const std::string& name);
-  /// \brief A document in a list.
-  struct listed_document {
-    std::string name;
-    document_revision revision{};
-  };
-  /// \returns at most `most` documents in the order of names, from behind `after` on.
-  [[nodiscard]] std::vector<listed_document> names(document_kind kind, const std::string& after,
-                                                   std::size_t most) const;
-  /// \returns records of a document, newest first, as far back as they are kept.
-  [[nodiscard]] std::vector<relayed_document> history(document_kind kind, const std::string& name,
-                                                      std::uint64_t most) const;
+  /// \brief Answers an operator's call from the documents as they are at one moment.
+  [[nodiscard]] document_answer
+  answer(const std::function<document_answer(document_store&)>& compose);
   [[nodiscard]] std::uint64_t sequence() const;
   [[nodiscard]] std::uint64_t digest() const;
   [[nodiscard]] bool needs_newer_program() const;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -23,6 +23,15 @@
 constexpr int exit_bad_settings = 2;
 constexpr int exit_cut_short = 3;
 
+// This release speaks plain text only. A host whose settings ask for certificates must not start
+// and quietly do without them.
+void refuse_tls(const host_settings& settings, const std::string& file) {
+  const tls_settings& tls = settings.tls;
+  if (tls.callers.enabled() || tls.peers.enabled() || tls.admin.enabled())
+    throw error{error_kind::invalid_settings, file + ": /tls",
+                "this release does not serve TLS yet; leave the certificate files out"};
+}
+
 host_settings read_settings(const std::string& file) {
   std::ifstream in{file};
   if (!in)
@@ -32,6 +41,7 @@
   auto settings = check_host_settings(file, text.str());
   if (!settings)
     throw error{error_kind::invalid_settings, file, "\n" + to_text(settings.problems)};
+  refuse_tls(*settings.value, file);
   return std::move(*settings.value);
 }
 
