--- /dev/null
+++ b/bench/slopes/links_run.cpp
@@ -0,0 +1,117 @@
+#include "daemon/impl/peer_links.hpp"
+#include "daemon/impl/peer_server.hpp"
+#include "slopes/meter.hpp"
+#include "slopes/names.hpp"
+#include "slopes/runs.hpp"
+#include "slopes/samples.hpp"
+
+#include <Poco/Net/DatagramSocket.h>
+#include <absl/strings/str_format.h>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+namespace sedgechute::slopes {
+
+namespace {
+
+constexpr std::chrono::milliseconds settle{300};
+constexpr std::chrono::milliseconds between_rounds{20};
+constexpr int first_port = 23'900;
+constexpr int longest_datagram = 8192;
+
+class counting_listener final : public peer_listener {
+ public:
+  void on_envelope(const wire::envelope&) override { ++heard; }
+  wire::records_reply records_after(std::uint64_t, std::size_t) override { return {}; }
+  std::string state() override { return {}; }
+  wire::burn_reply burn() override { return {}; }
+  std::shared_ptr<answer_record> answer(const team_id&, const std::string&) override {
+    return nullptr;
+  }
+
+  std::atomic<std::size_t> heard{0};
+};
+
+wire::envelope small_report() {
+  wire::envelope message = envelope_to(host_name(1));
+  *message.mutable_routing() = to_wire(routing_message{{demand_report(0, 0, 16)}, {}, {}});
+  return message;
+}
+
+/// Waits until all that was sent has arrived, or gives up.
+void wait_for(const counting_listener& listener, std::size_t wanted) {
+  for (int i = 0; i < 200 && listener.heard < wanted; ++i)
+    std::this_thread::sleep_for(std::chrono::milliseconds{10});
+}
+
+/// The same message as a datagram, as membership sends its own, with codec at both ends.
+void datagrams(slope_table& table) {
+  series cpu{"links", "datagram_cpu_us", "us, both ends", "datagram", {}};
+  const Poco::Net::SocketAddress place{"127.0.0.1", first_port + 1};
+  Poco::Net::DatagramSocket receiver{place};
+  Poco::Net::DatagramSocket sender;
+  const wire::envelope message = small_report();
+  std::array<char, longest_datagram> buffer{};
+  for (const int count : {2000, 4000, 8000}) {
+    const double start = thread_cpu_us();
+    for (int i = 0; i < count; ++i) {
+      const std::string bytes = message.SerializeAsString();
+      sender.sendTo(bytes.data(), static_cast<int>(bytes.size()), place);
+      wire::envelope arrived;
+      arrived.ParseFromArray(buffer.data(), receiver.receiveBytes(buffer.data(), longest_datagram));
+      keep(arrived);
+    }
+    cpu.points.push_back({static_cast<double>(count), thread_cpu_us() - start});
+  }
+  table.add(cpu);
+}
+
+} // namespace
+
+/// Both ends are in this process, so bytes of memory, time and traffic are of one sender and one
+/// receiver together: what a host pays that sends as much as it gets.
+void run_links(slope_table& table) {
+  series memory{"links", "link_memory_bytes", "B, both ends", "link", {}};
+  series cpu{"links", "call_cpu_us", "us, both ends", "call", {}};
+  series bytes{"links", "call_overhead_bytes", "B beyond the message", "call", {}};
+  const wire::envelope message = small_report();
+  counting_listener listener;
+  const std::string address = absl::StrFormat("127.0.0.1:%d", first_port);
+  peer_server server{address, listener};
+  peer_links links{host_name(0), time_ms{2000}};
+  std::vector<peer_address> peers;
+  const auto send_to_all = [&] {
+    const std::size_t wanted = listener.heard + peers.size();
+    for (const peer_address& peer : peers)
+      links.send(peer.who, message);
+    wait_for(listener, wanted);
+    std::this_thread::sleep_for(between_rounds);
+  };
+  const double before = allocated_bytes();
+  for (const std::size_t count : {10U, 40U, 80U, 160U}) {
+    while (peers.size() < count)
+      peers.push_back({host_name(peers.size() + 1), address});
+    links.set_peers(peers);
+    send_to_all();
+    std::this_thread::sleep_for(settle);
+    memory.points.push_back({static_cast<double>(count), allocated_bytes() - before});
+    constexpr int rounds = 20;
+    const double traffic = socket_bytes();
+    const double start = process_cpu_us();
+    for (int i = 0; i < rounds; ++i)
+      send_to_all();
+    const double calls = static_cast<double>(count) * rounds;
+    cpu.points.push_back({calls, process_cpu_us() - start});
+    std::this_thread::sleep_for(settle);
+    bytes.points.push_back(
+        {calls, socket_bytes() - traffic - calls * static_cast<double>(message.ByteSizeLong())});
+  }
+  for (const series& s : {memory, cpu, bytes})
+    table.add(s);
+  datagrams(table);
+}
+
+} // namespace sedgechute::slopes
