A run taken up twice is asked for by the attempt that started it

Cause: after a second host died, the third asked the endpoint for the run of the attempt before its own, which never started one; found by the author of the claims while reading the daemon. Change: the daemon passes on which attempt started a run, and notes it again when it takes the run up. Conclusion: the id of a run follows the claim.

--- a/src/daemon/impl/claim_service.cpp
+++ b/src/daemon/impl/claim_service.cpp
@@ -129,9 +129,10 @@
   decision.may_have_run = go.may_have_run;
   decision.resume_only = go.resume_only;
   const std::string address = go.endpoint.empty() ? "" : addresses_(go.endpoint);
-  if (!address.empty() && go.attempt > 0)
+  if (!address.empty())
     decision.earlier =
-        earlier_run{go.endpoint, address, run_id(request.team, request.key, go.attempt - 1)};
+        earlier_run{go.endpoint, address, run_id(request.team, request.key, go.run_attempt)};
+  decision.run_attempt = go.run_attempt;
   return decision;
 }
 
@@ -141,6 +142,14 @@
   publish();
 }
 
+// Whoever takes the run up next must ask for it by the attempt that started it, not by this one.
+void claim_service::resuming(std::uint64_t ticket, const endpoint_id& endpoint,
+                             std::uint32_t run_attempt) {
+  const std::scoped_lock lock{mutex_};
+  claims_.progress(time_.now(), ticket, endpoint, 0, run_attempt);
+  publish();
+}
+
 void claim_service::answered(std::uint64_t ticket, const kept_answer& answer) {
   retained_answer retained;
   retained.complete = true;
--- a/src/daemon/impl/claim_service.hpp
+++ b/src/daemon/impl/claim_service.hpp
@@ -37,6 +37,8 @@
 
   [[nodiscard]] key_decision begin(const key_request& request) override;
   void dispatching(std::uint64_t ticket, const endpoint_id& endpoint) override;
+  void resuming(std::uint64_t ticket, const endpoint_id& endpoint,
+                std::uint32_t run_attempt) override;
   void answered(std::uint64_t ticket, const kept_answer& answer) override;
   [[nodiscard]] error_kind refused(std::uint64_t ticket, error_kind kind) override;
   void unknown(std::uint64_t ticket) override;
--- a/src/gateway/impl/keyed_answer.cpp
+++ b/src/gateway/impl/keyed_answer.cpp
@@ -67,6 +67,7 @@
   request.ticket = decision.ticket;
   request.id = decision.run;
   request.earlier = decision.earlier;
+  request.run_attempt = decision.run_attempt;
   request.may_have_run = decision.may_have_run;
   request.resume_only = decision.resume_only;
   const auto record = host.answers.create(request.grant.team, key);
--- a/src/gateway/impl/ports.hpp
+++ b/src/gateway/impl/ports.hpp
@@ -236,7 +236,8 @@
   bool may_have_run{};    ///< an earlier attempt may have run
   bool resume_only{};     ///< take the earlier run up; never start the request anew
   std::optional<earlier_run> earlier;
-  host_id host; ///< where to follow
+  std::uint32_t run_attempt{}; ///< attempt that started the earlier run
+  host_id host;                ///< where to follow
   kept_answer answer;
   error_kind kind{};
 };
@@ -261,6 +262,10 @@
   [[nodiscard]] virtual key_decision begin(const key_request& request) = 0;
   /// \brief Notes where the run will be; to be called before the endpoint is asked.
   virtual void dispatching(std::uint64_t ticket, const endpoint_id& endpoint) = 0;
+  /// \brief Notes that the run of an earlier attempt is taken up where it is.
+  virtual void resuming([[maybe_unused]] std::uint64_t ticket,
+                        [[maybe_unused]] const endpoint_id& endpoint,
+                        [[maybe_unused]] std::uint32_t run_attempt) {}
   virtual void answered(std::uint64_t ticket, const kept_answer& answer) = 0;
   /// \brief Nothing was dispatched, for the reason `kind`; waits until that is settled.
   /// \returns what the caller may be told: `kind`, or `outcome_unknown`
--- a/src/gateway/impl/run_request.cpp
+++ b/src/gateway/impl/run_request.cpp
@@ -172,6 +172,7 @@
     const dispatch_turn turn{0, request_.earlier->endpoint, request_.earlier->address};
     ++attempts_;
     result_.may_have_run = true;
+    host_.claims.resuming(request_.ticket, turn.endpoint, request_.run_attempt);
     const time_ms dispatched = host_.time.now();
     attempt one{host_, request_, sink_, turn.address, request_.earlier->id};
     if (one.resume_whole() == open_result::streaming)
--- a/src/gateway/impl/run_request.hpp
+++ b/src/gateway/impl/run_request.hpp
@@ -17,6 +17,7 @@
   std::uint64_t ticket{}; ///< of the claim on the key; 0 without one
   time_ms accepted;
   std::optional<earlier_run> earlier; ///< where a host that died left the run
+  std::uint32_t run_attempt{};        ///< attempt that started it
   bool may_have_run{false};           ///< an earlier attempt may have run
   bool resume_only{false};            ///< never start the request anew
 };
