A host that did not decide a key never says "not run" of it

Change: refusals thrown before the decision on a key carry outcome_unknown. Conclusion: only whoever decides for a key says not run about it.

--- a/src/gateway/impl/http_server.cpp
+++ b/src/gateway/impl/http_server.cpp
@@ -152,6 +152,21 @@
   return connections_ > options_.most_connections / crowded_parts * (crowded_parts - 1);
 }
 
+namespace {
+
+// Thrown before the key was decided: this request did not run, but an earlier one under the same
+// key may have, on this host or another. Only whoever decides for the key may say "not run" of it.
+refusal refusal_before_run(const HTTPServerRequest& request, const error& failure) {
+  const bool detailed = !failure.where().empty() || !failure.why().empty();
+  refusal refused{failure.kind(), detailed ? failure.what() : "", {}, failure.retry_after(), {}};
+  const bool keyed = request.has("Idempotency-Key");
+  if (keyed && answer_for(failure.kind()).outcome == run_outcome::not_run)
+    refused.outcome = run_outcome::unknown;
+  return refused;
+}
+
+} // namespace
+
 void http_server::serve(HTTPServerRequestImpl& request, HTTPServerResponseImpl& response,
                         request_body& body) {
   const std::string uri = request.getURI();
@@ -164,11 +179,7 @@
     if (response.sent())
       response.setKeepAlive(false);
     else
-      send_refusal(response,
-                   {failure.kind(),
-                    failure.where().empty() && failure.why().empty() ? "" : failure.what(),
-                    {},
-                    {}});
+      send_refusal(response, refusal_before_run(request, failure));
   } catch (const Poco::Exception&) {
     response.setKeepAlive(false); // the caller's connection failed
   } catch (const std::exception&) {
--- a/src/gateway/impl/refusal.cpp
+++ b/src/gateway/impl/refusal.cpp
@@ -39,7 +39,7 @@
   std::string json = R"({"error":{"kind":")" + std::string{name_of(refused.kind)} + '"';
   json += R"(,"type":")" + std::string{name_of(refused.kind)} + '"';
   json += R"(,"message":)" + json_quote(refused.message.empty() ? answer.meaning : refused.message);
-  json += R"(,"outcome":")" + std::string{name_of(answer.outcome)} + '"';
+  json += R"(,"outcome":")" + std::string{name_of(refused.outcome.value_or(answer.outcome))} + '"';
   json += R"(,"request_id":)" + json_quote(refused.id.str());
   if (answer.retryable)
     json += R"(,"retry_after_ms":)" + std::to_string(retry_after_of(refused).count());
--- a/src/gateway/impl/refusal.hpp
+++ b/src/gateway/impl/refusal.hpp
@@ -14,7 +14,8 @@
   error_kind kind{};
   std::string message;
   request_id id;
-  std::optional<time_ms> retry_after; ///< when absent, the error table's span
+  std::optional<time_ms> retry_after;   ///< when absent, the error table's span
+  std::optional<run_outcome> outcome{}; ///< when absent, the error table's
 };
 
 /// \returns the refusal as the JSON body of an answer or the data of an error event.
--- a/tests/fleet/faults_test.cpp
+++ b/tests/fleet/faults_test.cpp
@@ -203,7 +203,11 @@
   fleet.host(0).signal(SIGTERM);
   sleep_ms(300);
   CHECK(fleet.get(0, "/readyz").status == 503);
-  CHECK(fleet.ask(0, "new", 5).status == 503);
+  CHECK(fleet.ask(0, "new", 5).body.find("not_run") != std::string::npos);
+  // Of a key it cannot know whether an earlier attempt ran elsewhere.
+  const auto keyed = fleet.ask(0, "new", 5, false, "seen-elsewhere");
+  CHECK(keyed.status == 503);
+  CHECK(keyed.body.find("outcome_unknown") != std::string::npos);
   CHECK(fleet.ask(1, "new", 5).status == 200);
   caller.join();
   CHECK(streamed.body.find("[DONE]") != std::string::npos);
