Slices follow each data centre's part of the demand, and figures of the budget policies

Cause: a data centre that was cut off for an hour ran out of its slice while the rest of the budget lay elsewhere, and an idle slice closed during a cut could not be used again.

--- /dev/null
+++ b/bench/faults/figures.cpp
@@ -0,0 +1,207 @@
+#include "figures.hpp"
+
+#include "measured_fleet.hpp"
+
+#include <malloc.h>
+
+#include <chrono>
+#include <cstdio>
+#include <iostream>
+#include <string>
+
+namespace sedgechute::ledger {
+
+namespace {
+
+using wall = std::chrono::steady_clock;
+
+double ns_since(wall::time_point start) {
+  return std::chrono::duration<double, std::nano>(wall::now() - start).count();
+}
+
+// Two hosts, one holding a slice with the other as witness; every request is made at the holder.
+double reserve_ns(double& settle_ns) {
+  constexpr int requests = 400000;
+  constexpr int batch = 500;
+  const data_centre_id here{"dc"};
+  const std::vector<live_host> live{{{host_id{"a"}, 1}, here}, {{host_id{"b"}, 1}, here}};
+  const ledger_options options;
+  budget_host a{live[0].host, here, options, 1};
+  budget_host b{live[1].host, here, options, 2};
+  const team_id team{"team-000001"};
+  time_ms now{0};
+  log_offset offset = 1;
+  budget_host* const hosts[] = {&a, &b};
+  for (budget_host* h : hosts) {
+    h->on_members(now, live);
+    h->on_contract(now, offset, team, token_count{1} << 45U);
+  }
+  const auto pump = [&] {
+    now += time_ms{50};
+    for (int turn = 0; turn < 4; ++turn)
+      for (int i = 0; i < 2; ++i) {
+        hosts[i]->tick(now);
+        const budget_output out = hosts[i]->take_output();
+        for (const outgoing_message& m : out.messages)
+          hosts[m.to.host.str() == "b"]->on_message(now, live[static_cast<std::size_t>(i)].host,
+                                                    m.to, m.body);
+        for (const ledger_record& r : out.records) {
+          ++offset;
+          a.on_record(now, offset, r);
+          b.on_record(now, offset, r);
+        }
+      }
+  };
+  static_cast<void>(a.reserve(now, {team, request_id{"first"}, 800, std::nullopt}));
+  for (int i = 0; i < 10; ++i)
+    pump();
+  budget_host& holder = a.holder().reservation_count() > 0 ? a : b;
+  double reserving = 0;
+  double settling = 0;
+  int done = 0;
+  std::vector<ticket_number> tickets;
+  std::vector<request_id> keys;
+  for (int next = 0; done < requests; next += batch) {
+    keys.clear();
+    tickets.clear();
+    for (int i = 0; i < batch; ++i)
+      keys.emplace_back("request-" + std::to_string(next + i));
+    auto start = wall::now();
+    for (const request_id& key : keys) {
+      const budget_decision d = holder.reserve(now, {team, key, 800, std::nullopt});
+      if (d.outcome == budget_outcome::granted)
+        tickets.push_back(d.ticket);
+    }
+    if (tickets.size() == keys.size())
+      reserving += ns_since(start);
+    start = wall::now();
+    for (const ticket_number ticket : tickets)
+      holder.settle(now, ticket, 300);
+    if (tickets.size() == keys.size()) {
+      settling += ns_since(start);
+      done += batch;
+    }
+    pump();
+  }
+  settle_ns = settling / done;
+  return reserving / done;
+}
+
+double bytes_per_idle_budget() {
+  constexpr int budgets = 220000;
+  const std::size_t before = mallinfo2().uordblks;
+  budget_host host{{host_id{"a"}, 1}, data_centre_id{"dc"}, {}, 1};
+  for (int i = 0; i < budgets; ++i)
+    host.on_contract(time_ms{0}, 1, team_id{"customer-" + std::to_string(100000 + i)}, 1000000);
+  const std::size_t after = mallinfo2().uordblks;
+  return static_cast<double>(after - before) / budgets;
+}
+
+struct user_size {
+  const char* name;
+  std::vector<double> data_centre_share;
+};
+
+fleet_shape shape_of(const user_size& user, double hours_bought, double rate_factor) {
+  constexpr double mean_used = 0.5 * 1100;
+  fleet_shape shape;
+  shape.data_centre_share = user.data_centre_share;
+  // Ten teams, a few of them large.
+  for (const double rate : {6.0, 4.0, 2.5, 1.0, 0.6, 0.4, 0.2, 0.1, 0.05, 0.02}) {
+    const double bought = rate * mean_used * 3600 * hours_bought;
+    shape.teams.push_back({rate * rate_factor, static_cast<token_count>(bought * rate_factor)});
+  }
+  return shape;
+}
+
+double share(std::uint64_t part, std::uint64_t whole) {
+  return whole == 0 ? 0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+struct partition_rates {
+  double ours{};
+  double static_shares{};
+  double central{};
+};
+
+/// Ten minutes of traffic, then an hour with one data centre cut off, for each in turn.
+partition_rates partition_hour(const user_size& user, double hours_bought, std::uint64_t seed) {
+  request_counts ours;
+  request_counts fixed;
+  request_counts central;
+  const auto add = [](request_counts& sum, const request_counts& more) {
+    sum.asked += more.asked;
+    sum.refused_falsely += more.refused_falsely;
+  };
+  for (std::uint32_t cut = 0; cut < user.data_centre_share.size(); ++cut) {
+    measured_fleet fleet{shape_of(user, hours_bought, 1), seed + cut};
+    fleet.run(time_ms{600000});
+    fleet.reset_counts();
+    fleet.cut(cut);
+    fleet.run(time_ms{3600000});
+    add(ours, fleet.ours());
+    add(fixed, fleet.static_shares());
+    add(central, fleet.central());
+  }
+  return {share(ours.refused_falsely, ours.asked), share(fixed.refused_falsely, fixed.asked),
+          share(central.refused_falsely, central.asked)};
+}
+
+void print_user(const user_size& user, std::uint64_t seed, std::string& json) {
+  const auto number = [&](const std::string& name, double value) {
+    std::printf("%s %s: %.6g\n", user.name, name.c_str(), value);
+    char text[160];
+    std::snprintf(text, sizeof text, ",\"%s_%s\":%.6g", user.name, name.c_str(), value);
+    json += text;
+  };
+  measured_fleet quiet{shape_of(user, 0.2, 1), seed};
+  quiet.run_until_spent(0.999, time_ms{3600000});
+  number("false_refusal_rate_no_faults", share(quiet.ours().refused_falsely, quiet.ours().asked));
+  number("false_refusal_rate_no_faults_static",
+         share(quiet.static_shares().refused_falsely, quiet.static_shares().asked));
+  for (const double hours : {1.5, 4.0, 24.0}) {
+    const partition_rates rates = partition_hour(user, hours, seed);
+    const std::string suffix =
+        "_budget_of_" + std::to_string(static_cast<int>(hours * 10)) + "_tenth_h";
+    number("false_refusal_rate_partition" + suffix, rates.ours);
+    number("false_refusal_rate_partition_static" + suffix, rates.static_shares);
+    number("false_refusal_rate_partition_central" + suffix, rates.central);
+  }
+  measured_fleet crashing{shape_of(user, 24, 1), seed};
+  crashing.run(time_ms{300000});
+  const measured_fleet::crash_loss loss = crashing.crash_busiest();
+  number("stranded_share", loss.stranded_share);
+  number("reclaimed_after_s", static_cast<double>(loss.reclaimed_after.count()) / 1000);
+  for (const double factor : {1.0, 4.0}) {
+    measured_fleet fleet{shape_of(user, 24, factor), seed};
+    fleet.run(time_ms{120000});
+    const std::uint64_t appends = fleet.appends();
+    const std::uint64_t messages = fleet.messages();
+    const std::uint64_t asked = fleet.ours().asked;
+    fleet.run(time_ms{300000});
+    const std::string suffix = factor > 1 ? "_at_4x" : "";
+    number("requests_per_s" + suffix, static_cast<double>(fleet.ours().asked - asked) / 300);
+    number("records_per_s" + suffix, static_cast<double>(fleet.appends() - appends) / 300);
+    number("messages_per_request" + suffix,
+           share(fleet.messages() - messages, fleet.ours().asked - asked));
+  }
+}
+
+} // namespace
+
+int print_figures(std::uint64_t seed) {
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  const double idle = bytes_per_idle_budget();
+  double settle = 0;
+  const double reserve = reserve_ns(settle);
+  std::printf("reserve at the holder: %.0f ns; settle: %.0f ns\n", reserve, settle);
+  std::printf("bytes per idle budget: %.1f\n", idle);
+  std::string json;
+  print_user({"linsubrunnur", {0.5, 0.3, 0.2}}, seed, json);
+  print_user({"souq_sayarat", {0.4, 0.3, 0.2, 0.1}}, seed, json);
+  std::printf("{\"reserve_ns\":%.0f,\"settle_ns\":%.0f,\"bytes_per_idle_budget\":%.1f%s}\n",
+              reserve, settle, idle, json.c_str());
+  return 0;
+}
+
+} // namespace sedgechute::ledger
--- a/bench/faults/main.cpp
+++ b/bench/faults/main.cpp
@@ -1,6 +1,7 @@
 // sedgechute-faults: runs random schedules of faults against several hosts' budgets and checks
 // after every step that no team can overspend and no request is billed twice.
 
+#include "figures.hpp"
 #include "schedule.hpp"
 
 #include <absl/flags/flag.h>
@@ -13,6 +14,7 @@
 ABSL_FLAG(std::uint64_t, schedules, 10000, "how many schedules to run");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the first schedule; the next ones follow");
 ABSL_FLAG(bool, mutations, false, "show that each deliberate fault in the logic is noticed");
+ABSL_FLAG(bool, figures, false, "measure costs, memory and policies instead");
 
 namespace sedgechute::ledger {
 namespace {
@@ -100,6 +102,8 @@
   absl::ParseCommandLine(argc, argv);
   const std::uint64_t count = absl::GetFlag(FLAGS_schedules);
   const std::uint64_t seed = absl::GetFlag(FLAGS_seed);
+  if (absl::GetFlag(FLAGS_figures))
+    return sedgechute::ledger::print_figures(seed);
   if (absl::GetFlag(FLAGS_mutations))
     return sedgechute::ledger::run_mutations(count, seed);
   return sedgechute::ledger::run_schedules(count, seed);
--- a/src/ledger/impl/holder_report.cpp
+++ b/src/ledger/impl/holder_report.cpp
@@ -9,12 +9,15 @@
 namespace {
 
 constexpr time_ms rate_span{1000};
-constexpr double rate_weight = 0.3;
+// Chunks follow demand within seconds; slices follow it within a minute or so, for a burst of one
+// team must not take what its other data centres need.
+constexpr double reserved_weight = 0.3;
+constexpr double spent_weight = 0.02;
 
-double smoothed(double old, token_count tokens, time_ms span) {
+double smoothed(double old, token_count tokens, time_ms span, double weight) {
   constexpr double ms_per_s = 1000.0;
   const double rate = static_cast<double>(tokens) * ms_per_s / static_cast<double>(span.count());
-  return old + rate_weight * (rate - old);
+  return old + weight * (rate - old);
 }
 
 } // namespace
@@ -147,6 +150,7 @@
 }
 
 epoch_report holder_role::make_report(time_ms now, slice& s) const {
+  s.reported = now;
   s.report_due = now + context_.options().append_resend;
   epoch_report item;
   item.epoch = s.epoch;
@@ -170,6 +174,25 @@
   });
 }
 
+// Closing an idle slice while the log cannot be reached would only make it unusable: it could be
+// neither returned nor replaced until the log is back. So a report must have been read back first.
+bool holder_role::log_answers(time_ms now, const slice& s, const delegation& d) const {
+  return s.version != 0 && d.version == s.version &&
+         now - s.reported <= context_.options().append_resend * 4;
+}
+
+bool holder_role::is_done(time_ms now, const account& a, const slice& s) const {
+  if (s.reserved != 0 && !context_.mutated(mutation::return_reserved))
+    return false;
+  if (!transfers_over(now, s))
+    return false;
+  return s.state == slice_state::ended || draining_ || is_idle(now, a);
+}
+
+bool holder_role::is_idle(time_ms now, const account& a) const {
+  return a.waiting.empty() && now - a.last_used >= context_.options().idle_close;
+}
+
 // One record for all teams of this host. A report is not repeated as such: the next one says more.
 void holder_role::report_changes(time_ms now) {
   const bool regular = now >= next_report_;
@@ -177,21 +200,9 @@
     next_report_ = now + context_.options().report_interval;
   report body;
   for (auto& [team, a] : accounts_) {
-    const time_ms unused = now - a->last_used;
     for (slice& s : a->slices) {
       const delegation* const d = context_.state.find(s.epoch);
-      if (d == nullptr)
-        continue;
-      const bool done = s.state == slice_state::ended || draining_ ||
-                        (unused >= context_.options().idle_close && a->waiting.empty());
-      const bool settled = s.reserved == 0 || context_.mutated(mutation::return_reserved);
-      if (s.state != slice_state::closing && done && settled && transfers_over(now, s)) {
-        s.state = slice_state::closing;
-        s.report_due = now;
-      }
-      const bool wanted = !a->wants.empty() && !s.receipts.empty();
-      const bool urgent = s.state == slice_state::closing || s.returned != d->returned || wanted;
-      if (is_changed(s, *d) && (regular || (urgent && now >= s.report_due)))
+      if (d != nullptr && is_due(now, regular, *a, s, *d))
         body.epochs.push_back(make_report(now, s));
     }
   }
@@ -199,12 +210,31 @@
     context_.append_once(std::move(body));
 }
 
+bool holder_role::is_due(time_ms now, bool regular, const account& a, slice& s,
+                         const delegation& d) const {
+  bool probing = false;
+  if (s.state != slice_state::closing && is_done(now, a, s)) {
+    probing = s.state == slice_state::live && !draining_ && !log_answers(now, s, d);
+    if (!probing) {
+      s.state = slice_state::closing;
+      s.report_due = now;
+    }
+  }
+  const bool wanted = !a.wants.empty() && !s.receipts.empty();
+  const bool urgent =
+      s.state == slice_state::closing || s.returned != d.returned || wanted || probing;
+  return (regular && is_changed(s, d)) || (urgent && now >= s.report_due);
+}
+
 void holder_role::update_rates(time_ms now, account& a) const {
   const time_ms span = now - a.rates_at;
   if (span < rate_span)
     return;
-  a.reserved_rate = smoothed(a.reserved_rate, a.reserved_since_tick, span);
-  a.spent_rate = smoothed(a.spent_rate, a.spent_since_tick, span);
+  a.reserved_rate = smoothed(a.reserved_rate, a.reserved_since_tick, span, reserved_weight);
+  a.spent_rate = smoothed(a.spent_rate, a.spent_since_tick, span, spent_weight);
+  const token_count team_spent = context_.state.totals(a.team).spent;
+  a.team_rate = smoothed(a.team_rate, team_spent - a.team_spent, span, spent_weight);
+  a.team_spent = team_spent;
   a.reserved_since_tick = 0;
   a.spent_since_tick = 0;
   a.rates_at = now;
--- a/src/ledger/impl/holder_role.cpp
+++ b/src/ledger/impl/holder_role.cpp
@@ -14,6 +14,8 @@
     place->team_hash = stable_hash(context_.state.team_name(team).str());
     place->last_used = now;
     place->rates_at = now;
+    place->rates_since = now;
+    place->team_spent = context_.state.totals(team).spent;
     place->origins_since = now;
   }
   return *place;
--- a/src/ledger/impl/holder_role.hpp
+++ b/src/ledger/impl/holder_role.hpp
@@ -85,7 +85,8 @@
                                                            const waiting_attempt& w);
   [[nodiscard]] token_count most_left(const account& a) const;
   [[nodiscard]] token_count chunk_size(const account& a) const;
-  [[nodiscard]] token_count slice_size(const account& a, token_count need) const;
+  [[nodiscard]] double demand_share(time_ms now, const account& a) const;
+  [[nodiscard]] token_count slice_size(time_ms now, const account& a, token_count need) const;
   [[nodiscard]] token_count unopened(const slice& s) const;
   [[nodiscard]] bool giving_back(const account& a) const;
 
@@ -104,6 +105,11 @@
   void retire_slices(account& a);
   void give_back(time_ms now, account& a);
   [[nodiscard]] bool transfers_over(time_ms now, const slice& s) const;
+  [[nodiscard]] bool log_answers(time_ms now, const slice& s, const delegation& d) const;
+  [[nodiscard]] bool is_done(time_ms now, const account& a, const slice& s) const;
+  [[nodiscard]] bool is_idle(time_ms now, const account& a) const;
+  [[nodiscard]] bool is_due(time_ms now, bool regular, const account& a, slice& s,
+                            const delegation& d) const;
   void report_changes(time_ms now);
   [[nodiscard]] bool is_changed(const slice& s, const delegation& d) const;
   [[nodiscard]] epoch_report make_report(time_ms now, slice& s) const;
--- a/src/ledger/impl/holder_supply.cpp
+++ b/src/ledger/impl/holder_supply.cpp
@@ -55,14 +55,23 @@
   return std::min(demand_in(a.reserved_rate, options.chunk_span), most);
 }
 
-token_count holder_role::slice_size(const account& a, token_count need) const {
+// A data centre's part of the team's demand. Until the rates have settled all count alike.
+double holder_role::demand_share(time_ms now, const account& a) const {
+  if (now - a.rates_since < context_.options().settling_span || a.team_rate <= 0)
+    return 1.0 / static_cast<double>(std::max<std::size_t>(context_.live.data_centre_count(), 1));
+  return std::min(1.0, a.spent_rate / a.team_rate);
+}
+
+// A slice covers the demand of an hour's cut, but no more than this data centre's part of all that
+// is left, so that whichever side of a cut a token is on, it is where it will be asked for.
+token_count holder_role::slice_size(time_ms now, const account& a, token_count need) const {
   const ledger_options& options = context_.options();
   const token_count pool = context_.state.totals(a.team).pool();
-  const auto data_centres = static_cast<token_count>(context_.live.data_centre_count());
-  const token_count share = pool / (std::max<token_count>(data_centres, 1) * options.slice_share);
+  const token_count left = std::max<token_count>(most_left(a), 0);
+  const auto part = static_cast<token_count>(static_cast<double>(left) * demand_share(now, a));
   const token_count demand =
       std::max(demand_in(a.spent_rate, options.slice_span), pool / options.first_slice_share);
-  return std::min(pool, std::max({need, std::min(demand, share), options.least_slice}));
+  return std::max({need, std::min(demand, part), std::min(options.least_slice, pool)});
 }
 
 token_count holder_role::unopened(const slice& s) const {
@@ -138,11 +147,12 @@
   slice* const s = a.live_slice();
   const token_count held = s == nullptr ? 0 : s->free() + unopened(*s);
   const token_count need = a.waiting_tokens() + chunk_size(a);
-  const token_count size = slice_size(a, need);
+  const token_count size = slice_size(now, a, need);
   const bool wanted = !a.waiting.empty() || a.invited || s != nullptr;
-  const bool low = s == nullptr || held < need + std::min(size, s->granted) / 4;
+  // A slice is kept nearly full, because it has to last when the data centre is cut off.
+  const bool low = s == nullptr || held < need || held < size / 4 * 3;
   if (wanted && low)
-    send_grant(now, a, size);
+    send_grant(now, a, std::min(pool, std::max(need, size - held)));
 }
 
 void holder_role::send_grant(time_ms now, account& a, token_count tokens) {
--- a/src/ledger/impl/options.hpp
+++ b/src/ledger/impl/options.hpp
@@ -35,7 +35,7 @@
   time_ms message_resend{150};    ///< between repeats of an unanswered message
   time_ms append_resend{2000};    ///< between repeats of a record that was not read back
   time_ms report_interval{10000}; ///< between reports of spent tokens
-  time_ms idle_close{60000};      ///< a slice unused for this long is returned
+  time_ms idle_close{900000};     ///< a slice unused for this long is returned
   time_ms probe_after{30000};     ///< age at which an open reservation is asked about
   time_ms orphan_wait{120000};    ///< from an entry host's death to writing off its reservations
   time_ms settled_kept{120000};   ///< how long a settled key is remembered
@@ -45,12 +45,12 @@
 
   token_count least_slice{4096};      ///< smallest slice asked for while the pool is large
   std::int64_t first_slice_share{64}; ///< a first slice is at most pool / this
-  std::int64_t slice_share{2};        ///< a slice is at most pool / (data centres * this)
-  time_ms slice_span{3600000};        ///< demand that a slice should cover
+  time_ms slice_span{5400000};        ///< demand that a slice should cover: an hour's cut and more
+  time_ms settling_span{120000};      ///< until rates of demand are trusted
   time_ms chunk_span{2000};           ///< demand that a chunk should cover
   std::int64_t chunk_share{1024};     ///< an opened chunk is at most bought / this, or one request
   std::uint32_t busy_requests{2};     ///< requests of a data centre in `busy_span` to make it busy
-  time_ms busy_span{10000};
+  time_ms busy_span{600000};
 
   mutation fault{mutation::none};
 };
--- a/src/ledger/impl/slice.hpp
+++ b/src/ledger/impl/slice.hpp
@@ -42,6 +42,7 @@
   bool refused{};                     ///< by the witness of this term
   std::optional<record_id> replacing; ///< a replacement of the witness is on its way
   time_ms open_sent;
+  time_ms reported;   ///< when the newest report was made
   time_ms report_due; ///< of a change that should not wait for the next regular report
   std::vector<transfer_receipt> receipts; ///< not yet in the log
   std::vector<pending_transfer> transfers;
@@ -118,6 +119,9 @@
   token_count spent_since_tick{};
   double reserved_rate{}; ///< tokens a second
   double spent_rate{};    ///< tokens a second
+  double team_rate{};     ///< tokens a second in the whole fleet, as far as reported
+  token_count team_spent{};
+  time_ms rates_since;
   time_ms rates_at;
   std::vector<origin_count> origins;
   time_ms origins_since;
