Callers that leave or hardly read, engines that overrun, and cut service answers

Cause: Poco applies a session's timeouts only to connections that it opens, so a caller that did not read held its thread and its engine for good. A caller that waited for a whole answer, or for its first token, was not asked for once its run had begun: the run went on to its end for nobody, and without an answer from the engine it was even sent to another endpoint. A whole answer was cleared for a new run only when that run numbered its tokens, else two runs made one text; a stream without numbers was resumed from its start. Nothing bounded an engine's line, its tokens or its bytes. A service's answer whose connection closed in the middle passed for whole, was billed and kept for retries, because Poco ends a stream alike with the last chunk and with the connection. answer_table::trim added up all answers at each end. Ruled out: the billing and the claims, which settle right once they are told.

Change: Sockets get the write timeout. engine_stream waits for an answer in steps of 100 ms and asks for the caller between them; the relay asks at each sign of life of the engine, at most every 100 ms. answer_sink::begin_run voids what came of another run. Runs without positions are not resumed; tokens behind the bound by 16, or more than 1 KiB for each allowed token, end the run. event_reader checks a line's length while it reads and reports comments. body_decoder decodes callers' bodies and services' answers and tells how they ended. The answer table keeps a running count of its bytes.

Conclusion: whoever leaves, stalls or overruns ends its own request, in bounded time and memory, and nothing else.

--- a/src/gateway/impl/answer.hpp
+++ b/src/gateway/impl/answer.hpp
@@ -34,6 +34,8 @@
   answer_sink& operator=(const answer_sink&) = delete;
   virtual ~answer_sink() = default;
 
+  /// \brief The events that follow are of a new run: what came of another is void.
+  virtual void begin_run() {}
   /// \brief Takes one event of the engine.
   /// \returns false when the receiver has gone
   [[nodiscard]] virtual bool event(const stream_event& event) = 0;
--- a/src/gateway/impl/answer_table.cpp
+++ b/src/gateway/impl/answer_table.cpp
@@ -12,15 +12,36 @@
 
 } // namespace
 
+answer_record::answer_record(std::size_t most_bytes,
+                             std::shared_ptr<std::atomic<std::size_t>> total)
+    : most_bytes_{most_bytes}, total_{std::move(total)} {
+  if (total_)
+    *total_ += record_overhead_bytes;
+}
+
+answer_record::~answer_record() {
+  if (total_)
+    *total_ -= bytes_ + record_overhead_bytes;
+}
+
+void answer_record::resize(std::size_t bytes) {
+  if (total_) {
+    *total_ += bytes;
+    *total_ -= bytes_;
+  }
+  bytes_ = bytes;
+}
+
 bool answer_record::event(const stream_event& event) {
   {
     const std::scoped_lock lock{mutex_};
-    bytes_ += event.data.size() + event_overhead_bytes;
-    overflowed_ = overflowed_ || bytes_ > most_bytes_;
+    const std::size_t bytes = bytes_ + event.data.size() + event_overhead_bytes;
+    overflowed_ = overflowed_ || bytes > most_bytes_;
     if (overflowed_) {
-      events_.clear();
-      bytes_ = 0;
+      std::vector<stream_event>{}.swap(events_);
+      resize(0);
     } else {
+      resize(bytes);
       events_.push_back(event);
     }
   }
@@ -104,7 +125,7 @@
 }
 
 std::shared_ptr<answer_record> answer_table::create(const team_id& team, const std::string& key) {
-  auto record = std::make_shared<answer_record>(most_answer_bytes_);
+  auto record = std::make_shared<answer_record>(most_answer_bytes_, total_);
   const std::scoped_lock lock{mutex_};
   team_answers& answers = teams_[team];
   const auto known = answers.by_key.find(key);
@@ -141,15 +162,13 @@
 
 void answer_table::trim() {
   const std::scoped_lock lock{mutex_};
-  std::size_t total = 0;
-  for (const auto& [team, answers] : teams_)
-    for (const entry& kept : answers.by_age)
-      total += kept.record->bytes();
-  while (total > most_bytes_ && evict_one(total)) {
+  while (*total_ > most_bytes_ && evict_one()) {
   }
 }
 
-bool answer_table::evict_one(std::size_t& total) {
+// A record that someone still plays is counted until they are done, so it may cost another one its
+// place. The bound holds all the same, and no answer that runs is evicted.
+bool answer_table::evict_one() {
   team_answers* largest = nullptr;
   for (auto& [team, answers] : teams_)
     if (largest == nullptr || answers.by_age.size() > largest->by_age.size())
@@ -160,7 +179,6 @@
                                   [](const entry& kept) { return kept.record->ended(); });
   if (ended == largest->by_age.end())
     return false;
-  total -= std::min(total, ended->record->bytes());
   largest->by_key.erase(ended->key);
   largest->by_age.erase(ended);
   return true;
--- a/src/gateway/impl/answer_table.hpp
+++ b/src/gateway/impl/answer_table.hpp
@@ -2,6 +2,7 @@
 
 #include "gateway/impl/answer.hpp"
 
+#include <atomic>
 #include <condition_variable>
 #include <list>
 #include <map>
@@ -14,7 +15,12 @@
 /// the same one. Thread-safe.
 class answer_record final : public answer_sink {
  public:
-  explicit answer_record(std::size_t most_bytes) : most_bytes_{most_bytes} {}
+  /// \param total  counts the bytes of all records of a table, of this one for as long as it lives
+  explicit answer_record(std::size_t most_bytes,
+                         std::shared_ptr<std::atomic<std::size_t>> total = nullptr);
+  answer_record(const answer_record&) = delete;
+  answer_record& operator=(const answer_record&) = delete;
+  ~answer_record() override;
 
   [[nodiscard]] bool event(const stream_event& event) override;
   void complete(const answer_summary& summary) override;
@@ -37,9 +43,12 @@
  private:
   enum class state { open, complete, failed };
 
+  void resize(std::size_t bytes);
+
   mutable ordered_mutex mutex_{lock_rank::requests};
   mutable std::condition_variable_any changed_;
   std::size_t most_bytes_;
+  std::shared_ptr<std::atomic<std::size_t>> total_;
   std::size_t bytes_{0};
   bool overflowed_{false};
   std::vector<stream_event> events_;
@@ -76,10 +85,12 @@
     std::map<std::string, std::list<entry>::iterator> by_key;
   };
 
-  [[nodiscard]] bool evict_one(std::size_t& total);
+  [[nodiscard]] bool evict_one();
 
   const std::size_t most_bytes_;
   const std::size_t most_answer_bytes_;
+  const std::shared_ptr<std::atomic<std::size_t>> total_{
+      std::make_shared<std::atomic<std::size_t>>(0)};
   mutable ordered_mutex mutex_{lock_rank::answers};
   std::map<team_id, team_answers> teams_;
 };
--- a/src/gateway/impl/chat_sinks.cpp
+++ b/src/gateway/impl/chat_sinks.cpp
@@ -90,8 +90,6 @@
 }
 
 bool collecting_sink::event(const stream_event& event) {
-  if (event.position == 1)
-    content_.clear(); // another run of the request began
   if (const auto chunk = parse_engine_chunk(event.data))
     content_ += chunk->content;
   return true;
--- a/src/gateway/impl/chat_sinks.hpp
+++ b/src/gateway/impl/chat_sinks.hpp
@@ -36,6 +36,7 @@
   collecting_sink(caller_exchange& exchange, model_id model)
       : exchange_{exchange}, model_{std::move(model)} {}
 
+  void begin_run() override { content_.clear(); }
   [[nodiscard]] bool event(const stream_event& event) override;
   void complete(const answer_summary& summary) override;
   void fail(const refusal& refused) override;
--- a/src/gateway/impl/endpoint_connections.cpp
+++ b/src/gateway/impl/endpoint_connections.cpp
@@ -38,8 +38,8 @@
   return {open(address), false};
 }
 
-bool endpoint_connections::connect(Poco::Net::HTTPClientSession& session,
-                                   const std::string& address, time_ms silence) const {
+bool endpoint_connections::connect(endpoint_session& session, const std::string& address,
+                                   time_ms silence) const {
   try {
     Poco::Net::StreamSocket& socket = session.socket();
     if (!session.connected()) {
@@ -76,7 +76,7 @@
 
 endpoint_connections::session_ptr endpoint_connections::open(const std::string& address) const {
   const http_target target = http_target::parse(address);
-  auto session = std::make_unique<Poco::Net::HTTPClientSession>(target.ip, target.port);
+  auto session = std::make_unique<endpoint_session>(target.ip, target.port);
   session->setKeepAlive(true);
   session->setKeepAliveTimeout(Poco::Timespan{keep_alive_seconds, 0});
   session->setTimeout(to_timespan(timeouts_.connect), to_timespan(timeouts_.send),
--- a/src/gateway/impl/endpoint_connections.hpp
+++ b/src/gateway/impl/endpoint_connections.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
+#include "gateway/impl/endpoint_session.hpp"
 #include "kernel/kernel.hpp"
 
-#include <Poco/Net/HTTPClientSession.h>
-
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -25,7 +24,7 @@
 /// start of the next one's.
 class endpoint_connections {
  public:
-  using session_ptr = std::unique_ptr<Poco::Net::HTTPClientSession>;
+  using session_ptr = std::unique_ptr<endpoint_session>;
 
   explicit endpoint_connections(connection_timeouts timeouts) : timeouts_{timeouts} {}
 
@@ -37,7 +36,7 @@
   /// \brief Connects a session that `take` returned, if it is not connected yet.
   /// \param silence  longest wait for any byte
   /// \returns false when the endpoint cannot be reached: nothing was sent to it
-  [[nodiscard]] bool connect(Poco::Net::HTTPClientSession& session, const std::string& address,
+  [[nodiscard]] bool connect(endpoint_session& session, const std::string& address,
                              time_ms silence) const;
 
   [[nodiscard]] const connection_timeouts& timeouts() const noexcept { return timeouts_; }
--- a/src/gateway/impl/engine_stream.cpp
+++ b/src/gateway/impl/engine_stream.cpp
@@ -18,6 +18,8 @@
 using Poco::Net::HTTPResponse;
 
 constexpr time_ms cancel_timeout{1000};
+constexpr time_ms question_interval{100};
+constexpr std::int64_t us_per_ms = 1000;
 
 } // namespace
 
@@ -41,7 +43,8 @@
   open_result result = send(method, path, body, priority);
   if (result == open_result::streaming)
     result = receive();
-  const bool stale = reused && result != open_result::streaming && result != open_result::rejected;
+  const bool lost = result == open_result::unknown || result == open_result::not_dispatched;
+  const bool stale = reused && lost;
   if (!stale)
     return result;
   return exchange_headers(method, path, body, priority, true);
@@ -71,8 +74,25 @@
   }
 }
 
+// An engine may think for long before its first byte; a caller that left meanwhile shall not hold
+// the place until then.
+bool engine_stream::caller_left_before_answer() {
+  time_ms waited{0};
+  while (waited < connections_.timeouts().silence) {
+    if (session_->socket().poll(Poco::Timespan{question_interval.count() * us_per_ms},
+                                Poco::Net::Socket::SELECT_READ))
+      return false;
+    waited += question_interval;
+    if (abandoned_())
+      return true;
+  }
+  return false;
+}
+
 open_result engine_stream::receive() {
   try {
+    if (caller_left_before_answer())
+      return open_result::abandoned;
     HTTPResponse response;
     in_ = &session_->receiveResponse(response);
     if (response.getStatus() == HTTPResponse::HTTP_OK) {
@@ -91,7 +111,7 @@
 std::optional<stream_event> engine_stream::next() {
   if (!reader_ || !session_)
     return std::nullopt;
-  std::optional<stream_event> event = reader_->next();
+  std::optional<stream_event> event = reader_->next_or_comment();
   if (!event)
     session_.reset();
   return event;
--- a/src/gateway/impl/event_reader.cpp
+++ b/src/gateway/impl/event_reader.cpp
@@ -1,6 +1,7 @@
 #include "gateway/impl/event_reader.hpp"
 
 #include <charconv>
+#include <exception>
 #include <string_view>
 
 namespace sedgechute {
@@ -27,20 +28,46 @@
 
 } // namespace
 
-std::optional<stream_event> event_reader::next() {
+// An engine that never ends its line must not fill the host's memory, so the length is checked
+// while the line is read. A last line without its newline may miss its end: it is no line.
+bool event_reader::read_line() try {
+  line_.clear();
+  std::streambuf& source = *in_.rdbuf();
+  for (int c = source.sbumpc(); c != std::char_traits<char>::eof(); c = source.sbumpc()) {
+    if (c == '\n')
+      return true;
+    if (line_.size() == longest_line)
+      return false;
+    line_ += static_cast<char>(c);
+  }
+  return false;
+} catch (const std::exception&) {
+  return false; // the connection fell silent or failed; a stream would have kept that to itself
+}
+
+std::optional<stream_event> event_reader::next_or_comment() {
   stream_event event;
-  while (std::getline(in_, line_)) {
-    // A last line without its newline is a cut one: getline returns it, but it may miss its end.
-    if (in_.eof() || line_.size() > longest_line)
-      return std::nullopt;
+  while (read_line()) {
     if (!line_.empty() && line_.back() == '\r')
       line_.pop_back();
+    const bool comment = !line_.empty() && line_.front() == ':';
+    if (comment && event.data.empty() && event.position == 0)
+      return event;
     if (!line_.empty())
       take_line(line_, event);
     else if (!event.data.empty())
       return event;
+    if (event.data.size() > longest_line)
+      return std::nullopt;
   }
   return std::nullopt;
 }
 
+std::optional<stream_event> event_reader::next() {
+  std::optional<stream_event> event = next_or_comment();
+  while (event && event->data.empty())
+    event = next_or_comment();
+  return event;
+}
+
 } // namespace sedgechute
--- a/src/gateway/impl/event_reader.hpp
+++ b/src/gateway/impl/event_reader.hpp
@@ -25,7 +25,12 @@
   /// whole. A cut event is never returned.
   [[nodiscard]] std::optional<stream_event> next();
 
+  /// \brief Like `next`, but returns at a comment line, too, with an event without data.
+  [[nodiscard]] std::optional<stream_event> next_or_comment();
+
  private:
+  [[nodiscard]] bool read_line();
+
   std::istream& in_;
   std::string line_;
 };
--- a/src/gateway/impl/http_server.cpp
+++ b/src/gateway/impl/http_server.cpp
@@ -19,7 +19,6 @@
 
 // A thread uses some 30 KB of its stack; the rest is only reserved address space.
 constexpr int stack_bytes = 256 * 1024;
-constexpr int idle_thread_seconds = 10;
 constexpr int least_threads = 2;
 constexpr int most_waiting_connections = 256;
 constexpr std::size_t crowded_parts = 8; // crowded when less than one part of so many is free
@@ -44,6 +43,9 @@
     try {
       socket() = make_rereadable(socket());
       socket().setNoDelay(true);
+      // Poco applies a session's timeouts only to connections that it opens itself. Without this
+      // one, a caller that does not read would hold its thread and its engine for good.
+      socket().setSendTimeout(to_timespan(server_.options_.write_timeout));
       caller_session session{socket(), server_.params_, server_.time_};
       // The same bound as for a header: who connects and says nothing gets no more than who
       // says it slowly.
@@ -84,7 +86,7 @@
     return sequel::close_gently;
   }
 
-  sequel answer(caller_session& session, const request_framing& framing,
+  sequel answer(caller_session& session, const message_framing& framing,
                 HTTPServerResponseImpl& response) {
     HTTPServerRequestImpl request{response, session, server_.params_};
     request_body body{session, framing};
@@ -120,11 +122,11 @@
 http_server::http_server(request_handler handle, const http_server_options& options,
                          const ServerSocket& socket, const clock& time)
     : handle_{std::move(handle)}, options_{options}, time_{time}, params_{new HTTPServerParams},
-      threads_{least_threads, static_cast<int>(options.most_connections), idle_thread_seconds,
-               stack_bytes} {
+      threads_{least_threads, static_cast<int>(options.most_connections),
+               static_cast<int>(options.thread_idle.count() / 1000) + 1, stack_bytes} {
   params_->setMaxThreads(static_cast<int>(options_.most_connections));
   params_->setMaxQueued(most_waiting_connections);
-  params_->setThreadIdleTime(Poco::Timespan{idle_thread_seconds, 0});
+  params_->setThreadIdleTime(to_timespan(options_.thread_idle));
   params_->setTimeout(to_timespan(options_.write_timeout));
   params_->setKeepAlive(true);
   params_->setKeepAliveTimeout(to_timespan(options_.keep_alive));
--- a/src/gateway/impl/keyed_answer.cpp
+++ b/src/gateway/impl/keyed_answer.cpp
@@ -23,6 +23,10 @@
  public:
   recording_sink(answer_record& record, answer_sink& caller) : record_{record}, caller_{caller} {}
 
+  void begin_run() override {
+    if (caller_here_)
+      caller_.begin_run();
+  }
   bool event(const stream_event& event) override {
     (void)record_.event(event);
     if (caller_here_)
@@ -106,6 +110,7 @@
     case key_action::follow:
       break;
     }
+    sink.begin_run();
     if (follow(host, request, key, decision, sink))
       return;
     // Events of the lost answer may be with the caller already; another may not follow them.
--- a/src/gateway/impl/request_header.cpp
+++ b/src/gateway/impl/request_header.cpp
@@ -124,7 +124,7 @@
     }
   }
 
-  [[nodiscard]] request_framing framing() const noexcept { return framing_; }
+  [[nodiscard]] message_framing framing() const noexcept { return framing_; }
 
  private:
   void note_once(std::size_t index) {
@@ -133,7 +133,7 @@
     seen_.at(index) = true;
   }
 
-  void set(request_framing framing) {
+  void set(message_framing framing) {
     if (framing_.body != body_framing::none)
       refuse("the body's length is stated twice");
     framing_ = framing;
@@ -141,7 +141,7 @@
 
   bool old_version_;
   std::array<bool, stated_once.size()> seen_{};
-  request_framing framing_;
+  message_framing framing_;
 };
 
 void check_size(std::string_view line, const header_limits& limits) {
@@ -152,7 +152,7 @@
 
 } // namespace
 
-request_framing check_request_header(std::string_view header, const header_limits& limits) {
+message_framing check_request_header(std::string_view header, const header_limits& limits) {
   std::string_view rest = header;
   const std::string_view request_line = take_line(rest);
   check_size(request_line, limits);
--- a/src/gateway/impl/run_request.cpp
+++ b/src/gateway/impl/run_request.cpp
@@ -15,15 +15,24 @@
 constexpr int most_resumes_without_progress = 2;
 constexpr int most_attempts = 4;
 
+// An engine that goes on behind what it was allowed, in tokens or in bytes, will not end by itself.
+constexpr std::uint64_t spare_tokens = 16;
+constexpr std::uint64_t most_bytes_per_token = 1024;
+constexpr time_ms question_interval{100};
+
 enum class relay_end { finished, broken, caller_left };
 
 struct relay_state {
-  std::uint64_t position{0}; ///< last token delivered
+  std::uint64_t position{0};   ///< last token delivered
+  std::uint64_t unnumbered{0}; ///< events delivered that have content and no position
+  std::uint64_t bytes{0};      ///< of the events delivered
   bool saw_finish_reason{false};
   std::string finish_reason;
   std::optional<token_usage> usage;
   std::optional<time_ms> first_token_at;
   int resumes{0};
+
+  [[nodiscard]] std::uint64_t tokens() const noexcept { return position + unnumbered; }
 };
 
 /// One attempt on one endpoint, over as many connections as it takes.
@@ -31,13 +40,18 @@
  public:
   attempt(const run_context& host, const admitted_chat& request, answer_sink& sink,
           const std::string& address, const request_id& id)
-      : host_{host}, request_{request}, sink_{sink}, stream_{host.connections, address, id} {}
+      : host_{host}, request_{request}, sink_{sink}, stream_{host.connections, address, id,
+                                                             [&request, &sink] {
+                                                               return !request.keyed && sink.gone();
+                                                             }} {}
 
   open_result open() {
     const open_result result =
         stream_.open(request_.chat.engine_body, request_.grant.priority, !request_.idempotent);
     if (result != open_result::unknown)
       return result;
+    if (caller_left())
+      return open_result::abandoned;
     // The request was sent and no answer came. Asking for the run on a new connection tells
     // whether the engine has it; only then is the old connection the culprit.
     return stream_.resume(0) == open_result::streaming ? open_result::streaming
@@ -47,12 +61,16 @@
   open_result resume_whole() { return stream_.resume(0); }
 
   relay_end relay() {
+    sink_.begin_run();
     int without_progress = 0;
     for (;;) {
       const std::uint64_t before = state_.position;
       const relay_end end = relay_connection();
       if (end != relay_end::broken)
         return end;
+      // Without positions nobody can tell where to go on: it would give tokens twice.
+      if (state_.unnumbered > 0 || overran())
+        return end;
       without_progress = state_.position > before ? 0 : without_progress + 1;
       if (without_progress > most_resumes_without_progress)
         return relay_end::broken;
@@ -69,6 +87,10 @@
  private:
   relay_end relay_connection() {
     while (auto event = stream_.next()) {
+      if (caller_left())
+        return relay_end::caller_left;
+      if (event->data.empty())
+        continue;
       if (event->is_finish_marker()) {
         if (!state_.saw_finish_reason)
           return relay_end::broken;
@@ -80,6 +102,8 @@
       if (event->position > state_.position + 1 && event->position != 0)
         return relay_end::broken;
       note(*event);
+      if (overran())
+        return relay_end::broken;
       if (!sink_.event(*event) && !request_.keyed)
         return relay_end::caller_left;
     }
@@ -91,16 +115,36 @@
     return event.position != 0 && event.position <= state_.position;
   }
 
+  // A caller that waits for a whole answer is written to only at its end, and one that left is
+  // noticed by a write only at the second: so it is asked for, though not with every token.
+  [[nodiscard]] bool caller_left() {
+    if (request_.keyed)
+      return false;
+    const time_ms now = host_.time.now();
+    if (now < next_question_)
+      return false;
+    next_question_ = now + question_interval;
+    return sink_.gone();
+  }
+
+  [[nodiscard]] bool overran() const noexcept {
+    const std::uint64_t most = request_.chat.max_tokens + spare_tokens;
+    return state_.tokens() > most || state_.bytes > most * most_bytes_per_token;
+  }
+
   void note(const stream_event& event) {
+    state_.bytes += event.data.size();
     if (event.position != 0)
       state_.position = event.position;
     if (!state_.first_token_at)
       state_.first_token_at = host_.time.now();
     // Parsing every token's JSON would cost more than relaying it; only the last chunk matters.
-    if (event.data.find("\"usage\":{") == std::string::npos &&
+    if (event.position != 0 && event.data.find("\"usage\":{") == std::string::npos &&
         event.data.find("\"finish_reason\":null") != std::string::npos)
       return;
     if (const auto chunk = parse_engine_chunk(event.data)) {
+      if (event.position == 0 && !chunk->content.empty())
+        ++state_.unnumbered;
       if (!chunk->finish_reason.empty()) {
         state_.saw_finish_reason = true;
         state_.finish_reason = chunk->finish_reason;
@@ -115,6 +159,7 @@
   answer_sink& sink_;
   engine_stream stream_;
   relay_state state_;
+  time_ms next_question_{};
 };
 
 /// All attempts of one request.
@@ -161,6 +206,12 @@
     const open_result opened = one.open();
     if (opened == open_result::streaming)
       return after_relay(one, one.relay(), turn, dispatched, &held);
+    if (opened == open_result::abandoned) {
+      one.cancel();
+      held.release({turn_outcome::caller_left, {}, {}});
+      result_.may_have_run = true;
+      return refuse(error_kind::caller_gone, "");
+    }
     const bool ran = opened == open_result::unknown;
     held.release({ran ? turn_outcome::failed : turn_outcome::not_run, {}, {}});
     after_failure(turn, ran, one.rejected_status());
@@ -201,7 +252,7 @@
     if (end == relay_end::finished)
       return answer(state, turn);
     result_.usage = usage_of(state);
-    result_.delivered_tokens = state.position;
+    result_.delivered_tokens = state.tokens();
     if (end == relay_end::caller_left)
       return refuse(error_kind::caller_gone, "");
     // The old run may still be going on at the endpoint; its answer is not wanted any more.
@@ -213,7 +264,7 @@
     result_.answered = true;
     result_.may_have_run = true;
     result_.usage = usage_of(state);
-    result_.delivered_tokens = state.position;
+    result_.delivered_tokens = state.tokens();
     result_.summary.id = request_.id;
     result_.summary.host = host_.host;
     result_.summary.endpoint = turn.endpoint;
@@ -251,8 +302,8 @@
       return *state.usage;
     constexpr std::uint64_t bytes_per_token = 4;
     token_usage usage;
-    usage.completion_tokens = state.position;
-    if (state.position > 0)
+    usage.completion_tokens = state.tokens();
+    if (state.tokens() > 0)
       usage.prompt_tokens = (request_.chat.prompt_bound + bytes_per_token - 1) / bytes_per_token;
     return usage;
   }
--- a/src/gateway/impl/service_body.hpp
+++ b/src/gateway/impl/service_body.hpp
@@ -20,7 +20,7 @@
   [[nodiscard]] bool present() const noexcept { return body_.present(); }
   [[nodiscard]] bool replayable() const noexcept { return whole_; }
   [[nodiscard]] const std::string& start() const noexcept { return start_; }
-  [[nodiscard]] const request_framing& framing() const noexcept { return body_.framing(); }
+  [[nodiscard]] const message_framing& framing() const noexcept { return body_.framing(); }
   /// \returns whether all that the caller meant to send was read.
   [[nodiscard]] bool arrived() const noexcept { return body_.state() == body_state::whole; }
   /// \returns a stable hash of the kept part and of the length, as far as it is known.
--- a/src/gateway/impl/service_call.cpp
+++ b/src/gateway/impl/service_call.cpp
@@ -15,6 +15,7 @@
 #include <array>
 #include <chrono>
 #include <thread>
+#include <vector>
 
 namespace sedgechute {
 
@@ -71,21 +72,35 @@
   std::string body_;
 };
 
-/// \returns the bytes that were passed on; nothing when the receiver does not take them.
-std::optional<std::uint64_t> copy_answer(std::istream& in, std::ostream& out, answer_copy* copy) {
-  std::uint64_t passed = 0;
-  std::array<char, block_bytes> block{};
-  while (in.peek() != std::istream::traits_type::eof()) {
-    const std::streamsize got = in.readsome(block.data(), block.size());
+/// \returns how the end of the answer's body is told.
+message_framing framing_of(const std::string& method, const HTTPResponse& answer) {
+  const auto status = answer.getStatus();
+  const bool no_body = method == HTTPRequest::HTTP_HEAD || status < HTTPResponse::HTTP_OK ||
+                       status == HTTPResponse::HTTP_NO_CONTENT ||
+                       status == HTTPResponse::HTTP_NOT_MODIFIED;
+  if (no_body)
+    return {body_framing::none, 0};
+  if (answer.getChunkedTransferEncoding())
+    return {body_framing::chunked, 0};
+  const auto length = answer.getContentLength64();
+  if (length < 0)
+    return {body_framing::until_close, 0};
+  return {body_framing::stated, static_cast<std::uint64_t>(length)};
+}
+
+enum class copy_end { whole, endpoint_broke, caller_left };
+
+copy_end copy_answer(body_decoder& body, std::ostream& out, answer_copy* copy) {
+  std::vector<char> block(block_bytes);
+  while (const std::size_t got = body.read(block.data(), block.size())) {
     if (copy != nullptr)
-      copy->add({block.data(), static_cast<std::size_t>(got)});
-    out.write(block.data(), got);
+      copy->add({block.data(), got});
+    out.write(block.data(), static_cast<std::streamsize>(got));
     out.flush();
     if (!out.good())
-      return std::nullopt;
-    passed += static_cast<std::uint64_t>(got);
+      return copy_end::caller_left;
   }
-  return passed;
+  return body.state() == body_state::whole ? copy_end::whole : copy_end::endpoint_broke;
 }
 
 /// One attempt on one endpoint.
@@ -101,9 +116,8 @@
     if (!host_.connections.connect(*session_, turn_.address, call_.grant.answer_timeout))
       return call_end::not_dispatched;
     HTTPResponse response;
-    std::istream* in = exchange_headers(body, response);
-    if (in != nullptr)
-      return relay(response, *in);
+    if (exchange_headers(body, response))
+      return relay(response);
     return body.arrived() || endpoint_refused_body_ ? call_end::lost_before_answer
                                                     : call_end::caller_left_uploading;
   }
@@ -112,7 +126,7 @@
   [[nodiscard]] const kept_answer& kept() const noexcept { return kept_; }
 
  private:
-  std::istream* exchange_headers(service_body& body, HTTPResponse& response) {
+  bool exchange_headers(service_body& body, HTTPResponse& response) {
     try {
       HTTPRequest request{call_.method, call_.path, HTTPMessage::HTTP_1_1};
       copy_headers(exchange_.request, request);
@@ -130,16 +144,17 @@
         // Closing the request's stream would end its chunks in the ordinary way, and the endpoint
         // would take a body that broke off for a whole one.
         session_->abort();
-        return nullptr;
+        return false;
       }
       out.flush();
-      return &session_->receiveResponse(response);
+      (void)session_->receiveResponse(response);
+      return true;
     } catch (const Poco::Exception&) {
-      return nullptr;
+      return false;
     }
   }
 
-  call_end relay(const HTTPResponse& answer, std::istream& in) {
+  call_end relay(const HTTPResponse& answer) {
     auto& response = exchange_.response;
     response.setStatusAndReason(answer.getStatus(), answer.getReason());
     copy_headers(answer, response);
@@ -151,21 +166,21 @@
     else
       use_open_length(exchange_);
     std::ostream& out = response.send();
-    const auto passed = copy_answer(in, out, call_.ticket == 0 ? nullptr : &copy_);
-    const bool short_of_length = length >= 0 && passed && exchange_.request.getMethod() != "HEAD" &&
-                                 *passed != static_cast<std::uint64_t>(length);
-    const bool whole = session_->networkException() == nullptr && !short_of_length;
-    if (passed && whole) {
+    const message_framing framing = framing_of(call_.method, answer);
+    body_decoder body{*session_, framing};
+    const copy_end end = copy_answer(body, out, call_.ticket == 0 ? nullptr : &copy_);
+    if (end == copy_end::whole) {
       kept_ = {turn_.endpoint, static_cast<int>(answer.getStatus()), answer.getContentType(),
                copy_.body()};
-      if (session_->getKeepAlive() && answer.getKeepAlive() && !endpoint_refused_body_)
+      const bool reusable = framing.body != body_framing::until_close && !endpoint_refused_body_;
+      if (reusable && session_->getKeepAlive() && answer.getKeepAlive())
         host_.connections.give_back(turn_.address, std::move(session_));
       return call_end::answered;
     }
     // Ending the chunked answer in the ordinary way would make a cut answer look whole.
     exchange_.request.socket().shutdown();
     response.setKeepAlive(false);
-    return passed ? call_end::cut : call_end::caller_left_reading;
+    return end == copy_end::endpoint_broke ? call_end::cut : call_end::caller_left_reading;
   }
 
   gateway& host_;
--- a/tests/gateway/fake_engine.cpp
+++ b/tests/gateway/fake_engine.cpp
@@ -40,6 +40,17 @@
 
 } // namespace
 
+namespace {
+
+// A thread that Poco starts while it stops waits for this long.
+Poco::Net::HTTPServerParams::Ptr short_idling() {
+  Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+  params->setThreadIdleTime(Poco::Timespan{50 * Poco::Timespan::MILLISECONDS});
+  return params;
+}
+
+} // namespace
+
 engine_call::engine_call(Poco::Net::HTTPServerRequest& request,
                          Poco::Net::HTTPServerResponse& response)
     : method{request.getMethod()}, path{request.getURI()}, request_{request}, response_{response} {
@@ -98,8 +109,7 @@
 fake_engine::fake_engine(engine_script script)
     : script_{std::move(script)}, resume_{[](engine_call& call) { call.refuse(404); }},
       socket_{Poco::Net::SocketAddress{"127.0.0.1", 0}}, server_{new factory{*this}, threads_,
-                                                                 socket_,
-                                                                 new Poco::Net::HTTPServerParams} {
+                                                                 socket_, short_idling()} {
   server_.start();
 }
 
--- a/tests/gateway/test_gateway.hpp
+++ b/tests/gateway/test_gateway.hpp
@@ -14,6 +14,7 @@
     server.header_timeout = time_ms{200};
     server.write_timeout = time_ms{1000};
     server.closing_timeout = time_ms{300};
+    server.thread_idle = time_ms{50};
   }
 
   http_server_options server;
