--- a/bench/faults/figures.cpp
+++ b/bench/faults/figures.cpp
@@ -171,6 +171,7 @@
   crashing.run(time_ms{300000});
   const measured_fleet::crash_loss loss = crashing.crash_busiest();
   number("stranded_share", loss.stranded_share);
+  number("stranded_share_without_witness", loss.without_witness);
   number("reclaimed_after_s", static_cast<double>(loss.reclaimed_after.count()) / 1000);
   for (const double factor : {1.0, 4.0}) {
     measured_fleet fleet{shape_of(user, 24, factor), seed};
@@ -178,15 +179,61 @@
     const std::uint64_t appends = fleet.appends();
     const std::uint64_t messages = fleet.messages();
     const std::uint64_t asked = fleet.ours().asked;
+    const std::uint64_t openings = fleet.chunk_openings();
     fleet.run(time_ms{300000});
     const std::string suffix = factor > 1 ? "_at_4x" : "";
     number("requests_per_s" + suffix, static_cast<double>(fleet.ours().asked - asked) / 300);
     number("records_per_s" + suffix, static_cast<double>(fleet.appends() - appends) / 300);
+    number("chunk_openings_per_s" + suffix,
+           static_cast<double>(fleet.chunk_openings() - openings) / 300);
     number("messages_per_request" + suffix,
            share(fleet.messages() - messages, fleet.ours().asked - asked));
   }
 }
 
+/// The size expected within two years, but for the idle budgets: 350 hosts in 5 data centres, 830
+/// teams of which a few are large, 5,100 requests a second.
+void print_large_fleet(std::uint64_t seed, std::string& json) {
+  constexpr int teams = 830;
+  constexpr double requests_per_s = 5100;
+  constexpr double span_s = 60;
+  fleet_shape shape;
+  shape.hosts = 350;
+  shape.data_centre_share = {0.3, 0.25, 0.2, 0.15, 0.1};
+  double weights = 0;
+  for (int team = 1; team <= teams; ++team)
+    weights += 1.0 / team;
+  for (int team = 1; team <= teams; ++team) {
+    const double rate = requests_per_s / team / weights;
+    shape.teams.push_back({rate, static_cast<token_count>(rate * 550 * 3600 * 24)});
+  }
+  measured_fleet fleet{shape, seed};
+  fleet.run(time_ms{90000});
+  const std::uint64_t asked = fleet.ours().asked;
+  const std::uint64_t appends = fleet.appends();
+  const std::uint64_t messages = fleet.messages();
+  const std::uint64_t bytes = fleet.message_bytes();
+  const std::uint64_t openings = fleet.chunk_openings();
+  const auto start = wall::now();
+  fleet.run(time_ms{static_cast<std::int64_t>(span_s * 1000)});
+  const double cpu_us = ns_since(start) / 1000;
+  const auto requests = static_cast<double>(fleet.ours().asked - asked);
+  const auto number = [&](const char* name, double value) {
+    std::printf("350 hosts %s: %.6g\n", name, value);
+    char text[120];
+    std::snprintf(text, sizeof text, ",\"large_%s\":%.6g", name, value);
+    json += text;
+  };
+  number("requests_per_s", requests / span_s);
+  number("false_refusal_rate", share(fleet.ours().refused_falsely, fleet.ours().asked));
+  number("records_per_s", static_cast<double>(fleet.appends() - appends) / span_s);
+  number("chunk_openings_per_s", static_cast<double>(fleet.chunk_openings() - openings) / span_s);
+  number("messages_per_request", static_cast<double>(fleet.messages() - messages) / requests);
+  number("message_bytes_per_s_and_host",
+         static_cast<double>(fleet.message_bytes() - bytes) / span_s / shape.hosts);
+  number("cpu_share_of_a_core_per_host", cpu_us / 1e6 / span_s / shape.hosts);
+}
+
 } // namespace
 
 int print_figures(std::uint64_t seed) {
@@ -199,6 +246,7 @@
   std::string json;
   print_user({"linsubrunnur", {0.5, 0.3, 0.2}}, seed, json);
   print_user({"souq_sayarat", {0.4, 0.3, 0.2, 0.1}}, seed, json);
+  print_large_fleet(seed, json);
   std::printf("{\"reserve_ns\":%.0f,\"settle_ns\":%.0f,\"bytes_per_idle_budget\":%.1f%s}\n",
               reserve, settle, idle, json.c_str());
   return 0;
--- a/bench/faults/measured_fleet.hpp
+++ b/bench/faults/measured_fleet.hpp
@@ -44,7 +44,8 @@
   static constexpr std::uint32_t none = ~std::uint32_t{0};
 
   struct crash_loss {
-    double stranded_share{}; ///< of the budgets that the host held, the worst
+    double stranded_share{};  ///< of the budgets that the host held, the worst
+    double without_witness{}; ///< the same if nobody knew what was opened
     time_ms reclaimed_after;
   };
   /// \brief Kills the host that holds most slices and runs on until its epochs are reclaimed.
@@ -55,6 +56,8 @@
   [[nodiscard]] const request_counts& central() const noexcept { return central_; }
   [[nodiscard]] std::uint64_t appends() const noexcept { return log_.size(); }
   [[nodiscard]] std::uint64_t messages() const noexcept { return messages_; }
+  [[nodiscard]] std::uint64_t message_bytes() const noexcept { return message_bytes_; }
+  [[nodiscard]] std::uint64_t chunk_openings() const noexcept { return chunk_openings_; }
   [[nodiscard]] time_ms now() const noexcept { return now_; }
   void reset_counts();
 
@@ -95,6 +98,7 @@
   [[nodiscard]] bool connected(std::uint32_t a, std::uint32_t b) const;
   [[nodiscard]] std::uint32_t index_of(const incarnation& host) const;
   [[nodiscard]] std::uint32_t draw_host();
+  [[nodiscard]] static bool is_counted(const books& b);
   void ask_simple_policies(const open_request& r, bool covered);
 
   fleet_shape shape_;
@@ -114,6 +118,9 @@
   request_counts static_;
   request_counts central_;
   std::uint64_t messages_{};
+  std::uint64_t message_bytes_{};
+  std::uint64_t chunk_openings_{};
+  std::map<host_id, std::uint32_t> indices_;
   std::uint64_t next_key_{};
   std::vector<double> due_; ///< requests due by team
 };
--- a/src/ledger/impl/entry_role.cpp
+++ b/src/ledger/impl/entry_role.cpp
@@ -129,8 +129,7 @@
     decide(ticket, a, budget_outcome::unreachable, 0);
     break;
   case reserve_verdict::elsewhere:
-    a.avoid = from;
-    ask_again(now, ticket, a);
+    follow_redirect(now, ticket, a, from, message.epoch);
     return;
   }
   unfinished_.erase(ticket);
@@ -145,6 +144,17 @@
   context_.out.decisions.push_back(std::move(decision));
 }
 
+void entry_role::follow_redirect(time_ms now, ticket_number ticket, attempt& a, name_index from,
+                                 epoch_number epoch) {
+  const delegation* const d = context_.state.find(epoch);
+  const bool named = d != nullptr && d->holder != a.avoid && context_.live.is_live(d->holder);
+  a.avoid = from;
+  if (named && d->holder != from)
+    change_holder(now, ticket, a, d->holder);
+  else
+    ask_again(now, ticket, a);
+}
+
 // A holder that is short collects tokens for this attempt from the others, so the attempt stays
 // with it. Were it to follow the tokens, it would leave each holder as they arrive.
 void entry_role::repeat_ask(time_ms now, ticket_number ticket, attempt& a) {
--- a/src/ledger/impl/entry_role.hpp
+++ b/src/ledger/impl/entry_role.hpp
@@ -51,6 +51,8 @@
 
   [[nodiscard]] name_index pick_holder(const attempt& a) const;
   void ask(time_ms now, attempt& a);
+  void follow_redirect(time_ms now, ticket_number ticket, attempt& a, name_index from,
+                       epoch_number epoch);
   void repeat_ask(time_ms now, ticket_number ticket, attempt& a);
   void ask_again(time_ms now, ticket_number ticket, attempt& a);
   void change_holder(time_ms now, ticket_number ticket, attempt& a, name_index holder);
--- a/src/ledger/impl/holder_report.cpp
+++ b/src/ledger/impl/holder_report.cpp
@@ -210,7 +210,7 @@
     context_.append_once(std::move(body));
 }
 
-bool holder_role::is_due(time_ms now, bool regular, const account& a, slice& s,
+bool holder_role::is_due(time_ms now, bool regular, account& a, slice& s,
                          const delegation& d) const {
   bool probing = false;
   if (s.state != slice_state::closing && is_done(now, a, s)) {
@@ -220,7 +220,7 @@
       s.report_due = now;
     }
   }
-  const bool wanted = !a.wants.empty() && !s.receipts.empty();
+  const bool wanted = !s.receipts.empty() && (!a.wants.empty() || collector(a) != nullptr);
   const bool urgent =
       s.state == slice_state::closing || s.returned != d.returned || wanted || probing;
   return (regular && is_changed(s, d)) || (urgent && now >= s.report_due);
--- a/src/ledger/impl/holder_role.cpp
+++ b/src/ledger/impl/holder_role.cpp
@@ -46,6 +46,11 @@
     return;
   }
   count_origin(now, a, attempt.entry);
+  a.largest_bound = std::max(a.largest_bound, request.bound);
+  if (const delegation* const other = collector(a)) {
+    context_.reply(attempt, {0, reserve_verdict::elsewhere, other->epoch, 0});
+    return;
+  }
   const bool fits = a.waiting.empty() && !giving_back(a) &&
                     reserve_now(now, a, attempt, request.key, request.bound);
   if (!fits)
--- a/src/ledger/impl/holder_role.hpp
+++ b/src/ledger/impl/holder_role.hpp
@@ -83,6 +83,8 @@
   void decide_waiting(time_ms now, account& a);
   [[nodiscard]] std::optional<reserve_verdict> verdict_for(time_ms now, account& a,
                                                            const waiting_attempt& w);
+  [[nodiscard]] const delegation* collector(account& a) const;
+  void send_to_collector(time_ms now, account& a, const delegation& to);
   [[nodiscard]] token_count most_left(const account& a) const;
   [[nodiscard]] token_count chunk_size(const account& a) const;
   [[nodiscard]] double demand_share(time_ms now, const account& a) const;
@@ -108,7 +110,7 @@
   [[nodiscard]] bool log_answers(time_ms now, const slice& s, const delegation& d) const;
   [[nodiscard]] bool is_done(time_ms now, const account& a, const slice& s) const;
   [[nodiscard]] bool is_idle(time_ms now, const account& a) const;
-  [[nodiscard]] bool is_due(time_ms now, bool regular, const account& a, slice& s,
+  [[nodiscard]] bool is_due(time_ms now, bool regular, account& a, slice& s,
                             const delegation& d) const;
   void report_changes(time_ms now);
   [[nodiscard]] bool is_changed(const slice& s, const delegation& d) const;
--- a/src/ledger/impl/holder_supply.cpp
+++ b/src/ledger/impl/holder_supply.cpp
@@ -18,6 +18,8 @@
 } // namespace
 
 void holder_role::advance(time_ms now, account& a) {
+  if (const delegation* const other = collector(a))
+    send_to_collector(now, a, *other);
   serve_waiting(now, a);
   serve_wants(now, a);
   give_back(now, a);
@@ -91,7 +93,7 @@
   token_count need = a.waiting_tokens() + chunk - s->free();
   for (const token_want& want : a.wants)
     need += want.tokens;
-  if (giving_back(a))
+  if (giving_back(a) || collector(a) != nullptr)
     need = s->unopened();
   if (need <= 0)
     return;
@@ -142,7 +144,7 @@
     a.grant_sent.reset();
   }
   const token_count pool = context_.state.totals(a.team).pool();
-  if (a.grant_sent || pool <= 0 || giving_back(a) || a.closing())
+  if (a.grant_sent || pool <= 0 || giving_back(a) || a.closing() || collector(a) != nullptr)
     return;
   slice* const s = a.live_slice();
   const token_count held = s == nullptr ? 0 : s->free() + unopened(*s);
--- a/src/ledger/impl/holder_transfer.cpp
+++ b/src/ledger/impl/holder_transfer.cpp
@@ -111,6 +111,34 @@
                                           want.to, tokens});
 }
 
+// The last requests of a budget would each find part of their tokens with every holder. So when
+// little is left, all of it goes to the holder with the oldest epoch, and requests follow.
+const delegation* holder_role::collector(account& a) const {
+  const slice* const s = a.live_slice();
+  const ledger_options& options = context_.options();
+  const auto soon = static_cast<token_count>(
+      a.team_rate * static_cast<double>(options.collect_span.count()) / 1000.0);
+  if (s == nullptr || most_left(a) >= a.largest_bound * options.collect_requests + soon)
+    return nullptr;
+  const delegation* oldest = nullptr;
+  context_.state.for_each_of(a.team, [&](const delegation& d) {
+    if (d.state == delegation_state::live && context_.live.is_live(d.holder) &&
+        (oldest == nullptr || d.epoch < oldest->epoch))
+      oldest = &d;
+  });
+  return oldest == nullptr || oldest->epoch >= s->epoch ? nullptr : oldest;
+}
+
+void holder_role::send_to_collector(time_ms now, account& a, const delegation& to) {
+  for (const waiting_attempt& w : a.waiting)
+    context_.reply(w.attempt, {0, reserve_verdict::elsewhere, to.epoch, 0});
+  a.waiting.clear();
+  slice* const s = a.live_slice();
+  const token_count free = sendable(*s);
+  if (free > 0)
+    transfer(now, a, *s, {to.holder, 0, to.epoch, free, now}, free);
+}
+
 void holder_role::resend_transfers(time_ms now, account& a) {
   for (slice& s : a.slices) {
     for (pending_transfer& t : s.transfers) {
@@ -134,7 +162,11 @@
   const name_index team = context_.state.find_team(message.team);
   slice* const s = slice_of(team, message.to);
   if (s == nullptr || s->state == slice_state::closing) {
-    context_.send(from, transfer_declined{message.from, message.sequence});
+    // A grant that this host has not read yet is not over: a copy of the transfer may come again
+    // after it was, and would be credited beside what the sender had taken back.
+    const bool over = message.to <= context_.state.offset();
+    if (over || context_.mutated(mutation::decline_early))
+      context_.send(from, transfer_declined{message.from, message.sequence});
     return;
   }
   credited_.emplace(message.from, message.sequence);
--- a/src/ledger/impl/messages.hpp
+++ b/src/ledger/impl/messages.hpp
@@ -47,7 +47,7 @@
 struct reserve_reply {
   ticket_number ticket{};
   reserve_verdict verdict{};
-  epoch_number epoch{};
+  epoch_number epoch{}; ///< of the reservation, or whose holder to ask if `elsewhere`; 0 for any
   token_count bound{};
 };
 
--- a/src/ledger/impl/options.hpp
+++ b/src/ledger/impl/options.hpp
@@ -18,6 +18,7 @@
   open_while_replacing,  ///< use the old witness's answer after a replacement was sent
   forget_transfer_ids,   ///< credit a repeated transfer again
   send_without_debit,    ///< transfer tokens that stay usable at the sender
+  decline_early,         ///< decline a transfer to an epoch that was not read yet
   forget_settled,        ///< a retry of a billed request is billed again
   forget_tickets,        ///< a copy of a request that was settled long ago is billed again
   bill_above_bound,      ///< bill what the engine reported, however much
@@ -49,6 +50,8 @@
   time_ms settling_span{120000};      ///< until rates of demand are trusted
   time_ms chunk_span{2000};           ///< demand that a chunk should cover
   std::int64_t chunk_share{1024};     ///< an opened chunk is at most bought / this, or one request
+  token_count collect_requests{8};    ///< a budget that covers this many more is held by one host
+  time_ms collect_span{20000};        ///< likewise, one that covers this span of demand
   std::uint32_t busy_requests{2};     ///< requests of a data centre in `busy_span` to make it busy
   time_ms busy_span{600000};
 
@@ -73,6 +76,7 @@
                                                 {open_while_replacing, "open_while_replacing"},
                                                 {forget_transfer_ids, "forget_transfer_ids"},
                                                 {send_without_debit, "send_without_debit"},
+                                                {decline_early, "decline_early"},
                                                 {forget_settled, "forget_settled"},
                                                 {forget_tickets, "forget_tickets"},
                                                 {bill_above_bound, "bill_above_bound"},
--- a/src/ledger/impl/slice.hpp
+++ b/src/ledger/impl/slice.hpp
@@ -111,7 +111,8 @@
   log_offset grant_basis{};
   time_ms grant_since;
   time_ms last_used;
-  bool invited{}; ///< asked to hold a slice
+  token_count largest_bound{}; ///< asked for so far
+  bool invited{};              ///< asked to hold a slice
   asking_round round;
   std::vector<told_spent> told;
 
--- a/tests/ledger/fleet_model.cpp
+++ b/tests/ledger/fleet_model.cpp
@@ -277,6 +277,19 @@
   return requests_[request].outcome;
 }
 
+std::uint32_t fleet_model::holder_of(std::size_t request) const {
+  return *host_named(requests_[request].holder.host);
+}
+
+team_totals fleet_model::totals(std::uint32_t team) const {
+  return reference_.totals(reference_.find_team(teams_[team]));
+}
+
+void fleet_model::see_all_members() {
+  for (std::uint32_t i = 0; i < hosts_.size(); ++i)
+    see_members(i);
+}
+
 // A request whose entry host has died goes on consuming at its endpoint. It counts until an attempt
 // that took over is billed in its place.
 void fleet_model::end_request(running_request& r, std::optional<token_count> used) {
--- a/tests/ledger/fleet_model.hpp
+++ b/tests/ledger/fleet_model.hpp
@@ -106,6 +106,11 @@
   struct running_request;
   std::size_t start_request(std::uint32_t host, std::uint32_t team, token_count bound);
   [[nodiscard]] budget_outcome outcome(std::size_t request) const;
+  /// \returns the host that holds the request's reservation.
+  [[nodiscard]] std::uint32_t holder_of(std::size_t request) const;
+  [[nodiscard]] team_totals totals(std::uint32_t team) const;
+  /// \brief Every host learns who is alive and connected.
+  void see_all_members();
   void finish_request(std::size_t request, std::optional<token_count> used);
   void set_contract(std::uint32_t team, token_count bought);
   [[nodiscard]] budget_host& host(std::uint32_t index) { return *hosts_[index].budgets; }
--- a/tests/ledger/fleet_steps.cpp
+++ b/tests/ledger/fleet_steps.cpp
@@ -255,8 +255,7 @@
     hosts_[i].paused = false;
     hosts_[i].log_cut = false;
   }
-  for (std::uint32_t i = 0; i < hosts_.size(); ++i)
-    see_members(i);
+  see_all_members();
   for (int i = 0; i < rounds; ++i)
     run_round();
   for (running_request& r : requests_) {
