--- a/bench/routing/driver.cpp
+++ b/bench/routing/driver.cpp
@@ -10,12 +10,11 @@
 constexpr std::uint32_t chunk_tokens = 512;
 constexpr std::uint32_t tokens_per_block = 256;
 constexpr double network_ms = 1.5;
-constexpr double tick_ms = 100.0;
+constexpr double tick_ms = 20.0;
 constexpr double drain_ms = 600'000.0;
 constexpr double slow_by = 6.0;
 constexpr double dead_for_ms = 40'000.0;
 constexpr double crash_for_ms = 15'000.0;
-constexpr std::uint32_t faulty_replica = 1;
 
 } // namespace
 
@@ -71,6 +70,9 @@
 }
 
 void driver::take_snapshots() {
+  constexpr double snapshot_ms = 100.0;
+  if (std::fmod(now_, snapshot_ms) > 0.0)
+    return;
   for (replica& r : replicas_) {
     r.snapshots.emplace_back(now_, r.report());
     while (r.snapshots.size() > 1 && r.snapshots[1].first <= now_ - scenario_.lag_ms)
@@ -95,9 +97,9 @@
 }
 
 std::uint32_t driver::send(std::uint32_t request, std::uint32_t replica_number,
-                           std::uint32_t attempt) {
+                           std::uint32_t attempt, std::uint32_t priority) {
   const auto number = static_cast<std::uint32_t>(runs_.size());
-  runs_.push_back({request, attempt, replica_number, 0, 0, false});
+  runs_.push_back({request, attempt, replica_number, priority, 0, 0, false});
   ++fates_[request].attempts;
   later(network_ms, [this, number] {
     run& sent = runs_[number];
@@ -110,22 +112,18 @@
     if (r.running < r.speed.places)
       place(r, number);
     else
-      r.waiting.insert({priority_of(sent.request), ++sequence_, number});
+      r.waiting.insert({sent.priority, ++sequence_, number});
   });
   return number;
 }
 
-work_class driver::priority_of(std::uint32_t request) const {
-  return way_->states_priority() ? arrivals_[request].kind : work_class::standard;
-}
-
 void driver::place(replica& r, std::uint32_t run_number) {
   run& started = runs_[run_number];
   const arrival& a = arrivals_[started.request];
   ++r.running;
   started.cached = std::min(a.prompt_tokens, r.cache.hits(a.blocks) * tokens_per_block);
   started.unread = std::max(1U, a.prompt_tokens - started.cached);
-  r.unread.insert({priority_of(started.request), ++sequence_, run_number});
+  r.unread.insert({started.priority, ++sequence_, run_number});
   if (!r.reading)
     read_next(started.replica);
 }
--- a/bench/routing/driver.hpp
+++ b/bench/routing/driver.hpp
@@ -54,9 +54,7 @@
   virtual void completed(driver& world, const run& r) = 0;
   /// \param connected  false when no connection came about
   virtual void failed(driver& world, const run& r, bool connected) = 0;
-  /// \returns whether requests carry their priority to the engine
-  [[nodiscard]] virtual bool states_priority() const { return true; }
-  /// \brief Every 100 ms.
+  /// \brief Every 20 ms.
   virtual void tick(driver& world) = 0;
 };
 
@@ -80,7 +78,8 @@
 
   /// \brief Sends one attempt; its outcome comes back to the router.
   /// \returns the run's number
-  std::uint32_t send(std::uint32_t request, std::uint32_t replica_number, std::uint32_t attempt);
+  std::uint32_t send(std::uint32_t request, std::uint32_t replica_number, std::uint32_t attempt,
+                     std::uint32_t priority);
   void refuse(std::uint32_t request, error_kind kind);
   void cut(std::uint32_t request);
   void later(double wait_ms, std::function<void()> what);
@@ -101,7 +100,6 @@
 
   void at(double when, std::function<void()> what);
   void end(std::uint32_t request, ending how);
-  [[nodiscard]] work_class priority_of(std::uint32_t request) const;
   void place(replica& r, std::uint32_t run_number);
   void read_next(std::uint32_t replica_number);
   void start_writing(std::uint32_t run_number, std::uint64_t life);
@@ -125,6 +123,9 @@
   std::uint32_t crashes_{};
 };
 
+/// \brief The replica that the faults strike.
+inline constexpr std::uint32_t faulty_replica = 1;
+
 /// \brief Price of a prompt token in tokens written.
 inline constexpr double prompt_price = 0.15;
 
--- a/bench/routing/fleet_router.cpp
+++ b/bench/routing/fleet_router.cpp
@@ -1,5 +1,7 @@
 #include "fleet_router.hpp"
 
+#include "wire/impl/routing_codec.hpp"
+
 #include <algorithm>
 #include <set>
 
@@ -8,10 +10,11 @@
 namespace {
 
 const pool_id pool{"lm"};
-constexpr std::uint64_t poll_ticks = 5;
-constexpr std::uint64_t exchange_ticks = 10;
-constexpr std::uint64_t use_ticks = 1;
+constexpr std::uint64_t poll_ticks = 25;
+constexpr std::uint64_t exchange_ticks = 50;
+constexpr double use_delay_ms = 3.0;
 constexpr double usual_cached = 0.5;
+constexpr double most_usual_cached = 2000.0;
 constexpr double news_delay_ms = 3.0;
 constexpr double max_output = 4000.0;
 
@@ -27,13 +30,18 @@
   return data_centre_id{std::string{"dc-"}.append(std::to_string(number))};
 }
 
+// The first token must come within the patience, so a start must come some time before.
+time_ms time_at_endpoint(time_ms patience) {
+  constexpr std::int64_t part = 8;
+  return time_ms{patience.count() / part};
+}
+
 } // namespace
 
 fleet_router::host::host(const scenario& s, std::uint32_t n)
     : number{n}, here{centre_name(n % s.who.data_centres)},
       self{host_id{std::string{"host-"}.append(std::to_string(n))}, n + 1},
-      random{s.seed * 1000 + n}, shares{pool, self}, next_event(s.who.replicas),
-      out_since(s.who.replicas, -1.0) {
+      random{s.seed * 1000 + n}, shares{pool, self}, next_event(s.who.replicas) {
   for (std::uint32_t i = 0; i < s.who.data_centres; ++i)
     table.set_data_centre(centre_name(i), i == n % s.who.data_centres ? 0.2 : 1.5, true);
   for (std::uint32_t i = 0; i < s.who.replicas; ++i)
@@ -72,9 +80,11 @@
     return;
   }
   const double output = at.queue.expected_output(team_name(a.team), a.kind, max_output);
-  const double cost = a.prompt_tokens * (1.0 - usual_cached) * prompt_price + output;
-  const admission answer = at.queue.enqueue(
-      team_name(a.team), {request, a.kind, cost, world.now() + a.patience}, world.now());
+  const double cached = std::min(a.prompt_tokens * usual_cached, most_usual_cached);
+  const double cost = (a.prompt_tokens - cached) * prompt_price + output;
+  const time_ms latest_start = world.now() + a.patience - time_at_endpoint(a.patience);
+  const admission answer =
+      at.queue.enqueue(team_name(a.team), {request, a.kind, cost, latest_start}, world.now());
   if (!answer.admitted) {
     world.refuse(request, answer.refusal);
     return;
@@ -85,22 +95,22 @@
 void fleet_router::pump(driver& world, host& at) {
   for (const std::uint64_t late : at.queue.expire(world.now()))
     world.refuse(static_cast<std::uint32_t>(late), error_kind::deadline_unreachable);
-  work_class last = work_class::long_running;
-  while (const auto head = at.queue.head(world.now(), last)) {
+  queue_filter filter;
+  while (const auto head = at.queue.head(world.now(), filter)) {
     const auto request = static_cast<std::uint32_t>(head->ticket);
-    const route_need need = need_of(world, request, at);
+    route_need need = need_of(world, request, at);
+    need.beyond_share = head->beyond_share;
+    need.only_with_room = !at.queue.within_credit();
     const auto choice = choose_endpoint(at.table, need, at.here, at.random, world.now());
     if (!choice)
       break;
     if (!may_start(at.queue, *head, *choice, {})) {
-      // What can wait does not hold up what is more urgent.
-      if (head->kind == work_class::interactive)
+      if (!narrow(filter, *head))
         break;
-      last = more_urgent(head->kind);
       continue;
     }
     flight going;
-    going.grant = *at.queue.dequeue(world.now(), last);
+    going.grant = *at.queue.dequeue(world.now(), filter);
     start(world, at, request, std::move(going), *choice, need);
   }
 }
@@ -118,7 +128,7 @@
                           at.queue.expected_output(team_name(a.team), a.kind, max_output)),
                   world.now());
   flight& kept = at.flights[request] = std::move(going);
-  kept.run = world.send(request, choice.slot, kept.attempts);
+  kept.run = world.send(request, choice.slot, kept.attempts, engine_priority(kept.attempt.urgency));
 }
 
 void fleet_router::first_token(driver& world, const run& r) {
@@ -195,6 +205,7 @@
   }
   route_need need = need_of(world, request, at);
   need.avoid = going.avoid;
+  need.beyond_share = going.grant.beyond_share;
   const auto choice = choose_endpoint(at.table, need, at.here, at.random, world.now());
   if (!choice) {
     give_up(world, at, request, error_kind::no_capacity, false);
@@ -248,10 +259,23 @@
 }
 
 void fleet_router::tell_use(driver& world, host& at) {
-  const use_report report = at.table.own_use(at.self);
+  const auto report = at.table.due_use(at.self, world.now());
+  if (!report)
+    return;
+  routing_message message;
+  message.use = *report;
+  count_sent(message);
   for (const auto& other : hosts_)
     if (other.get() != &at)
-      other->table.apply_use(report, world.now());
+      world.later(use_delay_ms, [&world, to = other.get(), report] {
+        to->table.apply_use(*report, world.now());
+      });
+}
+
+void fleet_router::count_sent(const routing_message& message) {
+  const auto copies = static_cast<double>(hosts_.size() - 1);
+  sent_bytes_ += static_cast<double>(to_wire(message).ByteSizeLong()) * copies;
+  sent_messages_ += copies;
 }
 
 void fleet_router::exchange(driver& world, host& at) {
@@ -263,6 +287,9 @@
   at.table.set_senders(others, world.now());
   at.suspects.expire(world.now());
   const share_report report = at.shares.measure(at.queue, world.now());
+  routing_message message;
+  message.shares.push_back(report);
+  count_sent(message);
   for (const auto& other : hosts_)
     if (other.get() != &at)
       other->shares.merge(report, world.now());
@@ -292,25 +319,20 @@
       poll(world, at);
     if ((ticks_ + at.number) % exchange_ticks == 0)
       exchange(world, at);
-    if ((ticks_ + at.number) % use_ticks == 0)
-      tell_use(world, at);
+    tell_use(world, at);
     pump(world, at);
-    for (std::uint32_t i = 0; i < at.out_since.size(); ++i) {
-      const bool in = at.table.records()[i].active;
-      if (in)
-        at.out_since[i] = -1.0;
-      else if (at.out_since[i] < 0.0)
-        at.out_since[i] = world.now_ms();
-    }
+    const bool out = !at.table.records()[faulty_replica].active;
+    if (out && at.out_since < 0.0 && world.now_ms() >= scenario_.fault_at_ms)
+      at.out_since = world.now_ms();
   }
 }
 
-double fleet_router::out_of_choice_at_ms(std::uint32_t replica) const {
+double fleet_router::out_of_choice_at_ms() const {
   double last = -1.0;
   for (const auto& each : hosts_) {
-    if (each->out_since[replica] < 0.0)
+    if (each->out_since < 0.0)
       return -1.0;
-    last = std::max(last, each->out_since[replica]);
+    last = std::max(last, each->out_since);
   }
   return last;
 }
--- a/bench/routing/fleet_router.hpp
+++ b/bench/routing/fleet_router.hpp
@@ -18,8 +18,16 @@
   void failed(driver& world, const run& r, bool connected) override;
   void tick(driver& world) override;
 
-  /// \returns when the last host had taken the replica out of its choice, or -1
-  [[nodiscard]] double out_of_choice_at_ms(std::uint32_t replica) const;
+  /// \returns when the last host first took the faulty replica out of its choice after the fault;
+  /// before the fault if one never did
+  [[nodiscard]] double out_of_choice_at_ms() const;
+  /// \returns bytes and messages that each host sent per second, before framing
+  [[nodiscard]] double bytes_per_s(const driver& world) const {
+    return sent_bytes_ / world.now_ms() * 1000.0 / static_cast<double>(hosts_.size());
+  }
+  [[nodiscard]] double messages_per_s(const driver& world) const {
+    return sent_messages_ / world.now_ms() * 1000.0 / static_cast<double>(hosts_.size());
+  }
   /// \returns contents in quarantine that are not poison
   [[nodiscard]] std::size_t wrongly_quarantined(const driver& world) const;
 
@@ -49,7 +57,7 @@
     share_table shares;
     std::unordered_map<std::uint32_t, flight> flights; ///< by request
     std::vector<std::uint64_t> next_event;             ///< of each replica's cache events
-    std::vector<double> out_since;                     ///< of each replica, -1 while in choice
+    double out_since{-1.0};                            ///< of the faulty replica, after the fault
   };
 
   [[nodiscard]] static route_need need_of(const driver& world, std::uint32_t request,
@@ -63,11 +71,14 @@
   void poll(driver& world, host& at);
   void exchange(driver& world, host& at);
   void tell_use(driver& world, host& at);
+  void count_sent(const routing_message& message);
   void send_news(driver& world, host& from);
 
   scenario scenario_;
   std::vector<std::unique_ptr<host>> hosts_;
   std::uint64_t ticks_{};
+  double sent_bytes_{};
+  double sent_messages_{};
 };
 
 } // namespace sedgechute::bench
--- a/bench/routing/other_routers.cpp
+++ b/bench/routing/other_routers.cpp
@@ -28,7 +28,7 @@
   const std::uint32_t attempt = ++tries_[request];
   std::uint32_t& next = next_[a.host];
   next = (next + 1) % replicas_;
-  world.send(request, next, attempt);
+  world.send(request, next, attempt, 0);
   world.later(static_cast<double>(a.patience.count()), [this, &world, request, attempt] {
     const bool waiting = world.is_open(request) && world.fates()[request].first_token_ms < 0.0;
     if (!waiting || tries_[request] != attempt)
@@ -111,7 +111,7 @@
         std::min(a.prompt_tokens, world.replicas()[*best].cache.hits(a.blocks) * tokens_per_block);
     unread_[*best][request] = a.prompt_tokens - cached;
     ++sent_[*best];
-    world.send(request, *best, 1);
+    world.send(request, *best, 1, engine_priority(urgency_of(a.kind, false)));
   }
 }
 
--- a/bench/routing/other_routers.hpp
+++ b/bench/routing/other_routers.hpp
@@ -17,7 +17,6 @@
   void completed(driver& world, const run& r) override;
   void failed(driver& world, const run& r, bool connected) override;
   void tick(driver& /*world*/) override {}
-  [[nodiscard]] bool states_priority() const override { return false; }
 
  private:
   void send_next(driver& world, std::uint32_t request);
--- a/bench/routing/replica.hpp
+++ b/bench/routing/replica.hpp
@@ -47,6 +47,7 @@
   std::uint32_t request{};
   std::uint32_t attempt{};
   std::uint32_t replica{};
+  std::uint32_t priority{};
   std::uint32_t unread{}; ///< prompt tokens still to be read
   std::uint32_t cached{}; ///< prompt tokens found in the cache
   bool first_token{};
@@ -61,9 +62,9 @@
 /// \brief A replica in virtual time: places, a reader that goes by priority in chunks, and a pace
 /// that falls with the number of streams.
 struct replica {
-  /// Order in which waiting runs are taken: class first, then arrival.
+  /// Order in which waiting runs are taken: priority first, then arrival.
   struct place_in_line {
-    work_class kind{};
+    std::uint32_t priority{};
     std::uint64_t sequence{};
     std::uint32_t run{};
     auto operator<=>(const place_in_line&) const = default;
--- a/bench/routing/report.cpp
+++ b/bench/routing/report.cpp
@@ -39,19 +39,26 @@
                  at(0.9, oracle)->figures.cache_hits / at(0.9, fleet)->figures.cache_hits,
                  1.0 / 0.9);
   }
-  if (at(3.0, fleet) == nullptr)
-    return;
   for (const double load : {1.2, 3.0})
-    print_target(out, who + ": worst share error at " + std::to_string(load).substr(0, 3),
-                 at(load, fleet)->figures.share_error, 0.02);
-  print_target(out, who + ": goodput at 1 over that at 3",
-               at(1.0, fleet)->figures.goodput / at(3.0, fleet)->figures.goodput, 1.0 / 0.95);
+    if (at(load, fleet) != nullptr)
+      print_target(out, who + ": worst share error at " + std::to_string(load).substr(0, 3),
+                   at(load, fleet)->figures.share_error, 0.02);
+  if (at(3.0, fleet) != nullptr && at(1.0, fleet) != nullptr)
+    print_target(out, who + ": goodput at 1 over that at 3",
+                 at(1.0, fleet)->figures.goodput / at(3.0, fleet)->figures.goodput, 1.0 / 0.95);
   for (const fault trouble : {fault::flood, fault::huge_prompts})
-    print_target(
-        out, who + ": others' chat p99 with " + std::string{name_of(trouble)} + " over without",
-        at(0.7, fleet, trouble)->other_chat_p99_ms / at(0.7, fleet)->other_chat_p99_ms, 1.1);
-  print_target(out, who + ": replicas lost to poison",
-               at(0.7, fleet, fault::poison)->figures.crashes, 2);
+    if (at(0.7, fleet, trouble) != nullptr)
+      print_target(
+          out, who + ": others' chat p99 with " + std::string{name_of(trouble)} + " over without",
+          at(0.7, fleet, trouble)->other_chat_p99_ms / at(0.7, fleet)->other_chat_p99_ms, 1.1);
+  for (const fault trouble : {fault::flood, fault::huge_prompts})
+    if (at(0.7, fleet, trouble) != nullptr)
+      print_target(
+          out, who + ": the same, from 10 s after " + std::string{name_of(trouble)},
+          at(0.7, fleet, trouble)->settled_chat_p99_ms / at(0.7, fleet)->settled_chat_p99_ms, 1.1);
+  if (at(0.7, fleet, fault::poison) != nullptr)
+    print_target(out, who + ": replicas lost to poison",
+                 at(0.7, fleet, fault::poison)->figures.crashes, 2);
   std::size_t lost = 0;
   std::size_t wrong = 0;
   for (const run_record& r : records)
@@ -83,6 +90,7 @@
       << ",\"answered_twice\":" << f.answered_twice << ",\"crashes\":" << f.crashes
       << ",\"detected_ms\":" << r.detected_ms << ",\"recovered_ms\":" << r.recovered_ms
       << ",\"other_chat_p99_ms\":" << r.other_chat_p99_ms
+      << ",\"settled_chat_p99_ms\":" << r.settled_chat_p99_ms
       << ",\"wrongly_quarantined\":" << r.wrongly_quarantined << "}";
 }
 
@@ -99,6 +107,9 @@
   out << " | good " << f.goodput << " hits " << std::setprecision(3) << f.cache_hits << " share "
       << f.share_error << '/' << f.share_error_own << " tries " << f.tries << " cut "
       << f.classes[0].cut + f.classes[1].cut + f.classes[2].cut << " lost " << f.lost;
+  if (r.way == way_of_routing::fleet)
+    out << std::setprecision(0) << " told " << r.bytes_per_s << " B/s " << r.messages_per_s
+        << " msg/s";
   if (r.setting.trouble != fault::none)
     out << std::setprecision(0) << " crashes " << f.crashes << " detected " << r.detected_ms
         << " recovered " << r.recovered_ms << " others' chat " << r.other_chat_p99_ms << " wrong "
--- a/bench/routing/report.hpp
+++ b/bench/routing/report.hpp
@@ -10,7 +10,7 @@
 
 enum class way_of_routing { fleet, oracle, naive };
 
-inline constexpr std::uint32_t faulty_replica = 1;
+inline constexpr double settling_ms = 10'000.0;
 inline constexpr std::uint32_t flooding_team = 3;
 
 struct run_record {
@@ -19,8 +19,11 @@
   summary figures;
   double detected_ms{-1.0};
   double recovered_ms{-1.0};
-  double other_chat_p99_ms{};
+  double other_chat_p99_ms{};   ///< from the fault on
+  double settled_chat_p99_ms{}; ///< from some seconds later on
   std::size_t wrongly_quarantined{};
+  double bytes_per_s{};    ///< that each host sent to the others
+  double messages_per_s{}; ///< likewise
 };
 
 void print(std::ostream& out, const run_record& record);
--- a/src/routing/impl/choose_endpoint.cpp
+++ b/src/routing/impl/choose_endpoint.cpp
@@ -14,7 +14,9 @@
 constexpr double tie_break_ms = 2.0; // hosts with the same view must not all choose the same
 constexpr std::uint32_t tries_per_draw = 4;
 constexpr double avoided_ms = 1e7;
+constexpr double no_room_ms = 1e5;
 constexpr double least_changes = 0.25;
+constexpr double least_reserve = 0.25;
 constexpr double tolerated_slowness = 1.0;
 
 struct candidate {
@@ -105,7 +107,12 @@
   estimate result;
   if (places > 0.0)
     result.queue_ms = wait_for_place_ms(asked, known.load, room);
-  result.queue_ms += known.load.unread_before(asked.need.kind) / rate * ms_per_s;
+  const std::size_t urgency = reading_urgency(asked.need, unread, policy);
+  const double before = known.load.unread_before(urgency);
+  // An engine that reads a less urgent prompt first ends the chunk that it is at.
+  const double after = known.load.unread_before(urgency_count - 1) - before;
+  const double chunk = std::min(after, policy.chunk_tokens) / 2.0;
+  result.queue_ms += (before + chunk) / rate * ms_per_s;
   result.total_ms = result.queue_ms + unread / rate * ms_per_s;
   return result;
 }
@@ -122,6 +129,8 @@
                  2.0 * asked.table.distance_ms(known.data_centre);
   if (std::ranges::find(asked.need.avoid, known.info.id) != asked.need.avoid.end())
     score += avoided_ms;
+  if (asked.need.only_with_room && known.load.room() < 1.0)
+    score += no_room_ms;
   // Two suspects on one endpoint that ends could not be told apart.
   if (asked.need.suspect != 0 && known.suspects > 0)
     score += avoided_ms;
@@ -247,7 +256,10 @@
     if (local != nullptr)
       add_homes(asked, *local, found);
   }
-  if (group.size <= asked.table.policy().compare_all_up_to)
+  const choice_policy& policy = asked.table.policy();
+  const std::uint32_t compare_all =
+      asked.need.only_with_room ? policy.look_for_room_up_to : policy.compare_all_up_to;
+  if (group.size <= compare_all)
     add_all(asked, group, found);
   else
     add_random(asked, group, local, random, found);
@@ -302,12 +314,35 @@
 // Chat finds a place at once only if some are left free, and reports are too old to say where. So
 // work that can wait leaves a few places at each endpoint, and goes on without them only once it
 // has waited: then the pool is full, and this host's credit says what it may take of it.
+//
+// A team beyond its share leaves places to those within theirs, or a flood would fill all of them
+// and each other team's chat would wait for one to be given back. It leaves none when no team is
+// within its share: then nobody would use them.
 bool may_start(const fair_queue& queue, const queue_head& head, const route_choice& choice,
                const start_policy& policy) noexcept {
+  if (choice.queue_ms > policy.most_queue_ms[static_cast<std::size_t>(head.kind)])
+    return false;
   const auto kind = static_cast<std::size_t>(head.kind);
-  if (choice.room >= 1.0 + policy.places_left[kind])
+  const double others = std::min(1.0, queue.entitled_part() / policy.full_reserve_at);
+  const double reserve = others * head.excess;
+  if (choice.room >= 1.0 + policy.places_left[kind] + policy.places_left_beyond * reserve)
     return true;
-  return queue.within_credit() && head.waited >= policy.wait_for_place[kind];
+  const bool crowded = choice.room < 1.0 + policy.places_left_beyond / 2.0;
+  if (reserve > least_reserve && crowded)
+    return false;
+  const double credit_part = 1.0 - policy.credit_left_beyond * reserve;
+  return queue.within_credit(credit_part) && head.waited >= policy.wait_for_place[kind];
+}
+
+bool narrow(queue_filter& filter, const queue_head& head) noexcept {
+  if (head.beyond_share) {
+    filter.beyond_share = false;
+    return true;
+  }
+  if (head.kind == work_class::interactive)
+    return false;
+  filter.last = more_urgent(head.kind);
+  return true;
 }
 
 bool may_start(const fair_queue& queue, const route_choice& choice) noexcept {
--- a/src/routing/impl/choose_endpoint.hpp
+++ b/src/routing/impl/choose_endpoint.hpp
@@ -24,6 +24,12 @@
   std::array<double, work_class_count> places_left{0.0, 2.0, 4.0};
   /// After this wait a class takes any place within this host's credit.
   std::array<time_ms, work_class_count> wait_for_place{time_ms{0}, time_ms{500}, time_ms{3000}};
+  /// Expected wait at the endpoint up to which a class is sent there rather than kept here, where
+  /// its order can still be changed.
+  std::array<double, work_class_count> most_queue_ms{400.0, 800.0, 1500.0};
+  double places_left_beyond{6.0}; ///< left at an endpoint by a team beyond its share
+  double credit_left_beyond{0.2}; ///< part of this host's credit left by such a team
+  double full_reserve_at{0.3};    ///< part of the pool that others use for these to hold whole
 };
 
 /// \returns whether the next request may go to the chosen endpoint now: into a place believed to be
@@ -31,6 +37,11 @@
 [[nodiscard]] bool may_start(const fair_queue& queue, const queue_head& head,
                              const route_choice& choice, const start_policy& policy) noexcept;
 
+/// \brief Leaves out of `filter` what the head that may not start stands for, so that it does not
+/// hold up what is more urgent.
+/// \returns false when nothing is left to consider
+[[nodiscard]] bool narrow(queue_filter& filter, const queue_head& head) noexcept;
+
 /// \brief The same without regard to classes, for pools that have only one.
 [[nodiscard]] bool may_start(const fair_queue& queue, const route_choice& choice) noexcept;
 
--- a/src/routing/impl/endpoint_info.hpp
+++ b/src/routing/impl/endpoint_info.hpp
@@ -52,6 +52,7 @@
 struct route_need {
   pool_id pool;
   work_class kind{work_class::standard};
+  bool beyond_share{}; ///< as `queue_head` says
   model_version model; ///< an empty model stands for whatever the pool serves
   std::string adapter;
   endpoint_role role{endpoint_role::any};
@@ -59,6 +60,7 @@
   std::uint32_t output_tokens{};         ///< expected
   std::span<const std::uint64_t> blocks; ///< chained hashes of the prompt's blocks, shortest first
   std::span<const endpoint_id> avoid;    ///< endpoints that this request has already failed on
+  bool only_with_room{};   ///< this host has used its credit: look for a place that others left
   std::uint64_t suspect{}; ///< the content's fingerprint if it may end what runs it, else 0
 };
 
--- a/src/routing/impl/endpoint_table.cpp
+++ b/src/routing/impl/endpoint_table.cpp
@@ -60,6 +60,14 @@
   return mix_hash(adapter_kind, stable_hash(adapter));
 }
 
+std::size_t reading_urgency(const route_need& need, double unread_tokens,
+                            const choice_policy& policy) noexcept {
+  const bool is_long = unread_tokens > policy.long_prompt_tokens;
+  const bool may_yield = need.kind != work_class::long_running;
+  const work_class kind = is_long && may_yield ? less_urgent(need.kind) : need.kind;
+  return urgency_of(kind, need.beyond_share);
+}
+
 endpoint_table::endpoint_table(choice_policy choice, health_policy health)
     : choice_{choice}, health_{health} {}
 
@@ -104,6 +112,7 @@
     known.life = ++lives_;
     known.health = {};
     known.load = {};
+    known.load.set_view(all_heard_, choice_.told_staleness);
     known.suspects = 0;
   }
   last_resort_.add(slot, known.identity, stable_hash(info.pool.str()), known.capabilities,
@@ -231,19 +240,20 @@
   record& known = records_[choice.slot];
   route_attempt attempt;
   attempt.slot = choice.slot;
-  attempt.kind = need.kind;
   attempt.life = known.life;
   attempt.unread = need.prompt_tokens - std::min(need.prompt_tokens, choice.predicted_cached);
   attempt.predicted_cached = choice.predicted_cached;
   attempt.cached_age = choice.cached_age;
   attempt.expected_ms = choice.expected_wait_ms;
+  attempt.urgency = reading_urgency(need, attempt.unread, choice_);
   attempt.reason = choice.reason;
   attempt.suspect = need.suspect != 0;
   attempt.started = now;
   known.suspects += attempt.suspect ? 1 : 0;
-  known.load.started(need.kind, attempt.unread, now);
+  known.load.started(attempt.urgency, attempt.unread, now);
   prefixes_.learn(need.blocks, choice.slot, presumed, now);
   note_placed(need.blocks, known.info.id);
+  note_use_changed(choice.slot, true);
   return attempt;
 }
 
@@ -253,7 +263,8 @@
     return;
   attempt.prompt_read = true;
   attempt.first_token_at = now;
-  known->load.prompt_read(attempt.kind, attempt.unread);
+  known->load.prompt_read(attempt.urgency, attempt.unread);
+  note_use_changed(attempt.slot, false);
   note_first_token(known->health, static_cast<double>((now - attempt.started).count()),
                    attempt.expected_ms, now);
 }
@@ -281,8 +292,9 @@
   if (known == nullptr)
     return;
   if (!attempt.prompt_read)
-    known->load.prompt_read(attempt.kind, attempt.unread);
+    known->load.prompt_read(attempt.urgency, attempt.unread);
   known->load.ended(now);
+  note_use_changed(attempt.slot, false);
   if (attempt.suspect)
     --known->suspects;
   if (result.outcome == attempt_outcome::connect_failed) {
--- a/src/routing/impl/endpoint_table.hpp
+++ b/src/routing/impl/endpoint_table.hpp
@@ -15,23 +15,33 @@
   std::uint32_t draws{2};      ///< random candidates in this data centre
   std::uint32_t long_draws{4}; ///< the same for long prompts
   std::uint32_t long_prompt_tokens{4096};
-  std::uint32_t far_draws{1};           ///< random candidates in other data centres
-  std::uint32_t compare_all_up_to{6};   ///< groups this small are compared whole
-  double default_distance_ms{2.0};      ///< one way, to a data centre with no known distance
-  double crowding_ms{60.0};             ///< cost of the last free place against an idle endpoint
-  double usual_prompt_rate{8000.0};     ///< prompt tokens per second, until reported
-  double usual_service_ms{4000.0};      ///< duration of a request, until learned
-  double usual_cache_life_ms{120000.0}; ///< until learned
+  std::uint32_t far_draws{1};            ///< random candidates in other data centres
+  std::uint32_t compare_all_up_to{6};    ///< groups this small are compared whole
+  std::uint32_t look_for_room_up_to{32}; ///< the same, when only a free place will do
+  double default_distance_ms{2.0};       ///< one way, to a data centre with no known distance
+  double crowding_ms{60.0};              ///< cost of the last free place against an idle endpoint
+  double usual_prompt_rate{8000.0};      ///< prompt tokens per second, until reported
+  double chunk_tokens{512.0};            ///< that engines read of a prompt without a break
+  double usual_service_ms{4000.0};       ///< duration of a request, until learned
+  double usual_cache_life_ms{120000.0};  ///< until learned
   std::uint32_t most_tokens_per_block{512};
   std::size_t most_places_told{256};
-  time_ms use_life{1500}; ///< after which another host's word on its use is too old
+  time_ms use_life{2500};        ///< after which another host's word on its use is too old
+  time_ms use_whole_every{1000}; ///< between reports of everything, which make up for lost ones
+  time_ms use_ends_every{100};   ///< longest wait of an end until it is told
+  time_ms told_staleness{40};    ///< of what other hosts tell as it changes
 };
 
+/// \returns how urgently the prompt is read: a long one counts as one class less urgent, as its own
+/// reading is most of its wait, and as it would hold up every short one
+[[nodiscard]] std::size_t reading_urgency(const route_need& need, double unread_tokens,
+                                          const choice_policy& policy) noexcept;
+
 /// \brief One attempt of a request at an endpoint, kept by the caller until it ends.
 struct route_attempt {
   std::uint32_t slot{};
   std::uint64_t life{}; ///< of the table's record; a removed endpoint's attempts are void
-  work_class kind{work_class::standard};
+  std::size_t urgency{};
   std::uint32_t unread{}; ///< prompt tokens counted as waiting to be read
   bool prompt_read{};
   std::uint32_t predicted_cached{};
@@ -107,6 +117,9 @@
 
   /// \returns this host's own requests and what it has placed since the last call, for the others
   [[nodiscard]] use_report own_use(const incarnation& self);
+  /// \returns what the other hosts should be told now, if anything: starts almost at once, ends
+  /// with them or a little later, everything once a second. To be called about every 20 ms.
+  [[nodiscard]] std::optional<use_report> due_use(const incarnation& self, time_ms now);
   /// \brief Another host's word on its requests.
   void apply_use(const use_report& report, time_ms now);
   /// \brief Says which hosts send to these endpoints. Only while each has told of its use lately is
@@ -158,9 +171,10 @@
   struct heard_use {
     std::uint64_t sequence{};
     time_ms at;
-    std::vector<std::pair<std::uint32_t, endpoint_use>> uses; ///< by slot
+    absl::flat_hash_map<std::uint32_t, endpoint_use> uses; ///< by slot
   };
 
+  void note_use_changed(std::uint32_t slot, bool started);
   void note_placed(std::span<const std::uint64_t> blocks, const endpoint_id& endpoint);
   void take_back_use(const heard_use& heard);
   void update_view();
@@ -183,10 +197,15 @@
   double home_trust_{0.1};
   std::uint64_t lives_{};
   std::uint64_t use_sequence_{};
-  std::vector<prefix_place> placed_; ///< not told to the other hosts yet
+  std::vector<prefix_place> placed_;       ///< not told to the other hosts yet
+  std::vector<std::uint32_t> use_changed_; ///< slots whose use was not told yet
+  bool use_started_{};                     ///< one of the changes is a start
+  time_ms use_told_;
+  time_ms use_whole_told_;
   absl::flat_hash_map<incarnation, heard_use> heard_;
   std::vector<incarnation> senders_;
   bool senders_known_{};
+  bool all_heard_{};
 };
 
 /// \returns hash of a need or a loaded item, as the index keeps it
--- a/src/routing/impl/endpoint_use.cpp
+++ b/src/routing/impl/endpoint_use.cpp
@@ -20,6 +20,41 @@
       report.uses.push_back({known.info.id, running, known.load.own_unread()});
   }
   report.places = std::exchange(placed_, {});
+  use_changed_.clear();
+  use_started_ = false;
+  return report;
+}
+
+void endpoint_table::note_use_changed(std::uint32_t slot, bool started) {
+  if (std::ranges::find(use_changed_, slot) == use_changed_.end())
+    use_changed_.push_back(slot);
+  use_started_ = use_started_ || started;
+}
+
+// Two hosts choose the same free place when neither has heard of the other's start, so starts are
+// told at once; an end that is told late leaves a place unused for a moment, which costs less.
+std::optional<use_report> endpoint_table::due_use(const incarnation& self, time_ms now) {
+  if (now - use_whole_told_ >= choice_.use_whole_every || use_sequence_ == 0) {
+    use_whole_told_ = now;
+    use_told_ = now;
+    return own_use(self);
+  }
+  const bool due = use_started_ || now - use_told_ >= choice_.use_ends_every;
+  if (use_changed_.empty() || !due)
+    return std::nullopt;
+  use_report report;
+  report.from = self;
+  report.sequence = ++use_sequence_;
+  report.whole = false;
+  for (const std::uint32_t slot : use_changed_) {
+    const record& known = records_[slot];
+    if (known.present)
+      report.uses.push_back({known.info.id, known.load.own_running(), known.load.own_unread()});
+  }
+  report.places = std::exchange(placed_, {});
+  use_changed_.clear();
+  use_started_ = false;
+  use_told_ = now;
   return report;
 }
 
@@ -43,16 +78,20 @@
   heard_use& heard = heard_[report.from];
   if (heard.sequence >= report.sequence)
     return;
-  take_back_use(heard);
   heard.sequence = report.sequence;
   heard.at = now;
-  heard.uses.clear();
+  if (report.whole) {
+    take_back_use(heard);
+    heard.uses.clear();
+  }
   for (const endpoint_use& use : report.uses) {
     const auto slot = slot_of(use.endpoint);
     if (!slot)
       continue;
-    heard.uses.emplace_back(*slot, use);
+    endpoint_use& known = heard.uses[*slot];
+    records_[*slot].load.change_others(known.running, known.unread, -1.0);
     records_[*slot].load.change_others(use.running, use.unread, 1.0);
+    known = use;
   }
   for (const prefix_place& place : report.places)
     if (const auto slot = slot_of(place.endpoint))
@@ -76,20 +115,15 @@
 // One silent host is enough to make the sum of the others' words too small, and the endpoint would
 // look free; so all have to be heard.
 void endpoint_table::update_view() {
-  bool all_heard = senders_known_;
-  time_ms oldest{};
-  bool first = true;
-  for (const incarnation& sender : senders_) {
-    const auto heard = heard_.find(sender);
-    if (heard == heard_.end()) {
-      all_heard = false;
-      break;
-    }
-    oldest = first ? heard->second.at : std::min(oldest, heard->second.at);
-    first = false;
-  }
+  const bool all_heard =
+      senders_known_ && std::ranges::all_of(senders_, [this](const incarnation& sender) {
+        return heard_.contains(sender);
+      });
+  if (all_heard == all_heard_)
+    return;
+  all_heard_ = all_heard;
   for (record& known : records_)
-    known.load.set_view(all_heard, oldest);
+    known.load.set_view(all_heard, choice_.told_staleness);
 }
 
 } // namespace sedgechute
--- a/src/routing/impl/fair_queue.cpp
+++ b/src/routing/impl/fair_queue.cpp
@@ -10,7 +10,6 @@
 constexpr double ms_per_s = 1000.0;
 constexpr double least_weight = 1e-6;
 constexpr double least_cost = 1.0;
-constexpr double output_gain = 0.1; // share of a new answer in the moving average
 constexpr double rate_gain = 0.3;
 constexpr time_ms rate_window{500};
 constexpr std::size_t void_entries_kept = 64;
@@ -31,12 +30,6 @@
   heap.pop_back();
 }
 
-// A limit that is shared by hosts leaves each at least one, or a team with many quiet hosts could
-// send nothing at all.
-double part_of(double limit, double fraction) noexcept {
-  return std::max(1.0, limit * fraction);
-}
-
 } // namespace
 
 fair_queue::fair_queue(queue_policy policy) : policy_{policy} {}
@@ -79,66 +72,17 @@
   offer(slot);
 }
 
-void fair_queue::set_share(const team_id& team, double weight, double fraction, time_ms now) {
+void fair_queue::set_share(const team_id& team, double weight, double fraction, time_ms now,
+                           double excess) {
   const std::uint32_t slot = slot_of(team);
   team_state& state = teams_[slot];
   change_weight(state, weight);
   state.limits.fraction = std::clamp(fraction, 0.0, 1.0);
+  state.excess = excess;
   apply_rates(state, now);
   offer(slot);
 }
 
-admission fair_queue::refuse(error_kind kind, time_ms retry_after) const noexcept {
-  admission answer;
-  answer.refusal = kind;
-  answer.retry_after = std::clamp(retry_after, policy_.least_retry_after, policy_.most_retry_after);
-  return answer;
-}
-
-// The wait is the shorter of two bounds: everything queued here goes first, or only the team's own
-// earlier work does, at the rate that its weight assures it. `finish - virtual_time_` is service
-// that the team has had in advance and must wait for.
-time_ms fair_queue::wait_of(const team_state& team, work_class kind) const noexcept {
-  if (rate_ <= 0.0 || queued_ == 0)
-    return time_ms{0};
-  double ahead = 0.0;
-  for (std::size_t c = 0; c <= static_cast<std::size_t>(kind); ++c)
-    ahead += team.classes[c].waiting_cost;
-  const double weights = queued_weight_ + (team.queued == 0 ? team.weight : 0.0);
-  const double lead = std::max(0.0, team.finish - virtual_time_) * team.weight;
-  const double own_s = (ahead + lead) * weights / (rate_ * team.weight);
-  const double all_s = queued_cost_ / rate_;
-  return time_ms{static_cast<std::int64_t>(std::min(own_s, all_s) * ms_per_s)};
-}
-
-admission fair_queue::check(const team_state& team, const queued_work& work, time_ms now) const {
-  const team_limits& limits = team.limits;
-  const time_ms rate_wait =
-      std::max(team.request_rate.wait_for(1.0, now), team.cost_rate.wait_for(work.cost, now));
-  if (rate_wait > time_ms{0})
-    return refuse(error_kind::rate_limited, rate_wait);
-
-  const time_ms wait = wait_of(team, work.kind);
-  const bool too_many = limits.max_queued > 0 && static_cast<double>(team.queued) >=
-                                                     part_of(limits.max_queued, limits.fraction);
-  const bool too_much = limits.max_queued_cost > 0 && team.queued > 0 &&
-                        team.queued_cost + work.cost >
-                            part_of(static_cast<double>(limits.max_queued_cost), limits.fraction);
-  if (too_many || too_much) {
-    const bool at_concurrency =
-        limits.max_running > 0 &&
-        static_cast<double>(team.running) >= part_of(limits.max_running, limits.fraction);
-    return refuse(at_concurrency ? error_kind::concurrency_limited : error_kind::queue_full, wait);
-  }
-  if (now + wait > work.deadline)
-    return refuse(error_kind::deadline_unreachable, now + wait - work.deadline);
-
-  admission answer;
-  answer.admitted = true;
-  answer.expected_wait = wait;
-  return answer;
-}
-
 admission fair_queue::enqueue(const team_id& team, const queued_work& work, time_ms now) {
   const std::uint32_t slot = slot_of(team);
   queued_work checked = work;
@@ -218,18 +162,34 @@
 void fair_queue::offer(std::uint32_t slot) {
   const team_state& team = teams_[slot];
   const team_limits& limits = team.limits;
-  const bool at_limit = limits.max_running > 0 && static_cast<double>(team.running) >=
-                                                      part_of(limits.max_running, limits.fraction);
+  const bool at_limit =
+      limits.max_running > 0 &&
+      static_cast<double>(team.running) >= queue_part(limits.max_running, limits.fraction);
+  const bool beyond = team.excess > 0.0;
   bool has_work = false;
   for (std::size_t c = 0; c < work_class_count; ++c) {
     has_work = has_work || team.classes[c].waiting > 0;
+    const auto kind = static_cast<work_class>(c);
+    ready_[urgency_of(kind, !beyond)].remove(slot);
+    slot_heap& ready = ready_[urgency_of(kind, beyond)];
     if (has_work && !at_limit)
-      ready_[c].set(slot, team.finish);
+      ready.set(slot, team.finish);
     else
-      ready_[c].remove(slot);
+      ready.remove(slot);
   }
 }
 
+// Teams within their share want less than it in sum, so serving them first takes nothing from those
+// beyond theirs; in order of virtual time alone, a small team's own draft would hold its next chat
+// back for seconds.
+std::optional<std::uint32_t> fair_queue::next_team(const queue_filter& filter) const {
+  const slot_heap& within = ready_[urgency_of(filter.last, false)];
+  if (!within.empty())
+    return within.top();
+  const slot_heap& beyond = ready_[urgency_of(filter.last, true)];
+  return !filter.beyond_share || beyond.empty() ? std::nullopt : std::optional{beyond.top()};
+}
+
 void fair_queue::drop_void(std::vector<entry>& heap) const {
   while (!heap.empty() && items_[heap.front().item].sequence != heap.front().sequence)
     pop(heap);
@@ -255,14 +215,15 @@
   return first;
 }
 
-std::optional<queue_head> fair_queue::head(time_ms now, work_class last) {
-  const slot_heap& ready = ready_[static_cast<std::size_t>(last)];
-  if (ready.empty())
+std::optional<queue_head> fair_queue::head(time_ms now, const queue_filter& filter) {
+  const auto slot = next_team(filter);
+  if (!slot)
     return std::nullopt;
-  team_state& team = teams_[ready.top()];
-  const class_queue& queue = team.classes[next_class(team, last, now)];
+  team_state& team = teams_[*slot];
+  const class_queue& queue = team.classes[next_class(team, filter.last, now)];
   const item& next = items_[queue.heap.front().item];
-  return queue_head{next.work.ticket, next.work.kind, now - next.arrived};
+  return queue_head{next.work.ticket, next.work.kind, team.excess > 0.0, team.excess,
+                    now - next.arrived};
 }
 
 std::optional<std::uint64_t> fair_queue::peek(time_ms now) {
@@ -280,20 +241,23 @@
   }
 }
 
-std::optional<work_grant> fair_queue::dequeue(time_ms now, work_class last) {
-  const slot_heap& ready = ready_[static_cast<std::size_t>(last)];
-  if (ready.empty())
+std::optional<work_grant> fair_queue::dequeue(time_ms now, const queue_filter& filter) {
+  const auto next = next_team(filter);
+  if (!next)
     return std::nullopt;
-  const std::uint32_t slot = ready.top();
+  const std::uint32_t slot = *next;
   team_state& team = teams_[slot];
-  const std::size_t kind = next_class(team, last, now);
+  const std::size_t kind = next_class(team, filter.last, now);
   class_queue& queue = team.classes[kind];
   const std::uint32_t index = queue.heap.front().item;
   pop(queue.heap);
   const item& started = items_[index];
-  const work_grant grant{started.work.ticket, slot, started.work.kind, started.work.cost,
-                         now - started.arrived};
-  virtual_time_ = std::max(virtual_time_, team.finish);
+  const work_grant grant{started.work.ticket, slot,
+                         started.work.kind,   started.work.cost,
+                         team.excess > 0.0,   now - started.arrived};
+  const bool ahead_of_turn = team.excess <= 0.0 && !ready_[urgency_of(filter.last, true)].empty();
+  if (!ahead_of_turn)
+    virtual_time_ = std::max(virtual_time_, team.finish);
   team.finish += grant.cost / team.weight;
   team.started_cost += grant.cost;
   ++team.running;
@@ -388,36 +352,4 @@
   return late;
 }
 
-time_ms fair_queue::expected_wait(const team_id& team, work_class kind, time_ms /*now*/) const {
-  const team_state* const state = find(team);
-  return state == nullptr ? time_ms{0} : wait_of(*state, kind);
-}
-
-double fair_queue::expected_output(const team_id& team, work_class kind, double bound) const {
-  const team_state* const state = find(team);
-  const double usual =
-      state == nullptr ? 0.0 : state->classes[static_cast<std::size_t>(kind)].usual_output;
-  return usual <= 0.0 ? bound : std::min(usual, bound);
-}
-
-void fair_queue::learn_output(const team_id& team, work_class kind, double output) {
-  class_queue& queue = teams_[slot_of(team)].classes[static_cast<std::size_t>(kind)];
-  queue.usual_output = queue.usual_output <= 0.0
-                           ? output
-                           : queue.usual_output + output_gain * (output - queue.usual_output);
-}
-
-queue_figures fair_queue::figures() const noexcept {
-  return {queued_, queued_cost_, running_, running_cost_, rate_};
-}
-
-std::vector<fair_queue::team_figures> fair_queue::teams() const {
-  std::vector<team_figures> all;
-  all.reserve(teams_.size());
-  for (const team_state& team : teams_)
-    all.push_back({team.id, team.limits.weight, team.queued, team.queued_cost, team.running,
-                   team.started_cost, team.arrived_cost});
-  return all;
-}
-
 } // namespace sedgechute
--- a/src/routing/impl/fair_queue.hpp
+++ b/src/routing/impl/fair_queue.hpp
@@ -38,30 +38,34 @@
 
   /// \brief Sets a team's share of this host's service, as planned over all hosts.
   /// \param fraction  this host's part of the team's limits
-  void set_share(const team_id& team, double weight, double fraction, time_ms now);
+  /// \param excess    how far the team goes beyond its share of a pool that is short, 0..1
+  void set_share(const team_id& team, double weight, double fraction, time_ms now,
+                 double excess = 0.0);
 
   /// \brief Requests that this host may have at the pool's endpoints at once.
   void set_credit(double slots) noexcept { credit_ = slots; }
 
   /// \returns whether one more may start without borrowing from other hosts.
-  [[nodiscard]] bool within_credit() const noexcept {
-    return static_cast<double>(running_) < credit_;
+  [[nodiscard]] bool within_credit(double part = 1.0) const noexcept {
+    return static_cast<double>(running_) < credit_ * part;
   }
 
   /// \brief Takes a request in, or says why not and when to come back.
   [[nodiscard]] admission enqueue(const team_id& team, const queued_work& work, time_ms now);
 
-  /// \param last  the least urgent class to consider
+  /// \brief Part of the pool, 0..1, that teams within their share use while others go beyond
+  /// theirs.
+  void set_entitled_part(double part) noexcept { entitled_part_ = part; }
+  [[nodiscard]] double entitled_part() const noexcept { return entitled_part_; }
+
   /// \returns the request that `dequeue` would start, if any may start
-  [[nodiscard]] std::optional<queue_head> head(time_ms now,
-                                               work_class last = work_class::long_running);
+  [[nodiscard]] std::optional<queue_head> head(time_ms now, const queue_filter& filter = {});
 
   /// \returns the ticket of `head` among all classes
   [[nodiscard]] std::optional<std::uint64_t> peek(time_ms now);
 
   /// \brief Starts the next request; the team is charged its expected cost.
-  [[nodiscard]] std::optional<work_grant> dequeue(time_ms now,
-                                                  work_class last = work_class::long_running);
+  [[nodiscard]] std::optional<work_grant> dequeue(time_ms now, const queue_filter& filter = {});
 
   /// \brief Puts a started request back, first in its class, as if it had not been started.
   void put_back(const work_grant& grant, time_ms deadline, time_ms now);
@@ -95,6 +99,7 @@
     double weight{};
     std::size_t queued{};
     double queued_cost{};
+    double urgent_cost{}; ///< the part of it that is not long_running
     std::size_t running{};
     double started_cost{}; ///< since the start of the host, corrected by real costs
     double arrived_cost{}; ///< since the start of the host, what was refused included
@@ -133,6 +138,7 @@
     token_bucket cost_rate;
     token_bucket request_rate;
     double weight{1.0};
+    double excess{};
     double finish{}; ///< virtual time up to which the team is charged
     std::size_t queued{};
     double queued_cost{};
@@ -151,6 +157,7 @@
   void insert(std::uint32_t slot, const queued_work& work, time_ms arrived, time_ms now);
   void take_out(std::uint32_t index);
   void offer(std::uint32_t slot);
+  [[nodiscard]] std::optional<std::uint32_t> next_team(const queue_filter& filter) const;
   void change_weight(team_state& team, double weight) noexcept;
   void drop_void(std::vector<entry>& heap) const;
   void compact_deadlines();
@@ -165,8 +172,9 @@
   std::vector<std::uint32_t> free_items_;
   absl::flat_hash_map<std::uint64_t, std::uint32_t> tickets_;
   std::vector<entry> deadlines_;
-  /// By class: teams that may start work of this class or a more urgent one.
-  std::array<slot_heap, work_class_count> ready_;
+  /// By urgency: teams that may start work of this class or a more urgent one.
+  std::array<slot_heap, urgency_count> ready_;
+  double entitled_part_{};
   double virtual_time_{};
   double queued_weight_{};
   std::uint64_t sequence_{};
@@ -181,4 +189,7 @@
   bool window_open_{};
 };
 
+/// \returns this host's part of a limit that is shared by hosts
+[[nodiscard]] double queue_part(double limit, double fraction) noexcept;
+
 } // namespace sedgechute
--- a/src/routing/impl/load_estimate.cpp
+++ b/src/routing/impl/load_estimate.cpp
@@ -33,15 +33,15 @@
     since_running_ += c.delta;
 }
 
-void load_estimate::started(work_class kind, std::uint32_t prompt_tokens, time_ms now) {
+void load_estimate::started(std::size_t urgency, std::uint32_t prompt_tokens, time_ms now) {
   ++own_running_;
-  own_unread_[static_cast<std::size_t>(kind)] += prompt_tokens;
+  own_unread_[urgency] += prompt_tokens;
   usual_prompt_ += prompt_gain * (prompt_tokens - usual_prompt_);
   record({now, 1});
 }
 
-void load_estimate::prompt_read(work_class kind, std::uint32_t prompt_tokens) noexcept {
-  double& unread = own_unread_[static_cast<std::size_t>(kind)];
+void load_estimate::prompt_read(std::size_t urgency, std::uint32_t prompt_tokens) noexcept {
+  double& unread = own_unread_[urgency];
   unread = std::max(0.0, unread - prompt_tokens);
 }
 
@@ -53,16 +53,16 @@
   record({now, -1});
 }
 
-void load_estimate::change_others(double running, const unread_by_class& unread,
+void load_estimate::change_others(double running, const unread_by_urgency& unread,
                                   double sign) noexcept {
   others_running_ = std::max(0.0, others_running_ + sign * running);
-  for (std::size_t c = 0; c < work_class_count; ++c)
+  for (std::size_t c = 0; c < urgency_count; ++c)
     others_unread_[c] = std::max(0.0, others_unread_[c] + sign * unread[c]);
 }
 
-void load_estimate::set_view(bool all_heard, time_ms heard_at) noexcept {
+void load_estimate::set_view(bool all_heard, time_ms staleness) noexcept {
   all_heard_ = all_heard;
-  heard_at_ = heard_at;
+  told_staleness_ = staleness;
 }
 
 // What the other hosts say of their own requests is fresher than the endpoint's report, but only
@@ -76,10 +76,10 @@
 }
 
 // Without the others' word, what waited at the last report stands for their unread prompts.
-double load_estimate::unread_before(work_class kind) const noexcept {
+double load_estimate::unread_before(std::size_t urgency) const noexcept {
   double own = 0.0;
   double others = 0.0;
-  for (std::size_t c = 0; c <= static_cast<std::size_t>(kind); ++c) {
+  for (std::size_t c = 0; c <= urgency; ++c) {
     own += own_unread_[c];
     others += others_unread_[c];
   }
@@ -89,7 +89,7 @@
 }
 
 time_ms load_estimate::staleness(time_ms now) const noexcept {
-  return now - (all_heard_ ? std::max(heard_at_, taken_at_) : taken_at_);
+  return all_heard_ ? told_staleness_ : now - taken_at_;
 }
 
 double load_estimate::room() const noexcept {
--- a/src/routing/impl/queued_work.hpp
+++ b/src/routing/impl/queued_work.hpp
@@ -16,15 +16,24 @@
 struct queue_head {
   std::uint64_t ticket{};
   work_class kind{work_class::standard};
+  bool beyond_share{}; ///< its team takes more than its share of a pool that is short
+  double excess{};     ///< how far, 0..1
   time_ms waited;
 };
 
+/// \brief Which requests `head` and `dequeue` consider.
+struct queue_filter {
+  work_class last{work_class::long_running}; ///< the least urgent class
+  bool beyond_share{true};                   ///< teams beyond their share, too
+};
+
 /// \brief A request that may go to an endpoint now. Keep it and hand it to `fair_queue::settle`.
 struct work_grant {
   std::uint64_t ticket{};
   std::uint32_t team_slot{};
   work_class kind{work_class::standard};
-  double cost{};  ///< what the team was charged so far
+  double cost{}; ///< what the team was charged so far
+  bool beyond_share{};
   time_ms waited; ///< time in the queue
 };
 
--- a/src/routing/impl/share_plan.cpp
+++ b/src/routing/impl/share_plan.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr double ms_per_s = 1000.0;
 constexpr double least_demand = 1e-9;
 // Of an equal part: a team that has hardly asked here so far must not start from nothing.
 constexpr double least_part = 0.25;
@@ -22,6 +23,7 @@
 void add(team_demand& sum, const team_demand& part) noexcept {
   sum.wanted += part.wanted;
   sum.served += part.served;
+  sum.queued += part.queued;
 }
 
 struct claim {
@@ -62,6 +64,67 @@
                     policy.most_feedback);
 }
 
+// What a team would start at once: what arrives, and its backlog within the horizon.
+double demand_of(const team_demand& team, const share_policy& policy) {
+  return team.wanted + team.queued * ms_per_s / static_cast<double>(policy.horizon.count());
+}
+
+// How many times its share a team asks for. A backlog is left out: it may stem from a moment's
+// shortage.
+double times_share(const claim& c, const team_demand& all) {
+  return c.granted < c.wanted ? all.wanted / std::max(c.granted, least_demand) : 0.0;
+}
+
+// What was served of late counts, too: a small team's single draft is no flood.
+double excess_of(const claim& c, const team_demand& all, const share_policy& policy) {
+  if (all.queued <= 0.0 || all.served < policy.beyond_from * c.granted)
+    return 0.0;
+  return std::clamp((times_share(c, all) - policy.flood_from) / policy.flood_range, 0.0, 1.0);
+}
+
+bool is_short(const share_inputs& inputs, const share_policy& policy) {
+  double queued = inputs.all.others.queued;
+  for (const team_demand& team : inputs.all.teams)
+    queued += team.queued;
+  return inputs.pool_rate > 0.0 &&
+         (queued > policy.short_queue_s * inputs.pool_rate ||
+          inputs.all.urgent_queued > policy.short_urgent_s * inputs.pool_rate);
+}
+
+// Part of the service that teams get which do not flood. Where nearly all ask for far more than
+// their share, weights alone divide the pool, and there is nobody to protect.
+double entitled_part_of(std::span<const claim> claims, const share_inputs& inputs,
+                        const share_policy& policy) {
+  double all = inputs.all.others.served;
+  double entitled = all;
+  for (const claim& c : claims) {
+    const team_demand& team = inputs.all.teams[c.index];
+    all += team.served;
+    entitled += times_share(c, team) < policy.flood_from ? team.served : 0.0;
+  }
+  const double part = all <= 0.0 ? 0.0 : entitled / all;
+  return part < policy.least_entitled ? 0.0 : part;
+}
+
+std::vector<claim> claims_of(const share_inputs& inputs, std::span<const team_weight> weights,
+                             const share_policy& policy) {
+  absl::flat_hash_map<team_id, double> weight_of;
+  for (const team_weight& w : weights)
+    weight_of[w.team] = w.weight;
+  std::vector<claim> claims;
+  const double others = demand_of(inputs.all.others, policy);
+  double wanted = others;
+  for (std::size_t i = 0; i < inputs.all.teams.size(); ++i) {
+    const team_demand& team = inputs.all.teams[i];
+    const auto found = weight_of.find(team.team);
+    const double weight = found == weight_of.end() ? 1.0 : found->second;
+    claims.push_back({i, demand_of(team, policy), weight, 0.0});
+    wanted += claims.back().wanted;
+  }
+  divide(claims, inputs.pool_rate > 0.0 ? std::max(0.0, inputs.pool_rate - others) : wanted);
+  return claims;
+}
+
 } // namespace
 
 share_report merge_reports(std::span<const share_report> reports, std::size_t most_teams) {
@@ -71,11 +134,12 @@
   for (const share_report& report : reports) {
     sum.pool = report.pool;
     sum.hosts += report.hosts;
+    sum.urgent_queued += report.urgent_queued;
     add(sum.others, report.others);
     for (const team_demand& team : report.teams) {
       const auto [found, added] = places.try_emplace(team.team, sum.teams.size());
       if (added)
-        sum.teams.push_back({team.team, 0.0, 0.0});
+        sum.teams.push_back({team.team, 0.0, 0.0, 0.0});
       add(sum.teams[found->second], team);
     }
   }
@@ -91,45 +155,30 @@
 
 share_plan plan_shares(const share_inputs& inputs, std::span<const team_weight> weights,
                        const share_policy& policy) {
-  absl::flat_hash_map<team_id, double> weight_of;
-  for (const team_weight& w : weights)
-    weight_of[w.team] = w.weight;
-  const auto weight = [&](const team_id& team) {
-    const auto found = weight_of.find(team);
-    return found == weight_of.end() ? 1.0 : found->second;
-  };
-
-  std::vector<claim> claims;
-  double wanted = inputs.all.others.wanted;
-  for (std::size_t i = 0; i < inputs.all.teams.size(); ++i) {
-    const team_demand& team = inputs.all.teams[i];
-    wanted += team.wanted;
-    claims.push_back({i, team.wanted, weight(team.team), 0.0});
-  }
-  const double capacity =
-      inputs.pool_rate > 0.0 ? std::max(0.0, inputs.pool_rate - inputs.all.others.wanted) : wanted;
-  divide(claims, capacity);
-
+  const std::vector<claim> claims = claims_of(inputs, weights, policy);
+  const bool pool_short = is_short(inputs, policy);
+  const double equal = 1.0 / hosts_of(inputs.all);
   share_plan plan;
-  double granted_all = inputs.all.others.wanted;
-  double granted_here = inputs.own.others.wanted;
-  const bool short_of = wanted > capacity;
+  plan.entitled_part = pool_short ? entitled_part_of(claims, inputs, policy) : 0.0;
+  double granted_all = demand_of(inputs.all.others, policy);
+  double granted_here = demand_of(inputs.own.others, policy);
   for (const claim& c : claims) {
     const team_demand& all = inputs.all.teams[c.index];
     granted_all += c.granted;
     const team_demand* const own = find(inputs.own, all.team);
-    if (own == nullptr || all.wanted <= least_demand)
+    if (own == nullptr || c.wanted <= least_demand)
       continue;
-    const double part = std::min(1.0, own->wanted / all.wanted);
-    const double equal = 1.0 / hosts_of(inputs.all);
+    const double part = std::min(1.0, demand_of(*own, policy) / c.wanted);
     granted_here += c.granted * part;
-    const double factor = short_of ? correction(c.granted, all.served, policy) : 1.0;
+    const bool limited = pool_short && c.granted < c.wanted;
+    const double factor = limited ? correction(c.granted, all.served, policy) : 1.0;
     // A team that wants less than its share keeps the whole weight, so that it never waits.
-    plan.teams.push_back({all.team, c.weight * std::max(part, least_part * equal) * factor,
-                          (1.0 - equal_part) * part + equal_part * equal});
+    const double weight = c.weight * std::max(part, least_part * equal) * factor;
+    const double fraction = (1.0 - equal_part) * part + equal_part * equal;
+    const double excess = plan.entitled_part > 0.0 ? excess_of(c, all, policy) : 0.0;
+    plan.teams.push_back({all.team, weight, fraction, excess});
   }
-  const double part_here =
-      granted_all <= least_demand ? 1.0 / hosts_of(inputs.all) : granted_here / granted_all;
+  const double part_here = granted_all <= least_demand ? equal : granted_here / granted_all;
   const double floors = policy.floor_slots * hosts_of(inputs.all);
   plan.slots = policy.floor_slots + std::max(0.0, inputs.pool_slots - floors) * part_here;
   return plan;
--- a/src/routing/impl/share_plan.hpp
+++ b/src/routing/impl/share_plan.hpp
@@ -10,8 +10,9 @@
 /// \brief What one team wants from and got of a pool, in tokens per second.
 struct team_demand {
   team_id team;
-  double wanted{}; ///< arriving, and the backlog as if it were to start within the horizon
+  double wanted{}; ///< arriving, what was refused included
   double served{}; ///< started over the last period
+  double queued{}; ///< tokens that wait
 };
 
 /// \brief What one host, or a group of hosts together, feeds into a pool.
@@ -21,6 +22,7 @@
   std::uint64_t sequence{};
   std::uint32_t hosts{1};         ///< hosts that it sums up
   std::vector<team_demand> teams; ///< the largest demands
+  double urgent_queued{};         ///< tokens that wait, long_running work left out
   team_demand others;             ///< the rest together; its team is empty
 };
 
@@ -34,10 +36,13 @@
   team_id team;
   double weight{};   ///< for `fair_queue::set_share`
   double fraction{}; ///< of the team's limits
+  /// How far the team goes beyond its share of a pool that is short, 0..1.
+  double excess{};
 };
 
 struct share_plan {
-  double slots{}; ///< requests that this host may have at the pool's endpoints
+  double slots{};         ///< requests that this host may have at the pool's endpoints
+  double entitled_part{}; ///< of the pool, used by teams that are not beyond their share
   std::vector<team_share> teams;
 };
 
@@ -51,6 +56,13 @@
   double floor_slots{1.0}; ///< that every host keeps, to start at once when work arrives
   double feedback{0.5};    ///< how much of a team's measured error is made up for
   double most_feedback{2.0};
+  double flood_from{1.3};      ///< times its share that a team asks for to count as beyond it
+  double least_entitled{0.25}; ///< part of the service of teams that do not flood, to protect them
+  double flood_range{0.5};     ///< times more until it counts in full
+  double beyond_from{0.95};    ///< times its share that a team was served to count as beyond it
+  /// Seconds of the pool's service that wait when it is short. Long work often waits by choice.
+  double short_urgent_s{0.3};
+  double short_queue_s{2.0};
   std::size_t most_teams{64}; ///< named in a report
   time_ms horizon{2000};      ///< in which a backlog counts as demand
   time_ms silence{3500};      ///< after which a host's last report counts no more
--- a/src/routing/impl/share_table.cpp
+++ b/src/routing/impl/share_table.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr double ms_per_s = 1000.0;
-constexpr double smoothing = 0.25; // of the newest second in a team's usual figures
+constexpr double smoothing = 0.06; // of the newest second in a team's usual figures
+constexpr double wanted_smoothing = 0.06;
 constexpr double least_rate = 1e-3;
 
 } // namespace
@@ -18,7 +19,6 @@
 share_report share_table::measure(const fair_queue& queue, time_ms now) {
   const double elapsed_s =
       std::max(0.001, static_cast<double>((now - measured_).count()) / ms_per_s);
-  const double horizon_s = static_cast<double>(policy_.horizon.count()) / ms_per_s;
   share_report full;
   full.pool = pool_;
   weights_.clear();
@@ -27,11 +27,13 @@
     if (ever_measured_) {
       const double arriving = (team.arrived_cost - last.arrived) / elapsed_s;
       const double served = std::max(0.0, (team.started_cost - last.started) / elapsed_s);
-      const double wanted = arriving + team.queued_cost / horizon_s;
-      if (wanted > least_rate || served > least_rate)
-        full.teams.push_back({team.team, wanted, served});
+      last.wanted += wanted_smoothing * (arriving - last.wanted);
+      if (last.wanted > least_rate || served > least_rate)
+        full.teams.push_back({team.team, last.wanted, served, team.queued_cost});
     }
-    last = {team.started_cost, team.arrived_cost};
+    full.urgent_queued += team.urgent_cost;
+    last.started = team.started_cost;
+    last.arrived = team.arrived_cost;
     weights_.push_back({team.team, team.weight});
   }
   measured_ = now;
@@ -81,18 +83,16 @@
   if (own != heard_.end())
     result.own = own->second.report;
 
-  absl::flat_hash_map<team_id, smoothed> usual;
+  absl::flat_hash_map<team_id, double> usual;
   double rate = result.all.others.served;
   for (team_demand& team : result.all.teams) {
     const auto known = usual_.find(team.team);
-    smoothed next{team.wanted, team.served};
-    if (known != usual_.end()) {
-      next.wanted = known->second.wanted + smoothing * (team.wanted - known->second.wanted);
-      next.served = known->second.served + smoothing * (team.served - known->second.served);
-    }
-    usual[team.team] = next;
-    team.served = next.served;
-    rate += next.served;
+    double served = team.served;
+    if (known != usual_.end())
+      served = known->second + smoothing * (team.served - known->second);
+    usual[team.team] = served;
+    team.served = served;
+    rate += served;
   }
   usual_ = std::move(usual);
   result.pool_rate = rate;
@@ -105,7 +105,8 @@
   const share_plan plan = plan_shares(current, weights_, policy_);
   queue.set_credit(plan.slots);
   for (const team_share& share : plan.teams)
-    queue.set_share(share.team, share.weight, share.fraction, now);
+    queue.set_share(share.team, share.weight, share.fraction, now, share.excess);
+  queue.set_entitled_part(plan.entitled_part);
 }
 
 } // namespace sedgechute
--- a/src/routing/impl/share_table.hpp
+++ b/src/routing/impl/share_table.hpp
@@ -34,11 +34,7 @@
   struct team_totals {
     double started{};
     double arrived{};
-  };
-
-  struct smoothed {
-    double wanted{};
-    double served{};
+    double wanted{}; ///< moving average of the rate
   };
 
   void forget_silent(time_ms now);
@@ -52,7 +48,7 @@
   bool ever_measured_{};
   absl::flat_hash_map<team_id, team_totals> totals_;
   absl::flat_hash_map<incarnation, heard_report> heard_;
-  absl::flat_hash_map<team_id, smoothed> usual_;
+  absl::flat_hash_map<team_id, double> usual_; ///< moving average of a team's service
   std::vector<team_weight> weights_;
 };
 
--- a/src/routing/impl/use_report.hpp
+++ b/src/routing/impl/use_report.hpp
@@ -10,7 +10,7 @@
 struct endpoint_use {
   endpoint_id endpoint;
   std::uint32_t running{};
-  unread_by_class unread{}; ///< prompt tokens not read yet
+  unread_by_urgency unread{}; ///< prompt tokens not read yet
 };
 
 /// \brief A prompt prefix that one host has just sent to an endpoint.
@@ -19,11 +19,12 @@
   endpoint_id endpoint;
 };
 
-/// \brief A host's requests at the endpoints, told several times a second where hosts are few.
+/// \brief A host's requests at the endpoints, told as they change where hosts are few.
 struct use_report {
   incarnation from;
   std::uint64_t sequence{};
-  std::vector<endpoint_use> uses;   ///< endpoints with none are left out
+  bool whole{true}; ///< endpoints left out have none; else they are as before
+  std::vector<endpoint_use> uses;
   std::vector<prefix_place> places; ///< since the last report
 };
 
--- a/src/routing/impl/work_class.hpp
+++ b/src/routing/impl/work_class.hpp
@@ -30,6 +30,26 @@
   return static_cast<work_class>(static_cast<int>(kind) - 1);
 }
 
+/// \returns the next less urgent class
+/// \pre not long_running
+[[nodiscard]] constexpr work_class less_urgent(work_class kind) noexcept {
+  return static_cast<work_class>(static_cast<int>(kind) + 1);
+}
+
+/// \brief Rank of a request in what waits anywhere: 0 first. Teams within their share come before
+/// those beyond it, then the class decides.
+inline constexpr std::size_t urgency_count = 2 * work_class_count;
+
+[[nodiscard]] constexpr std::size_t urgency_of(work_class kind, bool beyond_share) noexcept {
+  return static_cast<std::size_t>(kind) + (beyond_share ? work_class_count : 0);
+}
+
+/// \returns the priority to state to engines, 0 first and 9 last
+[[nodiscard]] constexpr std::uint32_t engine_priority(std::size_t urgency) noexcept {
+  constexpr std::uint32_t priorities[urgency_count] = {0, 2, 4, 5, 7, 9};
+  return priorities[urgency];
+}
+
 template <>
 struct enum_names<work_class> {
   static constexpr auto entries =
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -16,18 +16,17 @@
 /// Whenever a request came in, one ended, or a report arrived:
 /// ```cpp
 /// for (ticket : queue.expire(now)) refuse(ticket, error_kind::deadline_unreachable);
-/// work_class last = work_class::long_running;
-/// while (const auto head = queue.head(now, last)) {
+/// queue_filter filter;
+/// while (const auto head = queue.head(now, filter)) {
 ///   const auto choice = choose_endpoint(table, need_of(head->ticket), here, random, now);
 ///   if (!choice) break;                   // nothing can take it; try again at the next event
 ///   if (!may_start(queue, *head, *choice, policy)) {
-///     if (head->kind == work_class::interactive) break;
-///     last = more_urgent(head->kind);     // what can wait does not hold up what cannot
+///     if (!narrow(filter, *head)) break;  // what can wait does not hold up what cannot
 ///     continue;
 ///   }
-///   const work_grant grant = *queue.dequeue(now, last);
+///   const work_grant grant = *queue.dequeue(now, filter);
 ///   route_attempt attempt = table.start(*choice, need, now);
-///   send(grant, attempt, choice->endpoint);
+///   send(grant, attempt, choice->endpoint, engine_priority(attempt.urgency));
 /// }
 /// ```
 /// During the run: `table.first_token(attempt, now)`, `check_stall(...)`; at its end
@@ -40,8 +39,8 @@
 /// `shares.measure(queue, now)` to the other hosts, whose reports go to `shares.merge(report,
 /// now)`, then `shares.apply_plan(queue, table.load_of(pool).places, now)`, and
 /// `table.set_senders(hosts)` with the other hosts that feed the pools. Where these are few (up to
-/// about 16), `table.own_use` goes to them every 100 ms and theirs to `table.apply_use`: load
-/// reports are seconds old, and without the others' own word two hosts choose the same free place.
+/// about 16), what `table.due_use` gives every 20 ms goes to them, and theirs to `table.apply_use`:
+/// load reports are seconds old, and without the others' own word two hosts choose the same place.
 /// `suspects.take_news()` goes to all hosts as soon as it is not empty. All travel as a
 /// `routing_message`.
 ///
--- a/src/wire/impl/routing_codec.cpp
+++ b/src/wire/impl/routing_codec.cpp
@@ -60,9 +60,12 @@
     added.set_team(team.team.str());
     added.set_wanted(short_rate(team.wanted));
     added.set_served(short_rate(team.served));
+    added.set_queued(short_rate(team.queued));
   }
   out.set_others_wanted(short_rate(report.others.wanted));
   out.set_others_served(short_rate(report.others.served));
+  out.set_urgent_queued(short_rate(report.urgent_queued));
+  out.set_others_queued(short_rate(report.others.queued));
 }
 
 share_report from_wire(const wire::share_report& report) {
@@ -73,12 +76,14 @@
   out.sequence = report.sequence();
   out.hosts = report.hosts();
   for (const wire::team_demand& team : report.teams())
-    out.teams.push_back({team_id{checked_name(team.team(), "team")},
-                         checked_rate(team.wanted(), "wanted"),
-                         checked_rate(team.served(), "served")});
+    out.teams.push_back(
+        {team_id{checked_name(team.team(), "team")}, checked_rate(team.wanted(), "wanted"),
+         checked_rate(team.served(), "served"), checked_rate(team.queued(), "queued")});
+  out.urgent_queued = checked_rate(report.urgent_queued(), "urgent_queued");
   out.others = {{},
                 checked_rate(report.others_wanted(), "others_wanted"),
-                checked_rate(report.others_served(), "others_served")};
+                checked_rate(report.others_served(), "others_served"),
+                checked_rate(report.others_queued(), "others_queued")};
   return out;
 }
 
@@ -141,6 +146,7 @@
   out.set_host(report.from.host.str());
   out.set_number(report.from.number);
   out.set_sequence(report.sequence);
+  out.set_partial(!report.whole);
   name_list names{out};
   for (const endpoint_use& use : report.uses) {
     wire::endpoint_use& added = *out.add_uses();
@@ -169,9 +175,10 @@
   use_report out;
   out.from = {host_id{checked_name(report.host(), "use.host")}, report.number()};
   out.sequence = report.sequence();
+  out.whole = !report.partial();
   for (const wire::endpoint_use& use : report.uses()) {
-    if (use.unread_size() > static_cast<int>(work_class_count))
-      reject("use.unread", "more classes than there are");
+    if (use.unread_size() > static_cast<int>(urgency_count))
+      reject("use.unread", "more ranks than there are");
     endpoint_use added{named(report, use.endpoint()), use.running(), {}};
     for (int i = 0; i < use.unread_size(); ++i)
       added.unread[static_cast<std::size_t>(i)] = use.unread(i);
--- a/tests/routing/choose_endpoint_test.cpp
+++ b/tests/routing/choose_endpoint_test.cpp
@@ -85,8 +85,8 @@
 
   TEST_CASE("a report takes the place of what was sent before it was made, not after") {
     load_estimate load;
-    load.started(work_class::interactive, 100, 100_ms);
-    load.started(work_class::interactive, 100, 900_ms);
+    load.started(0, 100, 100_ms);
+    load.started(0, 100, 900_ms);
     load_report report = idle_report();
     report.running = 5;
     report.age = 500_ms;
@@ -233,16 +233,21 @@
     fleet f{2};
     const incarnation other{host_id{"b"}, 1};
     const incarnation silent{host_id{"c"}, 1};
-    use_report use{other, 1, {{name(0), 31, {40000.0, 0.0, 0.0}}}, {}};
+    use_report use{other, 1, true, {{name(0), 31, {40000.0, 0.0, 0.0}}}, {}};
     f.table.apply_use(use, 1_s);
     f.table.set_senders(std::vector{other}, 1_s);
     for (int i = 0; i < 50; ++i)
       CHECK(f.choose(plain(), 1_s)->endpoint == name(1));
     // An older word that comes late changes nothing; a newer one replaces it.
-    f.table.apply_use({other, 1, {}, {}}, 1_s);
+    f.table.apply_use({other, 1, true, {}, {}}, 1_s);
     CHECK(f.choose(plain(), 1_s)->endpoint == name(1));
-    f.table.apply_use({other, 2, {{name(1), 31, {40000.0, 0.0, 0.0}}}, {}}, 1_s);
+    f.table.apply_use({other, 2, true, {{name(1), 31, {40000.0, 0.0, 0.0}}}, {}}, 1_s);
     CHECK(f.choose(plain(), 1_s)->endpoint == name(0));
+    // Part of its use leaves the rest as it was.
+    f.table.apply_use({other, 3, false, {{name(0), 0, {}}}, {}}, 1_s);
+    CHECK(f.choose(plain(), 1_s)->endpoint == name(0));
+    f.table.apply_use({other, 4, false, {{name(1), 0, {}}, {name(0), 31, {9000.0}}}, {}}, 1_s);
+    CHECK(f.choose(plain(), 1_s)->endpoint == name(1));
     // With one host unheard the sum would be too small, so the reports count again.
     f.table.set_senders(std::vector{other, silent}, 1_s);
     f.report(0, 31, 1_s);
@@ -266,6 +271,23 @@
     CHECK(next->reason == choice_reason::cached);
   }
 
+  TEST_CASE("starts are told at once, ends a little later, everything once a second") {
+    fleet f{4};
+    const incarnation self{host_id{"a"}, 1};
+    CHECK(f.table.due_use(self, 2_s)->whole);
+    CHECK_FALSE(f.table.due_use(self, 2020_ms).has_value());
+    const auto choice = f.choose(plain(), 2040_ms);
+    const auto attempt = f.table.start(*choice, plain(), 2040_ms);
+    const auto told = f.table.due_use(self, 2040_ms);
+    CHECK_FALSE(told->whole);
+    CHECK(told->uses.size() == 1);
+    CHECK(told->uses[0].running == 1);
+    f.table.end(attempt, plain(), {}, 2060_ms);
+    CHECK_FALSE(f.table.due_use(self, 2080_ms).has_value());
+    CHECK(f.table.due_use(self, 2140_ms)->uses[0].running == 0);
+    CHECK(f.table.due_use(self, 3_s)->whole);
+  }
+
   TEST_CASE("suspects are spread so that no two share an endpoint while there is room") {
     fleet f{16};
     std::set<std::uint32_t> used;
--- a/tests/routing/wire_test.cpp
+++ b/tests/routing/wire_test.cpp
@@ -15,7 +15,8 @@
   report.sequence = 9;
   report.hosts = 3;
   report.teams = {{team_id{"lens"}, 1200.5, 800.25}, {team_id{"wearers"}, 10.0, 0.0}};
-  report.others = {{}, 5.5, 4.5};
+  report.urgent_queued = 12.0;
+  report.others = {{}, 5.5, 4.5, 3.5};
   message.shares.push_back(report);
   message.news.deaths.push_back({42, endpoint_id{"lm-1"}, 3, 800_ms, 20_ms});
   message.news.acquittals.push_back({43, 1_s});
@@ -23,6 +24,7 @@
   use_report& use = message.use.emplace();
   use.from = {host_id{"hf-a-1"}, 77};
   use.sequence = 5;
+  use.whole = false;
   use.uses.push_back({endpoint_id{"lm-1"}, 3, {100.0, 0.0, 2000.0}});
   use.places = {{0xabcdef, endpoint_id{"lm-2"}}, {0x123, endpoint_id{"lm-1"}}};
   return message;
@@ -42,14 +44,17 @@
     CHECK(back.shares.at(0).teams.at(0).team == team_id{"lens"});
     CHECK(back.shares.at(0).teams.at(0).wanted == doctest::Approx(1200.5));
     CHECK(back.shares.at(0).others.served == doctest::Approx(4.5));
+    CHECK(back.shares.at(0).others.queued == doctest::Approx(3.5));
+    CHECK(back.shares.at(0).urgent_queued == doctest::Approx(12.0));
     CHECK(back.news.deaths.at(0).endpoint == endpoint_id{"lm-1"});
     CHECK(back.news.deaths.at(0).ran_for == 800_ms);
     CHECK(back.news.acquittals.at(0).age == 1_s);
     CHECK(back.news.records.at(0).lifted);
     CHECK(back.news.records.at(0).endpoints.size() == 2);
     CHECK(back.use->sequence == 5);
+    CHECK_FALSE(back.use->whole);
     CHECK(back.use->uses.at(0).endpoint == endpoint_id{"lm-1"});
-    CHECK(back.use->uses.at(0).unread == unread_by_class{100.0, 0.0, 2000.0});
+    CHECK(back.use->uses.at(0).unread == unread_by_urgency{100.0, 0.0, 2000.0});
     CHECK(back.use->places.at(0).endpoint == endpoint_id{"lm-2"});
     CHECK(back.use->places.at(1).block == 0x123);
 
@@ -72,7 +77,10 @@
       m.mutable_shares(0)->set_others_wanted(std::numeric_limits<float>::quiet_NaN());
     });
     rejected([](auto& m) { m.mutable_use()->mutable_uses(0)->set_endpoint(9); });
-    rejected([](auto& m) { m.mutable_use()->mutable_uses(0)->add_unread(1); });
+    rejected([](auto& m) {
+      for (std::size_t i = 0; i <= urgency_count; ++i)
+        m.mutable_use()->mutable_uses(0)->add_unread(1);
+    });
     rejected([](auto& m) { m.mutable_deaths(0)->set_age_ms(~std::uint64_t{0}); });
     rejected([](auto& m) {
       for (int i = 0; i <= max_quarantine_items; ++i)
