Parts of the ledger's state, consistent at one offset while records go on

Cause: a checkpoint of 220,000 budgets was composed and restored as a whole: 485 and 762 bytes of memory a budget at the peak, under one hold of the ledger's lock. Change: the ledger's state is read in parts of some teams and restored from them. A part shows its teams as they were at the cut: what a record changes before its part was read is copied first. Each part replaces its teams at once, so messages and ticks may come between parts.

--- a/src/ledger/impl/budget_host.cpp
+++ b/src/ledger/impl/budget_host.cpp
@@ -158,8 +158,23 @@
 }
 
 void budget_host::restore(time_ms now, const ledger_snapshot& snapshot) {
-  context_.state.restore(snapshot);
-  for (const ledger_snapshot::recent_id& recent : snapshot.recent)
+  begin_restore();
+  restore_part(now, snapshot);
+  finish_restore(now);
+}
+
+void budget_host::restore_part(time_ms now, const ledger_snapshot& part) {
+  for (const name_index team : context_.state.restore_part(part)) {
+    witness_.sync(team);
+    holder_.sync(now, team);
+  }
+}
+
+// Only now is it known which of this host's records were read: had a grant been taken as read
+// before its team's rows were there, the holder would ask for a second one.
+void budget_host::finish_restore(time_ms now) {
+  context_.state.finish_restore();
+  for (const ledger_snapshot::recent_id& recent : context_.state.recent())
     if (context_.note_read_back(recent.id))
       holder_.on_read_back(recent.id);
   for (name_index team = 0; team < context_.state.team_count(); ++team) {
--- a/src/ledger/impl/budget_host.hpp
+++ b/src/ledger/impl/budget_host.hpp
@@ -75,6 +75,17 @@
   /// \throws error of kind `invalid_document` if the checkpoint contradicts itself
   void restore(time_ms now, const ledger_snapshot& snapshot);
 
+  /// \brief The state in parts, as `ledger_state` gives and takes them.
+  [[nodiscard]] cut_number open_cut() { return context_.state.open_cut(); }
+  [[nodiscard]] std::optional<ledger_snapshot> next_part(cut_number cut, std::size_t most_teams) {
+    return context_.state.next_part(cut, most_teams);
+  }
+  void close_cut(cut_number cut) { context_.state.close_cut(cut); }
+  /// \brief Messages and ticks may come between the parts, records may not.
+  void begin_restore() { context_.state.begin_restore(); }
+  void restore_part(time_ms now, const ledger_snapshot& part);
+  void finish_restore(time_ms now);
+
   [[nodiscard]] const ledger_state& state() const noexcept { return context_.state; }
   [[nodiscard]] const holder_role& holder() const noexcept { return holder_; }
   [[nodiscard]] const entry_role& entry() const noexcept { return entry_; }
--- a/src/ledger/impl/ledger_checkpoint.cpp
+++ b/src/ledger/impl/ledger_checkpoint.cpp
@@ -45,24 +45,47 @@
   std::uint64_t sum = 0;
   for (name_index team = 0; team < teams_.size(); ++team) {
     const team_row& row = teams_[team];
+    if (row.contract == 0 && row.spent == 0 && row.first_epoch == 0 && row.orphaned == 0)
+      continue;
     std::uint64_t hash = stable_hash(team_names_.name(team));
     for (const token_count value :
          {row.contract, row.spent, row.outstanding, row.written_off, row.orphaned})
       hash = mixed(hash, value);
-    if (row.contract != 0 || row.spent != 0 || row.first_epoch != 0 || row.orphaned != 0)
-      sum += hash;
-  }
-  for (const auto& [epoch, d] : delegations_) {
-    std::uint64_t hash = mix_hash(hash_of(d), stable_hash(team_names_.name(d.team)));
-    hash = mix_hash(hash, hash_of(hosts_[d.holder]));
-    hash = mix_hash(hash, d.witness == no_name ? 0 : hash_of(hosts_[d.witness]));
-    sum += mix_hash(hash, stable_hash(data_centres_.name(d.data_centre)));
+    sum += hash;
   }
+  for (const auto& [epoch, d] : delegations_)
+    sum += epoch_digest(d);
   for (const auto& [offset, id] : recent_)
     sum += mix_hash(offset, mix_hash(id.high, id.low));
   return sum;
 }
 
+// The same sum as `digest`, for one team of a cut.
+std::uint64_t ledger_state::row_digest(const ledger_snapshot::team_row& row,
+                                       std::span<const delegation> delegations) const {
+  token_count outstanding = 0;
+  token_count written_off = row.orphaned;
+  std::uint64_t sum = 0;
+  for (const delegation& d : delegations) {
+    outstanding += d.outstanding();
+    written_off += d.written_off();
+    sum += epoch_digest(d);
+  }
+  if (row.contract == 0 && row.spent == 0 && delegations.empty() && row.orphaned == 0)
+    return 0;
+  std::uint64_t hash = stable_hash(row.team.str());
+  for (const token_count value : {row.contract, row.spent, outstanding, written_off, row.orphaned})
+    hash = mixed(hash, value);
+  return sum + hash;
+}
+
+std::uint64_t ledger_state::epoch_digest(const delegation& d) const {
+  std::uint64_t hash = mix_hash(hash_of(d), stable_hash(team_names_.name(d.team)));
+  hash = mix_hash(hash, hash_of(hosts_[d.holder]));
+  hash = mix_hash(hash, d.witness == no_name ? 0 : hash_of(hosts_[d.witness]));
+  return mix_hash(hash, stable_hash(data_centres_.name(d.data_centre)));
+}
+
 ledger_snapshot ledger_state::snapshot() const {
   ledger_snapshot result;
   result.offset = offset_;
@@ -100,53 +123,88 @@
 // Names stay interned, because a running host that lost its place in the stream keeps indices of
 // them.
 void ledger_state::restore(const ledger_snapshot& snapshot) {
-  for (team_row& row : teams_)
-    row = {};
-  delegations_.clear();
-  recent_.clear();
-  recent_ids_.clear();
+  begin_restore();
+  restore_part(snapshot);
+  finish_restore();
+}
+
+void ledger_state::begin_restore() {
+  restoring_.emplace();
   touched_.clear();
-  offset_ = snapshot.offset;
+}
 
+// A team's row and epochs are replaced together, so whoever looks between two parts sees each team
+// as it was at the old place or as it is at the new one. Both are what replay passes through.
+std::vector<name_index> ledger_state::restore_part(const ledger_snapshot& part) {
   std::vector<name_index> teams;
-  for (const ledger_snapshot::team_row& given : snapshot.teams) {
-    teams.push_back(intern_team(given.team));
-    team_row& row = teams_[teams.back()];
+  for (const ledger_snapshot::team_row& given : part.teams) {
+    const name_index index = intern_team(given.team);
+    teams.push_back(index);
+    clear_team(index);
+    team_row& row = teams_[index];
     row.contract = given.contract;
     row.spent = given.spent;
     row.orphaned = given.orphaned;
     row.written_off = given.orphaned;
+    restoring_->given.resize(teams_.size());
+    restoring_->given[index] = true;
   }
   std::vector<name_index> hosts;
-  for (const incarnation& host : snapshot.hosts)
+  for (const incarnation& host : part.hosts)
     hosts.push_back(intern_host(host));
   std::vector<name_index> data_centres;
-  for (const data_centre_id& data_centre : snapshot.data_centres)
+  for (const data_centre_id& data_centre : part.data_centres)
     data_centres.push_back(intern_data_centre(data_centre));
+  for (const delegation& given : part.delegations)
+    add_delegation(given, teams, hosts, data_centres);
+  restoring_->recent.insert(restoring_->recent.end(), part.recent.begin(), part.recent.end());
+  restoring_->offset = part.offset;
+  restoring_->digest = part.digest;
+  return teams;
+}
+
+void ledger_state::add_delegation(const delegation& given, const std::vector<name_index>& teams,
+                                  const std::vector<name_index>& hosts,
+                                  const std::vector<name_index>& data_centres) {
+  const bool witnessed = given.witness != no_name;
+  if (given.team >= teams.size() || given.holder >= hosts.size() ||
+      (witnessed && given.witness >= hosts.size()) || given.data_centre >= data_centres.size())
+    refuse("epoch " + std::to_string(given.epoch) + " refers to a name that is not given");
+  delegation d = given;
+  d.team = teams[given.team];
+  d.holder = hosts[given.holder];
+  d.witness = witnessed ? hosts[given.witness] : no_name;
+  d.data_centre = data_centres[given.data_centre];
+  team_row& row = teams_[d.team];
+  d.next_of_team = row.first_epoch;
+  if (!delegations_.try_emplace(d.epoch, d).second)
+    refuse("epoch " + std::to_string(given.epoch) + " is given twice");
+  row.first_epoch = d.epoch;
+  row.outstanding += d.outstanding();
+  row.written_off += d.written_off();
+}
 
-  for (const delegation& given : snapshot.delegations) {
-    const bool witnessed = given.witness != no_name;
-    if (given.team >= teams.size() || given.holder >= hosts.size() ||
-        (witnessed && given.witness >= hosts.size()) || given.data_centre >= data_centres.size())
-      refuse("epoch " + std::to_string(given.epoch) + " refers to a name that is not given");
-    delegation d = given;
-    d.team = teams[given.team];
-    d.holder = hosts[given.holder];
-    d.witness = witnessed ? hosts[given.witness] : no_name;
-    d.data_centre = data_centres[given.data_centre];
-    team_row& row = teams_[d.team];
-    d.next_of_team = row.first_epoch;
-    row.first_epoch = d.epoch;
-    row.outstanding += d.outstanding();
-    row.written_off += d.written_off();
-    if (!delegations_.emplace(d.epoch, std::move(d)).second)
-      refuse("epoch " + std::to_string(given.epoch) + " is given twice");
+void ledger_state::clear_team(name_index team) {
+  keep_image(team);
+  for (epoch_number epoch = teams_[team].first_epoch; epoch != 0;) {
+    const auto found = delegations_.find(epoch);
+    epoch = found->second.next_of_team;
+    delegations_.erase(found);
   }
-  for (const ledger_snapshot::recent_id& given : snapshot.recent) {
-    recent_.push_back(given);
+  teams_[team] = {};
+}
+
+void ledger_state::finish_restore() {
+  const ledger_restore done = *std::exchange(restoring_, std::nullopt);
+  for (name_index team = 0; team < teams_.size(); ++team)
+    if (team >= done.given.size() || !done.given[team])
+      clear_team(team);
+  offset_ = done.offset;
+  recent_.assign(done.recent.begin(), done.recent.end());
+  recent_ids_.clear();
+  for (const ledger_snapshot::recent_id& given : recent_)
     recent_ids_.insert(given.id);
-  }
-  if (digest() != snapshot.digest)
+  if (digest() != done.digest)
     refuse("the rows do not have the digest that the checkpoint states");
 }
 
--- a/src/ledger/impl/ledger_state.cpp
+++ b/src/ledger/impl/ledger_state.cpp
@@ -10,6 +10,7 @@
 void ledger_state::on_contract(log_offset offset, const team_id& team, token_count bought) {
   offset_ = std::max(offset_, offset);
   const name_index index = intern_team(team);
+  keep_image(index);
   teams_[index].contract = std::max<token_count>(bought, 0);
   touched_.assign(1, index);
 }
@@ -18,6 +19,9 @@
   touched_.clear();
   if (offset <= offset_)
     return record_verdict::repeated;
+  if (!cuts_.empty())
+    for (const name_index team : teams_of(record))
+      keep_image(team);
   offset_ = offset;
   forget_old_ids(offset);
   return std::visit([&](const auto& body) { return apply(offset, record.id, body); }, record.body);
--- a/src/ledger/impl/ledger_state.hpp
+++ b/src/ledger/impl/ledger_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ledger/impl/delegation.hpp"
+#include "ledger/impl/ledger_cut.hpp"
 #include "ledger/impl/ledger_snapshot.hpp"
 #include "ledger/impl/name_table.hpp"
 #include "ledger/impl/options.hpp"
@@ -10,6 +11,8 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <deque>
+#include <map>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -37,6 +40,10 @@
   [[nodiscard]] std::span<const name_index> touched() const noexcept { return touched_; }
 
   [[nodiscard]] log_offset offset() const noexcept { return offset_; }
+  /// \returns the ids of grants and releases within the repeat window, oldest first.
+  [[nodiscard]] const std::deque<ledger_snapshot::recent_id>& recent() const noexcept {
+    return recent_;
+  }
   [[nodiscard]] std::size_t team_count() const noexcept { return teams_.size(); }
   [[nodiscard]] std::size_t delegation_count() const noexcept { return delegations_.size(); }
 
@@ -81,6 +88,23 @@
   /// then unchanged only if the caller restores another
   void restore(const ledger_snapshot& snapshot);
 
+  /// \brief Starts to read the present state in parts; records may be applied between them.
+  [[nodiscard]] cut_number open_cut();
+  /// \returns the next part of at most `most_teams` teams, or nothing after the last. The last one
+  /// has the digest of the whole; only the first has the remembered ids.
+  [[nodiscard]] std::optional<ledger_snapshot> next_part(cut_number cut, std::size_t most_teams);
+  void close_cut(cut_number cut);
+
+  /// \brief Starts to replace the state by the parts of another one. Each part replaces its teams
+  /// at once. Until the end no record may be applied; `offset()` stays what it was.
+  void begin_restore();
+  /// \returns the teams that the part replaced
+  /// \throws error of kind `invalid_document` if the part contradicts itself
+  std::vector<name_index> restore_part(const ledger_snapshot& part);
+  /// \throws error of kind `invalid_document` if the whole does not have the digest that the last
+  /// part stated
+  void finish_restore();
+
  private:
   struct team_row {
     token_count contract{};
@@ -106,6 +130,17 @@
   void close(delegation& d, const epoch_report& item);
   record_verdict release_orphaned(name_index team, const release& body);
 
+  [[nodiscard]] std::uint64_t row_digest(const ledger_snapshot::team_row& row,
+                                         std::span<const delegation> delegations) const;
+  [[nodiscard]] std::uint64_t epoch_digest(const delegation& d) const;
+  [[nodiscard]] ledger_cut::team_image image_of(name_index team) const;
+  [[nodiscard]] std::vector<name_index> teams_of(const ledger_record& record) const;
+  void keep_image(name_index team);
+  void clear_team(name_index team);
+  void add_delegation(const delegation& given, const std::vector<name_index>& teams,
+                      const std::vector<name_index>& hosts,
+                      const std::vector<name_index>& data_centres);
+
   [[nodiscard]] delegation* find_mutable(epoch_number epoch);
   void take_out(const delegation& d);
   void put_back(const delegation& d);
@@ -127,6 +162,9 @@
   std::deque<ledger_snapshot::recent_id> recent_;
   absl::flat_hash_set<record_id> recent_ids_;
   std::vector<name_index> touched_;
+  std::map<cut_number, ledger_cut> cuts_;
+  cut_number last_cut_{0};
+  std::optional<ledger_restore> restoring_;
 };
 
 } // namespace sedgechute::ledger
--- a/src/ledger/impl/options.hpp
+++ b/src/ledger/impl/options.hpp
@@ -26,6 +26,7 @@
   grant_above_pool,      ///< a grant may exceed the pool
   reclaim_released,      ///< reclaim what an operator has released before
   trust_old_incarnation, ///< answer messages addressed to an earlier incarnation
+  cut_without_images,    ///< parts of a checkpoint show what came after its offset
 };
 
 /// \brief Sizes and waits of the ledger. Waits affect liveness only, never correctness.
@@ -83,5 +84,6 @@
                                                 {return_reserved, "return_reserved"},
                                                 {grant_above_pool, "grant_above_pool"},
                                                 {reclaim_released, "reclaim_released"},
-                                                {trust_old_incarnation, "trust_old_incarnation"}});
+                                                {trust_old_incarnation, "trust_old_incarnation"},
+                                                {cut_without_images, "cut_without_images"}});
 };
--- a/tests/ledger/fleet_model.cpp
+++ b/tests/ledger/fleet_model.cpp
@@ -88,6 +88,7 @@
   h.paused = false;
   h.draining = false;
   h.read_upto = 0;
+  h.incoming.clear();
   h.budgets = std::make_unique<budget_host>(h.id, h.data_centre, options_.ledger, random_());
 }
 
@@ -178,10 +179,8 @@
   fake_host& h = hosts_[index];
   if (h.paused || h.log_cut || log_down_)
     return;
-  if (h.read_upto + 1 < first_retained_) {
-    h.budgets->restore(now_, *checkpoint_);
-    h.read_upto = checkpoint_->offset;
-  }
+  if (!h.incoming.empty() || h.read_upto + 1 < first_retained_)
+    return restore_next_part(h);
   for (; most > 0 && h.read_upto < log_.size(); --most) {
     const log_entry& entry = log_[h.read_upto++];
     if (entry.record)
@@ -328,6 +327,7 @@
 
 void fleet_model::run_round() {
   now_ += round_span;
+  advance_checkpoint();
   for (std::size_t left = network_.size(); left > 0 && !network_.empty(); --left)
     deliver(0, false);
   for (std::size_t left = appends_.size(); left > 0; --left)
--- a/tests/ledger/fleet_model.hpp
+++ b/tests/ledger/fleet_model.hpp
@@ -2,6 +2,7 @@
 
 #include "ledger/ledger.hpp"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -141,6 +142,15 @@
     bool log_cut{};
     bool draining{};
     log_offset read_upto{};
+    std::deque<ledger_snapshot> incoming; ///< parts of a checkpoint that are still to be restored
+  };
+  /// A checkpoint that one host is giving part by part while it goes on with its work.
+  struct open_checkpoint {
+    std::uint32_t host{};
+    incarnation giver;
+    cut_number cut{};
+    ledger_snapshot whole;
+    std::vector<ledger_snapshot> parts;
   };
   struct in_flight {
     incarnation from;
@@ -172,6 +182,10 @@
   void deliver(std::size_t index, bool keep);
   void append(std::size_t index, bool keep);
   void read_log(std::uint32_t index, std::size_t most);
+  void restore_next_part(fake_host& h);
+  void start_checkpoint(std::uint32_t index);
+  void advance_checkpoint();
+  void finish_checkpoint();
   void see_members(std::uint32_t index);
   void begin(std::uint32_t host, std::uint32_t key);
   void decided(std::uint32_t host, const budget_decision& decision);
@@ -196,7 +210,8 @@
   std::vector<ledger_record> appends_;
   std::vector<log_entry> log_; ///< offset - 1
   log_offset first_retained_{1};
-  std::optional<ledger_snapshot> checkpoint_;
+  std::optional<open_checkpoint> open_checkpoint_;
+  std::vector<ledger_snapshot> checkpoint_; ///< parts of the last whole one
   bool log_down_{};
   std::set<record_id> applied_; ///< grants and releases
   ledger_state reference_;      ///< has read everything
--- a/tests/ledger/fleet_steps.cpp
+++ b/tests/ledger/fleet_steps.cpp
@@ -16,6 +16,7 @@
 } // namespace
 
 void fleet_model::apply(const step& s) {
+  advance_checkpoint();
   const auto count = static_cast<std::uint32_t>(hosts_.size());
   const std::uint32_t index = s.a % count;
   fake_host& h = hosts_[index];
@@ -121,11 +122,11 @@
     break;
   case step_kind::checkpoint:
     if (!h.paused && h.read_upto >= first_retained_)
-      checkpoint_ = h.budgets->snapshot();
+      start_checkpoint(index);
     break;
   case step_kind::trim:
-    if (checkpoint_)
-      first_retained_ = std::max(first_retained_, checkpoint_->offset + 1);
+    if (!checkpoint_.empty())
+      first_retained_ = std::max(first_retained_, checkpoint_.front().offset + 1);
     break;
   case step_kind::release:
     release(s.b);
