Datagrams between hosts can be sealed with shared keys

Cause: membership datagrams are believed whoever sends them; who reaches a host's port can empty its view. Change: datagram_seal in src/wire authenticates a datagram with HMAC-SHA256 (OpenSSL, which POCO's TLS library brings), for one purpose, with several keys so that they rotate with overlap. A window of a sender's numbers drops copies. Probes are numbered from a random start in each process, so that a late or replayed answer to an earlier process is none to this one. Not used by the daemon yet.

--- a/src/kernel/impl/ordered_mutex.hpp
+++ b/src/kernel/impl/ordered_mutex.hpp
@@ -19,6 +19,7 @@
   queues,      ///< waiting requests by pool and team
   endpoints,   ///< load, health and connections of endpoints
   outbox,      ///< messages and log records on their way out
+  credentials, ///< keys and certificates in use
   telemetry,   ///< metrics, events, rate-limited logs
   worker_pool, ///< tasks waiting for a worker
 };
@@ -35,6 +36,7 @@
                                                          {lock_rank::queues, "queues"},
                                                          {lock_rank::endpoints, "endpoints"},
                                                          {lock_rank::outbox, "outbox"},
+                                                         {lock_rank::credentials, "credentials"},
                                                          {lock_rank::telemetry, "telemetry"},
                                                          {lock_rank::worker_pool, "worker_pool"}});
 };
--- a/src/membership/impl/membership.cpp
+++ b/src/membership/impl/membership.cpp
@@ -8,13 +8,17 @@
 namespace {
 
 constexpr std::size_t most_relays = 64;
+constexpr unsigned sequence_start_shift = 32;
 
 } // namespace
 
 membership::membership(incarnation self, data_centre_id data_centre, std::string address,
                        const membership_options& options, std::uint64_t seed)
     : table_{{std::move(self), std::move(data_centre), std::move(address), 1}, options, seed},
-      options_{options}, random_{mix_hash(seed, 1)} {}
+      options_{options}, random_{mix_hash(seed, 1)},
+      // An answer to a probe of an earlier process of this host, late or replayed, must not be
+      // taken for the answer to one of ours.
+      last_sequence_{mix_hash(seed, 2) >> sequence_start_shift} {}
 
 void membership::on_host_list(time_ms, const std::vector<listed_host>& entries) {
   listed_ = entries;
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -5,6 +5,7 @@
 /// and the structs of the pure libraries. `from_wire` checks whatever it is given.
 
 #include "wire/impl/claims_codec.hpp"
+#include "wire/impl/datagram_seal.hpp"
 #include "wire/impl/document_codec.hpp"
 #include "wire/impl/ledger_codec.hpp"
 #include "wire/impl/membership_codec.hpp"
