Engines get their orders from the daemon

Cause: order_planner and pool_claims were written and tested, but no host used them: a model that the fleet settings list was loaded by nobody, and a lost engine's models stayed lost. Load reports also could not say "nothing is loaded": a report without names stood for "as before", so an engine that restarted empty counted as loaded.

Change: order_service claims each engine pool by a log record (in checkpoints too), plans once a second from the engines' reports and the fleet settings, asks the weight store before a load and sends the orders. A new decider first makes its number known to every engine that honours fencing, by an order that changes nothing. The planner lets an old version go only when its engine has the new one or enough others have it, changes one engine at a time where there is no room, gives up open loads that are no longer listed, and does not repeat a done order until reports have had time to show it. Reports say whether they name what is loaded. `explain pool` names the decider, the number, the orders with their reasons, and what is withheld; sedgechute_orders_total counts sent and withheld as well. The stand-in engine keeps versions apart.

Conclusion: loads, unloads, versions, adapters and roles follow the settings and demand without an operator. Roles are split evenly, since requests are not yet sent by role.

--- a/src/daemon/impl/admin_api.hpp
+++ b/src/daemon/impl/admin_api.hpp
@@ -4,6 +4,7 @@
 #include "daemon/impl/host_status.hpp"
 #include "daemon/impl/log_replayer.hpp"
 #include "daemon/impl/membership_service.hpp"
+#include "daemon/impl/order_service.hpp"
 #include "gateway/gateway.hpp"
 #include "telemetry/telemetry.hpp"
 
@@ -26,6 +27,7 @@
   budget_service& budgets;
   claim_service& claims;
   dispatch_service& dispatch;
+  order_service& orders;
   record_appender& log;
   log_replayer& replayer;
   host_status& status;
--- a/src/daemon/impl/admin_explain.cpp
+++ b/src/daemon/impl/admin_explain.cpp
@@ -30,6 +30,36 @@
   Poco::JSON::Array facts_;
 };
 
+std::string describe(const order_record& given, time_ms now) {
+  const engine_order& order = given.order;
+  std::string text{name_of(order.action)};
+  text.append(" ").append(order.action == order_action::role ? std::string{name_of(order.role)}
+                                                             : to_string(order.item));
+  text.append(" at ").append(order.endpoint.str());
+  text.append(", fencing ").append(std::to_string(order.fencing));
+  text.append(", sent ").append(std::to_string((now - given.first_sent).count()));
+  return text.append(" ms ago: ").append(name_of(given.state));
+}
+
+// Only the deciding host knows what it ordered, so every other one names it.
+void add_orders(admin_context& host, const pool_id& pool, fact_list& facts) {
+  const pool_orders told = host.orders.describe(pool);
+  if (!told.decider) {
+    facts.add("decider", "none", "no host gives orders to this pool's engines");
+    return;
+  }
+  const bool here = told.decider->host == host.self;
+  facts.add("decider", told.decider->host.host.str(),
+            here ? "this host gives the orders"
+                 : "gives the orders to this pool's engines; ask it what and why");
+  facts.add("fencing", told.decider->epoch, "number under which the orders are given now");
+  const time_ms now = host.time.now();
+  for (const order_record& given : told.records)
+    facts.add("order " + std::to_string(given.order.id), describe(given, now), given.order.why);
+  for (const std::string& reason : told.withheld)
+    facts.add("withheld", reason, "wanted, but not ordered");
+}
+
 Object explain_pool(admin_context& host, const pool_id& pool) {
   const auto figures = host.dispatch.figures(pool);
   fact_list facts;
@@ -44,6 +74,7 @@
       facts.add("team " + team.team.str(), team.queued,
                 "waiting; weight " + std::to_string(team.weight) + ", running " +
                     std::to_string(team.running));
+  add_orders(host, pool, facts);
   const bool none = figures.load.endpoints == 0;
   const bool full = figures.load.at_endpoints >= figures.load.places;
   return facts.with_summary(none   ? "no endpoint of the pool takes new work"
--- a/src/daemon/impl/dispatch_service.cpp
+++ b/src/daemon/impl/dispatch_service.cpp
@@ -12,6 +12,9 @@
 constexpr int last_interactive_priority = 2;
 constexpr int last_standard_priority = 6;
 constexpr std::uint64_t bytes_per_token = 4;
+// Reports of endpoints in other data centres come each few rounds; one without any for so long is
+// down, or cut off from every host.
+constexpr time_ms report_life{20000};
 
 work_class class_of(int priority) noexcept {
   if (priority <= last_interactive_priority)
@@ -72,13 +75,13 @@
     const endpoint_id id{entry.name};
     now_listed.emplace(id, entry);
     table_.add({id, entry.pool, entry.data_centre});
-    const bool own_word = own_word_leaving_.contains(id) && own_word_leaving_[id];
-    table_.set_leaving(id, own_word || entry.state == listed_state::leaving ||
-                               is_drained(fleet_.get(), id));
+    table_.set_leaving(id, is_leaving(entry));
   }
   for (const auto& [id, entry] : listed_)
-    if (!now_listed.contains(id))
+    if (!now_listed.contains(id)) {
       table_.remove(id);
+      reports_.erase(id);
+    }
   listed_ = std::move(now_listed);
   for (auto& [id, state] : pools_)
     pump(state);
@@ -122,14 +125,39 @@
   const std::scoped_lock lock{mutex_};
   table_.apply_report(endpoint, report, time_.now());
   table_.reachable(endpoint);
+  if (listed_.contains(endpoint))
+    reports_[endpoint] = {report, time_.now()};
+}
+
+bool dispatch_service::is_leaving(const host_list_entry& entry) const {
+  const endpoint_id id{entry.name};
+  const auto own_word = own_word_leaving_.find(id);
+  return entry.state == listed_state::leaving || is_drained(fleet_.get(), id) ||
+         (own_word != own_word_leaving_.end() && own_word->second);
+}
+
+std::vector<reported_engine> dispatch_service::reported_engines(const pool_id& pool) const {
+  const std::scoped_lock lock{mutex_};
+  std::vector<reported_engine> engines;
+  for (const auto& [id, entry] : listed_) {
+    if (entry.pool != pool)
+      continue;
+    reported_engine engine{id, entry.data_centre, entry.address, is_leaving(entry), false, {}};
+    const auto heard = reports_.find(id);
+    if (heard != reports_.end()) {
+      engine.report = heard->second.report;
+      engine.heard = engine.report.loaded_known && time_.now() - heard->second.at < report_life;
+    }
+    engines.push_back(std::move(engine));
+  }
+  return engines;
 }
 
 void dispatch_service::on_leaving(const endpoint_id& endpoint, bool leaving) {
   const std::scoped_lock lock{mutex_};
   own_word_leaving_[endpoint] = leaving;
   const auto listed = listed_.find(endpoint);
-  const bool by_list = listed != listed_.end() && listed->second.state == listed_state::leaving;
-  table_.set_leaving(endpoint, leaving || by_list || is_drained(fleet_.get(), endpoint));
+  table_.set_leaving(endpoint, listed == listed_.end() ? leaving : is_leaving(listed->second));
 }
 
 void dispatch_service::on_cache_event(const endpoint_id& endpoint, std::uint64_t block,
--- a/src/daemon/impl/dispatch_service.hpp
+++ b/src/daemon/impl/dispatch_service.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "config/config.hpp"
+#include "daemon/impl/order_goal.hpp"
 #include "gateway/gateway.hpp"
 #include "platform/platform.hpp"
 #include "routing/routing.hpp"
@@ -42,6 +43,9 @@
   /// \returns the entry hosts that the platform's list names.
   [[nodiscard]] std::vector<host_list_entry> entry_hosts() const;
 
+  /// \returns the pool's endpoints with their own reports, for whoever gives orders to them.
+  [[nodiscard]] std::vector<reported_engine> reported_engines(const pool_id& pool) const;
+
   /// \returns where an endpoint serves; empty when it is not listed.
   [[nodiscard]] std::string address_of(const endpoint_id& endpoint) const;
 
@@ -103,6 +107,12 @@
     team_limits limits;
   };
 
+  struct heard_report {
+    load_report report;
+    time_ms at;
+  };
+
+  [[nodiscard]] bool is_leaving(const host_list_entry& entry) const;
   [[nodiscard]] pool_state& pool(const pool_id& id);
   void learn_team(const access_grant& grant);
   void pump(pool_state& state);
@@ -121,6 +131,7 @@
   contract_source contracts_;
   std::map<team_id, known_team> teams_; ///< those that have had work here
   std::map<endpoint_id, host_list_entry> listed_;
+  std::map<endpoint_id, heard_report> reports_; ///< the last one of each listed endpoint
   std::vector<host_list_entry> entry_hosts_;
   std::map<endpoint_id, bool> own_word_leaving_;
   std::shared_ptr<const fleet_settings> fleet_;
--- a/src/daemon/impl/host.cpp
+++ b/src/daemon/impl/host.cpp
@@ -97,12 +97,18 @@
               peers_,
               appender_,
               [this](const endpoint_id& id) { return dispatch_.address_of(id); }},
-      state_{documents_, budgets_, claims_, dispatch_}, replayer_{self_,
-                                                                  make_log(settings_.platform),
-                                                                  state_,
-                                                                  peers_,
-                                                                  time_,
-                                                                  replay_options_of(settings_)},
+      orders_{self_,
+              dispatch_,
+              documents_,
+              appender_,
+              std::make_unique<http_weight_store_client>(target_of(settings_.platform.weights),
+                                                         settings_.platform.timeout),
+              time_,
+              metrics_,
+              events_},
+      state_{documents_, budgets_, claims_, dispatch_, orders_},
+      replayer_{self_, make_log(settings_.platform), state_, peers_,
+                time_, replay_options_of(settings_)},
       loads_{self_, settings_.data_centre, dispatch_, peers_, time_, time_ms{500}},
       shares_{self_, settings_.data_centre, dispatch_, peers_, time_}, connections_{timeouts_of(
                                                                            settings_)},
@@ -139,8 +145,8 @@
   loads_.start();
   start_loops();
   admin_ = std::make_unique<admin_router>(admin_context{
-      settings_, self_, time_, documents_, budgets_, claims_, dispatch_, appender_, replayer_,
-      status_, events_, burn_, metrics_, peers_, [this] { return membership_->view(); },
+      settings_, self_, time_, documents_, budgets_, claims_, dispatch_, orders_, appender_,
+      replayer_, status_, events_, burn_, metrics_, peers_, [this] { return membership_->view(); },
       [this] { return dispatch_.entry_hosts(); }, [this] { request_stop(); }});
   operators_ = listen(settings_.listen.admin,
                       [this](caller_exchange& exchange) { admin_->serve(exchange); });
@@ -183,6 +189,7 @@
   replayer_.on_view(view);
   loads_.on_view(view);
   shares_.on_view(view);
+  orders_.on_view(view);
   claims_.on_view(view);
   budgets_.on_view(view);
 }
@@ -197,6 +204,7 @@
     budgets_.tick();
     claims_.tick();
   });
+  every(review_tick, [this] { orders_.tick(); });
   every(review_tick, [this] {
     dispatch_.review();
     shares_.exchange();
--- a/src/daemon/impl/host.hpp
+++ b/src/daemon/impl/host.hpp
@@ -6,6 +6,7 @@
 #include "daemon/impl/host_status.hpp"
 #include "daemon/impl/log_replayer.hpp"
 #include "daemon/impl/membership_service.hpp"
+#include "daemon/impl/order_service.hpp"
 #include "daemon/impl/peer_answers.hpp"
 #include "gateway/gateway.hpp"
 #include "telemetry/telemetry.hpp"
@@ -63,6 +64,7 @@
   dispatch_service dispatch_;
   budget_service budgets_;
   claim_service claims_;
+  order_service orders_;
   replicated_state state_;
   log_replayer replayer_;
   load_poller loads_;
--- a/src/daemon/impl/load_poller.cpp
+++ b/src/daemon/impl/load_poller.cpp
@@ -47,6 +47,7 @@
   load.set_age_ms(object.optValue<Poco::UInt32>("age_ms", 0));
   const auto role = value_named<endpoint_role>(object.optValue<std::string>("role", "any"));
   load.set_role(static_cast<std::uint32_t>(role.value_or(endpoint_role::any)));
+  load.set_names_loaded(true);
   for (std::string& model : names_in(object, "models"))
     load.add_models(std::move(model));
   for (std::string& adapter : names_in(object, "adapters"))
@@ -76,6 +77,7 @@
   for (const std::string& model : load.models())
     report.models.push_back(parse_model(model));
   report.adapters.assign(load.adapters().begin(), load.adapters().end());
+  report.loaded_known = load.names_loaded();
   return report;
 }
 
@@ -213,10 +215,12 @@
   {
     const std::scoped_lock lock{mutex_};
     wire::endpoint_load& known = loaded_[load.endpoint()];
-    if (load.models_size() + load.adapters_size() > 0) {
+    if (load.names_loaded()) {
+      known.set_names_loaded(true);
       *known.mutable_models() = load.models();
       *known.mutable_adapters() = load.adapters();
     } else {
+      load.set_names_loaded(known.names_loaded());
       *load.mutable_models() = known.models();
       *load.mutable_adapters() = known.adapters();
     }
@@ -233,6 +237,7 @@
   const bool full = round_ % full_every == 1;
   for (wire::endpoint_load& load : *brief.mutable_loads()) {
     if (!full) {
+      load.set_names_loaded(false);
       load.clear_models();
       load.clear_adapters();
     }
--- a/src/daemon/impl/replicated_state.cpp
+++ b/src/daemon/impl/replicated_state.cpp
@@ -33,6 +33,8 @@
       budgets_.on_record(offset, from_wire(record.ledger()));
     else if (record.has_claims())
       claims_.on_record(offset, from_wire(record.claims()));
+    else if (record.has_pool())
+      orders_.on_claim(offset, from_wire(record.pool()));
   } catch (const error&) {
     ++unreadable_;
   }
@@ -69,6 +71,8 @@
   *whole.mutable_documents() = to_wire(documents_.snapshot());
   *whole.mutable_ledger() = to_wire(budgets_.snapshot());
   *whole.mutable_claims() = to_wire(claims_.snapshot());
+  for (const decided_pool& decided : orders_.snapshot())
+    *whole.add_pools() = to_wire(decided);
   return whole.SerializeAsString();
 }
 
@@ -82,6 +86,10 @@
   documents_.restore(from_wire(whole.documents()));
   budgets_.restore(from_wire(whole.ledger()));
   claims_.restore(from_wire(whole.claims()));
+  std::vector<decided_pool> decided;
+  for (const wire::decided_pool& one : whole.pools())
+    decided.push_back(from_wire(one));
+  orders_.restore(decided);
   if (const auto fleet = documents_.fleet())
     dispatch_.on_fleet(fleet);
   const std::scoped_lock tail_lock{tail_mutex_};
--- a/src/daemon/impl/replicated_state.hpp
+++ b/src/daemon/impl/replicated_state.hpp
@@ -4,6 +4,7 @@
 #include "daemon/impl/claim_service.hpp"
 #include "daemon/impl/dispatch_service.hpp"
 #include "daemon/impl/document_service.hpp"
+#include "daemon/impl/order_service.hpp"
 
 #include <atomic>
 #include <deque>
@@ -16,8 +17,9 @@
 class replicated_state {
  public:
   replicated_state(document_service& documents, budget_service& budgets, claim_service& claims,
-                   dispatch_service& dispatch)
-      : documents_{documents}, budgets_{budgets}, claims_{claims}, dispatch_{dispatch} {}
+                   dispatch_service& dispatch, order_service& orders)
+      : documents_{documents}, budgets_{budgets}, claims_{claims}, dispatch_{dispatch},
+        orders_{orders} {}
 
   /// \brief Applies the record at `offset`, which must be above `position()`; lower ones are
   /// known already and are skipped.
@@ -47,6 +49,7 @@
   budget_service& budgets_;
   claim_service& claims_;
   dispatch_service& dispatch_;
+  order_service& orders_;
   std::atomic<std::uint64_t> position_{0};
   std::atomic<std::uint64_t> unreadable_{0};
   mutable ordered_mutex applying_{lock_rank::lifecycle};
--- a/src/routing/impl/endpoint_info.hpp
+++ b/src/routing/impl/endpoint_info.hpp
@@ -44,6 +44,7 @@
   double tokens_per_s{};        ///< how fast it writes answers, all streams together
   std::vector<model_version> models;
   std::vector<std::string> adapters;
+  bool loaded_known{}; ///< models and adapters are as the endpoint last told them
   endpoint_role role{endpoint_role::any};
   time_ms age; ///< how old the figures were when they arrived
 };
--- a/src/routing/impl/engine_order.hpp
+++ b/src/routing/impl/engine_order.hpp
@@ -32,7 +32,7 @@
   done,      ///< the engine said so, or its report shows it
   failed,    ///< the engine refused or could not; planned anew after a while
   fenced,    ///< the engine has seen a newer epoch: this host no longer decides
-  abandoned, ///< the engine is gone
+  abandoned, ///< the engine is gone, or the order was never sent
 };
 
 template <>
@@ -59,6 +59,7 @@
 struct order_record {
   engine_order order;
   order_state state{order_state::sent};
+  bool answered{}; ///< the engine says that it is done; its report has yet to show it
   time_ms first_sent;
   time_ms last_sent;
   time_ms ended;
--- a/src/routing/impl/order_planner.cpp
+++ b/src/routing/impl/order_planner.cpp
@@ -78,6 +78,8 @@
     return;
   epoch_ = epoch;
   next_order_ = 0;
+  introduced_.clear();
+  introductions_.clear();
   // Orders of an epoch that is over are not repeated: their number would be refused, or worse,
   // taken by an engine that does not check it.
   for (order_record& record : records_)
@@ -89,15 +91,26 @@
   return std::ranges::count(records_, order_state::sent, &order_record::state);
 }
 
-void order_planner::close_finished(std::span<const engine_view> engines, time_ms now) {
+std::size_t order_planner::open_orders(order_action action) const {
+  return std::ranges::count_if(records_, [action](const order_record& record) {
+    return record.state == order_state::sent && record.order.action == action;
+  });
+}
+
+void order_planner::close_finished(const pool_goal& goal, std::span<const engine_view> engines,
+                                   time_ms now) {
   for (order_record& record : records_) {
     if (record.state != order_state::sent)
       continue;
     const auto engine = std::ranges::find(engines, record.order.endpoint, &engine_view::endpoint);
-    if (engine == engines.end() || !engine->usable)
-      record.state = order_state::abandoned;
-    else if (shows_done(*engine, record.order))
+    const bool gone = engine == engines.end() || !engine->usable;
+    // A repeat of a load that is no longer listed would bring back what is not wanted any more.
+    const bool unwanted =
+        record.order.action == order_action::load && !listed(goal, record.order.item);
+    if (!gone && shows_done(*engine, record.order))
       record.state = order_state::done;
+    else if (gone || unwanted)
+      record.state = order_state::abandoned;
     else
       continue;
     record.ended = now;
@@ -123,7 +136,8 @@
       engine->held.push_back(record.order.item);
     if (record.order.action == order_action::unload)
       std::erase(engine->held, record.order.item);
-    if (now - record.last_sent >= policy_.repeat_after) {
+    const time_ms patience = record.answered ? policy_.shown_within : policy_.repeat_after;
+    if (now - record.last_sent >= patience) {
       record.last_sent = now;
       due_.push_back(record.order);
     }
@@ -169,7 +183,7 @@
   if (order.action == order_action::unload)
     std::erase(engine.held, order.item);
   due_.push_back(order);
-  records_.push_back({std::move(order), order_state::sent, now, now, {}});
+  records_.push_back({std::move(order), order_state::sent, false, now, now, {}});
   if (records_.size() > policy_.records_kept)
     records_.pop_front();
 }
@@ -185,6 +199,12 @@
                         ": the engines ignore fencing numbers, and a late unload would do harm");
     return;
   }
+  // One engine at a time: an engine whose model is being replaced serves neither, and a change of
+  // version on engines with one place each would otherwise stop the whole pool.
+  if (open_orders(order_action::unload) + open_orders(order_action::load) > 0) {
+    withheld_.push_back("load of " + to_string(item) + ": another engine is being changed");
+    return;
+  }
   for (engine_state& engine : engines) {
     if (engine.busy || holds(engine.held, item))
       continue;
@@ -262,6 +282,28 @@
   }
 }
 
+// An old version goes on answering until its engine has a listed one, or enough others have it;
+// otherwise a change of version would leave the model's requests without an engine for a while.
+bool order_planner::awaits_other_version(const pool_goal& goal,
+                                         const std::vector<engine_state>& engines,
+                                         const engine_state& engine, const loadable& old) const {
+  const auto reported_holders = [&](const loadable& item) {
+    return std::ranges::count_if(
+        engines, [&](const engine_state& other) { return holds(other.view->held, item); });
+  };
+  bool short_of_one = false;
+  for (const item_goal& wanted : goal.items) {
+    if (!wanted.item.adapter.empty() || wanted.item.model.model != old.model.model)
+      continue;
+    if (holds(engine.view->held, wanted.item))
+      return false;
+    const auto known = items_.find(wanted.item);
+    short_of_one = short_of_one || known == items_.end() ||
+                   reported_holders(wanted.item) < std::int64_t{known->second.wanted};
+  }
+  return old.adapter.empty() && short_of_one;
+}
+
 // What no settings list any more goes; a mere surplus of a listed item stays until room is needed.
 void order_planner::drop_surplus(const pool_goal& goal, std::vector<engine_state>& engines,
                                  time_ms now) {
@@ -269,7 +311,8 @@
     if (engine.busy || open_orders() >= policy_.most_open)
       continue;
     for (const loadable& held : engine.view->held) {
-      if (listed(goal, held) || !may_order(engine.view->endpoint, order_action::unload, held, now))
+      if (listed(goal, held) || awaits_other_version(goal, engines, engine, held) ||
+          !may_order(engine.view->endpoint, order_action::unload, held, now))
         continue;
       if (!goal.honours_fencing) {
         withheld_.push_back(
@@ -327,7 +370,7 @@
   due_.clear();
   if (epoch_ == 0)
     return {};
-  close_finished(engines, now);
+  close_finished(goal, engines, now);
   std::vector<engine_state> states = states_of(engines, now);
   settle_goals(goal, now);
   fill(goal, states, now);
@@ -336,8 +379,40 @@
   return std::exchange(due_, {});
 }
 
+// The former decider may be paused with an order in its hands. An engine that has heard nothing of
+// this epoch would carry it out whenever it arrives; one that has will refuse it. The order that
+// tells it asks for the role that it has.
+std::vector<engine_order> order_planner::introductions(std::span<const engine_view> engines,
+                                                       time_ms now) {
+  std::vector<engine_order> orders;
+  if (epoch_ == 0)
+    return orders;
+  for (const engine_view& engine : engines) {
+    introduction& told = introduced_[engine.endpoint];
+    const bool asked = told.order != 0 && now - told.sent < policy_.repeat_after;
+    if (!engine.usable || told.heard || asked)
+      continue;
+    engine_order order = role_order(engine.role, "tells it the number of the new decider");
+    order.id = epoch_ * orders_per_epoch + ++next_order_;
+    order.fencing = epoch_;
+    order.endpoint = engine.endpoint;
+    told.order = order.id;
+    told.sent = now;
+    introductions_[order.id] = engine.endpoint;
+    orders.push_back(std::move(order));
+  }
+  return orders;
+}
+
 void order_planner::note_answer(std::uint64_t order, order_answer answer, time_ms retry_after,
                                 time_ms now) {
+  if (const auto introduced = introductions_.find(order); introduced != introductions_.end()) {
+    introduced_[introduced->second].heard = answer == order_answer::done;
+    introductions_.erase(introduced);
+    if (answer == order_answer::newer_epoch)
+      set_epoch(0);
+    return;
+  }
   const auto record = std::ranges::find_if(
       records_, [order](const order_record& r) { return r.order.id == order; });
   if (record == records_.end() || record->state != order_state::sent)
@@ -347,12 +422,14 @@
     // Open until the engine's report shows it: its report lags, and planning from the old one would
     // order the same again.
     record->last_sent = now;
+    record->answered = true;
     return;
   case order_answer::failed:
     record->state = order_state::failed;
     break;
   case order_answer::rate_limited:
-    record->state = order_state::failed;
+    // It was not sent, so it says nothing against this engine.
+    record->state = order_state::abandoned;
     store_closed_until_ = std::max(store_closed_until_, now + retry_after);
     break;
   case order_answer::newer_epoch:
--- a/src/routing/impl/order_planner.hpp
+++ b/src/routing/impl/order_planner.hpp
@@ -13,10 +13,11 @@
   std::uint32_t models_per_engine{2};
   double loads_per_s{0.2}; ///< what the weight store allows this pool
   double load_burst{2.0};
-  std::uint32_t most_open{4}; ///< orders without an answer at once
-  time_ms repeat_after{5000}; ///< without an answer
-  time_ms retry_after{30000}; ///< after a failure
-  time_ms settle{20000};      ///< a lower goal must last this long before anything is unloaded
+  std::uint32_t most_open{4};  ///< orders without an answer at once
+  time_ms repeat_after{5000};  ///< without an answer
+  time_ms shown_within{30000}; ///< a done order is given again if no report shows it by then
+  time_ms retry_after{30000};  ///< after a failure
+  time_ms settle{20000};       ///< a lower goal must last this long before anything is unloaded
   std::size_t records_kept{256};
 };
 
@@ -52,6 +53,11 @@
   [[nodiscard]] std::vector<engine_order> plan(const pool_goal& goal,
                                                std::span<const engine_view> engines, time_ms now);
 
+  /// \brief Orders that change nothing and make this epoch known to engines that honour fencing
+  /// and have not heard of it. To be sent before those of `plan`.
+  [[nodiscard]] std::vector<engine_order> introductions(std::span<const engine_view> engines,
+                                                        time_ms now);
+
   /// \param retry_after  asked for by the weight store
   void note_answer(std::uint64_t order, order_answer answer, time_ms retry_after, time_ms now);
 
@@ -60,6 +66,7 @@
   /// \returns what is wanted but not ordered, and why
   [[nodiscard]] const std::vector<std::string>& withheld() const noexcept { return withheld_; }
   [[nodiscard]] std::uint64_t epoch() const noexcept { return epoch_; }
+  [[nodiscard]] const planner_policy& policy() const noexcept { return policy_; }
 
  private:
   struct engine_state {
@@ -74,19 +81,29 @@
     time_ms lower_since;
   };
 
+  struct introduction {
+    std::uint64_t order{};
+    time_ms sent;
+    bool heard{};
+  };
+
   [[nodiscard]] std::vector<engine_state> states_of(std::span<const engine_view> engines,
                                                     time_ms now);
-  void close_finished(std::span<const engine_view> engines, time_ms now);
+  void close_finished(const pool_goal& goal, std::span<const engine_view> engines, time_ms now);
   void settle_goals(const pool_goal& goal, time_ms now);
   void fill(const pool_goal& goal, std::vector<engine_state>& engines, time_ms now);
   void make_room(const pool_goal& goal, std::vector<engine_state>& engines, const loadable& item,
                  time_ms now);
   void drop_surplus(const pool_goal& goal, std::vector<engine_state>& engines, time_ms now);
+  [[nodiscard]] bool awaits_other_version(const pool_goal& goal,
+                                          const std::vector<engine_state>& engines,
+                                          const engine_state& engine, const loadable& old) const;
   void set_roles(const pool_goal& goal, std::vector<engine_state>& engines, time_ms now);
   [[nodiscard]] bool may_order(const endpoint_id& endpoint, order_action action,
                                const loadable& item, time_ms now) const;
   void give(engine_state& engine, engine_order order, time_ms now);
   [[nodiscard]] std::size_t open_orders() const;
+  [[nodiscard]] std::size_t open_orders(order_action action) const;
 
   planner_policy policy_;
   std::uint64_t epoch_{};
@@ -94,6 +111,8 @@
   token_bucket store_;
   time_ms store_closed_until_;
   std::map<loadable, item_state> items_;
+  std::map<endpoint_id, introduction> introduced_;
+  std::map<std::uint64_t, endpoint_id> introductions_; ///< unanswered
   std::deque<order_record> records_;
   std::vector<engine_order> due_;
   std::vector<std::string> withheld_;
--- a/src/routing/impl/pool_claims.cpp
+++ b/src/routing/impl/pool_claims.cpp
@@ -4,6 +4,11 @@
 
 namespace sedgechute {
 
+pool_claims::pool_claims(std::span<const decided_pool> decided) {
+  for (const decided_pool& known : decided)
+    deciders_[known.pool] = known.decider;
+}
+
 bool pool_claims::apply(const pool_claim& claim, std::uint64_t offset) {
   pool_decider& current = deciders_[claim.pool];
   if (claim.replaces != current.epoch)
@@ -17,6 +22,15 @@
   return found == deciders_.end() || found->second.epoch == 0 ? nullptr : &found->second;
 }
 
+std::vector<decided_pool> pool_claims::decided() const {
+  std::vector<decided_pool> all;
+  for (const auto& [pool, decider] : deciders_)
+    if (decider.epoch != 0)
+      all.push_back({pool, decider});
+  std::ranges::sort(all, {}, &decided_pool::pool);
+  return all;
+}
+
 std::uint64_t pool_claims::epoch_of(const pool_id& pool, const incarnation& self) const {
   const pool_decider* const current = decider(pool);
   return current != nullptr && current->host == self ? current->epoch : 0;
--- a/src/routing/impl/pool_claims.hpp
+++ b/src/routing/impl/pool_claims.hpp
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <span>
+#include <vector>
 
 namespace sedgechute {
 
@@ -22,17 +23,30 @@
   std::uint64_t epoch{}; ///< offset of the winning claim
 };
 
+/// \brief A pool with its decider, for a checkpoint.
+struct decided_pool {
+  pool_id pool;
+  pool_decider decider;
+};
+
 /// \brief Who decides about each pool, by replay of the log. A claim that replaces another epoch
 /// than the one in force is void, so of two hosts that claim at once the first in the log wins, and
 /// the repeat of an append whose answer was lost changes nothing.
 class pool_claims {
  public:
+  pool_claims() = default;
+  /// \brief Goes on from a checkpoint.
+  explicit pool_claims(std::span<const decided_pool> decided);
+
   /// \returns whether the claim won
   bool apply(const pool_claim& claim, std::uint64_t offset);
 
   /// \returns the decider, or null if the pool never had one
   [[nodiscard]] const pool_decider* decider(const pool_id& pool) const;
 
+  /// \returns every decider, in the order of pools
+  [[nodiscard]] std::vector<decided_pool> decided() const;
+
   /// \returns the epoch if `self` decides about the pool, else 0
   [[nodiscard]] std::uint64_t epoch_of(const pool_id& pool, const incarnation& self) const;
 
--- a/src/standin/impl/engine_calls.cpp
+++ b/src/standin/impl/engine_calls.cpp
@@ -96,7 +96,9 @@
 
 bool engine::serves(const std::string& model) {
   const std::scoped_lock lock{mutex_};
-  return models_.contains(model) || adapters_.contains(model);
+  const auto any_version = models_.lower_bound(model + "@");
+  return models_.contains(model) || adapters_.contains(model) ||
+         (any_version != models_.end() && any_version->rfind(model + "@", 0) == 0);
 }
 
 void engine::complete(exchange& call) {
@@ -238,7 +240,9 @@
   const Poco::JSON::Object::Ptr body = call.json_body();
   const auto fencing = body->getValue<std::uint64_t>("fencing");
   const auto action = body->getValue<std::string>("action");
-  const auto model = body->optValue<std::string>("model", "");
+  const auto version = body->optValue<std::string>("version", "");
+  const auto model =
+      body->optValue<std::string>("model", "") + (version.empty() ? "" : "@" + version);
   const auto adapter = body->optValue<std::string>("adapter", "");
   const bool honours = server_.board().now().fencing == fencing_mode::refuse;
   std::unique_lock lock{mutex_};
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -105,7 +105,7 @@
     metric_family{metric::orders,
                   counter,
                   "sedgechute_orders_total",
-                  "Orders to endpoints. result: done, refused, failed.",
+                  "Orders to endpoints. result: sent, done, refused, failed, withheld.",
                   {"pool", "result"}},
     metric_family{metric::budget_refusals,
                   counter,
--- a/src/wire/impl/routing_codec.cpp
+++ b/src/wire/impl/routing_codec.cpp
@@ -250,4 +250,18 @@
           claim.replaces()};
 }
 
+wire::decided_pool to_wire(const decided_pool& decided) {
+  wire::decided_pool out;
+  out.set_pool(decided.pool.str());
+  out.set_host(decided.decider.host.host.str());
+  out.set_number(decided.decider.host.number);
+  out.set_epoch(decided.decider.epoch);
+  return out;
+}
+
+decided_pool from_wire(const wire::decided_pool& decided) {
+  return {pool_id{checked_name(decided.pool(), "pool")},
+          {{host_id{checked_name(decided.host(), "host")}, decided.number()}, decided.epoch()}};
+}
+
 } // namespace sedgechute
--- a/src/wire/impl/routing_codec.hpp
+++ b/src/wire/impl/routing_codec.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "routing/routing.hpp"
+#include "wire/generated/peer.pb.h"
 #include "wire/generated/routing.pb.h"
 
 namespace sedgechute {
@@ -23,5 +24,7 @@
 
 /// \throws error of kind malformed_request when a name is missing or too long
 [[nodiscard]] pool_claim from_wire(const wire::pool_claim& claim);
+[[nodiscard]] wire::decided_pool to_wire(const decided_pool& decided);
+[[nodiscard]] decided_pool from_wire(const wire::decided_pool& decided);
 
 } // namespace sedgechute
--- a/tests/fleet/running_fleet.cpp
+++ b/tests/fleet/running_fleet.cpp
@@ -49,6 +49,15 @@
          R"(","address":")" + at(port) + R"(","state":"live")" + rest + "}";
 }
 
+std::string fleet_text(const std::vector<std::string>& models, bool honours_fencing) {
+  std::string listed;
+  for (const std::string& model : models)
+    listed += (listed.empty() ? "" : ",") + model;
+  return R"({"schema":1,"data_centres":[{"name":"one","region":"r"},{"name":"two","region":"r"}],"pools":[{"name":"lm","kind":"engine","honours_fencing":)" +
+         std::string{honours_fencing ? "true" : "false"} + R"(,"models":[)" + listed +
+         R"(]},{"name":"orders","kind":"service","non_idempotent_methods":["POST"],"tokens_per_call":5}]})";
+}
+
 } // namespace
 
 running_fleet::running_fleet(const fleet_shape& shape)
@@ -147,10 +156,8 @@
 }
 
 void running_fleet::publish_all() const {
-  const std::string fleet =
-      R"({"schema":1,"data_centres":[{"name":"one","region":"r"},{"name":"two","region":"r"}],"pools":[{"name":"lm","kind":"engine","models":[{"name":"m","max_output_tokens":4096}]},{"name":"orders","kind":"service","non_idempotent_methods":["POST"],"tokens_per_call":5}]})";
-  const std::string body =
-      R"({"record_id":"f1","replaces":0,"based_on":0,"body":)" + quoted(fleet) + "}";
+  const std::string body = R"({"record_id":"f1","replaces":0,"based_on":0,"body":)" +
+                           quoted(fleet_text({chat_model}, false)) + "}";
   answer published;
   for (int i = 0; i < 100 && published.status != 200; ++i) {
     published = operate(0, "POST", "documents/fleet/fleet", body);
@@ -161,17 +168,29 @@
 }
 
 int running_fleet::publish(int host, long budget, const std::string& record_id) const {
-  const answer shown = operate(host, "GET", "documents/contract/team");
+  const long tokens = budget == 0 ? 1'000'000 : budget;
+  return publish_document(host, "documents/contract/team", contract(tokens), record_id).status;
+}
+
+int running_fleet::publish_models(int host, const std::vector<std::string>& models,
+                                  bool honours_fencing, const std::string& record_id) const {
+  return publish_document(host, "documents/fleet/fleet", fleet_text(models, honours_fencing),
+                          record_id)
+      .status;
+}
+
+running_fleet::answer running_fleet::publish_document(int host, const std::string& path,
+                                                      const std::string& body,
+                                                      const std::string& record_id) const {
+  const answer shown = operate(host, "GET", path);
   Poco::JSON::Parser parser;
   const auto object = parser.parse(shown.body).extract<Poco::JSON::Object::Ptr>();
   const auto revision = object->optValue<Poco::UInt64>("revision", 0);
   const auto sequence = object->optValue<Poco::UInt64>("sequence", 0);
-  const long tokens = budget == 0 ? 1'000'000 : budget;
-  return operate(host, "POST", "documents/contract/team",
+  return operate(host, "POST", path,
                  R"({"record_id":")" + record_id + R"(","replaces":)" + std::to_string(revision) +
-                     R"(,"based_on":)" + std::to_string(sequence) + R"(,"body":)" +
-                     quoted(contract(tokens)) + "}")
-      .status;
+                     R"(,"based_on":)" + std::to_string(sequence) + R"(,"body":)" + quoted(body) +
+                     "}");
 }
 
 running_fleet::answer running_fleet::call(std::uint16_t port, const std::string& method,
@@ -224,6 +243,23 @@
   REQUIRE(call(log_port_, "POST", "/admin/faults", json, {}, {}, 2000).status == 200);
 }
 
+void running_fleet::fault_in_weights(const std::string& json) const {
+  REQUIRE(call(weights_port_, "POST", "/admin/faults", json, {}, {}, 2000).status == 200);
+}
+
+void running_fleet::fault_in_engine(int number, const std::string& json) const {
+  const std::uint16_t port = engine_ports_.at(static_cast<std::size_t>(number));
+  REQUIRE(call(port, "POST", "/admin/faults", json, {}, {}, 2000).status == 200);
+}
+
+Poco::JSON::Object::Ptr running_fleet::engine(int number, const std::string& path) const {
+  const std::uint16_t port = engine_ports_.at(static_cast<std::size_t>(number));
+  const answer got = call(port, "GET", path, {}, {}, {}, 2000);
+  REQUIRE_MESSAGE(got.status == 200, got.body);
+  Poco::JSON::Parser parser;
+  return parser.parse(got.body).extract<Poco::JSON::Object::Ptr>();
+}
+
 void running_fleet::fault_in_engines(const std::string& json) const {
   for (const std::uint16_t port : engine_ports_)
     REQUIRE(call(port, "POST", "/admin/faults", json, {}, {}, 2000).status == 200);
--- a/tests/fleet/running_fleet.hpp
+++ b/tests/fleet/running_fleet.hpp
@@ -13,6 +13,9 @@
 
 namespace sedgechute::fleet_test {
 
+/// \brief The model that every engine has from the start, as fleet settings list it.
+inline constexpr const char* chat_model = R"({"name":"m","max_output_tokens":4096})";
+
 struct fleet_shape {
   int hosts{3};
   int engines{3};
@@ -52,8 +55,16 @@
   /// \brief Publishes the team's contract with another budget.
   [[nodiscard]] int publish(int host, long budget, const std::string& record_id) const;
 
+  /// \brief Publishes fleet settings whose engine pool lists these models, each as JSON.
+  [[nodiscard]] int publish_models(int host, const std::vector<std::string>& models,
+                                   bool honours_fencing, const std::string& record_id) const;
+
   void fault_in_log(const std::string& json) const;
+  void fault_in_weights(const std::string& json) const;
+  void fault_in_engine(int number, const std::string& json) const;
   void fault_in_engines(const std::string& json) const;
+  /// \returns what an engine's `/admin/stats` or `/load` says.
+  [[nodiscard]] Poco::JSON::Object::Ptr engine(int number, const std::string& path) const;
   /// \returns how often the engines and services ran anything under ids that begin with `prefix`.
   [[nodiscard]] int runs(const std::string& prefix) const;
 
@@ -71,6 +82,8 @@
   void start_host(int number);
   void publish_all() const;
   [[nodiscard]] std::string contract(long budget) const;
+  [[nodiscard]] answer publish_document(int host, const std::string& path, const std::string& body,
+                                        const std::string& record_id) const;
   [[nodiscard]] answer call(std::uint16_t port, const std::string& method, const std::string& path,
                             const std::string& body, const std::string& bearer,
                             const std::string& key, int most_ms) const;
--- a/tests/routing/order_planner_test.cpp
+++ b/tests/routing/order_planner_test.cpp
@@ -175,6 +175,35 @@
       CHECK(p.round(goal).empty());
   }
 
+  TEST_CASE("each engine hears of a new decider until it has answered") {
+    pool p{2};
+    const auto first = p.planner.introductions(p.engines, p.now);
+    REQUIRE(first.size() == 2);
+    CHECK(first[0].fencing == 7);
+    CHECK(first[0].role == p.engines[0].role);
+    p.planner.note_answer(first[0].id, order_answer::done, {}, p.now);
+    CHECK(p.planner.introductions(p.engines, p.now).empty());
+    const auto again = p.planner.introductions(p.engines, p.now + 6_s);
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].endpoint == p.engines[1].endpoint);
+    p.planner.note_answer(again[0].id, order_answer::newer_epoch, {}, p.now);
+    CHECK(p.planner.epoch() == 0);
+  }
+
+  TEST_CASE("a new version takes an old one's place on one engine after the other") {
+    planner_policy policy;
+    policy.models_per_engine = 1;
+    pool p{3, policy};
+    for (engine_view& engine : p.engines)
+      engine.held = {old_large};
+    for (int i = 0; i < 60; ++i) {
+      (void)p.round(goal_of({{large, 3}}));
+      CHECK(p.holders(large) + p.holders(old_large) >= 2);
+    }
+    CHECK(p.holders(large) == 3);
+    CHECK(p.holders(old_large) == 0);
+  }
+
   TEST_CASE("a busy weight store is left alone for as long as it asks") {
     pool p{4};
     const pool_goal goal = goal_of({{large, 4}});
