Small messages between hosts go as datagrams

Cause: each small message was a gRPC call, 355 us of processor time for both ends, and each host held a connection of 64 KB to every other.

Change: peer_links packs messages of up to 1,150 bytes for a peer into datagrams over the socket of membership: the first after a pause leaves at once, those of the next 5 ms together, sender and receiver stated once. The counter of peer bytes is now counted; idle_fleet.py reads it.

--- a/bench/slopes/links_run.cpp
+++ b/bench/slopes/links_run.cpp
@@ -5,6 +5,7 @@
 #include "slopes/runs.hpp"
 #include "slopes/samples.hpp"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/DatagramSocket.h>
 #include <absl/strings/str_format.h>
 
@@ -19,6 +20,7 @@
 
 constexpr std::chrono::milliseconds settle{300};
 constexpr std::chrono::milliseconds between_rounds{20};
+constexpr std::chrono::milliseconds alone{6}; // longer than messages wait for company
 constexpr int first_port = 23'900;
 constexpr int longest_datagram = 8192;
 
@@ -69,11 +71,76 @@
   table.add(cpu);
 }
 
+/// Messages one by one, each alone in its datagram, through the links of two hosts. What a message
+/// costs that shares its datagram is less.
+void small_messages(slope_table& table) {
+  series cpu{"links", "small_message_us", "us, both ends", "message", {}};
+  series bytes{"links", "small_message_overhead", "B beyond the message", "message", {}};
+  const wire::envelope message = small_report();
+  const Poco::Net::SocketAddress place{"127.0.0.1", first_port + 2};
+  Poco::Net::DatagramSocket receiver{place};
+  receiver.setReceiveTimeout(Poco::Timespan{100'000});
+  Poco::Net::DatagramSocket sender;
+  std::atomic<std::size_t> sent_bytes{0};
+  std::atomic<std::size_t> heard{0};
+  std::atomic<bool> stopping{false};
+  peer_links from{host_name(0), time_ms{2000}};
+  peer_links to{host_name(1), time_ms{2000}};
+  from.set_peers({{host_name(1), place.toString()}});
+  to.set_peers({{host_name(0), place.toString()}});
+  from.use_datagrams({[&](const std::string&, const std::string& datagram) {
+                        sent_bytes += datagram.size();
+                        sender.sendTo(datagram.data(), static_cast<int>(datagram.size()), place);
+                      },
+                      [](const wire::envelope&) {}});
+  to.use_datagrams({[&](const std::string&, const std::string& datagram) {
+                      sent_bytes += datagram.size();
+                      from.on_datagram(datagram);
+                    },
+                    [&](const wire::envelope&) { ++heard; }});
+  std::thread reader{[&] {
+    std::array<char, longest_datagram> buffer{};
+    while (!stopping) {
+      try {
+        const int size = receiver.receiveBytes(buffer.data(), longest_datagram);
+        to.on_datagram({buffer.data(), static_cast<std::size_t>(size)});
+      } catch (const Poco::Exception&) {
+        continue;
+      }
+    }
+  }};
+  for (const std::size_t count : {100U, 300U, 900U}) {
+    const auto paced = [&](bool sending) {
+      const double start = process_cpu_us();
+      for (std::size_t i = 0; i < count; ++i) {
+        if (sending)
+          from.send(host_name(1), message);
+        std::this_thread::sleep_for(alone);
+      }
+      return process_cpu_us() - start;
+    };
+    const std::size_t before = sent_bytes;
+    const auto x = static_cast<double>(count);
+    const double pacing = paced(false);
+    cpu.points.push_back({x, paced(true) - pacing});
+    bytes.points.push_back({x, static_cast<double>(sent_bytes - before) -
+                                   x * static_cast<double>(message.ByteSizeLong())});
+  }
+  from.stop_datagrams();
+  to.stop_datagrams();
+  stopping = true;
+  reader.join();
+  table.add(cpu);
+  table.add(bytes);
+}
+
 } // namespace
 
 /// Both ends are in this process, so bytes of memory, time and traffic are of one sender and one
 /// receiver together: what a host pays that sends as much as it gets.
 void run_links(slope_table& table) {
+  datagrams(table);
+  small_messages(table);
   series memory{"links", "link_memory_bytes", "B, both ends", "link", {}};
   series cpu{"links", "call_cpu_us", "us, both ends", "call", {}};
   series bytes{"links", "call_overhead_bytes", "B beyond the message", "call", {}};
@@ -111,7 +178,6 @@
   }
   for (const series& s : {memory, cpu, bytes})
     table.add(s);
-  datagrams(table);
 }
 
 } // namespace sedgechute::slopes
--- a/src/daemon/impl/host.cpp
+++ b/src/daemon/impl/host.cpp
@@ -19,6 +19,7 @@
 constexpr time_ms key_decision_wait{3000};
 constexpr time_ms budget_decision_wait{5000};
 constexpr time_ms key_settle_limit{15000};
+constexpr std::size_t datagram_headers = 28; // IP and UDP
 constexpr time_ms handover_limit{8000};
 constexpr time_ms handover_limit_alone{2000};
 
@@ -139,6 +140,18 @@
   membership_ = std::make_unique<membership_service>(
       self_, settings_.data_centre, target_of(settings_.listen.peers), time_,
       [this](const membership_view& view) { on_view(view); });
+  prometheus::Counter& bytes_in = metrics_.counter_at(metric::peer_bytes, {"in"});
+  prometheus::Counter& bytes_out = metrics_.counter_at(metric::peer_bytes, {"out"});
+  membership_->share_socket(control_mark, [this, &bytes_in](std::string_view datagram) {
+    bytes_in.Increment(static_cast<double>(datagram.size() + datagram_headers));
+    peers_.on_datagram(datagram);
+  });
+  peers_.use_datagrams(
+      {[this, &bytes_out](const std::string& address, const std::string& datagram) {
+         bytes_out.Increment(static_cast<double>(datagram.size() + datagram_headers));
+         membership_->send(address, datagram);
+       },
+       [this](const wire::envelope& message) { listener_.on_envelope(message); }});
   appender_.start();
   membership_->start();
   replayer_.start();
@@ -294,6 +307,7 @@
   if (membership_)
     membership_->stop();
   appender_.stop();
+  peers_.stop_datagrams();
   if (peer_server_)
     peer_server_->stop();
   log_.write(severity::info, "stopped");
--- a/src/daemon/impl/membership_service.cpp
+++ b/src/daemon/impl/membership_service.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds tick_interval{50};
 constexpr std::int64_t receive_wait_us = 100'000;
 constexpr std::size_t longest_datagram = 8192;
+// Answers of many peers may arrive at once, and what does not fit is lost.
+constexpr int receive_buffer_bytes = 1 << 20;
 
 std::vector<listed_host> entries_of(const host_listing& list) {
   std::vector<listed_host> entries;
@@ -37,6 +39,7 @@
                                                           {},
                                                           self.number},
       socket_{Poco::Net::SocketAddress{listen.ip, listen.port}} {
+  socket_.setReceiveBufferSize(receive_buffer_bytes);
   socket_.setReceiveTimeout(Poco::Timespan{receive_wait_us});
 }
 
@@ -76,6 +79,10 @@
   while (!stopping_) {
     try {
       const int size = socket_.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+      if (size > 0 && shared_listener_ && buffer.front() == shared_mark_) {
+        shared_listener_({buffer.data(), static_cast<std::size_t>(size)});
+        continue;
+      }
       wire::membership_message parsed;
       if (size <= 0 || !parsed.ParseFromArray(buffer.data(), size))
         continue;
@@ -115,18 +122,25 @@
 }
 
 void membership_service::send(const std::vector<addressed_membership_message>& messages) {
-  for (const addressed_membership_message& message : messages) {
-    try {
-      const http_target to = http_target::parse(message.address);
-      const std::string bytes = to_wire(message.message).SerializeAsString();
-      socket_.sendTo(bytes.data(), static_cast<int>(bytes.size()),
-                     Poco::Net::SocketAddress{to.ip, to.port});
-    } catch (const Poco::Exception&) {
-      continue; // lost, like any datagram
-    } catch (const error&) {
-      continue; // another host gossiped an address that is none
-    }
+  for (const addressed_membership_message& message : messages)
+    send(message.address, to_wire(message.message).SerializeAsString());
+}
+
+void membership_service::send(const std::string& address, const std::string& datagram) {
+  try {
+    const http_target to = http_target::parse(address);
+    socket_.sendTo(datagram.data(), static_cast<int>(datagram.size()),
+                   Poco::Net::SocketAddress{to.ip, to.port});
+  } catch (const Poco::Exception&) {
+    return; // lost, like any datagram
+  } catch (const error&) {
+    return; // another host gossiped an address that is none
   }
 }
 
+void membership_service::share_socket(char mark, std::function<void(std::string_view)> listen) {
+  shared_mark_ = mark;
+  shared_listener_ = std::move(listen);
+}
+
 } // namespace sedgechute
--- a/src/daemon/impl/membership_service.hpp
+++ b/src/daemon/impl/membership_service.hpp
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <functional>
+#include <string_view>
 #include <thread>
 
 namespace sedgechute {
@@ -26,6 +27,13 @@
   membership_service& operator=(const membership_service&) = delete;
   ~membership_service();
 
+  /// \brief Lets links between hosts share the socket; to be called before `start`.
+  /// \param mark    first byte of their datagrams, with which no message of membership begins
+  /// \param listen  takes one that arrived; must not block
+  void share_socket(char mark, std::function<void(std::string_view)> listen);
+  /// \brief Sends a datagram as it is.
+  void send(const std::string& address, const std::string& datagram);
+
   void start();
   void on_host_list(const host_listing& list);
   /// \brief Tells the others that this host takes no new work, or that it goes now.
@@ -47,6 +55,8 @@
   membership members_;
   std::uint64_t reported_version_{0};
   Poco::Net::DatagramSocket socket_;
+  char shared_mark_{0};
+  std::function<void(std::string_view)> shared_listener_;
   std::atomic<bool> stopping_{false};
   std::vector<std::thread> threads_;
 };
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -172,7 +172,7 @@
     metric_family{metric::peer_bytes,
                   counter,
                   "sedgechute_peer_bytes_total",
-                  "Bytes exchanged with peers. direction: in, out.",
+                  "Bytes of datagrams between hosts, membership left out. direction: in, out.",
                   {"direction"}},
     metric_family{metric::control_seconds,
                   counter,
