Capacity: the page after shares by pool and datagrams

Cause: the page computed with calls, all sums to all hosts and 5.4 us for a message as datagram, and called the first and seventh change not built.

Change: capacity.py counts what is built: lone messages as measured through the links of two hosts, the exchange of shares as measured with 350 members, connections opened when used. A lone call is measured the same way as a lone datagram, and the exchange's mean besides its worst host. idle hosts before and after are on the page.

--- a/bench/slopes/capacity.py
+++ b/bench/slopes/capacity.py
@@ -17,6 +17,8 @@
 POLL_ASKED = 3 * 110  # request lines and headers, an estimate
 IDLE_MB = 27.5  # resident, of an idle host of the real program
 DATAGRAM_HEADERS = 28
+NAMES = 33  # sender and receiver in an envelope; a datagram states them once for all its messages
+OPEN_LINKS = 10  # of connections that close when idle, an estimate
 ROUND_S, FAR_EVERY, LOADED_BYTES = 2.0, 5, 21  # load_poller: 4 ms an endpoint; names of what is loaded in a tenth of batches
 SEEN_TEAMS = 45  # of a pool's 64 teams, those with a request in one data centre within a second
 
@@ -29,6 +31,7 @@
     def __init__(self, measured):
         self.of = {name: s["slope"] for name, s in measured.items()}
         self.zero = {name: s["intercept"] for name, s in measured.items()}
+        self.largest = {name: s["points"][-1][1] for name, s in measured.items()}
         self.rows = []
 
     def at(self, name, x):
@@ -57,15 +60,15 @@
     """`worst`: how far the placed roles of the worst host exceed the mean."""
     m, o = model(measured), {n: s["slope"] for n, s in measured.items()}
     rate = REQUESTS / HOSTS * worst
-    calls = lambda messages: (messages * o["call_cpu_us"], messages * o["call_overhead_bytes"] / 2)
+    alone = lambda messages: (messages * o["small_message_us"], messages * (o["small_message_overhead"] - NAMES + DATAGRAM_HEADERS))
     messages = (o["request_messages"] + o["claim_messages"]) * rate
-    cpu, overhead = calls(messages)
+    cpu, overhead = alone(messages)
     m.add("entry, holder, witness: budgets", o["request_cpu_us"] * rate, o["request_message_bytes"] * rate,
           o["request_message_bytes"] * rate, EPOCHS / HOSTS * worst * (o["holder_epoch_bytes"] + o["witness_epoch_bytes"]))
     kept = min(REQUESTS * KEPT_S * 2 / HOSTS * worst, MOST_CLAIMS)
     m.add("entry, holder, witness: claims", o["claim_cpu_us"] * rate, o["claim_message_bytes"] * rate,
           o["claim_message_bytes"] * rate, kept * o["claim_state_bytes"] / 2 + (12 << 20))
-    m.add(f"calls for both, {messages:.0f}/s", cpu, overhead, overhead)
+    m.add(f"datagrams for both, {messages:.0f}/s", cpu, overhead, overhead)
     read, records = log_bytes(m, REPORT_S)
     m.add("replica of budgets", EPOCHS / REPORT_S * o["report_replay_us"] + records * HTTP_CPU_US, records * READ_HEADERS / 2,
           read + records * READ_HEADERS / 2, m.at("budget_state_bytes", BUDGETS) + EPOCHS * o["replica_epoch_bytes"] + (4 << 20))
@@ -76,17 +79,11 @@
     m.add("checkpoints, as writer", m.at("checkpoint_write_us", BUDGETS) / CHECKPOINT_S, packed / CHECKPOINT_S, packed / CHECKPOINT_S,
           m.at("checkpoint_write_peak_bytes", BUDGETS))
     m.add("appender of a data centre", records / CENTRES * HTTP_CPU_US, read / CENTRES, read / CENTRES / BASE64)
-    cpu, overhead = calls(1)
-    share = m.zero["share_pool_bytes"] + o["share_pool_bytes"] * POOLS
-    sums = POOLS * CENTRES * m.at("share_report_bytes", SEEN_TEAMS)
-    if speaker:
-        cpu, overhead = calls(NEAR + CENTRES)
-        m.add("share exchange, as speaker", cpu + POOLS * m.at("share_plan_us", NEAR), sums * (NEAR - 1) + overhead,
-              share * (NEAR - 1) + sums * (CENTRES - 1) / CENTRES + overhead)
-    else:
-        m.add("share exchange", cpu + POOLS * m.at("share_plan_us", CENTRES), share + overhead, sums + overhead)
+    cpu, overhead = alone(m.largest["share_messages"])
+    m.add("share exchange, two pools' speaker" if speaker else "share exchange", cpu + m.largest["share_exchange_us"] + POOLS * m.at("share_plan_us", CENTRES),
+          m.largest["share_most_sent" if speaker else "share_mean_sent"], m.largest["share_most_received" if speaker else "share_mean_sent"])
     batches = (NEAR - 1 + (HOSTS - NEAR) / FAR_EVERY) / ROUND_S
-    cpu, overhead = calls(batches)
+    cpu, overhead = alone(batches)
     load = m.zero["load_report_bytes"] + ENDPOINTS / HOSTS * (o["load_report_bytes"] - LOADED_BYTES * 0.9)
     m.add(f"load batches, {batches:.0f}/s", cpu + ENDPOINTS / CENTRES * (1 + (CENTRES - 1) / FAR_EVERY) / ROUND_S * o["load_apply_us"],
           load * batches + overhead, load * batches + overhead)
@@ -96,7 +93,7 @@
     m.add("endpoint table", 0, 0, 0, ENDPOINTS * o["endpoint_state_bytes"])
     m.add("queues", 0, 0, 0, TEAMS * 2 * o["queue_team_bytes"])
     m.add("decider of a pool", m.at("order_plan_us", ENDPOINTS / POOLS))
-    m.add("links to all", 0, 0, 0, (HOSTS - 1) * o["link_memory_bytes"])
+    m.add(f"links, opened when used, {OPEN_LINKS} at a time", 0, 0, 0, OPEN_LINKS * o["link_memory_bytes"])
     m.add("the program itself, idle", 0, 0, 0, IDLE_MB * 1e6)
     return m
 
@@ -104,7 +101,7 @@
 def changed(measured, worst):
     m, o = model(measured), {n: s["slope"] for n, s in measured.items()}
     rate = REQUESTS / HOSTS * worst
-    send = lambda messages, bytes_each: (messages * o["datagram_cpu_us"], messages * (bytes_each + DATAGRAM_HEADERS))
+    send = lambda messages, bytes_each: (messages * o["small_message_us"], messages * (bytes_each + DATAGRAM_HEADERS))
     cpu, traffic = send(o["request_messages"] * rate, o["request_message_bytes"] / o["request_messages"] - 33)
     m.add("budgets, datagrams without names (1, 2)", cpu + o["request_cpu_us"] * rate, traffic, traffic,
           EPOCHS / HOSTS * worst * (o["holder_epoch_bytes"] + o["witness_epoch_bytes"]))
@@ -117,20 +114,18 @@
     m.add("contracts: index of all, a twentieth kept (5)", CHANGES / 86400 * o["contract_apply_us"], 0, 40, BUDGETS * 20 + BUDGETS / 20 * o["contract_state_bytes"] + (2 << 20))
     m.add("checkpoints on a stream of their own, in parts (6)", m.at("checkpoint_write_us", BUDGETS) / CHECKPOINT_S, 0, 0, 2e6)
     m.add("appender of a data centre", records / CENTRES * HTTP_CPU_US, read / CENTRES, read / CENTRES / BASE64)
-    share = m.zero["share_pool_bytes"] + o["share_pool_bytes"]
-    speaker = NEAR * (share + DATAGRAM_HEADERS) / 4
-    far = (CENTRES - 1) * (m.at("share_report_bytes", 64) + DATAGRAM_HEADERS) / 4
-    m.add("shares by one speaker a pool and data centre, each 4 s (7)", (POOLS + NEAR + CENTRES) / 4 * o["datagram_cpu_us"] + m.at("share_plan_us", NEAR) / 4,
-          POOLS * (share + DATAGRAM_HEADERS) / 4 + speaker + far, POOLS * (share + DATAGRAM_HEADERS) / 4 + speaker + far)
+    cpu, _ = send(m.largest["share_messages"], 0)
+    m.add("shares, two pools' speaker (7)", cpu + m.largest["share_exchange_us"] + POOLS * m.at("share_plan_us", CENTRES),
+          m.largest["share_most_sent"], m.largest["share_most_received"])
     near = ENDPOINTS / CENTRES * 10 / 2
-    m.add("loads by a tree in the data centre, 10 B each 2 s (8)", 3 * 4 * o["datagram_cpu_us"] + near / 10 * o["load_apply_us"], near * 1.1, near * 1.1)
+    m.add("loads by a tree in the data centre, 10 B each 2 s (8)", 3 * 4 * o["small_message_us"] + near / 10 * o["load_apply_us"], near * 1.1, near * 1.1)
     polls = ENDPOINTS / HOSTS
     m.add("polls once a second, one call (9)", polls * HTTP_CPU_US, polls * 110, polls * 330)
     m.add("member", m.at("member_cpu_us_per_s", HOSTS), m.at("member_bytes_per_s", HOSTS), m.at("member_bytes_per_s", HOSTS), m.at("member_state_bytes", HOSTS))
     m.add("endpoint table of the own data centre (8)", 0, 0, 0, ENDPOINTS / CENTRES * o["endpoint_state_bytes"])
     m.add("queues", 0, 0, 0, TEAMS * 2 * o["queue_team_bytes"])
     m.add("decider of a pool", m.at("order_plan_us", ENDPOINTS / POOLS))
-    m.add("links, opened when used, 10 at a time (1)", 0, 0, 0, 10 * o["link_memory_bytes"])
+    m.add(f"links, opened when used, {OPEN_LINKS} at a time (1)", 0, 0, 0, OPEN_LINKS * o["link_memory_bytes"])
     m.add("the program itself, idle", 0, 0, 0, IDLE_MB * 1e6)
     return m
 
@@ -139,6 +134,8 @@
     differ = lambda a, b: abs(a - b) / max(abs(a), abs(b), 1e-12) * 100
     print("\n| slope | first run | second run | differ by | at the largest size, differ by | residual |\n| --- | ---: | ---: | ---: | ---: | ---: |")
     for name, s in first.items():
+        if name not in second:
+            continue
         a, b, x = s["slope"], second[name]["slope"], s["points"][-1][0]
         ends = [r["intercept"] + r["slope"] * x for r in (s, second[name])]
         print(f"| {name}, {s['unit']} per {s['driver']} | {a:.4g} | {b:.4g} | {differ(a, b):.1f} % | {differ(*ends):.1f} % | {s['residual'] * 100:.1f} % |")
--- a/bench/slopes/links_run.cpp
+++ b/bench/slopes/links_run.cpp
@@ -71,6 +71,36 @@
   table.add(cpu);
 }
 
+/// What so many messages cost that leave one by one, the pauses between them not counted.
+double paced_cpu_us(peer_links& from, const wire::envelope& message, std::size_t count) {
+  const auto paced = [&](bool sending) {
+    const double start = process_cpu_us();
+    for (std::size_t i = 0; i < count; ++i) {
+      if (sending)
+        from.send(host_name(1), message);
+      std::this_thread::sleep_for(alone);
+    }
+    return process_cpu_us() - start;
+  };
+  const double pacing = paced(false);
+  return paced(true) - pacing;
+}
+
+/// The same as calls, to compare with: in bursts, as below, threads wake up for many at a time.
+void calls_alone(slope_table& table) {
+  series cpu{"links", "call_alone_us", "us, both ends", "call", {}};
+  const std::string address = absl::StrFormat("127.0.0.1:%d", first_port + 3);
+  counting_listener listener;
+  peer_server server{address, listener};
+  peer_links from{host_name(0), time_ms{2000}};
+  from.set_peers({{host_name(1), address}});
+  from.send(host_name(1), small_report());
+  wait_for(listener, 1);
+  for (const std::size_t count : {100U, 300U, 900U})
+    cpu.points.push_back({static_cast<double>(count), paced_cpu_us(from, small_report(), count)});
+  table.add(cpu);
+}
+
 /// Messages one by one, each alone in its datagram, through the links of two hosts. What a message
 /// costs that shares its datagram is less.
 void small_messages(slope_table& table) {
@@ -110,19 +140,9 @@
     }
   }};
   for (const std::size_t count : {100U, 300U, 900U}) {
-    const auto paced = [&](bool sending) {
-      const double start = process_cpu_us();
-      for (std::size_t i = 0; i < count; ++i) {
-        if (sending)
-          from.send(host_name(1), message);
-        std::this_thread::sleep_for(alone);
-      }
-      return process_cpu_us() - start;
-    };
     const std::size_t before = sent_bytes;
     const auto x = static_cast<double>(count);
-    const double pacing = paced(false);
-    cpu.points.push_back({x, paced(true) - pacing});
+    cpu.points.push_back({x, paced_cpu_us(from, message, count)});
     bytes.points.push_back({x, static_cast<double>(sent_bytes - before) -
                                    x * static_cast<double>(message.ByteSizeLong())});
   }
@@ -141,6 +161,7 @@
 void run_links(slope_table& table) {
   datagrams(table);
   small_messages(table);
+  calls_alone(table);
   series memory{"links", "link_memory_bytes", "B, both ends", "link", {}};
   series cpu{"links", "call_cpu_us", "us, both ends", "call", {}};
   series bytes{"links", "call_overhead_bytes", "B beyond the message", "call", {}};
--- a/bench/slopes/runs.hpp
+++ b/bench/slopes/runs.hpp
@@ -25,6 +25,7 @@
 /// \brief What the exchange of shares costs, each per second.
 struct share_traffic {
   double most_sent{};     ///< bytes, by the host that sends most
+  double mean_sent{};     ///< bytes
   double most_received{}; ///< bytes, by the host that gets most
   double messages{};      ///< of a host on average
   double cpu_us{};        ///< of a host on average, codec included
--- a/bench/slopes/share_relay_run.cpp
+++ b/bench/slopes/share_relay_run.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <numeric>
 #include <unordered_map>
 
 namespace sedgechute::slopes {
@@ -51,6 +52,7 @@
     messages = 0;
   }
   [[nodiscard]] double most_sent() const { return *std::ranges::max_element(sent_); }
+  [[nodiscard]] double sent() const { return std::accumulate(sent_.begin(), sent_.end(), 0.0); }
   [[nodiscard]] double most_received() const { return *std::ranges::max_element(received_); }
 
   double messages{0};
@@ -109,12 +111,14 @@
   const double start = thread_cpu_us();
   fleet.run(seconds_measured);
   const double per_host = seconds_measured * static_cast<double>(hosts);
-  return {fleet.most_sent() / seconds_measured, fleet.most_received() / seconds_measured,
-          fleet.messages / per_host, (thread_cpu_us() - start) / per_host};
+  return {fleet.most_sent() / seconds_measured, fleet.sent() / per_host,
+          fleet.most_received() / seconds_measured, fleet.messages / per_host,
+          (thread_cpu_us() - start) / per_host};
 }
 
 void run_shares(slope_table& table) {
   series sent{"shares", "share_most_sent", "B/s of the worst host", "host", {}};
+  series mean{"shares", "share_mean_sent", "B/s of a host", "host", {}};
   series received{"shares", "share_most_received", "B/s of the worst host", "host", {}};
   series messages{"shares", "share_messages", "messages/s of a host", "host", {}};
   series cpu{"shares", "share_exchange_us", "us/s of a host", "host", {}};
@@ -122,11 +126,12 @@
     const share_traffic found = measure_shares(hosts);
     const auto x = static_cast<double>(hosts);
     sent.points.push_back({x, found.most_sent});
+    mean.points.push_back({x, found.mean_sent});
     received.points.push_back({x, found.most_received});
     messages.points.push_back({x, found.messages});
     cpu.points.push_back({x, found.cpu_us});
   }
-  for (const series& s : {sent, received, messages, cpu})
+  for (const series& s : {sent, mean, received, messages, cpu})
     table.add(s);
 }
 
