--- a/src/gateway/impl/chat_request.cpp
+++ b/src/gateway/impl/chat_request.cpp
@@ -6,6 +6,7 @@
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 
+#include <optional>
 #include <sstream>
 
 namespace sedgechute {
@@ -129,11 +130,11 @@
   return prompt;
 }
 
-std::uint64_t parse_max_tokens(const Object& object, const chat_limits& limits) {
+std::optional<std::uint64_t> parse_max_tokens(const Object& object, const chat_limits& limits) {
   const std::string field =
       object.has("max_completion_tokens") ? "max_completion_tokens" : "max_tokens";
   if (!object.has(field) || object.isNull(field))
-    return limits.default_output_tokens;
+    return std::nullopt;
   const Var value = object.get(field);
   if (!value.isInteger() || value.isBoolean())
     refuse(error_kind::invalid_parameter, "/" + field, "must be a whole number");
@@ -198,12 +199,16 @@
   chat_request request;
   request.model = model_id{text_field(*object, "model", "")};
   request.stream = parse_stream(*object);
-  request.max_tokens = parse_max_tokens(*object, limits);
+  const std::optional<std::uint64_t> stated = parse_max_tokens(*object, limits);
+  request.bound_stated = stated.has_value();
+  request.max_tokens = stated.value_or(limits.default_output_tokens);
   const parsed_prompt prompt = parse_prompt(*object, limits);
   request.prompt_bound = prompt.token_bound;
   request.prefix_blocks = block_hashes(prompt.text);
+  // Not the default: it follows the contract, and a retry after a change of the contract is still
+  // the same request.
   request.fingerprint = mix_hash(stable_hash(prompt.text),
-                                 mix_hash(stable_hash(request.model.str()), request.max_tokens));
+                                 mix_hash(stable_hash(request.model.str()), stated.value_or(0)));
   request.engine_body = engine_body(*object, request, prompt.messages);
   return request;
 }
--- a/src/gateway/impl/chat_request.hpp
+++ b/src/gateway/impl/chat_request.hpp
@@ -22,8 +22,9 @@
   model_id model;
   bool stream{false};
   std::uint64_t max_tokens{};               ///< output bound given to the engine
+  bool bound_stated{false};                 ///< by the caller; else it is the default
   std::uint64_t prompt_bound{};             ///< upper bound on the prompt's tokens
-  std::uint64_t fingerprint{};              ///< stable hash of model, prompt and output bound
+  std::uint64_t fingerprint{};              ///< stable hash of model, prompt and stated bound
   std::vector<std::uint64_t> prefix_blocks; ///< chained hashes of the prompt's whole blocks
   std::string engine_body;                  ///< what is sent to the engine: always a stream
 
--- a/src/gateway_api/impl/chat_api.cpp
+++ b/src/gateway_api/impl/chat_api.cpp
@@ -23,7 +23,7 @@
     const team_id team = host.access.authenticate(headers.bearer);
     const std::string body =
         read_body(exchange, host.limits.body_bytes, host.body_timeout, host.time);
-    admitted_chat request = admit(host, headers, parse_chat_request(body, host.limits));
+    admitted_chat request = admit(host, headers, body);
     request.accepted = accepted;
     request.id = host.status.new_request_id();
     const std::unique_ptr<answer_sink> sink = make_sink(exchange, host, request);
@@ -31,13 +31,23 @@
   }
 
  private:
-  static admitted_chat admit(gateway& host, const caller_headers& headers, chat_request chat) {
+  // A caller that states no bound gets the default, or what its contract allows where that is less;
+  // one that states more than that is told so.
+  static admitted_chat admit(gateway& host, const caller_headers& headers,
+                             const std::string& body) {
     admitted_chat request;
-    request.grant = host.access.admit({headers.bearer, headers.class_name, chat.model, {}, {}});
-    if (chat.max_tokens > request.grant.max_output_tokens)
-      throw error{error_kind::invalid_parameter, "/max_tokens",
-                  "must be 1 to " + std::to_string(request.grant.max_output_tokens)};
-    request.chat = std::move(chat);
+    request.chat = parse_chat_request(body, host.limits);
+    request.grant =
+        host.access.admit({headers.bearer, headers.class_name, request.chat.model, {}, {}});
+    const std::uint64_t most = request.grant.max_output_tokens;
+    if (request.chat.max_tokens > most) {
+      if (request.chat.bound_stated)
+        throw error{error_kind::invalid_parameter, "/max_tokens",
+                    "must be 1 to " + std::to_string(most)};
+      chat_limits lower = host.limits;
+      lower.default_output_tokens = most;
+      request.chat = parse_chat_request(body, lower);
+    }
     request.idempotent = headers.idempotent.value_or(request.grant.idempotent_by_default);
     request.keyed = !headers.key.empty();
     return request;
--- a/tests/gateway/bad_request_test.cpp
+++ b/tests/gateway/bad_request_test.cpp
@@ -87,6 +87,20 @@
     refusing.check(with_max_tokens(value), 400, "invalid_parameter");
 }
 
+// A team's contract allows shorter answers than the default. Its callers, who state no bound, were
+// refused for a number that they never sent.
+TEST_CASE("a request that states no bound gets what the contract allows") {
+  fake_engine engine{answer_words({"x"})};
+  test_gateway host;
+  host.dispatch.add("e1", engine.address());
+  host.access.max_output_tokens = 100;
+  CHECK(host.ask(chat_request_text(chat_body(false))).status == 200);
+  REQUIRE(engine.bodies().size() == 1);
+  CHECK(engine.bodies()[0].find(R"("max_tokens":100)") != std::string::npos);
+  CHECK(host.ask(with_max_tokens("101")).status == 400);
+  CHECK(host.ask(with_max_tokens("100")).status == 200);
+}
+
 TEST_CASE("fields of the wrong shape are refused with invalid_parameter") {
   const refusing_host refusing;
   for (const char* body :
--- a/tests/gateway/chat_request_test.cpp
+++ b/tests/gateway/chat_request_test.cpp
@@ -38,6 +38,20 @@
         parse_chat_request(body_with(R"(,"max_tokens":8)"), limits).fingerprint);
 }
 
+// A contract's cap was lowered between a request and its retry. Neither states a bound, so the
+// default follows the cap; a fingerprint made of it would refuse the retry as another request.
+TEST_CASE("a request that states no bound is the same request under any default") {
+  chat_limits lower;
+  lower.default_output_tokens = 100;
+  const chat_request usual = parse_chat_request(body_with(""), limits);
+  const chat_request capped = parse_chat_request(body_with(""), lower);
+  CHECK(usual.max_tokens == limits.default_output_tokens);
+  CHECK(capped.max_tokens == 100);
+  CHECK(capped.engine_body.find(R"("max_tokens":100)") != std::string::npos);
+  CHECK_FALSE(usual.bound_stated);
+  CHECK(usual.fingerprint == capped.fingerprint);
+}
+
 TEST_CASE("the engine gets a stream and no field that is the operators' business") {
   const chat_request request =
       parse_chat_request(body_with(R"(,"stream":false,"temperature":0.5,"priority":0)"), limits);
--- a/tests/gateway/fake_ports.cpp
+++ b/tests/gateway/fake_ports.cpp
@@ -27,7 +27,7 @@
   grant.class_name = "chat";
   grant.deadline = time_ms{60000};
   grant.pool = pool_id{"pool"};
-  grant.max_output_tokens = 2000;
+  grant.max_output_tokens = max_output_tokens;
   grant.idempotent_by_default = idempotent_by_default;
   grant.tokens_per_call = request.service.empty() ? 0 : 7;
   grant.answer_timeout = answer_timeout;
--- a/tests/gateway/fake_ports.hpp
+++ b/tests/gateway/fake_ports.hpp
@@ -19,6 +19,7 @@
   std::vector<model_id> models(const std::string& bearer) override;
 
   bool idempotent_by_default{true};
+  std::uint64_t max_output_tokens{2000};
   time_ms answer_timeout{5000};
 };
 
