A run lost on a kept connection is not written to the same engine again

Cause: when a kept connection broke after a request was written, the host took it for one that the engine had closed while idle, and wrote the request once more to the same engine. Change: an idle connection that has anything to read, such as its end, is dropped before it is used; a request that was written is never written again on this attempt: the run is asked for on a new connection, and another engine gets it if that says no. A run whose engine is not found on a new connection ends the turn as lost, which counts as a failed connection in the choice of endpoints. Conclusion: a caller whose idle connection closes in the very moment of writing costs one retry.

--- a/src/daemon/impl/dispatch_service.cpp
+++ b/src/daemon/impl/dispatch_service.cpp
@@ -33,6 +33,7 @@
   case turn_outcome::caller_left:
     return attempt_outcome::cancelled;
   case turn_outcome::not_run:
+  case turn_outcome::lost:
     return attempt_outcome::connect_failed;
   case turn_outcome::failed:
     break;
@@ -344,7 +345,7 @@
     state.queue.learn_output(request.grant.team, need.kind,
                              static_cast<double>(report.usage.completion_tokens));
     quarantine_.note_survived(request.fingerprint, now - ended.started, true, now);
-  } else if (report.outcome == turn_outcome::failed) {
+  } else if (report.outcome == turn_outcome::failed || report.outcome == turn_outcome::lost) {
     note_failure(ended, turn.endpoint);
   }
   pump(state);
--- a/src/gateway/impl/endpoint_connections.cpp
+++ b/src/gateway/impl/endpoint_connections.cpp
@@ -26,18 +26,37 @@
 
 std::pair<endpoint_connections::session_ptr, bool>
 endpoint_connections::take(const std::string& address, bool reuse) {
-  if (reuse) {
-    const std::scoped_lock lock{mutex_};
-    auto& sessions = idle_[address];
-    if (!sessions.empty()) {
-      session_ptr session = std::move(sessions.back());
-      sessions.pop_back();
+  while (reuse) {
+    session_ptr session = take_idle(address);
+    if (!session)
+      break;
+    if (is_quiet(*session))
       return {std::move(session), true};
-    }
   }
   return {open(address), false};
 }
 
+endpoint_connections::session_ptr endpoint_connections::take_idle(const std::string& address) {
+  const std::scoped_lock lock{mutex_};
+  auto& sessions = idle_[address];
+  if (sessions.empty())
+    return nullptr;
+  session_ptr session = std::move(sessions.back());
+  sessions.pop_back();
+  return session;
+}
+
+// On an idle connection there is nothing to read but its end, or bytes that belong to no request.
+// A request written to one that the endpoint had closed would be lost, and nobody could tell that
+// from an endpoint that the request has just crashed.
+bool endpoint_connections::is_quiet(endpoint_session& session) {
+  try {
+    return !session.socket().poll(Poco::Timespan{}, Poco::Net::Socket::SELECT_READ);
+  } catch (const Poco::Exception&) {
+    return false;
+  }
+}
+
 bool endpoint_connections::connect(endpoint_session& session, const std::string& address,
                                    time_ms silence) const {
   try {
--- a/src/gateway/impl/endpoint_connections.hpp
+++ b/src/gateway/impl/endpoint_connections.hpp
@@ -49,6 +49,8 @@
 
  private:
   [[nodiscard]] session_ptr open(const std::string& address) const;
+  [[nodiscard]] session_ptr take_idle(const std::string& address);
+  [[nodiscard]] static bool is_quiet(endpoint_session& session);
 
   connection_timeouts timeouts_;
   ordered_mutex mutex_{lock_rank::endpoints};
--- a/src/gateway/impl/engine_stream.cpp
+++ b/src/gateway/impl/engine_stream.cpp
@@ -33,21 +33,14 @@
   return exchange_headers(HTTPRequest::HTTP_GET, path, {}, 0, true);
 }
 
-// A kept connection may have been closed by the engine while it was idle. The failure then shows
-// only after the request was written. The engine joins a second request of the same id to the
-// first, so asking once more on a new connection is safe and tells what happened.
+// A request that was written and not answered is never written again here, not even on a connection
+// that was kept from before: where the request itself crashed the engine, it would crash it again
+// as soon as it is back, uncounted. Whoever opened the stream asks for the run on a new connection.
 open_result engine_stream::exchange_headers(const std::string& method, const std::string& path,
                                             const std::string& body, int priority, bool fresh) {
-  auto [session, reused] = connections_.take(address_, !fresh);
-  session_ = std::move(session);
-  open_result result = send(method, path, body, priority);
-  if (result == open_result::streaming)
-    result = receive();
-  const bool lost = result == open_result::unknown || result == open_result::not_dispatched;
-  const bool stale = reused && lost;
-  if (!stale)
-    return result;
-  return exchange_headers(method, path, body, priority, true);
+  session_ = connections_.take(address_, !fresh).first;
+  const open_result sent = send(method, path, body, priority);
+  return sent == open_result::streaming ? receive() : sent;
 }
 
 open_result engine_stream::send(const std::string& method, const std::string& path,
--- a/src/gateway/impl/ports.hpp
+++ b/src/gateway/impl/ports.hpp
@@ -140,7 +140,8 @@
 enum class turn_outcome {
   answered,    ///< a whole answer came
   not_run,     ///< the endpoint never ran it
-  failed,      ///< the endpoint died or fell silent while it ran it
+  failed,      ///< the endpoint broke off the run, or says that it has none
+  lost,        ///< the same, and a new connection found no endpoint
   caller_left, ///< we cancelled it
 };
 
@@ -150,6 +151,7 @@
       enum_table<turn_outcome>({{turn_outcome::answered, "answered"},
                                 {turn_outcome::not_run, "not_run"},
                                 {turn_outcome::failed, "failed"},
+                                {turn_outcome::lost, "lost"},
                                 {turn_outcome::caller_left, "caller_left"}});
 };
 
--- a/src/gateway/impl/run_request.cpp
+++ b/src/gateway/impl/run_request.cpp
@@ -54,8 +54,7 @@
       return open_result::abandoned;
     // The request was sent and no answer came. Asking for the run on a new connection tells
     // whether the engine has it; only then is the old connection the culprit.
-    return stream_.resume(0) == open_result::streaming ? open_result::streaming
-                                                       : open_result::unknown;
+    return take_up(0) ? open_result::streaming : open_result::unknown;
   }
 
   open_result resume_whole() { return stream_.resume(0); }
@@ -75,7 +74,7 @@
       if (without_progress > most_resumes_without_progress)
         return relay_end::broken;
       ++state_.resumes;
-      if (stream_.resume(state_.position) != open_result::streaming)
+      if (!take_up(state_.position))
         return relay_end::broken;
     }
   }
@@ -83,8 +82,18 @@
   void cancel() { stream_.cancel(); }
   [[nodiscard]] const relay_state& state() const noexcept { return state_; }
   [[nodiscard]] int rejected_status() const noexcept { return stream_.rejected_status(); }
+  /// \returns how the attempt failed, as far as the endpoint is concerned.
+  [[nodiscard]] turn_outcome failure() const noexcept {
+    return endpoint_lost_ ? turn_outcome::lost : turn_outcome::failed;
+  }
 
  private:
+  bool take_up(std::uint64_t after) {
+    const open_result result = stream_.resume(after);
+    endpoint_lost_ = result == open_result::unknown || result == open_result::not_dispatched;
+    return result == open_result::streaming;
+  }
+
   relay_end relay_connection() {
     while (auto event = stream_.next()) {
       if (caller_left())
@@ -160,6 +169,7 @@
   engine_stream stream_;
   relay_state state_;
   time_ms next_question_{};
+  bool endpoint_lost_{false};
 };
 
 /// All attempts of one request.
@@ -213,7 +223,7 @@
       return refuse(error_kind::caller_gone, "");
     }
     const bool ran = opened == open_result::unknown;
-    held.release({ran ? turn_outcome::failed : turn_outcome::not_run, {}, {}});
+    held.release({ran ? one.failure() : turn_outcome::not_run, {}, {}});
     after_failure(turn, ran, one.rejected_status());
   }
 
@@ -242,7 +252,7 @@
     if (state.first_token_at)
       report.first_token = *state.first_token_at - dispatched;
     if (end == relay_end::broken)
-      report.outcome = turn_outcome::failed;
+      report.outcome = one.failure();
     if (end == relay_end::caller_left) {
       report.outcome = turn_outcome::caller_left;
       one.cancel();
--- a/tests/gateway/retry_test.cpp
+++ b/tests/gateway/retry_test.cpp
@@ -54,6 +54,24 @@
   }
 }
 
+// A prompt crashes the engine, which is back at once. The connection had served a request before, so
+// its loss looked like one that the engine had closed while it was idle: the prompt was written to
+// the same engine again, crashed it again, and counted as one engine lost.
+TEST_CASE("a run that is lost on a kept connection is not written to the same engine again") {
+  std::atomic<int> calls{0};
+  two_engines engines{[&calls](engine_call& call) {
+    if (++calls > 1)
+      call.cut();
+    else
+      answer_words({"one"})(call);
+  }};
+  CHECK(has(engines.ask(false), "one"));
+  const raw_answer answer = engines.host.ask(chat_request_text(chat_body(false)));
+  CHECK(answer.status == 200);
+  CHECK(has(answer, "two"));
+  CHECK(engines.one.runs() == 2);
+}
+
 TEST_CASE("an engine that says it does not run the request costs it nothing") {
   two_engines engines{[](engine_call& call) { call.refuse(503); }};
   CHECK(has(engines.ask(false, not_idempotent), "two"));
