--- a/src/daemon/impl/budget_service.cpp
+++ b/src/daemon/impl/budget_service.cpp
@@ -73,6 +73,11 @@
   return known ? known->spent + known->outstanding + known->written_off : 0;
 }
 
+std::int64_t budget_service::written_off() const {
+  const std::scoped_lock lock{mutex_};
+  return budgets_.state().written_off();
+}
+
 std::optional<ledger::budget_description> budget_service::describe(const team_id& team) const {
   const std::scoped_lock lock{mutex_};
   return budgets_.describe(time_.now(), team);
--- a/src/daemon/impl/budget_service.hpp
+++ b/src/daemon/impl/budget_service.hpp
@@ -32,6 +32,8 @@
 
   /// \returns tokens of the team that are spent, delegated or written off.
   [[nodiscard]] std::int64_t committed(const team_id& team) const;
+  /// \returns tokens of all teams that are written off.
+  [[nodiscard]] std::int64_t written_off() const;
   [[nodiscard]] std::optional<ledger::budget_description> describe(const team_id& team) const;
   void release_written_off(const team_id& team, std::uint64_t epoch, std::int64_t tokens,
                            ledger::release_proof proof, const std::string& statement);
--- a/src/daemon/impl/dispatch_service.cpp
+++ b/src/daemon/impl/dispatch_service.cpp
@@ -381,6 +381,13 @@
   return {found->second.queue.figures(), table_.load_of(id), found->second.queue.teams()};
 }
 
+std::size_t dispatch_service::quarantined() const {
+  const std::scoped_lock lock{mutex_};
+  const auto records = quarantine_.records(time_.now());
+  return static_cast<std::size_t>(std::count_if(
+      records.begin(), records.end(), [](const quarantine_record& one) { return !one.lifted; }));
+}
+
 std::vector<pool_id> dispatch_service::pools() const {
   const std::scoped_lock lock{mutex_};
   std::vector<pool_id> ids;
--- a/src/daemon/impl/dispatch_service.hpp
+++ b/src/daemon/impl/dispatch_service.hpp
@@ -60,6 +60,8 @@
     std::vector<fair_queue::team_figures> teams;
   };
   [[nodiscard]] pool_figures figures(const pool_id& pool) const;
+  /// \returns how many contents are in quarantine.
+  [[nodiscard]] std::size_t quarantined() const;
 
   [[nodiscard]] share_report own_report(const pool_id& pool, const incarnation& self);
   void apply_plan(const pool_id& pool, const share_plan& plan);
--- a/src/daemon/impl/host.cpp
+++ b/src/daemon/impl/host.cpp
@@ -128,7 +128,9 @@
                                   answers_},
       listener_{self_,
                 {budgets_, claims_, shares_, loads_, appender_, state_, answers_, burn_, log_}},
-      router_{gateway_} {}
+      router_{gateway_}, sampler_{metrics_,
+                                  {dispatch_, budgets_, claims_, appender_, replayer_, status_,
+                                   events_, log_}} {}
 
 host::~host() {
   drain();
@@ -222,6 +224,7 @@
     dispatch_.review();
     shares_.exchange();
     update_readiness();
+    sampler_.sample(membership_->view(), self_);
   });
 }
 
@@ -258,7 +261,6 @@
 
 void host::update_readiness() {
   const replay_status replay = replayer_.status();
-  metrics_.set(metric::log_offset, {}, static_cast<double>(replay.position));
   if (replay.diverged)
     return status_.set_not_ready("this host's state differs from a checkpoint");
   if (documents_.needs_newer_program())
--- a/src/daemon/impl/host.hpp
+++ b/src/daemon/impl/host.hpp
@@ -6,6 +6,7 @@
 #include "daemon/impl/host_status.hpp"
 #include "daemon/impl/log_replayer.hpp"
 #include "daemon/impl/membership_service.hpp"
+#include "daemon/impl/metrics_sampler.hpp"
 #include "daemon/impl/order_service.hpp"
 #include "daemon/impl/peer_answers.hpp"
 #include "gateway/gateway.hpp"
@@ -79,6 +80,7 @@
   std::unique_ptr<peer_server> peer_server_;
   std::unique_ptr<membership_service> membership_;
   caller_router router_;
+  metrics_sampler sampler_;
   std::unique_ptr<admin_router> admin_;
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> operators_;
--- a/src/daemon/impl/host_status.cpp
+++ b/src/daemon/impl/host_status.cpp
@@ -85,7 +85,7 @@
 
 std::string host_status::not_ready_reason() {
   const std::scoped_lock lock{mutex_};
-  return stop_announced_ ? "stopping" : not_ready_;
+  return stop_announced_ ? std::string{stopping_reason} : not_ready_;
 }
 
 void host_status::enter() {
@@ -143,8 +143,10 @@
   if (ended.tokens_billed > 0)
     metrics_.add(metric::tokens_billed, {ended.team.str()},
                  static_cast<double>(ended.tokens_billed));
+  if (ended.attempts > 0)
+    metrics_.add(metric::attempts, {ended.pool.str()}, ended.attempts);
   if (ended.refused)
-    metrics_.add(metric::refusals, {ended.team.str(), name_of(*ended.refused)});
+    count_refusal(ended.team, *ended.refused);
   if (!counts_for_objective(ended))
     return;
   metrics_.add(metric::slo_total, {ended.team.str(), ended.class_name});
@@ -154,6 +156,14 @@
     metrics_.add(metric::slo_good, {ended.team.str(), ended.class_name});
 }
 
+void host_status::count_refusal(const team_id& team, error_kind kind) {
+  metrics_.add(metric::refusals, {team.str(), name_of(kind)});
+  if (kind == error_kind::budget_exhausted)
+    metrics_.add(metric::budget_refusals, {team.str(), "exhausted"});
+  if (kind == error_kind::budget_unreachable)
+    metrics_.add(metric::budget_refusals, {team.str(), "unreachable"});
+}
+
 void host_status::remember(const ended_request& ended) {
   decision happened{ended.refused ? decision_kind::refused : decision_kind::answered};
   happened.at = wall_time();
--- a/src/daemon/impl/host_status.hpp
+++ b/src/daemon/impl/host_status.hpp
@@ -14,6 +14,9 @@
   host_status(incarnation self, structured_log& log, metrics& figures, decision_events& events,
               burn_tracker& burn);
 
+  /// What `not_ready_reason` says during a planned stop.
+  static constexpr std::string_view stopping_reason = "stopping";
+
   /// \param reason  empty makes the host ready
   void set_not_ready(const std::string& reason);
   /// \brief The balancer is told to send nothing more here; what it sends all the same is served.
@@ -34,6 +37,7 @@
 
  private:
   void count(const ended_request& ended);
+  void count_refusal(const team_id& team, error_kind kind);
   void remember(const ended_request& ended);
 
   incarnation self_;
--- a/src/ledger/impl/ledger_state.cpp
+++ b/src/ledger/impl/ledger_state.cpp
@@ -47,6 +47,13 @@
   return {row.contract, row.spent, row.outstanding, row.written_off};
 }
 
+token_count ledger_state::written_off() const noexcept {
+  token_count sum{0};
+  for (const team_row& row : teams_)
+    sum += row.written_off;
+  return sum;
+}
+
 token_count ledger_state::orphaned(name_index team) const {
   return teams_[team].orphaned;
 }
--- a/src/ledger/impl/ledger_state.hpp
+++ b/src/ledger/impl/ledger_state.hpp
@@ -45,6 +45,8 @@
     return recent_;
   }
   [[nodiscard]] std::size_t team_count() const noexcept { return teams_.size(); }
+  /// \returns tokens of all teams that are written off; reads every team's row.
+  [[nodiscard]] token_count written_off() const noexcept;
   [[nodiscard]] std::size_t delegation_count() const noexcept { return delegations_.size(); }
 
   /// \returns the index of a known team, else `no_name`.
--- a/src/routing/impl/endpoint_health.hpp
+++ b/src/routing/impl/endpoint_health.hpp
@@ -14,6 +14,8 @@
   ejected,     ///< slower or failing more than its peers; tried again after a while
 };
 
+inline constexpr std::size_t endpoint_state_count = 4;
+
 template <>
 struct enum_names<endpoint_state> {
   static constexpr auto entries =
--- a/src/routing/impl/endpoint_table.cpp
+++ b/src/routing/impl/endpoint_table.cpp
@@ -354,7 +354,10 @@
 endpoint_table::pool_load endpoint_table::load_of(const pool_id& pool) const {
   pool_load sum;
   for (const record& known : records_) {
-    if (!known.active || known.info.pool != pool)
+    if (!known.present || known.info.pool != pool)
+      continue;
+    ++sum.by_state[static_cast<std::size_t>(known.health.state)];
+    if (!known.active)
       continue;
     ++sum.endpoints;
     sum.places += known.load.last_report().max_running;
--- a/src/routing/impl/endpoint_table.hpp
+++ b/src/routing/impl/endpoint_table.hpp
@@ -156,6 +156,7 @@
   /// \returns places and believed load of a pool's endpoints that take work
   struct pool_load {
     std::size_t endpoints{};
+    std::array<std::size_t, endpoint_state_count> by_state{}; ///< by `endpoint_state`
     double places{};
     double at_endpoints{};
   };
--- a/tests/fleet/leaving_endpoint_test.cpp
+++ b/tests/fleet/leaving_endpoint_test.cpp
@@ -20,6 +20,12 @@
   }
 }
 
+bool knows_of_leaving(const running_fleet& fleet, int host) {
+  const std::string text = fleet.get(host, "/metrics").body;
+  const std::string state = R"(pool="lm",state="leaving"} 1)";
+  return text.find(state) != std::string::npos;
+}
+
 } // namespace
 
 // An engine is to be taken away. Word of that comes from the platform's list, from the engine or
@@ -49,11 +55,7 @@
   SUBCASE("by the fleet settings") {
     REQUIRE(fleet.drain_engine(0, leaving) == 200);
   }
-  CHECK(eventually([&] {
-    const int before = fleet.runs_at(leaving);
-    ask_all(fleet, 10);
-    return fleet.runs_at(leaving) == before;
-  }));
+  CHECK(eventually([&] { return knows_of_leaving(fleet, 0) && knows_of_leaving(fleet, 1); }));
   const int before = fleet.runs_at(leaving);
   ask_all(fleet, 30);
   CHECK(fleet.runs_at(leaving) == before);
