Hosts authenticate each other: mutual TLS over gRPC, sealed membership datagrams

Cause: who reached a host's peer address could speak for any host; a host asked for TLS refused to start. Change: /tls/peers turns gRPC between hosts to mutual TLS. A host's certificate carries its name, checked by the sender against the name that membership knows and by the receiver against each message's from_host. /tls/datagram_keys seals membership datagrams. Both are needed or neither. Listeners of callers and operators still refuse certificate files.

--- a/bench/slopes/links_run.cpp
+++ b/bench/slopes/links_run.cpp
@@ -26,6 +26,7 @@
 
 class counting_listener final : public peer_listener {
  public:
+  void on_impostor(const std::string&) override {}
   void on_envelope(const wire::envelope&) override { ++heard; }
   wire::records_reply records_after(std::uint64_t, std::size_t) override { return {}; }
   std::string state() override { return {}; }
@@ -168,8 +169,9 @@
   const wire::envelope message = small_report();
   counting_listener listener;
   const std::string address = absl::StrFormat("127.0.0.1:%d", first_port);
-  peer_server server{address, listener};
-  peer_links links{host_name(0), time_ms{2000}};
+  const peer_credentials plain;
+  peer_server server{address, listener, plain};
+  peer_links links{host_name(0), time_ms{2000}, plain};
   std::vector<peer_address> peers;
   const auto send_to_all = [&] {
     const std::size_t wanted = listener.heard + peers.size();
--- a/src/config/impl/host_settings.cpp
+++ b/src/config/impl/host_settings.cpp
@@ -110,6 +110,9 @@
 void check_tls(const tls_settings& tls, check_run& run) {
   if (tls.peers.enabled() && tls.peers.authorities.empty())
     run.fault_at("/peers/authorities", "is needed, for hosts authenticate each other");
+  if (tls.peers.enabled() == tls.datagram_keys.empty())
+    run.fault_at("/datagram_keys", "is needed with /tls/peers and only there, for hosts "
+                                   "authenticate each other on both ways");
 }
 
 const object_table<tls_settings>& tls_table() {
@@ -120,6 +123,9 @@
                   "Between hosts, always mutual"),
        make_field("admin", &tls_settings::admin, object_rule(tls_files_table()),
                   "Towards operators"),
+       make_field("datagram_keys", &tls_settings::datagram_keys, path_rule(),
+                  "File of the keys for datagrams between hosts, one in hexadecimal a line; the "
+                  "first signs, all are accepted"),
        make_field("reload_ms", &tls_settings::reload, time_rule({1000, 86'400'000}),
                   "Time between two looks for renewed files")},
       check_tls};
--- a/src/config/impl/host_settings.hpp
+++ b/src/config/impl/host_settings.hpp
@@ -80,6 +80,7 @@
   tls_files callers;
   tls_files peers;
   tls_files admin;
+  std::string datagram_keys; ///< file
   time_ms reload{60000};
 };
 
--- a/src/daemon/impl/host.cpp
+++ b/src/daemon/impl/host.cpp
@@ -63,6 +63,18 @@
   return options;
 }
 
+std::vector<datagram_key> datagram_keys_of(const host_settings& settings) {
+  if (settings.tls.datagram_keys.empty())
+    return {};
+  return read_datagram_keys(settings.tls.datagram_keys);
+}
+
+peer_credentials peer_credentials_of(const host_settings& settings) {
+  if (!settings.tls.peers.enabled())
+    return {};
+  return {files_of(settings.tls.peers), settings.tls.reload};
+}
+
 ledger::ledger_options ledger_options_of() {
   ledger::ledger_options options;
   // Long enough for a lost holder to be noticed and its tokens to be granted anew.
@@ -86,7 +98,13 @@
       metrics_{settings_.name.str()}, events_{static_cast<std::size_t>(
                                                   settings_.limits.decision_events),
                                               routine_events_per_second},
-      status_{self_, log_, metrics_, events_, burn_}, peers_{self_, settings_.timeouts.peer_call},
+      status_{self_, log_, metrics_, events_, burn_}, membership_seal_{datagram_purpose::membership,
+                                                                       self_.number,
+                                                                       datagram_keys_of(settings_)},
+      credentials_{settings_, [this](const auto& keys) { use_datagram_keys(keys); }, log_,
+                   metrics_},
+      peer_credentials_{peer_credentials_of(settings_)}, peers_{self_, settings_.timeouts.peer_call,
+                                                                peer_credentials_},
       appender_{self_, settings_.data_centre, make_log(settings_.platform), peers_},
       dispatch_{settings_.data_centre, time_, self_.number,
                 [this](const team_id& team) { return documents_.find(team); }},
@@ -126,8 +144,9 @@
                                   followed_,
                                   connections_,
                                   answers_},
-      listener_{self_,
-                {budgets_, claims_, shares_, loads_, appender_, state_, answers_, burn_, log_}},
+      listener_{
+          self_,
+          {budgets_, claims_, shares_, loads_, appender_, state_, answers_, burn_, log_, metrics_}},
       router_{gateway_}, sampler_{metrics_,
                                   {dispatch_, budgets_, claims_, appender_, replayer_, status_,
                                    events_, log_}} {}
@@ -136,12 +155,19 @@
   drain();
 }
 
+void host::use_datagram_keys(const std::vector<datagram_key>& keys) {
+  membership_seal_.use_keys(keys);
+  peers_.use_datagram_keys(keys);
+}
+
 void host::start() {
   started_ = time_.now();
-  peer_server_ = std::make_unique<peer_server>(settings_.listen.peers.str(), listener_);
+  peers_.use_datagram_keys(datagram_keys_of(settings_));
+  peer_server_ =
+      std::make_unique<peer_server>(settings_.listen.peers.str(), listener_, peer_credentials_);
   membership_ = std::make_unique<membership_service>(
-      self_, settings_.data_centre, target_of(settings_.listen.peers), time_,
-      [this](const membership_view& view) { on_view(view); });
+      self_, settings_.data_centre, target_of(settings_.listen.peers), time_, membership_seal_,
+      metrics_, [this](const membership_view& view) { on_view(view); });
   prometheus::Counter& bytes_in = metrics_.counter_at(metric::peer_bytes, {"in"});
   prometheus::Counter& bytes_out = metrics_.counter_at(metric::peer_bytes, {"out"});
   membership_->share_socket(control_mark, [this, &bytes_in](std::string_view datagram) {
@@ -225,6 +251,7 @@
     shares_.exchange();
     update_readiness();
     sampler_.sample(membership_->view(), self_);
+    credentials_.look_when_due(time_.now());
   });
 }
 
--- a/src/daemon/impl/host.hpp
+++ b/src/daemon/impl/host.hpp
@@ -2,6 +2,7 @@
 
 #include "config/config.hpp"
 #include "daemon/impl/admin_router.hpp"
+#include "daemon/impl/credential_watch.hpp"
 #include "daemon/impl/host_listener.hpp"
 #include "daemon/impl/host_status.hpp"
 #include "daemon/impl/log_replayer.hpp"
@@ -41,6 +42,7 @@
 
  private:
   void on_view(const membership_view& view);
+  void use_datagram_keys(const std::vector<datagram_key>& keys);
   void start_loops();
   [[nodiscard]] std::unique_ptr<http_server> listen(const address& at,
                                                     http_server::request_handler handle);
@@ -61,6 +63,9 @@
   decision_events events_;
   burn_tracker burn_;
   host_status status_;
+  datagram_seal membership_seal_;
+  credential_watch credentials_;
+  peer_credentials peer_credentials_;
   peer_links peers_;
   record_appender appender_;
   document_service documents_;
--- a/src/daemon/impl/host_listener.cpp
+++ b/src/daemon/impl/host_listener.cpp
@@ -19,6 +19,11 @@
   }
 }
 
+void host_listener::on_impostor(const std::string& claimed) {
+  to_.numbers.add(metric::peer_messages_refused, {"impostor"});
+  to_.lines.write(severity::warning, "peer_impostor", {}, {{log_field::peer, claimed}});
+}
+
 void host_listener::hand_over(const wire::envelope& message, const incarnation& from) {
   switch (message.body_case()) {
   case wire::envelope::kAppend:
--- a/src/daemon/impl/host_listener.hpp
+++ b/src/daemon/impl/host_listener.hpp
@@ -21,11 +21,13 @@
     answer_table& answers;
     burn_tracker& burn;
     structured_log& lines;
+    metrics& numbers;
   };
 
   host_listener(incarnation self, const parts& to) : self_{std::move(self)}, to_{to} {}
 
   void on_envelope(const wire::envelope& message) override;
+  void on_impostor(const std::string& claimed) override;
   [[nodiscard]] wire::records_reply records_after(std::uint64_t after, std::size_t most) override;
   [[nodiscard]] std::string state() override;
   [[nodiscard]] wire::burn_reply burn() override;
--- a/src/daemon/impl/membership_service.cpp
+++ b/src/daemon/impl/membership_service.cpp
@@ -1,7 +1,5 @@
 #include "daemon/impl/membership_service.hpp"
 
-#include "wire/wire.hpp"
-
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 
@@ -32,12 +30,9 @@
 
 membership_service::membership_service(const incarnation& self, data_centre_id data_centre,
                                        const http_target& listen, const clock& time,
-                                       view_listener on_view)
-    : time_{time}, on_view_{std::move(on_view)}, members_{self,
-                                                          std::move(data_centre),
-                                                          listen.str(),
-                                                          {},
-                                                          self.number},
+                                       datagram_seal& seal, metrics& numbers, view_listener on_view)
+    : time_{time}, seal_{seal}, numbers_{numbers}, on_view_{std::move(on_view)},
+      members_{self, std::move(data_centre), listen.str(), {}, self.number},
       socket_{Poco::Net::SocketAddress{listen.ip, listen.port}} {
   socket_.setReceiveBufferSize(receive_buffer_bytes);
   socket_.setReceiveTimeout(Poco::Timespan{receive_wait_us});
@@ -84,7 +79,14 @@
         continue;
       }
       wire::membership_message parsed;
-      if (size <= 0 || !parsed.ParseFromArray(buffer.data(), size))
+      if (size <= 0)
+        continue;
+      const auto [verdict, payload] = seal_.open({buffer.data(), static_cast<std::size_t>(size)});
+      if (verdict != datagram_verdict::opened) {
+        numbers_.add(metric::peer_messages_refused, {name_of(verdict)});
+        continue;
+      }
+      if (!parsed.ParseFromArray(payload.data(), static_cast<int>(payload.size())))
         continue;
       const membership_message message = from_wire(parsed);
       advance([&](membership& members, time_ms now) { members.on_message(now, message); });
@@ -123,7 +125,7 @@
 
 void membership_service::send(const std::vector<addressed_membership_message>& messages) {
   for (const addressed_membership_message& message : messages)
-    send(message.address, to_wire(message.message).SerializeAsString());
+    send(message.address, seal_.seal(to_wire(message.message).SerializeAsString()));
 }
 
 void membership_service::send(const std::string& address, const std::string& datagram) {
--- a/src/daemon/impl/membership_service.hpp
+++ b/src/daemon/impl/membership_service.hpp
@@ -2,6 +2,8 @@
 
 #include "membership/membership.hpp"
 #include "platform/platform.hpp"
+#include "telemetry/telemetry.hpp"
+#include "wire/wire.hpp"
 
 #include <Poco/Net/DatagramSocket.h>
 
@@ -22,7 +24,8 @@
 
   /// \param on_view  called after each change of the view, without locks held
   membership_service(const incarnation& self, data_centre_id data_centre, const http_target& listen,
-                     const clock& time, view_listener on_view);
+                     const clock& time, datagram_seal& seal, metrics& numbers,
+                     view_listener on_view);
   membership_service(const membership_service&) = delete;
   membership_service& operator=(const membership_service&) = delete;
   ~membership_service();
@@ -50,6 +53,8 @@
   void send(const std::vector<addressed_membership_message>& messages);
 
   const clock& time_;
+  datagram_seal& seal_;
+  metrics& numbers_;
   view_listener on_view_;
   ordered_mutex mutex_{lock_rank::membership};
   membership members_;
--- a/src/daemon/impl/peer_links.cpp
+++ b/src/daemon/impl/peer_links.cpp
@@ -24,14 +24,15 @@
 
 // A connection whose other end was lost track of somewhere in between looks idle for good. Pings
 // while a call is open turn that silence into a failed call, and the next call connects anew.
-std::shared_ptr<grpc::Channel> open_channel(const std::string& address) {
+std::shared_ptr<grpc::Channel> open_channel(const std::string& address, const host_id& peer,
+                                            const peer_credentials& credentials) {
   grpc::ChannelArguments arguments;
   arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, keepalive_ms);
   arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_timeout_ms);
   arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, most_reconnect_wait_ms);
   arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-  return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
+  return credentials.open_channel(address, peer, arguments);
 }
 
 struct pending_call {
@@ -55,10 +56,9 @@
   time_ms last_sent;
 };
 
-peer_links::peer_links(incarnation self, time_ms call_timeout)
-    : self_{std::move(self)}, call_timeout_{call_timeout}, seal_{datagram_purpose::control,
-                                                                 self_.number,
-                                                                 {}} {}
+peer_links::peer_links(incarnation self, time_ms call_timeout, const peer_credentials& credentials)
+    : self_{std::move(self)}, call_timeout_{call_timeout},
+      credentials_{credentials}, seal_{datagram_purpose::control, self_.number, {}} {}
 
 peer_links::~peer_links() {
   stop_datagrams();
@@ -302,7 +302,7 @@
     return nullptr;
   link& target = *known->second;
   if (!target.stub)
-    target.stub = wire::peer::NewStub(open_channel(target.address));
+    target.stub = wire::peer::NewStub(open_channel(target.address, to, credentials_));
   target.stub_used = time_.now();
   return target.stub;
 }
--- a/src/daemon/impl/peer_links.hpp
+++ b/src/daemon/impl/peer_links.hpp
@@ -43,7 +43,7 @@
 /// what was not answered. A connection is opened when used and closed when idle.
 class peer_links {
  public:
-  explicit peer_links(incarnation self, time_ms call_timeout);
+  peer_links(incarnation self, time_ms call_timeout, const peer_credentials& credentials);
   peer_links(const peer_links&) = delete;
   peer_links& operator=(const peer_links&) = delete;
   ~peer_links();
@@ -89,6 +89,7 @@
 
   incarnation self_;
   time_ms call_timeout_;
+  const peer_credentials& credentials_;
   steady_clock time_;
   ordered_mutex mutex_{lock_rank::outbox};
   std::condition_variable_any idle_;
--- a/src/daemon/impl/peer_server.cpp
+++ b/src/daemon/impl/peer_server.cpp
@@ -62,13 +62,18 @@
 
 class peer_server::service final : public wire::peer::Service {
  public:
-  explicit service(peer_listener& listener) : listener_{listener} {}
+  service(peer_listener& listener, const peer_credentials& credentials)
+      : listener_{listener}, credentials_{credentials} {}
 
   // NOLINTBEGIN(readability-identifier-naming): names given by the protocol
-  grpc::Status Deliver(grpc::ServerContext*, const wire::envelope_batch* batch,
+  grpc::Status Deliver(grpc::ServerContext* context, const wire::envelope_batch* batch,
                        wire::deliver_reply*) override {
-    for (const wire::envelope& message : batch->envelopes())
-      listener_.on_envelope(message);
+    for (const wire::envelope& message : batch->envelopes()) {
+      if (credentials_.speaks_for(*context, message.from_host()))
+        listener_.on_envelope(message);
+      else
+        listener_.on_impostor(message.from_host());
+    }
     return grpc::Status::OK;
   }
 
@@ -112,10 +117,12 @@
 
  private:
   peer_listener& listener_;
+  const peer_credentials& credentials_;
 };
 
-peer_server::peer_server(const std::string& listen, peer_listener& listener)
-    : service_{std::make_unique<service>(listener)} {
+peer_server::peer_server(const std::string& listen, peer_listener& listener,
+                         const peer_credentials& credentials)
+    : service_{std::make_unique<service>(listener, credentials)} {
   grpc::ResourceQuota quota;
   quota.SetMaxThreads(most_threads);
   grpc::ServerBuilder builder;
@@ -126,7 +133,7 @@
   builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
                              least_ping_interval_ms);
   builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
-  builder.AddListeningPort(listen, grpc::InsecureServerCredentials());
+  builder.AddListeningPort(listen, credentials.for_server());
   builder.RegisterService(service_.get());
   server_ = builder.BuildAndStart();
   if (!server_)
--- a/src/daemon/impl/peer_server.hpp
+++ b/src/daemon/impl/peer_server.hpp
@@ -19,6 +19,8 @@
   virtual ~peer_listener() = default;
 
   virtual void on_envelope(const wire::envelope& message) = 0;
+  /// \brief Hears that a host sent a message in the name of another, which was dropped.
+  virtual void on_impostor(const std::string& claimed) = 0;
   /// \returns log records after an offset.
   [[nodiscard]] virtual wire::records_reply records_after(std::uint64_t after,
                                                           std::size_t most) = 0;
@@ -34,7 +36,8 @@
 /// \brief Serves other hosts over gRPC.
 class peer_server {
  public:
-  peer_server(const std::string& listen, peer_listener& listener);
+  peer_server(const std::string& listen, peer_listener& listener,
+              const peer_credentials& credentials);
   peer_server(const peer_server&) = delete;
   peer_server& operator=(const peer_server&) = delete;
   ~peer_server();
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -23,13 +23,13 @@
 constexpr int exit_bad_settings = 2;
 constexpr int exit_cut_short = 3;
 
-// This release speaks plain text only. A host whose settings ask for certificates must not start
-// and quietly do without them.
+// Listeners of callers and operators speak plain text only. A host whose settings ask for
+// certificates there must not start and quietly do without them.
 void refuse_tls(const host_settings& settings, const std::string& file) {
   const tls_settings& tls = settings.tls;
-  if (tls.callers.enabled() || tls.peers.enabled() || tls.admin.enabled())
+  if (tls.callers.enabled() || tls.admin.enabled())
     throw error{error_kind::invalid_settings, file + ": /tls",
-                "this release does not serve TLS yet; leave the certificate files out"};
+                "callers and operators are not served over TLS yet; leave these files out"};
 }
 
 host_settings read_settings(const std::string& file) {
@@ -42,6 +42,7 @@
   if (!settings)
     throw error{error_kind::invalid_settings, file, "\n" + to_text(settings.problems)};
   refuse_tls(*settings.value, file);
+  check_credentials(*settings.value);
   return std::move(*settings.value);
 }
 
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -117,13 +117,25 @@
                   "sedgechute_host_state",
                   "1 for the state this host is in, else 0. state: not_ready, ready, stopping.",
                   {"state"}},
+    metric_family{metric::peer_messages_refused,
+                  counter,
+                  "sedgechute_peer_messages_refused_total",
+                  "Messages in the name of a host that were dropped. reason: impostor (another "
+                  "host's certificate), and of datagrams truncated, forged, replayed.",
+                  {"reason"}},
+    metric_family{metric::credential_reloads,
+                  counter,
+                  "sedgechute_credential_reloads_total",
+                  "Renewed certificate and key files. side: callers, peers, admin, datagrams. "
+                  "result: taken; refused while the old ones stay in use.",
+                  {"side", "result"}},
 };
 
 constexpr bool in_order() {
   for (std::size_t i = 0; i < families.size(); ++i)
     if (static_cast<std::size_t>(families[i].id) != i)
       return false;
-  return families.size() == static_cast<std::size_t>(metric::host_state) + 1;
+  return families.size() == static_cast<std::size_t>(metric::credential_reloads) + 1;
 }
 static_assert(in_order(), "the table has one row for each metric, in the order of the enumeration");
 
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -40,6 +40,8 @@
   resident_bytes,
   cpu_seconds,
   host_state,
+  peer_messages_refused,
+  credential_reloads,
 };
 
 inline constexpr std::size_t most_labels = 3;
--- a/tests/fleet/running_fleet.cpp
+++ b/tests/fleet/running_fleet.cpp
@@ -130,6 +130,14 @@
   REQUIRE(call(list_port_, "PUT", "/v1/hosts", body, {}, {}, 2000).status == 200);
 }
 
+std::string running_fleet::tls_of(const tls_test::test_authority& authority,
+                                  const std::string& name) const {
+  const certificate_files files = authority.issue(name);
+  return R"(,"tls":{"peers":{"certificate":")" + files.certificate + R"(","key":")" + files.key +
+         R"(","authorities":")" + files.authorities + R"("},"datagram_keys":")" +
+         (folder_ / "datagram.keys").string() + "\"}";
+}
+
 void running_fleet::write_files(const fleet_shape& shape) {
   write(folder_ / "hosts.json",
         R"({"standins":{"log":")" + at(log_port_) + R"(","hosts":")" + at(list_port_) +
@@ -139,6 +147,8 @@
             R"(,"answer_tokens":100000},"orders":{"service":"orders","work_ms":5}}},"hosts":[)" +
             list_of("one") + "]}");
   write(folder_ / "other-hosts.json", R"({"hosts":[)" + list_of("two") + "]}");
+  write(folder_ / "datagram.keys", std::string(64, '5') + "\n");
+  const tls_test::test_authority authority{folder_ / "certificates"};
   for (std::size_t i = 0; i < addresses_.size(); ++i) {
     const bool cut = std::find(shape.without_log.begin(), shape.without_log.end(),
                                static_cast<int>(i)) != shape.without_log.end();
@@ -152,7 +162,7 @@
               at(weights_port_) + R"("},"stop":{"notice_ms":)" +
               std::to_string(shape.stop_notice_ms) +
               R"(},"operators":[{"name":"op","right":"publish","key":)" + hashed(operator_secret) +
-              "}]}");
+              "}]" + (shape.tls_between_hosts ? tls_of(authority, host.name) : "") + "}");
   }
 }
 
--- a/tests/fleet/running_fleet.hpp
+++ b/tests/fleet/running_fleet.hpp
@@ -2,6 +2,7 @@
 
 #include "platform/platform.hpp"
 #include "process.hpp"
+#include "test_certificates.hpp"
 
 #include <Poco/JSON/Object.h>
 
@@ -27,6 +28,8 @@
   /// The second half of the hosts is a data centre of its own, and the two never hear of each
   /// other: each has a host list that names its own hosts only. They share the log and endpoints.
   bool partitioned{false};
+  /// Hosts talk to each other over mutual TLS and with authenticated datagrams.
+  bool tls_between_hosts{false};
 };
 
 /// \brief Stand-ins and hosts in processes, with one team's contract in force.
@@ -38,6 +41,9 @@
   ~running_fleet();
 
   [[nodiscard]] process& host(int number) { return *hosts_.at(static_cast<std::size_t>(number)); }
+  [[nodiscard]] std::uint16_t peer_port(int number) const {
+    return addresses_.at(static_cast<std::size_t>(number)).peers;
+  }
   /// \brief Starts a host again, as a new incarnation at the same addresses.
   void restart(int number);
 
@@ -86,6 +92,8 @@
     std::string data_centre;
   };
 
+  [[nodiscard]] std::string tls_of(const tls_test::test_authority& authority,
+                                   const std::string& name) const;
   void write_files(const fleet_shape& shape);
   [[nodiscard]] std::string list_of(const std::string& data_centre) const;
   void start_host(int number);
--- a/tests/wire/datagram_seal_test.cpp
+++ b/tests/wire/datagram_seal_test.cpp
@@ -54,6 +54,7 @@
   CHECK(to.open(sent[0]).verdict == datagram_verdict::opened);
   CHECK(to.open(sent[0]).verdict == datagram_verdict::replayed);
   CHECK(to.open(sent[last]).verdict == datagram_verdict::opened);
+  CHECK(to.open(sent[last - replay_window::width - 1]).verdict == datagram_verdict::replayed);
   CHECK(to.open(sent[last - 1]).verdict == datagram_verdict::opened);
   CHECK(to.open(sent[last - 1]).verdict == datagram_verdict::replayed);
   CHECK(to.open(sent[last - replay_window::width + 1]).verdict == datagram_verdict::opened);
