Callers and operators are served over TLS; the tool shows a certificate

Cause: a host whose settings named certificate files for callers or operators refused to start. The handshake runs on the connection's own thread, and waits of a handshake or record are bounded as a whole, since the library's start anew with each byte. The fleet test has TLS everywhere. Conclusion: not measured: processor time and memory under TLS.

--- a/src/cli/impl/api_client.cpp
+++ b/src/cli/impl/api_client.cpp
@@ -8,6 +8,7 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/HTTPSClientSession.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/URI.h>
 
 #include <array>
@@ -26,12 +27,38 @@
 constexpr int status_unprocessable = 422;
 constexpr int status_unavailable = 503;
 
+[[nodiscard]] Poco::Net::Context::Ptr tls_context(const options& flags) {
+  using Poco::Net::Context;
+  Context::Params chosen;
+  chosen.caLocation = flags.authorities;
+  chosen.certificateFile = flags.certificate;
+  chosen.privateKeyFile = flags.certificate_key;
+  chosen.verificationMode = Context::VERIFY_STRICT;
+  chosen.loadDefaultCAs = false;
+  chosen.cipherList = "HIGH:!aNULL";
+  try {
+    Context::Ptr made{new Context{Context::TLS_CLIENT_USE, chosen}};
+    made->requireMinimumProtocol(Context::PROTO_TLSV1_2);
+    return made;
+  } catch (const Poco::Exception& fault) {
+    throw failure{exit_code::usage, "the files for TLS cannot be used: " + fault.displayText()};
+  }
+}
+
+// A host that serves TLS closes on plain text without a word.
+[[nodiscard]] std::string hint_for(const Poco::Exception& fault, const options& flags) {
+  const bool closed = dynamic_cast<const Poco::Net::NoMessageException*>(&fault) != nullptr ||
+                      dynamic_cast<const Poco::Net::ConnectionResetException*>(&fault) != nullptr;
+  return closed && flags.authorities.empty()
+             ? " (if it serves TLS, give its authorities with --tls_authorities)"
+             : "";
+}
+
 [[nodiscard]] std::unique_ptr<Poco::Net::HTTPClientSession> open_session(const options& flags,
                                                                          const address& host) {
   if (flags.authorities.empty())
     return std::make_unique<Poco::Net::HTTPClientSession>(host.ip, host.port);
-  const Poco::Net::Context::Ptr context{new Poco::Net::Context{
-      Poco::Net::Context::TLS_CLIENT_USE, flags.authorities, Poco::Net::Context::VERIFY_STRICT}};
+  const Poco::Net::Context::Ptr context = tls_context(flags);
   return std::make_unique<Poco::Net::HTTPSClientSession>(host.ip, host.port, context);
 }
 
@@ -77,7 +104,8 @@
     try {
       last = call_host(host, method, path, body);
     } catch (const Poco::Exception& fault) {
-      silent += (silent.empty() ? "" : "; ") + host.str() + ": " + fault.displayText();
+      silent += (silent.empty() ? "" : "; ") + host.str() + ": " + fault.displayText() +
+                hint_for(fault, flags_);
       continue;
     }
     if (last.status == status_unavailable)
--- a/src/cli/impl/options.hpp
+++ b/src/cli/impl/options.hpp
@@ -10,13 +10,15 @@
 
 /// \brief What the flags say.
 struct options {
-  std::vector<address> hosts; ///< admin addresses, tried in this order
-  std::string key;            ///< operator key
-  std::string authorities;    ///< PEM file; not empty means TLS
-  bool json{false};           ///< one line of JSON instead of text
-  bool wait{false};           ///< publish: until in force everywhere
-  time_ms timeout{10000};     ///< for an answer, and for --wait
-  time_ms poll{200};          ///< between two looks while waiting
+  std::vector<address> hosts;  ///< admin addresses, tried in this order
+  std::string key;             ///< operator key
+  std::string authorities;     ///< PEM file; not empty means TLS
+  std::string certificate;     ///< PEM file; shown to hosts that ask for one
+  std::string certificate_key; ///< PEM file of its private key
+  bool json{false};            ///< one line of JSON instead of text
+  bool wait{false};            ///< publish: until in force everywhere
+  time_ms timeout{10000};      ///< for an answer, and for --wait
+  time_ms poll{200};           ///< between two looks while waiting
   std::optional<std::uint64_t> replaces;
   std::string record_id;
   std::uint64_t revision{0};
--- a/src/cli/program/main.cpp
+++ b/src/cli/program/main.cpp
@@ -16,6 +16,9 @@
           "for others can see a command line");
 ABSL_FLAG(std::string, key_file, "", "file with the operator key");
 ABSL_FLAG(std::string, tls_authorities, "", "PEM file of authorities; use TLS");
+ABSL_FLAG(std::string, tls_certificate, "",
+          "PEM file of your certificate, for hosts that ask for one");
+ABSL_FLAG(std::string, tls_key, "", "PEM file of its private key");
 ABSL_FLAG(bool, json, false, "one line of JSON instead of text");
 ABSL_FLAG(bool, wait, false, "publish: wait until it is in force on every host");
 ABSL_FLAG(std::int64_t, timeout_ms, 10000, "longest wait for an answer, and for --wait");
@@ -83,6 +86,12 @@
   }
   flags.key = read_key();
   flags.authorities = absl::GetFlag(FLAGS_tls_authorities);
+  flags.certificate = absl::GetFlag(FLAGS_tls_certificate);
+  flags.certificate_key = absl::GetFlag(FLAGS_tls_key);
+  if (flags.certificate.empty() != flags.certificate_key.empty())
+    throw cli::failure{cli::exit_code::usage, "--tls_certificate and --tls_key go together"};
+  if (!flags.certificate.empty() && flags.authorities.empty())
+    throw cli::failure{cli::exit_code::usage, "--tls_certificate needs --tls_authorities"};
   flags.json = absl::GetFlag(FLAGS_json);
   flags.wait = absl::GetFlag(FLAGS_wait);
   flags.timeout = time_ms{absl::GetFlag(FLAGS_timeout_ms)};
--- a/src/daemon/impl/credential_watch.hpp
+++ b/src/daemon/impl/credential_watch.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "config/config.hpp"
+#include "gateway/gateway.hpp"
 #include "telemetry/telemetry.hpp"
 #include "wire/wire.hpp"
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -29,6 +31,10 @@
   /// \brief Looks once every `/tls/reload_ms`.
   void look_when_due(time_ms now);
 
+  /// \returns what the listener serves TLS with; null for plain text.
+  [[nodiscard]] std::shared_ptr<listener_credentials> callers() const { return callers_; }
+  [[nodiscard]] std::shared_ptr<listener_credentials> admin() const { return admin_; }
+
  private:
   /// One side of this host, with the content of its files at the last look.
   struct side {
@@ -38,6 +44,7 @@
   };
 
   void look_at(side& one);
+  void watch(std::string_view name, const tls_files& files);
   void take(const side& one);
   void note(const side& one, bool taken, const std::string& reason);
 
@@ -45,6 +52,8 @@
   key_listener on_keys_;
   structured_log& lines_;
   metrics& numbers_;
+  std::shared_ptr<listener_credentials> callers_;
+  std::shared_ptr<listener_credentials> admin_;
   std::vector<side> sides_;
   time_ms next_look_{0};
 };
--- a/src/daemon/impl/host.cpp
+++ b/src/daemon/impl/host.cpp
@@ -189,15 +189,19 @@
       settings_, self_, time_, documents_, budgets_, claims_, dispatch_, orders_, appender_,
       replayer_, status_, events_, burn_, metrics_, peers_, [this] { return membership_->view(); },
       [this] { return dispatch_.entry_hosts(); }, [this] { request_stop(); }});
-  operators_ = listen(settings_.listen.admin,
-                      [this](caller_exchange& exchange) { admin_->serve(exchange); });
-  callers_ = listen(settings_.listen.callers,
-                    [this](caller_exchange& exchange) { router_.serve(exchange); });
+  operators_ = listen(
+      settings_.listen.admin, [this](caller_exchange& exchange) { admin_->serve(exchange); },
+      credentials_.admin());
+  callers_ = listen(
+      settings_.listen.callers, [this](caller_exchange& exchange) { router_.serve(exchange); },
+      credentials_.callers());
   log_.write(severity::info, "started", {}, {{log_field::address, settings_.listen.callers.str()}});
 }
 
-std::unique_ptr<http_server> host::listen(const address& at, http_server::request_handler handle) {
+std::unique_ptr<http_server> host::listen(const address& at, http_server::request_handler handle,
+                                          std::shared_ptr<const listener_credentials> credentials) {
   http_server_options options;
+  options.credentials = std::move(credentials);
   options.most_connections = static_cast<std::size_t>(settings_.limits.connections);
   options.header_timeout = settings_.timeouts.caller_header;
   options.write_timeout = settings_.timeouts.caller_write;
--- a/src/daemon/impl/host.hpp
+++ b/src/daemon/impl/host.hpp
@@ -44,8 +44,9 @@
   void on_view(const membership_view& view);
   void use_datagram_keys(const std::vector<datagram_key>& keys);
   void start_loops();
-  [[nodiscard]] std::unique_ptr<http_server> listen(const address& at,
-                                                    http_server::request_handler handle);
+  [[nodiscard]] std::unique_ptr<http_server>
+  listen(const address& at, http_server::request_handler handle,
+         std::shared_ptr<const listener_credentials> credentials);
   /// \brief Calls `step` every `interval` until the host stops.
   void every(time_ms interval, std::function<void()> step);
   void poll_host_list();
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -23,15 +23,6 @@
 constexpr int exit_bad_settings = 2;
 constexpr int exit_cut_short = 3;
 
-// Listeners of callers and operators speak plain text only. A host whose settings ask for
-// certificates there must not start and quietly do without them.
-void refuse_tls(const host_settings& settings, const std::string& file) {
-  const tls_settings& tls = settings.tls;
-  if (tls.callers.enabled() || tls.admin.enabled())
-    throw error{error_kind::invalid_settings, file + ": /tls",
-                "callers and operators are not served over TLS yet; leave these files out"};
-}
-
 host_settings read_settings(const std::string& file) {
   std::ifstream in{file};
   if (!in)
@@ -41,7 +32,6 @@
   auto settings = check_host_settings(file, text.str());
   if (!settings)
     throw error{error_kind::invalid_settings, file, "\n" + to_text(settings.problems)};
-  refuse_tls(*settings.value, file);
   check_credentials(*settings.value);
   return std::move(*settings.value);
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -25,6 +25,7 @@
 #include "gateway/impl/http_server.hpp"
 #include "gateway/impl/kept_chat.hpp"
 #include "gateway/impl/keyed_answer.hpp"
+#include "gateway/impl/listener_credentials.hpp"
 #include "gateway/impl/ports.hpp"
 #include "gateway/impl/refusal.hpp"
 #include "gateway/impl/request_body.hpp"
--- a/src/gateway/impl/caller_session.cpp
+++ b/src/gateway/impl/caller_session.cpp
@@ -1,5 +1,8 @@
 #include "gateway/impl/caller_session.hpp"
 
+#include "gateway/impl/reread_bytes.hpp"
+#include "gateway/impl/tls_socket.hpp"
+
 #include <Poco/Buffer.h>
 #include <Poco/Exception.h>
 #include <Poco/Net/StreamSocketImpl.h>
@@ -9,7 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <cstring>
+#include <memory>
 
 namespace sedgechute {
 
@@ -24,42 +27,21 @@
   return Poco::Timespan{span.count() * Poco::Timespan::MILLISECONDS};
 }
 
-/// A socket whose next bytes may be ones that were read before.
-class rereadable_socket final : public StreamSocketImpl {
+class plain_socket final : public StreamSocketImpl, public reread_bytes {
  public:
-  explicit rereadable_socket(poco_socket_t descriptor) : StreamSocketImpl{descriptor} {}
+  explicit plain_socket(poco_socket_t descriptor) : StreamSocketImpl{descriptor} {}
 
   // NOLINTNEXTLINE(readability-identifier-naming): overrides the library's name
   int receiveBytes(void* buffer, int length, int flags) override {
-    if (at_ == again_.size() || flags != 0)
-      return StreamSocketImpl::receiveBytes(buffer, length, flags);
-    const std::size_t count = std::min(static_cast<std::size_t>(length), again_.size() - at_);
-    std::memcpy(buffer, again_.data() + at_, count);
-    at_ += count;
-    if (at_ == again_.size())
-      clear();
-    return static_cast<int>(count);
+    if (waiting() && flags == 0)
+      return take(buffer, length);
+    return StreamSocketImpl::receiveBytes(buffer, length, flags);
   }
 
   bool poll(const Poco::Timespan& timeout, int mode) override {
-    const bool ready = at_ < again_.size() && (mode & SELECT_READ) != 0;
+    const bool ready = waiting() && (mode & SELECT_READ) != 0;
     return ready || StreamSocketImpl::poll(timeout, mode);
   }
-
-  void read_again(const std::string& bytes) {
-    again_ = bytes + again_.substr(at_);
-    at_ = 0;
-  }
-
- private:
-  // A long-lived stream shall not hold on to the room that its header needed.
-  void clear() {
-    std::string{}.swap(again_);
-    at_ = 0;
-  }
-
-  std::string again_;
-  std::size_t at_{0};
 };
 
 } // namespace
@@ -68,11 +50,20 @@
   const int descriptor = ::dup(socket.impl()->sockfd());
   if (descriptor < 0)
     throw Poco::IOException{"dup", errno};
-  StreamSocket same{new rereadable_socket{descriptor}};
+  StreamSocket same{new plain_socket{descriptor}};
   socket.close();
   return same;
 }
 
+StreamSocket accept_tls(StreamSocket& socket, const Poco::Net::Context::Ptr& context,
+                        time_ms most) {
+  auto made = std::make_unique<tls_socket>(socket, context);
+  tls_socket& secured = *made;
+  StreamSocket same{made.release()};
+  secured.shake_hands(to_timespan(most));
+  return same;
+}
+
 caller_session::caller_session(const StreamSocket& socket, Poco::Net::HTTPServerParams::Ptr params,
                                const clock& time)
     : HTTPServerSession{socket, std::move(params)}, time_{time} {}
@@ -105,8 +96,8 @@
   }
   Poco::Buffer<char> behind{0};
   drainBuffer(behind);
-  auto* socket_impl = static_cast<rereadable_socket*>(socket().impl());
-  socket_impl->read_again(header + std::string{behind.begin(), behind.size()});
+  auto& again = dynamic_cast<reread_bytes&>(*socket().impl());
+  again.read_again(header + std::string{behind.begin(), behind.size()});
   return header;
 }
 
--- a/src/gateway/impl/caller_session.hpp
+++ b/src/gateway/impl/caller_session.hpp
@@ -2,6 +2,7 @@
 
 #include "gateway/impl/request_header.hpp"
 
+#include <Poco/Net/Context.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerSession.h>
 #include <Poco/Net/StreamSocket.h>
@@ -54,4 +55,9 @@
 /// closed.
 [[nodiscard]] Poco::Net::StreamSocket make_rereadable(Poco::Net::StreamSocket& socket);
 
+/// \brief The same over TLS, once the other side has shown what `context` asks for.
+/// \throws Poco::Exception when it has not within `most`
+[[nodiscard]] Poco::Net::StreamSocket
+accept_tls(Poco::Net::StreamSocket& socket, const Poco::Net::Context::Ptr& context, time_ms most);
+
 } // namespace sedgechute
--- a/src/gateway/impl/http_server.cpp
+++ b/src/gateway/impl/http_server.cpp
@@ -41,8 +41,8 @@
 
   void run() override {
     try {
-      socket() = make_rereadable(socket());
       socket().setNoDelay(true);
+      socket() = secure(socket());
       // Poco applies a session's timeouts only to connections that it opens itself. Without this
       // one, a caller that does not read would hold its thread and its engine for good.
       socket().setSendTimeout(to_timespan(server_.options_.write_timeout));
@@ -58,6 +58,18 @@
   }
 
  private:
+  /// Here and not where connections are accepted: a slow handshake holds up its own thread only.
+  [[nodiscard]] StreamSocket secure(StreamSocket& accepted) const {
+    const http_server_options& options = server_.options_;
+    if (!options.credentials)
+      return make_rereadable(accepted);
+    StreamSocket secured =
+        accept_tls(accepted, options.credentials->context(), options.header_timeout);
+    // For the rest of a TLS record of which a part has come.
+    secured.setReceiveTimeout(to_timespan(options.header_timeout));
+    return secured;
+  }
+
   /// What may follow an answer on its connection.
   enum class sequel { next_request, close, close_gently };
 
--- a/src/gateway/impl/http_server.hpp
+++ b/src/gateway/impl/http_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/impl/caller_api.hpp"
+#include "gateway/impl/listener_credentials.hpp"
 #include "gateway/impl/request_header.hpp"
 
 #include <Poco/Net/HTTPServerParams.h>
@@ -21,7 +22,8 @@
   time_ms header_timeout{5000}; ///< for a whole request header, and for a connection's first byte
   time_ms write_timeout{30000}; ///< longest block on a caller that does not read
   time_ms keep_alive{15000};
-  time_ms thread_idle{2000};     ///< before a thread without a connection ends; may delay a stop
+  time_ms thread_idle{2000}; ///< before a thread without a connection ends; may delay a stop
+  std::shared_ptr<const listener_credentials> credentials{}; ///< null: plain text
   time_ms closing_timeout{1000}; ///< for a refused caller to read why, while it still sends
 };
 
--- a/tests/fleet/running_fleet.cpp
+++ b/tests/fleet/running_fleet.cpp
@@ -6,6 +6,11 @@
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Parser.h>
 #include <Poco/JSONString.h>
+#include <Poco/Net/Context.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/HTTPSClientSession.h>
+#include <Poco/StreamCopier.h>
 
 #include <doctest/doctest.h>
 
@@ -66,13 +71,36 @@
          drained + "]}";
 }
 
+running_fleet::answer
+call_over_tls(const certificate_files& files, std::uint16_t port, const std::string& method,
+              const std::string& path, const std::string& body,
+              const std::vector<std::pair<std::string, std::string>>& headers) {
+  using Poco::Net::Context;
+  const Context::Ptr context{new Context{Context::TLS_CLIENT_USE, files.key, files.certificate,
+                                         files.authorities, Context::VERIFY_STRICT}};
+  Poco::Net::HTTPSClientSession session{"127.0.0.1", port, context};
+  Poco::Net::HTTPRequest request{method, path, "HTTP/1.1"};
+  for (const auto& [name, value] : headers)
+    request.set(name, value);
+  if (!body.empty()) {
+    request.setContentType("application/json");
+    request.setContentLength(static_cast<std::streamsize>(body.size()));
+  }
+  session.sendRequest(request) << body;
+  Poco::Net::HTTPResponse response;
+  running_fleet::answer got;
+  Poco::StreamCopier::copyToString(session.receiveResponse(response), got.body);
+  got.status = response.getStatus();
+  return got;
+}
+
 } // namespace
 
 running_fleet::running_fleet(const fleet_shape& shape)
     : folder_{std::filesystem::temp_directory_path() /
               ("sedgechute-test-" + std::to_string(::getpid()) + "-" +
                std::to_string(free_port()))},
-      team_key_{team_secret}, operator_key_{operator_secret} {
+      tls_{shape.tls}, team_key_{team_secret}, operator_key_{operator_secret} {
   log_port_ = free_port();
   list_port_ = free_port();
   other_list_port_ = free_port();
@@ -133,9 +161,11 @@
 std::string running_fleet::tls_of(const tls_test::test_authority& authority,
                                   const std::string& name) const {
   const certificate_files files = authority.issue(name);
-  return R"(,"tls":{"peers":{"certificate":")" + files.certificate + R"(","key":")" + files.key +
-         R"(","authorities":")" + files.authorities + R"("},"datagram_keys":")" +
-         (folder_ / "datagram.keys").string() + "\"}";
+  const std::string own =
+      R"({"certificate":")" + files.certificate + R"(","key":")" + files.key + "\"";
+  const std::string mutual = own + R"(,"authorities":")" + files.authorities + "\"}";
+  return R"(,"tls":{"peers":)" + mutual + R"(,"admin":)" + mutual + R"(,"callers":)" + own +
+         R"(},"datagram_keys":")" + (folder_ / "datagram.keys").string() + "\"}";
 }
 
 void running_fleet::write_files(const fleet_shape& shape) {
@@ -149,6 +179,7 @@
   write(folder_ / "other-hosts.json", R"({"hosts":[)" + list_of("two") + "]}");
   write(folder_ / "datagram.keys", std::string(64, '5') + "\n");
   const tls_test::test_authority authority{folder_ / "certificates"};
+  operator_files_ = authority.issue("operator");
   for (std::size_t i = 0; i < addresses_.size(); ++i) {
     const bool cut = std::find(shape.without_log.begin(), shape.without_log.end(),
                                static_cast<int>(i)) != shape.without_log.end();
@@ -162,7 +193,7 @@
               at(weights_port_) + R"("},"stop":{"notice_ms":)" +
               std::to_string(shape.stop_notice_ms) +
               R"(},"operators":[{"name":"op","right":"publish","key":)" + hashed(operator_secret) +
-              "}]" + (shape.tls_between_hosts ? tls_of(authority, host.name) : "") + "}");
+              "}]" + (shape.tls ? tls_of(authority, host.name) : "") + "}");
   }
 }
 
@@ -235,6 +266,8 @@
   if (!key.empty())
     headers.emplace_back("Idempotency-Key", key);
   try {
+    if (tls_ && !bearer.empty())
+      return call_over_tls(operator_files_, port, method, path, body, headers);
     const http_answer got =
         http_call({"127.0.0.1", port}, method, path, body, time_ms{most_ms}, headers);
     return {got.status, got.body};
--- a/tests/fleet/running_fleet.hpp
+++ b/tests/fleet/running_fleet.hpp
@@ -28,8 +28,8 @@
   /// The second half of the hosts is a data centre of its own, and the two never hear of each
   /// other: each has a host list that names its own hosts only. They share the log and endpoints.
   bool partitioned{false};
-  /// Hosts talk to each other over mutual TLS and with authenticated datagrams.
-  bool tls_between_hosts{false};
+  /// TLS between hosts, for callers, and with client certificates for operators.
+  bool tls{false};
 };
 
 /// \brief Stand-ins and hosts in processes, with one team's contract in force.
@@ -107,6 +107,8 @@
                             const std::string& key, int most_ms) const;
 
   std::filesystem::path folder_;
+  bool tls_;
+  certificate_files operator_files_;
   std::string team_key_;
   std::string operator_key_;
   std::uint16_t log_port_{}, list_port_{}, other_list_port_{}, weights_port_{};
--- a/tests/fleet/tls_test.cpp
+++ b/tests/fleet/tls_test.cpp
@@ -28,9 +28,9 @@
 // Hosts that authenticate each other still have to act as one fleet: a retry through another host
 // is answered from the first run, which only works when the hosts hear each other. Whoever sends a
 // host a datagram without the key is counted and not heard.
-TEST_CASE("a fleet with TLS between its hosts answers a retry through another host once") {
+TEST_CASE("a fleet with TLS everywhere answers a retry through another host once") {
   fleet_shape shape;
-  shape.tls_between_hosts = true;
+  shape.tls = true;
   const running_fleet fleet{shape};
   for (int host = 0; host < shape.hosts; ++host)
     CHECK(fleet.service(host, "POST", "/order", "tls-order").status == 200);
--- a/tests/gateway/test_gateway.hpp
+++ b/tests/gateway/test_gateway.hpp
@@ -35,6 +35,7 @@
   [[nodiscard]] raw_caller caller(int receive_buffer = 0) const {
     return raw_caller{socket_.address(), receive_buffer};
   }
+  [[nodiscard]] Poco::Net::SocketAddress address() const { return socket_.address(); }
   /// \returns the answer to one request on a connection of its own.
   [[nodiscard]] raw_answer ask(const std::string& request) const;
 
