--- a/bench/slopes/links_run.cpp
+++ b/bench/slopes/links_run.cpp
@@ -29,7 +29,7 @@
   void on_impostor(const std::string&) override {}
   void on_envelope(const wire::envelope&) override { ++heard; }
   wire::records_reply records_after(std::uint64_t, std::size_t) override { return {}; }
-  std::string state() override { return {}; }
+  bool state(const std::function<bool(std::string)>&) override { return false; }
   wire::burn_reply burn() override { return {}; }
   std::shared_ptr<answer_record> answer(const team_id&, const std::string&) override {
     return nullptr;
--- a/src/config/impl/contract_set.cpp
+++ b/src/config/impl/contract_set.cpp
@@ -184,10 +184,13 @@
   return texts;
 }
 
-void contract_set::restore(std::vector<packed_contract> contracts,
-                           const std::vector<std::string>& terms) {
-  *this = contract_set{};
-  for (const auto& text : terms) {
+std::optional<std::uint32_t> contract_set::position_of(std::string_view team) const noexcept {
+  const auto found = by_team_.find(stable_hash(team));
+  return found == by_team_.end() ? std::nullopt : std::optional{found->second};
+}
+
+void contract_set::add_terms(const std::vector<std::string>& texts) {
+  for (const auto& text : texts) {
     contract value;
     if (!text.empty()) {
       auto read = check_contract("checkpoint", text);
@@ -201,13 +204,15 @@
       terms_by_text_.emplace(text, static_cast<std::uint32_t>(terms_.size()));
     terms_.push_back({std::move(value), text, 0, 0});
   }
-  contracts_ = std::move(contracts);
-  by_team_.reserve(contracts_.size());
-  by_key_id_.reserve(contracts_.size());
-  for (std::uint32_t index = 0; index < contracts_.size(); ++index) {
-    if (contracts_[index].terms >= terms_.size())
+}
+
+void contract_set::add_packed(const std::vector<packed_contract>& contracts) {
+  for (const packed_contract& given : contracts) {
+    if (given.terms >= terms_.size())
       throw error{error_kind::invalid_document, "checkpoint", "names terms that it does not have"};
-    const contract agreed = unpack(contracts_[index]);
+    const contract agreed = unpack(given);
+    const auto index = static_cast<std::uint32_t>(contracts_.size());
+    contracts_.push_back(given);
     by_team_[stable_hash(agreed.team.str())] = index;
     count_in(index, agreed);
   }
--- a/src/config/impl/contract_set.hpp
+++ b/src/config/impl/contract_set.hpp
@@ -65,9 +65,14 @@
   [[nodiscard]] const std::vector<packed_contract>& packed() const noexcept { return contracts_; }
   /// \returns the JSON text of each set of terms; empty text for numbers not in use
   [[nodiscard]] std::vector<std::string> terms_texts() const;
-  /// \brief Takes over what `packed` and `terms_texts` gave.
+  /// \returns the position of a team's contract, or nothing
+  [[nodiscard]] std::optional<std::uint32_t> position_of(std::string_view team) const noexcept;
+  /// \brief Takes over what `terms_texts` gave, before the contracts that name them.
+  /// \throws error `invalid_document` when a text is no contract
+  void add_terms(const std::vector<std::string>& texts);
+  /// \brief Takes over contracts in the order of `packed`.
   /// \throws error `invalid_document` when they don't fit together
-  void restore(std::vector<packed_contract> contracts, const std::vector<std::string>& terms);
+  void add_packed(const std::vector<packed_contract>& contracts);
 
  private:
   struct shared_terms {
--- a/src/config/impl/document_store.cpp
+++ b/src/config/impl/document_store.cpp
@@ -189,6 +189,7 @@
   done.outcome = outcome_for(offset, record, result.verdict, std::move(result.reason));
   const std::uint64_t record_hash = stable_hash(record.record_id);
   if (result.agreed) {
+    keep_image(record.name);
     contracts_.put(offset, record_hash, *result.agreed);
     done.agreed = contracts_.find(record.name);
   } else if (result.fleet) {
@@ -261,46 +262,6 @@
   return to_text(fleet_settings_table().write(fleet_->value));
 }
 
-document_snapshot document_store::snapshot() const {
-  document_snapshot taken;
-  taken.last_offset = last_offset_;
-  taken.sequence = sequence_;
-  if (fleet_ != nullptr) {
-    taken.fleet_revision = fleet_->revision;
-    taken.fleet_record_hash = fleet_record_hash_;
-    taken.fleet_body = to_text(fleet_settings_table().write(fleet_->value));
-  }
-  taken.terms = contracts_.terms_texts();
-  taken.contracts = contracts_.packed();
-  taken.outcomes = outcomes_.all();
-  taken.digest = digest();
-  return taken;
-}
-
-void document_store::restore(const document_snapshot& snapshot) {
-  if (snapshot.last_offset < last_offset_)
-    throw error{error_kind::invalid_document, "checkpoint",
-                "ends at " + std::to_string(snapshot.last_offset) + ", before " +
-                    std::to_string(last_offset_) + ", which is in force here"};
-  document_store restored{outcomes_.size()};
-  restored.contracts_.restore(snapshot.contracts, snapshot.terms);
-  if (snapshot.fleet_revision != 0) {
-    auto read = check_fleet_settings("checkpoint", snapshot.fleet_body);
-    if (!read)
-      throw error{error_kind::invalid_document, "checkpoint", to_text(read.problems)};
-    restored.fleet_ = std::make_shared<const revised<fleet_settings>>(
-        revised<fleet_settings>{snapshot.fleet_revision, std::move(*read.value)});
-    restored.fleet_record_hash_ = snapshot.fleet_record_hash;
-  }
-  restored.outcomes_.restore(snapshot.outcomes);
-  restored.tail_.start_after(snapshot.last_offset);
-  restored.last_offset_ = snapshot.last_offset;
-  restored.sequence_ = snapshot.sequence;
-  if (restored.digest() != snapshot.digest)
-    throw error{error_kind::invalid_document, "checkpoint", "its digest doesn't fit its content"};
-  *this = std::move(restored);
-}
-
 std::uint64_t document_store::digest() const {
   std::uint64_t hash = mix_hash(contracts_.digest(), outcomes_.digest());
   hash = mix_hash(hash, last_offset_);
--- a/src/config/impl/document_store.hpp
+++ b/src/config/impl/document_store.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "config/impl/contract_set.hpp"
+#include "config/impl/document_cut.hpp"
 #include "config/impl/document_snapshot.hpp"
 #include "config/impl/document_tail.hpp"
 #include "config/impl/fleet_settings.hpp"
 #include "config/impl/outcome_window.hpp"
 
+#include <map>
+
 namespace sedgechute {
 
 using fleet_ptr = std::shared_ptr<const revised<fleet_settings>>;
@@ -82,6 +85,21 @@
   /// \brief Goes to a snapshot's state.
   /// \throws error `invalid_document` when it is damaged, or older than this store's own state
   void restore(const document_snapshot& snapshot);
+
+  /// \brief Starts to read the present state in parts; records may be applied between them.
+  [[nodiscard]] cut_number open_cut();
+  /// \returns the next part of about `most` contracts or outcomes, or nothing after the last
+  /// \throws error `internal` when the store was replaced since the cut
+  [[nodiscard]] std::optional<document_snapshot> next_part(cut_number cut, std::size_t most);
+  void close_cut(cut_number cut);
+
+  /// \brief Fills an empty store by the parts of a cut, in their order.
+  /// \throws error `invalid_document` when it is damaged
+  void add_part(const document_snapshot& part);
+  /// \brief Goes to the state of a store that was filled by parts.
+  /// \throws error `invalid_document` when it is not whole, or older than this one
+  void take_over(document_store filled);
+
   /// \returns a value that is equal on hosts that replayed the same records
   [[nodiscard]] std::uint64_t digest() const;
 
@@ -105,6 +123,9 @@
   void advance(std::uint64_t offset, const document_record& record, const publish_outcome& outcome,
                bool repeated);
 
+  void keep_image(std::string_view team);
+  void require_newer(std::uint64_t last_offset) const;
+
   contract_set contracts_;
   fleet_ptr fleet_;
   std::uint64_t fleet_record_hash_{0};
@@ -113,6 +134,9 @@
   std::uint64_t last_offset_{0};
   std::uint64_t sequence_{0};
   bool unreadable_{false};
+  std::map<cut_number, document_cut> cuts_;
+  cut_number last_cut_{0};
+  std::uint64_t stated_digest_{0}; ///< by the parts that filled this store
 };
 
 } // namespace sedgechute
--- a/src/config/impl/outcome_window.hpp
+++ b/src/config/impl/outcome_window.hpp
@@ -5,7 +5,9 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <deque>
+#include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sedgechute {
@@ -24,14 +26,16 @@
   [[nodiscard]] const publish_outcome* find(std::string_view record_id) const;
   void add(publish_outcome outcome);
 
-  [[nodiscard]] std::vector<publish_outcome> all() const;
-  void restore(std::vector<publish_outcome> outcomes);
+  /// \returns the outcomes, oldest first; they don't change any more
+  [[nodiscard]] std::vector<std::shared_ptr<const publish_outcome>> all() const {
+    return {order_.begin(), order_.end()};
+  }
   [[nodiscard]] std::uint64_t digest() const;
 
  private:
   std::size_t size_;
-  std::deque<std::string> order_;
-  absl::flat_hash_map<std::string, publish_outcome> by_record_;
+  std::deque<std::shared_ptr<const publish_outcome>> order_;
+  absl::flat_hash_map<std::string_view, const publish_outcome*> by_record_;
 };
 
 } // namespace sedgechute
--- a/src/daemon/impl/budget_service.cpp
+++ b/src/daemon/impl/budget_service.cpp
@@ -91,20 +91,37 @@
   publish();
 }
 
-ledger::ledger_snapshot budget_service::snapshot() const {
+ledger::cut_number budget_service::open_cut() {
   const std::scoped_lock lock{mutex_};
-  return budgets_.snapshot();
+  return budgets_.open_cut();
 }
 
-void budget_service::restore(const ledger::ledger_snapshot& snapshot) {
+std::optional<ledger::ledger_snapshot> budget_service::next_part(ledger::cut_number cut,
+                                                                 std::size_t most_teams) {
   const std::scoped_lock lock{mutex_};
-  budgets_.restore(time_.now(), snapshot);
+  return budgets_.next_part(cut, most_teams);
+}
+
+void budget_service::close_cut(ledger::cut_number cut) {
+  const std::scoped_lock lock{mutex_};
+  budgets_.close_cut(cut);
+}
+
+void budget_service::begin_restore() {
+  const std::scoped_lock lock{mutex_};
+  budgets_.begin_restore();
+}
+
+void budget_service::restore_part(const ledger::ledger_snapshot& part) {
+  const std::scoped_lock lock{mutex_};
+  budgets_.restore_part(time_.now(), part);
   publish();
 }
 
-std::uint64_t budget_service::digest() const {
+void budget_service::finish_restore() {
   const std::scoped_lock lock{mutex_};
-  return budgets_.state().digest();
+  budgets_.finish_restore(time_.now());
+  publish();
 }
 
 token_reservation budget_service::reserve(const team_id& team, const std::string& key,
--- a/src/daemon/impl/budget_service.hpp
+++ b/src/daemon/impl/budget_service.hpp
@@ -38,9 +38,14 @@
   void release_written_off(const team_id& team, std::uint64_t epoch, std::int64_t tokens,
                            ledger::release_proof proof, const std::string& statement);
 
-  [[nodiscard]] ledger::ledger_snapshot snapshot() const;
-  void restore(const ledger::ledger_snapshot& snapshot);
-  [[nodiscard]] std::uint64_t digest() const;
+  /// \brief The state in parts, as `ledger_state` gives and takes them.
+  [[nodiscard]] ledger::cut_number open_cut();
+  [[nodiscard]] std::optional<ledger::ledger_snapshot> next_part(ledger::cut_number cut,
+                                                                 std::size_t most_teams);
+  void close_cut(ledger::cut_number cut);
+  void begin_restore();
+  void restore_part(const ledger::ledger_snapshot& part);
+  void finish_restore();
 
   [[nodiscard]] token_reservation reserve(const team_id& team, const std::string& key,
                                           std::uint64_t bound) override;
--- a/src/daemon/impl/document_service.cpp
+++ b/src/daemon/impl/document_service.cpp
@@ -59,14 +59,34 @@
   return applied;
 }
 
-document_snapshot document_service::snapshot() const {
+cut_number document_service::open_cut() {
   const std::scoped_lock lock{mutex_};
-  return store_.snapshot();
+  return store_.open_cut();
 }
 
-void document_service::restore(const document_snapshot& snapshot) {
+std::optional<document_snapshot> document_service::next_part(cut_number cut, std::size_t most) {
   const std::scoped_lock lock{mutex_};
-  store_.restore(snapshot);
+  return store_.next_part(cut, most);
+}
+
+void document_service::close_cut(cut_number cut) {
+  const std::scoped_lock lock{mutex_};
+  store_.close_cut(cut);
+}
+
+void document_service::begin_restore() {
+  arriving_.emplace();
+}
+
+void document_service::restore_part(const document_snapshot& part) {
+  arriving_->add_part(part);
+}
+
+void document_service::finish_restore() {
+  document_store whole = std::move(*arriving_);
+  arriving_.reset();
+  const std::scoped_lock lock{mutex_};
+  store_.take_over(std::move(whole));
 }
 
 std::shared_ptr<const fleet_settings> document_service::fleet() const {
--- a/src/daemon/impl/document_service.hpp
+++ b/src/daemon/impl/document_service.hpp
@@ -18,8 +18,16 @@
  public:
   [[nodiscard]] applied_document apply(std::uint64_t offset, const document_record& record,
                                        const committed_tokens& committed);
-  [[nodiscard]] document_snapshot snapshot() const;
-  void restore(const document_snapshot& snapshot);
+
+  /// \brief The state in parts, as `document_store` gives and takes them. What is being restored
+  /// takes effect at the end, at once.
+  [[nodiscard]] cut_number open_cut();
+  [[nodiscard]] std::optional<document_snapshot> next_part(cut_number cut, std::size_t most);
+  void close_cut(cut_number cut);
+  void begin_restore();
+  void restore_part(const document_snapshot& part);
+  void finish_restore();
+  void abandon_restore() noexcept { arriving_.reset(); }
 
   [[nodiscard]] std::shared_ptr<const fleet_settings> fleet() const;
   [[nodiscard]] std::shared_ptr<const contract> find(const team_id& team);
@@ -52,6 +60,7 @@
   mutable ordered_mutex mutex_{lock_rank::documents};
   std::condition_variable_any applied_;
   document_store store_;
+  std::optional<document_store> arriving_; ///< used by the replaying thread only
 };
 
 } // namespace sedgechute
--- a/src/daemon/impl/host_listener.cpp
+++ b/src/daemon/impl/host_listener.cpp
@@ -1,11 +1,16 @@
 #include "daemon/impl/host_listener.hpp"
 
 #include "daemon/impl/burn_rows.hpp"
-#include "daemon/impl/checkpoint_bytes.hpp"
 #include "wire/wire.hpp"
 
 namespace sedgechute {
 
+namespace {
+
+constexpr int most_states_sent = 4;
+
+} // namespace
+
 void host_listener::on_envelope(const wire::envelope& message) {
   // A message meant for an earlier life of this host speaks of what that life held.
   if (message.to_number() != self_.number)
@@ -48,8 +53,24 @@
   return to_.state.records_after(after, most);
 }
 
-std::string host_listener::state() {
-  return to_.state.position() == 0 ? "" : compress(to_.state.snapshot());
+// Each cut keeps what changes while it is read, so a slow reader costs memory here. Many hosts that
+// start at once ask others instead.
+bool host_listener::state(const std::function<bool(std::string)>& send) {
+  const bool few = ++sending_state_ <= most_states_sent;
+  bool whole = false;
+  if (few && to_.state.position() != 0 && !to_.state.incomplete()) {
+    try {
+      const auto cut = to_.state.cut();
+      bool sent = true;
+      while (sent && !cut->finished())
+        sent = send(*cut->next());
+      whole = sent;
+    } catch (const error&) {
+      whole = false; // this host went to another state meanwhile
+    }
+  }
+  --sending_state_;
+  return whole;
 }
 
 wire::burn_reply host_listener::burn() {
--- a/src/daemon/impl/host_listener.hpp
+++ b/src/daemon/impl/host_listener.hpp
@@ -6,6 +6,8 @@
 #include "daemon/impl/share_exchange.hpp"
 #include "telemetry/telemetry.hpp"
 
+#include <atomic>
+
 namespace sedgechute {
 
 /// \brief Hands what other hosts send to the part of this host that it is for.
@@ -29,7 +31,7 @@
   void on_envelope(const wire::envelope& message) override;
   void on_impostor(const std::string& claimed) override;
   [[nodiscard]] wire::records_reply records_after(std::uint64_t after, std::size_t most) override;
-  [[nodiscard]] std::string state() override;
+  [[nodiscard]] bool state(const std::function<bool(std::string)>& send) override;
   [[nodiscard]] wire::burn_reply burn() override;
   [[nodiscard]] std::shared_ptr<answer_record> answer(const team_id& team,
                                                       const std::string& key) override;
@@ -39,6 +41,7 @@
 
   incarnation self_;
   parts to_;
+  std::atomic<int> sending_state_{0};
 };
 
 } // namespace sedgechute
--- a/src/daemon/impl/log_replayer.cpp
+++ b/src/daemon/impl/log_replayer.cpp
@@ -13,9 +13,9 @@
 
 namespace {
 
-constexpr std::size_t records_per_read = 1000;
+constexpr std::size_t records_per_read = 256;
 constexpr std::uint32_t records_per_relay = 1000;
-constexpr std::size_t checkpoint_part_bytes = 192 * 1024;
+constexpr std::size_t parts_per_append = 8;
 constexpr int part_attempts = 5;
 constexpr std::chrono::seconds peer_deadline{2};
 constexpr std::chrono::seconds state_deadline{30};
@@ -77,6 +77,7 @@
     try {
       read_log();
       mark_when_due();
+      write_next_parts();
     } catch (const error&) {
       {
         const std::scoped_lock lock{mutex_};
@@ -96,8 +97,9 @@
 
 void log_replayer::read_log() {
   next_ = std::max(next_, state_.position() + 1);
-  const log_page page = log_->read(next_, records_per_read, options_.poll);
-  if (page.trimmed)
+  const time_ms wait = writing_ ? time_ms{0} : options_.poll;
+  const log_page page = log_->read(next_, records_per_read, wait);
+  if (page.trimmed || state_.incomplete())
     return recover_from_gap(page.first);
   for (const log_entry& entry : page.entries)
     on_entry(entry);
@@ -114,19 +116,19 @@
     return on_part(record.part());
   state_.apply(entry.offset, entry.data);
   if (parsed && record.has_mark())
-    on_mark(entry.offset, record.mark());
+    on_mark(record.mark());
 }
 
 // Every host takes the digest at the mark, so that whoever reads the checkpoint later can tell
 // whether its writer's replay agrees with its own.
-void log_replayer::on_mark(std::uint64_t offset, const wire::checkpoint_mark& mark) {
+void log_replayer::on_mark(const wire::checkpoint_mark& mark) {
   digest_at_mark_[mark.id()] = state_.digest();
   if (digest_at_mark_.size() > 8)
     digest_at_mark_.erase(digest_at_mark_.begin());
   next_mark_ = time_.now() + time_ms{options_.retention.count() / 2} +
                time_ms{static_cast<std::int64_t>(random_.below(10000))};
   if (mark.id() == own_mark_)
-    write_checkpoint(mark.id(), offset);
+    writing_ = unfinished_checkpoint{mark.id(), state_.cut(), 0, {}, 0};
 }
 
 void log_replayer::mark_when_due() {
@@ -140,38 +142,43 @@
   log_->append(std::span{&bytes, 1});
 }
 
-void log_replayer::write_checkpoint(const std::string& id, std::uint64_t offset) {
-  const std::string bytes = compress(state_.snapshot());
-  const std::size_t count = (bytes.size() + checkpoint_part_bytes - 1) / checkpoint_part_bytes;
-  for (std::size_t i = 0; i < count; ++i) {
-    wire::log_record record;
-    wire::checkpoint_part& part = *record.mutable_part();
-    part.set_id(id);
-    part.set_offset(offset);
-    part.set_digest(digest_at_mark_[id]);
-    part.set_index(static_cast<std::uint32_t>(i));
-    part.set_count(static_cast<std::uint32_t>(count));
-    part.set_data(bytes.substr(i * checkpoint_part_bytes, checkpoint_part_bytes));
-    const std::string stored = record.SerializeAsString();
-    for (int attempt = 1;; ++attempt) {
-      try {
-        log_->append(std::span{&stored, 1});
-        break;
-      } catch (const error&) {
-        // A part that is there twice does no harm; a checkpoint that misses one is never used.
-        if (attempt == part_attempts || pause(after_failure))
-          return;
-      }
-    }
+// A few parts between two reads, so that records are replayed while a checkpoint is written and no
+// more of it is in memory than is being sent.
+void log_replayer::write_next_parts() {
+  if (!writing_)
+    return;
+  try {
+    while (writing_->unsent.size() < parts_per_append && !writing_->cut->finished())
+      writing_->unsent.push_back(next_part_record());
+    log_->append(writing_->unsent);
+    writing_->unsent.clear();
+    writing_->failures = 0;
+    if (writing_->cut->finished())
+      writing_.reset();
+  } catch (const error&) {
+    // A part that is there twice does no harm; a checkpoint that misses one is never used.
+    if (++writing_->failures == part_attempts || pause(after_failure))
+      writing_.reset();
   }
 }
 
+std::string log_replayer::next_part_record() {
+  wire::log_record record;
+  wire::checkpoint_part& part = *record.mutable_part();
+  part.set_data(*writing_->cut->next());
+  part.set_id(writing_->id);
+  part.set_offset(writing_->cut->offset());
+  part.set_digest(digest_at_mark_[writing_->id]);
+  part.set_index(writing_->index++);
+  if (writing_->cut->finished())
+    part.set_count(writing_->index);
+  return record.SerializeAsString();
+}
+
 void log_replayer::on_part(const wire::checkpoint_part& part) {
-  parts& arriving = arriving_[part.id()];
-  arriving.offset = part.offset();
-  arriving.digest = part.digest();
-  arriving.count = part.count();
-  arriving.data[part.index()] = ""; // only counted here: the state is already this far
+  seen_parts& arriving = arriving_[part.id()];
+  arriving.count = std::max(arriving.count, part.count());
+  arriving.indices.insert(part.index()); // only counted here: the state is already this far
   const auto known = digest_at_mark_.find(part.id());
   const bool contradicts = known != digest_at_mark_.end() && known->second != part.digest();
   const std::scoped_lock lock{mutex_};
@@ -216,7 +223,7 @@
       return false;
     if (reply.replayed() == 0)
       return false; // it knows no more than a host that just started
-    if (!reply.known() || state_.position() == 0)
+    if (!reply.known() || state_.position() == 0 || state_.incomplete())
       return reply.replayed() > state_.position() && fetch_state_from(peer);
     for (const wire::relayed_record& record : reply.records())
       state_.apply(record.offset(), record.data());
@@ -234,18 +241,19 @@
     return false;
   grpc::ClientContext context;
   const auto reader = stub->State(&with_deadline(context, state_deadline), wire::state_request{});
-  std::string bytes;
   wire::state_part part;
-  while (reader->Read(&part))
-    bytes += part.data();
-  if (!reader->Finish().ok())
-    return false;
   try {
-    state_.restore(decompress(bytes));
-    return true;
+    while (reader->Read(&part))
+      state_.restore_part(decompress(part.data()));
+    if (reader->Finish().ok()) {
+      state_.finish_restore();
+      return true;
+    }
   } catch (const error&) {
-    return false; // damaged, or this host knows more already
+    context.TryCancel(); // damaged, or this host knows more already
   }
+  state_.abandon_restore();
+  return false;
 }
 
 // Records between this host's position and `first` are gone from the log. Applying what follows
@@ -258,46 +266,67 @@
   for (const host_id& peer : peers_in_random_order())
     if (fetch_state_from(peer) && state_.position() + 1 >= first)
       return;
-  const auto checkpoint = last_checkpoint_in_log(first);
-  if (!checkpoint) {
+  if (!restore_from_log(first)) {
     (void)pause(after_failure);
     return;
   }
-  std::string bytes;
-  for (const auto& [index, data] : checkpoint->data)
-    bytes += data;
-  state_.restore(decompress(bytes));
   next_ = state_.position() + 1;
 }
 
-std::optional<log_replayer::parts> log_replayer::last_checkpoint_in_log(std::uint64_t first) {
-  std::map<std::string, parts> found;
-  std::optional<parts> last;
+// The oldest usable checkpoint does: what follows it is replayed anyway. One whose writer died
+// before its last part is given up, and the next one is tried from the beginning.
+bool log_replayer::restore_from_log(std::uint64_t first) {
+  std::set<std::string> tried;
+  for (;;) {
+    const std::size_t before = tried.size();
+    if (restore_checkpoint(first, tried))
+      return true;
+    state_.abandon_restore();
+    if (tried.size() == before)
+      return false;
+  }
+}
+
+/// \returns whether the first checkpoint that was not tried before was whole.
+bool log_replayer::restore_checkpoint(std::uint64_t first, std::set<std::string>& tried) {
+  std::string id;
+  std::uint32_t expected = 0;
   std::uint64_t next = first;
   for (;;) {
     const log_page page = log_->read(next, records_per_read, time_ms{0});
     if (page.trimmed || page.entries.empty())
-      return last;
+      return false;
     for (const log_entry& entry : page.entries) {
       wire::log_record record;
       if (!record.ParseFromString(entry.data) || !record.has_part())
         continue;
       const wire::checkpoint_part& part = record.part();
       // What follows the checkpoint's place must still be in the log, or there is a gap again.
-      if (part.offset() + 1 < first)
-        continue;
-      parts& gathered = found[part.id()];
-      gathered.offset = part.offset();
-      gathered.digest = part.digest();
-      gathered.count = part.count();
-      gathered.data[part.index()] = part.data();
-      if (!gathered.whole())
-        continue;
-      last = std::move(gathered);
-      found.erase(part.id());
+      if (id.empty() && part.index() == 0 && part.offset() + 1 >= first &&
+          tried.insert(part.id()).second)
+        id = part.id();
+      if (part.id() == id && take_part(part, expected))
+        return true;
     }
     next = page.next;
   }
 }
 
+/// \returns whether this was the last part and the state is the checkpoint's now.
+bool log_replayer::take_part(const wire::checkpoint_part& part, std::uint32_t& expected) {
+  if (part.index() != expected)
+    return false; // a part that was appended twice, or one is missing and the last never fits
+  try {
+    state_.restore_part(decompress(part.data()));
+    ++expected;
+    if (part.count() != expected)
+      return false;
+    state_.finish_restore();
+    return true;
+  } catch (const error&) {
+    expected = 0; // no part of it is taken any more, as the first has passed
+    return false;
+  }
+}
+
 } // namespace sedgechute
--- a/src/daemon/impl/log_replayer.hpp
+++ b/src/daemon/impl/log_replayer.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -48,28 +49,38 @@
   [[nodiscard]] replay_status status() const;
 
  private:
-  struct parts {
-    std::uint64_t offset{};
-    std::uint64_t digest{};
+  /// Parts of a checkpoint seen in the log. Only the last part says how many there are.
+  struct seen_parts {
     std::uint32_t count{};
-    std::map<std::uint32_t, std::string> data;
+    std::set<std::uint32_t> indices;
 
-    [[nodiscard]] bool whole() const { return count > 0 && data.size() == count; }
+    [[nodiscard]] bool whole() const { return count > 0 && indices.size() == count; }
+  };
+  /// A checkpoint that this host is writing, some parts after each read of the log.
+  struct unfinished_checkpoint {
+    std::string id;
+    std::unique_ptr<state_cut> cut;
+    std::uint32_t index{};
+    std::vector<std::string> unsent;
+    int failures{};
   };
 
   void run();
   void read_log();
   void on_entry(const log_entry& entry);
-  void on_mark(std::uint64_t offset, const wire::checkpoint_mark& mark);
+  void on_mark(const wire::checkpoint_mark& mark);
   void on_part(const wire::checkpoint_part& part);
   void mark_when_due();
-  void write_checkpoint(const std::string& id, std::uint64_t offset);
+  void write_next_parts();
+  [[nodiscard]] std::string next_part_record();
 
   void relay_from_peers();
   [[nodiscard]] bool relay_from(const host_id& peer);
   [[nodiscard]] bool fetch_state_from(const host_id& peer);
   void recover_from_gap(std::uint64_t first);
-  [[nodiscard]] std::optional<parts> last_checkpoint_in_log(std::uint64_t first);
+  [[nodiscard]] bool restore_from_log(std::uint64_t first);
+  [[nodiscard]] bool restore_checkpoint(std::uint64_t first, std::set<std::string>& tried);
+  [[nodiscard]] bool take_part(const wire::checkpoint_part& part, std::uint32_t& expected);
   [[nodiscard]] std::vector<host_id> peers_in_random_order();
   [[nodiscard]] bool pause(time_ms span);
 
@@ -83,7 +94,8 @@
   std::uint64_t next_{1};
   std::string own_mark_;
   std::map<std::string, std::uint64_t> digest_at_mark_;
-  std::map<std::string, parts> arriving_;
+  std::map<std::string, seen_parts> arriving_;
+  std::optional<unfinished_checkpoint> writing_;
   time_ms next_mark_;
 
   mutable ordered_mutex mutex_{lock_rank::membership};
--- a/src/daemon/impl/peer_server.cpp
+++ b/src/daemon/impl/peer_server.cpp
@@ -13,7 +13,6 @@
 constexpr int least_ping_interval_ms = 1000;
 constexpr int least_pollers = 1;
 constexpr int most_pollers = 2;
-constexpr std::size_t state_part_bytes = 256 * 1024;
 constexpr std::chrono::seconds stop_grace{1};
 
 /// Writes an answer to the host that follows it.
@@ -96,15 +95,13 @@
 
   grpc::Status State(grpc::ServerContext*, const wire::state_request*,
                      grpc::ServerWriter<wire::state_part>* out) override {
-    const std::string bytes = listener_.state();
-    if (bytes.empty())
-      return {grpc::StatusCode::UNAVAILABLE, "this host has no state yet"};
-    for (std::size_t at = 0; at < bytes.size(); at += state_part_bytes) {
+    const auto send = [out](std::string bytes) {
       wire::state_part part;
-      part.set_data(bytes.substr(at, state_part_bytes));
-      if (!out->Write(part))
-        break;
-    }
+      part.set_data(std::move(bytes));
+      return out->Write(part);
+    };
+    if (!listener_.state(send))
+      return {grpc::StatusCode::UNAVAILABLE, "this host has no state, or is sending it to others"};
     return grpc::Status::OK;
   }
 
--- a/src/daemon/impl/peer_server.hpp
+++ b/src/daemon/impl/peer_server.hpp
@@ -24,8 +24,9 @@
   /// \returns log records after an offset.
   [[nodiscard]] virtual wire::records_reply records_after(std::uint64_t after,
                                                           std::size_t most) = 0;
-  /// \returns the replayed state as checkpoint bytes; empty when this host has none.
-  [[nodiscard]] virtual std::string state() = 0;
+  /// \brief Gives the replayed state in parts for as long as `send` returns true.
+  /// \returns whether all was given; not if this host has no state
+  [[nodiscard]] virtual bool state(const std::function<bool(std::string)>& send) = 0;
   /// \returns how this host's requests did against their objectives.
   [[nodiscard]] virtual wire::burn_reply burn() = 0;
   /// \returns the retained or running answer, or null.
--- a/src/daemon/impl/replicated_state.cpp
+++ b/src/daemon/impl/replicated_state.cpp
@@ -3,6 +3,7 @@
 #include "wire/wire.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace sedgechute {
 
@@ -10,6 +11,7 @@
 
 // Enough for some minutes of a busy log, so that a host cut off from it catches up from a peer.
 constexpr std::size_t most_tail_bytes = 4U << 20U;
+constexpr std::size_t teams_per_step = 4096;
 
 std::int64_t spendable(const contract& agreed) {
   return agreed.status == contract_status::active ? bought_tokens(agreed) : 0;
@@ -64,44 +66,79 @@
   }
 }
 
-std::string replicated_state::snapshot() const {
+std::unique_ptr<state_cut> replicated_state::cut() {
   const std::scoped_lock lock{applying_};
-  wire::checkpoint whole;
-  whole.set_offset(position_);
-  *whole.mutable_documents() = to_wire(documents_.snapshot());
-  *whole.mutable_ledger() = to_wire(budgets_.snapshot());
-  *whole.mutable_claims() = to_wire(claims_.snapshot());
-  for (const decided_pool& decided : orders_.snapshot())
-    *whole.add_pools() = to_wire(decided);
-  return whole.SerializeAsString();
+  return std::make_unique<state_cut>(position_, documents_, budgets_, claims_, orders_);
 }
 
-void replicated_state::restore(const std::string& bytes) {
+// The ledger's digest is summed up part by part, as a walk over all budgets at once would keep
+// requests waiting for tens of milliseconds.
+std::uint64_t replicated_state::digest() {
   const std::scoped_lock lock{applying_};
-  wire::checkpoint whole;
-  if (!whole.ParseFromString(bytes))
+  const ledger::cut_number cut = budgets_.open_cut();
+  std::uint64_t ledger = 0;
+  while (const auto part = budgets_.next_part(cut, teams_per_step))
+    ledger = part->digest;
+  budgets_.close_cut(cut);
+  return mix_hash(mix_hash(documents_.digest(), ledger), position_);
+}
+
+void replicated_state::restore_part(const std::string& bytes) {
+  const std::scoped_lock lock{applying_};
+  wire::checkpoint part;
+  if (!part.ParseFromString(bytes))
     throw error{error_kind::invalid_document, "checkpoint", "damaged"};
-  if (whole.offset() <= position_)
+  if (part.offset() <= position_ || (arriving_ != 0 && part.offset() != arriving_))
     throw error{error_kind::invalid_document, "checkpoint", "older than what was replayed"};
-  documents_.restore(from_wire(whole.documents()));
-  budgets_.restore(from_wire(whole.ledger()));
-  claims_.restore(from_wire(whole.claims()));
-  std::vector<decided_pool> decided;
-  for (const wire::decided_pool& one : whole.pools())
-    decided.push_back(from_wire(one));
-  orders_.restore(decided);
+  if (arriving_ == 0) {
+    arriving_ = part.offset();
+    incomplete_ = true;
+    arrived_pools_.clear();
+    documents_.begin_restore();
+    budgets_.begin_restore();
+  }
+  if (part.has_documents())
+    documents_.restore_part(from_wire(part.documents()));
+  if (part.has_ledger())
+    budgets_.restore_part(from_wire(part.ledger()));
+  if (part.has_claims())
+    arrived_claims_ = from_wire(part.claims());
+  for (const wire::decided_pool& one : part.pools())
+    arrived_pools_.push_back(from_wire(one));
+}
+
+void replicated_state::finish_restore() {
+  const std::scoped_lock lock{applying_};
+  if (arriving_ == 0 || !arrived_claims_)
+    throw error{error_kind::invalid_document, "checkpoint", "not whole"};
+  budgets_.finish_restore();
+  documents_.finish_restore();
+  claims_.restore(*std::exchange(arrived_claims_, std::nullopt));
+  orders_.restore(std::exchange(arrived_pools_, {}));
   if (const auto fleet = documents_.fleet())
     dispatch_.on_fleet(fleet);
   const std::scoped_lock tail_lock{tail_mutex_};
   tail_.clear();
   tail_bytes_ = 0;
-  tail_after_ = whole.offset();
-  position_ = whole.offset();
+  tail_after_ = arriving_;
+  position_ = std::exchange(arriving_, 0);
+  incomplete_ = false;
 }
 
-std::uint64_t replicated_state::digest() const {
+// The ledger has some teams of the new place by now and the others of the old one. Records after
+// the old place would be applied to the former a second time, so this host goes on only from
+// another whole state. One that had none before begins with nothing, as it did.
+void replicated_state::abandon_restore() {
   const std::scoped_lock lock{applying_};
-  return mix_hash(mix_hash(documents_.digest(), budgets_.digest()), position_);
+  arriving_ = 0;
+  arrived_claims_.reset();
+  documents_.abandon_restore();
+  if (position_ != 0 || !incomplete_)
+    return;
+  budgets_.begin_restore();
+  budgets_.restore_part({});
+  budgets_.finish_restore();
+  incomplete_ = false;
 }
 
 wire::records_reply replicated_state::records_after(std::uint64_t after, std::size_t most) const {
--- a/src/daemon/impl/replicated_state.hpp
+++ b/src/daemon/impl/replicated_state.hpp
@@ -5,6 +5,7 @@
 #include "daemon/impl/dispatch_service.hpp"
 #include "daemon/impl/document_service.hpp"
 #include "daemon/impl/order_service.hpp"
+#include "daemon/impl/state_cut.hpp"
 
 #include <atomic>
 #include <deque>
@@ -28,12 +29,21 @@
   /// \returns offset of the last record applied.
   [[nodiscard]] std::uint64_t position() const noexcept { return position_; }
 
-  /// \returns the whole state as bytes of a `wire::checkpoint`.
-  [[nodiscard]] std::string snapshot() const;
-  /// \throws error `invalid_document` when the bytes are damaged or older than this state
-  void restore(const std::string& bytes);
+  /// \returns the present state, to be read in parts.
+  [[nodiscard]] std::unique_ptr<state_cut> cut();
   /// \returns a value that is equal on hosts that applied the same records.
-  [[nodiscard]] std::uint64_t digest() const;
+  [[nodiscard]] std::uint64_t digest();
+
+  /// \brief Takes the next part of another host's cut; the first starts over.
+  /// \throws error `invalid_document` when it is damaged, older than this state, or of another cut
+  void restore_part(const std::string& bytes);
+  /// \brief Goes to the state whose parts were given.
+  /// \throws error `invalid_document` when they are not whole
+  void finish_restore();
+  /// \brief Gives up a restore that did not come to its end.
+  void abandon_restore();
+  /// \returns whether a restore was given up half done: only another one can mend this state.
+  [[nodiscard]] bool incomplete() const noexcept { return incomplete_; }
 
   /// \returns records after an offset, as far as they are still kept.
   [[nodiscard]] wire::records_reply records_after(std::uint64_t after, std::size_t most) const;
@@ -52,6 +62,10 @@
   order_service& orders_;
   std::atomic<std::uint64_t> position_{0};
   std::atomic<std::uint64_t> unreadable_{0};
+  std::uint64_t arriving_{0}; ///< offset of the cut that is being restored
+  std::optional<claims_snapshot> arrived_claims_;
+  std::vector<decided_pool> arrived_pools_;
+  std::atomic<bool> incomplete_{false};
   mutable ordered_mutex applying_{lock_rank::lifecycle};
   mutable ordered_mutex tail_mutex_{lock_rank::telemetry};
   std::deque<log_entry> tail_;
--- a/tests/config/history_model.cpp
+++ b/tests/config/history_model.cpp
@@ -97,6 +97,15 @@
   std::map<std::string, document_revision> seen;
 };
 
+/// A checkpoint that a host is giving part by part while it replays on.
+struct open_checkpoint {
+  unsigned host{0};
+  bool trims{false};
+  cut_number cut{0};
+  document_snapshot whole;
+  std::vector<document_snapshot> parts;
+};
+
 class history {
  public:
   explicit history(mutation fault) : fault_{fault}, hosts_(host_count) {}
@@ -111,6 +120,8 @@
   void read(test_host& host, unsigned count);
   void relay(const history_step& step);
   void checkpoint(const history_step& step);
+  void advance_checkpoint();
+  void finish_checkpoint();
   void restart(test_host& host);
   void check(test_host& host);
   void check_document(test_host& host, document_kind kind, const std::string& name,
@@ -123,7 +134,8 @@
   std::vector<log_entry> log_;
   std::vector<document_record> written_;
   std::size_t retained_{0}; ///< entries before this index are gone from the log
-  std::optional<document_snapshot> checkpoint_;
+  std::optional<open_checkpoint> open_checkpoint_;
+  std::vector<document_snapshot> checkpoint_; ///< parts of the last whole one
   std::size_t checkpoint_next_{0};
   std::map<std::uint64_t, naive_state> naive_{{0, {}}};
   std::uint64_t next_offset_{1};
@@ -200,24 +212,55 @@
 }
 
 void history::checkpoint(const history_step& step) {
-  const test_host& host = hosts_[step.a % host_count];
-  if (host.store.last_offset() == 0 ||
-      (checkpoint_ && checkpoint_->last_offset >= host.store.last_offset()))
+  test_host& host = hosts_[step.a % host_count];
+  if (open_checkpoint_ || host.store.last_offset() == 0 ||
+      (!checkpoint_.empty() && checkpoint_.front().last_offset >= host.store.last_offset()))
+    return;
+  open_checkpoint_.emplace();
+  open_checkpoint_->host = static_cast<unsigned>(step.a % host_count);
+  open_checkpoint_->trims = step.b % 2 == 0;
+  open_checkpoint_->cut = host.store.open_cut();
+  open_checkpoint_->whole = host.store.snapshot();
+}
+
+void history::advance_checkpoint() {
+  if (!open_checkpoint_)
     return;
-  checkpoint_ = host.store.snapshot();
+  try {
+    document_store& store = hosts_[open_checkpoint_->host].store;
+    if (auto part = store.next_part(open_checkpoint_->cut, 2))
+      open_checkpoint_->parts.push_back(std::move(*part));
+    else
+      finish_checkpoint();
+  } catch (const error&) {
+    open_checkpoint_.reset(); // the host started again, and the checkpoint is never whole
+  }
+}
+
+void history::finish_checkpoint() {
+  const open_checkpoint done = *std::exchange(open_checkpoint_, std::nullopt);
+  hosts_[done.host].store.close_cut(done.cut);
+  document_store filled{window};
+  for (const document_snapshot& part : done.parts)
+    filled.add_part(part);
+  if (filled.snapshot() != done.whole)
+    ++faults_.half_applied;
+  checkpoint_ = done.parts;
   checkpoint_next_ = 0;
-  while (checkpoint_next_ < log_.size() &&
-         log_[checkpoint_next_].offset <= checkpoint_->last_offset)
+  while (checkpoint_next_ < log_.size() && log_[checkpoint_next_].offset <= done.whole.last_offset)
     ++checkpoint_next_;
-  if (step.b % 2 == 0)
-    retained_ = checkpoint_next_;
+  if (done.trims)
+    retained_ = std::max(retained_, checkpoint_next_);
 }
 
 void history::restart(test_host& host) {
   host = test_host{};
-  if (!checkpoint_)
+  if (checkpoint_.empty())
     return;
-  host.store.restore(*checkpoint_);
+  document_store filled{window};
+  for (const document_snapshot& part : checkpoint_)
+    filled.add_part(part);
+  host.store.take_over(std::move(filled));
   host.next = fault_ == mutation::skips_after_restore ? log_.size() : checkpoint_next_;
 }
 
@@ -261,6 +304,7 @@
 }
 
 void history::play(const history_step& step) {
+  advance_checkpoint();
   test_host& host = hosts_[step.a % host_count];
   switch (step.kind) {
   case step_kind::publish:
