--- a/bench/claims/main.cpp
+++ b/bench/claims/main.cpp
@@ -6,8 +6,9 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 
-#include <cstdio>
+#include <cmath>
 #include <ctime>
+#include <iostream>
 
 ABSL_FLAG(std::uint64_t, schedules, 10000, "how many schedules to run");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the first schedule; the next ones follow");
@@ -19,7 +20,7 @@
 
 // Processor time: other programs on the machine must not change what a schedule costs.
 double seconds_used() {
-  return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+  return static_cast<double>(std::clock()) / static_cast<double>(CLOCKS_PER_SEC);
 }
 
 int run_schedules(std::uint64_t count, std::uint64_t seed, std::uint64_t steps) {
@@ -32,19 +33,18 @@
     if (found.clean())
       continue;
     ++failed;
-    std::printf("seed %llu of %llu steps is wrong\n", static_cast<unsigned long long>(seed + i),
-                static_cast<unsigned long long>(steps));
-    std::fflush(stdout);
+    std::cout << "seed " << seed + i << " of " << steps << " steps is wrong" << std::endl;
   }
-  std::printf("{\"ran_twice\":%zu,\"false_not_run\":%zu,\"mixed_answers\":%zu,\"unresolved\":%zu,"
-              "\"stuck\":%zu,\"schedules\":%llu,\"failed\":%llu,\"seed\":%llu,\"steps\":%llu,"
-              "\"calls\":%zu,\"runs\":%zu,\"refused_unknown\":%zu,\"refused_not_run\":%zu,"
-              "\"retained\":%zu,\"joined\":%zu,\"schedules_per_cpu_s\":%.0f}\n",
-              sum.ran_twice, sum.false_not_run, sum.mixed_answers, sum.unresolved, sum.stuck,
-              static_cast<unsigned long long>(count), static_cast<unsigned long long>(failed),
-              static_cast<unsigned long long>(seed), static_cast<unsigned long long>(steps),
-              sum.calls, sum.runs, sum.refused_unknown, sum.refused_not_run, sum.retained,
-              sum.joined, static_cast<double>(count) / (seconds_used() - start));
+  const double used = seconds_used() - start;
+  std::cout << "{\"ran_twice\":" << sum.ran_twice << ",\"false_not_run\":" << sum.false_not_run
+            << ",\"mixed_answers\":" << sum.mixed_answers << ",\"unresolved\":" << sum.unresolved
+            << ",\"stuck\":" << sum.stuck << ",\"schedules\":" << count << ",\"failed\":" << failed
+            << ",\"seed\":" << seed << ",\"steps\":" << steps << ",\"calls\":" << sum.calls
+            << ",\"runs\":" << sum.runs << ",\"refused_unknown\":" << sum.refused_unknown
+            << ",\"refused_not_run\":" << sum.refused_not_run << ",\"retained\":" << sum.retained
+            << ",\"joined\":" << sum.joined
+            << ",\"schedules_per_cpu_s\":" << std::llround(static_cast<double>(count) / used)
+            << "}\n";
   return failed == 0 ? 0 : 1;
 }
 
@@ -60,12 +60,11 @@
       ++next;
     missed += next == count ? 1 : 0;
     if (next == count)
-      std::printf("%s: NOT NOTICED in %llu schedules\n", name,
-                  static_cast<unsigned long long>(count));
+      std::cout << name << ": NOT NOTICED in " << count << " schedules\n";
     else
-      std::printf("%s: noticed by seed %llu\n", name, static_cast<unsigned long long>(seed + next));
+      std::cout << name << ": noticed by seed " << seed + next << '\n';
   }
-  std::printf("{\"mutations\":%d,\"missed\":%d}\n", tried, missed);
+  std::cout << "{\"mutations\":" << tried << ",\"missed\":" << missed << "}\n";
   return missed == 0 ? 0 : 1;
 }
 
--- a/bench/slopes/claims_run.cpp
+++ b/bench/slopes/claims_run.cpp
@@ -30,16 +30,19 @@
   }
 
   /// \returns whether the claim was granted; it is then answered with an empty body
-  bool run(std::size_t entry, std::size_t team, std::size_t number) {
+  bool run(std::size_t entry, std::size_t team, std::size_t number, bool minted) {
+    const std::string key = minted ? hosts_[entry]->mint_key(now_).value_or("")
+                                   : absl::StrFormat("caller-key-%016x", number);
     const std::uint64_t ticket =
-        hosts_[entry]->begin(now_, {team_name(team), absl::StrFormat("caller-key-%016x", number),
-                                    mix_hash(number, 9), false, false});
+        hosts_[entry]->begin(now_, {team_name(team), key, mix_hash(number, 9), false, minted});
     granted_ = false;
     collect(entry);
     pump();
     if (!granted_)
       return false;
     hosts_[entry]->progress(now_, ticket, endpoint_name(number % 500), 0);
+    collect(entry);
+    pump();
     retained_answer answer;
     answer.complete = true;
     answer.endpoint = endpoint_name(number % 500);
@@ -75,11 +78,11 @@
 
   void collect(std::size_t from) {
     auto output = hosts_[from]->take_output();
-    for (const auto& message : output.messages) {
-      wire::envelope envelope = envelope_to(message.to);
+    for (claims_bundle& bundle : bundle_messages(std::move(output.messages))) {
+      wire::envelope envelope = envelope_to(bundle.to);
       *envelope.mutable_claims() =
-          to_wire(claims_envelope{host_name(from), message.to, message.message});
-      network_.push_back({from, index_.at(message.to), envelope.SerializeAsString()});
+          to_wire(claims_envelope{host_name(from), bundle.to, std::move(bundle.messages)});
+      network_.push_back({from, index_.at(bundle.to), envelope.SerializeAsString()});
       ++messages;
       bytes += network_.back().bytes.size();
     }
@@ -107,8 +110,9 @@
         network_.pop_front();
         wire::envelope envelope;
         envelope.ParseFromString(arriving.bytes);
-        hosts_[arriving.to]->on_message(now_, host_name(arriving.from),
-                                        from_wire(envelope.claims()).message);
+        for (const claims_message& message :
+             from_wire(envelope.claims(), host_name(arriving.from), host_name(arriving.to)))
+          hosts_[arriving.to]->on_message(now_, host_name(arriving.from), message);
         collect(arriving.to);
       }
     }
@@ -125,11 +129,14 @@
 
 } // namespace
 
-void run_claims(slope_table& table) {
-  series cpu{"claims", "claim_cpu_us", "us", "claim", {}};
-  series memory{"claims", "claim_state_bytes", "B", "claim", {}};
-  series messages{"claims", "claim_messages", "messages", "claim", {}};
-  series bytes{"claims", "claim_message_bytes", "B", "claim", {}};
+namespace {
+
+void run_claims_of(slope_table& table, bool minted) {
+  const std::string name = minted ? "minted_claim" : "claim";
+  series cpu{"claims", name + "_cpu_us", "us", "claim", {}};
+  series memory{"claims", name + "_state_bytes", "B", "claim", {}};
+  series messages{"claims", name + "_messages", "messages", "claim", {}};
+  series bytes{"claims", name + "_message_bytes", "B", "claim", {}};
   constexpr std::size_t hosts = 10;
   for (const std::size_t count : {2000U, 8000U, 20'000U}) {
     claims_options options;
@@ -139,7 +146,7 @@
     const double start = thread_cpu_us();
     std::size_t granted = 0;
     for (std::size_t i = 0; i < count; ++i)
-      granted += fleet.run((i * 7) % hosts, i % 830, i) ? 1 : 0;
+      granted += fleet.run((i * 7) % hosts, i % 830, i, minted) ? 1 : 0;
     const double spent = thread_cpu_us() - start;
     fleet.advance(time_ms{1000});
     const auto x = static_cast<double>(granted);
@@ -152,4 +159,11 @@
     table.add(s);
 }
 
+} // namespace
+
+void run_claims(slope_table& table) {
+  run_claims_of(table, false);
+  run_claims_of(table, true);
+}
+
 } // namespace sedgechute::slopes
--- a/src/claims/claims.hpp
+++ b/src/claims/claims.hpp
@@ -15,5 +15,6 @@
 #include "claims/impl/claims_options.hpp"
 #include "claims/impl/claims_record.hpp"
 #include "claims/impl/forward_declarations.hpp"
+#include "claims/impl/message_bundles.hpp"
 #include "claims/impl/request_state.hpp"
 #include "claims/impl/shard_map.hpp"
--- a/src/claims/impl/claim_entry.cpp
+++ b/src/claims/impl/claim_entry.cpp
@@ -1,5 +1,7 @@
 #include "claims/impl/claim_entry.hpp"
 
+#include "claims/impl/claim_rules.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -32,8 +34,8 @@
   request.subject.idempotent = wanted.idempotent;
   request.subject.entry = self_;
   request.subject.ticket = ticket;
-  request.subject.peer = choose_peer(id);
   request.shard = shard_of(id, options_);
+  request.subject.peer = choose_peer(id, request.shard);
   request.fresh = wanted.fresh;
   request.look_up = look_up;
   request.deadline = now + options_.begin_timeout;
@@ -46,15 +48,14 @@
   request.next_send = now + options_.resend_interval;
   const shard_status* status = shards_->find(request.shard);
   if (status != nullptr)
-    send(status->holder,
-         claim_request{request.shard, request.subject, request.answer_lost, request.look_up});
+    send(status->holder, claim_request{request.subject, request.answer_lost, request.look_up});
 }
 
 void claim_entry::on_reply(time_ms now, const claim_reply& reply) {
   open_request* request = find(reply.ticket);
   const bool granted = reply.verdict == claim_verdict::granted;
   if (request == nullptr && granted)
-    reporter_.on_late_grant(now, reply.current);
+    reporter_.on_late_grant(now, reply);
   if (request == nullptr || request->step != phase::asking)
     return;
   if (granted)
@@ -65,9 +66,9 @@
 }
 
 void claim_entry::on_granted(time_ms now, open_request& request, const claim_reply& reply) {
-  if (!same_request(request.subject, reply.current))
+  if (reply.current && !same_request(request.subject, *reply.current))
     return;
-  request.subject = reply.current;
+  request.subject = granted_claim(request.subject, reply);
   request.epoch = reply.epoch;
   request.granted = true;
   if (request.subject.may_have_run && !request.subject.resume_from.host.empty())
@@ -80,13 +81,14 @@
   switch (reply.verdict) {
   case claim_verdict::running:
     // A claim of this host that does not run here is about to start or to be given up.
-    if (reply.current.entry == self_ && running(request.subject.id) == nullptr)
+    if (!reply.current || (reply.current->entry == self_ && running(request.subject.id) == nullptr))
       return;
-    decisions_->push_back({request.subject.ticket, join_decision{reply.current.entry}});
+    decisions_->push_back({request.subject.ticket, join_decision{reply.current->entry}});
     end_ungranted(now, request, false);
     return;
   case claim_verdict::answered:
-    fetch(now, request, {reply.current.entry, reply.current.peer});
+    if (reply.current)
+      fetch(now, request, {reply.current->entry, reply.current->peer});
     return;
   case claim_verdict::key_reused:
     give_up(now, request, error_kind::key_reused);
@@ -321,7 +323,7 @@
       request.next_send = now;
       schedule(ticket);
     } else if (request.step == phase::running && is_blank) {
-      send(status->holder, claim_report{shard, request.subject});
+      send(status->holder, claim_report{request.subject});
     }
   }
   reporter_.on_new_epoch(now, shard);
@@ -342,7 +344,16 @@
   decisions_->push_back({request.subject.ticket, refuse_decision{kind}});
 }
 
-incarnation claim_entry::choose_peer(const claim_id& id) const {
+// A host that hears of the claim anyway is the best peer: what it is sent as peer travels in the
+// messages that it is sent as holder or witness, and if this host dies, the one that decides has
+// the answer as well. Another data centre may be cut off.
+incarnation claim_entry::choose_peer(const claim_id& id, const claim_shard& shard) const {
+  if (const shard_status* status = shards_->find(shard)) {
+    const incarnation& involved = status->holder == self_ ? status->witness : status->holder;
+    const live_host* host = hosts_->find(involved);
+    if (host != nullptr && !host->leaving && host->data_centre == data_centre_)
+      return involved;
+  }
   const std::uint64_t key = stable_hash(id.key);
   const live_host* best = nullptr;
   std::uint64_t best_weight = 0;
--- a/src/claims/impl/claim_entry.hpp
+++ b/src/claims/impl/claim_entry.hpp
@@ -78,7 +78,7 @@
            std::optional<error_kind> unconfirmed = std::nullopt);
   void end_ungranted(time_ms now, const open_request& request, bool asked);
   void refuse(const open_request& request, error_kind kind);
-  [[nodiscard]] incarnation choose_peer(const claim_id& id) const;
+  [[nodiscard]] incarnation choose_peer(const claim_id& id, const claim_shard& shard) const;
   [[nodiscard]] open_request* find(std::uint64_t ticket);
   [[nodiscard]] open_request* find_running(std::uint64_t ticket);
   void send(const incarnation& to, claims_message message);
--- a/src/claims/impl/claim_keeper.cpp
+++ b/src/claims/impl/claim_keeper.cpp
@@ -48,8 +48,8 @@
     kept.to_witness = after.witness.host.empty()
                           ? table_transfer{}
                           : start_transfer(++last_transfer_, kept.table.committed());
-  for (const claim& next : kept.table.due_proposals(now, time_ms{0}))
-    ask_witness(now, after, next);
+  for (const proposed_claim& wanted : kept.table.due_proposals(now, time_ms{0}))
+    ask_witness(now, after, wanted);
 }
 
 // Others may have held the shard in between. As holder this host grants nothing until it has begun
@@ -82,10 +82,10 @@
 }
 
 void claim_keeper::on_request(time_ms now, const claim_request& request) {
-  const shard_status* status = held(request.shard);
+  const shard_status* status = held(shard_of(request.wanted.id, options_));
   if (status == nullptr)
     return;
-  kept_shard& kept = keep(request.shard);
+  kept_shard& kept = keep(status->shard);
   if (kept.refused)
     return;
   const claim_id& id = request.wanted.id;
@@ -126,15 +126,17 @@
 }
 
 void claim_keeper::propose(time_ms now, const shard_status& status, const claim& next) {
-  keep(status.shard).table.propose(now, next);
-  ask_witness(now, status, next);
+  const proposed_claim wanted{next, ++last_proposal_};
+  keep(status.shard).table.propose(now, wanted.next, wanted.serial);
+  ask_witness(now, status, wanted);
 }
 
-void claim_keeper::ask_witness(time_ms now, const shard_status& status, const claim& next) {
+void claim_keeper::ask_witness(time_ms now, const shard_status& status,
+                               const proposed_claim& wanted) {
   if (status.witness.host.empty())
-    commit(now, status, next);
+    commit(now, status, wanted.next);
   else
-    send(status.witness, countersign_request{status.shard, status.epoch, next});
+    send(status.witness, countersign_request{status.epoch, wanted.next, wanted.serial});
 }
 
 // Failure guarded against: this host was paused, its holder replaced or its epoch sealed, and a
@@ -142,20 +144,20 @@
 // one is refused, unless exactly this state was stored before: then only its reply was lost.
 void claim_keeper::on_countersign(time_ms now, const incarnation& from,
                                   const countersign_request& request) {
-  const shard_status* status = shards_->find(request.shard);
+  const claim_shard shard = shard_of(request.subject.id, options_);
+  const shard_status* status = shards_->find(shard);
   if (status == nullptr || status->epoch < request.epoch)
     return;
-  countersign_reply answer{request.shard, request.epoch, countersign_result::sealed,
-                           request.subject};
-  const auto found = kept_.find(request.shard);
+  countersign_reply answer{shard, request.epoch, countersign_result::sealed, request.serial, {}};
+  const auto found = kept_.find(shard);
   const bool serves = status->witness == self_ && status->epoch == request.epoch &&
-                      status->holder == from && keep(request.shard).sealed != request.epoch;
+                      status->holder == from && keep(shard).sealed != request.epoch;
   if (serves) {
-    claim_table& table = keep(request.shard).table;
+    claim_table& table = keep(shard).table;
     answer.result = countersign_result::accepted;
     if (!table.merge(now, request.subject)) {
       answer.result = countersign_result::newer;
-      answer.subject = *table.find(request.subject.id)->committed;
+      answer.subject = table.find(request.subject.id)->committed;
     }
   } else if (found != kept_.end()) {
     const auto stored = found->second.table.find(request.subject.id);
@@ -165,6 +167,8 @@
   send(from, std::move(answer));
 }
 
+// A proposal may have been replaced by a later state while the reply was on its way; the later one
+// has another serial, so the reply then tells nothing.
 void claim_keeper::on_countersigned(time_ms now, const countersign_reply& reply) {
   const shard_status* status = held(reply.shard);
   if (status == nullptr || status->epoch != reply.epoch)
@@ -174,42 +178,58 @@
     kept.refused = true;
     return;
   }
-  const auto stored = kept.table.find(reply.subject.id);
-  if (!stored || !stored->proposed)
+  const claim* next = kept.table.proposed(reply.serial);
+  if (next == nullptr)
     return;
-  if (reply.result == countersign_result::newer) {
-    kept.table.withdraw(reply.subject.id);
-    kept.table.merge(now, reply.subject);
+  if (reply.result == countersign_result::accepted) {
+    commit(now, *status, *next);
     return;
   }
-  // A proposal may have been replaced by a later state while the reply was on its way.
-  if (*stored->proposed == reply.subject)
-    commit(now, *status, reply.subject);
+  kept.table.withdraw(claim_id{next->id});
+  if (reply.subject)
+    kept.table.merge(now, *reply.subject);
+}
+
+namespace {
+
+// The entry host knows the rest of such a claim, since it asked for it.
+bool is_as_asked(const claim& granted) {
+  return granted.attempt == 1 && !granted.may_have_run && granted.unfinished.empty() &&
+         granted.resume_from.host.empty();
 }
 
-void claim_keeper::commit(time_ms now, const shard_status& status, const claim& subject) {
+} // namespace
+
+void claim_keeper::commit(time_ms now, const shard_status& status, claim subject) {
   kept_shard& kept = keep(status.shard);
   kept.table.withdraw(subject.id);
   const bool current = kept.table.merge(now, subject);
-  if (subject.state != request_state::claimed)
+  if (subject.state != request_state::claimed) {
     send(subject.entry, claim_report_ack{subject.ticket, subject.state, current});
-  else if (current)
-    send(subject.entry, claim_reply{subject.ticket, claim_verdict::granted, status.epoch, subject});
+    return;
+  }
+  if (!current)
+    return;
+  claim_reply answer{subject.ticket, claim_verdict::granted, status.epoch, std::nullopt};
+  const incarnation entry = subject.entry;
+  if (!is_as_asked(subject))
+    answer.current = std::move(subject);
+  send(entry, std::move(answer));
 }
 
 void claim_keeper::reply(const claim_request& request, const shard_status& status,
                          claim_verdict verdict, const std::optional<stored_claim>& stored) {
-  claim_reply answer{request.wanted.ticket, verdict, status.epoch, request.wanted};
-  if (stored && stored->committed)
-    answer.current = *stored->committed;
+  claim_reply answer{request.wanted.ticket, verdict, status.epoch, std::nullopt};
+  if (stored)
+    answer.current = stored->committed;
   send(request.wanted.entry, std::move(answer));
 }
 
 void claim_keeper::on_report(time_ms now, const claim_report& report) {
-  const shard_status* status = held(report.shard);
-  if (status == nullptr || keep(report.shard).refused)
+  const shard_status* status = held(shard_of(report.subject.id, options_));
+  if (status == nullptr || keep(status->shard).refused)
     return;
-  const claim_table& table = keep(report.shard).table;
+  const claim_table& table = keep(status->shard).table;
   const report_step step = judge_report(report.subject, table.find(report.subject.id));
   switch (step.action) {
   case report_action::propose:
@@ -284,8 +304,8 @@
       for (table_part& part :
            due_parts(kept.to_witness, now, options_.resend_interval, shard, status->epoch))
         send(status->witness, std::move(part));
-      for (const claim& next : kept.table.due_proposals(now, options_.resend_interval))
-        ask_witness(now, *status, next);
+      for (const proposed_claim& wanted : kept.table.due_proposals(now, options_.resend_interval))
+        ask_witness(now, *status, wanted);
     }
     if (sweep)
       forget_expired(now, *status, kept);
--- a/src/claims/impl/claim_keeper.hpp
+++ b/src/claims/impl/claim_keeper.hpp
@@ -70,8 +70,9 @@
   [[nodiscard]] const shard_status* held(const claim_shard& shard) const;
   [[nodiscard]] kept_shard& keep(const claim_shard& shard);
   void propose(time_ms now, const shard_status& status, const claim& next);
-  void ask_witness(time_ms now, const shard_status& status, const claim& next);
-  void commit(time_ms now, const shard_status& status, const claim& subject);
+  void ask_witness(time_ms now, const shard_status& status, const proposed_claim& wanted);
+  // The claim by value: committing removes the proposal that it may be a part of.
+  void commit(time_ms now, const shard_status& status, claim subject);
   void reply(const claim_request& request, const shard_status& status, claim_verdict verdict,
              const std::optional<stored_claim>& stored);
   void relinquish(const shard_status& before, const shard_status& after);
@@ -93,6 +94,7 @@
   time_ms next_cleanup_;
   time_ms next_sweep_;
   std::uint64_t last_transfer_{0};
+  std::uint64_t last_proposal_{0};
 };
 
 } // namespace sedgechute
--- a/src/claims/impl/claim_reporter.cpp
+++ b/src/claims/impl/claim_reporter.cpp
@@ -1,5 +1,7 @@
 #include "claims/impl/claim_reporter.hpp"
 
+#include "claims/impl/claim_rules.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -38,7 +40,7 @@
   const claim& subject = ended.request.subject;
   const shard_status* status = shards_->find(ended.request.shard);
   if (!ended.acknowledged && status != nullptr)
-    output_->push_back({status->holder, claim_report{ended.request.shard, subject}});
+    output_->push_back({status->holder, claim_report{subject}});
   if (ended.request.copied)
     return;
   // The copy is what a retry finds when this host has died, so it is repeated like the report.
@@ -50,12 +52,12 @@
 
 // The attempt will never be dispatched here, and the holder must learn it, or the key would stay
 // claimed. A grant that was seen before is a repeat.
-void claim_reporter::on_late_grant(time_ms now, const claim& granted) {
-  const auto found = ended_.find(granted.ticket);
+void claim_reporter::on_late_grant(time_ms now, const claim_reply& reply) {
+  const auto found = ended_.find(reply.ticket);
   if (found == ended_.end() || found->second.request.granted)
     return;
   entry& ended = found->second;
-  ended.request.subject = granted;
+  ended.request.subject = granted_claim(ended.request.subject, reply);
   ended.request.subject.state = request_state::refused;
   ended.request.granted = true;
   ended.acknowledged = false;
--- a/src/claims/impl/claim_reporter.hpp
+++ b/src/claims/impl/claim_reporter.hpp
@@ -33,7 +33,7 @@
 
   void add(time_ms now, ended_claim ended);
   /// \brief A grant for a request that may have ended already.
-  void on_late_grant(time_ms now, const claim& granted);
+  void on_late_grant(time_ms now, const claim_reply& reply);
   void on_report_ack(const claim_report_ack& ack);
   void on_replica_stored(const replica_stored& stored);
   /// \brief Reports again at once to the new holder.
--- a/src/claims/impl/claim_rules.cpp
+++ b/src/claims/impl/claim_rules.cpp
@@ -123,6 +123,15 @@
   return {report_action::acknowledge, {}, latest.state == subject.state};
 }
 
+claim granted_claim(const claim& asked, const claim_reply& reply) {
+  if (reply.current)
+    return *reply.current;
+  claim granted = asked;
+  granted.attempt = 1;
+  granted.state = request_state::claimed;
+  return granted;
+}
+
 claim next_attempt(const claim_request& request, const std::optional<stored_claim>& stored) {
   claim next = request.wanted;
   next.state = request_state::claimed;
--- a/src/claims/impl/claim_rules.hpp
+++ b/src/claims/impl/claim_rules.hpp
@@ -56,6 +56,10 @@
 [[nodiscard]] report_step judge_report(const claim& subject,
                                        const std::optional<stored_claim>& stored);
 
+/// \returns the claim that a granted request's reply speaks of
+/// \param asked  as its entry host asked for it
+[[nodiscard]] claim granted_claim(const claim& asked, const claim_reply& reply);
+
 /// \returns the claim to propose for a granted request
 [[nodiscard]] claim next_attempt(const claim_request& request,
                                  const std::optional<stored_claim>& stored);
--- a/src/claims/impl/claim_table.cpp
+++ b/src/claims/impl/claim_table.cpp
@@ -24,7 +24,7 @@
   stored_claim stored;
   const auto proposed = proposals_.find(id);
   if (proposed != proposals_.end())
-    stored.proposed = proposed->second.next;
+    stored.proposed = proposed->second.wanted.next;
   const auto committed = locate(id);
   if (committed != claims_.end())
     stored.committed = unpack(committed->second, *pool_);
@@ -84,17 +84,37 @@
   return all;
 }
 
-void claim_table::propose(time_ms now, const claim& next) {
-  proposals_[next.id] = {next, now};
+void claim_table::propose(time_ms now, const claim& next, std::uint64_t serial) {
+  withdraw(next.id);
+  proposals_[next.id] = {{next, serial}, now};
+  proposal_ids_[serial] = next.id;
 }
 
-std::vector<claim> claim_table::due_proposals(time_ms now, time_ms interval) {
-  std::vector<claim> due;
+void claim_table::withdraw(const claim_id& id) {
+  const auto found = proposals_.find(id);
+  if (found == proposals_.end())
+    return;
+  proposal_ids_.erase(found->second.wanted.serial);
+  proposals_.erase(found);
+}
+
+void claim_table::withdraw_all() {
+  proposals_.clear();
+  proposal_ids_.clear();
+}
+
+const claim* claim_table::proposed(std::uint64_t serial) const {
+  const auto found = proposal_ids_.find(serial);
+  return found == proposal_ids_.end() ? nullptr : &proposals_.at(found->second).wanted.next;
+}
+
+std::vector<proposed_claim> claim_table::due_proposals(time_ms now, time_ms interval) {
+  std::vector<proposed_claim> due;
   for (auto& [id, waiting] : proposals_) {
     if (now - waiting.asked < interval)
       continue;
     waiting.asked = now;
-    due.push_back(waiting.next);
+    due.push_back(waiting.wanted);
   }
   return due;
 }
--- a/src/claims/impl/claim_table.hpp
+++ b/src/claims/impl/claim_table.hpp
@@ -11,6 +11,12 @@
 
 namespace sedgechute {
 
+/// \brief A state of a claim that waits for the witness.
+struct proposed_claim {
+  claim next;
+  std::uint64_t serial{};
+};
+
 /// \brief The claims of one shard. Copies of a claim are ordered by attempt, then by progress, so
 /// holder, witness and late messages merge to the same state in any order.
 class claim_table {
@@ -34,18 +40,21 @@
   void doubt_all();
   [[nodiscard]] std::vector<claim> committed() const;
 
-  void propose(time_ms now, const claim& next);
-  void withdraw(const claim_id& id) { proposals_.erase(id); }
-  void withdraw_all() { proposals_.clear(); }
+  /// \param serial  a number that this host has given to no other proposal
+  void propose(time_ms now, const claim& next, std::uint64_t serial);
+  void withdraw(const claim_id& id);
+  void withdraw_all();
+  /// \returns the proposal, or null if it was withdrawn or replaced by a later one
+  [[nodiscard]] const claim* proposed(std::uint64_t serial) const;
   /// \returns the proposals last returned at least `interval` ago
-  [[nodiscard]] std::vector<claim> due_proposals(time_ms now, time_ms interval);
+  [[nodiscard]] std::vector<proposed_claim> due_proposals(time_ms now, time_ms interval);
 
   /// \brief Looks at the next `1 / parts` of the table and forgets what is over.
   void sweep(std::size_t parts, const is_over& over);
 
  private:
   struct proposal {
-    claim next;
+    proposed_claim wanted;
     time_ms asked;
   };
   using claims = std::unordered_multimap<std::uint64_t, packed_claim>;
@@ -57,6 +66,7 @@
   claim_pool* pool_;
   claims claims_; ///< by hash of team and key
   std::map<claim_id, proposal> proposals_;
+  std::unordered_map<std::uint64_t, claim_id> proposal_ids_; ///< by serial
   std::size_t next_bucket_{0};
 };
 
--- a/src/claims/impl/claims_message.hpp
+++ b/src/claims/impl/claims_message.hpp
@@ -3,6 +3,7 @@
 #include "claims/impl/answer_store.hpp"
 #include "claims/impl/claim_key.hpp"
 
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -49,7 +50,6 @@
 
 /// \brief Entry host to holder: may I run this? Repeated until answered.
 struct claim_request {
-  claim_shard shard;
   claim wanted;       ///< attempt and state are not set yet
   bool answer_lost{}; ///< the retained answer was asked for and is gone
   bool look_up{};     ///< only tell how the key stands, grant nothing
@@ -62,16 +62,18 @@
   std::uint64_t ticket{};
   claim_verdict verdict{claim_verdict::unknown};
   std::uint64_t epoch{};
-  claim current; ///< the claim granted, or the one in the way
+  /// The claim granted, or the one in the way. Nothing is the claim as asked for, at its first
+  /// attempt: by far the most frequent answer.
+  std::optional<claim> current;
 
   bool operator==(const claim_reply&) const = default;
 };
 
 /// \brief Holder to witness: store this before it takes effect.
 struct countersign_request {
-  claim_shard shard;
   std::uint64_t epoch{};
   claim subject;
+  std::uint64_t serial{}; ///< the holder's number for exactly this proposal
 
   bool operator==(const countersign_request&) const = default;
 };
@@ -80,7 +82,8 @@
   claim_shard shard;
   std::uint64_t epoch{};
   countersign_result result{countersign_result::accepted};
-  claim subject; ///< as requested, or the later state that the witness knows
+  std::uint64_t serial{};       ///< as requested
+  std::optional<claim> subject; ///< the later state that the witness knows, if it is `newer`
 
   bool operator==(const countersign_reply&) const = default;
 };
@@ -88,7 +91,6 @@
 /// \brief Entry host to holder: how an attempt stands. Repeated until acknowledged. Attempt 0 gives
 /// up a ticket whose grant, if any, was never seen.
 struct claim_report {
-  claim_shard shard;
   claim subject;
 
   bool operator==(const claim_report&) const = default;
--- a/src/daemon/impl/claim_service.cpp
+++ b/src/daemon/impl/claim_service.cpp
@@ -44,9 +44,11 @@
   publish();
 }
 
-void claim_service::on_message(const incarnation& from, const claims_message& message) {
+void claim_service::on_messages(const incarnation& from,
+                                const std::vector<claims_message>& messages) {
   const std::scoped_lock lock{mutex_};
-  claims_.on_message(time_.now(), from, message);
+  for (const claims_message& message : messages)
+    claims_.on_message(time_.now(), from, message);
   publish();
 }
 
@@ -222,10 +224,11 @@
 
 void claim_service::publish() {
   claims_output output = claims_.take_output();
-  for (const addressed_claims_message& message : output.messages) {
+  for (claims_bundle& bundle : bundle_messages(std::move(output.messages))) {
     wire::envelope envelope;
-    *envelope.mutable_claims() = to_wire(claims_envelope{self_, message.to, message.message});
-    peers_.send(message.to, std::move(envelope));
+    *envelope.mutable_claims() =
+        to_wire(claims_envelope{self_, bundle.to, std::move(bundle.messages)});
+    peers_.send(bundle.to, std::move(envelope));
   }
   for (const claims_record& record : output.records) {
     wire::log_record stored;
--- a/src/daemon/impl/claim_service.hpp
+++ b/src/daemon/impl/claim_service.hpp
@@ -25,7 +25,7 @@
                 address_source addresses);
 
   void on_record(std::uint64_t offset, const claims_record& record);
-  void on_message(const incarnation& from, const claims_message& message);
+  void on_messages(const incarnation& from, const std::vector<claims_message>& messages);
   void on_view(const membership_view& view);
   void tick();
   void drain();
--- a/src/daemon/impl/host_listener.cpp
+++ b/src/daemon/impl/host_listener.cpp
@@ -39,7 +39,7 @@
   case wire::envelope::kLedger:
     return to_.budgets.on_message(from, self_, from_wire(message.ledger()));
   case wire::envelope::kClaims:
-    return to_.claims.on_message(from, from_wire(message.claims()).message);
+    return to_.claims.on_messages(from, from_wire(message.claims(), from, self_));
   case wire::envelope::kRouting:
     return to_.shares.on_message(from_wire(message.routing()));
   case wire::envelope::kLoads:
--- a/src/wire/impl/claims_codec.cpp
+++ b/src/wire/impl/claims_codec.cpp
@@ -33,17 +33,47 @@
   return result;
 }
 
+/// \brief The hosts that a message goes between. Both ends know them, so they aren't named in it.
+struct parties {
+  incarnation sender;
+  incarnation receiver;
+};
+
+// Records of the log and checkpoints have no parties.
+const parties nobody;
+
 void put(const incarnation& who, wire::claims_incarnation* out) {
   out->set_host(who.host.str());
   out->set_number(who.number);
 }
 
-incarnation take_any(const wire::claims_incarnation& who, const char* field) {
-  return {host_id{checked(who.host(), field)}, who.number()};
+void put(const incarnation& who, const parties& between, wire::claims_incarnation* out) {
+  if (who == between.sender)
+    out->set_party(wire::PARTY_SENDER);
+  else if (who == between.receiver)
+    out->set_party(wire::PARTY_RECEIVER);
+  else
+    put(who, out);
 }
 
-incarnation take(const wire::claims_incarnation& who, const char* field) {
-  return {host_id{required(who.host(), field)}, who.number()};
+incarnation take_any(const wire::claims_incarnation& who, const char* field,
+                     const parties& between = nobody) {
+  switch (who.party()) {
+  case wire::PARTY_SENDER:
+    return between.sender;
+  case wire::PARTY_RECEIVER:
+    return between.receiver;
+  default:
+    return {host_id{checked(who.host(), field)}, who.number()};
+  }
+}
+
+incarnation take(const wire::claims_incarnation& who, const char* field,
+                 const parties& between = nobody) {
+  incarnation taken = take_any(who, field, between);
+  if (taken.host.empty())
+    reject(field, "missing");
+  return taken;
 }
 
 void put(const claim_shard& shard, wire::claim_shard* out) {
@@ -57,42 +87,44 @@
           shard.index()};
 }
 
-void put(const claim& c, wire::claim* out) {
+void put(const claim& c, const parties& between, wire::claim* out) {
   out->set_team(c.id.team.str());
   out->set_key(c.id.key);
   out->set_fingerprint(c.fingerprint);
   out->set_idempotent(c.idempotent);
   out->set_attempt(c.attempt);
-  put(c.entry, out->mutable_entry());
+  put(c.entry, between, out->mutable_entry());
   out->set_ticket(c.ticket);
-  put(c.peer, out->mutable_peer());
-  put(c.resume_from, out->mutable_resume_from());
+  if (!c.peer.host.empty())
+    put(c.peer, between, out->mutable_peer());
+  if (!c.resume_from.host.empty())
+    put(c.resume_from, between, out->mutable_resume_from());
   out->set_state(static_cast<wire::claim_state>(c.state));
   out->set_may_have_run(c.may_have_run);
   for (const incarnation& who : c.unfinished)
-    put(who, out->add_unfinished());
+    put(who, between, out->add_unfinished());
 }
 
 claim_id take_id(const std::string& team, const std::string& key) {
   return {team_id{required(team, "team")}, required(key, "key", max_claims_key)};
 }
 
-claim take(const wire::claim& c) {
+claim take(const wire::claim& c, const parties& between) {
   claim out;
   out.id = take_id(c.team(), c.key());
   out.fingerprint = c.fingerprint();
   out.idempotent = c.idempotent();
   out.attempt = c.attempt();
-  out.entry = take(c.entry(), "entry");
+  out.entry = take(c.entry(), "entry", between);
   out.ticket = c.ticket();
-  out.peer = take_any(c.peer(), "peer");
-  out.resume_from = take_any(c.resume_from(), "resume_from");
+  out.peer = take_any(c.peer(), "peer", between);
+  out.resume_from = take_any(c.resume_from(), "resume_from", between);
   out.state = checked_enum<request_state>(c.state(), "state");
   out.may_have_run = c.may_have_run();
   if (c.unfinished_size() > max_unfinished_on_wire)
     reject("claim.unfinished", "more than any sender packs");
   for (const wire::claims_incarnation& who : c.unfinished())
-    out.unfinished.push_back(take(who, "unfinished"));
+    out.unfinished.push_back(take(who, "unfinished", between));
   return out;
 }
 
@@ -115,12 +147,12 @@
 }
 
 struct body_writer {
-  wire::claims_message& out;
+  wire::claims_body& out;
+  const parties& between;
 
   void operator()(const claim_request& m) const {
     auto* body = out.mutable_request();
-    put(m.shard, body->mutable_shard());
-    put(m.wanted, body->mutable_wanted());
+    put(m.wanted, between, body->mutable_wanted());
     body->set_answer_lost(m.answer_lost);
     body->set_look_up(m.look_up);
   }
@@ -129,25 +161,26 @@
     body->set_ticket(m.ticket);
     body->set_verdict(static_cast<wire::claim_verdict>(m.verdict));
     body->set_epoch(m.epoch);
-    put(m.current, body->mutable_current());
+    if (m.current)
+      put(*m.current, between, body->mutable_current());
   }
   void operator()(const countersign_request& m) const {
     auto* body = out.mutable_countersign();
-    put(m.shard, body->mutable_shard());
     body->set_epoch(m.epoch);
-    put(m.subject, body->mutable_subject());
+    put(m.subject, between, body->mutable_subject());
+    body->set_serial(m.serial);
   }
   void operator()(const countersign_reply& m) const {
     auto* body = out.mutable_countersigned();
     put(m.shard, body->mutable_shard());
     body->set_epoch(m.epoch);
     body->set_result(static_cast<wire::countersign_result>(m.result));
-    put(m.subject, body->mutable_subject());
+    body->set_serial(m.serial);
+    if (m.subject)
+      put(*m.subject, between, body->mutable_subject());
   }
   void operator()(const claim_report& m) const {
-    auto* body = out.mutable_report();
-    put(m.shard, body->mutable_shard());
-    put(m.subject, body->mutable_subject());
+    put(m.subject, between, out.mutable_report()->mutable_subject());
   }
   void operator()(const claim_report_ack& m) const {
     auto* body = out.mutable_report_ack();
@@ -165,7 +198,7 @@
     body->set_part(m.part);
     body->set_parts(m.parts);
     for (const claim& c : m.claims)
-      put(c, body->add_claims());
+      put(c, between, body->add_claims());
   }
   void operator()(const table_part_ack& m) const {
     auto* body = out.mutable_part_ack();
@@ -201,33 +234,41 @@
   }
 };
 
-claim_request take(const wire::claim_request& m) {
-  return {take(m.shard()), take(m.wanted()), m.answer_lost(), m.look_up()};
+claim_request take(const wire::claim_request& m, const parties& between) {
+  return {take(m.wanted(), between), m.answer_lost(), m.look_up()};
 }
 
-claim_reply take(const wire::claim_reply& m) {
-  return {m.ticket(), checked_enum<claim_verdict>(m.verdict(), "verdict"), m.epoch(),
-          take(m.current())};
+claim_reply take(const wire::claim_reply& m, const parties& between) {
+  claim_reply out{m.ticket(), checked_enum<claim_verdict>(m.verdict(), "verdict"), m.epoch(), {}};
+  if (m.has_current())
+    out.current = take(m.current(), between);
+  return out;
 }
 
-countersign_request take(const wire::countersign_request& m) {
-  return {take(m.shard()), m.epoch(), take(m.subject())};
+countersign_request take(const wire::countersign_request& m, const parties& between) {
+  return {m.epoch(), take(m.subject(), between), m.serial()};
 }
 
-countersign_reply take(const wire::countersign_reply& m) {
-  return {take(m.shard()), m.epoch(), checked_enum<countersign_result>(m.result(), "result"),
-          take(m.subject())};
+countersign_reply take(const wire::countersign_reply& m, const parties& between) {
+  countersign_reply out{take(m.shard()),
+                        m.epoch(),
+                        checked_enum<countersign_result>(m.result(), "result"),
+                        m.serial(),
+                        {}};
+  if (m.has_subject())
+    out.subject = take(m.subject(), between);
+  return out;
 }
 
-claim_report take(const wire::claim_report& m) {
-  return {take(m.shard()), take(m.subject())};
+claim_report take(const wire::claim_report& m, const parties& between) {
+  return {take(m.subject(), between)};
 }
 
 claim_report_ack take(const wire::claim_report_ack& m) {
   return {m.ticket(), checked_enum<request_state>(m.state(), "state"), m.current()};
 }
 
-table_part take(const wire::table_part& m) {
+table_part take(const wire::table_part& m, const parties& between) {
   if (m.claims_size() > static_cast<int>(max_claims_per_part))
     reject("table_part.claims", "more than any sender packs");
   if (m.parts() > max_table_parts || m.part() >= m.parts())
@@ -235,7 +276,7 @@
   table_part out{take(m.shard()), m.epoch(), m.known_since(), m.until(),
                  m.transfer(),    m.part(),  m.parts(),       {}};
   for (const wire::claim& c : m.claims())
-    out.claims.push_back(take(c));
+    out.claims.push_back(take(c, between));
   return out;
 }
 
@@ -243,23 +284,23 @@
   return {take(m.shard()), m.epoch(), m.transfer(), m.part()};
 }
 
-claims_message take_body(const wire::claims_message& m) {
-  using body = wire::claims_message;
+claims_message take_body(const wire::claims_body& m, const parties& between) {
+  using body = wire::claims_body;
   switch (m.body_case()) {
   case body::kRequest:
-    return take(m.request());
+    return take(m.request(), between);
   case body::kReply:
-    return take(m.reply());
+    return take(m.reply(), between);
   case body::kCountersign:
-    return take(m.countersign());
+    return take(m.countersign(), between);
   case body::kCountersigned:
-    return take(m.countersigned());
+    return take(m.countersigned(), between);
   case body::kReport:
-    return take(m.report());
+    return take(m.report(), between);
   case body::kReportAck:
     return take(m.report_ack());
   case body::kPart:
-    return take(m.part());
+    return take(m.part(), between);
   case body::kPartAck:
     return take(m.part_ack());
   case body::kSeen:
@@ -282,15 +323,22 @@
 } // namespace
 
 wire::claims_message to_wire(const claims_envelope& envelope) {
+  const parties between{envelope.from, envelope.to};
   wire::claims_message out;
-  put(envelope.from, out.mutable_from());
-  put(envelope.to, out.mutable_to());
-  std::visit(body_writer{out}, envelope.message);
+  for (const claims_message& message : envelope.messages)
+    std::visit(body_writer{*out.add_bodies(), between}, message);
   return out;
 }
 
-claims_envelope from_wire(const wire::claims_message& message) {
-  return {take(message.from(), "from"), take(message.to(), "to"), take_body(message)};
+std::vector<claims_message> from_wire(const wire::claims_message& message, const incarnation& from,
+                                      const incarnation& to) {
+  if (message.bodies_size() > static_cast<int>(max_claims_bundle))
+    reject("bodies", "more than any sender bundles");
+  const parties between{from, to};
+  std::vector<claims_message> out;
+  for (const wire::claims_body& body : message.bodies())
+    out.push_back(take_body(body, between));
+  return out;
 }
 
 wire::claims_record to_wire(const claims_record& record) {
--- a/src/wire/impl/claims_codec.hpp
+++ b/src/wire/impl/claims_codec.hpp
@@ -10,13 +10,11 @@
 /// \brief Longest idempotency key accepted, in bytes. Callers' longer keys must be refused.
 inline constexpr std::size_t max_claims_key = 256;
 
-/// \brief A message with the incarnations it goes between; the receiver drops what is not for it.
+/// \brief Messages with the incarnations they go between; the receiver drops what is not for it.
 struct claims_envelope {
   incarnation from;
   incarnation to;
-  claims_message message;
-
-  bool operator==(const claims_envelope&) const = default;
+  std::vector<claims_message> messages;
 };
 
 [[nodiscard]] wire::claims_message to_wire(const claims_envelope& envelope);
@@ -25,7 +23,10 @@
 
 /// \throws error of kind malformed_request when a name is missing or too long, an enumeration value
 /// is unknown or the body is missing; the same for the other overloads
-[[nodiscard]] claims_envelope from_wire(const wire::claims_message& message);
+/// \param from  the sender, as the envelope around the message names it
+/// \param to  the receiver
+[[nodiscard]] std::vector<claims_message> from_wire(const wire::claims_message& message,
+                                                    const incarnation& from, const incarnation& to);
 [[nodiscard]] claims_record from_wire(const wire::claims_record& record);
 [[nodiscard]] claims_snapshot from_wire(const wire::claims_snapshot& snapshot);
 
--- a/tests/claims/claims_oracle.cpp
+++ b/tests/claims/claims_oracle.cpp
@@ -142,8 +142,9 @@
     if (fault_ != mutation::skip_witness)
       return false;
     hosts_[slot].host->on_message(now_, sent.to,
-                                  countersign_reply{asked->shard, asked->epoch,
-                                                    countersign_result::accepted, asked->subject});
+                                  countersign_reply{shard_of(asked->subject.id, options()),
+                                                    asked->epoch, countersign_result::accepted,
+                                                    asked->serial, std::nullopt});
     return true;
   }
   if (const auto* reply = std::get_if<countersign_reply>(&sent.message)) {
@@ -151,7 +152,7 @@
       return false;
     network_.push_back({hosts_[slot].who, sent.to,
                         countersign_reply{reply->shard, reply->epoch, countersign_result::accepted,
-                                          reply->subject}});
+                                          reply->serial, std::nullopt}});
     return true;
   }
   if (const auto* part = std::get_if<table_part>(&sent.message)) {
@@ -163,12 +164,17 @@
     return true;
   }
   if (const auto* reply = std::get_if<claim_reply>(&sent.message)) {
+    if (fault_ == mutation::forget_attempts && reply->verdict == claim_verdict::granted &&
+        reply->current) {
+      network_.push_back({hosts_[slot].who, sent.to,
+                          claim_reply{reply->ticket, reply->verdict, reply->epoch, std::nullopt}});
+      return true;
+    }
     if (fault_ != mutation::blind_to_lost_epochs || reply->verdict != claim_verdict::unknown)
       return false;
     claim_reply granted = *reply;
     granted.verdict = claim_verdict::granted;
-    granted.current.state = request_state::claimed;
-    granted.current.attempt = 1;
+    granted.current.reset();
     network_.push_back({hosts_[slot].who, sent.to, std::move(granted)});
     return true;
   }
--- a/tests/claims/claims_world.hpp
+++ b/tests/claims/claims_world.hpp
@@ -23,6 +23,7 @@
   not_run_if_unreachable, ///< silence of the holder is told as `not run`
   blind_to_lost_epochs,   ///< a holder that knows nothing says that nothing ran
   run_resume_only,        ///< an attempt that may only resume starts anew
+  forget_attempts,        ///< every grant is told as the first attempt, as it was asked for
 };
 
 enum class action_kind {
@@ -70,7 +71,8 @@
                             {mutation::forget_tombstones, "forget_tombstones"},
                             {mutation::not_run_if_unreachable, "not_run_if_unreachable"},
                             {mutation::blind_to_lost_epochs, "blind_to_lost_epochs"},
-                            {mutation::run_resume_only, "run_resume_only"}});
+                            {mutation::run_resume_only, "run_resume_only"},
+                            {mutation::forget_attempts, "forget_attempts"}});
 };
 
 namespace sedgechute::test {
