A holder that has lost track hands over no shard as if it were known

Cause: a holder that missed log records has sent nothing to its witness; nothing was unacknowledged, so its witness counted as complete. Where the load was uneven it proposed to hand the shard to that witness, since the old epoch, before its blank epoch was read back: the new holder knew no claim and granted keys that had run.

Change: the witness of such a holder does not count as complete, and a gap forgets what was regained before it.

--- a/src/claims/impl/claim_keeper.cpp
+++ b/src/claims/impl/claim_keeper.cpp
@@ -64,6 +64,8 @@
   kept.table.withdraw_all();
   kept.to_witness = {};
   kept.from_holder = {};
+  kept.regained.clear();
+  kept.regained_since = 0;
   kept.complete = false;
   kept.lost_track = after.holder == self_;
   kept.refused = kept.lost_track;
@@ -360,7 +362,11 @@
 
 bool claim_keeper::witness_is_complete(const claim_shard& shard) const {
   const auto found = kept_.find(shard);
-  return found != kept_.end() && held(shard) != nullptr && is_finished(found->second.to_witness);
+  // Failure guarded against: a holder that has lost track has sent nothing to its witness, so no
+  // part is left unacknowledged. It would hand over its shard as if all claims were known there,
+  // and keys would run a second time.
+  return found != kept_.end() && held(shard) != nullptr && !found->second.lost_track &&
+         is_finished(found->second.to_witness);
 }
 
 std::uint64_t claim_keeper::regained_since(const claim_shard& shard) const {
--- a/tests/claims/takeover_test.cpp
+++ b/tests/claims/takeover_test.cpp
@@ -161,3 +161,28 @@
       CHECK(delegation->known_since == 0);
   }
 }
+
+// The holder of everything missed records and lost track of its shards; a host that started later
+// had none. To share the load it handed one over as if the other had all claims, which it had sent
+// to nobody: a key that had run was granted again.
+TEST_CASE("a holder with a gap in its log hands over nothing as if all of it were known") {
+  small_fleet fleet{1};
+  CHECK(proceeds(fleet.ask(0, key)));
+  fleet.start(1);
+  fleet.run(2_s);
+  claims_snapshot checkpoint = fleet.at(0).snapshot();
+  constexpr std::uint64_t missed = 100;
+  for (shard_status& status : checkpoint.shards)
+    status.epoch += missed;
+  fleet.at(0).restore(fleet.now, checkpoint);
+  fleet.run(20_s);
+  std::size_t proposed = 0;
+  for (const claims_record& record : fleet.log) {
+    const auto* delegation = std::get_if<claim_delegation>(&record.body);
+    if (delegation == nullptr || delegation->replaces <= missed)
+      continue;
+    ++proposed;
+    CHECK(delegation->known_since == 0);
+  }
+  CHECK(proposed > 0);
+}
