Shards come to rest, and the worst host has few more than the mean

Cause: every holder gave its shard to the one host with the least to do. Holders that act within the log's delay of one another made it the busiest, and shards moved for ever, each move a record and a table sent.

Change: a new witness is the less busy of two that the shard's name picks; a lighter one for balance the less busy of two random hosts with at least three roles fewer, at times that differ from host to host. A proposal is kept while its witness is there, and loads are counted once a tick. The tests' small fleet reads records only after all hosts of a step have acted.

--- a/src/claims/impl/delegation_policy.cpp
+++ b/src/claims/impl/delegation_policy.cpp
@@ -40,13 +40,17 @@
   if (now < *settled_ || now < next_)
     return;
   next_ = now + consider_interval;
+  loads_.clear();
   for (const claim_shard& shard : own_shards_)
     if (shards_->find(shard) == nullptr)
       consider_missing(now, shard);
   for (const auto& [shard, status] : shards_->all())
     consider(now, status);
   if (now >= next_balance_) {
-    next_balance_ = now + options_.balance_interval;
+    const auto interval = static_cast<std::uint64_t>(options_.balance_interval.count());
+    // At different times on different hosts, so that each sees what the others have moved.
+    next_balance_ =
+        now + time_ms{static_cast<std::int64_t>(interval / 2 + random_.below(interval))};
     balance(now);
   }
 }
@@ -172,11 +176,6 @@
 void delegation_policy::balance(time_ms now) {
   if (draining_)
     return;
-  const std::map<incarnation, load> all = loads();
-  const auto load_of = [&](const incarnation& who) {
-    const auto found = all.find(who);
-    return found == all.end() ? load{} : found->second;
-  };
   for (const auto& [shard, status] : shards_->all()) {
     if (status.holder != self_ || !is_usable(status.witness) ||
         !keeper_->witness_is_complete(shard))
@@ -187,8 +186,8 @@
               claim_delegation{shard, status.epoch, status.witness, self_, status.known_since});
       return;
     }
-    const incarnation lighter = pick_witness(shard, self_);
-    if (load_of(lighter).sum() + 2 < theirs.sum()) {
+    const incarnation lighter = lighter_witness(theirs.sum());
+    if (!lighter.host.empty()) {
       propose(now, shard,
               claim_delegation{shard, status.epoch, self_, lighter, status.known_since});
       return;
@@ -196,10 +195,24 @@
   }
 }
 
+// The loads change with every record that is read, and so does the witness chosen. One that was
+// proposed before is as good while it is there, and the log is spared a record for each change.
+delegation_policy::record_body delegation_policy::settled_on(const proposal& earlier,
+                                                             const record_body& wanted) const {
+  const auto* before = std::get_if<claim_delegation>(&earlier.record.body);
+  const auto* now = std::get_if<claim_delegation>(&wanted);
+  if (before == nullptr || now == nullptr || !is_usable(before->witness))
+    return wanted;
+  claim_delegation same = *now;
+  same.witness = before->witness;
+  return same == *before ? record_body{same} : wanted;
+}
+
 // An append's answer says nothing: it may be lost after the record was stored. The same record is
 // appended until the shard's status, read back from the log, has moved on.
-void delegation_policy::propose(time_ms now, const claim_shard& shard, const record_body& body) {
+void delegation_policy::propose(time_ms now, const claim_shard& shard, const record_body& wanted) {
   const auto found = proposals_.find(shard);
+  const record_body body = found == proposals_.end() ? wanted : settled_on(found->second, wanted);
   const bool same = found != proposals_.end() && found->second.record.body == body;
   if (same && now < found->second.next_append)
     return;
@@ -210,26 +223,52 @@
   records_->push_back(current.record);
 }
 
-incarnation delegation_policy::pick_witness(const claim_shard& shard,
-                                            const incarnation& holder) const {
-  const std::uint64_t name = stable_hash(shard_name(shard));
+std::vector<const live_host*>
+delegation_policy::possible_witnesses(const incarnation& holder) const {
   const live_host* of_holder = hosts_->find(holder);
   const data_centre_id& wanted = of_holder == nullptr ? data_centre_ : of_holder->data_centre;
-  const std::map<incarnation, load> all = loads();
-  const live_host* best = nullptr;
-  std::tuple<bool, std::size_t, std::uint64_t> best_rank;
+  std::vector<const live_host*> here;
+  std::vector<const live_host*> elsewhere;
   for (const live_host& host : hosts_->all()) {
     if (host.who == holder || host.leaving || (draining_ && host.who == self_))
       continue;
-    const auto known = all.find(host.who);
-    const std::tuple rank{host.data_centre != wanted, known == all.end() ? 0 : known->second.sum(),
-                          mix_hash(name, host.who.number)};
-    if (best != nullptr && rank >= best_rank)
-      continue;
-    best = &host;
-    best_rank = rank;
+    (host.data_centre == wanted ? here : elsewhere).push_back(&host);
   }
-  return best == nullptr ? incarnation{} : best->who;
+  return here.empty() ? elsewhere : here;
+}
+
+// A host that is lost leaves shards with many holders, and each looks for another witness at the
+// same instant. If all took the one with the least to do, it would get everything. Of two hosts
+// that the shard's name picks, the one with less to do is taken: that spreads nearly as well as
+// asking all, and different shards ask different hosts.
+incarnation delegation_policy::pick_witness(const claim_shard& shard, const incarnation& holder) {
+  const std::uint64_t name = stable_hash(shard_name(shard));
+  std::vector<const live_host*> possible = possible_witnesses(holder);
+  const auto weighs_less = [&](const live_host* a, const live_host* b) {
+    return mix_hash(name, a->who.number) < mix_hash(name, b->who.number);
+  };
+  constexpr std::size_t choices = 2;
+  const std::size_t count = std::min(choices, possible.size());
+  const auto last = possible.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(possible.begin(), last, possible.end(), weighs_less);
+  const auto best = std::min_element(possible.begin(), last, [&](const auto* a, const auto* b) {
+    return load_of(a->who).sum() < load_of(b->who).sum();
+  });
+  return best == last ? incarnation{} : (*best)->who;
+}
+
+// Were it the one with the least to do, every holder with a heavy witness would give it a shard in
+// the same few seconds. It would be the heaviest then, and shards would move for ever.
+incarnation delegation_policy::lighter_witness(std::size_t than) {
+  std::vector<const live_host*> possible = possible_witnesses(self_);
+  constexpr std::size_t margin = 2; // so that a move never makes the new one the heavier
+  std::erase_if(possible,
+                [&](const auto* host) { return load_of(host->who).sum() + margin >= than; });
+  if (possible.empty())
+    return {};
+  const live_host* const a = possible[random_.below(possible.size())];
+  const live_host* const b = possible[random_.below(possible.size())];
+  return load_of(a->who).sum() < load_of(b->who).sum() ? a->who : b->who;
 }
 
 bool delegation_policy::is_initiator(const claim_shard& shard, const data_centre_id& among) const {
@@ -252,13 +291,14 @@
   return host != nullptr && !host->leaving;
 }
 
-std::map<incarnation, delegation_policy::load> delegation_policy::loads() const {
-  std::map<incarnation, load> sums;
-  for (const auto& [shard, status] : shards_->all()) {
-    ++sums[status.holder].holds;
-    ++sums[status.witness].witnesses;
-  }
-  return sums;
+delegation_policy::load delegation_policy::load_of(const incarnation& who) {
+  if (loads_.empty())
+    for (const auto& [shard, status] : shards_->all()) {
+      ++loads_[status.holder].holds;
+      ++loads_[status.witness].witnesses;
+    }
+  const auto found = loads_.find(who);
+  return found == loads_.end() ? load{} : found->second;
 }
 
 bool delegation_policy::drained() const {
--- a/src/claims/impl/delegation_policy.hpp
+++ b/src/claims/impl/delegation_policy.hpp
@@ -46,12 +46,16 @@
   [[nodiscard]] time_ms epoch_age(time_ms now, const shard_status& status);
   void balance(time_ms now);
   bool hand_over(time_ms now, const shard_status& status);
-  void propose(time_ms now, const claim_shard& shard, const record_body& body);
-  [[nodiscard]] incarnation pick_witness(const claim_shard& shard, const incarnation& holder) const;
+  void propose(time_ms now, const claim_shard& shard, const record_body& wanted);
+  [[nodiscard]] record_body settled_on(const proposal& earlier, const record_body& wanted) const;
+  [[nodiscard]] incarnation pick_witness(const claim_shard& shard, const incarnation& holder);
+  /// \returns a host with less to do than `than` roles, an empty one if there is none
+  [[nodiscard]] incarnation lighter_witness(std::size_t than);
+  [[nodiscard]] std::vector<const live_host*> possible_witnesses(const incarnation& holder) const;
   [[nodiscard]] bool is_initiator(const claim_shard& shard, const data_centre_id& among) const;
   [[nodiscard]] bool is_gone(time_ms now, const incarnation& who, time_ms wait);
   [[nodiscard]] bool is_usable(const incarnation& who) const;
-  [[nodiscard]] std::map<incarnation, load> loads() const;
+  [[nodiscard]] load load_of(const incarnation& who);
 
   incarnation self_;
   data_centre_id data_centre_;
@@ -63,6 +67,7 @@
   std::vector<claims_record>* records_;
   std::vector<claim_shard> own_shards_; ///< those that a host of this data centre may begin
   std::map<claim_shard, proposal> proposals_;
+  std::map<incarnation, load> loads_; ///< of this tick, empty until asked for
   std::map<claim_shard, seen_number> marks_;
   std::map<claim_shard, seen_number> epochs_;
   std::optional<time_ms> settled_;
--- a/tests/claims/small_fleet.hpp
+++ b/tests/claims/small_fleet.hpp
@@ -14,9 +14,10 @@
 /// a test takes away.
 class small_fleet {
  public:
-  explicit small_fleet(std::size_t hosts, claims_options options = {}) : options_{options} {
-    options_.shards_without_home = 1;
-    options_.shards_per_data_centre = 1;
+  explicit small_fleet(std::size_t hosts, claims_options options = {}, std::uint32_t shards = 1)
+      : options_{options} {
+    options_.shards_without_home = shards;
+    options_.shards_per_data_centre = shards;
     for (std::size_t i = 0; i < hosts; ++i)
       start(i);
     run(time_ms{4000});
@@ -126,6 +127,9 @@
     for (std::size_t i = 0; i < hosts_.size(); ++i)
       if (is_up(i))
         step_host(i);
+    // Hosts that propose at the same instant don't know of one another's records.
+    log.insert(log.end(), appended_.begin(), appended_.end());
+    appended_.clear();
   }
 
   void step_host(std::size_t i) {
@@ -144,7 +148,7 @@
       network_.push_back({who(i), sent.to, std::move(sent.message)});
     for (auto& record : output.records)
       if (!log_down)
-        log.push_back(record);
+        appended_.push_back(record);
     for (auto& decision : output.decisions)
       decisions_[{numbers_.at(i), decision.ticket}] = decision;
   }
@@ -155,6 +159,7 @@
   std::map<std::size_t, std::uint64_t> numbers_;
   std::map<std::size_t, std::size_t> read_;
   std::set<std::size_t> leaving_;
+  std::vector<claims_record> appended_;
   std::vector<in_flight> network_;
   std::map<std::pair<std::uint64_t, std::uint64_t>, claim_decision> decisions_;
 };
--- a/tests/claims/takeover_test.cpp
+++ b/tests/claims/takeover_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace sedgechute;
 using namespace sedgechute::test;
 using namespace sedgechute::literals;
@@ -186,3 +188,23 @@
   }
   CHECK(proposed > 0);
 }
+
+// All holders gave shards to the one host with the least to do, at the same instant. It then had
+// the most, and they were moved on: eight records a second for ever with 70 hosts, each with a
+// table to be sent, and three times the mean on some host.
+TEST_CASE("shards come to rest, and no host has many more than the others") {
+  constexpr std::size_t hosts = 32;
+  constexpr std::size_t shards = 32;
+  small_fleet fleet{hosts, {}, shards};
+  fleet.run(120_s);
+  const std::size_t records = fleet.log.size();
+  fleet.run(30_s);
+  CHECK(fleet.log.size() == records);
+  std::size_t most = 0;
+  for (std::size_t host = 0; host < hosts; ++host) {
+    const claims_statistics figures = fleet.at(host).statistics(fleet.now);
+    most = std::max(most, figures.shards_held + figures.shards_witnessed);
+  }
+  constexpr std::size_t mean = 2 * 3 * shards / hosts;
+  CHECK(most <= mean + 2);
+}
