Tables between hosts sent within a bound, and freed as they arrive

Cause: a host sent up to four parts of 256 claims for each of its shards every 150 ms when another one was lost, and kept the copy it sent from.

Change: one allowance a host for all tables, 1,200 claims a second; parts that a witness has acknowledged are freed.

--- a/src/claims/impl/claim_keeper.cpp
+++ b/src/claims/impl/claim_keeper.cpp
@@ -15,8 +15,8 @@
 
 claim_keeper::claim_keeper(incarnation self, const claims_options& options, shard_map& shards,
                            const host_list& hosts, std::vector<addressed_claims_message>& output)
-    : self_{std::move(self)}, options_{options}, shards_{&shards}, hosts_{&hosts}, output_{
-                                                                                       &output} {}
+    : self_{std::move(self)}, options_{options}, shards_{&shards}, hosts_{&hosts}, output_{&output},
+      allowance_{options.transfer_claims_per_s} {}
 
 void claim_keeper::on_delegation(time_ms now, const shard_status& before,
                                  const shard_status& after) {
@@ -282,16 +282,26 @@
   send(from, table_part_ack{part.shard, part.epoch, part.transfer, part.part});
 }
 
+namespace {
+
+void take_ack(table_transfer& transfer, const table_part_ack& ack) {
+  note_ack(transfer, ack);
+  release_acknowledged(transfer);
+}
+
+} // namespace
+
 void claim_keeper::on_part_ack(const table_part_ack& ack) {
   const shard_status* status = shards_->find(ack.shard);
   if (status == nullptr || status->epoch != ack.epoch)
     return;
   relinquished_.on_ack(ack);
   if (status->holder == self_)
-    note_ack(keep(ack.shard).to_witness, ack);
+    take_ack(keep(ack.shard).to_witness, ack);
 }
 
 void claim_keeper::tick(time_ms now) {
+  allowance_.refill(now);
   const bool sweep = now >= next_sweep_;
   if (sweep)
     next_sweep_ = now + sweep_period;
@@ -303,8 +313,8 @@
     if (status == nullptr)
       continue;
     if (status->holder == self_ && !kept.refused) {
-      for (table_part& part :
-           due_parts(kept.to_witness, now, options_.resend_interval, shard, status->epoch))
+      for (table_part& part : due_parts(kept.to_witness, now, options_.resend_interval, shard,
+                                        status->epoch, allowance_))
         send(status->witness, std::move(part));
       for (const proposed_claim& wanted : kept.table.due_proposals(now, options_.resend_interval))
         ask_witness(now, *status, wanted);
@@ -317,7 +327,7 @@
       tell_stopped(status);
     relinquished_.drop_useless(now, *shards_);
   }
-  relinquished_.send_due(now, options_.report_interval, *shards_, *output_);
+  relinquished_.send_due(now, options_.report_interval, *shards_, allowance_, *output_);
 }
 
 // Until it is proven that this host can't act under a lost epoch, the holder must assume that it
--- a/src/claims/impl/claim_keeper.hpp
+++ b/src/claims/impl/claim_keeper.hpp
@@ -91,6 +91,7 @@
   claim_pool pool_;
   std::map<claim_shard, kept_shard> kept_;
   relinquished_tables relinquished_;
+  transfer_allowance allowance_;
   time_ms next_cleanup_;
   time_ms next_sweep_;
   std::uint64_t last_transfer_{0};
--- a/src/claims/impl/claims_options.hpp
+++ b/src/claims/impl/claims_options.hpp
@@ -34,8 +34,9 @@
   std::size_t retained_rotations{4}; ///< (retained_rotations - 1) * rotation_period
   std::size_t max_claims{200000};    ///< claims stored on one host, about 95 bytes each
   std::size_t max_claims_per_team{60000};
-  std::size_t answer_bytes{12U << 20U};    ///< memory for retained answers
-  std::size_t max_answer_bytes{1U << 20U}; ///< a longer answer is not retained
+  std::int64_t transfer_claims_per_s{1200}; ///< in tables; about 110 bytes each
+  std::size_t answer_bytes{12U << 20U};     ///< memory for retained answers
+  std::size_t max_answer_bytes{1U << 20U};  ///< a longer answer is not retained
 };
 
 } // namespace sedgechute
--- a/src/claims/impl/relinquished_tables.cpp
+++ b/src/claims/impl/relinquished_tables.cpp
@@ -35,10 +35,11 @@
 }
 
 void relinquished_tables::send_due(time_ms now, time_ms interval, const shard_map& shards,
+                                   transfer_allowance& allowance,
                                    std::vector<addressed_claims_message>& output) {
   for (auto& [shard, transfer] : tables_) {
     const shard_status& status = *shards.find(shard);
-    for (table_part& part : due_parts(transfer, now, interval, shard, status.epoch))
+    for (table_part& part : due_parts(transfer, now, interval, shard, status.epoch, allowance))
       output.push_back({status.holder, std::move(part)});
   }
 }
--- a/src/claims/impl/relinquished_tables.hpp
+++ b/src/claims/impl/relinquished_tables.hpp
@@ -21,7 +21,7 @@
   void drop_useless(time_ms now, const shard_map& shards);
   /// \brief Appends the messages that are due.
   void send_due(time_ms now, time_ms interval, const shard_map& shards,
-                std::vector<addressed_claims_message>& output);
+                transfer_allowance& allowance, std::vector<addressed_claims_message>& output);
 
  private:
   std::map<claim_shard, table_transfer> tables_;
--- a/src/claims/impl/table_transfer.cpp
+++ b/src/claims/impl/table_transfer.cpp
@@ -37,16 +37,35 @@
     transfer.acknowledged[ack.part] = true;
 }
 
+void release_acknowledged(table_transfer& transfer) {
+  for (std::size_t part = 0; part < transfer.parts.size(); ++part)
+    if (transfer.acknowledged[part])
+      std::vector<claim>{}.swap(transfer.parts[part]);
+}
+
+void transfer_allowance::refill(time_ms now) {
+  constexpr std::int64_t ms_per_s = 1000;
+  const std::int64_t passed = std::min((now - refilled_).count(), ms_per_s);
+  const std::int64_t added = per_s_ * passed / ms_per_s;
+  if (added <= 0)
+    return;
+  refilled_ = now;
+  left_ = std::min(left_ + added, per_s_);
+}
+
 std::vector<table_part> due_parts(table_transfer& transfer, time_ms now, time_ms interval,
-                                  const claim_shard& shard, std::uint64_t epoch) {
+                                  const claim_shard& shard, std::uint64_t epoch,
+                                  transfer_allowance& allowance) {
   std::vector<table_part> due;
   if (now - transfer.sent < interval)
     return due;
   const auto parts = static_cast<std::uint32_t>(transfer.parts.size());
   for (std::uint32_t part = 0; part < parts && due.size() < parts_in_flight; ++part)
-    if (!transfer.acknowledged[part])
+    if (!transfer.acknowledged[part] && !allowance.is_spent()) {
       due.push_back({shard, epoch, transfer.known_since, transfer.until, transfer.number, part,
                      parts, transfer.parts[part]});
+      allowance.spend(transfer.parts[part].size());
+    }
   if (!due.empty())
     transfer.sent = now;
   return due;
--- a/src/claims/impl/table_transfer.hpp
+++ b/src/claims/impl/table_transfer.hpp
@@ -29,10 +29,31 @@
 
 void note_ack(table_transfer& transfer, const table_part_ack& ack);
 
-/// \returns the parts to send now, at most a few, none before `interval` has passed
+/// \brief Frees the memory of the parts that have arrived, where none is ever sent again.
+void release_acknowledged(table_transfer& transfer);
+
+/// \brief How many claims a host may send in tables, so that the loss of another host doesn't fill
+/// its network.
+class transfer_allowance {
+ public:
+  explicit transfer_allowance(std::int64_t claims_per_s) : per_s_{claims_per_s} {}
+
+  /// \brief Adds what the time since the last call allows, for at most one second.
+  void refill(time_ms now);
+  [[nodiscard]] bool is_spent() const noexcept { return left_ <= 0; }
+  void spend(std::size_t claims) { left_ -= static_cast<std::int64_t>(claims); }
+
+ private:
+  std::int64_t per_s_;
+  std::int64_t left_{0}; ///< below 0 after a part that was larger than what was left
+  time_ms refilled_;
+};
+
+/// \returns the parts to send now, at most a few and as far as the allowance reaches, none before
+/// `interval` has passed
 [[nodiscard]] std::vector<table_part> due_parts(table_transfer& transfer, time_ms now,
                                                 time_ms interval, const claim_shard& shard,
-                                                std::uint64_t epoch);
+                                                std::uint64_t epoch, transfer_allowance& allowance);
 
 /// \returns whether the table is complete with this part
 [[nodiscard]] bool note_arrival(arriving_table& arriving, const table_part& part);
