--- a/tests/gateway/retry_test.cpp
+++ b/tests/gateway/retry_test.cpp
@@ -54,9 +54,9 @@
   }
 }
 
-// A prompt crashes the engine, which is back at once. The connection had served a request before, so
-// its loss looked like one that the engine had closed while it was idle: the prompt was written to
-// the same engine again, crashed it again, and counted as one engine lost.
+// A prompt crashes the engine, which is back at once. The connection had served a request before,
+// so its loss looked like one that the engine had closed while it was idle: the prompt was written
+// to the same engine again, crashed it again, and counted as one engine lost.
 TEST_CASE("a run that is lost on a kept connection is not written to the same engine again") {
   std::atomic<int> calls{0};
   two_engines engines{[&calls](engine_call& call) {
