Pool figures without the teams, names from their table, keys read once, runs counted in one place

Figures of a pool carried a row for each team, up to 830, which only the operators' explanation reads; the sampler and the share exchange fetched them under the lock of the queues, once a second for each pool. The sampler listed the endpoint states beside their table of names. Datagram keys were read from their file twice at a start of a host. The process tests counted runs in two loops. Change: teams of a pool are asked for by themselves; the table of names lists the states and gives their number; the seal of membership gets its keys where the links get theirs; runs are counted by one function. Measured: routing 84, telemetry 20, kernel 6, config 26, wire 8 passed; of tests/fleet the five cases on metrics, leaving engines, poison prompts, TLS and the graceful stop passed, the other 14 were not run on this change; linter without a finding on the changed sources. The time saved under the lock was not measured. Conclusion: behaviour is as before.

--- a/src/daemon/impl/admin_explain.cpp
+++ b/src/daemon/impl/admin_explain.cpp
@@ -69,7 +69,7 @@
   facts.add("places", figures.load.places, "requests that they run at once");
   facts.add("at_endpoints", figures.load.at_endpoints, "requests believed to be there now");
   facts.add("rate", figures.queue.rate, "tokens a second that this host starts while it queues");
-  for (const fair_queue::team_figures& team : figures.teams)
+  for (const fair_queue::team_figures& team : host.dispatch.teams(pool))
     if (team.queued > 0 || team.running > 0)
       facts.add("team " + team.team.str(), team.queued,
                 "waiting; weight " + std::to_string(team.weight) + ", running " +
--- a/src/daemon/impl/dispatch_service.cpp
+++ b/src/daemon/impl/dispatch_service.cpp
@@ -378,7 +378,15 @@
   const auto found = pools_.find(id);
   if (found == pools_.end())
     return {};
-  return {found->second.queue.figures(), table_.load_of(id), found->second.queue.teams()};
+  return {found->second.queue.figures(), table_.load_of(id)};
+}
+
+std::vector<fair_queue::team_figures> dispatch_service::teams(const pool_id& id) const {
+  const std::scoped_lock lock{mutex_};
+  const auto found = pools_.find(id);
+  if (found == pools_.end())
+    return {};
+  return found->second.queue.teams();
 }
 
 std::size_t dispatch_service::quarantined() const {
--- a/src/daemon/impl/dispatch_service.hpp
+++ b/src/daemon/impl/dispatch_service.hpp
@@ -57,9 +57,10 @@
   struct pool_figures {
     queue_figures queue;
     endpoint_table::pool_load load;
-    std::vector<fair_queue::team_figures> teams;
   };
   [[nodiscard]] pool_figures figures(const pool_id& pool) const;
+  /// \returns what each team with work has, did and wants in the pool.
+  [[nodiscard]] std::vector<fair_queue::team_figures> teams(const pool_id& pool) const;
   /// \returns how many contents are in quarantine.
   [[nodiscard]] std::size_t quarantined() const;
 
--- a/src/daemon/impl/host.cpp
+++ b/src/daemon/impl/host.cpp
@@ -100,7 +100,7 @@
                                               routine_events_per_second},
       status_{self_, log_, metrics_, events_, burn_}, membership_seal_{datagram_purpose::membership,
                                                                        self_.number,
-                                                                       datagram_keys_of(settings_)},
+                                                                       {}},
       credentials_{settings_, [this](const auto& keys) { use_datagram_keys(keys); }, log_,
                    metrics_},
       peer_credentials_{peer_credentials_of(settings_)}, peers_{self_, settings_.timeouts.peer_call,
@@ -162,7 +162,7 @@
 
 void host::start() {
   started_ = time_.now();
-  peers_.use_datagram_keys(datagram_keys_of(settings_));
+  use_datagram_keys(datagram_keys_of(settings_));
   peer_server_ =
       std::make_unique<peer_server>(settings_.listen.peers.str(), listener_, peer_credentials_);
   membership_ = std::make_unique<membership_service>(
--- a/src/daemon/impl/metrics_sampler.cpp
+++ b/src/daemon/impl/metrics_sampler.cpp
@@ -7,10 +7,6 @@
 // The sum over all teams reads a row of each: at 220,000 that is too much for every second.
 constexpr std::uint64_t samples_per_sum = 10;
 
-constexpr endpoint_state all_endpoint_states[endpoint_state_count] = {
-    endpoint_state::serving, endpoint_state::leaving, endpoint_state::unreachable,
-    endpoint_state::ejected};
-
 } // namespace
 
 // A counter that first shows with its first event cannot be told from one that nobody feeds, and
@@ -39,8 +35,8 @@
   for (const pool_id& pool : from_.dispatch.pools()) {
     const dispatch_service::pool_figures figures = from_.dispatch.figures(pool);
     metrics_.set(metric::queue_length, {pool.str()}, static_cast<double>(figures.queue.queued));
-    for (const endpoint_state state : all_endpoint_states)
-      metrics_.set(metric::endpoints, {pool.str(), name_of(state)},
+    for (const auto& [state, name] : enum_names<endpoint_state>::entries)
+      metrics_.set(metric::endpoints, {pool.str(), name},
                    static_cast<double>(figures.load.by_state[static_cast<std::size_t>(state)]));
   }
   metrics_.set(metric::quarantined, {}, static_cast<double>(from_.dispatch.quarantined()));
--- a/src/routing/impl/endpoint_health.hpp
+++ b/src/routing/impl/endpoint_health.hpp
@@ -14,8 +14,6 @@
   ejected,     ///< slower or failing more than its peers; tried again after a while
 };
 
-inline constexpr std::size_t endpoint_state_count = 4;
-
 template <>
 struct enum_names<endpoint_state> {
   static constexpr auto entries =
@@ -25,6 +23,8 @@
                                   {endpoint_state::ejected, "ejected"}});
 };
 
+inline constexpr std::size_t endpoint_state_count = enum_names<endpoint_state>::entries.size();
+
 struct health_policy {
   std::uint32_t least_samples{6};    ///< before an endpoint is compared with its peers
   double slow_ratio{3.0};            ///< times the peers' median that counts as slow
--- a/tests/fleet/running_fleet.cpp
+++ b/tests/fleet/running_fleet.cpp
@@ -330,35 +330,32 @@
 }
 
 int running_fleet::runs_at(int engine) const {
-  const std::uint16_t port = engine_ports_.at(static_cast<std::size_t>(engine));
-  const auto stats = parsed(call(port, "GET", "/admin/stats", {}, {}, {}, 2000).body);
-  int count = 0;
-  for (const auto& [id, about] : *stats->getObject("requests"))
-    count += about.extract<Poco::JSON::Object::Ptr>()->getValue<int>("runs");
-  return count;
+  return runs_in(engine_ports_.at(static_cast<std::size_t>(engine)), "");
 }
 
 int running_fleet::crashes() const {
   int count = 0;
-  for (const std::uint16_t port : engine_ports_)
-    count +=
-        parsed(call(port, "GET", "/admin/stats", {}, {}, {}, 2000).body)->getValue<int>("crashes");
+  for (std::size_t i = 0; i < engine_ports_.size(); ++i)
+    count += engine(static_cast<int>(i), "/admin/stats")->getValue<int>("crashes");
   return count;
 }
 
 int running_fleet::runs(const std::string& prefix) const {
+  int count = runs_in(service_port_, prefix);
+  for (const std::uint16_t port : engine_ports_)
+    count += runs_in(port, prefix);
+  return count;
+}
+
+int running_fleet::runs_in(std::uint16_t port, const std::string& prefix) const {
+  const auto stats = parsed(call(port, "GET", "/admin/stats", {}, {}, {}, 2000).body);
+  const auto requests = stats->getObject("requests");
+  if (!requests)
+    return 0;
   int count = 0;
-  std::vector<std::uint16_t> ports = engine_ports_;
-  ports.push_back(service_port_);
-  for (const std::uint16_t port : ports) {
-    const auto whole = parsed(call(port, "GET", "/admin/stats", {}, {}, {}, 2000).body);
-    const auto requests = whole->getObject("requests");
-    if (!requests)
-      continue;
-    for (const auto& [id, about] : *requests)
-      if (id.rfind(prefix, 0) == 0)
-        count += about.extract<Poco::JSON::Object::Ptr>()->getValue<int>("runs");
-  }
+  for (const auto& [id, about] : *requests)
+    if (id.rfind(prefix, 0) == 0)
+      count += about.extract<Poco::JSON::Object::Ptr>()->getValue<int>("runs");
   return count;
 }
 
--- a/tests/fleet/running_fleet.hpp
+++ b/tests/fleet/running_fleet.hpp
@@ -101,6 +101,7 @@
   [[nodiscard]] std::string contract(long budget) const;
   [[nodiscard]] answer publish_document(int host, const std::string& path, const std::string& body,
                                         const std::string& record_id) const;
+  [[nodiscard]] int runs_in(std::uint16_t port, const std::string& prefix) const;
   [[nodiscard]] std::string engine_entry(int engine, const std::string& state) const;
   [[nodiscard]] answer call(std::uint16_t port, const std::string& method, const std::string& path,
                             const std::string& body, const std::string& bearer,
