Budget rates start from an even prior; hosts that are cut off keep their part

Cause: in the first seconds one host's few requests drew 745,000 of 2,655,000 tokens, and hosts back from a cut first took the part of those not yet back.

--- a/src/prepaid/impl/prepaid_book.cpp
+++ b/src/prepaid/impl/prepaid_book.cpp
@@ -147,7 +147,10 @@
 // The hosts together hold a fixed part of what nobody has used, each by its rate of use. So their
 // holdings shrink together as a budget runs out, and the last tokens lie where the requests come.
 std::uint64_t prepaid_book::target(const team_state& state, const pool_view& pool) const {
-  const double idle = options_.idle_share * pool.rates / static_cast<double>(pool.hosts);
+  const double idle =
+      std::max(options_.idle_share * pool.rates,
+               options_.least_use * static_cast<double>(pool.unused)) /
+      static_cast<double>(pool.hosts);
   const double rate = std::max(state.rate, least_rate) + idle;
   const double all = pool.rates + idle * static_cast<double>(pool.hosts);
   const double held = options_.held_part * static_cast<double>(pool.unused);
--- a/src/prepaid/impl/prepaid_options.hpp
+++ b/src/prepaid/impl/prepaid_options.hpp
@@ -17,13 +17,17 @@
   /// A host that a team has not used counts as if it used this part of what a host uses on average:
   /// callers move.
   double idle_share{0.35};
+  /// And at least as if it used this part of what nobody has used in a second, dealt evenly: the
+  /// first requests of a day say little about where the next ones come.
+  double least_use{0.01};
   /// Slack below this part of the target is filled up, above the second it is handed back.
   double low_water{0.7};
   double high_water{1.4};
   /// Time constant of a host's rate of use.
-  time_ms rate_window{4000};
-  /// An account that was not written for so long belongs to a host that is away.
-  time_ms away_after{6000};
+  time_ms rate_window{6000};
+  /// An account that was not written for so long belongs to a host that is gone. Hosts that are
+  /// cut off come back after less, and find their part of what is left.
+  time_ms away_after{20000};
   /// Between two reports of what was used, when nothing is needed. Each report is a write call.
   time_ms report_interval{900};
   /// Added to the interval for each host beyond the first, so that the log's writes stay bounded.
