Hosts tell each other in datagrams what they have at each endpoint

Cause: each host saw an engine's load once a second, in answers to its own requests, and nine hosts sent long prompts to the same engine at once.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -48,7 +48,7 @@
 
 entry_host::entry_host(entry_settings settings, const clock& time, structured_log& log)
     : settings_{std::move(settings)}, time_{time}, log_{log}, figures_{settings_.host},
-      topics_{settings_.store, store_timeout},
+      topics_{settings_.store, store_timeout}, hosts_{settings_.store, store_timeout},
       endpoints_{data_centre_id{settings_.data_centre}, choice_weights{}, time} {
   const std::uint64_t incarnation = random_source::from_system()();
   budgets_ = std::make_unique<budget_desk>(desk_owner{settings_.host, incarnation},
@@ -57,6 +57,9 @@
   fleet_ = std::make_unique<fleet_watch>(
       topics_, endpoints_, [this](const config_ptr& config) { take_config(config); },
       fleet_watch_options{}, time, log);
+  loads_ = std::make_unique<load_exchange>(
+      host_entry{settings_.host, settings_.peers, settings_.data_centre}, incarnation, hosts_,
+      endpoints_, load_exchange_options{}, time, log);
   relay_options options;
   options.retries.ratio = settings_.retry_ratio;
   options.retries.slack = settings_.retry_slack;
@@ -75,6 +78,7 @@
   status_->start();
   budgets_->start();
   fleet_->start();
+  loads_->start();
   const auto limits = [this] {
     const config_ptr config = fleet_->config();
     return config ? config->limits : caller_limits{};
--- a/src/entry/impl/entry_host.hpp
+++ b/src/entry/impl/entry_host.hpp
@@ -37,9 +37,11 @@
   metrics figures_;
   header_dialect dialect_;
   fleet_topics topics_;
+  host_topic hosts_;
   endpoint_directory endpoints_;
   std::unique_ptr<budget_desk> budgets_;
   std::unique_ptr<fleet_watch> fleet_;
+  std::unique_ptr<load_exchange> loads_;
   std::unique_ptr<request_relay> relay_;
   std::unique_ptr<front_door> callers_;
   std::unique_ptr<status_door> status_;
--- a/src/entry/impl/entry_settings.cpp
+++ b/src/entry/impl/entry_settings.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 9> known_names{
-    "host",        "data_centre", "callers",      "status",  "store",
+constexpr std::array<std::string_view, 10> known_names{
+    "host",        "data_centre", "callers", "peers",  "status",  "store",
     "grace_s",     "retry_ratio", "retry_slack", "retry_window_s"};
 constexpr double ms_a_second = 1000;
 
@@ -82,6 +82,7 @@
   read.host = reader.text("host");
   read.data_centre = reader.text("data_centre");
   read.callers = reader.address("callers");
+  read.peers = reader.address("peers");
   read.status = reader.address("status");
   read.store = reader.address("store");
   read.grace = reader.seconds("grace_s", read.grace);
--- a/src/entry/impl/entry_settings.hpp
+++ b/src/entry/impl/entry_settings.hpp
@@ -13,6 +13,7 @@
   std::string host;
   std::string data_centre;
   std::string callers; ///< `IP:port` on which callers connect
+  std::string peers;   ///< `IP:port` for datagrams between entry hosts
   std::string status;  ///< `IP:port` of readiness and metrics
   std::string store;   ///< `IP:port` of the platform's store
   time_ms grace{8000}; ///< between the signal to stop and the end by force
--- a/src/relay/impl/choose_replica.cpp
+++ b/src/relay/impl/choose_replica.cpp
@@ -5,7 +5,7 @@
 namespace sedgechute {
 
 double expected_open(const replica_candidate& candidate, const choice_weights& weights) noexcept {
-  const auto here = static_cast<double>(candidate.open_here);
+  const auto here = static_cast<double>(candidate.open_here + candidate.open_elsewhere);
   if (!candidate.load || candidate.load_age > weights.load_stays)
     return here;
   const auto said = static_cast<double>(candidate.load->running + candidate.load->waiting +
@@ -23,7 +23,7 @@
     cost += weights.other_centre_ms;
   if (prompt_tokens == 0)
     return cost;
-  double unread = static_cast<double>(candidate.unread_tokens_here);
+  auto unread = static_cast<double>(candidate.unread_tokens_here + candidate.unread_tokens_elsewhere);
   if (candidate.load && candidate.load_age <= weights.load_stays)
     unread = std::max(unread, static_cast<double>(candidate.load->waiting) *
                                   weights.waiting_prompt_tokens);
--- a/src/relay/impl/choose_replica.hpp
+++ b/src/relay/impl/choose_replica.hpp
@@ -37,7 +37,9 @@
 struct replica_candidate {
   std::uint64_t open_here{};          ///< requests of this host that it works on
   std::uint64_t unread_tokens_here{}; ///< of prompts this host sent and that have no event yet
-  std::optional<load_report> load;
+  std::uint64_t open_elsewhere{};          ///< the same of other hosts, as they told
+  std::uint64_t unread_tokens_elsewhere{};
+  std::optional<load_report> load; ///< as the endpoint told
   time_ms load_age;
   std::uint64_t sent_since_load{};    ///< by this host
   std::uint64_t slots{1};
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -14,6 +14,9 @@
 // back within some seconds.
 constexpr double failures_halve_ms = 1500;
 
+// What a host told counts for so long after its last report; hosts report once a second.
+constexpr time_ms silent_host{3000};
+
 double faded(double failing, time_ms span) noexcept {
   return failing * std::exp2(-static_cast<double>(span.count()) / failures_halve_ms);
 }
@@ -37,13 +40,15 @@
 
 endpoint_directory::endpoint_directory(data_centre_id here, const choice_weights& weights,
                                        const clock& time)
-    : here_{std::move(here)}, weights_{weights}, time_{time} {}
+    : here_{std::move(here)}, weights_{weights}, time_{time}, others_{silent_host} {}
 
 void endpoint_directory::put(endpoint_entry entry) {
   const std::scoped_lock lock{mutex_};
   state& at = endpoints_[entry.id];
-  if (at.entry.id.empty())
+  if (at.entry.id.empty()) {
     at.since = time_.now();
+    at.hash = stable_hash(entry.id.str());
+  }
   at.entry = std::move(entry);
 }
 
@@ -64,6 +69,9 @@
   replica_candidate candidate;
   candidate.open_here = of.open;
   candidate.unread_tokens_here = of.unread_tokens;
+  const endpoint_use elsewhere = others_.at(of.hash);
+  candidate.open_elsewhere = elsewhere.open;
+  candidate.unread_tokens_elsewhere = elsewhere.unread_tokens;
   candidate.load = of.load;
   candidate.load_age = now - of.load_at;
   candidate.sent_since_load = of.sent_since_load;
@@ -88,7 +96,7 @@
   for (auto& [id, known] : endpoints_) {
     if (known.entry.service != request.service || !usable(known))
       continue;
-    const std::uint64_t weight = mix_hash(key, stable_hash(id.str()));
+    const std::uint64_t weight = mix_hash(key, known.hash);
     if (home == nullptr || weight > home_weight) {
       home = &known;
       home_weight = weight;
@@ -168,6 +176,26 @@
       note_result(of, false, now);
 }
 
+std::vector<use_entry> endpoint_directory::own_use(bool changed_only) {
+  const std::scoped_lock lock{mutex_};
+  others_.forget_silent(time_.now());
+  std::vector<use_entry> entries;
+  for (auto& [id, known] : endpoints_) {
+    const endpoint_use use{static_cast<std::uint32_t>(known.open),
+                           static_cast<std::uint32_t>(known.unread_tokens)};
+    const bool told = changed_only ? use == known.told : use == endpoint_use{};
+    known.told = use;
+    if (!told)
+      entries.push_back({known.hash, use});
+  }
+  return entries;
+}
+
+void endpoint_directory::take_report(const use_report& report) {
+  const std::scoped_lock lock{mutex_};
+  others_.take(report, time_.now());
+}
+
 std::size_t endpoint_directory::ready(const std::string& service) const {
   const std::scoped_lock lock{mutex_};
   return static_cast<std::size_t>(
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -2,6 +2,7 @@
 
 #include "kernel/kernel.hpp"
 #include "relay/impl/choose_replica.hpp"
+#include "relay/impl/load_board.hpp"
 #include "relay/impl/request_terms.hpp"
 
 #include <deque>
@@ -74,6 +75,12 @@
   void note_leaving(const endpoint_id& id);
   void release(const placement& place, send_outcome outcome, bool started);
 
+  /// \brief What this host has at endpoints, for the other hosts.
+  /// \param changed_only  leaves out what was returned before and has not changed
+  [[nodiscard]] std::vector<use_entry> own_use(bool changed_only);
+  /// \brief What another host has.
+  void take_report(const use_report& report);
+
   [[nodiscard]] std::size_t ready(const std::string& service) const;
   [[nodiscard]] std::size_t size() const;
   /// \returns part of the slots of a service's endpoints that are taken, as far as is known here
@@ -91,6 +98,8 @@
     time_ms failed_at;
     time_ms since; ///< when the endpoint was first seen
     bool leaving{false};
+    endpoint_hash hash{};
+    endpoint_use told; ///< to the other hosts
   };
 
   [[nodiscard]] replica_candidate candidate_of(const state& of, time_ms now) const;
@@ -104,6 +113,7 @@
   const clock& time_;
   mutable ordered_mutex mutex_{lock_rank::endpoints};
   std::unordered_map<endpoint_id, state> endpoints_;
+  load_board others_;
 };
 
 /// \returns the hash by which a prompt is assigned to endpoints: that of its longest shared start
--- /dev/null
+++ b/src/relay/impl/load_board.cpp
@@ -0,0 +1,109 @@
+#include "relay/impl/load_board.hpp"
+
+namespace sedgechute {
+
+namespace {
+
+constexpr std::uint8_t format = 1; // first byte of a report
+constexpr std::size_t head_bytes = 1 + 8 + 4 + 1;
+constexpr std::size_t entry_bytes = 8 + 4 + 4;
+
+template <typename Number>
+void append(std::string& bytes, Number number) {
+  for (std::size_t i = 0; i < sizeof(Number); ++i)
+    bytes += static_cast<char>(number >> (8 * i) & 0xffU);
+}
+
+template <typename Number>
+Number take_number(std::string_view& bytes) {
+  Number number = 0;
+  for (std::size_t i = 0; i < sizeof(Number); ++i)
+    number |= static_cast<Number>(static_cast<Number>(static_cast<unsigned char>(bytes[i])) << (8 * i));
+  bytes.remove_prefix(sizeof(Number));
+  return number;
+}
+
+} // namespace
+
+std::string encode_use_report(const use_report& report) {
+  std::string bytes;
+  bytes.reserve(head_bytes + report.entries.size() * entry_bytes);
+  append(bytes, format);
+  append(bytes, report.sender);
+  append(bytes, report.number);
+  append(bytes, static_cast<std::uint8_t>(report.whole ? 1 : 0));
+  for (const use_entry& entry : report.entries) {
+    append(bytes, entry.endpoint);
+    append(bytes, entry.use.open);
+    append(bytes, entry.use.unread_tokens);
+  }
+  return bytes;
+}
+
+std::optional<use_report> decode_use_report(std::string_view bytes) {
+  if (bytes.size() < head_bytes || (bytes.size() - head_bytes) % entry_bytes != 0)
+    return std::nullopt;
+  if (take_number<std::uint8_t>(bytes) != format)
+    return std::nullopt;
+  use_report report;
+  report.sender = take_number<std::uint64_t>(bytes);
+  report.number = take_number<std::uint32_t>(bytes);
+  report.whole = take_number<std::uint8_t>(bytes) != 0;
+  while (!bytes.empty()) {
+    use_entry entry;
+    entry.endpoint = take_number<std::uint64_t>(bytes);
+    entry.use.open = take_number<std::uint32_t>(bytes);
+    entry.use.unread_tokens = take_number<std::uint32_t>(bytes);
+    report.entries.push_back(entry);
+  }
+  return report;
+}
+
+void load_board::replace(host_view& host, endpoint_hash endpoint, endpoint_use use) {
+  endpoint_use& known = host.uses[endpoint];
+  endpoint_use& sum = sums_[endpoint];
+  sum.open += use.open - known.open;
+  sum.unread_tokens += use.unread_tokens - known.unread_tokens;
+  known = use;
+  if (sum == endpoint_use{})
+    sums_.erase(endpoint);
+  if (use == endpoint_use{})
+    host.uses.erase(endpoint);
+}
+
+void load_board::take(const use_report& report, time_ms now) {
+  host_view& host = hosts_[report.sender];
+  if (host.number != 0 && report.number <= host.number)
+    return;
+  host.number = report.number;
+  host.heard = now;
+  if (report.whole) {
+    std::unordered_map<endpoint_hash, endpoint_use> before = host.uses;
+    for (const use_entry& entry : report.entries)
+      before.erase(entry.endpoint);
+    for (const auto& [endpoint, use] : before)
+      replace(host, endpoint, {});
+  }
+  for (const use_entry& entry : report.entries)
+    replace(host, entry.endpoint, entry.use);
+}
+
+endpoint_use load_board::at(endpoint_hash endpoint) const {
+  const auto found = sums_.find(endpoint);
+  return found == sums_.end() ? endpoint_use{} : found->second;
+}
+
+void load_board::forget_silent(time_ms now) {
+  for (auto at = hosts_.begin(); at != hosts_.end();) {
+    if (now - at->second.heard <= forget_after_) {
+      ++at;
+      continue;
+    }
+    const auto uses = at->second.uses;
+    for (const auto& [endpoint, use] : uses)
+      replace(at->second, endpoint, {});
+    at = hosts_.erase(at);
+  }
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/relay/impl/load_exchange.cpp
@@ -0,0 +1,141 @@
+#include "relay/impl/load_exchange.hpp"
+
+#include <Poco/Exception.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+
+namespace sedgechute {
+
+namespace {
+
+constexpr std::size_t most_entries = 80;     // in one datagram, so that it fits an Ethernet frame
+constexpr std::size_t receive_bytes = 2048;
+constexpr long receive_look_us = 200'000;    // how often the receiver looks whether it shall stop
+
+} // namespace
+
+load_exchange::load_exchange(host_entry self, std::uint64_t incarnation, host_list& hosts,
+                             endpoint_directory& endpoints, const load_exchange_options& options,
+                             const clock& time, structured_log& log)
+    : self_{std::move(self)}, incarnation_{incarnation}, hosts_{hosts}, endpoints_{endpoints},
+      options_{options}, time_{time}, log_{log},
+      socket_{Poco::Net::SocketAddress{self_.address}, true} {
+  socket_.setReceiveTimeout(Poco::Timespan{receive_look_us});
+}
+
+load_exchange::~load_exchange() {
+  stop();
+}
+
+void load_exchange::start() {
+  sender_ = std::thread{[this] { send_reports(); }};
+  receiver_ = std::thread{[this] { receive_reports(); }};
+  reader_ = std::thread{[this] { read_hosts(); }};
+}
+
+void load_exchange::stop() noexcept {
+  {
+    const std::scoped_lock lock{mutex_};
+    stopping_ = true;
+    wake_.notify_all();
+  }
+  for (std::thread* one : {&sender_, &receiver_, &reader_})
+    if (one->joinable())
+      one->join();
+}
+
+bool load_exchange::pause(time_ms span) {
+  std::unique_lock lock{mutex_};
+  return !wake_.wait_for(lock, std::chrono::milliseconds{span.count()},
+                         [&] { return stopping_.load(); });
+}
+
+std::vector<Poco::Net::SocketAddress> load_exchange::told() const {
+  const std::scoped_lock lock{mutex_};
+  return told_;
+}
+
+void load_exchange::send_reports() {
+  time_ms next_whole = time_.now();
+  while (pause(options_.gather)) {
+    const bool whole = time_.now() >= next_whole;
+    if (whole)
+      next_whole = time_.now() + options_.whole_interval;
+    std::vector<use_entry> entries = endpoints_.own_use(!whole);
+    if (entries.empty() && !whole)
+      continue;
+    const bool one = entries.size() <= most_entries;
+    for (std::size_t from = 0; from == 0 || from < entries.size(); from += most_entries) {
+      const std::size_t end = std::min(entries.size(), from + most_entries);
+      const auto first = entries.begin() + static_cast<std::ptrdiff_t>(from);
+      const auto last = entries.begin() + static_cast<std::ptrdiff_t>(end);
+      send({incarnation_, ++number_, whole && one, {first, last}});
+    }
+  }
+}
+
+void load_exchange::send(const use_report& report) {
+  const std::string bytes = encode_use_report(report);
+  for (const Poco::Net::SocketAddress& to : told()) {
+    try {
+      socket_.sendTo(bytes.data(), static_cast<int>(bytes.size()), to);
+    } catch (const Poco::Exception& failure) {
+      log_.write(severity::debug, "load_report_not_sent", {},
+                 {{log_field::peer, to.toString()}, {log_field::reason, failure.displayText()}});
+    }
+  }
+}
+
+void load_exchange::receive_reports() {
+  std::array<char, receive_bytes> bytes{};
+  while (!stopping_) {
+    try {
+      Poco::Net::SocketAddress from;
+      const int got = socket_.receiveFrom(bytes.data(), static_cast<int>(bytes.size()), from);
+      const auto report = decode_use_report({bytes.data(), static_cast<std::size_t>(std::max(got, 0))});
+      if (report)
+        endpoints_.take_report(*report);
+      else
+        log_.write(severity::warning, "load_report_unreadable", {},
+                   {{log_field::peer, from.toString()}, {log_field::bytes, got}});
+    } catch (const Poco::TimeoutException&) {
+      continue; // nothing came; look whether to stop
+    } catch (const Poco::Exception& failure) {
+      log_.write(severity::warning, "load_report_not_received", {},
+                 {{log_field::reason, failure.displayText()}});
+      if (!pause(options_.gather))
+        return;
+    }
+  }
+}
+
+void load_exchange::read_hosts() {
+  do {
+    try {
+      refresh_hosts();
+      list_reachable_ = true;
+    } catch (const std::exception& failure) {
+      if (list_reachable_)
+        log_.write(severity::warning, "host_list_unreachable", {},
+                   {{log_field::reason, std::string_view{failure.what()}}});
+      list_reachable_ = false;
+    }
+  } while (pause(options_.hosts_interval));
+}
+
+void load_exchange::refresh_hosts() {
+  const std::vector<host_entry> known = hosts_.hosts();
+  if (std::find(known.begin(), known.end(), self_) == known.end())
+    hosts_.announce(self_);
+  const bool many = known.size() > options_.most_told;
+  std::vector<Poco::Net::SocketAddress> next;
+  for (const host_entry& host : known)
+    if (host.name != self_.name && (!many || host.data_centre == self_.data_centre))
+      next.emplace_back(host.address);
+  const std::scoped_lock lock{mutex_};
+  told_ = std::move(next);
+}
+
+} // namespace sedgechute
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -23,6 +23,15 @@
   return status >= 200 && status < 300;
 }
 
+// Engines admit the more urgent first. Who must have the first event sooner goes before: a short
+// prompt that waits behind a long one is late, the long one hardly notices the short one.
+int urgency_of(const route& of) noexcept {
+  constexpr std::int64_t ms_a_step = 200;
+  constexpr std::int64_t least_urgent = 8;
+  return static_cast<int>(std::clamp<std::int64_t>(of.latency_target.count() / ms_a_step, 0,
+                                                   least_urgent));
+}
+
 std::string chunk_of(std::string_view bytes) {
   std::array<char, 20> size{};
   const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
@@ -236,6 +245,8 @@
   send.time_left = deadline_ - now();
   send.resume_behind = events_.last_id() ? events_.last_id() : terms_.last_event;
   send.fetch_from = place.fetch_from;
+  if (terms_.generation)
+    send.urgency = urgency_of(*route_);
   relay_.parts_.dialect.to_endpoint(head.fields, send);
   return to_text(head) + in_.body;
 }
