Endpoints that cannot be reached are probed, not tried by requests; stalled sends go elsewhere

Cause: in a cut each request waited out up to three connect timeouts of 300 ms, and a mute endpoint held requests until their deadline.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -61,6 +61,7 @@
       host_entry{settings_.host, settings_.peers, settings_.data_centre}, incarnation, hosts_,
       endpoints_, load_exchange_options{}, time, log);
   relay_options options;
+  prober_ = std::make_unique<endpoint_prober>(endpoints_, options.connect_timeout, time, log);
   options.retries.ratio = settings_.retry_ratio;
   options.retries.slack = settings_.retry_slack;
   options.retries.window = settings_.retry_window;
@@ -79,6 +80,7 @@
   budgets_->start();
   fleet_->start();
   loads_->start();
+  prober_->start();
   const auto limits = [this] {
     const config_ptr config = fleet_->config();
     return config ? config->limits : caller_limits{};
--- a/src/entry/impl/entry_host.hpp
+++ b/src/entry/impl/entry_host.hpp
@@ -42,6 +42,7 @@
   std::unique_ptr<budget_desk> budgets_;
   std::unique_ptr<fleet_watch> fleet_;
   std::unique_ptr<load_exchange> loads_;
+  std::unique_ptr<endpoint_prober> prober_;
   std::unique_ptr<request_relay> relay_;
   std::unique_ptr<front_door> callers_;
   std::unique_ptr<status_door> status_;
--- a/src/prepaid/impl/prepaid_options.hpp
+++ b/src/prepaid/impl/prepaid_options.hpp
@@ -32,8 +32,9 @@
   time_ms report_interval{900};
   /// Added to the interval for each host beyond the first, so that the log's writes stay bounded.
   time_ms interval_per_host{20};
-  /// Longest wait of a request for tokens from the log: some ten round trips.
-  time_ms longest_wait{400};
+  /// Longest wait of a request for tokens from the log: an exchange takes 15 ms when all is well,
+  /// and a caller that is refused sooner finds tokens at another host sooner.
+  time_ms longest_wait{80};
 };
 
 } // namespace sedgechute
--- a/src/relay/impl/connection.cpp
+++ b/src/relay/impl/connection.cpp
@@ -168,16 +168,17 @@
   (void)::shutdown(descriptor_, SHUT_RD);
 }
 
-std::unique_ptr<connection> connect_to(const std::string& address, time_ms timeout,
-                                       const clock& time) {
+connect_result connect_to(const std::string& address, time_ms timeout, const clock& time) {
   try {
     Poco::Net::StreamSocket socket;
     socket.connect(Poco::Net::SocketAddress{address}, to_timespan(timeout));
     socket.setNoDelay(true);
     guard_against_silence(socket);
-    return std::make_unique<connection>(socket, time);
+    return {std::make_unique<connection>(socket, time), false};
+  } catch (const Poco::TimeoutException&) {
+    return {nullptr, true}; // whoever asked logs the endpoint as unreachable
   } catch (const Poco::Exception&) {
-    return nullptr; // whoever asked logs the endpoint as unreachable
+    return {nullptr, false};
   }
 }
 
--- a/src/relay/impl/connection.hpp
+++ b/src/relay/impl/connection.hpp
@@ -90,9 +90,14 @@
   std::size_t consumed_{0};
 };
 
-/// \returns a connection to `address` (`IP:port`), or null when there is none within `timeout`
-[[nodiscard]] std::unique_ptr<connection> connect_to(const std::string& address, time_ms timeout,
-                                                     const clock& time);
+struct connect_result {
+  std::unique_ptr<connection> link; ///< null when there is none
+  bool silent{false};               ///< nothing answered; a refusal proves at least a live host
+};
+
+/// \param address  `IP:port`
+[[nodiscard]] connect_result connect_to(const std::string& address, time_ms timeout,
+                                        const clock& time);
 
 /// \brief Sets what ends a connection whose other side has gone without a word.
 void guard_against_silence(Poco::Net::StreamSocket& socket);
--- a/src/relay/impl/connection_source.hpp
+++ b/src/relay/impl/connection_source.hpp
@@ -7,14 +7,16 @@
 
 #include <algorithm>
 #include <cstring>
+#include <functional>
 
 namespace sedgechute {
 
 /// \brief Lets a body be decoded from a connection, and tells why reading stopped.
 class connection_source final : public byte_source {
  public:
-  connection_source(connection& from, time_ms deadline, caller_watch* watch)
-      : from_{from}, deadline_{deadline}, watch_{watch} {}
+  /// \param deadline  asked before each wait: until when it may last
+  connection_source(connection& from, std::function<time_ms()> deadline, caller_watch* watch)
+      : from_{from}, deadline_{std::move(deadline)}, watch_{watch} {}
 
   [[nodiscard]] int next_byte() override {
     char byte = 0;
@@ -23,7 +25,7 @@
 
   [[nodiscard]] std::size_t read_some(char* into, std::size_t most) override {
     if (from_.buffered().empty()) {
-      last_ = from_.fill(deadline_, watch_);
+      last_ = from_.fill(deadline_(), watch_);
       if (last_ == io_status::ended)
         return 0;
       if (last_ == io_status::reset)
@@ -42,7 +44,7 @@
 
  private:
   connection& from_;
-  time_ms deadline_;
+  std::function<time_ms()> deadline_;
   caller_watch* watch_;
   io_status last_{io_status::ok};
 };
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -30,7 +30,7 @@
 endpoint_directory::endpoint_directory(data_centre_id here, const choice_weights& weights,
                                        const clock& time)
     : here_{std::move(here)}, weights_{weights}, time_{time}, others_{silent_host},
-      starts_{starts_kept} {}
+      starts_{starts_kept}, reach_{reach_options{}} {}
 
 void endpoint_directory::put(endpoint_entry entry) {
   const std::scoped_lock lock{mutex_};
@@ -45,6 +45,7 @@
 void endpoint_directory::remove(const endpoint_id& id) {
   const std::scoped_lock lock{mutex_};
   endpoints_.erase(id);
+  reach_.forget(id);
 }
 
 std::vector<endpoint_id> endpoint_directory::ids() const {
@@ -75,6 +76,8 @@
   for (auto& [id, known] : endpoints_) {
     if (known.entry.service != request.service || !usable(known))
       continue;
+    if (!reach_.reachable(id, known.entry.data_centre))
+      continue;
     if (std::find(request.avoid.begin(), request.avoid.end(), id) != request.avoid.end())
       continue;
     into.states.push_back(&known);
@@ -193,9 +196,35 @@
     note_result(of, true, now);
   if (outcome == send_outcome::failed)
     note_result(of, false, now);
-  if (outcome == send_outcome::unreachable)
-    for (int i = 0; i < 5; ++i)
-      note_result(of, false, now);
+  if (outcome == send_outcome::unreachable || outcome == send_outcome::silent)
+    reach_.note_unreachable(place.endpoint, of.entry.data_centre, outcome == send_outcome::silent, now);
+  else if (outcome != send_outcome::abandoned)
+    reach_.note_reachable(place.endpoint, of.entry.data_centre);
+}
+
+std::vector<endpoint_directory::probe> endpoint_directory::due_probes() {
+  const std::scoped_lock lock{mutex_};
+  std::vector<probe> probes;
+  for (const endpoint_id& id : reach_.due(time_.now())) {
+    const auto at = endpoints_.find(id);
+    if (at == endpoints_.end())
+      reach_.forget(id);
+    else
+      probes.push_back({id, at->second.entry.address});
+  }
+  return probes;
+}
+
+void endpoint_directory::note_probe(const endpoint_id& endpoint, bool reached, bool silent) {
+  const std::scoped_lock lock{mutex_};
+  const auto at = endpoints_.find(endpoint);
+  if (at == endpoints_.end())
+    return;
+  const data_centre_id& centre = at->second.entry.data_centre;
+  if (reached)
+    reach_.note_reachable(endpoint, centre);
+  else
+    reach_.note_unreachable(endpoint, centre, silent, time_.now());
 }
 
 std::vector<use_entry> endpoint_directory::own_use(bool changed_only) {
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -4,6 +4,7 @@
 #include "relay/impl/choose_replica.hpp"
 #include "relay/impl/load_board.hpp"
 #include "relay/impl/prompt_starts.hpp"
+#include "relay/impl/reach_watch.hpp"
 #include "relay/impl/request_terms.hpp"
 
 #include <deque>
@@ -43,7 +44,8 @@
 enum class send_outcome {
   answered,
   not_run,     ///< refused unrun
-  unreachable, ///< no connection
+  unreachable, ///< no connection: the endpoint refused it
+  silent,      ///< no connection: nothing answered
   failed,      ///< broke off, answered with an error of its own, or with bytes that are no answer
   abandoned,   ///< by us: the caller left or its time was over
 };
@@ -54,6 +56,7 @@
       enum_table<send_outcome>({{send_outcome::answered, "answered"},
                                 {send_outcome::not_run, "not_run"},
                                 {send_outcome::unreachable, "unreachable"},
+                                {send_outcome::silent, "silent"},
                                 {send_outcome::failed, "failed"},
                                 {send_outcome::abandoned, "abandoned"}});
 };
@@ -76,6 +79,14 @@
   void note_leaving(const endpoint_id& id);
   void release(const placement& place, send_outcome outcome, bool started);
 
+  struct probe {
+    endpoint_id endpoint;
+    std::string address;
+  };
+  /// \returns endpoints that could not be reached and are to be tried again now
+  [[nodiscard]] std::vector<probe> due_probes();
+  void note_probe(const endpoint_id& endpoint, bool reached, bool silent);
+
   /// \brief What this host has at endpoints, for the other hosts.
   /// \param changed_only  leaves out what was returned before and has not changed
   [[nodiscard]] std::vector<use_entry> own_use(bool changed_only);
@@ -130,6 +141,7 @@
   std::unordered_map<endpoint_id, state> endpoints_;
   load_board others_;
   prompt_starts starts_;
+  reach_watch reach_;
   std::vector<start_sighting> own_sightings_; ///< not told to the others yet
 };
 
--- /dev/null
+++ b/src/relay/impl/endpoint_prober.cpp
@@ -0,0 +1,56 @@
+#include "relay/impl/endpoint_prober.hpp"
+
+#include "relay/impl/connection.hpp"
+
+#include <chrono>
+
+namespace sedgechute {
+
+namespace {
+
+constexpr std::chrono::milliseconds round_interval{100}; // well below the first wait of a probe
+
+} // namespace
+
+endpoint_prober::endpoint_prober(endpoint_directory& endpoints, time_ms connect_timeout,
+                                 const clock& time, structured_log& log)
+    : endpoints_{endpoints}, connect_timeout_{connect_timeout}, time_{time}, log_{log} {}
+
+endpoint_prober::~endpoint_prober() {
+  stop();
+}
+
+void endpoint_prober::start() {
+  thread_ = std::thread{[this] { run(); }};
+}
+
+void endpoint_prober::stop() noexcept {
+  {
+    const std::scoped_lock lock{mutex_};
+    stopping_ = true;
+    wake_.notify_all();
+  }
+  if (thread_.joinable())
+    thread_.join();
+}
+
+void endpoint_prober::run() {
+  std::unique_lock lock{mutex_};
+  while (!wake_.wait_for(lock, round_interval, [&] { return stopping_; })) {
+    lock.unlock();
+    for (const endpoint_directory::probe& probe : endpoints_.due_probes())
+      probe_one(probe);
+    lock.lock();
+  }
+}
+
+void endpoint_prober::probe_one(const endpoint_directory::probe& probe) {
+  const connect_result result = connect_to(probe.address, connect_timeout_, time_);
+  const bool reached = result.link != nullptr;
+  endpoints_.note_probe(probe.endpoint, reached, result.silent);
+  log_.write(severity::info, reached ? "endpoint_reachable" : "endpoint_unreachable",
+             {.endpoint = probe.endpoint.str()},
+             {{log_field::address, probe.address}, {log_field::kind, result.silent ? "silent" : "refused"}});
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/relay/impl/endpoint_prober.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "relay/impl/endpoint_directory.hpp"
+#include "telemetry/telemetry.hpp"
+
+#include <condition_variable>
+#include <thread>
+
+namespace sedgechute {
+
+/// \brief Tries, on a thread of its own, to connect to endpoints that could not be reached, so that
+/// no request has to.
+class endpoint_prober {
+ public:
+  endpoint_prober(endpoint_directory& endpoints, time_ms connect_timeout, const clock& time,
+                  structured_log& log);
+  endpoint_prober(const endpoint_prober&) = delete;
+  endpoint_prober& operator=(const endpoint_prober&) = delete;
+  ~endpoint_prober();
+
+  void start();
+  void stop() noexcept;
+
+ private:
+  void run();
+  void probe_one(const endpoint_directory::probe& probe);
+
+  endpoint_directory& endpoints_;
+  time_ms connect_timeout_;
+  const clock& time_;
+  structured_log& log_;
+  ordered_mutex mutex_{lock_rank::lifecycle};
+  std::condition_variable_any wake_;
+  bool stopping_{false};
+  std::thread thread_;
+};
+
+} // namespace sedgechute
--- a/src/relay/impl/front_door.cpp
+++ b/src/relay/impl/front_door.cpp
@@ -96,7 +96,7 @@
     if (framing.body != body_framing::none && request.head.fields.has("Expect") &&
         link.write_all("HTTP/1.1 100 Continue\r\n\r\n", until) != io_status::ok)
       throw error{error_kind::slow_caller, "body", "the caller does not read"};
-    connection_source source{link, until, nullptr};
+    connection_source source{link, [until] { return until; }, nullptr};
     body_decoder body{source, framing};
     std::array<char, read_block> block; // NOLINT(cppcoreguidelines-pro-type-member-init)
     while (body.state() == body_state::open) {
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -42,6 +42,9 @@
   time_ms most_idle_run_once{1500}; ///< the same for requests that must not run twice
   time_ms full_retry_after{500};    ///< told to callers when every endpoint is full
   time_ms budget_retry_after{700};  ///< told when tokens lie with other hosts
+  /// Of an endpoint whose request may not be run again; its connection fails long before when the
+  /// endpoint or the way to it is gone.
+  time_ms longest_silence{60000};
   std::size_t most_reply_head{32768};
   std::size_t most_buffered_body{std::size_t{8} << 20U}; ///< of an answer that is no stream
 };
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -12,6 +12,13 @@
 
 constexpr int most_unreachable = 3; // endpoints tried in a row that take no connection
 constexpr std::size_t read_block = 16 * 1024;
+
+// A stall is several times what an undisturbed answer takes: engines at full load are up to three
+// times slower, and a run given up is lost work.
+constexpr std::int64_t targets_before_stall = 3;
+constexpr std::int64_t pauses_before_stall = 5;
+constexpr time_ms least_stall{600};
+
 constexpr time_ms default_patience{30000}; // for a caller that names none
 constexpr time_ms most_caller_write{10000}; // a caller that reads nothing for so long has gone
 
@@ -138,13 +145,30 @@
   }
 }
 
+bool request_run::may_run_again() const noexcept {
+  return !runs_once() && static_cast<int>(sent_to_.size()) < route_->most_attempts;
+}
+
+// An endpoint that accepts a request and says nothing looks like a slow one. Where the request may
+// be run again, waiting for it beyond several times what an answer takes only makes it later.
+time_ms request_run::patience_with_endpoint() const {
+  if (!may_run_again())
+    return relay_.options_.longest_silence;
+  if (events_.events() > 0)
+    return std::max(route_->longest_pause * pauses_before_stall, least_stall);
+  return std::max(route_->latency_target * targets_before_stall, least_stall);
+}
+
+time_ms request_run::reply_deadline() const {
+  return std::min(deadline_, now() + patience_with_endpoint());
+}
+
 bool request_run::may_go_on(send_end end) {
   if (caller_failed_ || end == send_end::caller_left || end == send_end::timed_out)
     return false;
-  if (end == send_end::unreachable)
+  if (end == send_end::unreachable || end == send_end::silent)
     return ++unreachable_ < most_unreachable;
-  const bool ran = end == send_end::failed || end == send_end::own_error;
-  if (ran && runs_once())
+  if (end != send_end::not_run && !may_run_again())
     return false;
   if (end == send_end::own_error && route_->kind != request_kind::safe)
     return false;
@@ -192,8 +216,9 @@
   prompt_read_ = false;
   const send_end end = exchange(*place);
   static constexpr std::array outcomes{send_outcome::answered,    send_outcome::not_run,
-                                       send_outcome::unreachable, send_outcome::failed,
-                                       send_outcome::failed,      send_outcome::abandoned,
+                                       send_outcome::unreachable, send_outcome::silent,
+                                       send_outcome::failed,      send_outcome::failed,
+                                       send_outcome::failed,      send_outcome::failed,
                                        send_outcome::abandoned};
   relay_.parts_.endpoints.release(*place, outcomes.at(static_cast<std::size_t>(end)),
                                   prompt_read_);
@@ -202,9 +227,10 @@
 }
 
 request_run::send_end request_run::exchange(const placement& place) {
-  std::unique_ptr<connection> link = reach(place);
-  if (!link)
-    return send_end::unreachable;
+  connect_result reached = reach(place);
+  if (!reached.link)
+    return reached.silent ? send_end::silent : send_end::unreachable;
+  std::unique_ptr<connection> link = std::move(reached.link);
   if (sent_to_.empty())
     relay_.note_first_send(service_);
   sent_to_.push_back(place.endpoint);
@@ -224,12 +250,12 @@
   return end;
 }
 
-std::unique_ptr<connection> request_run::reach(const placement& place) {
+connect_result request_run::reach(const placement& place) const {
   const time_ms most_idle =
       runs_once() ? relay_.options_.most_idle_run_once : relay_.options_.most_idle;
   auto idle = relay_.connections_.take(place.endpoint, most_idle);
   if (idle)
-    return idle;
+    return {std::move(idle), false};
   return connect_to(place.address, relay_.options_.connect_timeout, relay_.parts_.time);
 }
 
@@ -251,17 +277,19 @@
   return to_text(head) + in_.body;
 }
 
-request_run::send_end request_run::end_of(io_status status) const noexcept {
+request_run::send_end request_run::end_of(io_status status) const {
   if (status == io_status::caller_left)
     return send_end::caller_left;
-  return status == io_status::timed_out ? send_end::timed_out : send_end::failed;
+  if (status != io_status::timed_out)
+    return send_end::failed;
+  return now() < deadline_ ? send_end::stalled : send_end::timed_out;
 }
 
 request_run::send_end request_run::read_reply(const placement& place, connection& link) {
   std::string text;
   response_head head;
   do {
-    const io_status status = link.read_head(text, relay_.options_.most_reply_head, deadline_, &watch_);
+    const io_status status = link.read_head(text, relay_.options_.most_reply_head, reply_deadline(), &watch_);
     if (status != io_status::ok)
       return end_of(status);
     const auto parsed = parse_response_head(text);
@@ -309,7 +337,7 @@
 }
 
 request_run::send_end request_run::take_answer(const placement& place, connection& link) {
-  connection_source source{link, deadline_, &watch_};
+  connection_source source{link, [this] { return reply_deadline(); }, &watch_};
   const message_framing framing = reply_framing();
   body_decoder body{source, framing};
   std::string bytes;
@@ -371,7 +399,7 @@
 }
 
 request_run::send_end request_run::take_stream(const placement& place, connection& link) {
-  connection_source source{link, deadline_, &watch_};
+  connection_source source{link, [this] { return reply_deadline(); }, &watch_};
   const message_framing framing = reply_framing();
   body_decoder body{source, framing};
   events_.drop_unfinished();
@@ -409,8 +437,8 @@
 }
 
 void request_run::log_send(const placement& place, send_end end, time_ms began) {
-  static constexpr std::array names{"answered", "not_run",   "unreachable", "failed",
-                                    "own_error", "timed_out", "caller_left"};
+  static constexpr std::array names{"answered", "not_run",   "unreachable", "silent",     "failed",
+                                    "own_error", "stalled", "timed_out", "caller_left"};
   relay_.parts_.log.write(
       end == send_end::answered ? severity::debug : severity::info, "send_ended",
       {terms_.id, team_ != nullptr ? std::string_view{team_->name.str()} : std::string_view{},
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -26,9 +26,11 @@
   enum class send_end {
     answered,    ///< the caller has its answer
     not_run,     ///< the endpoint refused it unrun
-    unreachable, ///< nothing was sent
+    unreachable, ///< nothing was sent: the endpoint refused the connection
+    silent,      ///< nothing was sent: the endpoint did not answer
     failed,      ///< it may have run
     own_error,   ///< the endpoint answered with an error of its own, kept in `reply_`
+    stalled,     ///< nothing came for so long that another endpoint is the better bet
     timed_out,
     caller_left,
   };
@@ -39,16 +41,22 @@
   [[nodiscard]] after_answer run_sends();
   [[nodiscard]] send_end send_once();
   [[nodiscard]] send_end exchange(const placement& place);
-  [[nodiscard]] std::unique_ptr<connection> reach(const placement& place);
+  [[nodiscard]] connect_result reach(const placement& place) const;
+  /// \returns how long an endpoint may say nothing before the request goes elsewhere
+  [[nodiscard]] time_ms patience_with_endpoint() const;
+  /// \returns until when the next bytes of a reply are waited for
+  [[nodiscard]] time_ms reply_deadline() const;
   [[nodiscard]] std::string endpoint_request(const placement& place);
   [[nodiscard]] send_end read_reply(const placement& place, connection& link);
   [[nodiscard]] send_end take_answer(const placement& place, connection& link);
   [[nodiscard]] send_end take_stream(const placement& place, connection& link);
   [[nodiscard]] bool pass_events(const std::string& events);
-  [[nodiscard]] send_end end_of(io_status status) const noexcept;
+  [[nodiscard]] send_end end_of(io_status status) const;
   [[nodiscard]] bool deliver_reply(std::string body);
   [[nodiscard]] bool begin_stream_answer();
   [[nodiscard]] bool may_go_on(send_end end);
+  /// \returns whether the rules of the route allow another send after a run that may have begun
+  [[nodiscard]] bool may_run_again() const noexcept;
   [[nodiscard]] after_answer give_up(send_end end);
   [[nodiscard]] after_answer refuse(const error& reason);
   [[nodiscard]] message_framing reply_framing() const;
