Tests of budgets, relay decisions and reports between hosts, with schedules that find put-in faults

Three mutations (a slice kept over a restart, an append taken for granted, a condition ignored) are found within 4,000 schedules; none of these breaks the unchanged book.

--- /dev/null
+++ b/tests/prepaid/budget_desk_test.cpp
@@ -0,0 +1,129 @@
+#include "log_model.hpp"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <chrono>
+#include <mutex>
+#include <thread>
+
+using namespace sedgechute;
+
+namespace {
+
+/// A log shared by the desks of a test, which can be taken away from all of them.
+struct shared_log {
+  std::mutex mutex;
+  log_model log;
+  std::atomic<bool> away{false};
+  std::atomic<int> appends{0};
+};
+
+class shared_account_log final : public account_log {
+ public:
+  explicit shared_account_log(shared_log& shared) : shared_{shared} {}
+
+  account_page newest() override { return read(0); }
+
+  account_page read(std::uint64_t from) override {
+    check();
+    const std::scoped_lock lock{shared_.mutex};
+    account_page page;
+    page.end = shared_.log.end();
+    page.records.assign(shared_.log.records.begin() + static_cast<std::ptrdiff_t>(from),
+                        shared_.log.records.end());
+    return page;
+  }
+
+  std::optional<std::uint64_t> append_at(std::uint64_t end,
+                                         const std::vector<account_record>& records) override {
+    check();
+    const std::scoped_lock lock{shared_.mutex};
+    ++shared_.appends;
+    if (!shared_.log.append_at(end, records))
+      return std::nullopt;
+    return shared_.log.end();
+  }
+
+ private:
+  void check() const {
+    if (shared_.away)
+      throw error{error_kind::log_unavailable, "log", "is away"};
+  }
+
+  shared_log& shared_;
+};
+
+struct desk_fixture {
+  desk_fixture(shared_log& shared, const std::string& host, std::uint64_t incarnation)
+      : log{{.host = host, .file = "/dev/null"}},
+        desk{{host, incarnation}, prepaid_options{}, logs(shared), time, log} {
+    desk.set_prepaid({{"team-a", 100000}});
+    desk.start();
+    for (int i = 0; i < 500 && !desk.loaded(); ++i)
+      std::this_thread::sleep_for(std::chrono::milliseconds{10});
+  }
+
+  static std::vector<std::unique_ptr<account_log>> logs(shared_log& shared) {
+    std::vector<std::unique_ptr<account_log>> all;
+    all.push_back(std::make_unique<shared_account_log>(shared));
+    return all;
+  }
+
+  steady_clock time;
+  structured_log log;
+  budget_desk desk;
+};
+
+/// Tries as a caller would that is told to come back.
+reserve_outcome reserve_soon(budget_desk& desk, const std::string& team, std::uint64_t bound) {
+  reserve_outcome outcome = desk.reserve(team, bound);
+  for (int i = 0; i < 100 && outcome == reserve_outcome::short_here; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds{20});
+    outcome = desk.reserve(team, bound);
+  }
+  return outcome;
+}
+
+} // namespace
+
+TEST_CASE("a request gets tokens from the log") {
+  shared_log shared;
+  desk_fixture host{shared, "desk-1", 1};
+  REQUIRE(host.desk.loaded());
+  CHECK(reserve_soon(host.desk, "team-a", 5000) == reserve_outcome::reserved);
+  CHECK(reserve_soon(host.desk, "team-a", 200000) == reserve_outcome::exhausted);
+}
+
+TEST_CASE("a team without a budget is not held to one") {
+  shared_log shared;
+  desk_fixture host{shared, "desk-2", 1};
+  CHECK(host.desk.reserve("team-b", 1U << 30U) == reserve_outcome::reserved);
+}
+
+// The log cannot be reached. Callers are served from what the host holds; who needs more is told so
+// at once and not after a time-out.
+TEST_CASE("a host that is cut off serves what it holds and refuses the rest") {
+  shared_log shared;
+  desk_fixture host{shared, "desk-3", 1};
+  REQUIRE(reserve_soon(host.desk, "team-a", 5000) == reserve_outcome::reserved);
+  shared.away = true;
+  for (int i = 0; i < 500 && host.desk.log_reachable(); ++i)
+    std::this_thread::sleep_for(std::chrono::milliseconds{10});
+  REQUIRE_FALSE(host.desk.log_reachable());
+  CHECK(host.desk.reserve("team-a", 100) == reserve_outcome::reserved);
+  CHECK(host.desk.reserve("team-a", 90000) == reserve_outcome::short_here);
+}
+
+// Two hosts stop one after the other while the other serves. What the first had not used is there
+// for the second.
+TEST_CASE("a host that stops hands its tokens to the others") {
+  shared_log shared;
+  {
+    desk_fixture leaving{shared, "desk-4", 1};
+    REQUIRE(reserve_soon(leaving.desk, "team-a", 40000) == reserve_outcome::reserved);
+    leaving.desk.settle("team-a", 40000, 0);
+  }
+  desk_fixture staying{shared, "desk-5", 2};
+  CHECK(reserve_soon(staying.desk, "team-a", 100000) == reserve_outcome::reserved);
+}
--- /dev/null
+++ b/tests/prepaid/prepaid_schedule_test.cpp
@@ -0,0 +1,181 @@
+// Random schedules of hosts over one log: requests, reports, answers that are lost, appends that are
+// carried out late, kills, restarts, stops in good order, raised budgets. The one thing that must
+// hold: what callers were given never exceeds what was paid.
+
+#include "log_model.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+
+using namespace sedgechute;
+
+namespace {
+
+const std::string team = "team-a";
+constexpr std::size_t hosts = 4;
+constexpr int steps = 400;
+
+/// Faults that a schedule must find.
+enum class mutation { none, restart_keeps_slice, lost_append_counts, condition_ignored };
+
+struct open_request {
+  std::size_t host{};
+  std::uint64_t bound{};
+};
+
+class schedule {
+ public:
+  schedule(std::uint64_t seed, mutation fault) : random_{seed}, fault_{fault} {
+    log_.ignores_condition = fault == mutation::condition_ignored;
+    for (std::size_t i = 0; i < hosts; ++i)
+      start(i);
+  }
+
+  /// \returns tokens given above what was paid
+  [[nodiscard]] std::uint64_t run() {
+    for (int i = 0; i < steps && spent_ <= paid_; ++i)
+      step();
+    return spent_ > paid_ ? spent_ - paid_ : 0;
+  }
+
+  [[nodiscard]] std::uint64_t spent() const noexcept { return spent_; }
+
+ private:
+  void start(std::size_t host) {
+    const std::uint64_t life = fault_ == mutation::restart_keeps_slice ? host + 1 : ++lives_;
+    books_[host] =
+        std::make_unique<prepaid_book>("h" + std::to_string(host), life, prepaid_options{});
+  }
+
+  void step() {
+    now_ += time_ms{static_cast<std::int64_t>(random_.below(300))};
+    const std::size_t host = random_.below(hosts);
+    switch (random_.below(12)) {
+    case 0:
+      return kill(host);
+    case 1:
+      return settle_one();
+    case 2:
+      if (!log_.in_the_air.empty())
+        log_.carry_out(random_.below(log_.in_the_air.size()));
+      return;
+    case 3:
+      if (random_.below(6) == 0)
+        paid_ += random_.below(2000);
+      return;
+    case 4:
+    case 5:
+    case 6:
+      return report(host, false);
+    case 7:
+      if (random_.below(8) == 0) {
+        report(host, true);
+        kill(host);
+      }
+      return;
+    default:
+      return request(host);
+    }
+  }
+
+  // The callers of a killed host have had whatever it gave them: all its open requests count whole.
+  void kill(std::size_t host) {
+    if (random_.below(3) != 0)
+      return;
+    for (const open_request& one : open_)
+      if (one.host == host)
+        spent_ += one.bound;
+    std::erase_if(open_, [&](const open_request& one) { return one.host == host; });
+    start(host);
+  }
+
+  void settle_one() {
+    if (open_.empty())
+      return;
+    const std::size_t index = random_.below(open_.size());
+    const open_request one = open_[index];
+    open_.erase(open_.begin() + static_cast<std::ptrdiff_t>(index));
+    const std::uint64_t used = random_.below(one.bound + 1);
+    spent_ += used;
+    books_[one.host]->settle(team, one.bound, used);
+  }
+
+  void request(std::size_t host) {
+    const std::uint64_t bound = 1 + random_.below(700);
+    if (books_[host]->reserve(team, paid_, bound, now_) == reserve_outcome::reserved)
+      open_.push_back({host, bound});
+  }
+
+  void report(std::size_t host, bool leaving) {
+    prepaid_book& book = *books_[host];
+    log_.read_into(book, now_);
+    const std::uint64_t at = book.end();
+    const auto records = book.plan({{team, paid_}}, now_, leaving);
+    if (records.empty())
+      return;
+    switch (random_.below(4)) {
+    case 0: // the answer is lost, and the append may come late
+      log_.in_the_air.push_back({at, records});
+      if (fault_ == mutation::lost_append_counts)
+        for (const account_record& record : records)
+          book.apply(record, book.end(), now_);
+      return;
+    case 1: // done, but the answer is lost
+      (void)log_.append_at(at, records);
+      return;
+    default:
+      if (log_.append_at(at, records))
+        log_.read_into(book, now_);
+    }
+  }
+
+  random_source random_;
+  mutation fault_;
+  log_model log_;
+  std::unique_ptr<prepaid_book> books_[hosts];
+  std::vector<open_request> open_;
+  std::uint64_t lives_{0};
+  std::uint64_t paid_{8000};
+  std::uint64_t spent_{0};
+  time_ms now_{1000};
+};
+
+/// \returns the first seed that shows tokens above the budget; 0 when none does
+std::uint64_t first_failure(mutation fault, std::uint64_t seeds) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    if (schedule{seed, fault}.run() > 0)
+      return seed;
+  return 0;
+}
+
+} // namespace
+
+TEST_CASE("no schedule gives a team more than it paid for") {
+  CHECK(first_failure(mutation::none, 4000) == 0);
+}
+
+TEST_CASE("schedules do spend most of a budget") {
+  std::uint64_t spent = 0;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    schedule one{seed, mutation::none};
+    (void)one.run();
+    spent += one.spent();
+  }
+  CHECK(spent / 50 > 4000);
+}
+
+// The schedules are worth something only if they find faults of the kinds they are there for.
+TEST_CASE("schedules find a slice that counts as unspent after a restart") {
+  CHECK(first_failure(mutation::restart_keeps_slice, 4000) != 0);
+}
+
+TEST_CASE("schedules find an append that is taken for granted") {
+  CHECK(first_failure(mutation::lost_append_counts, 4000) != 0);
+}
+
+TEST_CASE("schedules find a log that appends without its condition") {
+  CHECK(first_failure(mutation::condition_ignored, 4000) != 0);
+}
--- /dev/null
+++ b/tests/relay/choose_replica_test.cpp
@@ -0,0 +1,70 @@
+#include "relay/relay.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace sedgechute;
+
+namespace {
+
+const choice_weights weights;
+
+std::size_t choose(const std::vector<replica_candidate>& from, std::uint64_t prompt) {
+  const auto chosen = choose_replica(from, prompt, weights);
+  REQUIRE(chosen.has_value());
+  return *chosen;
+}
+
+} // namespace
+
+TEST_CASE("without candidates nothing is chosen") {
+  CHECK_FALSE(choose_replica({}, 100, weights));
+}
+
+// A chat comes while one engine reads a document of 50,000 tokens that another host sent. It must
+// not wait behind it for most of a second.
+TEST_CASE("a short prompt does not queue behind a long one of another host") {
+  std::vector<replica_candidate> engines(2);
+  engines[0].slots = engines[1].slots = 64;
+  engines[0].unread_tokens_elsewhere = 50000;
+  engines[1].open_here = 12;
+  CHECK(choose(engines, 600) == 1);
+}
+
+// The engine that keeps a wearer's history has three more answers running than the next one.
+// Reading 5,000 tokens again would cost far more than that.
+TEST_CASE("a prompt goes where its start is kept") {
+  std::vector<replica_candidate> engines(2);
+  engines[0].slots = engines[1].slots = 64;
+  engines[0].open_here = 3;
+  engines[1].missing_tokens = 5000;
+  CHECK(choose(engines, 6500) == 0);
+}
+
+// One subject is asked for by a third of all callers. Its engine is busy for seconds; another
+// fetches the start from it and answers sooner.
+TEST_CASE("a prompt leaves a crowded engine for one that can fetch its start") {
+  std::vector<replica_candidate> engines(2);
+  engines[0].slots = engines[1].slots = 64;
+  engines[0].unread_tokens_here = 30000;
+  engines[1].missing_tokens = 5000;
+  engines[1].fetchable_tokens = 5000;
+  CHECK(choose(engines, 6500) == 1);
+}
+
+TEST_CASE("an endpoint that fails its requests is left alone while another can serve") {
+  std::vector<replica_candidate> endpoints(2);
+  endpoints[0].slots = endpoints[1].slots = 6;
+  endpoints[0].failing = 0.5;
+  endpoints[1].open_here = 6;
+  CHECK(choose(endpoints, 0) == 1);
+}
+
+TEST_CASE("what an endpoint said long ago does not count") {
+  replica_candidate endpoint;
+  endpoint.open_here = 1;
+  endpoint.load = load_report{20, 5, 6};
+  endpoint.load_age = time_ms{100};
+  CHECK(expected_open(endpoint, weights) == 25);
+  endpoint.load_age = weights.load_stays + time_ms{1};
+  CHECK(expected_open(endpoint, weights) == 1);
+}
--- /dev/null
+++ b/tests/relay/endpoint_directory_test.cpp
@@ -0,0 +1,120 @@
+#include "relay/relay.hpp"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace sedgechute;
+
+namespace {
+
+struct fixture {
+  fixture() {
+    for (int i = 0; i < 6; ++i)
+      directory.put(entry(i));
+  }
+
+  static endpoint_entry entry(int number) {
+    return {endpoint_id{"e" + std::to_string(number)}, "engines",
+            "127.0.0.1:" + std::to_string(7000 + number), data_centre_id{"dc"}, 64, false};
+  }
+
+  std::optional<placement> place(const generation_terms* terms = nullptr) {
+    return directory.place({"engines", terms, {}});
+  }
+
+  manual_clock time;
+  endpoint_directory directory{data_centre_id{"dc"}, choice_weights{}, time};
+};
+
+generation_terms subject(const std::string& name) {
+  return {"m", 6000, 100, {{"system", 500}, {name, 4500}, {"own", 1000}}};
+}
+
+} // namespace
+
+TEST_CASE("plain requests spread over all endpoints") {
+  fixture at;
+  std::set<std::string> chosen;
+  for (int i = 0; i < 6; ++i) {
+    const auto place = at.place();
+    REQUIRE(place.has_value());
+    chosen.insert(place->endpoint.str());
+  }
+  CHECK(chosen.size() == 6);
+}
+
+TEST_CASE("endpoints that leave get nothing new") {
+  fixture at;
+  for (int i = 1; i < 6; ++i) {
+    endpoint_entry leaving = fixture::entry(i);
+    leaving.draining = true;
+    at.directory.put(leaving);
+  }
+  const auto place = at.place();
+  REQUIRE(place.has_value());
+  CHECK(place->endpoint.str() == "e0");
+  at.directory.note_leaving(endpoint_id{"e0"});
+  CHECK_FALSE(at.place().has_value());
+  CHECK(at.directory.ready("engines") == 0);
+}
+
+// Two hosts that never spoke send prompts of one subject: both choose the same endpoint, where the
+// second finds the start read.
+TEST_CASE("hosts agree on the home of a subject") {
+  fixture one;
+  fixture other;
+  for (int i = 0; i < 20; ++i) {
+    const generation_terms terms = subject("s" + std::to_string(i));
+    const auto here = one.place(&terms);
+    const auto there = other.place(&terms);
+    REQUIRE(here.has_value());
+    REQUIRE(there.has_value());
+    CHECK(here->endpoint == there->endpoint);
+    one.directory.release(*here, send_outcome::answered, false);
+    other.directory.release(*there, send_outcome::answered, false);
+  }
+}
+
+// The home of a subject crowds. The next prompt goes elsewhere and fetches the start from an
+// endpoint to which it was sent, be it by another host.
+TEST_CASE("a prompt that leaves its home fetches the start from where it was read") {
+  fixture at;
+  const generation_terms terms = subject("s");
+  const auto home = at.place(&terms);
+  REQUIRE(home.has_value());
+  CHECK(home->fetch_from.empty());
+  std::optional<placement> away;
+  for (int i = 0; i < 30 && (!away || away->endpoint == home->endpoint); ++i)
+    away = at.place(&terms);
+  REQUIRE(away->endpoint != home->endpoint);
+  CHECK(away->fetch_from == home->address);
+}
+
+TEST_CASE("a refused connection sends the next requests elsewhere until a probe succeeds") {
+  fixture at;
+  for (int i = 1; i < 6; ++i)
+    at.directory.remove(endpoint_id{"e" + std::to_string(i)});
+  const auto place = at.place();
+  REQUIRE(place.has_value());
+  at.directory.release(*place, send_outcome::unreachable, false);
+  CHECK_FALSE(at.place().has_value());
+  at.time.advance(time_ms{300});
+  const auto probes = at.directory.due_probes();
+  REQUIRE(probes.size() == 1);
+  at.directory.note_probe(probes.front().endpoint, true, false);
+  CHECK(at.place().has_value());
+}
+
+TEST_CASE("other hosts are told of what changed, and of all when asked") {
+  fixture at;
+  const auto place = at.place();
+  REQUIRE(place.has_value());
+  CHECK(at.directory.own_use(true).size() == 1);
+  CHECK(at.directory.own_use(true).empty());
+  CHECK(at.directory.own_use(false).size() == 1);
+  at.directory.release(*place, send_outcome::answered, false);
+  const auto changed = at.directory.own_use(true);
+  REQUIRE(changed.size() == 1);
+  CHECK(changed.front().use == endpoint_use{});
+}
--- /dev/null
+++ b/tests/relay/load_board_test.cpp
@@ -0,0 +1,74 @@
+#include "relay/relay.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace sedgechute;
+
+namespace {
+
+use_report report_of(std::uint64_t sender, std::uint32_t number, std::vector<use_entry> entries,
+                     bool whole = false) {
+  return {sender, number, whole, std::move(entries), {}};
+}
+
+} // namespace
+
+TEST_CASE("a report reads back as it was sent") {
+  use_report sent = report_of(5, 9, {{1, {2, 3}}, {4, {5, 6}}}, true);
+  sent.sightings = {{77, 1}, {78, 4}};
+  const auto read = decode_use_report(encode_use_report(sent));
+  REQUIRE(read.has_value());
+  CHECK(read->sender == 5);
+  CHECK(read->number == 9);
+  CHECK(read->whole);
+  REQUIRE(read->entries.size() == 2);
+  CHECK(read->entries[1].use == endpoint_use{5, 6});
+  REQUIRE(read->sightings.size() == 2);
+  CHECK(read->sightings[1].endpoint == 4);
+}
+
+TEST_CASE("a datagram that is cut or of another format is refused") {
+  const std::string whole = encode_use_report(report_of(5, 9, {{1, {2, 3}}}));
+  for (std::size_t length = 0; length < whole.size(); ++length)
+    CHECK_FALSE(decode_use_report(whole.substr(0, length)));
+  std::string other = whole;
+  other.front() = 9;
+  CHECK_FALSE(decode_use_report(other));
+}
+
+TEST_CASE("uses of all hosts add up, and later values replace earlier ones") {
+  load_board board{time_ms{3000}};
+  board.take(report_of(1, 1, {{10, {4, 400}}}), time_ms{0});
+  board.take(report_of(2, 1, {{10, {1, 100}}}), time_ms{0});
+  CHECK(board.at(10) == endpoint_use{5, 500});
+  board.take(report_of(1, 2, {{10, {2, 0}}}), time_ms{10});
+  CHECK(board.at(10) == endpoint_use{3, 100});
+}
+
+// Datagrams overtake each other: the older one must not undo the newer.
+TEST_CASE("a report that comes late is dropped") {
+  load_board board{time_ms{3000}};
+  board.take(report_of(1, 5, {{10, {4, 400}}}), time_ms{0});
+  board.take(report_of(1, 4, {{10, {9, 900}}}), time_ms{1});
+  CHECK(board.at(10) == endpoint_use{4, 400});
+}
+
+// The datagram that said that an endpoint is free again was lost. The next whole report says so by
+// not naming it.
+TEST_CASE("a whole report clears what it does not name") {
+  load_board board{time_ms{3000}};
+  board.take(report_of(1, 1, {{10, {4, 400}}, {11, {1, 1}}}), time_ms{0});
+  board.take(report_of(1, 2, {{11, {2, 2}}}, true), time_ms{1});
+  CHECK(board.at(10) == endpoint_use{});
+  CHECK(board.at(11) == endpoint_use{2, 2});
+}
+
+TEST_CASE("a host that fell silent no longer counts") {
+  load_board board{time_ms{3000}};
+  board.take(report_of(1, 1, {{10, {4, 400}}}), time_ms{0});
+  board.forget_silent(time_ms{2999});
+  CHECK(board.at(10) == endpoint_use{4, 400});
+  board.forget_silent(time_ms{3001});
+  CHECK(board.at(10) == endpoint_use{});
+  CHECK(board.hosts() == 0);
+}
--- /dev/null
+++ b/tests/relay/message_head_test.cpp
@@ -0,0 +1,40 @@
+#include "relay/relay.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace sedgechute;
+
+TEST_CASE("fields are found without regard to case and keep their order") {
+  const request_head head =
+      parse_request_head("GET /a/b?x=1 HTTP/1.1\r\nHost: example\r\nX-One: 1\r\nx-two:  2 \r\n\r\n");
+  CHECK(head.method == "GET");
+  CHECK(head.target == "/a/b?x=1");
+  CHECK(head.path() == "/a/b");
+  REQUIRE(head.fields.find("X-TWO") != nullptr);
+  CHECK(*head.fields.find("X-TWO") == "2");
+  CHECK(head.fields.number("x-one") == 1);
+  CHECK_FALSE(head.fields.number("host"));
+}
+
+TEST_CASE("fields of one connection are dropped, with those that Connection names") {
+  header_fields fields;
+  fields.add("Connection", "close, X-Mine");
+  fields.add("Keep-Alive", "timeout=5");
+  fields.add("Transfer-Encoding", "chunked");
+  fields.add("X-Mine", "1");
+  fields.add("X-Other", "2");
+  fields.remove_hop_by_hop();
+  REQUIRE(fields.all().size() == 1);
+  CHECK(fields.all().front().name == "X-Other");
+}
+
+TEST_CASE("bytes that are no response header are told apart") {
+  CHECK_FALSE(parse_response_head("garbage\r\n\r\n"));
+  CHECK_FALSE(parse_response_head("HTTP/1.1 99 Low\r\n\r\n"));
+  CHECK_FALSE(parse_response_head("HTTP/1.1 2x0 Odd\r\n\r\n"));
+  CHECK_FALSE(parse_response_head("HTTP/1.1 200 OK\r\nno colon here\r\n\r\n"));
+  const auto head = parse_response_head("HTTP/1.0 200 OK\r\nA: b\r\n\r\n");
+  REQUIRE(head.has_value());
+  CHECK(head->status == 200);
+  CHECK(head->old_version);
+}
--- /dev/null
+++ b/tests/relay/reach_watch_test.cpp
@@ -0,0 +1,60 @@
+#include "relay/relay.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace sedgechute;
+
+namespace {
+
+const data_centre_id here{"here"};
+const data_centre_id there{"there"};
+
+endpoint_id endpoint(int number) {
+  return endpoint_id{"e" + std::to_string(number)};
+}
+
+} // namespace
+
+// A data centre is cut off: connections to its endpoints get no answer. After three of them nobody
+// waits for the fourth.
+TEST_CASE("three silent endpoints tell that their data centre is cut off") {
+  reach_watch watch{reach_options{}};
+  for (int i = 0; i < 3; ++i) {
+    CHECK(watch.reachable(endpoint(9), there));
+    watch.note_unreachable(endpoint(i), there, true, time_ms{100});
+  }
+  CHECK_FALSE(watch.reachable(endpoint(9), there));
+  CHECK(watch.reachable(endpoint(9), here));
+}
+
+// The cut heals and one probe gets through: all endpoints there serve again at once.
+TEST_CASE("one answer opens a data centre again") {
+  reach_watch watch{reach_options{}};
+  for (int i = 0; i < 5; ++i)
+    watch.note_unreachable(endpoint(i), there, true, time_ms{100});
+  watch.note_reachable(endpoint(2), there);
+  for (int i = 0; i < 10; ++i)
+    CHECK(watch.reachable(endpoint(i), there));
+}
+
+TEST_CASE("crashed endpoints that refuse connections say nothing of their data centre") {
+  reach_watch watch{reach_options{}};
+  for (int i = 0; i < 5; ++i)
+    watch.note_unreachable(endpoint(i), there, false, time_ms{100});
+  CHECK(watch.reachable(endpoint(9), there));
+  CHECK_FALSE(watch.reachable(endpoint(0), there));
+}
+
+TEST_CASE("probes come at growing intervals and few at a time") {
+  reach_watch watch{reach_options{}};
+  for (int i = 0; i < 10; ++i)
+    watch.note_unreachable(endpoint(i), there, true, time_ms{0});
+  CHECK(watch.due(time_ms{100}).empty());
+  CHECK(watch.due(time_ms{300}).size() == reach_options{}.most_probes);
+  reach_watch single{reach_options{}};
+  single.note_unreachable(endpoint(1), there, false, time_ms{0});
+  CHECK(single.due(time_ms{250}).size() == 1);
+  single.note_unreachable(endpoint(1), there, false, time_ms{250});
+  CHECK(single.due(time_ms{600}).empty());
+  CHECK(single.due(time_ms{750}).size() == 1);
+}
--- /dev/null
+++ b/tests/relay/retry_allowance_test.cpp
@@ -0,0 +1,37 @@
+#include "relay/relay.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace sedgechute;
+
+// An endpoint fails everything for half a minute and each request wants another try. Over any ten
+// seconds the tries stay within the host's part of the bound.
+TEST_CASE("repeats stay within the bound in every window") {
+  const retry_bounds bounds{.ratio = 0.2, .slack = 58, .window = time_ms{10000}};
+  retry_allowance allowance{bounds};
+  constexpr std::size_t hosts = 9;
+  std::vector<std::int64_t> repeats;
+  std::vector<std::int64_t> requests;
+  for (std::int64_t now = 0; now < 30000; now += 50) {
+    allowance.note_request("s", time_ms{now});
+    requests.push_back(now);
+    if (allowance.take_repeat("s", hosts, time_ms{now}))
+      repeats.push_back(now);
+  }
+  CHECK(repeats.size() > 20);
+  for (std::int64_t from = 0; from + 10000 <= 30000; from += 250) {
+    const auto inside = [&](std::int64_t at) { return at >= from && at < from + 10000; };
+    const auto sent = std::count_if(requests.begin(), requests.end(), inside);
+    const auto again = std::count_if(repeats.begin(), repeats.end(), inside);
+    CHECK(static_cast<double>(again) <= 0.2 * static_cast<double>(sent) + 58.0 / hosts);
+  }
+}
+
+TEST_CASE("services do not draw on each other's allowance") {
+  retry_allowance allowance{{.ratio = 0.2, .slack = 10, .window = time_ms{10000}}};
+  int first = 0;
+  while (allowance.take_repeat("a", 1, time_ms{100}))
+    ++first;
+  CHECK(first == 7);
+  CHECK(allowance.take_repeat("b", 1, time_ms{100}));
+}
