--- a/src/prepaid/impl/prepaid_book.cpp
+++ b/src/prepaid/impl/prepaid_book.cpp
@@ -144,16 +144,17 @@
   return pool;
 }
 
-// The hosts together hold a fixed part of what nobody has used, each by its rate of use. So their
-// holdings shrink together as a budget runs out, and the last tokens lie where the requests come.
+// What the hosts hold together is dealt by their rates of use. It shrinks as a budget runs out, and
+// the last tokens lie where the requests come.
 std::uint64_t prepaid_book::target(const team_state& state, const pool_view& pool) const {
-  const double idle =
-      std::max(options_.idle_share * pool.rates,
-               options_.least_use * static_cast<double>(pool.unused)) /
-      static_cast<double>(pool.hosts);
+  const auto unused = static_cast<double>(pool.unused);
+  const double idle = std::max(options_.idle_share * pool.rates, options_.least_use * unused) /
+                      static_cast<double>(pool.hosts);
   const double rate = std::max(state.rate, least_rate) + idle;
   const double all = pool.rates + idle * static_cast<double>(pool.hosts);
-  const double held = options_.held_part * static_cast<double>(pool.unused);
+  const double wish = pool.rates * static_cast<double>(options_.horizon.count()) / ms_a_second;
+  const double held = std::clamp(wish, options_.least_held_part * unused,
+                                 options_.most_held_part * unused);
   return static_cast<std::uint64_t>(held * rate / all) + state.wanted;
 }
 
--- a/src/prepaid/impl/prepaid_options.hpp
+++ b/src/prepaid/impl/prepaid_options.hpp
@@ -9,11 +9,14 @@
 /// \brief How budgets are dealt out to hosts. All of it trades tokens that lie idle, and are lost
 /// with their host, against requests that wait for the log or are refused while it is away.
 struct prepaid_options {
-  /// Part of what nobody has used that lies with the hosts; the rest is free for whoever needs it
-  /// next. Hosts are cut off from the log for some eight seconds at a time and serve from what they
-  /// hold: at half, measured days see no refusal in a cut unless a team sends many times its usual.
-  /// All of it is lost when all hosts lose power at once.
-  double held_part{0.5};
+  /// Hosts are cut off from the log for some nine seconds at a time and serve from what they hold.
+  /// Together they hold what the team uses in twice that: requests are not dealt evenly.
+  time_ms horizon{14000};
+  /// At least this part of what nobody has used: early in a day rates say little.
+  double least_held_part{0.35};
+  /// And at most this part: the rest is free for whoever needs it next, and what is held is lost
+  /// when hosts lose power.
+  double most_held_part{0.6};
   /// A host that a team has not used counts as if it used this part of what a host uses on average:
   /// callers move.
   double idle_share{0.35};
--- a/src/relay/impl/front_door.cpp
+++ b/src/relay/impl/front_door.cpp
@@ -17,7 +17,7 @@
 constexpr int least_threads = 2;
 constexpr int thread_idle_s = 5;
 constexpr int most_waiting_connections = 256;
-constexpr time_ms idle_look{200}; // how often an idle connection looks whether it shall close
+constexpr time_ms idle_look{1000}; // how often an idle connection looks whether it shall close
 constexpr std::size_t most_fields = 200;
 constexpr std::size_t read_block = 16 * 1024;
 
--- a/src/relay/impl/load_exchange.hpp
+++ b/src/relay/impl/load_exchange.hpp
@@ -15,8 +15,8 @@
 
 struct load_exchange_options {
   /// Changes are gathered for so long. A prompt of 7,000 tokens takes an engine 100 ms to read; a
-  /// report that comes within half of that still keeps the next prompt away.
-  time_ms gather{40};
+  /// report that comes within that time still keeps the next prompt away.
+  time_ms gather{60};
   /// Everything is told anew after so long: a datagram may have been lost.
   time_ms whole_interval{1000};
   /// The list of hosts is read anew after so long.
