--- a/src/prepaid/impl/budget_desk.cpp
+++ b/src/prepaid/impl/budget_desk.cpp
@@ -84,8 +84,10 @@
     partition& part = partition_of(team);
     const time_ms now = time_.now();
     const reserve_outcome outcome = part.book.reserve(team, paid->second, bound, now);
+    // What other hosts hold comes back with their next report, not while this request waits.
     const bool hopeless = !part.loaded || !reachable_ || stopping_ || now >= deadline ||
-                          exchanges == most_exchanges;
+                          exchanges == most_exchanges ||
+                          !part.book.grantable(team, paid->second, bound);
     if (outcome != reserve_outcome::short_here || hopeless)
       return part.loaded ? outcome : reserve_outcome::short_here;
     wanted_ = true;
--- a/src/prepaid/impl/prepaid_book.cpp
+++ b/src/prepaid/impl/prepaid_book.cpp
@@ -223,6 +223,11 @@
   return sum;
 }
 
+bool prepaid_book::grantable(const std::string& team, std::uint64_t prepaid,
+                             std::uint64_t bound) const {
+  return slack(team) + minus(prepaid, granted(team)) >= bound;
+}
+
 std::uint64_t prepaid_book::slack(const std::string& team) const {
   const team_state* state = find(team);
   return state == nullptr ? 0 : own_slack(*state);
--- a/src/prepaid/impl/prepaid_book.hpp
+++ b/src/prepaid/impl/prepaid_book.hpp
@@ -58,6 +58,9 @@
   /// \returns what all hosts have used of a team's budget, as far as they reported it
   [[nodiscard]] std::uint64_t used(const std::string& team) const;
   [[nodiscard]] std::uint64_t granted(const std::string& team) const;
+  /// \returns whether the log, as far as it is known, has tokens left to grant for a reservation
+  [[nodiscard]] bool grantable(const std::string& team, std::uint64_t prepaid,
+                               std::uint64_t bound) const;
   /// \returns what this host may still use
   [[nodiscard]] std::uint64_t slack(const std::string& team) const;
 
