--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -15,7 +15,7 @@
 constexpr time_ms store_timeout{1200};
 
 // Partitions of the accounts: appends to one are ordered, and wait for each other.
-constexpr unsigned account_partitions = 1;
+constexpr unsigned account_partitions = 2;
 
 // The balancer looks once a second and takes a host out after two misses; only then do new
 // connections stop coming.
--- a/src/prepaid/impl/budget_desk.cpp
+++ b/src/prepaid/impl/budget_desk.cpp
@@ -12,9 +12,10 @@
 // tens of times a second, so a few tries find a gap.
 constexpr int most_tries = 6;
 constexpr std::uint64_t longest_try_pause_ms = 12;
+constexpr std::uint64_t more_hosts_a_ms = 3; // the pause grows by a millisecond for so many hosts
 
 // Exchanges with the log that one request waits for: the first may have begun before it came.
-constexpr int most_exchanges = 2;
+constexpr int most_exchanges = 3;
 
 // Between tries to reach a log that does not answer.
 constexpr time_ms retry_pause{250};
@@ -168,7 +169,8 @@
     catch_up(part);
     if (report(part, leaving))
       return;
-    const time_ms pause{static_cast<std::int64_t>(1 + random_.below(longest_try_pause_ms))};
+    const std::uint64_t longest = longest_try_pause_ms + hosts() / more_hosts_a_ms;
+    const time_ms pause{static_cast<std::int64_t>(1 + random_.below(longest))};
     std::this_thread::sleep_for(to_chrono(pause));
   }
 }
--- a/src/prepaid/impl/prepaid_book.cpp
+++ b/src/prepaid/impl/prepaid_book.cpp
@@ -88,6 +88,7 @@
 
 reserve_outcome prepaid_book::reserve(const std::string& team, std::uint64_t prepaid,
                                       std::uint64_t bound, time_ms now) {
+  note_request(bound);
   team_state& state = teams_[team];
   if (state.rated_at == time_ms{})
     state.rated_at = now;
@@ -102,6 +103,11 @@
   return reserve_outcome::short_here;
 }
 
+void prepaid_book::note_request(std::uint64_t bound) noexcept {
+  const auto tokens = static_cast<double>(bound);
+  usual_request_ += (tokens - usual_request_) * (usual_request_ == 0 ? 1 : options_.usual_weight);
+}
+
 void prepaid_book::settle(const std::string& team, std::uint64_t bound, std::uint64_t used) {
   team_state& state = teams_[team];
   state.reserved = minus(state.reserved, bound);
@@ -155,7 +161,11 @@
   const double wish = pool.rates * static_cast<double>(options_.horizon.count()) / ms_a_second;
   const double held = std::clamp(wish, options_.least_held_part * unused,
                                  options_.most_held_part * unused);
-  return static_cast<std::uint64_t>(held * rate / all) + state.wanted;
+  const double even = options_.most_held_part * unused / static_cast<double>(pool.hosts);
+  const double usual =
+      options_.kept_requests_per_host * static_cast<double>(pool.hosts) * usual_request_;
+  const double part = std::max(held * rate / all, std::min(usual, even));
+  return static_cast<std::uint64_t>(part) + state.wanted;
 }
 
 account prepaid_book::next_account(const team_state& state, std::uint64_t prepaid, time_ms now,
--- a/src/prepaid/impl/prepaid_book.hpp
+++ b/src/prepaid/impl/prepaid_book.hpp
@@ -87,6 +87,7 @@
   [[nodiscard]] std::uint64_t own_use(const team_state& state) const;
   [[nodiscard]] std::uint64_t own_slack(const team_state& state) const;
   [[nodiscard]] std::uint64_t total_use(const team_state& state) const;
+  void note_request(std::uint64_t bound) noexcept;
   void update_rate(team_state& state, time_ms now) const;
   [[nodiscard]] pool_view view(const team_state& state, std::uint64_t prepaid, time_ms now) const;
   [[nodiscard]] std::uint64_t target(const team_state& state, const pool_view& pool) const;
@@ -98,6 +99,7 @@
   prepaid_options options_;
   std::unordered_map<std::string, team_state> teams_;
   std::uint64_t end_{0};
+  double usual_request_{0}; ///< tokens
   bool wants_tokens_{false};
 };
 
--- a/src/prepaid/impl/prepaid_options.hpp
+++ b/src/prepaid/impl/prepaid_options.hpp
@@ -23,6 +23,12 @@
   /// And at least as if it used this part of what nobody has used in a second, dealt evenly: the
   /// first requests of a day say little about where the next ones come.
   double least_use{0.01};
+  /// A host keeps enough of each team's tokens for some requests of the usual size, as far as an
+  /// even share of the most that is held allows. In a fleet of twenty hosts its part by use holds
+  /// several, in one of eighty less than one; so this many for each host of the fleet.
+  double kept_requests_per_host{0.05};
+  /// Weight of the newest request in what is usual.
+  double usual_weight{0.02};
   /// Slack below this part of the target is filled up, above the second it is handed back.
   double low_water{0.7};
   double high_water{1.4};
@@ -35,9 +41,9 @@
   time_ms report_interval{900};
   /// Added to the interval for each host beyond the first, so that the log's writes stay bounded.
   time_ms interval_per_host{20};
-  /// Longest wait of a request for tokens from the log: an exchange takes 15 ms when all is well,
-  /// and a caller that is refused sooner finds tokens at another host sooner.
-  time_ms longest_wait{80};
+  /// Longest wait of a request for tokens that the log has: an exchange takes 15 ms when all is well,
+  /// and ten times that when a hundred hosts want something at once.
+  time_ms longest_wait{250};
 };
 
 } // namespace sedgechute
