--- a/src/daemon/impl/dispatch_service.hpp
+++ b/src/daemon/impl/dispatch_service.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "clients/clients.hpp"
 #include "config/config.hpp"
 #include "daemon/impl/order_goal.hpp"
 #include "gateway/gateway.hpp"
-#include "clients/clients.hpp"
 #include "routing/routing.hpp"
 
 #include <condition_variable>
--- a/src/daemon/impl/load_poller.hpp
+++ b/src/daemon/impl/load_poller.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "clients/clients.hpp"
 #include "daemon/impl/dispatch_service.hpp"
 #include "daemon/impl/peer_links.hpp"
 #include "membership/membership.hpp"
-#include "clients/clients.hpp"
 
 #include <atomic>
 #include <map>
--- a/src/daemon/impl/membership_service.hpp
+++ b/src/daemon/impl/membership_service.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "membership/membership.hpp"
 #include "clients/clients.hpp"
+#include "membership/membership.hpp"
 #include "telemetry/telemetry.hpp"
 #include "wire/wire.hpp"
 
--- a/src/daemon/impl/order_service.hpp
+++ b/src/daemon/impl/order_service.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "clients/clients.hpp"
 #include "daemon/impl/dispatch_service.hpp"
 #include "daemon/impl/document_service.hpp"
 #include "daemon/impl/record_appender.hpp"
 #include "membership/membership.hpp"
-#include "clients/clients.hpp"
 #include "telemetry/telemetry.hpp"
 
 #include <deque>
--- a/src/daemon/impl/record_appender.hpp
+++ b/src/daemon/impl/record_appender.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "clients/clients.hpp"
 #include "daemon/impl/peer_links.hpp"
 #include "membership/membership.hpp"
-#include "clients/clients.hpp"
 
 #include <condition_variable>
 #include <memory>
--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -51,9 +51,9 @@
       topics_{settings_.store, store_timeout}, hosts_{settings_.store, store_timeout},
       endpoints_{data_centre_id{settings_.data_centre}, choice_weights{}, time} {
   const std::uint64_t incarnation = random_source::from_system()();
-  budgets_ = std::make_unique<budget_desk>(desk_owner{settings_.host, incarnation},
-                                           prepaid_options{}, account_logs(settings_.store), time,
-                                           log);
+  budgets_ =
+      std::make_unique<budget_desk>(desk_owner{settings_.host, incarnation}, prepaid_options{},
+                                    account_logs(settings_.store), time, log);
   fleet_ = std::make_unique<fleet_watch>(
       topics_, endpoints_, [this](const config_ptr& config) { take_config(config); },
       fleet_watch_options{}, time, log);
@@ -88,9 +88,9 @@
   callers_ = std::make_unique<front_door>(*relay_, dialect_, limits, front_door_options{},
                                           listen_on(settings_.callers), time_, log_);
   callers_->start();
-  log_.write(severity::info, "started", {},
-             {{log_field::address, settings_.callers},
-              {log_field::data_centre, settings_.data_centre}});
+  log_.write(
+      severity::info, "started", {},
+      {{log_field::address, settings_.callers}, {log_field::data_centre, settings_.data_centre}});
 }
 
 void entry_host::stop() {
@@ -137,17 +137,20 @@
 }
 
 status_door::pages entry_host::pages() {
-  return {{"/readyz",
-           [this] {
-             const std::string reason = not_ready_reason();
-             return reason.empty() ? status_answer{200, "ready\n"} : status_answer{503, reason + "\n"};
-           }},
-          {"/metrics",
-           [this] {
-             figures_.sample_process();
-             return status_answer{200, figures_.text()};
-           }},
-          {"/budgets", [this] { return status_answer{200, budget_page()}; }}};
+  return {
+      {"/readyz",
+       [this] {
+         const std::string reason = not_ready_reason();
+         return reason.empty() ? status_answer{200, "ready\n"} : status_answer{503, reason + "\n"};
+       }},
+      {"/metrics",
+       [this] {
+         figures_.sample_process();
+         return status_answer{200, figures_.text()};
+       }},
+      {"/budgets", [this] {
+         return status_answer{200, budget_page()};
+       }}};
 }
 
 } // namespace sedgechute
--- a/src/entry/impl/entry_settings.cpp
+++ b/src/entry/impl/entry_settings.cpp
@@ -13,13 +13,14 @@
 namespace {
 
 constexpr std::array<std::string_view, 10> known_names{
-    "host",        "data_centre", "callers", "peers",  "status",  "store",
-    "grace_s",     "retry_ratio", "retry_slack", "retry_window_s"};
+    "host",  "data_centre", "callers",     "peers",       "status",
+    "store", "grace_s",     "retry_ratio", "retry_slack", "retry_window_s"};
 constexpr double ms_a_second = 1000;
 
 class settings_reader {
  public:
-  settings_reader(std::string where, const json_node& node) : where_{std::move(where)}, node_{node} {}
+  settings_reader(std::string where, const json_node& node)
+      : where_{std::move(where)}, node_{node} {}
 
   [[nodiscard]] std::string text(std::string_view name) const {
     const json_node* at = node_.find(name);
--- a/src/entry/impl/entry_settings.hpp
+++ b/src/entry/impl/entry_settings.hpp
@@ -12,11 +12,11 @@
 struct entry_settings {
   std::string host;
   std::string data_centre;
-  std::string callers; ///< `IP:port` on which callers connect
-  std::string peers;   ///< `IP:port` for datagrams between entry hosts
-  std::string status;  ///< `IP:port` of readiness and metrics
-  std::string store;   ///< `IP:port` of the platform's store
-  time_ms grace{8000}; ///< between the signal to stop and the end by force
+  std::string callers;          ///< `IP:port` on which callers connect
+  std::string peers;            ///< `IP:port` for datagrams between entry hosts
+  std::string status;           ///< `IP:port` of readiness and metrics
+  std::string store;            ///< `IP:port` of the platform's store
+  time_ms grace{8000};          ///< between the signal to stop and the end by force
   double retry_ratio{0.2};      ///< of the requests for a service
   std::uint64_t retry_slack{0}; ///< beyond it, for all hosts together
   time_ms retry_window{10000};
--- a/src/entry/impl/fleet_watch.cpp
+++ b/src/entry/impl/fleet_watch.cpp
@@ -107,8 +107,7 @@
 
 void fleet_watch::look_for_endpoints(cursor& at) {
   bool all = !at.known;
-  endpoint_changes changes =
-      all ? source_.newest_endpoints() : source_.endpoints_from(at.end);
+  endpoint_changes changes = all ? source_.newest_endpoints() : source_.endpoints_from(at.end);
   if (changes.history_lost) {
     changes = source_.newest_endpoints();
     all = true;
--- a/src/entry/impl/status_door.cpp
+++ b/src/entry/impl/status_door.cpp
@@ -24,7 +24,8 @@
   void handleRequest(HTTPServerRequest& request, HTTPServerResponse& response) override {
     const std::string uri = request.getURI();
     const auto at = told_.find(uri.substr(0, uri.find('?')));
-    const status_answer answer = at == told_.end() ? status_answer{404, "no such page\n"} : at->second();
+    const status_answer answer =
+        at == told_.end() ? status_answer{404, "no such page\n"} : at->second();
     response.setStatus(static_cast<HTTPResponse::HTTPStatus>(answer.status));
     response.setContentType("text/plain");
     response.sendBuffer(answer.text.data(), answer.text.size());
@@ -54,7 +55,8 @@
   HTTPServerParams::Ptr params{new HTTPServerParams};
   params->setMaxThreads(most_threads);
   params->setKeepAlive(true);
-  server_ = std::make_unique<HTTPServer>(new page_factory{std::move(told)}, threads_, socket, params);
+  server_ =
+      std::make_unique<HTTPServer>(new page_factory{std::move(told)}, threads_, socket, params);
 }
 
 status_door::~status_door() {
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -30,6 +30,9 @@
 // Lines about one event, team and endpoint in a second: above what one host serves for one team.
 constexpr std::uint32_t lines_a_second = 100;
 
+// Some three seconds of lines at a host's usual load; 300 bytes each.
+constexpr std::size_t queued_lines = 2000;
+
 std::string settings_file() {
   std::string file = absl::GetFlag(FLAGS_settings);
   if (file.empty())
@@ -85,7 +88,8 @@
   structured_log log{{.host = reading.settings.host,
                       .file = {},
                       .to_standard_output = true,
-                      .repeats = lines_a_second}};
+                      .repeats = lines_a_second,
+                      .queued_lines = queued_lines}};
   for (const std::string& name : reading.unknown)
     log.write(severity::warning, "setting_ignored", {}, {{log_field::path, name}});
   const steady_clock time;
--- a/src/gateway/impl/service_call.cpp
+++ b/src/gateway/impl/service_call.cpp
@@ -1,10 +1,10 @@
 #include "gateway/impl/service_call.hpp"
 
+#include "clients/clients.hpp"
 #include "gateway/impl/caller_headers.hpp"
 #include "gateway/impl/chat_sinks.hpp"
 #include "gateway/impl/held_turn.hpp"
 #include "gateway/impl/refusal.hpp"
-#include "clients/clients.hpp"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
--- a/src/prepaid/impl/budget_desk.cpp
+++ b/src/prepaid/impl/budget_desk.cpp
@@ -94,8 +94,7 @@
     wanted_ = true;
     wake_.notify_all();
     const std::uint64_t seen = cycles_;
-    cycled_.wait_for(lock, to_chrono(deadline - now),
-                     [&] { return cycles_ != seen || stopping_; });
+    cycled_.wait_for(lock, to_chrono(deadline - now), [&] { return cycles_ != seen || stopping_; });
   }
 }
 
@@ -147,8 +146,7 @@
     cycled_.notify_all();
     const time_ms pause = reachable_ ? interval() : retry_pause;
     const bool eager = reachable_;
-    wake_.wait_for(lock, to_chrono(pause),
-                   [&] { return stopping_ || (eager && wanted_); });
+    wake_.wait_for(lock, to_chrono(pause), [&] { return stopping_ || (eager && wanted_); });
   }
   lock.unlock();
   run_cycle(true);
--- a/src/prepaid/impl/prepaid_book.cpp
+++ b/src/prepaid/impl/prepaid_book.cpp
@@ -23,9 +23,9 @@
 
 /// One team's budget over all hosts.
 struct prepaid_book::pool_view {
-  std::uint64_t free{};    ///< granted to nobody
-  std::uint64_t unused{};  ///< free, or granted to a host that is there and not used by it
-  double rates{};          ///< tokens a second of all hosts that are there
+  std::uint64_t free{};   ///< granted to nobody
+  std::uint64_t unused{}; ///< free, or granted to a host that is there and not used by it
+  double rates{};         ///< tokens a second of all hosts that are there
   std::size_t hosts{1};
 };
 
@@ -159,8 +159,8 @@
   const double rate = std::max(state.rate, least_rate) + idle;
   const double all = pool.rates + idle * static_cast<double>(pool.hosts);
   const double wish = pool.rates * static_cast<double>(options_.horizon.count()) / ms_a_second;
-  const double held = std::clamp(wish, options_.least_held_part * unused,
-                                 options_.most_held_part * unused);
+  const double held =
+      std::clamp(wish, options_.least_held_part * unused, options_.most_held_part * unused);
   const double even = options_.most_held_part * unused / static_cast<double>(pool.hosts);
   const double usual =
       options_.kept_requests_per_host * static_cast<double>(pool.hosts) * usual_request_;
--- a/src/prepaid/impl/prepaid_book.hpp
+++ b/src/prepaid/impl/prepaid_book.hpp
@@ -74,10 +74,10 @@
     std::uint64_t written_off{};                  ///< granted to earlier lives of this host
     std::uint64_t settled{};                      ///< by this life of this host
     std::uint64_t reserved{};
-    std::uint64_t wanted{};            ///< reservations that fell short since the last plan
+    std::uint64_t wanted{};               ///< reservations that fell short since the last plan
     std::optional<std::uint64_t> ceiling; ///< on `granted`, while a return is in the air
-    double rate{};                     ///< tokens a second
-    std::uint64_t rated{};             ///< use up to which `rate` has been computed
+    double rate{};                        ///< tokens a second
+    std::uint64_t rated{};                ///< use up to which `rate` has been computed
     time_ms rated_at;
   };
   struct pool_view;
--- a/src/relay/impl/choose_replica.cpp
+++ b/src/relay/impl/choose_replica.cpp
@@ -23,10 +23,11 @@
     cost += weights.other_centre_ms;
   if (prompt_tokens == 0)
     return cost;
-  auto unread = static_cast<double>(candidate.unread_tokens_here + candidate.unread_tokens_elsewhere);
+  auto unread =
+      static_cast<double>(candidate.unread_tokens_here + candidate.unread_tokens_elsewhere);
   if (candidate.load && candidate.load_age <= weights.load_stays)
-    unread = std::max(unread, static_cast<double>(candidate.load->waiting) *
-                                  weights.waiting_prompt_tokens);
+    unread = std::max(unread,
+                      static_cast<double>(candidate.load->waiting) * weights.waiting_prompt_tokens);
   cost += unread / weights.tokens_read_a_ms;
   const auto missing = static_cast<double>(candidate.missing_tokens);
   const auto fetchable = static_cast<double>(candidate.fetchable_tokens);
--- a/src/relay/impl/choose_replica.hpp
+++ b/src/relay/impl/choose_replica.hpp
@@ -39,13 +39,13 @@
 struct replica_candidate {
   std::uint64_t open_here{};          ///< requests of this host that it works on
   std::uint64_t unread_tokens_here{}; ///< of prompts this host sent and that have no event yet
-  std::uint64_t open_elsewhere{};          ///< the same of other hosts, as they told
+  std::uint64_t open_elsewhere{};     ///< the same of other hosts, as they told
   std::uint64_t unread_tokens_elsewhere{};
   std::optional<load_report> load; ///< as the endpoint told
   time_ms load_age;
-  std::uint64_t sent_since_load{};    ///< by this host
+  std::uint64_t sent_since_load{}; ///< by this host
   std::uint64_t slots{1};
-  double failing{};                   ///< 0: none of the last requests failed; 1: all
+  double failing{}; ///< 0: none of the last requests failed; 1: all
   bool other_centre{false};
   std::uint64_t missing_tokens{};   ///< of the prompt's shared start, that it does not keep
   std::uint64_t fetchable_tokens{}; ///< of these, that another endpoint keeps
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -97,8 +97,8 @@
 }
 
 // Without a word between them all hosts send prompts that begin alike to the same endpoint, the one
-// of highest weight for that start: its home. What was really sent where, the hosts tell each other;
-// an endpoint without the start fetches it from one that has it.
+// of highest weight for that start: its home. What was really sent where, the hosts tell each
+// other; an endpoint without the start fetches it from one that has it.
 void endpoint_directory::compare_starts(round& among, time_ms now) const {
   if (among.shared_tokens == 0)
     return;
@@ -129,7 +129,8 @@
   round among;
   gather(request, among, now);
   compare_starts(among, now);
-  const std::uint64_t prompt = request.generation != nullptr ? request.generation->prompt_tokens : 0;
+  const std::uint64_t prompt =
+      request.generation != nullptr ? request.generation->prompt_tokens : 0;
   const auto chosen = choose_replica(among.candidates, prompt, weights_);
   if (!chosen)
     return std::nullopt;
@@ -140,12 +141,22 @@
                                          std::uint64_t prompt_tokens, time_ms now) {
   state& at = *among.states[chosen];
   const replica_candidate& candidate = among.candidates[chosen];
-  const std::uint64_t kept = among.shared_tokens - candidate.missing_tokens + candidate.fetchable_tokens;
+  const std::uint64_t kept =
+      among.shared_tokens - candidate.missing_tokens + candidate.fetchable_tokens;
   const std::uint64_t unread = prompt_tokens - std::min(prompt_tokens, kept);
-  placement place{at.entry.id, at.entry.address, "", unread, among.candidates.size()};
+  placement place;
+  place.endpoint = at.entry.id;
+  place.address = at.entry.address;
+  place.prompt_tokens = unread;
+  place.candidates = among.candidates.size();
+  place.expected_open = static_cast<std::uint64_t>(expected_open(candidate, weights_));
+  place.unread_before = candidate.unread_tokens_here + candidate.unread_tokens_elsewhere;
+  place.missing_tokens = candidate.missing_tokens;
+  place.load_age = candidate.load ? candidate.load_age : time_ms{-1};
   if (candidate.fetchable_tokens > 0)
     for (std::size_t i = 0; i < among.states.size(); ++i)
-      if (among.candidates[i].missing_tokens + candidate.fetchable_tokens == candidate.missing_tokens)
+      if (among.candidates[i].missing_tokens + candidate.fetchable_tokens ==
+          candidate.missing_tokens)
         place.fetch_from = among.states[i]->entry.address;
   ++at.open;
   ++at.sent_since_load;
@@ -203,7 +214,8 @@
   if (outcome == send_outcome::failed)
     note_result(of, false, now);
   if (outcome == send_outcome::unreachable || outcome == send_outcome::silent)
-    reach_.note_unreachable(place.endpoint, of.entry.data_centre, outcome == send_outcome::silent, now);
+    reach_.note_unreachable(place.endpoint, of.entry.data_centre, outcome == send_outcome::silent,
+                            now);
   else if (outcome != send_outcome::abandoned)
     reach_.note_reachable(place.endpoint, of.entry.data_centre);
 }
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -36,9 +36,14 @@
 struct placement {
   endpoint_id endpoint;
   std::string address;
-  std::string fetch_from;       ///< endpoint that keeps parts of the prompt; or empty
+  std::string fetch_from; ///< endpoint that keeps parts of the prompt; or empty
   std::uint64_t prompt_tokens{};
-  std::size_t candidates{};     ///< endpoints that could have been chosen
+  std::size_t candidates{}; ///< endpoints that could have been chosen
+  // What decided, for the log.
+  std::uint64_t expected_open{};  ///< requests there, before this one
+  std::uint64_t unread_before{};  ///< tokens of prompts there, before this one
+  std::uint64_t missing_tokens{}; ///< of the prompt's shared start
+  time_ms load_age;               ///< of what the endpoint told of its load; -1: it told nothing
 };
 
 enum class send_outcome {
--- a/src/relay/impl/endpoint_prober.cpp
+++ b/src/relay/impl/endpoint_prober.cpp
@@ -50,7 +50,8 @@
   endpoints_.note_probe(probe.endpoint, reached, result.silent);
   log_.write(severity::info, reached ? "endpoint_reachable" : "endpoint_unreachable",
              {.endpoint = probe.endpoint.str()},
-             {{log_field::address, probe.address}, {log_field::kind, result.silent ? "silent" : "refused"}});
+             {{log_field::address, probe.address},
+              {log_field::kind, result.silent ? "silent" : "refused"}});
 }
 
 } // namespace sedgechute
--- a/src/relay/impl/front_door.cpp
+++ b/src/relay/impl/front_door.cpp
@@ -74,7 +74,8 @@
         throw error{error_kind::payload_too_large, "header", "is larger than allowed"};
       if (status != io_status::ok)
         return false;
-      const message_framing framing = check_request_header(text, {most_fields, limits.header_bytes});
+      const message_framing framing =
+          check_request_header(text, {most_fields, limits.header_bytes});
       incoming_request request{parse_request_head(text), {}, received, link, door_.ending_};
       read_body(link, framing, limits, request);
       return finish(link, door_.relay_.serve(request));
--- a/src/relay/impl/load_board.cpp
+++ b/src/relay/impl/load_board.cpp
@@ -19,7 +19,8 @@
 Number take_number(std::string_view& bytes) {
   Number number = 0;
   for (std::size_t i = 0; i < sizeof(Number); ++i)
-    number |= static_cast<Number>(static_cast<Number>(static_cast<unsigned char>(bytes[i])) << (8 * i));
+    number |=
+        static_cast<Number>(static_cast<Number>(static_cast<unsigned char>(bytes[i])) << (8 * i));
   bytes.remove_prefix(sizeof(Number));
   return number;
 }
--- a/src/relay/impl/load_exchange.cpp
+++ b/src/relay/impl/load_exchange.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t most_entries = 45; // of each sort in one datagram, to fit an Ethernet frame
 constexpr std::size_t receive_bytes = 2048;
-constexpr long receive_look_us = 200'000;    // how often the receiver looks whether it shall stop
+constexpr long receive_look_us = 200'000; // how often the receiver looks whether it shall stop
 
 template <typename Row>
 std::vector<Row> part_of(const std::vector<Row>& rows, std::size_t from) {
@@ -28,8 +28,8 @@
                              endpoint_directory& endpoints, const load_exchange_options& options,
                              const clock& time, structured_log& log)
     : self_{std::move(self)}, incarnation_{incarnation}, hosts_{hosts}, endpoints_{endpoints},
-      options_{options}, time_{time}, log_{log},
-      socket_{Poco::Net::SocketAddress{self_.address}, true} {
+      options_{options}, time_{time}, log_{log}, socket_{Poco::Net::SocketAddress{self_.address},
+                                                         true} {
   socket_.setReceiveTimeout(Poco::Timespan{receive_look_us});
 }
 
@@ -104,7 +104,8 @@
     try {
       Poco::Net::SocketAddress from;
       const int got = socket_.receiveFrom(bytes.data(), static_cast<int>(bytes.size()), from);
-      const auto report = decode_use_report({bytes.data(), static_cast<std::size_t>(std::max(got, 0))});
+      const auto report =
+          decode_use_report({bytes.data(), static_cast<std::size_t>(std::max(got, 0))});
       if (report)
         endpoints_.take_report(*report);
       else
--- a/src/relay/impl/load_exchange.hpp
+++ b/src/relay/impl/load_exchange.hpp
@@ -26,8 +26,8 @@
   std::size_t most_told{16};
 };
 
-/// \brief Tells the other hosts what this one has at endpoints, and takes what they tell. Everything
-/// told is a hint: a wrong or missing report only makes a choice worse.
+/// \brief Tells the other hosts what this one has at endpoints, and takes what they tell.
+/// Everything told is a hint: a wrong or missing report only makes a choice worse.
 class load_exchange {
  public:
   load_exchange(host_entry self, std::uint64_t incarnation, host_list& hosts,
@@ -45,8 +45,8 @@
   void receive_reports();
   void read_hosts();
   void refresh_hosts();
-  void send_all(const std::vector<use_entry>& entries,
-                const std::vector<start_sighting>& sightings, bool whole);
+  void send_all(const std::vector<use_entry>& entries, const std::vector<start_sighting>& sightings,
+                bool whole);
   void send(const use_report& report);
   [[nodiscard]] std::vector<Poco::Net::SocketAddress> told() const;
   /// \returns false when it is time to stop
--- a/src/relay/impl/prompt_starts.cpp
+++ b/src/relay/impl/prompt_starts.cpp
@@ -23,9 +23,8 @@
 
 void prompt_starts::note(const start_sighting& sighting, time_ms now) {
   std::vector<seen_at>& at = seen_[sighting.start];
-  const auto known = std::find_if(at.begin(), at.end(), [&](const auto& other) {
-    return other.endpoint == sighting.endpoint;
-  });
+  const auto known = std::find_if(
+      at.begin(), at.end(), [&](const auto& other) { return other.endpoint == sighting.endpoint; });
   if (known != at.end())
     known->at = now;
   else
--- a/src/relay/impl/reach_watch.cpp
+++ b/src/relay/impl/reach_watch.cpp
@@ -6,8 +6,8 @@
 
 void reach_watch::note_unreachable(const endpoint_id& endpoint, const data_centre_id& centre,
                                    bool silent, time_ms now) {
-  const auto [at, first] =
-      troubles_.try_emplace(endpoint, trouble{centre, now + options_.first_probe, options_.first_probe});
+  const auto [at, first] = troubles_.try_emplace(
+      endpoint, trouble{centre, now + options_.first_probe, options_.first_probe});
   if (!first) {
     at->second.wait = std::min(at->second.wait * 2, options_.longest_probe);
     at->second.next_probe = now + at->second.wait;
--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -5,8 +5,8 @@
 namespace sedgechute {
 
 request_relay::request_relay(parts joined, const relay_options& options)
-    : parts_{std::move(joined)}, options_{options}, connections_{parts_.time},
-      repeats_{options.retries} {}
+    : parts_{std::move(joined)}, options_{options},
+      connections_{parts_.time}, repeats_{options.retries} {}
 
 after_answer request_relay::serve(incoming_request& request) {
   request_run run{*this, request};
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -19,7 +19,7 @@
 constexpr std::int64_t pauses_before_stall = 5;
 constexpr time_ms least_stall{600};
 
-constexpr time_ms default_patience{30000}; // for a caller that names none
+constexpr time_ms default_patience{30000};  // for a caller that names none
 constexpr time_ms most_caller_write{10000}; // a caller that reads nothing for so long has gone
 
 bool is_promise_of_no_run(int status) noexcept {
@@ -35,8 +35,13 @@
 int urgency_of(const route& of) noexcept {
   constexpr std::int64_t ms_a_step = 200;
   constexpr std::int64_t least_urgent = 8;
-  return static_cast<int>(std::clamp<std::int64_t>(of.latency_target.count() / ms_a_step, 0,
-                                                   least_urgent));
+  return static_cast<int>(
+      std::clamp<std::int64_t>(of.latency_target.count() / ms_a_step, 0, least_urgent));
+}
+
+double seconds(time_ms span) noexcept {
+  constexpr double ms_a_second = 1000;
+  return static_cast<double>(span.count()) / ms_a_second;
 }
 
 std::string chunk_of(std::string_view bytes) {
@@ -79,13 +84,13 @@
     throw error{error_kind::malformed_request, "Host", "is missing"};
   route_ = config_->find_route(*host, in_.head.path());
   if (route_ == nullptr)
-    throw error{error_kind::unknown_path, *host, "no route matches in version " +
-                                                     std::to_string(config_->version)};
+    throw error{error_kind::unknown_path, *host,
+                "no route matches in version " + std::to_string(config_->version)};
   if (config_->keys_required && !route_->open_to_all) {
     team_ = config_->find_team(terms_.bearer);
     if (team_ == nullptr)
-      throw error{error_kind::unauthenticated, "key", "nobody holds it in version " +
-                                                          std::to_string(config_->version)};
+      throw error{error_kind::unauthenticated, "key",
+                  "nobody holds it in version " + std::to_string(config_->version)};
   }
   std::uint64_t total = 0;
   for (const weighted_service& one : route_->services)
@@ -195,8 +200,8 @@
   if (!may_have_run_) {
     const error_kind kind =
         end == send_end::timed_out ? error_kind::deadline_unreachable : error_kind::no_capacity;
-    return refuse({kind, service_, "no endpoint took the request",
-                   relay_.options_.full_retry_after});
+    return refuse(
+        {kind, service_, "no endpoint took the request", relay_.options_.full_retry_after});
   }
   const error_kind kind =
       end == send_end::timed_out ? error_kind::outcome_unknown : error_kind::endpoint_failed;
@@ -215,13 +220,11 @@
   const time_ms began = now();
   prompt_read_ = false;
   const send_end end = exchange(*place);
-  static constexpr std::array outcomes{send_outcome::answered,    send_outcome::not_run,
-                                       send_outcome::unreachable, send_outcome::silent,
-                                       send_outcome::failed,      send_outcome::failed,
-                                       send_outcome::failed,      send_outcome::failed,
-                                       send_outcome::abandoned};
-  relay_.parts_.endpoints.release(*place, outcomes.at(static_cast<std::size_t>(end)),
-                                  prompt_read_);
+  static constexpr std::array outcomes{
+      send_outcome::answered, send_outcome::not_run, send_outcome::unreachable,
+      send_outcome::silent,   send_outcome::failed,  send_outcome::failed,
+      send_outcome::failed,   send_outcome::failed,  send_outcome::abandoned};
+  relay_.parts_.endpoints.release(*place, outcomes.at(static_cast<std::size_t>(end)), prompt_read_);
   log_send(*place, end, began);
   return end;
 }
@@ -289,7 +292,8 @@
   std::string text;
   response_head head;
   do {
-    const io_status status = link.read_head(text, relay_.options_.most_reply_head, reply_deadline(), &watch_);
+    const io_status status =
+        link.read_head(text, relay_.options_.most_reply_head, reply_deadline(), &watch_);
     if (status != io_status::ok)
       return end_of(status);
     const auto parsed = parse_response_head(text);
@@ -436,26 +440,40 @@
   return written ? done() : after_answer::abort;
 }
 
+std::string_view request_run::team_name() const noexcept {
+  return team_ != nullptr ? std::string_view{team_->name.str()} : std::string_view{};
+}
+
 void request_run::log_send(const placement& place, send_end end, time_ms began) {
-  static constexpr std::array names{"answered", "not_run",   "unreachable", "silent",     "failed",
-                                    "own_error", "stalled", "timed_out", "caller_left"};
-  relay_.parts_.log.write(
-      end == send_end::answered ? severity::debug : severity::info, "send_ended",
-      {terms_.id, team_ != nullptr ? std::string_view{team_->name.str()} : std::string_view{},
-       place.endpoint.str()},
-      {{log_field::attempt, sent_to_.size()},
-       {log_field::address, place.address},
-       {log_field::count, place.candidates},
-       {log_field::kind, names.at(static_cast<std::size_t>(end))},
-       {log_field::duration_ms, now() - began}});
+  static constexpr std::array names{"answered",  "not_run", "unreachable", "silent",     "failed",
+                                    "own_error", "stalled", "timed_out",   "caller_left"};
+  relay_.parts_.figures.add(metric::attempts, {service_});
+  relay_.parts_.log.write(severity::info, "send_ended",
+                          {terms_.id, team_name(), place.endpoint.str()},
+                          {{log_field::attempt, sent_to_.size()},
+                           {log_field::kind, names.at(static_cast<std::size_t>(end))},
+                           {log_field::address, place.address},
+                           {log_field::count, place.candidates},
+                           {log_field::open, place.expected_open},
+                           {log_field::age_ms, place.load_age},
+                           {log_field::unread_tokens, place.unread_before},
+                           {log_field::missing_tokens, place.missing_tokens},
+                           {log_field::peer, place.fetch_from},
+                           {log_field::duration_ms, now() - began}});
 }
 
 void request_run::log_end(int status, std::string_view reason) {
+  const std::string_view kind = route_ != nullptr ? std::string_view{route_->name} : "none";
+  metrics& figures = relay_.parts_.figures;
+  figures.add(metric::requests, {team_name(), kind, std::to_string(status)});
+  figures.observe(metric::request_seconds, {kind}, seconds(now() - in_.received));
+  if (first_event_)
+    figures.observe(metric::first_token_seconds, {kind}, seconds(*first_event_ - in_.received));
   relay_.parts_.log.write(
       severity::info, "request_ended",
-      {terms_.id, team_ != nullptr ? std::string_view{team_->name.str()} : std::string_view{},
+      {terms_.id, team_name(),
        sent_to_.empty() ? std::string_view{} : std::string_view{sent_to_.back().str()}},
-      {{log_field::path, route_ != nullptr ? std::string_view{route_->name} : std::string_view{}},
+      {{log_field::path, kind},
        {log_field::status, status},
        {log_field::reason, reason},
        {log_field::attempt, sent_to_.size()},
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -67,6 +67,7 @@
   [[nodiscard]] after_answer done() const noexcept {
     return in_.last_on_connection ? after_answer::close : after_answer::next_request;
   }
+  [[nodiscard]] std::string_view team_name() const noexcept;
   void log_send(const placement& place, send_end end, time_ms began);
   void log_end(int status, std::string_view reason);
 
@@ -84,7 +85,7 @@
   std::vector<endpoint_id> sent_to_;
   int unreachable_{0};
   bool may_have_run_{false};
-  response_head reply_;        ///< the header that the caller gets: of the first run of a stream
+  response_head reply_;         ///< the header that the caller gets: of the first run of a stream
   response_head current_reply_; ///< of the send in progress
   std::string reply_body_;
   bool reply_reusable_{false};
--- a/src/relay/impl/retry_allowance.cpp
+++ b/src/relay/impl/retry_allowance.cpp
@@ -37,7 +37,8 @@
 bool retry_allowance::take_repeat(const std::string& service, std::size_t hosts, time_ms now) {
   window& counts = services_[service];
   const bucket total = sum(counts, now);
-  const double part = static_cast<double>(bounds_.slack) / static_cast<double>(std::max<std::size_t>(hosts, 1));
+  const double part =
+      static_cast<double>(bounds_.slack) / static_cast<double>(std::max<std::size_t>(hosts, 1));
   const double most =
       bounds_.used_part * (bounds_.ratio * static_cast<double>(total.requests) + part);
   if (static_cast<double>(total.repeats + 1) > most)
--- a/src/relay/impl/retry_allowance.hpp
+++ b/src/relay/impl/retry_allowance.hpp
@@ -12,8 +12,8 @@
 /// \brief How many requests may be sent to an endpoint once more. The bound holds over all hosts
 /// together in any window of `window`; each host keeps to its own part of it.
 struct retry_bounds {
-  double ratio{0.2};        ///< of the requests for the service
-  std::uint64_t slack{0};   ///< beyond the ratio, for all hosts together
+  double ratio{0.2};      ///< of the requests for the service
+  std::uint64_t slack{0}; ///< beyond the ratio, for all hosts together
   time_ms window{10000};
   /// Part of the bound that is used: windows slide, and hosts count requests at other moments than
   /// the callers do.
--- a/src/relay/impl/wire_dialect.hpp
+++ b/src/relay/impl/wire_dialect.hpp
@@ -18,9 +18,9 @@
 
 /// \brief What a header of an endpoint says beside status and body.
 struct reply_terms {
-  bool not_run{false};  ///< it did not run the request and never will
-  bool misdirected{};   ///< another endpoint has the address now
-  bool whole{false};    ///< bears the mark of an endpoint's answer
+  bool not_run{false};   ///< it did not run the request and never will
+  bool misdirected{};    ///< another endpoint has the address now
+  bool whole{false};     ///< bears the mark of an endpoint's answer
   std::string echoed_id; ///< of the request that it answers; empty when absent
   std::optional<load_report> load;
 };
--- /dev/null
+++ b/src/telemetry/impl/line_queue.cpp
@@ -0,0 +1,79 @@
+#include "telemetry/impl/line_queue.hpp"
+
+#include <chrono>
+#include <memory>
+#include <utility>
+
+namespace sedgechute {
+
+namespace {
+
+constexpr std::chrono::seconds last_words{1}; // for the queue to empty at the end
+
+} // namespace
+
+// Outlives the queue: the thread may stand in a write that never returns.
+struct line_queue::shared_state {
+  std::size_t most_lines{};
+  writer write;
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::deque<std::string> lines;
+  std::uint64_t dropped{0};
+  bool stopping{false};
+  bool ended{false};
+};
+
+line_queue::line_queue(std::size_t most_lines, writer write)
+    : state_{std::make_shared<shared_state>()} {
+  state_->most_lines = most_lines;
+  state_->write = std::move(write);
+  thread_ = std::thread{[state = state_] { run(state); }};
+}
+
+line_queue::~line_queue() {
+  std::unique_lock lock{state_->mutex};
+  state_->stopping = true;
+  state_->changed.notify_all();
+  const bool ended =
+      state_->changed.wait_for(lock, last_words, [this] { return state_->ended; });
+  lock.unlock();
+  if (ended)
+    thread_.join();
+  else
+    thread_.detach();
+}
+
+bool line_queue::push(std::string line) {
+  const std::scoped_lock lock{state_->mutex};
+  if (state_->lines.size() >= state_->most_lines) {
+    ++state_->dropped;
+    return false;
+  }
+  state_->lines.push_back(std::move(line));
+  state_->changed.notify_all();
+  return true;
+}
+
+std::uint64_t line_queue::take_dropped() {
+  const std::scoped_lock lock{state_->mutex};
+  return std::exchange(state_->dropped, 0);
+}
+
+void line_queue::run(const std::shared_ptr<shared_state>& state) {
+  std::unique_lock lock{state->mutex};
+  for (;;) {
+    state->changed.wait(lock, [&] { return state->stopping || !state->lines.empty(); });
+    if (state->lines.empty())
+      break;
+    std::deque<std::string> batch = std::exchange(state->lines, {});
+    lock.unlock();
+    for (const std::string& line : batch)
+      state->write(line);
+    lock.lock();
+  }
+  state->ended = true;
+  state->changed.notify_all();
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/telemetry/impl/line_queue.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "kernel/kernel.hpp"
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace sedgechute {
+
+/// \brief Writes lines on a thread of its own. Guards requests against whoever reads the log: when
+/// nobody empties the pipe behind standard output a write blocks for good, and only this thread
+/// waits. Lines beyond the bound are dropped and counted.
+class line_queue {
+ public:
+  using writer = std::function<void(const std::string&)>;
+
+  line_queue(std::size_t most_lines, writer write);
+  line_queue(const line_queue&) = delete;
+  line_queue& operator=(const line_queue&) = delete;
+  /// \brief Writes what is queued, if the reader takes it within a second.
+  ~line_queue();
+
+  /// \returns false when the line was dropped
+  bool push(std::string line);
+  /// \returns lines dropped since the last call
+  [[nodiscard]] std::uint64_t take_dropped();
+
+ private:
+  struct shared_state;
+  static void run(const std::shared_ptr<shared_state>& state);
+
+  std::shared_ptr<shared_state> state_;
+  std::thread thread_;
+};
+
+} // namespace sedgechute
--- a/src/telemetry/impl/structured_log.cpp
+++ b/src/telemetry/impl/structured_log.cpp
@@ -1,6 +1,7 @@
 #include "telemetry/impl/structured_log.hpp"
 
 #include "telemetry/impl/json_text.hpp"
+#include "telemetry/impl/line_queue.hpp"
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
@@ -71,6 +72,7 @@
 
 struct structured_log::sink {
   log4cplus::Logger logger;
+  std::unique_ptr<line_queue> queue; ///< null: lines are written at once
 };
 
 structured_log::structured_log(log_options options)
@@ -83,9 +85,15 @@
   target->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
   sink_->logger.removeAllAppenders();
   sink_->logger.addAppender(target);
+  if (options_.queued_lines > 0)
+    sink_->queue = std::make_unique<line_queue>(
+        options_.queued_lines, [logger = sink_->logger](const std::string& line) {
+          logger.forcedLog(log4cplus::INFO_LOG_LEVEL, line);
+        });
 }
 
 structured_log::~structured_log() {
+  sink_->queue.reset();
   sink_->logger.removeAllAppenders();
 }
 
@@ -96,9 +104,19 @@
   const auto before = admit(repeat_key(event, subject), clock_.now());
   if (!before)
     return;
-  const std::string line =
-      log_line(wall_time(), level, options_.host, event, subject, details, *before);
-  sink_->logger.forcedLog(level_of(level), line);
+  put(level, log_line(wall_time(), level, options_.host, event, subject, details, *before));
+}
+
+void structured_log::put(severity level, std::string line) {
+  if (!sink_->queue) {
+    sink_->logger.forcedLog(level_of(level), line);
+    return;
+  }
+  if (!sink_->queue->push(std::move(line)))
+    return;
+  if (const std::uint64_t dropped = sink_->queue->take_dropped(); dropped > 0)
+    sink_->queue->push(log_line(wall_time(), severity::warning, options_.host, "log_lines_dropped",
+                                {}, {{log_field::count, dropped}}, 0));
 }
 
 // An endpoint that fails each of a thousand requests a second would fill the log and cost more
--- a/src/telemetry/impl/structured_log.hpp
+++ b/src/telemetry/impl/structured_log.hpp
@@ -18,6 +18,7 @@
 /// answer or a key.
 enum class log_field {
   address,
+  age_ms,
   attempt,
   bytes,
   count,
@@ -29,8 +30,10 @@
   free,
   granted,
   kind,
+  missing_tokens,
   model,
   offset,
+  open,
   path,
   peer,
   pool,
@@ -41,6 +44,7 @@
   status,
   rate,
   tokens,
+  unread_tokens,
   used,
   version,
 };
@@ -67,11 +71,12 @@
 
 struct log_options {
   std::string host;
-  std::string file; ///< empty: standard error
+  std::string file;               ///< empty: standard error
   bool to_standard_output{false}; ///< instead of standard error, without a file
   severity least{severity::info};
   std::uint32_t repeats{5}; ///< lines of one event and subject allowed per window
   time_ms window{time_ms{1000}};
+  std::size_t queued_lines{0}; ///< written by a thread of their own, at most so many; 0: at once
 };
 
 /// \brief JSON lines over log4cplus. Lines of the same event about the same team and endpoint are
@@ -101,6 +106,8 @@
   };
   struct sink;
 
+  void put(severity level, std::string line);
+
   /// \returns how many lines to report as suppressed before this one; nothing: suppress it too
   [[nodiscard]] std::optional<std::uint64_t> admit(std::string key, time_ms now);
 
@@ -131,32 +138,37 @@
 
 template <>
 struct enum_names<log_field> {
-  static constexpr auto entries = enum_table<log_field>({{log_field::address, "address"},
+  static constexpr auto entries =
+      enum_table<log_field>({{log_field::address, "address"},
+                             {log_field::age_ms, "age_ms"},
                                                          {log_field::attempt, "attempt"},
-                                                         {log_field::bytes, "bytes"},
-                                                         {log_field::count, "count"},
-                                                         {log_field::data_centre, "data_centre"},
-                                                         {log_field::document, "document"},
-                                                         {log_field::duration_ms, "duration_ms"},
-                                                         {log_field::epoch, "epoch"},
-                                                         {log_field::first_event_ms, "first_event_ms"},
-                                                         {log_field::free, "free"},
-                                                         {log_field::granted, "granted"},
-                                                         {log_field::kind, "kind"},
+                             {log_field::bytes, "bytes"},
+                             {log_field::count, "count"},
+                             {log_field::data_centre, "data_centre"},
+                             {log_field::document, "document"},
+                             {log_field::duration_ms, "duration_ms"},
+                             {log_field::epoch, "epoch"},
+                             {log_field::first_event_ms, "first_event_ms"},
+                             {log_field::free, "free"},
+                             {log_field::granted, "granted"},
+                             {log_field::kind, "kind"},
+                             {log_field::missing_tokens, "missing_tokens"},
                                                          {log_field::model, "model"},
-                                                         {log_field::offset, "offset"},
-                                                         {log_field::path, "path"},
-                                                         {log_field::peer, "peer"},
-                                                         {log_field::pool, "pool"},
-                                                         {log_field::reason, "reason"},
-                                                         {log_field::revision, "revision"},
-                                                         {log_field::service, "service"},
-                                                         {log_field::stage, "stage"},
-                                                         {log_field::status, "status"},
-                                                         {log_field::rate, "rate"},
-                                                         {log_field::tokens, "tokens"},
+                             {log_field::offset, "offset"},
+                                                         {log_field::open, "open"},
+                             {log_field::path, "path"},
+                             {log_field::peer, "peer"},
+                             {log_field::pool, "pool"},
+                             {log_field::reason, "reason"},
+                             {log_field::revision, "revision"},
+                             {log_field::service, "service"},
+                             {log_field::stage, "stage"},
+                             {log_field::status, "status"},
+                             {log_field::rate, "rate"},
+                             {log_field::tokens, "tokens"},
+                             {log_field::unread_tokens, "unread_tokens"},
                                                          {log_field::used, "used"},
-                                                         {log_field::version, "version"}});
+                             {log_field::version, "version"}});
 };
 
 } // namespace sedgechute
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -57,7 +57,8 @@
 
 TEST_CASE("an endpoint's record is read") {
   const endpoint_entry entry = parse_endpoint_record(
-      "i-1", R"({"Service":"s","Address":"10.0.0.9:8080","Zone":"z","Slots":64,"State":"draining"})");
+      "i-1",
+      R"({"Service":"s","Address":"10.0.0.9:8080","Zone":"z","Slots":64,"State":"draining"})");
   CHECK(entry.id.str() == "i-1");
   CHECK(entry.address == "10.0.0.9:8080");
   CHECK(entry.slots == 64);
--- a/tests/platform/header_dialect_test.cpp
+++ b/tests/platform/header_dialect_test.cpp
@@ -18,14 +18,14 @@
 } // namespace
 
 TEST_CASE("a request's fields become its terms") {
-  const request_terms terms = dialect.read_request(
-      fields_of({{"Attempt-Id", "9c41"},
-                 {"Authorization", "Token secret"},
-                 {"Deadline-Ms", "15000"},
-                 {"Last-Event-Id", "12"},
-                 {"Model", "m"},
-                 {"Token-Usage", "1460,80"},
-                 {"Prefix-Hash", "5c1e:800,91bd:410,e440:250"}}));
+  const request_terms terms =
+      dialect.read_request(fields_of({{"Attempt-Id", "9c41"},
+                                      {"Authorization", "Token secret"},
+                                      {"Deadline-Ms", "15000"},
+                                      {"Last-Event-Id", "12"},
+                                      {"Model", "m"},
+                                      {"Token-Usage", "1460,80"},
+                                      {"Prefix-Hash", "5c1e:800,91bd:410,e440:250"}}));
   CHECK(terms.id == "9c41");
   CHECK(terms.bearer == "secret");
   CHECK(terms.patience == time_ms{15000});
@@ -66,7 +66,8 @@
   send.time_left = time_ms{700};
   send.urgency = 4;
   dialect.to_endpoint(fields, send);
-  for (const char* gone : {"Authorization", "Kv-From", "Kv-Backup", "Pin-Ms", "Retention", "Kv-Fetch"})
+  for (const char* gone :
+       {"Authorization", "Kv-From", "Kv-Backup", "Pin-Ms", "Retention", "Kv-Fetch"})
     CHECK_FALSE(fields.has(gone));
   CHECK(*fields.find("Tenant") == "team-a");
   CHECK(*fields.find("Expected-Instance") == "i-1");
@@ -77,7 +78,12 @@
 
 TEST_CASE("a caller's team name is dropped where no team is known") {
   header_fields fields = fields_of({{"Tenant", "someone"}});
-  dialect.to_endpoint(fields, {.endpoint = "i-1", .team = {}, .time_left = time_ms{1}, .resume_behind = {}, .fetch_from = {}, .urgency = {}});
+  dialect.to_endpoint(fields, {.endpoint = "i-1",
+                               .team = {},
+                               .time_left = time_ms{1},
+                               .resume_behind = {},
+                               .fetch_from = {},
+                               .urgency = {}});
   CHECK_FALSE(fields.has("Tenant"));
 }
 
@@ -94,7 +100,8 @@
   CHECK(dialect.read_reply(head).misdirected);
   head.status = 200;
   CHECK_FALSE(dialect.read_reply(head).whole);
-  head.fields = fields_of({{"Response-Signature", "s"}, {"Attempt-Id", "7"}, {"Instance-Load", "x"}});
+  head.fields =
+      fields_of({{"Response-Signature", "s"}, {"Attempt-Id", "7"}, {"Instance-Load", "x"}});
   CHECK(dialect.read_reply(head).whole);
   CHECK(dialect.read_reply(head).echoed_id == "7");
   CHECK_FALSE(dialect.read_reply(head).load);
--- a/tests/platform/names_test.cpp
+++ b/tests/platform/names_test.cpp
@@ -12,11 +12,11 @@
 
 namespace {
 
-constexpr std::array names{"Attempt-Id",      "Prefix-Hash",   "Not-Executed",       "Kv-Fetch",
-                           "Kv-From",         "Kv-Backup",     "Response-Signature", "Instance-Load",
-                           "Expected-Instance", "log-append",  "log-newest",         "log-read",
-                           "keyed.",          "PathPrefix",    "LatencyTargetMs",    "ApiKeys",
-                           "Token-Usage",     "Deadline-Ms",   "FrontendAddress"};
+constexpr std::array names{
+    "Attempt-Id", "Prefix-Hash",        "Not-Executed",  "Kv-Fetch",          "Kv-From",
+    "Kv-Backup",  "Response-Signature", "Instance-Load", "Expected-Instance", "log-append",
+    "log-newest", "log-read",           "keyed.",        "PathPrefix",        "LatencyTargetMs",
+    "ApiKeys",    "Token-Usage",        "Deadline-Ms",   "FrontendAddress"};
 
 bool is_source(const std::filesystem::path& path) {
   return path.extension() == ".cpp" || path.extension() == ".hpp";
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -72,7 +72,8 @@
   CHECK(page.end == 11);
 }
 
-// The store drops its history while a host reads: the host is told, and reads the newest of each key.
+// The store drops its history while a host reads: the host is told, and reads the newest of each
+// key.
 TEST_CASE("lost history is reported, and the newest of each key is still there") {
   fixture at;
   REQUIRE(at.client.append_at(part, 0, {{"a", "1"}, {"a", "2"}}) == 2);
--- a/tests/prepaid/budget_desk_test.cpp
+++ b/tests/prepaid/budget_desk_test.cpp
@@ -56,8 +56,11 @@
 
 struct desk_fixture {
   desk_fixture(shared_log& shared, const std::string& host, std::uint64_t incarnation)
-      : log{{.host = host, .file = "/dev/null"}},
-        desk{{host, incarnation}, prepaid_options{}, logs(shared), time, log} {
+      : log{{.host = host, .file = "/dev/null"}}, desk{{host, incarnation},
+                                                       prepaid_options{},
+                                                       logs(shared),
+                                                       time,
+                                                       log} {
     desk.set_prepaid({{"team-a", 100000}});
     desk.start();
     for (int i = 0; i < 500 && !desk.loaded(); ++i)
--- a/tests/prepaid/prepaid_schedule_test.cpp
+++ b/tests/prepaid/prepaid_schedule_test.cpp
@@ -1,6 +1,6 @@
-// Random schedules of hosts over one log: requests, reports, answers that are lost, appends that are
-// carried out late, kills, restarts, stops in good order, raised budgets. The one thing that must
-// hold: what callers were given never exceeds what was paid.
+// Random schedules of hosts over one log: requests, reports, answers that are lost, appends that
+// are carried out late, kills, restarts, stops in good order, raised budgets. The one thing that
+// must hold: what callers were given never exceeds what was paid.
 
 #include "log_model.hpp"
 
--- a/tests/relay/endpoint_directory_test.cpp
+++ b/tests/relay/endpoint_directory_test.cpp
@@ -15,8 +15,12 @@
   }
 
   static endpoint_entry entry(int number) {
-    return {endpoint_id{"e" + std::to_string(number)}, "engines",
-            "127.0.0.1:" + std::to_string(7000 + number), data_centre_id{"dc"}, 64, false};
+    return {endpoint_id{"e" + std::to_string(number)},
+            "engines",
+            "127.0.0.1:" + std::to_string(7000 + number),
+            data_centre_id{"dc"},
+            64,
+            false};
   }
 
   std::optional<placement> place(const generation_terms* terms = nullptr) {
--- a/tests/relay/event_splitter_test.cpp
+++ b/tests/relay/event_splitter_test.cpp
@@ -5,7 +5,8 @@
 using namespace sedgechute;
 
 TEST_CASE("events come out whole however the bytes are cut") {
-  const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: only a comment\n\nid: 3\ndata: c\n\n";
+  const std::string stream =
+      "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: only a comment\n\nid: 3\ndata: c\n\n";
   for (std::size_t cut = 1; cut < stream.size(); ++cut) {
     event_splitter events;
     events.feed(stream.substr(0, cut));
@@ -19,8 +20,8 @@
   }
 }
 
-// An endpoint crashes in the middle of an event. The caller must not see its start: another endpoint
-// sends the event anew, behind the last whole one.
+// An endpoint crashes in the middle of an event. The caller must not see its start: another
+// endpoint sends the event anew, behind the last whole one.
 TEST_CASE("an event that was broken off is dropped and not counted") {
   event_splitter events;
   events.feed("id: 7\ndata: whole\n\nid: 8\ndata: bro");
--- a/tests/relay/message_head_test.cpp
+++ b/tests/relay/message_head_test.cpp
@@ -5,8 +5,8 @@
 using namespace sedgechute;
 
 TEST_CASE("fields are found without regard to case and keep their order") {
-  const request_head head =
-      parse_request_head("GET /a/b?x=1 HTTP/1.1\r\nHost: example\r\nX-One: 1\r\nx-two:  2 \r\n\r\n");
+  const request_head head = parse_request_head(
+      "GET /a/b?x=1 HTTP/1.1\r\nHost: example\r\nX-One: 1\r\nx-two:  2 \r\n\r\n");
   CHECK(head.method == "GET");
   CHECK(head.target == "/a/b?x=1");
   CHECK(head.path() == "/a/b");
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -78,8 +78,9 @@
       request_relay::parts{dialect_, endpoints_, *budgets_, time_, log_, figures_,
                            [this] { return config_; }, [] { return std::size_t{1}; }},
       options);
-  door_ = std::make_unique<front_door>(*relay_, dialect_, [this] { return config_->limits; },
-                                       front_door_options{}, socket_, time_, log_);
+  door_ = std::make_unique<front_door>(
+      *relay_, dialect_, [this] { return config_->limits; }, front_door_options{}, socket_, time_,
+      log_);
   door_->start();
 }
 
@@ -98,7 +99,8 @@
 std::string request_text(const std::string& path, const std::string& attempt,
                          const std::string& more_fields, const std::string& method,
                          const std::string& body) {
-  std::string text = method + " " + path + " HTTP/1.1\r\nHost: f.example\r\nAttempt-Id: " + attempt +
+  std::string text = method + " " + path +
+                     " HTTP/1.1\r\nHost: f.example\r\nAttempt-Id: " + attempt +
                      "\r\nAuthorization: Token key-a\r\nDeadline-Ms: 1500\r\n" + more_fields;
   if (!body.empty())
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
--- a/tests/relay/request_path_test.cpp
+++ b/tests/relay/request_path_test.cpp
@@ -124,21 +124,22 @@
 // The first endpoint refuses the request because it is full; it has not run, so any kind of request
 // may go to the next.
 TEST_CASE("a request that was not run goes to another endpoint") {
-  scripted_endpoint full{replies("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-                                 then::keep)};
+  scripted_endpoint full{
+      replies("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", then::keep)};
   scripted_endpoint free{answers("ok")};
   relay_fixture at;
   at.add_endpoint("e1", full.address());
   at.add_endpoint("e2", free.address());
   int served = 0;
   for (int i = 0; i < 4; ++i)
-    served += status_of(at.call("/unsafe/", "id-" + std::to_string(i), "", "POST", "b")) == 200 ? 1 : 0;
+    served +=
+        status_of(at.call("/unsafe/", "id-" + std::to_string(i), "", "POST", "b")) == 200 ? 1 : 0;
   CHECK(served == 4);
 }
 
 TEST_CASE("when every endpoint refuses, the caller is told when to come back") {
-  scripted_endpoint full{replies("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-                                 then::keep)};
+  scripted_endpoint full{
+      replies("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", then::keep)};
   relay_fixture at;
   at.add_endpoint("e1", full.address());
   const std::string answer = at.call("/unsafe/", "id-1", "", "POST", "b");
@@ -146,8 +147,8 @@
   CHECK(answer.find("Retry-After: ") != std::string::npos);
 }
 
-// The endpoint resets the connection after it has read the request. It may have run: a caller who is
-// told 503 would send the order again.
+// The endpoint resets the connection after it has read the request. It may have run: a caller who
+// is told 503 would send the order again.
 TEST_CASE("a request that may have run is not repeated and not called unrun") {
   scripted_endpoint broken{replies("", then::reset)};
   scripted_endpoint other{replies("", then::reset)};
@@ -185,12 +186,14 @@
   }
 }
 
-// Bytes that are no answer, an answer to another request, an answer without the endpoint's mark, and
-// a refusal that does not promise that nothing ran: none of them may reach a caller as they are.
+// Bytes that are no answer, an answer to another request, an answer without the endpoint's mark,
+// and a refusal that does not promise that nothing ran: none of them may reach a caller as they
+// are.
 TEST_CASE("replies that are not this request's answer do not reach the caller") {
   const std::string others = whole_answer("other-id", "secret of another");
   const std::string unmarked = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecret";
-  const std::string unclear = "HTTP/1.1 503 No\r\nResponse-Signature: m\r\nContent-Length: 0\r\n\r\n";
+  const std::string unclear =
+      "HTTP/1.1 503 No\r\nResponse-Signature: m\r\nContent-Length: 0\r\n\r\n";
   for (const std::string& bytes : {std::string{"garbage\r\n\r\n"}, others, unmarked, unclear}) {
     scripted_endpoint endpoint{replies(bytes, then::close)};
     relay_fixture at;
@@ -202,7 +205,8 @@
 }
 
 TEST_CASE("an answer that ends early does not look complete") {
-  const std::string cut = "HTTP/1.1 200 OK\r\nResponse-Signature: m\r\nContent-Length: 50\r\n\r\nhalf";
+  const std::string cut =
+      "HTTP/1.1 200 OK\r\nResponse-Signature: m\r\nContent-Length: 50\r\n\r\nhalf";
   scripted_endpoint endpoint{replies(cut, then::close)};
   relay_fixture at;
   at.add_endpoint("e1", endpoint.address());
@@ -266,7 +270,8 @@
       CHECK(*behind == 2);
       return scripted_reply{head + event_chunk(3) + "0\r\n\r\n", then::keep, ""};
     }
-    return scripted_reply{head + event_chunk(1) + event_chunk(2) + "10\r\nid: 3\ndata: h", then::reset, ""};
+    return scripted_reply{head + event_chunk(1) + event_chunk(2) + "10\r\nid: 3\ndata: h",
+                          then::reset, ""};
   };
   scripted_endpoint one{script};
   scripted_endpoint two{script};
@@ -319,8 +324,8 @@
 // earlier one's bound was given back before.
 TEST_CASE("tokens are taken before a request is sent and settled by what was delivered") {
   scripted_endpoint endpoint{[](const auto& request) {
-    return scripted_reply{stream_head(attempt_of(request)) + event_chunk(1) + "0\r\n\r\n", then::keep,
-                          ""};
+    return scripted_reply{stream_head(attempt_of(request)) + event_chunk(1) + "0\r\n\r\n",
+                          then::keep, ""};
   }};
   relay_fixture at{2000};
   at.add_endpoint("e1", endpoint.address());
@@ -349,8 +354,8 @@
 }
 
 TEST_CASE("an endpoint whose address has another owner is not asked again") {
-  scripted_endpoint other{replies("HTTP/1.1 421 Misdirected\r\nInstance-Id: x\r\nContent-Length: 0\r\n\r\n",
-                                  then::keep)};
+  scripted_endpoint other{replies(
+      "HTTP/1.1 421 Misdirected\r\nInstance-Id: x\r\nContent-Length: 0\r\n\r\n", then::keep)};
   scripted_endpoint right{answers("ok")};
   relay_fixture at;
   at.add_endpoint("e1", other.address());
