--- a/src/entry/main.cpp
+++ b/src/entry/program/main.cpp
@@ -1,4 +1,4 @@
-#include "entry/impl/entry_host.hpp"
+#include "entry/entry.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -16,11 +16,17 @@
 ABSL_FLAG(std::string, settings, "",
           "JSON file with this host's settings; $SEDGECHUTE_CONFIG when not given");
 
+ABSL_FLAG(bool, check, false, "checks the settings, says what is wrong with them, and ends");
+ABSL_FLAG(
+    std::string, explain, "",
+    "id of a request: reads log lines of hosts from standard input and shows what became of it");
+
 namespace {
 
 using namespace sedgechute;
 
 constexpr int exit_ok = 0;
+constexpr int exit_not_found = 1;
 constexpr int exit_bad_settings = 2;
 
 // Many threads would otherwise spread over many malloc arenas and keep what each freed.
@@ -81,6 +87,22 @@
   }
 }
 
+int check() {
+  const std::string file = settings_file();
+  const settings_reading reading = read_settings(file);
+  for (const std::string& name : reading.unknown)
+    std::cout << file << " /" << name << ": unknown, ignored\n";
+  std::cout << file << ": settings of host " << reading.settings.host << " are valid\n";
+  return exit_ok;
+}
+
+int explain(const std::string& request) {
+  const std::size_t lines = explain_request(std::cin, request, std::cout);
+  if (lines == 0)
+    std::cerr << "no line names request " << request << '\n';
+  return lines == 0 ? exit_not_found : exit_ok;
+}
+
 int run() {
   const std::string file = settings_file();
   const settings_reading reading = read_settings(file);
@@ -105,11 +127,16 @@
 
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage("Serves callers of the fleet on the platform of its users.\n"
-                               "Usage: sedgechute-entry --settings FILE");
+                               "Usage: sedgechute-entry --settings FILE [--check]\n"
+                               "       sedgechute-entry --explain REQUEST-ID < LOG-LINES");
   absl::ParseCommandLine(argc, argv);
   mallopt(M_ARENA_MAX, malloc_arenas);
   mallopt(M_TRIM_THRESHOLD, malloc_trim_bytes);
   try {
+    if (const std::string request = absl::GetFlag(FLAGS_explain); !request.empty())
+      return explain(request);
+    if (absl::GetFlag(FLAGS_check))
+      return check();
     return run();
   } catch (const error& failure) {
     std::cerr << "sedgechute-entry: " << failure.what() << '\n';
--- a/src/telemetry/impl/line_queue.cpp
+++ b/src/telemetry/impl/line_queue.cpp
@@ -35,8 +35,7 @@
   std::unique_lock lock{state_->mutex};
   state_->stopping = true;
   state_->changed.notify_all();
-  const bool ended =
-      state_->changed.wait_for(lock, last_words, [this] { return state_->ended; });
+  const bool ended = state_->changed.wait_for(lock, last_words, [this] { return state_->ended; });
   lock.unlock();
   if (ended)
     thread_.join();
--- a/src/telemetry/impl/structured_log.cpp
+++ b/src/telemetry/impl/structured_log.cpp
@@ -86,10 +86,10 @@
   sink_->logger.removeAllAppenders();
   sink_->logger.addAppender(target);
   if (options_.queued_lines > 0)
-    sink_->queue = std::make_unique<line_queue>(
-        options_.queued_lines, [logger = sink_->logger](const std::string& line) {
-          logger.forcedLog(log4cplus::INFO_LOG_LEVEL, line);
-        });
+    sink_->queue = std::make_unique<line_queue>(options_.queued_lines,
+                                                [logger = sink_->logger](const std::string& line) {
+                                                  logger.forcedLog(log4cplus::INFO_LOG_LEVEL, line);
+                                                });
 }
 
 structured_log::~structured_log() {
--- a/src/telemetry/impl/structured_log.hpp
+++ b/src/telemetry/impl/structured_log.hpp
@@ -138,37 +138,22 @@
 
 template <>
 struct enum_names<log_field> {
-  static constexpr auto entries =
-      enum_table<log_field>({{log_field::address, "address"},
-                             {log_field::age_ms, "age_ms"},
-                                                         {log_field::attempt, "attempt"},
-                             {log_field::bytes, "bytes"},
-                             {log_field::count, "count"},
-                             {log_field::data_centre, "data_centre"},
-                             {log_field::document, "document"},
-                             {log_field::duration_ms, "duration_ms"},
-                             {log_field::epoch, "epoch"},
-                             {log_field::first_event_ms, "first_event_ms"},
-                             {log_field::free, "free"},
-                             {log_field::granted, "granted"},
-                             {log_field::kind, "kind"},
-                             {log_field::missing_tokens, "missing_tokens"},
-                                                         {log_field::model, "model"},
-                             {log_field::offset, "offset"},
-                                                         {log_field::open, "open"},
-                             {log_field::path, "path"},
-                             {log_field::peer, "peer"},
-                             {log_field::pool, "pool"},
-                             {log_field::reason, "reason"},
-                             {log_field::revision, "revision"},
-                             {log_field::service, "service"},
-                             {log_field::stage, "stage"},
-                             {log_field::status, "status"},
-                             {log_field::rate, "rate"},
-                             {log_field::tokens, "tokens"},
-                             {log_field::unread_tokens, "unread_tokens"},
-                                                         {log_field::used, "used"},
-                             {log_field::version, "version"}});
+  static constexpr auto entries = enum_table<log_field>(
+      {{log_field::address, "address"},   {log_field::age_ms, "age_ms"},
+       {log_field::attempt, "attempt"},   {log_field::bytes, "bytes"},
+       {log_field::count, "count"},       {log_field::data_centre, "data_centre"},
+       {log_field::document, "document"}, {log_field::duration_ms, "duration_ms"},
+       {log_field::epoch, "epoch"},       {log_field::first_event_ms, "first_event_ms"},
+       {log_field::free, "free"},         {log_field::granted, "granted"},
+       {log_field::kind, "kind"},         {log_field::missing_tokens, "missing_tokens"},
+       {log_field::model, "model"},       {log_field::offset, "offset"},
+       {log_field::open, "open"},         {log_field::path, "path"},
+       {log_field::peer, "peer"},         {log_field::pool, "pool"},
+       {log_field::reason, "reason"},     {log_field::revision, "revision"},
+       {log_field::service, "service"},   {log_field::stage, "stage"},
+       {log_field::status, "status"},     {log_field::rate, "rate"},
+       {log_field::tokens, "tokens"},     {log_field::unread_tokens, "unread_tokens"},
+       {log_field::used, "used"},         {log_field::version, "version"}});
 };
 
 } // namespace sedgechute
--- /dev/null
+++ b/tests/entry/entry_settings_test.cpp
@@ -0,0 +1,48 @@
+#include "entry/entry.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace sedgechute;
+
+namespace {
+
+constexpr const char* good = R"({"host":"h","data_centre":"dc","callers":"127.0.0.1:1",
+ "peers":"127.0.0.1:2","status":"127.0.0.1:3","store":"127.0.0.1:4","grace_s":8,
+ "retry_ratio":0.2,"retry_slack":58.0,"retry_window_s":10,"new":1})";
+
+std::string without(const std::string& name) {
+  std::string text = good;
+  const std::size_t at = text.find("\"" + name + "\"");
+  return text.replace(at, name.size() + 2, "\"x\"");
+}
+
+} // namespace
+
+TEST_CASE("settings are read, and names that mean nothing are reported") {
+  const settings_reading reading = parse_entry_settings("file", good);
+  CHECK(reading.settings.host == "h");
+  CHECK(reading.settings.grace == time_ms{8000});
+  CHECK(reading.settings.retry_slack == 58);
+  REQUIRE(reading.unknown.size() == 1);
+  CHECK(reading.unknown.front() == "new");
+}
+
+TEST_CASE("a missing or wrong setting is named") {
+  for (const char* name : {"host", "data_centre", "callers", "peers", "status", "store"}) {
+    try {
+      (void)parse_entry_settings("file", without(name));
+      FAIL("accepted without " << name);
+    } catch (const error& fault) {
+      CHECK(fault.kind() == error_kind::invalid_settings);
+      CHECK(fault.where() == "file /" + std::string{name});
+    }
+  }
+  CHECK_THROWS_AS((void)parse_entry_settings("file", "{"), error);
+  CHECK_THROWS_AS((void)parse_entry_settings("file", "[]"), error);
+  std::string negative = good;
+  negative.replace(negative.find("0.2"), 3, "-1 ");
+  CHECK_THROWS_AS((void)parse_entry_settings("file", negative), error);
+  std::string address = good;
+  address.replace(address.find("127.0.0.1:1"), 11, "not.address");
+  CHECK_THROWS_AS((void)parse_entry_settings("file", address), error);
+}
--- /dev/null
+++ b/tests/entry/fleet_watch_test.cpp
@@ -0,0 +1,165 @@
+#include "entry/entry.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <mutex>
+#include <thread>
+
+using namespace sedgechute;
+
+namespace {
+
+/// What is published, as a test changes it.
+class scripted_source final : public fleet_source {
+ public:
+  config_changes newest_config() override { return configs_from(0, time_ms{0}); }
+
+  config_changes configs_from(std::uint64_t from, time_ms) override {
+    std::this_thread::sleep_for(std::chrono::milliseconds{5});
+    const std::scoped_lock lock{mutex_};
+    check();
+    config_changes changes;
+    for (std::uint64_t i = from; i < configs_.size(); ++i)
+      changes.versions.push_back(configs_[i]);
+    changes.end = configs_.size();
+    return changes;
+  }
+
+  endpoint_changes newest_endpoints() override {
+    const std::scoped_lock lock{mutex_};
+    check();
+    endpoint_changes all;
+    for (const auto& [name, present] : present_)
+      if (present)
+        all.changes.push_back({endpoint_id{name}, entry(name)});
+    all.end = changes_.size();
+    return all;
+  }
+
+  endpoint_changes endpoints_from(std::uint64_t from) override {
+    const std::scoped_lock lock{mutex_};
+    check();
+    endpoint_changes some;
+    some.changes.assign(changes_.begin() + static_cast<std::ptrdiff_t>(from), changes_.end());
+    some.end = changes_.size();
+    return some;
+  }
+
+  void publish(std::uint64_t version) {
+    auto config = std::make_shared<fleet_config>();
+    config->version = version;
+    const std::scoped_lock lock{mutex_};
+    configs_.push_back(config);
+  }
+
+  void set(const std::string& name, bool present) {
+    const std::scoped_lock lock{mutex_};
+    present_[name] = present;
+    endpoint_change change{endpoint_id{name}, std::nullopt};
+    if (present)
+      change.entry = entry(name);
+    changes_.push_back(change);
+  }
+
+  void set_away(bool away) {
+    const std::scoped_lock lock{mutex_};
+    away_ = away;
+  }
+
+ private:
+  static endpoint_entry entry(const std::string& name) {
+    return {endpoint_id{name}, "s", "127.0.0.1:1", data_centre_id{"dc"}, 4, false};
+  }
+
+  void check() const {
+    if (away_)
+      throw error{error_kind::log_unavailable, "store", "is away"};
+  }
+
+  std::mutex mutex_;
+  std::vector<config_ptr> configs_;
+  std::map<std::string, bool> present_;
+  std::vector<endpoint_change> changes_;
+  bool away_{false};
+};
+
+struct fixture {
+  fixture()
+      : log{{.host = "watch-test", .file = "/dev/null"}}, endpoints{data_centre_id{"dc"},
+                                                                    choice_weights{}, time},
+        watch{source,
+              endpoints,
+              [](const config_ptr&) {},
+              fleet_watch_options{.config_wait = time_ms{20},
+                                  .endpoint_interval = time_ms{20},
+                                  .retry_pause = time_ms{20},
+                                  .lapse_grace = time_ms{400}},
+              time,
+              log} {}
+
+  template <typename Condition>
+  bool soon(const Condition& met) const {
+    for (int i = 0; i < 600; ++i) {
+      if (met())
+        return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds{5});
+    }
+    return false;
+  }
+
+  steady_clock time;
+  structured_log log;
+  scripted_source source;
+  endpoint_directory endpoints;
+  fleet_watch watch;
+};
+
+} // namespace
+
+TEST_CASE("versions of the configuration only go up") {
+  fixture at;
+  at.source.publish(5);
+  at.watch.start();
+  REQUIRE(at.soon([&] { return at.watch.config() != nullptr; }));
+  at.source.publish(3);
+  at.source.publish(9);
+  REQUIRE(at.soon([&] { return at.watch.config()->version == 9; }));
+  at.source.publish(8);
+  std::this_thread::sleep_for(std::chrono::milliseconds{100});
+  CHECK(at.watch.config()->version == 9);
+}
+
+TEST_CASE("endpoints come and go with their entries") {
+  fixture at;
+  at.source.set("e1", true);
+  at.watch.start();
+  REQUIRE(at.soon([&] { return at.endpoints.size() == 1; }));
+  at.source.set("e2", true);
+  at.source.set("e1", false);
+  CHECK(at.soon([&] {
+    const auto ids = at.endpoints.ids();
+    return ids.size() == 1 && ids.front().str() == "e2";
+  }));
+}
+
+// The store is away for a while, and the entries of all endpoints lapse meanwhile although the
+// endpoints live. Requests go on being served; an entry that comes back in time was never missed,
+// and one that does not is dropped.
+TEST_CASE("an entry that lapsed while the store was away is given time to come back") {
+  fixture at;
+  at.source.set("lives", true);
+  at.source.set("dead", true);
+  at.watch.start();
+  REQUIRE(at.soon([&] { return at.endpoints.size() == 2; }));
+  at.source.set_away(true);
+  std::this_thread::sleep_for(std::chrono::milliseconds{100});
+  at.source.set("lives", false);
+  at.source.set("dead", false);
+  at.source.set_away(false);
+  std::this_thread::sleep_for(std::chrono::milliseconds{150});
+  CHECK(at.endpoints.size() == 2);
+  at.source.set("lives", true);
+  REQUIRE(at.soon([&] { return at.endpoints.size() == 1; }));
+  CHECK(at.endpoints.ids().front().str() == "lives");
+}
--- a/tests/telemetry/line_queue_test.cpp
+++ b/tests/telemetry/line_queue_test.cpp
@@ -19,8 +19,8 @@
   CHECK(written == std::vector<std::string>{"0", "1", "2", "3", "4"});
 }
 
-// Whoever reads the log has stopped reading. Requests must go on: lines beyond the bound are dropped
-// and counted, and the queue's end does not wait for a write that never returns.
+// Whoever reads the log has stopped reading. Requests must go on: lines beyond the bound are
+// dropped and counted, and the queue's end does not wait for a write that never returns.
 TEST_CASE("a log that nobody reads holds nobody up") {
   std::promise<void> reader;
   auto reading = std::make_shared<std::shared_future<void>>(reader.get_future().share());
