--- /dev/null
+++ b/bench/soak/fault_proxy.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sedgechute::soak {
+
+enum class link_fault {
+  none,
+  delay,  ///< bytes take longer, both ways
+  silent, ///< nothing passes, nothing is closed
+  one_way ///< answers do not pass
+};
+
+/// \brief A loopback proxy in front of one server, which does to its connections what links do.
+class fault_proxy {
+ public:
+  explicit fault_proxy(std::string target);
+  fault_proxy(const fault_proxy&) = delete;
+  fault_proxy& operator=(const fault_proxy&) = delete;
+  ~fault_proxy();
+
+  [[nodiscard]] std::string address() const { return socket_.address().toString(); }
+  void set(link_fault fault) noexcept { fault_ = fault; }
+  /// \brief Resets every open connection.
+  void reset_connections() noexcept { ++resets_; }
+
+ private:
+  void accept();
+  void pass(Poco::Net::StreamSocket from);
+  /// \returns false when the connection is over
+  [[nodiscard]] static bool pass_some(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to);
+
+  std::string target_;
+  Poco::Net::ServerSocket socket_;
+  std::atomic<link_fault> fault_{link_fault::none};
+  std::atomic<int> resets_{0};
+  std::atomic<bool> stopping_{false};
+  std::vector<std::thread> threads_;
+  std::thread acceptor_;
+};
+
+} // namespace sedgechute::soak
--- /dev/null
+++ b/bench/soak/soak_world.cpp
@@ -0,0 +1,315 @@
+#include "soak_world.hpp"
+
+#include <Poco/JSON/Object.h>
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+namespace sedgechute::soak {
+
+namespace {
+
+using then = scripted_reply::then;
+
+constexpr std::uint64_t prompt_tokens = 300;
+constexpr std::uint64_t most_output_tokens = 60;
+constexpr std::uint64_t event_tokens = 5;
+constexpr int events = 8;
+constexpr int first_events = 3; // sent before the pause
+constexpr time_ms patience{2500};
+constexpr int moods = 6;
+
+void sleep_ms(int span) {
+  std::this_thread::sleep_for(std::chrono::milliseconds{span});
+}
+
+std::string loopback(std::uint16_t port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+/// Events of one attempt; each names it, so that a mix-up shows.
+std::string event_chunks(const std::string& attempt, int from, int to) {
+  std::ostringstream text;
+  for (int id = from; id <= to; ++id) {
+    const std::string event = "id: " + std::to_string(id) + "\ndata: " + attempt + "\n\n";
+    text << std::hex << event.size() << "\r\n" << event << "\r\n";
+  }
+  return text.str();
+}
+
+/// \returns the events in `answer` whose data is `attempt`, if they are 1, 2, 3 and so on; -1 if
+/// not
+int events_in_order(const std::string& answer, const std::string& attempt) {
+  int seen = 0;
+  for (std::size_t at = answer.find("id: "); at != std::string::npos;
+       at = answer.find("id: ", at + 1)) {
+    const std::string expected = "id: " + std::to_string(seen + 1) + "\ndata: " + attempt + "\n\n";
+    if (answer.compare(at, expected.size(), expected) != 0)
+      return answer.size() - at < expected.size() ? seen : -1;
+    ++seen;
+  }
+  return seen;
+}
+
+} // namespace
+
+soak_world::soak_world(const soak_shape& shape, std::uint64_t seed)
+    : shape_{shape}, random_{seed}, store_{standin::topic_store_options{}} {
+  publish();
+  for (int i = 0; i < shape_.engines; ++i) {
+    auto made = std::make_unique<engine>();
+    engine& one = *made;
+    one.id = "e" + std::to_string(i);
+    one.program = std::make_unique<scripted_endpoint>(
+        [this, &one](const auto& request) { return run(one, request); });
+    one.link = std::make_unique<fault_proxy>(one.program->address());
+    engines_.push_back(std::move(made));
+    list_engine(one, false);
+  }
+  for (int i = 0; i < shape_.hosts; ++i) {
+    auto made = std::make_unique<host>();
+    made->store = std::make_unique<fault_proxy>(store_.server().address().toString());
+    made->callers = loopback(fleet_test::free_port());
+    made->settings = shape_.folder + "/h" + std::to_string(i) + ".json";
+    made->output = shape_.folder + "/h" + std::to_string(i);
+    std::ofstream file{made->settings};
+    file << R"({"host":"h)" << i << R"(","data_centre":"dc","callers":")" << made->callers
+         << R"(","peers":")" << loopback(fleet_test::free_port()) << R"(","status":")"
+         << loopback(fleet_test::free_port()) << R"(","store":")" << made->store->address()
+         << R"(","grace_s":4,"retry_ratio":0.2,"retry_slack":50,"retry_window_s":10})";
+    file.close();
+    start_host(*made);
+    hosts_.push_back(std::move(made));
+  }
+  for (int i = 0; i < shape_.callers; ++i)
+    callers_.emplace_back(
+        [this, seed, i] { call_forever(mix_hash(seed, static_cast<std::uint64_t>(i))); });
+}
+
+soak_world::~soak_world() {
+  stop_callers();
+  for (auto& one : hosts_)
+    thaw(*one);
+}
+
+void soak_world::stop_callers() {
+  stopping_ = true;
+  for (std::thread& one : callers_)
+    one.join();
+  callers_.clear();
+}
+
+void soak_world::start_host(host& of) {
+  of.program = std::make_unique<fleet_test::process>(
+      shape_.programs + "/sedgechute-entry", std::vector<std::string>{"--settings", of.settings},
+      of.output + "-" + std::to_string(++of.lives) + ".log");
+  of.frozen = false;
+}
+
+void soak_world::thaw(host& of) {
+  if (of.frozen && of.program)
+    of.program->signal(SIGCONT);
+  of.frozen = false;
+}
+
+void soak_world::list_engine(const engine& of, bool draining) {
+  store_.put("keyed.servers", of.id,
+             R"({"Service":"s","Address":")" + of.link->address() +
+                 R"(","Zone":"dc","Slots":16,"State":")" + (draining ? "draining" : "ready") +
+                 "\"}");
+}
+
+void soak_world::publish() {
+  kept_.note_paid(paid_);
+  std::ostringstream text;
+  text
+      << R"({"Version":)" << ++version_ << R"(,"Routes":[)"
+      << R"({"Name":"safe","Hostname":"f","PathPrefix":"/safe/","Type":"safe","TimeoutMs":2000,)"
+      << R"("LatencyTargetMs":200,"MaxAttempts":2,"Service":"s"},)"
+      << R"({"Name":"unsafe","Hostname":"f","PathPrefix":"/unsafe/","Type":"unsafe",)"
+      << R"("TimeoutMs":2000,"LatencyTargetMs":200,"MaxAttempts":2,"Service":"s"},)"
+      << R"({"Name":"once","Hostname":"f","PathPrefix":"/once/","Type":"streaming",)"
+      << R"("TimeoutMs":2000,"LatencyTargetMs":200,"InterTokenMs":60,"MaxAttempts":1,"Service":"s"},)"
+      << R"({"Name":"stream","Hostname":"f","PathPrefix":"/stream/","Type":"streaming",)"
+      << R"("TimeoutMs":2000,"LatencyTargetMs":200,"InterTokenMs":60,"MaxAttempts":2,)"
+      << R"("Resumable":true,"Service":"s"}],"Services":[{"Name":"s","MaxConnections":900,)"
+      << R"("Runtime":{"Slots":16,"KvCapacityTokens":90000,"Stride":)" << event_tokens
+      << R"(}}],"Tenants":[{"Name":"t","ApiKeys":["k"],"Prepaid":)" << paid_ << "}]}";
+  store_.put("keyed.op", "config", text.str());
+}
+
+scripted_reply soak_world::run(engine& on, const scripted_endpoint::seen_request& request) {
+  const std::string* id = request.head.fields.find("Attempt-Id");
+  const std::string attempt = id == nullptr ? "" : *id;
+  const int mood = on.mood;
+  if (mood == 1)
+    return {"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", then::keep, ""};
+  const bool generated = request.head.fields.has("Token-Usage");
+  const bool run_once =
+      request.head.target.starts_with("/unsafe/") || request.head.target.starts_with("/once/");
+  kept_.note_run(attempt, run_once, generated ? prompt_tokens : 0);
+  if (mood == 2)
+    return {"", then::reset, ""};
+  if (mood == 3)
+    return {"", then::hang, ""};
+  if (mood == 4)
+    return {"HTTP/1.1 200 garbage without an end", then::close, ""};
+  if (!generated)
+    return {whole_answer(attempt, attempt) + (mood == 5 ? whole_answer(attempt, attempt) : ""),
+            then::keep, ""};
+  const int begin = static_cast<int>(request.head.fields.number("Last-Event-Id").value_or(0)) + 1;
+  const int pause = std::min(std::max(begin + first_events, begin), events);
+  if (mood == 5)
+    return {stream_head(attempt) + event_chunks(attempt, begin, pause) + "20\r\nid: 9", then::reset,
+            ""};
+  return {stream_head(attempt) + event_chunks(attempt, begin, pause), then::keep,
+          event_chunks(attempt, pause + 1, events) + "0\r\n\r\n"};
+}
+
+void soak_world::call_forever(std::uint64_t seed) {
+  random_source random{seed};
+  while (!stopping_) {
+    const std::string attempt = "a" + std::to_string(++attempts_);
+    (void)call(random, attempt);
+    sleep_ms(static_cast<int>(10 + random.below(60)));
+  }
+}
+
+int soak_world::call(random_source& random, const std::string& attempt) {
+  static const steady_clock time;
+  const host& at = *hosts_[random.below(hosts_.size())];
+  const std::uint64_t kind = random.below(4);
+  static constexpr std::array prefixes{"/safe/", "/unsafe/", "/once/", "/stream/"};
+  std::string text =
+      std::string{kind == 0 ? "GET " : "POST "} + prefixes.at(kind) +
+      " HTTP/1.1\r\nHost: f\r\nAttempt-Id: " + attempt +
+      "\r\nAuthorization: Token k\r\nDeadline-Ms: " + std::to_string(patience.count()) + "\r\n";
+  if (kind >= 2)
+    text += "Model: m\r\nToken-Usage: " + std::to_string(prompt_tokens) + "," +
+            std::to_string(most_output_tokens) + "\r\nPrefix-Hash: p" +
+            std::to_string(random.below(5)) + ":200,own:100\r\n";
+  text += kind == 0 ? "\r\n" : "Content-Length: 4\r\n\r\nbody";
+  const bool leaves = random.below(20) == 0;
+  std::string answer;
+  if (const auto link = connect_to(at.callers, time_ms{300}, time).link) {
+    const time_ms until = time.now() + (leaves ? time_ms{50} : patience + time_ms{1000});
+    io_status status = link->write_all(text, until);
+    const auto ended = [&] {
+      return link->buffered().ends_with("0\r\n\r\n") ||
+             (kind < 2 && link->buffered().ends_with("\r\n\r\n" + attempt)) ||
+             link->buffered().ends_with("}\n");
+    };
+    while (status == io_status::ok && !ended())
+      status = link->fill(until);
+    answer = link->buffered();
+  }
+  promises::outcome got;
+  got.attempt = attempt;
+  const std::size_t head_end = answer.find("\r\n\r\n");
+  const auto head = head_end == std::string::npos
+                        ? std::nullopt
+                        : parse_response_head(std::string_view{answer}.substr(0, head_end + 4));
+  got.status = head ? head->status : 0;
+  const int in_order = kind >= 2 ? events_in_order(answer, attempt) : 0;
+  got.whole = kind >= 2 ? answer.ends_with("0\r\n\r\n") : head.has_value();
+  got.right = kind >= 2 ? in_order == events : answer.ends_with("\r\n\r\n" + attempt);
+  if (in_order < 0) {
+    got.whole = true; // out of order is wrong however it ends
+    got.right = false;
+  }
+  if (in_order > 0)
+    kept_.note_delivered(static_cast<std::uint64_t>(in_order) * event_tokens);
+  kept_.note_outcome(got);
+  return got.whole && got.right ? got.status : 0;
+}
+
+void soak_world::inject_fault() {
+  host& at = *hosts_[random_.below(hosts_.size())];
+  engine& on = *engines_[random_.below(engines_.size())];
+  static constexpr std::array link_faults{link_fault::none, link_fault::delay, link_fault::silent,
+                                          link_fault::one_way};
+  switch (random_.below(13)) {
+  case 0:
+    thaw(at);
+    at.program->crash();
+    return start_host(at);
+  case 1:
+    thaw(at);
+    at.program->signal(SIGTERM);
+    return;
+  case 2:
+    (void)at.program->wait(0);
+    at.program->crash();
+    return start_host(at);
+  case 3:
+    at.program->signal(SIGSTOP);
+    at.frozen = true;
+    return;
+  case 4:
+    return thaw(at);
+  case 5:
+    return at.store->set(link_faults.at(random_.below(link_faults.size())));
+  case 6:
+    return at.store->reset_connections();
+  case 7:
+    return on.link->set(link_faults.at(random_.below(link_faults.size())));
+  case 8:
+    return on.link->reset_connections();
+  case 9:
+    on.mood = static_cast<int>(random_.below(moods));
+    return;
+  case 10: {
+    static constexpr std::array refusals{0, 503, 429, 0};
+    return store_.refuse(refusals.at(random_.below(refusals.size())));
+  }
+  case 11: {
+    Poco::JSON::Object change;
+    change.set(random_.below(2) == 0 ? "lose_answers" : "late_ms",
+               static_cast<std::int64_t>(random_.below(4)));
+    store_.server().board().merge(change);
+    if (random_.below(3) == 0)
+      store_.forget_history();
+    return;
+  }
+  default:
+    if (random_.below(2) == 0)
+      paid_ += random_.below(8000);
+    publish();
+    return list_engine(on, random_.below(3) == 0);
+  }
+}
+
+void soak_world::heal() {
+  store_.refuse(0);
+  Poco::JSON::Object calm;
+  calm.set("lose_answers", 0);
+  calm.set("late_ms", 0);
+  store_.server().board().merge(calm);
+  for (auto& one : engines_) {
+    one->mood = 0;
+    one->link->set(link_fault::none);
+    list_engine(*one, false);
+  }
+  paid_ += 400000; // so that what is refused from now on is not for want of tokens
+  publish();
+  for (auto& one : hosts_) {
+    one->store->set(link_fault::none);
+    thaw(*one);
+    one->program->crash();
+    start_host(*one);
+  }
+}
+
+double soak_world::served_now(int tries) {
+  random_source random{random_()};
+  int served = 0;
+  for (int i = 0; i < tries; ++i) {
+    const int status = call(random, "r" + std::to_string(++attempts_));
+    served += status >= 200 && status < 300 ? 1 : 0;
+  }
+  return static_cast<double>(served) / tries;
+}
+
+} // namespace sedgechute::soak
--- a/src/prepaid/impl/budget_desk.cpp
+++ b/src/prepaid/impl/budget_desk.cpp
@@ -78,13 +78,14 @@
 reserve_outcome budget_desk::reserve(const std::string& team, std::uint64_t bound) {
   std::unique_lock lock{mutex_};
   const time_ms deadline = time_.now() + options_.longest_wait;
+  partition_of(team).book.note_request(team, bound, time_.now());
   for (int exchanges = 0;; ++exchanges) {
     const auto paid = prepaid_.find(team);
     if (paid == prepaid_.end())
       return reserve_outcome::reserved;
     partition& part = partition_of(team);
     const time_ms now = time_.now();
-    const reserve_outcome outcome = part.book.reserve(team, paid->second, bound, now);
+    const reserve_outcome outcome = part.book.reserve(team, paid->second, bound);
     // What other hosts hold comes back with their next report, not while this request waits.
     const bool hopeless = !part.loaded || !reachable_ || stopping_ || now >= deadline ||
                           exchanges == most_exchanges ||
--- a/src/prepaid/impl/prepaid_book.cpp
+++ b/src/prepaid/impl/prepaid_book.cpp
@@ -87,11 +87,8 @@
 }
 
 reserve_outcome prepaid_book::reserve(const std::string& team, std::uint64_t prepaid,
-                                      std::uint64_t bound, time_ms now) {
-  note_request(bound);
+                                      std::uint64_t bound) {
   team_state& state = teams_[team];
-  if (state.rated_at == time_ms{})
-    state.rated_at = now;
   if (own_slack(state) >= bound) {
     state.reserved += bound;
     return reserve_outcome::reserved;
@@ -103,9 +100,13 @@
   return reserve_outcome::short_here;
 }
 
-void prepaid_book::note_request(std::uint64_t bound) noexcept {
+void prepaid_book::note_request(const std::string& team, std::uint64_t bound, time_ms now) {
   const auto tokens = static_cast<double>(bound);
   usual_request_ += (tokens - usual_request_) * (usual_request_ == 0 ? 1 : options_.usual_weight);
+  team_state& state = teams_[team];
+  if (state.rated_at == time_ms{})
+    state.rated_at = now;
+  ++state.requests;
 }
 
 void prepaid_book::settle(const std::string& team, std::uint64_t bound, std::uint64_t used) {
@@ -114,18 +115,18 @@
   state.settled += std::min(used, bound);
 }
 
+// Requests counted at their usual size: sizes differ a hundredfold, and what one large request used
+// says little about the next seconds. Refused ones count too; their callers come back.
 void prepaid_book::update_rate(team_state& state, time_ms now) const {
-  const std::uint64_t use = state.settled + state.reserved;
   const double elapsed = static_cast<double>((now - state.rated_at).count());
   if (state.rated_at == time_ms{} || elapsed <= 0) {
     state.rated_at = now;
-    state.rated = use;
     return;
   }
-  const double recent = static_cast<double>(minus(use, state.rated)) * ms_a_second / elapsed;
+  const double wanted = static_cast<double>(state.requests) * usual_request_;
   const double weight = 1 - std::exp(-elapsed / static_cast<double>(options_.rate_window.count()));
-  state.rate += (recent - state.rate) * weight;
-  state.rated = std::max(use, state.rated);
+  state.rate += (wanted * ms_a_second / elapsed - state.rate) * weight;
+  state.requests = 0;
   state.rated_at = now;
 }
 
--- a/src/prepaid/impl/prepaid_book.hpp
+++ b/src/prepaid/impl/prepaid_book.hpp
@@ -38,9 +38,11 @@
   void advance(std::uint64_t end) noexcept;
   [[nodiscard]] std::uint64_t end() const noexcept { return end_; }
 
+  /// \brief A request for a team's tokens has come, whatever becomes of it.
+  void note_request(const std::string& team, std::uint64_t bound, time_ms now);
   /// \param prepaid  what the team has paid for today
   [[nodiscard]] reserve_outcome reserve(const std::string& team, std::uint64_t prepaid,
-                                        std::uint64_t bound, time_ms now);
+                                        std::uint64_t bound);
   /// \brief Ends a reservation; `used` at most `bound`.
   void settle(const std::string& team, std::uint64_t bound, std::uint64_t used);
 
@@ -77,7 +79,7 @@
     std::uint64_t wanted{};               ///< reservations that fell short since the last plan
     std::optional<std::uint64_t> ceiling; ///< on `granted`, while a return is in the air
     double rate{};                        ///< tokens a second
-    std::uint64_t rated{};                ///< use up to which `rate` has been computed
+    std::uint64_t requests{};             ///< that came since `rated_at`
     time_ms rated_at;
   };
   struct pool_view;
@@ -87,7 +89,6 @@
   [[nodiscard]] std::uint64_t own_use(const team_state& state) const;
   [[nodiscard]] std::uint64_t own_slack(const team_state& state) const;
   [[nodiscard]] std::uint64_t total_use(const team_state& state) const;
-  void note_request(std::uint64_t bound) noexcept;
   void update_rate(team_state& state, time_ms now) const;
   [[nodiscard]] pool_view view(const team_state& state, std::uint64_t prepaid, time_ms now) const;
   [[nodiscard]] std::uint64_t target(const team_state& state, const pool_view& pool) const;
--- a/tests/prepaid/prepaid_book_test.cpp
+++ b/tests/prepaid/prepaid_book_test.cpp
@@ -38,9 +38,9 @@
   log_model log;
   host_model first{"h1", 1};
   host_model second{"h2", 2};
-  REQUIRE(first.book.reserve(team, paid, 800, time_ms{10}) == reserve_outcome::short_here);
+  REQUIRE(first.book.reserve(team, paid, 800) == reserve_outcome::short_here);
   REQUIRE(first.report(log, time_ms{20}));
-  CHECK(first.book.reserve(team, paid, 800, time_ms{21}) == reserve_outcome::reserved);
+  CHECK(first.book.reserve(team, paid, 800) == reserve_outcome::reserved);
   REQUIRE(second.report(log, time_ms{30}));
   CHECK(second.book.slack(team) > 0);
   CHECK(first.book.granted(team) <= paid);
@@ -51,14 +51,14 @@
 TEST_CASE("what a killed host held counts as spent when it is back") {
   log_model log;
   host_model before{"h1", 1};
-  (void)before.book.reserve(team, paid, 500, time_ms{10});
+  (void)before.book.reserve(team, paid, 500);
   REQUIRE(before.report(log, time_ms{20}));
   const std::uint64_t held = before.book.granted(team);
   host_model after{"h1", 2};
   log.read_into(after.book, time_ms{30});
   CHECK(after.book.slack(team) == 0);
   CHECK(after.book.used(team) == held);
-  CHECK(after.book.reserve(team, paid, paid - held + 1, time_ms{31}) == reserve_outcome::exhausted);
+  CHECK(after.book.reserve(team, paid, paid - held + 1) == reserve_outcome::exhausted);
   REQUIRE(after.report(log, time_ms{40}));
   CHECK(after.book.slack(team) > 0);
   CHECK(after.book.granted(team) <= paid);
@@ -68,9 +68,9 @@
 TEST_CASE("a host that leaves hands back what it did not use") {
   log_model log;
   host_model host{"h1", 1};
-  (void)host.book.reserve(team, paid, 500, time_ms{10});
+  (void)host.book.reserve(team, paid, 500);
   REQUIRE(host.report(log, time_ms{20}));
-  REQUIRE(host.book.reserve(team, paid, 500, time_ms{21}) == reserve_outcome::reserved);
+  REQUIRE(host.book.reserve(team, paid, 500) == reserve_outcome::reserved);
   host.book.settle(team, 500, 320);
   REQUIRE(host.report(log, time_ms{30}, true));
   CHECK(host.book.granted(team) == 320);
@@ -81,12 +81,12 @@
 TEST_CASE("tokens on their way back are not spent while the answer is missing") {
   log_model log;
   host_model host{"h1", 1};
-  (void)host.book.reserve(team, paid, 4000, time_ms{10});
+  (void)host.book.reserve(team, paid, 4000);
   REQUIRE(host.report(log, time_ms{20}));
   const std::uint64_t at = host.book.end();
   const auto returned = host.book.plan({{team, paid}}, time_ms{30}, true);
   REQUIRE(returned.size() == 1);
-  CHECK(host.book.reserve(team, paid, 1, time_ms{31}) != reserve_outcome::reserved);
+  CHECK(host.book.reserve(team, paid, 1) != reserve_outcome::reserved);
   REQUIRE(log.append_at(at, returned));
   log.read_into(host.book, time_ms{40});
   CHECK(host.book.slack(team) == 0);
@@ -98,7 +98,7 @@
   log_model log;
   host_model host{"h1", 1};
   host_model other{"h2", 2};
-  (void)host.book.reserve(team, paid, 500, time_ms{10});
+  (void)host.book.reserve(team, paid, 500);
   REQUIRE(host.report(log, time_ms{20}));
   const std::uint64_t held = host.book.slack(team);
   (void)host.book.plan({{team, paid}}, time_ms{30}, true);
@@ -110,17 +110,17 @@
 
 TEST_CASE("a request that is larger than the whole budget is refused for good") {
   prepaid_book book{"h1", 1, prepaid_options{}};
-  CHECK(book.reserve(team, paid, paid + 1, time_ms{1}) == reserve_outcome::exhausted);
+  CHECK(book.reserve(team, paid, paid + 1) == reserve_outcome::exhausted);
 }
 
 TEST_CASE("a raised budget serves again") {
   log_model log;
   host_model host{"h1", 1};
-  (void)host.book.reserve(team, paid, paid, time_ms{10});
+  (void)host.book.reserve(team, paid, paid);
   REQUIRE(host.report(log, time_ms{20}));
-  REQUIRE(host.book.reserve(team, paid, paid, time_ms{21}) == reserve_outcome::reserved);
-  CHECK(host.book.reserve(team, paid, 100, time_ms{22}) == reserve_outcome::exhausted);
-  CHECK(host.book.reserve(team, 2 * paid, 100, time_ms{23}) == reserve_outcome::short_here);
+  REQUIRE(host.book.reserve(team, paid, paid) == reserve_outcome::reserved);
+  CHECK(host.book.reserve(team, paid, 100) == reserve_outcome::exhausted);
+  CHECK(host.book.reserve(team, 2 * paid, 100) == reserve_outcome::short_here);
 }
 
 // Every host but one is cut off from the log. The one that is not must not draw the parts of the
--- a/tests/prepaid/prepaid_schedule_test.cpp
+++ b/tests/prepaid/prepaid_schedule_test.cpp
@@ -105,7 +105,8 @@
 
   void request(std::size_t host) {
     const std::uint64_t bound = 1 + random_.below(700);
-    if (books_[host]->reserve(team, paid_, bound, now_) == reserve_outcome::reserved)
+    books_[host]->note_request(team, bound, now_);
+    if (books_[host]->reserve(team, paid_, bound) == reserve_outcome::reserved)
       open_.push_back({host, bound});
   }
 
