--- a/src/entry/impl/status_door.cpp
+++ b/src/entry/impl/status_door.cpp
@@ -22,7 +22,7 @@
   explicit page_handler(const status_door::pages& told) : told_{told} {}
 
   void handleRequest(HTTPServerRequest& request, HTTPServerResponse& response) override {
-    const std::string uri = request.getURI();
+    const std::string& uri = request.getURI();
     const auto at = told_.find(uri.substr(0, uri.find('?')));
     const status_answer answer =
         at == told_.end() ? status_answer{404, "no such page\n"} : at->second();
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -79,6 +79,15 @@
   config_ = relay_.parts_.config();
   if (!config_)
     throw error{error_kind::not_ready, "configuration", "none is known yet"};
+  find_route();
+  if (config_->keys_required && !route_->open_to_all)
+    find_team();
+  choose_service();
+  const time_ms patience = terms_.patience.value_or(default_patience);
+  deadline_ = in_.received + std::min(patience, route_->timeout);
+}
+
+void request_run::find_route() {
   const std::string* host = in_.head.fields.find("Host");
   if (host == nullptr)
     throw error{error_kind::malformed_request, "Host", "is missing"};
@@ -86,12 +95,17 @@
   if (route_ == nullptr)
     throw error{error_kind::unknown_path, *host,
                 "no route matches in version " + std::to_string(config_->version)};
-  if (config_->keys_required && !route_->open_to_all) {
-    team_ = config_->find_team(terms_.bearer);
-    if (team_ == nullptr)
-      throw error{error_kind::unauthenticated, "key",
-                  "nobody holds it in version " + std::to_string(config_->version)};
-  }
+}
+
+void request_run::find_team() {
+  team_ = config_->find_team(terms_.bearer);
+  if (team_ == nullptr)
+    throw error{error_kind::unauthenticated, "key",
+                "nobody holds it in version " + std::to_string(config_->version)};
+}
+
+// Drawn by the request's id: each host would choose the same service for it.
+void request_run::choose_service() {
   std::uint64_t total = 0;
   for (const weighted_service& one : route_->services)
     total += one.weight;
@@ -104,8 +118,6 @@
   }
   if (const service_traits* traits = config_->find_service(service_))
     event_tokens_ = std::max<std::uint64_t>(traits->tokens_per_event, 1);
-  const time_ms patience = terms_.patience.value_or(default_patience);
-  deadline_ = in_.received + std::min(patience, route_->timeout);
 }
 
 void request_run::reserve_tokens() {
@@ -192,7 +204,7 @@
     return after_answer::abort;
   }
   if (end == send_end::own_error) {
-    if (!deliver_reply(std::move(reply_body_)))
+    if (!deliver_reply(reply_body_))
       return after_answer::abort;
     log_end(reply_.status, "endpoint_error");
     return done();
@@ -361,13 +373,13 @@
     return send_end::own_error;
   }
   first_event_ = now();
-  if (!deliver_reply(std::move(bytes)))
+  if (!deliver_reply(bytes))
     return send_end::caller_left;
   log_end(reply_.status, "answered");
   return send_end::answered;
 }
 
-bool request_run::deliver_reply(std::string body) {
+bool request_run::deliver_reply(const std::string& body) {
   response_head head = reply_;
   head.fields.remove_hop_by_hop();
   head.fields.set("Content-Length", std::to_string(body.size()));
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -36,6 +36,9 @@
   };
 
   void admit();
+  void find_route();
+  void find_team();
+  void choose_service();
   void reserve_tokens();
   void settle_tokens() noexcept;
   [[nodiscard]] after_answer run_sends();
@@ -52,7 +55,7 @@
   [[nodiscard]] send_end take_stream(const placement& place, connection& link);
   [[nodiscard]] bool pass_events(const std::string& events);
   [[nodiscard]] send_end end_of(io_status status) const;
-  [[nodiscard]] bool deliver_reply(std::string body);
+  [[nodiscard]] bool deliver_reply(const std::string& body);
   [[nodiscard]] bool begin_stream_answer();
   [[nodiscard]] bool may_go_on(send_end end);
   /// \returns whether the rules of the route allow another send after a run that may have begun
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -15,7 +15,7 @@
   config->limits.body_bytes = 10000;
   config->limits.header_timeout = time_ms{300};
   config->limits.idle_timeout = time_ms{700};
-  const auto add = [&](std::string prefix, request_kind kind, int attempts, bool resumable) {
+  const auto add = [&](const std::string& prefix, request_kind kind, int attempts, bool resumable) {
     route made;
     made.name = prefix;
     made.host = "f.example";
--- a/tests/relay/scripted_endpoint.cpp
+++ b/tests/relay/scripted_endpoint.cpp
@@ -48,7 +48,7 @@
   }
 }
 
-void scripted_endpoint::serve(Poco::Net::StreamSocket socket) {
+void scripted_endpoint::serve(const Poco::Net::StreamSocket& socket) {
   connection link{socket, time_};
   while (!stopping_ && exchange(link)) {
   }
--- a/tests/relay/scripted_endpoint.hpp
+++ b/tests/relay/scripted_endpoint.hpp
@@ -42,7 +42,7 @@
 
  private:
   void accept();
-  void serve(Poco::Net::StreamSocket socket);
+  void serve(const Poco::Net::StreamSocket& socket);
   [[nodiscard]] bool exchange(connection& link);
 
   script answer_;
