--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -35,10 +35,8 @@
 void endpoint_directory::put(endpoint_entry entry) {
   const std::scoped_lock lock{mutex_};
   state& at = endpoints_[entry.id];
-  if (at.entry.id.empty()) {
-    at.since = time_.now();
+  if (at.entry.id.empty())
     at.hash = stable_hash(entry.id.str());
-  }
   at.entry = std::move(entry);
 }
 
@@ -287,18 +285,4 @@
   return endpoints_.size();
 }
 
-double endpoint_directory::fill(const std::string& service) const {
-  const std::scoped_lock lock{mutex_};
-  const time_ms now = time_.now();
-  double open = 0;
-  double slots = 0;
-  for (const auto& [id, known] : endpoints_) {
-    if (known.entry.service != service || !usable(known))
-      continue;
-    open += expected_open(candidate_of(known, now), weights_);
-    slots += static_cast<double>(known.entry.slots);
-  }
-  return slots == 0 ? 1 : open / slots;
-}
-
 } // namespace sedgechute
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -102,8 +102,6 @@
 
   [[nodiscard]] std::size_t ready(const std::string& service) const;
   [[nodiscard]] std::size_t size() const;
-  /// \returns part of the slots of a service's endpoints that are taken, as far as is known here
-  [[nodiscard]] double fill(const std::string& service) const;
 
  private:
   struct state {
@@ -115,7 +113,6 @@
     std::uint64_t sent_since_load{};
     double failing{};
     time_ms failed_at;
-    time_ms since; ///< when the endpoint was first seen
     bool leaving{false};
     endpoint_hash hash{};
     endpoint_use told; ///< to the other hosts
