--- a/src/prepaid/impl/budget_desk.cpp
+++ b/src/prepaid/impl/budget_desk.cpp
@@ -63,14 +63,14 @@
   wake_.notify_all();
 }
 
-budget_desk::partition& budget_desk::partition_of(const std::string& team) {
+budget_desk::partition& budget_desk::partition_of(const std::string& team) const {
   return *partitions_[stable_hash(team) % partitions_.size()];
 }
 
 std::map<std::string, std::uint64_t> budget_desk::prepaid_of(const partition& part) const {
   std::map<std::string, std::uint64_t> of_part;
   for (const auto& [team, paid] : prepaid_)
-    if (partitions_[stable_hash(team) % partitions_.size()].get() == &part)
+    if (&partition_of(team) == &part)
       of_part.emplace(team, paid);
   return of_part;
 }
@@ -124,7 +124,7 @@
   const std::scoped_lock lock{mutex_};
   std::map<std::string, team_figures> all;
   for (const auto& [team, paid] : prepaid_) {
-    const prepaid_book& book = partitions_[stable_hash(team) % partitions_.size()]->book;
+    const prepaid_book& book = partition_of(team).book;
     all[team] = {paid, book.granted(team), book.used(team), book.slack(team)};
   }
   return all;
@@ -231,15 +231,14 @@
 
 void budget_desk::note_log(bool reachable, const char* reason) {
   const std::scoped_lock lock{mutex_};
+  if (reachable == reachable_)
+    return;
   reachable_ = reachable;
-  if (reachable != said_reachable_) {
-    said_reachable_ = reachable;
-    if (reachable)
-      log_.write(severity::info, "budget_log_reachable");
-    else
-      log_.write(severity::warning, "budget_log_unreachable", {},
-                 {{log_field::reason, std::string_view{reason}}});
-  }
+  if (reachable)
+    log_.write(severity::info, "budget_log_reachable");
+  else
+    log_.write(severity::warning, "budget_log_unreachable", {},
+               {{log_field::reason, std::string_view{reason}}});
 }
 
 } // namespace sedgechute
--- a/src/prepaid/impl/budget_desk.hpp
+++ b/src/prepaid/impl/budget_desk.hpp
@@ -66,7 +66,7 @@
     bool loaded{false};
   };
 
-  [[nodiscard]] partition& partition_of(const std::string& team);
+  [[nodiscard]] partition& partition_of(const std::string& team) const;
   [[nodiscard]] std::map<std::string, std::uint64_t> prepaid_of(const partition& part) const;
   [[nodiscard]] time_ms interval() const;
   void run();
@@ -89,7 +89,6 @@
   random_source random_;
   std::uint64_t cycles_{0};
   bool reachable_{false};
-  bool said_reachable_{false};
   bool wanted_{false};
   bool stopping_{false};
   std::thread keeper_;
--- a/src/prepaid/impl/prepaid_book.cpp
+++ b/src/prepaid/impl/prepaid_book.cpp
@@ -96,7 +96,6 @@
   if (minus(prepaid, total_use(state)) < bound)
     return reserve_outcome::exhausted;
   state.wanted += bound;
-  wants_tokens_ = true;
   return reserve_outcome::short_here;
 }
 
@@ -131,7 +130,7 @@
 }
 
 prepaid_book::pool_view prepaid_book::view(const team_state& state, std::uint64_t prepaid,
-                                           time_ms now) const {
+                                           std::size_t hosts, time_ms now) const {
   pool_view pool;
   std::uint64_t granted = own_account(state).granted;
   pool.rates = std::max(state.rate, least_rate);
@@ -147,7 +146,7 @@
   }
   pool.free = minus(prepaid, granted);
   pool.unused += pool.free;
-  pool.hosts = hosts(now);
+  pool.hosts = hosts;
   return pool;
 }
 
@@ -169,23 +168,22 @@
   return static_cast<std::uint64_t>(part) + state.wanted;
 }
 
-account prepaid_book::next_account(const team_state& state, std::uint64_t prepaid, time_ms now,
-                                   bool leaving) const {
+account prepaid_book::next_account(const team_state& state, const pool_view* pool) const {
   account next = own_account(state);
   const std::uint64_t use = own_use(state);
   next.used = use;
-  next.rate = leaving ? 0 : static_cast<std::uint64_t>(state.rate);
-  if (leaving) {
+  if (pool == nullptr) {
+    next.rate = 0;
     next.granted = std::min(next.granted, use);
     return next;
   }
-  const pool_view pool = view(state, prepaid, now);
-  const std::uint64_t goal = target(state, pool);
+  next.rate = static_cast<std::uint64_t>(state.rate);
+  const std::uint64_t goal = target(state, *pool);
   const std::uint64_t slack = minus(next.granted, use);
   const bool low = static_cast<double>(slack) < options_.low_water * static_cast<double>(goal);
   const bool high = static_cast<double>(slack) > options_.high_water * static_cast<double>(goal);
   if (low)
-    next.granted += std::min(minus(goal, slack), pool.free);
+    next.granted += std::min(minus(goal, slack), pool->free);
   if (high)
     next.granted = use + goal;
   return next;
@@ -194,12 +192,13 @@
 std::vector<account_record> prepaid_book::plan(const std::map<std::string, std::uint64_t>& prepaid,
                                                time_ms now, bool leaving) {
   std::vector<account_record> records;
-  wants_tokens_ = false;
+  const std::size_t there = hosts(now); // walks all accounts: once a plan, not once a team
   for (const auto& [team, paid] : prepaid) {
     team_state& state = teams_[team];
     update_rate(state, now);
     const account before = own_account(state);
-    const account next = next_account(state, paid, now, leaving);
+    const pool_view pool = view(state, paid, there, now);
+    const account next = next_account(state, leaving ? nullptr : &pool);
     state.wanted = 0;
     const auto at = state.accounts.find(host_);
     if (at == state.accounts.end() ? next.granted == 0 : at->second.value == next)
--- a/src/prepaid/impl/prepaid_book.hpp
+++ b/src/prepaid/impl/prepaid_book.hpp
@@ -53,8 +53,6 @@
   [[nodiscard]] std::vector<account_record>
   plan(const std::map<std::string, std::uint64_t>& prepaid, time_ms now, bool leaving);
 
-  /// \returns whether a reservation fell short since the last plan.
-  [[nodiscard]] bool wants_tokens() const noexcept { return wants_tokens_; }
   /// \returns hosts that wrote lately, this one included
   [[nodiscard]] std::size_t hosts(time_ms now) const;
   /// \returns what all hosts have used of a team's budget, as far as they reported it
@@ -90,10 +88,11 @@
   [[nodiscard]] std::uint64_t own_slack(const team_state& state) const;
   [[nodiscard]] std::uint64_t total_use(const team_state& state) const;
   void update_rate(team_state& state, time_ms now) const;
-  [[nodiscard]] pool_view view(const team_state& state, std::uint64_t prepaid, time_ms now) const;
+  [[nodiscard]] pool_view view(const team_state& state, std::uint64_t prepaid, std::size_t hosts,
+                               time_ms now) const;
   [[nodiscard]] std::uint64_t target(const team_state& state, const pool_view& pool) const;
-  [[nodiscard]] account next_account(const team_state& state, std::uint64_t prepaid, time_ms now,
-                                     bool leaving) const;
+  /// \param pool  as it is now; null when leaving
+  [[nodiscard]] account next_account(const team_state& state, const pool_view* pool) const;
 
   std::string host_;
   std::uint64_t incarnation_;
@@ -101,7 +100,6 @@
   std::unordered_map<std::string, team_state> teams_;
   std::uint64_t end_{0};
   double usual_request_{0}; ///< tokens
-  bool wants_tokens_{false};
 };
 
 } // namespace sedgechute
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -107,7 +107,10 @@
     const endpoint_hash hash = among.states[i]->hash;
     const std::uint64_t kept = starts_.tokens_at(among.starts, hash, now);
     among.candidates[i].missing_tokens = among.shared_tokens - kept;
-    most_kept = std::max(most_kept, kept);
+    if (kept >= most_kept) {
+      most_kept = kept;
+      among.keeper = i;
+    }
     const std::uint64_t weight = mix_hash(among.starts.back().hash, hash);
     if (i == 0 || weight > home_weight) {
       home = i;
@@ -152,10 +155,7 @@
   place.missing_tokens = candidate.missing_tokens;
   place.load_age = candidate.load ? candidate.load_age : time_ms{-1};
   if (candidate.fetchable_tokens > 0)
-    for (std::size_t i = 0; i < among.states.size(); ++i)
-      if (among.candidates[i].missing_tokens + candidate.fetchable_tokens ==
-          candidate.missing_tokens)
-        place.fetch_from = among.states[i]->entry.address;
+    place.fetch_from = among.states[among.keeper]->entry.address;
   ++at.open;
   ++at.sent_since_load;
   at.unread_tokens += unread;
@@ -207,15 +207,27 @@
   if (!started)
     of.unread_tokens -= std::min(of.unread_tokens, place.prompt_tokens);
   const time_ms now = time_.now();
-  if (outcome == send_outcome::answered)
-    note_result(of, true, now);
-  if (outcome == send_outcome::failed)
-    note_result(of, false, now);
-  if (outcome == send_outcome::unreachable || outcome == send_outcome::silent)
+  switch (outcome) {
+  case send_outcome::unreachable:
+  case send_outcome::silent:
     reach_.note_unreachable(place.endpoint, of.entry.data_centre, outcome == send_outcome::silent,
                             now);
-  else if (outcome != send_outcome::abandoned)
-    reach_.note_reachable(place.endpoint, of.entry.data_centre);
+    return;
+  case send_outcome::caller_left:
+    return; // says nothing of the endpoint
+  case send_outcome::not_run:
+    break; // it is there, and full or leaving
+  case send_outcome::answered:
+    note_result(of, true, now);
+    break;
+  case send_outcome::failed:
+  case send_outcome::own_error:
+  case send_outcome::stalled:
+  case send_outcome::timed_out:
+    note_result(of, false, now);
+    break;
+  }
+  reach_.note_reachable(place.endpoint, of.entry.data_centre);
 }
 
 std::vector<endpoint_directory::probe> endpoint_directory::due_probes() {
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -7,7 +7,6 @@
 #include "relay/impl/reach_watch.hpp"
 #include "relay/impl/request_terms.hpp"
 
-#include <deque>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -46,13 +45,17 @@
   time_ms load_age;               ///< of what the endpoint told of its load; -1: it told nothing
 };
 
+/// \brief How one send to an endpoint ended.
 enum class send_outcome {
-  answered,
-  not_run,     ///< refused unrun
-  unreachable, ///< no connection: the endpoint refused it
-  silent,      ///< no connection: nothing answered
-  failed,      ///< broke off, answered with an error of its own, or with bytes that are no answer
-  abandoned,   ///< by us: the caller left or its time was over
+  answered,    ///< the caller has its answer
+  not_run,     ///< the endpoint refused it unrun
+  unreachable, ///< nothing was sent: the endpoint refused the connection
+  silent,      ///< nothing was sent: nothing answered
+  failed,      ///< it may have run: the endpoint broke off, or sent no answer of this request
+  own_error,   ///< the endpoint answered with an error of its own
+  stalled,     ///< nothing came for so long that another endpoint is the better bet
+  timed_out,   ///< the request's time was over
+  caller_left,
 };
 
 template <>
@@ -63,7 +66,10 @@
                                 {send_outcome::unreachable, "unreachable"},
                                 {send_outcome::silent, "silent"},
                                 {send_outcome::failed, "failed"},
-                                {send_outcome::abandoned, "abandoned"}});
+                                {send_outcome::own_error, "own_error"},
+                                {send_outcome::stalled, "stalled"},
+                                {send_outcome::timed_out, "timed_out"},
+                                {send_outcome::caller_left, "caller_left"}});
 };
 
 /// \brief The endpoints of all services: who is there, how loaded, how sound. Thread-safe.
@@ -124,6 +130,7 @@
     std::vector<replica_candidate> candidates;
     std::vector<prompt_start> starts;
     std::uint64_t shared_tokens{};
+    std::size_t keeper{}; ///< of the longest shared start
   };
 
   void gather(const placement_request& request, round& into, time_ms now);
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -154,8 +154,8 @@
 
 after_answer request_run::run_sends() {
   for (;;) {
-    const send_end end = send_once();
-    if (end == send_end::answered)
+    const send_outcome end = send_once();
+    if (end == send_outcome::answered)
       return done();
     if (!may_go_on(end))
       return give_up(end);
@@ -180,22 +180,22 @@
   return std::min(deadline_, now() + patience_with_endpoint());
 }
 
-bool request_run::may_go_on(send_end end) {
-  if (caller_failed_ || end == send_end::caller_left || end == send_end::timed_out)
+bool request_run::may_go_on(send_outcome end) {
+  if (caller_failed_ || end == send_outcome::caller_left || end == send_outcome::timed_out)
     return false;
-  if (end == send_end::unreachable || end == send_end::silent)
+  if (end == send_outcome::unreachable || end == send_outcome::silent)
     return ++unreachable_ < most_unreachable;
-  if (end != send_end::not_run && !may_run_again())
+  if (end != send_outcome::not_run && !may_run_again())
     return false;
-  if (end == send_end::own_error && route_->kind != request_kind::safe)
+  if (end == send_outcome::own_error && route_->kind != request_kind::safe)
     return false;
   if (static_cast<int>(sent_to_.size()) >= route_->most_attempts)
     return false;
   return now() < deadline_ && relay_.may_repeat(service_);
 }
 
-after_answer request_run::give_up(send_end end) {
-  if (end == send_end::caller_left || caller_failed_) {
+after_answer request_run::give_up(send_outcome end) {
+  if (end == send_outcome::caller_left || caller_failed_) {
     log_end(0, "caller_gone");
     return after_answer::abort;
   }
@@ -203,7 +203,7 @@
     log_end(reply_.status, "stream_cut");
     return after_answer::abort;
   }
-  if (end == send_end::own_error) {
+  if (end == send_outcome::own_error) {
     if (!deliver_reply(reply_body_))
       return after_answer::abort;
     log_end(reply_.status, "endpoint_error");
@@ -211,40 +211,36 @@
   }
   if (!may_have_run_) {
     const error_kind kind =
-        end == send_end::timed_out ? error_kind::deadline_unreachable : error_kind::no_capacity;
+        end == send_outcome::timed_out ? error_kind::deadline_unreachable : error_kind::no_capacity;
     return refuse(
         {kind, service_, "no endpoint took the request", relay_.options_.full_retry_after});
   }
   const error_kind kind =
-      end == send_end::timed_out ? error_kind::outcome_unknown : error_kind::endpoint_failed;
+      end == send_outcome::timed_out ? error_kind::outcome_unknown : error_kind::endpoint_failed;
   return refuse({kind, service_, "the request may have run"});
 }
 
-request_run::send_end request_run::send_once() {
+send_outcome request_run::send_once() {
   placement_request wanted{service_, terms_.generation ? &*terms_.generation : nullptr, sent_to_};
   auto place = relay_.parts_.endpoints.place(wanted);
   if (!place) {
     if (sent_to_.empty())
       throw error{error_kind::no_capacity, service_, "no endpoint is ready",
                   relay_.options_.full_retry_after};
-    return send_end::not_run;
+    return send_outcome::not_run;
   }
   const time_ms began = now();
   prompt_read_ = false;
-  const send_end end = exchange(*place);
-  static constexpr std::array outcomes{
-      send_outcome::answered, send_outcome::not_run, send_outcome::unreachable,
-      send_outcome::silent,   send_outcome::failed,  send_outcome::failed,
-      send_outcome::failed,   send_outcome::failed,  send_outcome::abandoned};
-  relay_.parts_.endpoints.release(*place, outcomes.at(static_cast<std::size_t>(end)), prompt_read_);
+  const send_outcome end = exchange(*place);
+  relay_.parts_.endpoints.release(*place, end, prompt_read_);
   log_send(*place, end, began);
   return end;
 }
 
-request_run::send_end request_run::exchange(const placement& place) {
+send_outcome request_run::exchange(const placement& place) {
   connect_result reached = reach(place);
   if (!reached.link)
-    return reached.silent ? send_end::silent : send_end::unreachable;
+    return reached.silent ? send_outcome::silent : send_outcome::unreachable;
   std::unique_ptr<connection> link = std::move(reached.link);
   if (sent_to_.empty())
     relay_.note_first_send(service_);
@@ -253,10 +249,10 @@
   may_have_run_ = true; // from the first byte on, until the endpoint says otherwise
   reply_reusable_ = false;
   io_status status = link->write_all(endpoint_request(place), deadline_, &watch_);
-  send_end end = end_of(status);
+  send_outcome end = end_of(status);
   if (status == io_status::ok || status == io_status::reset)
     end = read_reply(place, *link);
-  if (end == send_end::not_run)
+  if (end == send_outcome::not_run)
     may_have_run_ = may_have_run_before;
   if (reply_reusable_)
     relay_.connections_.give_back(place.endpoint, std::move(link));
@@ -292,15 +288,15 @@
   return to_text(head) + in_.body;
 }
 
-request_run::send_end request_run::end_of(io_status status) const {
+send_outcome request_run::end_of(io_status status) const {
   if (status == io_status::caller_left)
-    return send_end::caller_left;
+    return send_outcome::caller_left;
   if (status != io_status::timed_out)
-    return send_end::failed;
-  return now() < deadline_ ? send_end::stalled : send_end::timed_out;
+    return send_outcome::failed;
+  return now() < deadline_ ? send_outcome::stalled : send_outcome::timed_out;
 }
 
-request_run::send_end request_run::read_reply(const placement& place, connection& link) {
+send_outcome request_run::read_reply(const placement& place, connection& link) {
   std::string text;
   response_head head;
   do {
@@ -310,7 +306,7 @@
       return end_of(status);
     const auto parsed = parse_response_head(text);
     if (!parsed)
-      return send_end::failed;
+      return send_outcome::failed;
     head = *parsed;
   } while (head.status < 200);
   const reply_terms said = relay_.parts_.dialect.read_reply(head);
@@ -319,14 +315,14 @@
   if (said.misdirected)
     relay_.parts_.endpoints.note_leaving(place.endpoint);
   if (said.not_run)
-    return send_end::not_run;
+    return send_outcome::not_run;
   if (!said.echoed_id.empty() && said.echoed_id != terms_.id)
-    return send_end::failed; // it answers another request
+    return send_outcome::failed; // it answers another request
   if (is_promise_of_no_run(head.status) || !said.whole)
-    return send_end::failed; // it may have run, or these are not an endpoint's bytes
+    return send_outcome::failed; // it may have run, or these are not an endpoint's bytes
   const bool events = route_->kind == request_kind::stream && is_success(head.status);
   if (stream_begun_ && !events)
-    return send_end::failed;
+    return send_outcome::failed;
   if (!stream_begun_)
     reply_ = head;
   current_reply_ = std::move(head);
@@ -352,7 +348,7 @@
          link.quiet();
 }
 
-request_run::send_end request_run::take_answer(const placement& place, connection& link) {
+send_outcome request_run::take_answer(const placement& place, connection& link) {
   connection_source source{link, [this] { return reply_deadline(); }, &watch_};
   const message_framing framing = reply_framing();
   body_decoder body{source, framing};
@@ -361,42 +357,44 @@
   while (body.state() == body_state::open) {
     bytes.append(block.data(), body.read(block.data(), block.size()));
     if (bytes.size() > relay_.options_.most_buffered_body)
-      return send_end::failed;
+      return send_outcome::failed;
   }
   if (body.state() != body_state::whole)
-    return body.state() == body_state::slow ? end_of(source.last()) : send_end::failed;
+    return body.state() == body_state::slow ? end_of(source.last()) : send_outcome::failed;
   relay_.parts_.endpoints.note_started(place);
   prompt_read_ = true;
   reply_reusable_ = reusable(framing, link);
   if (!is_success(reply_.status)) {
     reply_body_ = std::move(bytes);
-    return send_end::own_error;
+    return send_outcome::own_error;
   }
   first_event_ = now();
   if (!deliver_reply(bytes))
-    return send_end::caller_left;
+    return send_outcome::caller_left;
   log_end(reply_.status, "answered");
-  return send_end::answered;
+  return send_outcome::answered;
 }
 
-bool request_run::deliver_reply(const std::string& body) {
+response_head request_run::answer_head() const {
   response_head head = reply_;
   head.fields.remove_hop_by_hop();
-  head.fields.set("Content-Length", std::to_string(body.size()));
+  head.fields.remove("Content-Length");
   if (in_.last_on_connection)
     head.fields.set("Connection", "close");
+  return head;
+}
+
+bool request_run::deliver_reply(const std::string& body) {
+  response_head head = answer_head();
+  head.fields.set("Content-Length", std::to_string(body.size()));
   const time_ms until = now() + most_caller_write;
   caller_failed_ = in_.caller.write_all(to_text(head) + body, until) != io_status::ok;
   return !caller_failed_;
 }
 
 bool request_run::begin_stream_answer() {
-  response_head head = reply_;
-  head.fields.remove_hop_by_hop();
-  head.fields.remove("Content-Length");
+  response_head head = answer_head();
   head.fields.set("Transfer-Encoding", "chunked");
-  if (in_.last_on_connection)
-    head.fields.set("Connection", "close");
   stream_begun_ = true;
   caller_failed_ = in_.caller.write_all(to_text(head), now() + most_caller_write) != io_status::ok;
   return !caller_failed_;
@@ -414,7 +412,7 @@
   return !caller_failed_;
 }
 
-request_run::send_end request_run::take_stream(const placement& place, connection& link) {
+send_outcome request_run::take_stream(const placement& place, connection& link) {
   connection_source source{link, [this] { return reply_deadline(); }, &watch_};
   const message_framing framing = reply_framing();
   body_decoder body{source, framing};
@@ -429,19 +427,19 @@
       relay_.parts_.endpoints.note_started(place);
     }
     if (!pass_events(whole))
-      return send_end::caller_left;
+      return send_outcome::caller_left;
   }
   if (body.state() == body_state::slow)
     return end_of(source.last());
   if (body.state() != body_state::whole || events_.inside_event())
-    return send_end::failed;
+    return send_outcome::failed;
   if (!stream_begun_ && !begin_stream_answer())
-    return send_end::caller_left;
+    return send_outcome::caller_left;
   reply_reusable_ = reusable(framing, link);
   if (in_.caller.write_all("0\r\n\r\n", now() + most_caller_write) != io_status::ok)
-    return send_end::caller_left;
+    return send_outcome::caller_left;
   log_end(reply_.status, "answered");
-  return send_end::answered;
+  return send_outcome::answered;
 }
 
 after_answer request_run::refuse(const error& reason) {
@@ -456,14 +454,12 @@
   return team_ != nullptr ? std::string_view{team_->name.str()} : std::string_view{};
 }
 
-void request_run::log_send(const placement& place, send_end end, time_ms began) {
-  static constexpr std::array names{"answered",  "not_run", "unreachable", "silent",     "failed",
-                                    "own_error", "stalled", "timed_out",   "caller_left"};
+void request_run::log_send(const placement& place, send_outcome end, time_ms began) {
   relay_.parts_.figures.add(metric::attempts, {service_});
   relay_.parts_.log.write(severity::info, "send_ended",
                           {terms_.id, team_name(), place.endpoint.str()},
                           {{log_field::attempt, sent_to_.size()},
-                           {log_field::kind, names.at(static_cast<std::size_t>(end))},
+                           {log_field::kind, name_of(end)},
                            {log_field::address, place.address},
                            {log_field::count, place.candidates},
                            {log_field::open, place.expected_open},
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -22,19 +22,6 @@
   [[nodiscard]] after_answer go();
 
  private:
-  /// How one send ended, and what may follow it.
-  enum class send_end {
-    answered,    ///< the caller has its answer
-    not_run,     ///< the endpoint refused it unrun
-    unreachable, ///< nothing was sent: the endpoint refused the connection
-    silent,      ///< nothing was sent: the endpoint did not answer
-    failed,      ///< it may have run
-    own_error,   ///< the endpoint answered with an error of its own, kept in `reply_`
-    stalled,     ///< nothing came for so long that another endpoint is the better bet
-    timed_out,
-    caller_left,
-  };
-
   void admit();
   void find_route();
   void find_team();
@@ -42,25 +29,27 @@
   void reserve_tokens();
   void settle_tokens() noexcept;
   [[nodiscard]] after_answer run_sends();
-  [[nodiscard]] send_end send_once();
-  [[nodiscard]] send_end exchange(const placement& place);
+  [[nodiscard]] send_outcome send_once();
+  [[nodiscard]] send_outcome exchange(const placement& place);
   [[nodiscard]] connect_result reach(const placement& place) const;
   /// \returns how long an endpoint may say nothing before the request goes elsewhere
   [[nodiscard]] time_ms patience_with_endpoint() const;
   /// \returns until when the next bytes of a reply are waited for
   [[nodiscard]] time_ms reply_deadline() const;
   [[nodiscard]] std::string endpoint_request(const placement& place);
-  [[nodiscard]] send_end read_reply(const placement& place, connection& link);
-  [[nodiscard]] send_end take_answer(const placement& place, connection& link);
-  [[nodiscard]] send_end take_stream(const placement& place, connection& link);
+  [[nodiscard]] send_outcome read_reply(const placement& place, connection& link);
+  [[nodiscard]] send_outcome take_answer(const placement& place, connection& link);
+  [[nodiscard]] send_outcome take_stream(const placement& place, connection& link);
   [[nodiscard]] bool pass_events(const std::string& events);
-  [[nodiscard]] send_end end_of(io_status status) const;
+  [[nodiscard]] send_outcome end_of(io_status status) const;
   [[nodiscard]] bool deliver_reply(const std::string& body);
+  /// \returns the header that the caller gets, without what tells the body's end
+  [[nodiscard]] response_head answer_head() const;
   [[nodiscard]] bool begin_stream_answer();
-  [[nodiscard]] bool may_go_on(send_end end);
+  [[nodiscard]] bool may_go_on(send_outcome end);
   /// \returns whether the rules of the route allow another send after a run that may have begun
   [[nodiscard]] bool may_run_again() const noexcept;
-  [[nodiscard]] after_answer give_up(send_end end);
+  [[nodiscard]] after_answer give_up(send_outcome end);
   [[nodiscard]] after_answer refuse(const error& reason);
   [[nodiscard]] message_framing reply_framing() const;
   /// \returns whether the endpoint's connection may carry another exchange after this reply.
@@ -71,7 +60,7 @@
     return in_.last_on_connection ? after_answer::close : after_answer::next_request;
   }
   [[nodiscard]] std::string_view team_name() const noexcept;
-  void log_send(const placement& place, send_end end, time_ms began);
+  void log_send(const placement& place, send_outcome end, time_ms began);
   void log_end(int status, std::string_view reason);
 
   request_relay& relay_;
