Sight: the log's last lines are written at the end; a request says where on its connection it came

Cause: the process ended while its queue still held the last lines, so that none of 18 stops of a rollout wrote stopped and no request that was cut left a line; and no line said on which connection a request came. Change: the log finishes before the process ends, within 150 ms, and what a reader did not take is counted on standard error; request_ended has on_connection and idle_ms; callers_closed says when a stopping host closed.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -129,6 +129,10 @@
   callers_->end_connections();
   sleep_for(std::min(balancer_notices, settings_.grace - kept_for_exit));
   callers_->close_idle();
+  log_.write(severity::info, "callers_closed", {},
+             {{log_field::count, callers_->connections()},
+              {log_field::open, relay_->open()},
+              {log_field::duration_ms, time_.now() - began}});
   while (relay_->open() > 0 && time_.now() < last)
     sleep_for(stop_look);
   budgets_->stop();
--- a/src/entry/program/main.cpp
+++ b/src/entry/program/main.cpp
@@ -5,7 +5,9 @@
 #include <absl/flags/usage.h>
 
 #include <malloc.h>
+#include <poll.h>
 #include <pthread.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -47,6 +49,9 @@
   return file;
 }
 
+// For a reader of the log that is slow; one that does not read at all costs no more than this.
+constexpr time_ms last_lines{150};
+
 settings_reading read_settings(const std::string& file) {
   std::ifstream in{file};
   if (!in)
@@ -87,6 +92,13 @@
   }
 }
 
+// Standard error may be the same pipe that nobody reads; then nothing can be told.
+void tell_unwritten(std::uint64_t lines) {
+  pollfd out{STDERR_FILENO, POLLOUT, 0};
+  if (lines > 0 && ::poll(&out, 1, 0) > 0 && (out.revents & POLLOUT) != 0)
+    std::cerr << "sedgechute-entry: " << lines << " lines of the log were not written\n";
+}
+
 int check() {
   const std::string file = settings_file();
   const settings_reading reading = read_settings(file);
@@ -119,7 +131,7 @@
   self.start();
   wait_for_stop(signals, file, log);
   self.stop();
-  std::cout.flush();
+  tell_unwritten(log.finish(last_lines));
   std::_Exit(exit_ok); // callers that outlast the grace still hold threads
 }
 
--- a/src/relay/impl/front_door.cpp
+++ b/src/relay/impl/front_door.cpp
@@ -38,7 +38,11 @@
       socket().setNoDelay(true);
       guard_against_silence(socket());
       connection link{socket(), door_.time_};
-      while (wait_for_request(link) && serve_one(link)) {
+      time_ms since = door_.time_.now();
+      for (std::size_t number = 1; wait_for_request(link); ++number) {
+        if (!serve_one(link, number, door_.time_.now() - since))
+          break;
+        since = door_.time_.now();
       }
     } catch (const std::exception& failure) {
       door_.log_.write(severity::warning, "caller_connection_failed", {},
@@ -61,7 +65,7 @@
   }
 
   /// \returns whether another request may follow
-  [[nodiscard]] bool serve_one(connection& link) const {
+  [[nodiscard]] bool serve_one(connection& link, std::size_t number, time_ms idle) const {
     const caller_limits limits = door_.limits_();
     const time_ms received = door_.time_.now();
     try {
@@ -76,7 +80,8 @@
         return false;
       const message_framing framing =
           check_request_header(text, {most_fields, limits.header_bytes});
-      incoming_request request{parse_request_head(text), {}, received, link, door_.ending_};
+      incoming_request request{
+          parse_request_head(text), {}, received, link, door_.ending_, number, idle};
       read_body(link, framing, limits, request);
       return finish(link, door_.relay_.serve(request));
     } catch (const error& reason) {
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -24,6 +24,8 @@
   time_ms received; ///< when its first byte was read
   connection& caller;
   bool last_on_connection{false}; ///< the answer says that the connection is closed behind it
+  std::size_t on_connection{1};   ///< 1 for the first request of its connection
+  time_ms idle{};                 ///< how long the connection had waited for it
 };
 
 /// \brief What may follow an answer on its caller's connection.
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -498,6 +498,8 @@
        {log_field::tokens, reserved_},
        {log_field::used, tokens_used()},
        {log_field::count, events_.events()},
+       {log_field::on_connection, in_.on_connection},
+       {log_field::idle_ms, in_.idle},
        {log_field::first_event_ms, first_event_ ? (*first_event_ - in_.received).count() : -1},
        {log_field::duration_ms, now() - in_.received}});
 }
--- a/src/telemetry/impl/line_queue.cpp
+++ b/src/telemetry/impl/line_queue.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::chrono::seconds last_words{1}; // for the queue to empty at the end
+constexpr time_ms last_words{1000}; // for the queue to empty at the end
 
 // Lines are gathered for so long and written together: a wake-up and a write for each would cost a
 // busy host a tenth of its processor. A killed host loses the lines of that time.
@@ -24,6 +24,7 @@
   std::mutex mutex;
   std::condition_variable changed;
   std::deque<std::string> lines;
+  std::size_t being_written{0}; ///< lines, beside those that are queued
   std::uint64_t dropped{0};
   bool stopping{false};
   bool ended{false};
@@ -37,20 +38,31 @@
 }
 
 line_queue::~line_queue() {
+  (void)finish(last_words);
+}
+
+// The thread may stand in a write that never returns; then it is left behind, and so are its lines.
+std::uint64_t line_queue::finish(time_ms most) noexcept {
   std::unique_lock lock{state_->mutex};
   state_->stopping = true;
   state_->changed.notify_all();
-  const bool ended = state_->changed.wait_for(lock, last_words, [this] { return state_->ended; });
+  const bool ended = state_->changed.wait_for(lock, std::chrono::milliseconds{most.count()},
+                                              [this] { return state_->ended; });
+  const std::uint64_t unwritten =
+      std::exchange(state_->dropped, 0) + state_->lines.size() + state_->being_written;
   lock.unlock();
+  if (!thread_.joinable())
+    return unwritten;
   if (ended)
     thread_.join();
   else
     thread_.detach();
+  return unwritten;
 }
 
 bool line_queue::push(std::string line) {
   const std::scoped_lock lock{state_->mutex};
-  if (state_->lines.size() >= state_->most_lines) {
+  if (state_->stopping || state_->lines.size() >= state_->most_lines) {
     ++state_->dropped;
     return false;
   }
@@ -87,9 +99,11 @@
     if (!state->stopping)
       state->changed.wait_for(lock, gather, [&] { return state->stopping; });
     const std::deque<std::string> batch = std::exchange(state->lines, {});
+    state->being_written = batch.size();
     lock.unlock();
     write_together(batch, state->write);
     lock.lock();
+    state->being_written = 0;
   }
   state->ended = true;
   state->changed.notify_all();
--- a/src/telemetry/impl/line_queue.hpp
+++ b/src/telemetry/impl/line_queue.hpp
@@ -24,7 +24,7 @@
   line_queue(std::size_t most_lines, writer write);
   line_queue(const line_queue&) = delete;
   line_queue& operator=(const line_queue&) = delete;
-  /// \brief Writes what is queued, if the reader takes it within a second.
+  /// \brief Finishes, and gives a reader that does not read a second.
   ~line_queue();
 
   /// \returns false when the line was dropped
@@ -32,6 +32,11 @@
   /// \returns lines dropped since the last call
   [[nodiscard]] std::uint64_t take_dropped();
 
+  /// \brief Takes no more lines, and waits until those that are queued have been written.
+  /// \param most  to wait for a reader that does not read
+  /// \returns lines that were dropped or not written, and have not been told of
+  std::uint64_t finish(time_ms most) noexcept;
+
  private:
   struct shared_state;
   static void run(const std::shared_ptr<shared_state>& state);
--- a/src/telemetry/impl/structured_log.cpp
+++ b/src/telemetry/impl/structured_log.cpp
@@ -107,6 +107,10 @@
   put(level, log_line(wall_time(), level, options_.host, event, subject, details, *before));
 }
 
+std::uint64_t structured_log::finish(time_ms most) noexcept {
+  return sink_->queue ? sink_->queue->finish(most) : 0;
+}
+
 void structured_log::put(severity level, std::string line) {
   if (!sink_->queue) {
     sink_->logger.forcedLog(level_of(level), line);
--- a/src/telemetry/impl/structured_log.hpp
+++ b/src/telemetry/impl/structured_log.hpp
@@ -29,10 +29,12 @@
   first_event_ms,
   free,
   granted,
+  idle_ms,
   kind,
   missing_tokens,
   model,
   offset,
+  on_connection,
   open,
   path,
   peer,
@@ -95,6 +97,12 @@
   void write(severity level, std::string_view event, const log_subject& subject = {},
              std::initializer_list<log_value> details = {});
 
+  /// \brief Writes what is queued, and takes no more lines. Whoever ends the process without
+  /// unwinding calls it last: the newest lines tell most, and lie in the queue.
+  /// \param most  to wait for a reader that does not read
+  /// \returns lines that no reader got and no line counts
+  std::uint64_t finish(time_ms most) noexcept;
+
   /// \returns how many lines were suppressed so far
   [[nodiscard]] std::uint64_t suppressed() const;
 
@@ -138,22 +146,39 @@
 
 template <>
 struct enum_names<log_field> {
-  static constexpr auto entries = enum_table<log_field>(
-      {{log_field::address, "address"},   {log_field::age_ms, "age_ms"},
-       {log_field::attempt, "attempt"},   {log_field::bytes, "bytes"},
-       {log_field::count, "count"},       {log_field::data_centre, "data_centre"},
-       {log_field::document, "document"}, {log_field::duration_ms, "duration_ms"},
-       {log_field::epoch, "epoch"},       {log_field::first_event_ms, "first_event_ms"},
-       {log_field::free, "free"},         {log_field::granted, "granted"},
-       {log_field::kind, "kind"},         {log_field::missing_tokens, "missing_tokens"},
-       {log_field::model, "model"},       {log_field::offset, "offset"},
-       {log_field::open, "open"},         {log_field::path, "path"},
-       {log_field::peer, "peer"},         {log_field::pool, "pool"},
-       {log_field::reason, "reason"},     {log_field::revision, "revision"},
-       {log_field::service, "service"},   {log_field::stage, "stage"},
-       {log_field::status, "status"},     {log_field::rate, "rate"},
-       {log_field::tokens, "tokens"},     {log_field::unread_tokens, "unread_tokens"},
-       {log_field::used, "used"},         {log_field::version, "version"}});
+  static constexpr auto entries =
+      enum_table<log_field>({{log_field::address, "address"},
+                             {log_field::age_ms, "age_ms"},
+                             {log_field::attempt, "attempt"},
+                             {log_field::bytes, "bytes"},
+                             {log_field::count, "count"},
+                             {log_field::data_centre, "data_centre"},
+                             {log_field::document, "document"},
+                             {log_field::duration_ms, "duration_ms"},
+                             {log_field::epoch, "epoch"},
+                             {log_field::first_event_ms, "first_event_ms"},
+                             {log_field::free, "free"},
+                             {log_field::granted, "granted"},
+                             {log_field::idle_ms, "idle_ms"},
+                             {log_field::kind, "kind"},
+                             {log_field::missing_tokens, "missing_tokens"},
+                             {log_field::model, "model"},
+                             {log_field::offset, "offset"},
+                             {log_field::on_connection, "on_connection"},
+                             {log_field::open, "open"},
+                             {log_field::path, "path"},
+                             {log_field::peer, "peer"},
+                             {log_field::pool, "pool"},
+                             {log_field::reason, "reason"},
+                             {log_field::revision, "revision"},
+                             {log_field::service, "service"},
+                             {log_field::stage, "stage"},
+                             {log_field::status, "status"},
+                             {log_field::rate, "rate"},
+                             {log_field::tokens, "tokens"},
+                             {log_field::unread_tokens, "unread_tokens"},
+                             {log_field::used, "used"},
+                             {log_field::version, "version"}});
 };
 
 } // namespace sedgechute
--- a/tests/telemetry/line_queue_test.cpp
+++ b/tests/telemetry/line_queue_test.cpp
@@ -54,3 +54,29 @@
   CHECK(dropped <= 17);
   reader.set_value();
 }
+
+// A process that stops ends without unwinding, since callers may still hold its threads. Its last
+// lines say why a request was cut, and they are the ones that lie in the queue.
+TEST_CASE("a queue that finishes has written every line it took, and takes no more") {
+  std::string written;
+  line_queue queue{10, [&](const std::string& lines) { written += lines + "\n"; }};
+  for (int i = 0; i < 5; ++i)
+    CHECK(queue.push(std::to_string(i)));
+  CHECK(queue.finish(time_ms{2000}) == 0);
+  CHECK(written == "0\n1\n2\n3\n4\n");
+  CHECK_FALSE(queue.push("late"));
+  CHECK(queue.finish(time_ms{2000}) == 1);
+  CHECK(written == "0\n1\n2\n3\n4\n");
+}
+
+// Whoever reads the log has stopped reading, and the process must end within its grace all the
+// same. What was not written is told by its number.
+TEST_CASE("a queue whose reader does not read finishes in time and counts what it leaves") {
+  std::promise<void> reader;
+  auto reading = std::make_shared<std::shared_future<void>>(reader.get_future().share());
+  line_queue queue{3, [reading](const std::string&) { reading->wait(); }};
+  for (int i = 0; i < 20; ++i)
+    queue.push("line");
+  CHECK(queue.finish(time_ms{20}) == 20);
+  reader.set_value();
+}
