A test of requests on kept connections of a stopping host, which fails

Cause: what comes on a connection that waits for its caller's next request is taken for up to a second after the host has closed, and nobody asks whether it can end within the grace.

--- /dev/null
+++ b/tests/entry/entry_program.cpp
@@ -0,0 +1,93 @@
+#include "entry_program.hpp"
+
+#include <Poco/File.h>
+#include <Poco/TemporaryFile.h>
+
+#include <chrono>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+namespace sedgechute {
+
+namespace {
+
+constexpr std::string_view configuration =
+    R"({"Version":2,"Routes":[)"
+    R"({"Name":"safe","Hostname":"f","PathPrefix":"/safe/","Type":"safe","TimeoutMs":2000,)"
+    R"("LatencyTargetMs":200,"MaxAttempts":2,"Service":"s"},)"
+    R"({"Name":"unsafe","Hostname":"f","PathPrefix":"/unsafe/","Type":"unsafe",)"
+    R"("TimeoutMs":2000,"LatencyTargetMs":200,"MaxAttempts":2,"Service":"s"},)"
+    R"({"Name":"once","Hostname":"f","PathPrefix":"/once/","Type":"streaming","TimeoutMs":9000,)"
+    R"("LatencyTargetMs":200,"InterTokenMs":3000,"MaxAttempts":1,"Service":"s"},)"
+    R"({"Name":"stream","Hostname":"f","PathPrefix":"/stream/","Type":"streaming",)"
+    R"("TimeoutMs":9000,"LatencyTargetMs":200,"InterTokenMs":3000,"MaxAttempts":2,)"
+    R"("Resumable":true,"Service":"s"}],"Services":[{"Name":"s","MaxConnections":900,)"
+    R"("Runtime":{"Slots":16,"KvCapacityTokens":90000,"Stride":5}}],)"
+    R"("Tenants":[{"Name":"t","ApiKeys":["k"],"Prepaid":1000000}]})";
+
+std::string loopback() {
+  return "127.0.0.1:" + std::to_string(fleet_test::free_port());
+}
+
+} // namespace
+
+entry_program::entry_program(const std::string& settings)
+    : folder_{Poco::TemporaryFile::tempName()}, callers_{loopback()}, status_{loopback()},
+      store_{standin::topic_store_options{}} {
+  Poco::File{folder_}.createDirectories();
+  store_.put("keyed.op", "config", std::string{configuration});
+  std::ofstream file{folder_ + "/settings.json"};
+  file << R"({"host":"h0","data_centre":"dc","callers":")" << callers_ << R"(","peers":")"
+       << loopback() << R"(","status":")" << status_ << R"(","store":")"
+       << store_.server().address().toString()
+       << R"(","retry_ratio":0.2,"retry_slack":50,"retry_window_s":10,)" << settings << "}";
+  file.close();
+  program_ = std::make_unique<fleet_test::process>(
+      std::string{SEDGECHUTE_PROGRAMS} + "/sedgechute-entry",
+      std::vector<std::string>{"--settings", folder_ + "/settings.json"}, folder_ + "/output");
+}
+
+entry_program::~entry_program() {
+  program_.reset();
+  Poco::File{folder_}.remove(true);
+}
+
+void entry_program::add_endpoint(const std::string& id, const std::string& address) {
+  store_.put("keyed.servers", id,
+             R"({"Service":"s","Address":")" + address +
+                 R"(","Zone":"dc","Slots":16,"State":"ready"})");
+}
+
+bool entry_program::ready() const {
+  const steady_clock time;
+  const time_ms until = time.now() + time_ms{10000};
+  while (time.now() < until) {
+    const auto link = connect_to(status_, time_ms{300}, time).link;
+    std::string head;
+    if (link &&
+        link->write_all("GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n", until) == io_status::ok &&
+        link->read_head(head, 4096, until) == io_status::ok && head.starts_with("HTTP/1.1 200"))
+      return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds{20});
+  }
+  return false;
+}
+
+std::string entry_program::output() const {
+  std::ifstream file{folder_ + "/output"};
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::string entry_request(const std::string& route, const std::string& attempt) {
+  const bool streamed = route == "once" || route == "stream";
+  std::string text = "POST /" + route + "/ HTTP/1.1\r\nHost: f\r\nAttempt-Id: " + attempt +
+                     "\r\nAuthorization: Token k\r\nDeadline-Ms: 8000\r\n";
+  if (streamed)
+    text += "Model: m\r\nToken-Usage: 300,60\r\nPrefix-Hash: p:200,own:100\r\n";
+  return text + "Content-Length: 4\r\n\r\nbody";
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/tests/entry/entry_program.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "process.hpp"
+#include "scripted_endpoint.hpp"
+#include "standin/standin.hpp"
+
+#include <memory>
+#include <string>
+
+namespace sedgechute {
+
+/// \brief One host as a process, with a stand-in of the store that a test can write to.
+class entry_program {
+ public:
+  /// \param settings  more members of its settings, such as `"grace_s":4`
+  explicit entry_program(const std::string& settings);
+  entry_program(const entry_program&) = delete;
+  entry_program& operator=(const entry_program&) = delete;
+  ~entry_program();
+
+  /// \brief Lists an endpoint of the only service.
+  void add_endpoint(const std::string& id, const std::string& address);
+  /// \brief Waits until the host says that it is ready.
+  [[nodiscard]] bool ready() const;
+  void signal(int number) const { program_->signal(number); }
+  /// \returns its exit code; -1 when it does not end in time
+  [[nodiscard]] int wait(time_ms most) { return program_->wait(static_cast<int>(most.count())); }
+  [[nodiscard]] const std::string& callers() const noexcept { return callers_; }
+  [[nodiscard]] standin::topic_store& store() noexcept { return store_; }
+  /// \returns all that it has printed
+  [[nodiscard]] std::string output() const;
+
+ private:
+  std::string folder_;
+  std::string callers_;
+  std::string status_;
+  standin::topic_store store_;
+  std::unique_ptr<fleet_test::process> program_;
+};
+
+/// \returns the text of a request to one of the routes `safe`, `unsafe`, `once` and `stream`
+[[nodiscard]] std::string entry_request(const std::string& route, const std::string& attempt);
+
+} // namespace sedgechute
--- /dev/null
+++ b/tests/entry/planned_stop_test.cpp
@@ -0,0 +1,108 @@
+// A host is told to stop while callers go on using the connections that they have.
+
+#include "entry_program.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <csignal>
+#include <future>
+
+using namespace sedgechute;
+
+namespace {
+
+using then = scripted_reply::then;
+
+constexpr time_ms stream_length{1500};
+
+std::string attempt_of(const scripted_endpoint::seen_request& request) {
+  return *request.head.fields.find("Attempt-Id");
+}
+
+/// A stream whose second half comes late.
+scripted_reply long_stream(const scripted_endpoint::seen_request& request) {
+  return {stream_head(attempt_of(request)) + event_chunk(1), then::keep,
+          event_chunk(2) + "0\r\n\r\n", stream_length};
+}
+
+struct outcome {
+  int status{};
+  bool whole{};
+};
+
+/// One request on a connection that is open already.
+outcome ask(connection& link, const std::string& attempt) {
+  const steady_clock time;
+  const time_ms until = time.now() + time_ms{10000};
+  if (link.write_all(entry_request("once", attempt), until) != io_status::ok)
+    return {};
+  std::string text;
+  if (link.read_head(text, 8192, until) != io_status::ok)
+    return {};
+  const auto head = parse_response_head(text);
+  const std::uint64_t length = head->fields.number("Content-Length").value_or(0);
+  const auto whole = [&] {
+    return head->status == 200 ? link.buffered().ends_with("0\r\n\r\n")
+                               : link.buffered().size() == length;
+  };
+  while (!whole() && link.fill(until) == io_status::ok) {
+  }
+  const outcome ended{head->status, whole()};
+  link.consume(link.buffered().size());
+  return ended;
+}
+
+void sleep_for(time_ms span) {
+  std::this_thread::sleep_for(std::chrono::milliseconds{span.count()});
+}
+
+} // namespace
+
+// Callers saw streams break off in the middle of a planned restart. The host had stopped taking
+// callers 2.6 s after the signal, but a connection that waited for its caller's next request looked
+// at that only once a second: a request that came meanwhile was sent on, ran longer than was left
+// of the grace, and was cut when the process ended. In one rollout all of the 85 requests that
+// were taken after `callers_closed` had `on_connection` of 2 or more and an `idle_ms` that reached
+// back before it, up to 0.93 s later.
+TEST_CASE("a request on a kept connection of a stopping host is served whole or refused unrun") {
+  scripted_endpoint endpoint{long_stream};
+  entry_program host{R"("grace_s":4)"};
+  host.add_endpoint("e1", endpoint.address());
+  REQUIRE(host.ready());
+  const steady_clock time;
+  constexpr int callers = 17;
+  std::vector<std::unique_ptr<connection>> kept;
+  for (int i = 0; i < callers; ++i)
+    kept.push_back(connect_to(host.callers(), time_ms{1000}, time).link);
+  const auto all_ask = [&](const std::string& round, time_ms apart) {
+    std::vector<std::future<outcome>> asked;
+    for (int i = 0; i < callers; ++i) {
+      asked.push_back(std::async(std::launch::async, [&, i] {
+        return ask(*kept[static_cast<std::size_t>(i)], round + std::to_string(i));
+      }));
+      sleep_for(apart);
+    }
+    std::vector<outcome> ended;
+    for (auto& one : asked)
+      ended.push_back(one.get());
+    return ended;
+  };
+  for (const outcome& one : all_ask("before-", time_ms{0}))
+    REQUIRE(one.whole);
+  host.signal(SIGTERM);
+  const std::vector<outcome> during = all_ask("during-", time_ms{200});
+  CHECK(host.wait(time_ms{5000}) == 0);
+
+  std::size_t run = 0;
+  for (const outcome& one : during) {
+    // 0: the process had gone, or the connection was closed before the request was read
+    CHECK((one.whole || one.status == 0));
+    CHECK((one.status == 0 || one.status == 200 || one.status == 503));
+    run += one.status == 200 ? 1 : 0;
+  }
+  // What was refused or not read was sent to no endpoint.
+  CHECK(endpoint.seen().size() == callers + run);
+  CHECK(during.front().status == 200);
+  CHECK(host.output().find("\"event\":\"stopped\"") != std::string::npos);
+}
--- a/tests/relay/scripted_endpoint.cpp
+++ b/tests/relay/scripted_endpoint.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr time_ms longest_idle{20000};
-constexpr std::chrono::milliseconds pause_before_later{60};
 
 } // namespace
 
@@ -76,7 +75,7 @@
   const scripted_reply reply = answer_(request);
   (void)link.write_all(reply.bytes, time_.now() + longest_idle);
   if (!reply.later.empty()) {
-    std::this_thread::sleep_for(pause_before_later);
+    std::this_thread::sleep_for(std::chrono::milliseconds{reply.pause.count()});
     (void)link.write_all(reply.later, time_.now() + longest_idle);
   }
   if (reply.after == scripted_reply::then::hang) {
--- a/tests/relay/scripted_endpoint.hpp
+++ b/tests/relay/scripted_endpoint.hpp
@@ -18,6 +18,7 @@
   std::string bytes; ///< sent as they are
   enum class then { keep, close, reset, hang } after{then::keep};
   std::string later; ///< sent after a pause, before what comes after
+  time_ms pause{60};
 };
 
 /// \brief An endpoint on loopback that answers as a test says.
