A stopping host takes a request only if it can end in time, until the process is gone

Cause: connections that waited for their caller's next request learned of the close up to a second late, and nobody asked whether what came could end within the grace; waits were not ended by the stop, so that what was cut left no line. Class: a state looked at before a wait and used after it. Ruled out: connections that were accepted and not yet served (0 of 85 late requests). Change: one policy (routing/stop_policy) over the time since the signal. Within the notice a host takes what nine of ten of its kind end in time, later only what its own time limit ends before the cut; the rest is refused unrun. New connections are taken until the end, since a balancer with most of a data centre out of rotation uses all its hosts; idle ones are closed at the notice's end by a descriptor in their wait; at the cut every wait ends and its request is logged; tokens are handed back within 250 ms or left.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -17,12 +17,10 @@
 // Partitions of the accounts: appends to one are ordered, and wait for each other.
 constexpr unsigned account_partitions = 4;
 
-// The balancer looks once a second and takes a host out after two misses; only then do new
-// connections stop coming.
-constexpr time_ms balancer_notices{2600};
-// Kept back from the grace for the last words to the store and the end of the process.
-constexpr time_ms kept_for_exit{700};
-constexpr time_ms stop_look{20};
+// Parts of what is kept for the exit: for the last answers, and for tokens to be handed back.
+constexpr time_ms last_answers{100};
+constexpr time_ms last_exchange{250};
+constexpr time_ms stop_look{10};
 
 constexpr int listen_backlog = 512;
 
@@ -91,6 +89,7 @@
   options.retries.ratio = settings_.retry_ratio;
   options.retries.slack = settings_.retry_slack;
   options.retries.window = settings_.retry_window;
+  options.stop = settings_.stop;
   options.most_open = most_open_requests(settings_.processor_share);
   relay_ = std::make_unique<request_relay>(
       request_relay::parts{dialect_, endpoints_, *budgets_, time, log, figures_,
@@ -121,23 +120,31 @@
       {{log_field::address, settings_.callers}, {log_field::data_centre, settings_.data_centre}});
 }
 
+// New connections are taken until the end. The balancer sends some also when it knows better: in a
+// data centre with most of its hosts out of rotation it uses all of them.
 void entry_host::stop() {
-  const time_ms began = time_.now();
-  const time_ms last = began + settings_.grace - kept_for_exit;
-  log_.write(severity::info, "stopping", {}, {{log_field::count, relay_->open()}});
+  planned_stop& stop = relay_->stop();
+  stop.begin();
+  log_.write(severity::info, "stopping", {}, {{log_field::open, relay_->open()}});
   stopping_ = true;
-  callers_->end_connections();
-  sleep_for(std::min(balancer_notices, settings_.grace - kept_for_exit));
-  callers_->close_idle();
-  log_.write(severity::info, "callers_closed", {},
-             {{log_field::count, callers_->connections()},
-              {log_field::open, relay_->open()},
-              {log_field::duration_ms, time_.now() - began}});
-  while (relay_->open() > 0 && time_.now() < last)
+  while (!stop.notice_over())
     sleep_for(stop_look);
-  budgets_->stop();
+  stop.close_idle();
+  while (!stop.may_end(relay_->open()))
+    sleep_for(stop_look);
+  stop.end_taking();
+  while (relay_->open() > 0 && !stop.may_end(relay_->open()))
+    sleep_for(stop_look); // for what was taken in the last moment
+  const std::size_t cut = relay_->open();
+  stop.cut();
+  for (const time_ms until = time_.now() + last_answers;
+       callers_->busy() > 0 && time_.now() < until;)
+    sleep_for(stop_look);
+  const bool handed_back = budgets_->finish(last_exchange);
   log_.write(severity::info, "stopped", {},
-             {{log_field::count, relay_->open()}, {log_field::duration_ms, time_.now() - began}});
+             {{log_field::count, cut},
+              {log_field::kind, handed_back ? "tokens handed back" : "tokens kept: no log"},
+              {log_field::duration_ms, stop.since()}});
 }
 
 std::string entry_host::not_ready_reason() const {
--- a/src/entry/impl/entry_settings.cpp
+++ b/src/entry/impl/entry_settings.cpp
@@ -12,9 +12,10 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 11> known_names{
-    "host",    "data_centre", "callers",     "peers",          "status",         "store",
-    "grace_s", "retry_ratio", "retry_slack", "retry_window_s", "processor_share"};
+constexpr std::array<std::string_view, 13> known_names{
+    "host",        "data_centre",    "callers",        "peers",           "status",
+    "store",       "grace_s",        "notice_s",       "kept_for_exit_s", "retry_ratio",
+    "retry_slack", "retry_window_s", "processor_share"};
 constexpr double ms_a_second = 1000;
 
 class settings_reader {
@@ -66,6 +67,22 @@
   const json_node& node_;
 };
 
+// Of a short grace no more than so much is kept for the exit unless the settings say so.
+constexpr std::int64_t least_parts_of_grace = 4;
+
+// What is not given follows the grace, so that any grace has bounds that can be kept.
+stop_bounds read_stop(const std::string& where, const settings_reader& reader) {
+  stop_bounds stop;
+  stop.grace = reader.seconds("grace_s", stop.grace);
+  stop.kept_for_exit = reader.seconds(
+      "kept_for_exit_s",
+      std::min(stop.kept_for_exit, time_ms{stop.grace.count() / least_parts_of_grace}));
+  stop.notice = reader.seconds("notice_s", std::min(stop.notice, cut_after(stop)));
+  if (const auto fault = fault_of(stop))
+    throw error{error_kind::invalid_settings, where + " /grace_s", *fault};
+  return stop;
+}
+
 } // namespace
 
 // A machine that is cut off may be replaced by another of its name while its process goes on and
@@ -93,7 +110,7 @@
   read.peers = reader.address("peers");
   read.status = reader.address("status");
   read.store = reader.address("store");
-  read.grace = reader.seconds("grace_s", read.grace);
+  read.stop = read_stop(where, reader);
   read.retry_ratio = reader.number("retry_ratio", read.retry_ratio);
   read.retry_slack = static_cast<std::uint64_t>(reader.number("retry_slack", 0));
   read.retry_window = reader.seconds("retry_window_s", read.retry_window);
--- a/src/entry/impl/entry_settings.hpp
+++ b/src/entry/impl/entry_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kernel/kernel.hpp"
+#include "routing/impl/stop_policy.hpp"
 
 #include <cstdint>
 #include <string>
@@ -16,7 +17,7 @@
   std::string peers;            ///< `IP:port` for datagrams between entry hosts
   std::string status;           ///< `IP:port` of readiness and metrics
   std::string store;            ///< `IP:port` of the platform's store
-  time_ms grace{8000};          ///< between the signal to stop and the end by force
+  stop_bounds stop;             ///< spans from the signal to stop
   double retry_ratio{0.2};      ///< of the requests for a service
   std::uint64_t retry_slack{0}; ///< beyond it, for all hosts together
   time_ms retry_window{10000};
--- a/src/kernel/kernel.hpp
+++ b/src/kernel/kernel.hpp
@@ -11,6 +11,7 @@
 #include "kernel/impl/forward_declarations.hpp"
 #include "kernel/impl/hashing.hpp"
 #include "kernel/impl/identifier.hpp"
+#include "kernel/impl/latch_pipe.hpp"
 #include "kernel/impl/ordered_mutex.hpp"
 #include "kernel/impl/random.hpp"
 #include "kernel/impl/registry.hpp"
--- a/src/prepaid/impl/budget_desk.cpp
+++ b/src/prepaid/impl/budget_desk.cpp
@@ -60,6 +60,13 @@
     keeper_.join();
 }
 
+bool budget_desk::finish(time_ms most) noexcept {
+  std::unique_lock lock{mutex_};
+  stopping_ = true;
+  wake_.notify_all();
+  return cycled_.wait_for(lock, to_chrono(most), [this] { return handed_back_; });
+}
+
 void budget_desk::set_prepaid(std::map<std::string, std::uint64_t> prepaid) {
   const std::scoped_lock lock{mutex_};
   if (prepaid == prepaid_)
@@ -238,6 +245,9 @@
   lock.unlock();
   for (const auto& part : partitions_)
     try_exchange(*part, true);
+  lock.lock();
+  handed_back_ = true;
+  cycled_.notify_all();
 }
 
 void budget_desk::run_exchange(partition& part, std::unique_lock<ordered_mutex>& lock) {
--- a/src/prepaid/impl/budget_desk.hpp
+++ b/src/prepaid/impl/budget_desk.hpp
@@ -57,6 +57,9 @@
   void start();
   /// \brief Hands back what is not in use, as far as the log can be reached, and stops.
   void stop() noexcept;
+  /// \brief The same, for a process that ends soon: does not wait for a log that is away.
+  /// \returns whether it was done within `most`
+  [[nodiscard]] bool finish(time_ms most) noexcept;
 
   /// \brief What each team has paid for today. Teams that are not named have no budget to keep to.
   void set_prepaid(std::map<std::string, std::uint64_t> prepaid);
@@ -137,6 +140,7 @@
   std::optional<time_ms> cycle_began_; ///< of the exchange with the log that is under way
   bool reachable_{false};
   bool stopping_{false};
+  bool handed_back_{false};
   std::thread keeper_;
 };
 
--- a/src/relay/impl/connection.cpp
+++ b/src/relay/impl/connection.cpp
@@ -83,17 +83,22 @@
     const time_ms left = deadline - time_.now();
     if (left <= time_ms{0})
       return io_status::timed_out;
-    std::array<pollfd, 2> fds{};
+    std::array<pollfd, 3> fds{};
     fds[0] = {descriptor_, events, 0};
-    if (watch != nullptr)
+    if (watch != nullptr) {
       fds[1] = {watch->descriptor(), watch->events(), 0};
-    const int ready = ::poll(fds.data(), watch != nullptr ? 2 : 1, static_cast<int>(left.count()));
+      fds[2] = {watch->interrupt(), POLLIN, 0};
+    }
+    const nfds_t watched = watch != nullptr ? fds.size() : 1;
+    const int ready = ::poll(fds.data(), watched, static_cast<int>(left.count()));
     if (ready < 0 && errno != EINTR)
       return io_status::reset;
     if (ready <= 0)
       continue;
     if (watch != nullptr && fds[1].revents != 0 && watch->left(fds[1].revents))
       return io_status::caller_left;
+    if (fds[2].revents != 0)
+      return io_status::interrupted;
     if (fds[0].revents != 0)
       return io_status::ok;
   }
--- a/src/relay/impl/connection.hpp
+++ b/src/relay/impl/connection.hpp
@@ -18,6 +18,7 @@
   reset,       ///< the connection failed
   timed_out,   ///< nothing within the time given
   caller_left, ///< the caller that is being served closed its connection
+  interrupted, ///< the host stops
 };
 
 template <>
@@ -26,15 +27,21 @@
                                                          {io_status::ended, "ended"},
                                                          {io_status::reset, "reset"},
                                                          {io_status::timed_out, "timed_out"},
-                                                         {io_status::caller_left, "caller_left"}});
+                                                         {io_status::caller_left, "caller_left"},
+                                                         {io_status::interrupted, "interrupted"}});
 };
 
-/// \brief Tells whether the caller on a connection is still there, without reading its bytes.
+/// \brief Tells whether the caller on a connection is still there, without reading its bytes, and
+/// whether the host still serves it.
 class caller_watch {
  public:
-  explicit caller_watch(int descriptor) noexcept : descriptor_{descriptor} {}
+  /// \param descriptor  of the caller's connection; -1: only the host is watched
+  /// \param interrupt  readable once waits shall end; -1: they never do
+  explicit caller_watch(int descriptor, int interrupt = -1) noexcept
+      : descriptor_{descriptor}, interrupt_{interrupt} {}
 
   [[nodiscard]] int descriptor() const noexcept { return descriptor_; }
+  [[nodiscard]] int interrupt() const noexcept { return interrupt_; }
   /// \brief Events to poll for: once the caller has sent ahead, its bytes no longer wake us.
   [[nodiscard]] short events() const noexcept;
   /// \param seen  events that `poll` returned
@@ -44,6 +51,7 @@
 
  private:
   int descriptor_;
+  int interrupt_;
   bool sent_ahead_{false};
 };
 
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -214,6 +214,7 @@
                             now);
     return;
   case send_outcome::caller_left:
+  case send_outcome::host_stopped:
     return; // says nothing of the endpoint
   case send_outcome::not_run:
     break; // it is there, and full or leaving
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -56,6 +56,7 @@
   stalled,     ///< nothing came for so long that another endpoint is the better bet
   timed_out,   ///< the request's time was over
   caller_left,
+  host_stopped, ///< it may have run: this host ended the wait
 };
 
 template <>
@@ -69,7 +70,8 @@
                                 {send_outcome::own_error, "own_error"},
                                 {send_outcome::stalled, "stalled"},
                                 {send_outcome::timed_out, "timed_out"},
-                                {send_outcome::caller_left, "caller_left"}});
+                                {send_outcome::caller_left, "caller_left"},
+                                {send_outcome::host_stopped, "host_stopped"}});
 };
 
 /// \brief The endpoints of all services: who is there, how loaded, how sound. Thread-safe.
--- a/src/relay/impl/front_door.cpp
+++ b/src/relay/impl/front_door.cpp
@@ -40,7 +40,10 @@
       connection link{socket(), door_.time_};
       time_ms since = door_.time_.now();
       for (std::size_t number = 1; wait_for_request(link); ++number) {
-        if (!serve_one(link, number, door_.time_.now() - since))
+        ++door_.busy_;
+        const bool goes_on = serve_one(link, number, door_.time_.now() - since);
+        --door_.busy_;
+        if (!goes_on)
           break;
         since = door_.time_.now();
       }
@@ -57,7 +60,10 @@
       const time_ms now = door_.time_.now();
       if (now >= until || door_.closing_)
         return false;
-      const io_status status = link.fill(std::min(until, now + idle_look));
+      caller_watch watch{-1, door_.relay_.stop().idle_descriptor()};
+      const io_status status = link.fill(std::min(until, now + idle_look), &watch);
+      if (status == io_status::interrupted)
+        return !link.quiet();
       if (status != io_status::ok && status != io_status::timed_out)
         return false;
     }
@@ -80,8 +86,8 @@
         return false;
       const message_framing framing =
           check_request_header(text, {most_fields, limits.header_bytes});
-      incoming_request request{
-          parse_request_head(text), {}, received, link, door_.ending_, number, idle};
+      incoming_request request{parse_request_head(text),    {},     received, link,
+                               door_.relay_.stop().begun(), number, idle};
       read_body(link, framing, limits, request);
       return finish(link, door_.relay_.serve(request));
     } catch (const error& reason) {
@@ -162,7 +168,8 @@
 }
 
 front_door::~front_door() {
-  close_idle();
+  closing_ = true;
+  server_->stop();
   threads_.joinAll();
 }
 
@@ -170,9 +177,4 @@
   server_->start();
 }
 
-void front_door::close_idle() {
-  if (!closing_.exchange(true))
-    server_->stop();
-}
-
 } // namespace sedgechute
--- a/src/relay/impl/front_door.hpp
+++ b/src/relay/impl/front_door.hpp
@@ -28,12 +28,9 @@
   ~front_door();
 
   void start();
-  /// \brief Each answer from now on is the last of its connection.
-  void end_connections() noexcept { ending_ = true; }
-  /// \brief Takes no new connection, and closes those that are idle.
-  void close_idle();
-
   [[nodiscard]] std::size_t connections() const noexcept { return connections_; }
+  /// \returns connections with a request that is being read or served.
+  [[nodiscard]] std::size_t busy() const noexcept { return busy_; }
 
  private:
   friend class caller_connection;
@@ -46,7 +43,7 @@
   structured_log& log_;
   Poco::ThreadPool threads_;
   std::atomic<std::size_t> connections_{0};
-  std::atomic<bool> ending_{false};
+  std::atomic<std::size_t> busy_{0};
   std::atomic<bool> closing_{false};
   std::unique_ptr<Poco::Net::TCPServer> server_;
 };
--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -6,7 +6,7 @@
 
 request_relay::request_relay(parts joined, const relay_options& options)
     : parts_{std::move(joined)}, options_{options},
-      connections_{parts_.time}, repeats_{options.retries} {}
+      connections_{parts_.time}, stop_{options.stop, parts_.time}, repeats_{options.retries} {}
 
 after_answer request_relay::serve(incoming_request& request) {
   request_run run{*this, request};
@@ -24,6 +24,18 @@
   repeats_.note_request(service, parts_.time.now());
 }
 
+void request_relay::note_length(const std::string& kind, time_ms length) {
+  const std::scoped_lock lock{mutex_};
+  lengths_.note(kind, length);
+}
+
+// Before some requests of a kind have ended nothing is known of it, and it is taken.
+run_forecast request_relay::forecast(const std::string& kind, time_ms most) const {
+  constexpr std::size_t likely_percent = 90;
+  const std::scoped_lock lock{mutex_};
+  return {std::min(lengths_.within(kind, likely_percent).value_or(time_ms{0}), most), most};
+}
+
 std::string refusal_text(const wire_dialect& dialect, const error& reason,
                          const std::string& attempt, bool last_on_connection) {
   const error_answer& answer = answer_for(reason.kind());
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -6,8 +6,10 @@
 #include "relay/impl/endpoint_directory.hpp"
 #include "relay/impl/fleet_config.hpp"
 #include "relay/impl/message_head.hpp"
+#include "relay/impl/planned_stop.hpp"
 #include "relay/impl/retry_allowance.hpp"
 #include "relay/impl/wire_dialect.hpp"
+#include "routing/impl/run_lengths.hpp"
 #include "telemetry/telemetry.hpp"
 
 #include <atomic>
@@ -37,6 +39,7 @@
 
 struct relay_options {
   retry_bounds retries;
+  stop_bounds stop;
   time_ms connect_timeout{300}; ///< to an endpoint; a data centre is at most some ms away
   /// Connections idle for longer are not used again: endpoints close them, and a request that
   /// crosses the close may have run as far as we can tell.
@@ -47,6 +50,7 @@
   /// of them late, and loses them all when it is killed.
   std::size_t most_open{600};
   time_ms overload_retry_after{400}; ///< told to callers beyond that; another host may have room
+  time_ms stop_retry_after{50};      ///< told while this host stops; another one has room
   time_ms budget_retry_after{700};   ///< told when tokens lie with other hosts
   /// Of an endpoint whose request may not be run again; its connection fails long before when the
   /// endpoint or the way to it is gone.
@@ -76,18 +80,24 @@
 
   /// \returns requests that are being served.
   [[nodiscard]] std::size_t open() const noexcept { return open_; }
+  [[nodiscard]] planned_stop& stop() noexcept { return stop_; }
 
  private:
   friend class request_run;
 
   [[nodiscard]] bool may_repeat(const std::string& service);
   void note_first_send(const std::string& service);
+  void note_length(const std::string& kind, time_ms length);
+  /// \param most  that the request may take
+  [[nodiscard]] run_forecast forecast(const std::string& kind, time_ms most) const;
 
   parts parts_;
   relay_options options_;
   connection_pool connections_;
-  ordered_mutex mutex_{lock_rank::requests};
+  planned_stop stop_;
+  mutable ordered_mutex mutex_{lock_rank::requests};
   retry_allowance repeats_;
+  run_lengths lengths_;
   std::atomic<std::size_t> open_{0};
 };
 
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -55,7 +55,8 @@
 } // namespace
 
 request_run::request_run(request_relay& relay, incoming_request& in)
-    : relay_{relay}, in_{in}, watch_{in.caller.descriptor()} {
+    : relay_{relay}, in_{in}, watch_{in.caller.descriptor(), relay.stop_.cut_descriptor()},
+      stop_watch_{-1, relay.stop_.cut_descriptor()} {
   ++relay_.open_;
 }
 
@@ -89,6 +90,19 @@
   choose_service();
   const time_ms patience = terms_.patience.value_or(default_patience);
   deadline_ = in_.received + std::min(patience, route_->timeout);
+  check_time_left();
+}
+
+// A connection that its caller keeps brings requests until the process is gone.
+void request_run::check_time_left() const {
+  if (!relay_.stop_.begun())
+    return;
+  const run_forecast run = relay_.forecast(route_->name, deadline_ - now());
+  if (!relay_.stop_.may_take(run))
+    throw error{error_kind::stopping, "host",
+                "too little of its grace is left for a run of up to " +
+                    std::to_string(run.surely.count()) + " ms",
+                relay_.options_.stop_retry_after};
 }
 
 void request_run::find_route() {
@@ -153,6 +167,13 @@
   return terms_.generation->prompt_tokens + events_.events() * event_tokens_;
 }
 
+// The header of a stream may have gone before the signal to stop, without a word of the
+// connection's end. Its caller's next request would come here all the same, and be refused.
+after_answer request_run::done() const noexcept {
+  return in_.last_on_connection || relay_.stop_.begun() ? after_answer::close
+                                                        : after_answer::next_request;
+}
+
 bool request_run::runs_once() const noexcept {
   return route_->kind == request_kind::unsafe ||
          (route_->kind == request_kind::stream && !route_->resumable);
@@ -190,7 +211,8 @@
 }
 
 bool request_run::may_go_on(send_outcome end) {
-  if (caller_failed_ || end == send_outcome::caller_left || end == send_outcome::timed_out)
+  if (caller_failed_ || end == send_outcome::caller_left || end == send_outcome::timed_out ||
+      end == send_outcome::host_stopped)
     return false;
   if (end == send_outcome::unreachable || end == send_outcome::silent)
     return ++unreachable_ < most_unreachable;
@@ -209,7 +231,7 @@
     return after_answer::abort;
   }
   if (stream_begun_) {
-    log_end(reply_.status, "stream_cut");
+    log_end(reply_.status, end == send_outcome::host_stopped ? "cut_by_stop" : "stream_cut");
     return after_answer::abort;
   }
   if (end == send_outcome::own_error) {
@@ -218,6 +240,8 @@
     log_end(reply_.status, "endpoint_error");
     return done();
   }
+  if (end == send_outcome::host_stopped)
+    return refuse({error_kind::outcome_unknown, "host", "it stops, and the request may have run"});
   if (!may_have_run_) {
     const error_kind kind =
         end == send_outcome::timed_out ? error_kind::deadline_unreachable : error_kind::no_capacity;
@@ -300,6 +324,8 @@
 send_outcome request_run::end_of(io_status status) const {
   if (status == io_status::caller_left)
     return send_outcome::caller_left;
+  if (status == io_status::interrupted)
+    return send_outcome::host_stopped;
   if (status != io_status::timed_out)
     return send_outcome::failed;
   return now() < deadline_ ? send_outcome::stalled : send_outcome::timed_out;
@@ -380,6 +406,7 @@
   first_event_ = now();
   if (!deliver_reply(bytes))
     return send_outcome::caller_left;
+  relay_.note_length(route_->name, now() - in_.received);
   log_end(reply_.status, "answered");
   return send_outcome::answered;
 }
@@ -396,8 +423,12 @@
 bool request_run::deliver_reply(const std::string& body) {
   response_head head = answer_head();
   head.fields.set("Content-Length", std::to_string(body.size()));
+  return write_to_caller(to_text(head) + body);
+}
+
+bool request_run::write_to_caller(std::string_view bytes) {
   const time_ms until = now() + most_caller_write;
-  caller_failed_ = in_.caller.write_all(to_text(head) + body, until) != io_status::ok;
+  caller_failed_ = in_.caller.write_all(bytes, until, &stop_watch_) != io_status::ok;
   return !caller_failed_;
 }
 
@@ -405,8 +436,7 @@
   response_head head = answer_head();
   head.fields.set("Transfer-Encoding", "chunked");
   stream_begun_ = true;
-  caller_failed_ = in_.caller.write_all(to_text(head), now() + most_caller_write) != io_status::ok;
-  return !caller_failed_;
+  return write_to_caller(to_text(head));
 }
 
 bool request_run::pass_events(const std::string& events) {
@@ -416,9 +446,7 @@
     first_event_ = now();
   if (!stream_begun_ && !begin_stream_answer())
     return false;
-  caller_failed_ =
-      in_.caller.write_all(chunk_of(events), now() + most_caller_write) != io_status::ok;
-  return !caller_failed_;
+  return write_to_caller(chunk_of(events));
 }
 
 send_outcome request_run::take_stream(const placement& place, connection& link) {
@@ -445,8 +473,9 @@
   if (!stream_begun_ && !begin_stream_answer())
     return send_outcome::caller_left;
   reply_reusable_ = reusable(framing, link);
-  if (in_.caller.write_all("0\r\n\r\n", now() + most_caller_write) != io_status::ok)
+  if (!write_to_caller("0\r\n\r\n"))
     return send_outcome::caller_left;
+  relay_.note_length(route_->name, now() - in_.received);
   log_end(reply_.status, "answered");
   return send_outcome::answered;
 }
@@ -455,8 +484,7 @@
   const std::string text =
       refusal_text(relay_.parts_.dialect, reason, terms_.id, in_.last_on_connection);
   log_end(answer_for(reason.kind()).http_status, reason.what());
-  const bool written = in_.caller.write_all(text, now() + most_caller_write) == io_status::ok;
-  return written ? done() : after_answer::abort;
+  return write_to_caller(text) ? done() : after_answer::abort;
 }
 
 std::string_view request_run::team_name() const noexcept {
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -26,6 +26,8 @@
   void find_route();
   void find_team();
   void choose_service();
+  /// \throws error when this host stops before the request can have come to its end
+  void check_time_left() const;
   void reserve_tokens();
   void settle_tokens() noexcept;
   /// \returns of its team's budget
@@ -45,6 +47,8 @@
   [[nodiscard]] bool pass_events(const std::string& events);
   [[nodiscard]] send_outcome end_of(io_status status) const;
   [[nodiscard]] bool deliver_reply(const std::string& body);
+  /// \returns false when the caller has failed, or reads nothing
+  [[nodiscard]] bool write_to_caller(std::string_view bytes);
   /// \returns the header that the caller gets, without what tells the body's end
   [[nodiscard]] response_head answer_head() const;
   [[nodiscard]] bool begin_stream_answer();
@@ -58,9 +62,7 @@
   [[nodiscard]] bool reusable(const message_framing& framing, connection& link) const;
   [[nodiscard]] bool runs_once() const noexcept;
   [[nodiscard]] time_ms now() const noexcept { return relay_.parts_.time.now(); }
-  [[nodiscard]] after_answer done() const noexcept {
-    return in_.last_on_connection ? after_answer::close : after_answer::next_request;
-  }
+  [[nodiscard]] after_answer done() const noexcept;
   [[nodiscard]] std::string_view team_name() const noexcept;
   void log_send(const placement& place, send_outcome end, time_ms began);
   void log_end(int status, std::string_view reason);
@@ -68,6 +70,7 @@
   request_relay& relay_;
   incoming_request& in_;
   caller_watch watch_;
+  caller_watch stop_watch_; ///< for waits on the caller itself
   config_ptr config_;
   request_terms terms_;
   const route* route_{nullptr};
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -19,6 +19,7 @@
 #include "relay/impl/load_exchange.hpp"
 #include "relay/impl/message_head.hpp"
 #include "relay/impl/peer_channel.hpp"
+#include "relay/impl/planned_stop.hpp"
 #include "relay/impl/prompt_starts.hpp"
 #include "relay/impl/reach_watch.hpp"
 #include "relay/impl/request_relay.hpp"
--- /dev/null
+++ b/src/routing/impl/run_lengths.cpp
@@ -0,0 +1,43 @@
+#include "routing/impl/run_lengths.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace sedgechute {
+
+namespace {
+
+// Fewer say too little about the longest.
+constexpr std::size_t least_noted = 8;
+
+// Configurations add and drop kinds; beyond so many all are learned anew.
+constexpr std::size_t most_kinds = 512;
+
+constexpr std::size_t whole = 100;
+
+} // namespace
+
+void run_lengths::note(const std::string& kind, time_ms length) {
+  if (kinds_.size() >= most_kinds && !kinds_.contains(kind))
+    kinds_.clear();
+  ring& of = kinds_[kind];
+  constexpr std::int64_t longest = std::numeric_limits<std::uint32_t>::max();
+  of.lengths[of.noted % kept] =
+      static_cast<std::uint32_t>(std::clamp<std::int64_t>(length.count(), 0, longest));
+  ++of.noted;
+}
+
+std::optional<time_ms> run_lengths::within(const std::string& kind, std::size_t percent) const {
+  const auto at = kinds_.find(kind);
+  if (at == kinds_.end() || at->second.noted < least_noted)
+    return std::nullopt;
+  std::array<std::uint32_t, kept> sorted = at->second.lengths;
+  const std::size_t count = std::min(at->second.noted, kept);
+  const auto end = sorted.begin() + static_cast<std::ptrdiff_t>(count);
+  const std::size_t rank_of = std::min(count * percent / whole, count - 1);
+  const auto rank = sorted.begin() + static_cast<std::ptrdiff_t>(rank_of);
+  std::nth_element(sorted.begin(), rank, end);
+  return time_ms{*rank};
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/routing/impl/run_lengths.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "kernel/kernel.hpp"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace sedgechute {
+
+/// \brief How long requests took of late, by kind. Not thread-safe.
+class run_lengths {
+ public:
+  void note(const std::string& kind, time_ms length);
+  /// \returns the length that `percent` of 100 of the last requests kept to; nothing before there
+  /// are enough
+  [[nodiscard]] std::optional<time_ms> within(const std::string& kind, std::size_t percent) const;
+
+ private:
+  // Some seconds of one kind at one host; the longest of fewer would often be a stray one.
+  static constexpr std::size_t kept = 64;
+  struct ring {
+    std::array<std::uint32_t, kept> lengths{}; ///< ms
+    std::size_t noted{0};
+  };
+
+  std::unordered_map<std::string, ring> kinds_;
+};
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/routing/impl/stop_policy.cpp
@@ -0,0 +1,38 @@
+#include "routing/impl/stop_policy.hpp"
+
+#include <algorithm>
+
+namespace sedgechute {
+
+time_ms cut_after(const stop_bounds& bounds) noexcept {
+  return std::max(bounds.grace - bounds.kept_for_exit, time_ms{0});
+}
+
+// A request that cannot end in time would be cut in the middle of its answer; refused unrun, its
+// caller gets the whole answer from another host, if that one does not stop as well. Within the
+// notice callers had no choice, and many come: what likely ends in time is taken. Whoever comes
+// later could have gone elsewhere, and is taken only if the answer is sure to be whole.
+bool may_take(const stop_bounds& bounds, time_ms since, const run_forecast& run) noexcept {
+  return since + (since < bounds.notice ? run.likely : run.surely) <= cut_after(bounds);
+}
+
+// Until the notice is over callers are sent here although others have room. Later they come only
+// when the balancer knows no better host; then whatever ends in time is better served than refused.
+bool may_end(const stop_bounds& bounds, time_ms since, std::size_t open) noexcept {
+  const time_ms cut = cut_after(bounds);
+  return since >= cut || (open == 0 && since >= bounds.notice);
+}
+
+std::optional<std::string> fault_of(const stop_bounds& bounds) {
+  if (bounds.kept_for_exit >= bounds.grace)
+    return "the grace of " + std::to_string(bounds.grace.count()) +
+           " ms leaves no time to requests: " + std::to_string(bounds.kept_for_exit.count()) +
+           " ms of it are kept for the exit";
+  if (bounds.notice > cut_after(bounds))
+    return "the notice of " + std::to_string(bounds.notice.count()) +
+           " ms is longer than requests may run: " + std::to_string(cut_after(bounds).count()) +
+           " ms from the signal";
+  return std::nullopt;
+}
+
+} // namespace sedgechute
--- a/tests/entry/entry_settings_test.cpp
+++ b/tests/entry/entry_settings_test.cpp
@@ -21,7 +21,7 @@
 TEST_CASE("settings are read, and names that mean nothing are reported") {
   const settings_reading reading = parse_entry_settings("file", good);
   CHECK(reading.settings.host == "h");
-  CHECK(reading.settings.grace == time_ms{8000});
+  CHECK(reading.settings.stop.grace == time_ms{8000});
   CHECK(reading.settings.retry_slack == 58);
   CHECK(reading.settings.processor_share == 1);
   REQUIRE(reading.unknown.size() == 1);
@@ -51,6 +51,38 @@
   CHECK_THROWS_AS((void)parse_entry_settings("file", address), error);
 }
 
+TEST_CASE("what a stop is bound by follows the grace where it is not given") {
+  const auto stop_of = [](const std::string& settings) {
+    std::string text = good;
+    return parse_entry_settings("file", text.replace(text.find(R"("grace_s":8)"), 11, settings))
+        .settings.stop;
+  };
+  CHECK(stop_of(R"("grace_s":8)").notice == time_ms{2600});
+  CHECK(stop_of(R"("grace_s":8)").kept_for_exit == time_ms{500});
+  CHECK(stop_of(R"("grace_s":1)").kept_for_exit == time_ms{250});
+  CHECK(stop_of(R"("grace_s":1)").notice == time_ms{750});
+  CHECK(stop_of(R"("grace_s":9,"notice_s":1,"kept_for_exit_s":2)").notice == time_ms{1000});
+}
+
+TEST_CASE("spans of a stop that contradict each other are refused with file, path and reason") {
+  const std::vector<std::pair<std::string, std::string>> wrong{
+      {R"("grace_s":2,"kept_for_exit_s":2)", "kept for the exit"},
+      {R"("grace_s":0)", "leaves no time"},
+      {R"("grace_s":4,"notice_s":3.6)", "notice"}};
+  for (const auto& [settings, reason] : wrong) {
+    std::string text = good;
+    text.replace(text.find(R"("grace_s":8)"), 11, settings);
+    try {
+      (void)parse_entry_settings("file", text);
+      FAIL("accepted: " << settings);
+    } catch (const error& fault) {
+      CHECK(fault.kind() == error_kind::invalid_settings);
+      CHECK(fault.where() == "file /grace_s");
+      CHECK(fault.why().find(reason) != std::string::npos);
+    }
+  }
+}
+
 // A machine is cut off and another takes its name, at another address. The first goes on serving
 // from the tokens it was granted: the other must not take its accounts for those of an earlier
 // life.
