Stops with a slow store and with a log that nobody reads end in time: tests, and a line at the notice's end

Each fails with its guard taken out: handing tokens back without a bound outlasts the grace of 4 s, and so does waiting for the log's reader without one.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -130,6 +130,8 @@
   while (!stop.notice_over())
     sleep_for(stop_look);
   stop.close_idle();
+  log_.write(severity::info, "notice_over", {},
+             {{log_field::count, callers_->connections()}, {log_field::open, relay_->open()}});
   while (!stop.may_end(relay_->open()))
     sleep_for(stop_look);
   stop.end_taking();
--- a/tests/entry/entry_program.cpp
+++ b/tests/entry/entry_program.cpp
@@ -3,6 +3,12 @@
 #include <Poco/File.h>
 #include <Poco/TemporaryFile.h>
 
+#include <doctest/doctest.h>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
 #include <chrono>
 #include <fstream>
 #include <sstream>
@@ -26,13 +32,15 @@
     R"("Runtime":{"Slots":16,"KvCapacityTokens":90000,"Stride":5}}],)"
     R"("Tenants":[{"Name":"t","ApiKeys":["k"],"Prepaid":1000000}]})";
 
+constexpr int smallest_pipe = 4096; // bytes; filled by some ten lines
+
 std::string loopback() {
   return "127.0.0.1:" + std::to_string(fleet_test::free_port());
 }
 
 } // namespace
 
-entry_program::entry_program(const std::string& settings)
+entry_program::entry_program(const std::string& settings, log_reader reader)
     : folder_{Poco::TemporaryFile::tempName()}, callers_{loopback()}, status_{loopback()},
       store_{standin::topic_store_options{}} {
   Poco::File{folder_}.createDirectories();
@@ -43,13 +51,21 @@
        << store_.server().address().toString()
        << R"(","retry_ratio":0.2,"retry_slack":50,"retry_window_s":10,)" << settings << "}";
   file.close();
+  const std::string printed = folder_ + "/output";
+  if (reader == log_reader::never_reads) {
+    REQUIRE(::mkfifo(printed.c_str(), S_IRUSR | S_IWUSR) == 0);
+    unread_ = ::open(printed.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+    REQUIRE(::fcntl(unread_, F_SETPIPE_SZ, smallest_pipe) > 0);
+  }
   program_ = std::make_unique<fleet_test::process>(
       std::string{SEDGECHUTE_PROGRAMS} + "/sedgechute-entry",
-      std::vector<std::string>{"--settings", folder_ + "/settings.json"}, folder_ + "/output");
+      std::vector<std::string>{"--settings", folder_ + "/settings.json"}, printed);
 }
 
 entry_program::~entry_program() {
   program_.reset();
+  if (unread_ >= 0)
+    ::close(unread_);
   Poco::File{folder_}.remove(true);
 }
 
--- a/tests/entry/entry_program.hpp
+++ b/tests/entry/entry_program.hpp
@@ -9,11 +9,14 @@
 
 namespace sedgechute {
 
+/// \brief Whether somebody reads what a program prints.
+enum class log_reader { reads, never_reads };
+
 /// \brief One host as a process, with a stand-in of the store that a test can write to.
 class entry_program {
  public:
   /// \param settings  more members of its settings, such as `"grace_s":4`
-  explicit entry_program(const std::string& settings);
+  explicit entry_program(const std::string& settings, log_reader reader = log_reader::reads);
   entry_program(const entry_program&) = delete;
   entry_program& operator=(const entry_program&) = delete;
   ~entry_program();
@@ -27,7 +30,7 @@
   [[nodiscard]] int wait(time_ms most) { return program_->wait(static_cast<int>(most.count())); }
   [[nodiscard]] const std::string& callers() const noexcept { return callers_; }
   [[nodiscard]] standin::topic_store& store() noexcept { return store_; }
-  /// \returns all that it has printed
+  /// \returns all that it has printed; only where somebody reads it
   [[nodiscard]] std::string output() const;
 
  private:
@@ -35,6 +38,7 @@
   std::string callers_;
   std::string status_;
   standin::topic_store store_;
+  int unread_{-1}; ///< reading end of a pipe that nobody empties
   std::unique_ptr<fleet_test::process> program_;
 };
 
--- a/tests/entry/planned_stop_test.cpp
+++ b/tests/entry/planned_stop_test.cpp
@@ -106,3 +106,46 @@
   CHECK(during.front().status == 200);
   CHECK(host.output().find("\"event\":\"stopped\"") != std::string::npos);
 }
+
+// The store answers within seconds, when the host is told to stop. Handing tokens back to it took
+// each of its partitions a time-out, the grace was over, and the process was killed before its log
+// was written.
+TEST_CASE("a stop does not wait for a slow store") {
+  scripted_endpoint endpoint{long_stream};
+  entry_program host{R"("grace_s":4)"};
+  host.add_endpoint("e1", endpoint.address());
+  REQUIRE(host.ready());
+  const steady_clock time;
+  const auto link = connect_to(host.callers(), time_ms{1000}, time).link;
+  REQUIRE(ask(*link, "id-1").whole);
+  Poco::JSON::Object slow;
+  slow.set("late_ms", 3000);
+  host.store().server().board().merge(slow);
+  host.signal(SIGTERM);
+  CHECK(host.wait(time_ms{4000}) == 0);
+  CHECK(host.output().find("tokens kept") != std::string::npos);
+}
+
+// Whoever collects the log has stopped reading, and the pipe is full. The host serves on, and its
+// stop ends in time all the same.
+TEST_CASE("a stop does not wait for a log that nobody reads") {
+  scripted_endpoint endpoint{[](const auto& request) {
+    return scripted_reply{whole_answer(attempt_of(request), "x"), then::keep, ""};
+  }};
+  entry_program host{R"("grace_s":4)", log_reader::never_reads};
+  host.add_endpoint("e1", endpoint.address());
+  REQUIRE(host.ready());
+  const steady_clock time;
+  const auto link = connect_to(host.callers(), time_ms{1000}, time).link;
+  constexpr int fills_a_pipe = 40; // requests; each is told in two lines of some 300 bytes
+  for (int i = 0; i < fills_a_pipe; ++i) {
+    const time_ms until = time.now() + time_ms{3000};
+    REQUIRE(link->write_all(entry_request("safe", "id-" + std::to_string(i)), until) ==
+            io_status::ok);
+    while (!link->buffered().ends_with("\r\n\r\nx"))
+      REQUIRE(link->fill(until) == io_status::ok);
+    link->consume(link->buffered().size());
+  }
+  host.signal(SIGTERM);
+  CHECK(host.wait(time_ms{4000}) == 0);
+}
