Soak: callers keep their connections; a run of planned work only, in which nothing may be lost

Cause: the soak opened a connection for each request, so no request ever came on a kept connection of a stopping host. Signals are blocked first of all, so that one that comes during the start is a stop.

--- a/bench/soak/main.cpp
+++ b/bench/soak/main.cpp
@@ -14,6 +14,8 @@
 ABSL_FLAG(int, runs, 1, "so many seeds, one after the other");
 ABSL_FLAG(int, seconds, 8, "how long faults are injected in one run");
 ABSL_FLAG(int, hosts, 4, "entry hosts");
+ABSL_FLAG(int, callers, 10, "callers at a time");
+ABSL_FLAG(bool, planned, false, "only planned work: stops, changes, endpoints that leave");
 ABSL_FLAG(std::string, folder, "/tmp/sedgechute-soak", "for settings and logs; one folder a seed");
 // NOLINTEND(readability-identifier-naming)
 
@@ -45,6 +47,8 @@
 bool run_seed(std::uint64_t seed, const std::string& programs) {
   soak_shape shape;
   shape.hosts = absl::GetFlag(FLAGS_hosts);
+  shape.callers = absl::GetFlag(FLAGS_callers);
+  shape.kind = absl::GetFlag(FLAGS_planned) ? soak_kind::planned_work : soak_kind::faults;
   shape.programs = programs;
   shape.folder = absl::GetFlag(FLAGS_folder) + "/" + std::to_string(seed);
   std::filesystem::create_directories(shape.folder);
@@ -54,7 +58,7 @@
   const auto end =
       std::chrono::steady_clock::now() + std::chrono::seconds{absl::GetFlag(FLAGS_seconds)};
   while (std::chrono::steady_clock::now() < end) {
-    world.inject_fault();
+    world.inject();
     sleep_ms(static_cast<int>(30 + pace.below(350)));
   }
   world.heal();
--- a/bench/soak/promises.cpp
+++ b/bench/soak/promises.cpp
@@ -47,6 +47,13 @@
   outcomes_.push_back(got);
 }
 
+void promises::note_stop(int code) {
+  const std::scoped_lock lock{mutex_};
+  ++stops_;
+  if (code != 0)
+    bad_stops_.push_back(code);
+}
+
 std::vector<std::string> promises::broken() const {
   const std::scoped_lock lock{mutex_};
   std::vector<std::string> found;
@@ -55,8 +62,13 @@
   for (const auto& [attempt, runs] : runs_)
     if (runs.run_once && runs.runs > 1)
       found.push_back(attempt + " ran " + std::to_string(runs.runs) + " times");
+  for (const int code : bad_stops_)
+    found.push_back(code < 0 ? "a stop outlasted its grace"
+                             : "a stop ended with code " + std::to_string(code));
   for (const outcome& got : outcomes_) {
     const bool ran = runs_.contains(got.attempt);
+    if (only_planned_ && ran && !got.whole && !got.left)
+      found.push_back(got.attempt + " was lost with status " + std::to_string(got.status));
     if (says_not_run(got.status) && ran)
       found.push_back(got.attempt + " was called unrun with " + std::to_string(got.status));
     if (succeeded(got.status) && got.whole && !got.right)
@@ -79,7 +91,8 @@
   text << outcomes_.size() << " requests";
   for (const auto& [status, count] : by_status)
     text << ", " << status << ": " << count;
-  text << ", cut: " << cut << "; " << spent_ << " of " << paid_ << " tokens";
+  text << ", cut: " << cut << ", stops: " << stops_ << "; " << spent_ << " of " << paid_
+       << " tokens";
   return text.str();
 }
 
--- a/bench/soak/promises.hpp
+++ b/bench/soak/promises.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -24,8 +25,15 @@
     int status{}; ///< 0: the connection ended without an answer
     bool whole{}; ///< the answer ended as a complete one does
     bool right{}; ///< what came belongs to this attempt, in order
+    bool left{};  ///< the caller gave up
   };
   void note_outcome(const outcome& got);
+  /// \brief A host was told to stop and ended by itself.
+  /// \param code  its exit code; -1 when it had to be killed after its grace
+  void note_stop(int code);
+  /// \brief From now on only planned work happens: every request that an engine ran and whose
+  /// caller waited has a whole answer.
+  void only_planned_work() noexcept { only_planned_ = true; }
 
   /// \returns what was broken; empty when nothing was
   [[nodiscard]] std::vector<std::string> broken() const;
@@ -44,6 +52,9 @@
   std::vector<outcome> outcomes_;
   std::uint64_t spent_{0};
   std::uint64_t paid_{0};
+  std::vector<int> bad_stops_; ///< exit codes
+  int stops_{0};
+  std::atomic<bool> only_planned_{false};
   std::uint64_t most_above_{0}; ///< tokens spent above what was paid then
 };
 
--- a/bench/soak/soak_world.cpp
+++ b/bench/soak/soak_world.cpp
@@ -2,8 +2,10 @@
 
 #include <Poco/JSON/Object.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -19,6 +21,8 @@
 constexpr int events = 8;
 constexpr int first_events = 3; // sent before the pause
 constexpr time_ms patience{2500};
+constexpr time_ms grace{4000};
+constexpr std::uint64_t longest_pause_ms = 400; // in a stream; a longer one looks like a stall
 constexpr int moods = 6;
 
 void sleep_ms(int span) {
@@ -57,6 +61,10 @@
 
 soak_world::soak_world(const soak_shape& shape, std::uint64_t seed)
     : shape_{shape}, random_{seed}, store_{standin::topic_store_options{}} {
+  if (shape_.kind == soak_kind::planned_work) {
+    kept_.only_planned_work();
+    paid_ = 4000000;
+  }
   publish();
   for (int i = 0; i < shape_.engines; ++i) {
     auto made = std::make_unique<engine>();
@@ -78,7 +86,8 @@
     file << R"({"host":"h)" << i << R"(","data_centre":"dc","callers":")" << made->callers
          << R"(","peers":")" << loopback(fleet_test::free_port()) << R"(","status":")"
          << loopback(fleet_test::free_port()) << R"(","store":")" << made->store->address()
-         << R"(","grace_s":4,"retry_ratio":0.2,"retry_slack":50,"retry_window_s":10})";
+         << R"(","grace_s":)" << grace.count() / 1000
+         << R"(,"retry_ratio":0.2,"retry_slack":50,"retry_window_s":10})";
     file.close();
     start_host(*made);
     hosts_.push_back(std::move(made));
@@ -101,11 +110,17 @@
   callers_.clear();
 }
 
+std::string soak_world::output_of(const host& of) {
+  return of.output + "-" + std::to_string(of.lives) + ".log";
+}
+
 void soak_world::start_host(host& of) {
+  ++of.lives;
   of.program = std::make_unique<fleet_test::process>(
       shape_.programs + "/sedgechute-entry", std::vector<std::string>{"--settings", of.settings},
-      of.output + "-" + std::to_string(++of.lives) + ".log");
+      output_of(of));
   of.frozen = false;
+  of.stop_sent.reset();
 }
 
 void soak_world::thaw(host& of) {
@@ -165,22 +180,33 @@
     return {stream_head(attempt) + event_chunks(attempt, begin, pause) + "20\r\nid: 9", then::reset,
             ""};
   return {stream_head(attempt) + event_chunks(attempt, begin, pause), then::keep,
-          event_chunks(attempt, pause + 1, events) + "0\r\n\r\n"};
+          event_chunks(attempt, pause + 1, events) + "0\r\n\r\n",
+          time_ms{static_cast<std::int64_t>(stable_hash(attempt) % longest_pause_ms)}};
 }
 
 void soak_world::call_forever(std::uint64_t seed) {
-  random_source random{seed};
+  caller by{seed};
   while (!stopping_) {
     const std::string attempt = "a" + std::to_string(++attempts_);
-    (void)call(random, attempt);
-    sleep_ms(static_cast<int>(10 + random.below(60)));
+    (void)call(by, attempt);
+    sleep_ms(static_cast<int>(10 + by.random.below(60)));
   }
 }
 
-int soak_world::call(random_source& random, const std::string& attempt) {
-  static const steady_clock time;
-  const host& at = *hosts_[random.below(hosts_.size())];
-  const std::uint64_t kind = random.below(4);
+// Most callers go on using the connection that they have until its other end closes it.
+connection* soak_world::connection_to(caller& by, std::size_t number) {
+  by.kept.resize(hosts_.size());
+  std::unique_ptr<connection>& link = by.kept[number];
+  if (link && (by.random.below(5) == 0 || !link->quiet()))
+    link.reset();
+  if (!link)
+    link = connect_to(hosts_[number]->callers, time_ms{300}, time_).link;
+  return link.get();
+}
+
+namespace {
+
+std::string request_text(std::uint64_t kind, const std::string& attempt, random_source& random) {
   static constexpr std::array prefixes{"/safe/", "/unsafe/", "/once/", "/stream/"};
   std::string text =
       std::string{kind == 0 ? "GET " : "POST "} + prefixes.at(kind) +
@@ -190,21 +216,27 @@
     text += "Model: m\r\nToken-Usage: " + std::to_string(prompt_tokens) + "," +
             std::to_string(most_output_tokens) + "\r\nPrefix-Hash: p" +
             std::to_string(random.below(5)) + ":200,own:100\r\n";
-  text += kind == 0 ? "\r\n" : "Content-Length: 4\r\n\r\nbody";
-  const bool leaves = random.below(20) == 0;
-  std::string answer;
-  if (const auto link = connect_to(at.callers, time_ms{300}, time).link) {
-    const time_ms until = time.now() + (leaves ? time_ms{50} : patience + time_ms{1000});
-    io_status status = link->write_all(text, until);
-    const auto ended = [&] {
-      return link->buffered().ends_with("0\r\n\r\n") ||
-             (kind < 2 && link->buffered().ends_with("\r\n\r\n" + attempt)) ||
-             link->buffered().ends_with("}\n");
-    };
-    while (status == io_status::ok && !ended())
-      status = link->fill(until);
-    answer = link->buffered();
-  }
+  return text + (kind == 0 ? "\r\n" : "Content-Length: 4\r\n\r\nbody");
+}
+
+/// \returns the bytes that came, up to the end of the answer
+std::string exchange(connection& link, std::uint64_t kind, const std::string& attempt,
+                     const std::string& request, time_ms until) {
+  io_status status = link.write_all(request, until);
+  const auto ended = [&] {
+    return link.buffered().ends_with("0\r\n\r\n") ||
+           (kind < 2 && link.buffered().ends_with("\r\n\r\n" + attempt)) ||
+           link.buffered().ends_with("}\n");
+  };
+  while (status == io_status::ok && !ended())
+    status = link.fill(until);
+  std::string answer{link.buffered()};
+  link.consume(answer.size());
+  return answer;
+}
+
+promises::outcome outcome_of(std::uint64_t kind, const std::string& attempt,
+                             const std::string& answer, int in_order) {
   promises::outcome got;
   got.attempt = attempt;
   const std::size_t head_end = answer.find("\r\n\r\n");
@@ -212,19 +244,94 @@
                         ? std::nullopt
                         : parse_response_head(std::string_view{answer}.substr(0, head_end + 4));
   got.status = head ? head->status : 0;
-  const int in_order = kind >= 2 ? events_in_order(answer, attempt) : 0;
-  got.whole = kind >= 2 ? answer.ends_with("0\r\n\r\n") : head.has_value();
+  const bool stream = kind >= 2 && got.status == 200;
+  got.whole = stream ? answer.ends_with("0\r\n\r\n") : head.has_value();
   got.right = kind >= 2 ? in_order == events : answer.ends_with("\r\n\r\n" + attempt);
   if (in_order < 0) {
     got.whole = true; // out of order is wrong however it ends
     got.right = false;
   }
+  return got;
+}
+
+} // namespace
+
+int soak_world::call(caller& by, const std::string& attempt) {
+  const std::size_t at = by.random.below(hosts_.size());
+  const std::uint64_t kind = by.random.below(4);
+  const std::string request = request_text(kind, attempt, by.random);
+  const bool leaves = by.random.below(20) == 0;
+  std::string answer;
+  if (connection* const link = connection_to(by, at)) {
+    const time_ms until = time_.now() + (leaves ? time_ms{50} : patience + time_ms{1000});
+    answer = exchange(*link, kind, attempt, request, until);
+  }
+  const int in_order = kind >= 2 ? events_in_order(answer, attempt) : 0;
+  promises::outcome got = outcome_of(kind, attempt, answer, in_order);
+  got.left = leaves;
+  if (!got.whole || !got.right || answer.find("Connection: close\r\n") != std::string::npos)
+    by.kept[at].reset();
   if (in_order > 0)
     kept_.note_delivered(static_cast<std::uint64_t>(in_order) * event_tokens);
   kept_.note_outcome(got);
   return got.whole && got.right ? got.status : 0;
 }
 
+void soak_world::inject() {
+  replace_ended();
+  if (shape_.kind == soak_kind::planned_work)
+    do_planned_work();
+  else
+    inject_fault();
+}
+
+void soak_world::stop_host(host& of) {
+  if (!of.stop_sent)
+    of.stop_sent = time_.now();
+  of.program->signal(SIGTERM);
+}
+
+void soak_world::replace_ended() {
+  for (auto& one : hosts_) {
+    if (!one->stop_sent)
+      continue;
+    const int code = one->program->wait(0);
+    const bool outlasted = time_.now() - *one->stop_sent > grace + time_ms{1000};
+    if (code < 0 && (!outlasted || one->frozen))
+      continue;
+    // A signal that comes before the program has begun ends it at once; nothing ran there yet.
+    const bool begun = std::filesystem::file_size(output_of(*one)) > 0;
+    if (shape_.kind == soak_kind::planned_work && begun)
+      kept_.note_stop(code);
+    one->program->crash();
+    start_host(*one);
+  }
+}
+
+// Rollouts in series that overlap each other, with changes of everything else at the same time.
+void soak_world::do_planned_work() {
+  host& at = *hosts_[random_.below(hosts_.size())];
+  const auto serving =
+      std::count_if(hosts_.begin(), hosts_.end(), [](const auto& one) { return !one->stop_sent; });
+  switch (random_.below(6)) {
+  case 0:
+  case 1:
+  case 2:
+    if (serving > 1 || at.stop_sent) // a second signal to one that stops is part of it
+      stop_host(at);
+    return;
+  case 3:
+    if (!at.stop_sent)
+      at.program->signal(SIGHUP);
+    return;
+  case 4:
+    return list_engine(*engines_[random_.below(engines_.size() - 1)], random_.below(2) == 0);
+  default:
+    paid_ += random_.below(20000);
+    return publish();
+  }
+}
+
 void soak_world::inject_fault() {
   host& at = *hosts_[random_.below(hosts_.size())];
   engine& on = *engines_[random_.below(engines_.size())];
@@ -236,13 +343,9 @@
     at.program->crash();
     return start_host(at);
   case 1:
-    thaw(at);
-    at.program->signal(SIGTERM);
-    return;
   case 2:
-    (void)at.program->wait(0);
-    at.program->crash();
-    return start_host(at);
+    thaw(at);
+    return stop_host(at);
   case 3:
     at.program->signal(SIGSTOP);
     at.frozen = true;
@@ -282,6 +385,8 @@
 }
 
 void soak_world::heal() {
+  if (shape_.kind == soak_kind::planned_work)
+    return end_planned_work();
   store_.refuse(0);
   Poco::JSON::Object calm;
   calm.set("lose_answers", 0);
@@ -302,11 +407,21 @@
   }
 }
 
+void soak_world::end_planned_work() {
+  const auto stops = [](const auto& one) { return one->stop_sent.has_value(); };
+  while (std::any_of(hosts_.begin(), hosts_.end(), stops)) {
+    sleep_ms(100);
+    replace_ended();
+  }
+  for (auto& one : engines_)
+    list_engine(*one, false);
+}
+
 double soak_world::served_now(int tries) {
-  random_source random{random_()};
+  caller by{random_()};
   int served = 0;
   for (int i = 0; i < tries; ++i) {
-    const int status = call(random, "r" + std::to_string(++attempts_));
+    const int status = call(by, "r" + std::to_string(++attempts_));
     served += status >= 200 && status < 300 ? 1 : 0;
   }
   return static_cast<double>(served) / tries;
--- a/src/entry/program/main.cpp
+++ b/src/entry/program/main.cpp
@@ -116,9 +116,9 @@
 }
 
 int run() {
+  const sigset_t signals = block_signals();
   const std::string file = settings_file();
   const settings_reading reading = read_settings(file);
-  const sigset_t signals = block_signals();
   structured_log log{{.host = reading.settings.host,
                       .file = {},
                       .to_standard_output = true,
--- a/tests/soak/promises_test.cpp
+++ b/tests/soak/promises_test.cpp
@@ -57,6 +57,27 @@
   CHECK(kept.broken().size() == 2);
 }
 
+TEST_CASE("with only planned work, what ran and was not answered whole is found") {
+  promises kept;
+  kept.only_planned_work();
+  kept.note_run("a", true, 0);
+  kept.note_outcome({"a", 200, false, false});
+  kept.note_run("b", true, 0);
+  kept.note_outcome({"b", 0, false, false});
+  kept.note_outcome({"c", 0, false, false}); // never sent on
+  kept.note_run("d", true, 0);
+  kept.note_outcome({"d", 0, false, false, true}); // its caller left
+  CHECK(kept.broken().size() == 2);
+}
+
+TEST_CASE("a stop that outlasts its grace, or ends in error, is found") {
+  promises kept;
+  kept.note_stop(0);
+  kept.note_stop(-1);
+  kept.note_stop(134);
+  CHECK(kept.broken().size() == 2);
+}
+
 TEST_CASE("an answer that was cut and looks so breaks nothing") {
   promises kept;
   kept.note_run("a", true, 0);
