A request's run is split by what it does

- send_rules: whether another send is allowed, how long an endpoint may say nothing, what the caller gets in the end; pure functions over a route and a send_progress
- endpoint_exchange: one request on one connection to an endpoint
- caller_answer: what the caller will get and what it has

--- /dev/null
+++ b/src/relay/impl/caller_answer.cpp
@@ -0,0 +1,78 @@
+#include "relay/impl/caller_answer.hpp"
+
+#include <array>
+#include <cstdio>
+
+namespace sedgechute {
+
+namespace {
+
+constexpr time_ms most_caller_write{10000}; // a caller that reads nothing for so long has gone
+
+std::string chunk_of(std::string_view bytes) {
+  std::array<char, 20> size{};
+  const int length = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  std::string chunk{size.data(), static_cast<std::size_t>(length)};
+  chunk.append(bytes).append("\r\n");
+  return chunk;
+}
+
+} // namespace
+
+caller_answer::caller_answer(connection& caller, int stop_descriptor, bool last_on_connection)
+    : caller_{caller}, stop_watch_{-1, stop_descriptor}, last_on_connection_{last_on_connection} {}
+
+void caller_answer::take_head(const response_head& head) {
+  if (!stream_begun_)
+    head_ = head;
+}
+
+void caller_answer::note_ready() {
+  if (!first_ready_)
+    first_ready_ = caller_.time().now();
+}
+
+response_head caller_answer::answer_head() const {
+  response_head head = head_;
+  head.fields.remove_hop_by_hop();
+  head.fields.remove("Content-Length");
+  if (last_on_connection_)
+    head.fields.set("Connection", "close");
+  return head;
+}
+
+bool caller_answer::write(std::string_view bytes) {
+  const time_ms until = caller_.time().now() + most_caller_write;
+  caller_failed_ = caller_.write_all(bytes, until, &stop_watch_) != io_status::ok;
+  return !caller_failed_;
+}
+
+bool caller_answer::deliver(const std::string& body) {
+  response_head head = answer_head();
+  head.fields.set("Content-Length", std::to_string(body.size()));
+  return write(to_text(head) + body);
+}
+
+bool caller_answer::begin_stream() {
+  response_head head = answer_head();
+  head.fields.set("Transfer-Encoding", "chunked");
+  stream_begun_ = true;
+  return write(to_text(head));
+}
+
+bool caller_answer::pass_events(const std::string& events) {
+  if (events.empty())
+    return true;
+  note_ready();
+  if (!stream_begun_ && !begin_stream())
+    return false;
+  return write(chunk_of(events));
+}
+
+bool caller_answer::end_stream() {
+  if (!stream_begun_ && !begin_stream())
+    return false;
+  return write("0\r\n\r\n");
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/relay/impl/caller_answer.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "relay/impl/connection.hpp"
+#include "relay/impl/event_splitter.hpp"
+#include "relay/impl/message_head.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sedgechute {
+
+/// \brief The answer to one caller: what it will get, and what it has. A stream may come from
+/// several runs; the caller sees one header and each event once.
+class caller_answer {
+ public:
+  /// \param stop_descriptor  readable once the host waits for callers no longer
+  /// \param last_on_connection  the answer says that the connection is closed behind it
+  caller_answer(connection& caller, int stop_descriptor, bool last_on_connection);
+
+  /// \brief The header of a run. A stream keeps that of its first run.
+  void take_head(const response_head& head);
+  /// \brief Keeps the body of an endpoint's error, for the case that no other endpoint answers.
+  void keep_body(std::string body) { kept_body_ = std::move(body); }
+
+  // All that write return false when the caller has failed, or reads nothing.
+  [[nodiscard]] bool deliver(const std::string& body);
+  [[nodiscard]] bool deliver_kept() { return deliver(kept_body_); }
+  [[nodiscard]] bool pass_events(const std::string& events);
+  [[nodiscard]] bool end_stream();
+  [[nodiscard]] bool write(std::string_view bytes);
+
+  [[nodiscard]] event_splitter& events() noexcept { return events_; }
+  [[nodiscard]] const event_splitter& events() const noexcept { return events_; }
+  [[nodiscard]] int status() const noexcept { return head_.status; }
+  [[nodiscard]] bool stream_begun() const noexcept { return stream_begun_; }
+  [[nodiscard]] bool caller_failed() const noexcept { return caller_failed_; }
+  /// \returns when the first event, or the answer, was ready for the caller
+  [[nodiscard]] std::optional<time_ms> first_ready() const noexcept { return first_ready_; }
+  void note_ready();
+
+ private:
+  /// \returns the header that the caller gets, without what tells the body's end
+  [[nodiscard]] response_head answer_head() const;
+  [[nodiscard]] bool begin_stream();
+
+  connection& caller_;
+  caller_watch stop_watch_;
+  bool last_on_connection_;
+  response_head head_;
+  std::string kept_body_;
+  event_splitter events_;
+  bool stream_begun_{false};
+  bool caller_failed_{false};
+  std::optional<time_ms> first_ready_;
+};
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -0,0 +1,190 @@
+#include "relay/impl/endpoint_exchange.hpp"
+
+#include "relay/impl/connection_source.hpp"
+#include "relay/impl/send_rules.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace sedgechute {
+
+namespace {
+
+constexpr std::size_t read_block = 16 * 1024;
+
+bool is_promise_of_no_run(int status) noexcept {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+bool is_success(int status) noexcept {
+  return status >= 200 && status < 300;
+}
+
+bool is_reusable(const response_head& reply, connection& link) {
+  const std::string* field = reply.fields.find("Connection");
+  const bool closes = field != nullptr && equal_without_case(*field, "close");
+  return reply_framing(reply).body != body_framing::until_close && !closes && !reply.old_version &&
+         link.quiet();
+}
+
+} // namespace
+
+std::string endpoint_request(const request_head& head, const std::string& body,
+                             const admitted_request& as, const placement& place,
+                             std::optional<std::uint64_t> resume_behind,
+                             const wire_dialect& dialect, time_ms now) {
+  request_head sent = head;
+  sent.fields.remove_hop_by_hop();
+  sent.fields.remove("Content-Length");
+  if (!body.empty() || sent.method != "GET")
+    sent.fields.set("Content-Length", std::to_string(body.size()));
+  endpoint_send send;
+  send.endpoint = place.endpoint.str();
+  send.team = as.team_name();
+  send.time_left = as.deadline - now;
+  send.resume_behind = resume_behind ? resume_behind : as.terms.last_event;
+  send.fetch_from = place.fetch_from;
+  if (as.terms.generation)
+    send.urgency = urgency_of(*as.on_route);
+  dialect.to_endpoint(sent.fields, send);
+  return to_text(sent) + body;
+}
+
+message_framing reply_framing(const response_head& reply) {
+  const std::string* coding = reply.fields.find("Transfer-Encoding");
+  if (coding != nullptr && equal_without_case(*coding, "chunked"))
+    return {body_framing::chunked, 0};
+  if (const auto length = reply.fields.number("Content-Length"))
+    return {body_framing::stated, *length};
+  if (reply.status == 204 || reply.status == 304)
+    return {body_framing::none, 0};
+  return {body_framing::until_close, 0};
+}
+
+endpoint_exchange::endpoint_exchange(const parts& joined, const exchange_bounds& bounds,
+                                     connection& link, int sends)
+    : parts_{joined}, bounds_{bounds}, link_{link}, sends_{sends} {}
+
+send_outcome endpoint_exchange::go(std::string_view request_text) {
+  const io_status status = link_.write_all(request_text, parts_.request.deadline, &parts_.watch);
+  // An endpoint that refuses may close before it has read all; its word is still to be read.
+  if (status == io_status::ok || status == io_status::reset)
+    return read_reply();
+  return end_of(status);
+}
+
+time_ms endpoint_exchange::reply_deadline() const {
+  const send_progress so_far{.sends = sends_, .events = parts_.answer.events().events()};
+  const time_ms patience =
+      patience_with_endpoint(*parts_.request.on_route, so_far, bounds_.longest_silence);
+  return std::min(parts_.request.deadline, parts_.time.now() + patience);
+}
+
+send_outcome endpoint_exchange::end_of(io_status status) const {
+  if (status == io_status::caller_left)
+    return send_outcome::caller_left;
+  if (status == io_status::interrupted)
+    return send_outcome::host_stopped;
+  if (status != io_status::timed_out)
+    return send_outcome::failed;
+  return parts_.time.now() < parts_.request.deadline ? send_outcome::stalled
+                                                     : send_outcome::timed_out;
+}
+
+io_status endpoint_exchange::read_final_head() {
+  std::string text;
+  do {
+    const io_status status =
+        link_.read_head(text, bounds_.most_reply_head, reply_deadline(), &parts_.watch);
+    if (status != io_status::ok)
+      return status;
+    const auto parsed = parse_response_head(text);
+    if (!parsed)
+      return io_status::reset;
+    reply_ = *parsed;
+  } while (reply_.status < 200);
+  return io_status::ok;
+}
+
+// Without the endpoint's mark these may be bytes of something else at its address. With the status
+// of a refusal, but not its word, the request may have run.
+bool endpoint_exchange::is_answer(const reply_terms& said) const {
+  const bool of_this = said.echoed_id.empty() || said.echoed_id == parts_.request.terms.id;
+  return of_this && said.whole && !is_promise_of_no_run(reply_.status);
+}
+
+send_outcome endpoint_exchange::read_reply() {
+  const io_status status = read_final_head();
+  if (status != io_status::ok)
+    return end_of(status);
+  const reply_terms said = parts_.dialect.read_reply(reply_);
+  const endpoint_id& endpoint = parts_.place.endpoint;
+  if (said.load)
+    parts_.endpoints.note_load(endpoint, *said.load);
+  if (said.misdirected)
+    parts_.endpoints.note_leaving(endpoint);
+  if (said.not_run)
+    return send_outcome::not_run;
+  if (!is_answer(said))
+    return send_outcome::failed;
+  const bool events =
+      parts_.request.on_route->kind == request_kind::stream && is_success(reply_.status);
+  if (parts_.answer.stream_begun() && !events)
+    return send_outcome::failed;
+  parts_.answer.take_head(reply_);
+  return events ? take_stream() : take_answer();
+}
+
+void endpoint_exchange::note_prompt_read() {
+  if (prompt_read_)
+    return;
+  prompt_read_ = true;
+  parts_.endpoints.note_started(parts_.place);
+}
+
+send_outcome endpoint_exchange::take_answer() {
+  connection_source source{link_, [this] { return reply_deadline(); }, &parts_.watch};
+  body_decoder body{source, reply_framing(reply_)};
+  std::string bytes;
+  std::array<char, read_block> block; // NOLINT(cppcoreguidelines-pro-type-member-init)
+  while (body.state() == body_state::open) {
+    bytes.append(block.data(), body.read(block.data(), block.size()));
+    if (bytes.size() > bounds_.most_buffered_body)
+      return send_outcome::failed;
+  }
+  if (body.state() != body_state::whole)
+    return body.state() == body_state::slow ? end_of(source.last()) : send_outcome::failed;
+  note_prompt_read();
+  reusable_ = is_reusable(reply_, link_);
+  if (!is_success(reply_.status)) {
+    parts_.answer.keep_body(std::move(bytes));
+    return send_outcome::own_error;
+  }
+  parts_.answer.note_ready();
+  return parts_.answer.deliver(bytes) ? send_outcome::answered : send_outcome::caller_left;
+}
+
+send_outcome endpoint_exchange::take_stream() {
+  connection_source source{link_, [this] { return reply_deadline(); }, &parts_.watch};
+  body_decoder body{source, reply_framing(reply_)};
+  event_splitter& events = parts_.answer.events();
+  events.drop_unfinished();
+  std::array<char, read_block> block; // NOLINT(cppcoreguidelines-pro-type-member-init)
+  while (body.state() == body_state::open) {
+    const std::size_t got = body.read(block.data(), block.size());
+    events.feed({block.data(), got});
+    const std::string whole = events.take_whole();
+    if (!whole.empty())
+      note_prompt_read();
+    if (!parts_.answer.pass_events(whole))
+      return send_outcome::caller_left;
+  }
+  if (body.state() == body_state::slow)
+    return end_of(source.last());
+  if (body.state() != body_state::whole || events.inside_event())
+    return send_outcome::failed;
+  reusable_ = is_reusable(reply_, link_);
+  return parts_.answer.end_stream() ? send_outcome::answered : send_outcome::caller_left;
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "gateway/impl/request_header.hpp"
+#include "relay/impl/admitted_request.hpp"
+#include "relay/impl/caller_answer.hpp"
+#include "relay/impl/connection.hpp"
+#include "relay/impl/endpoint_directory.hpp"
+#include "relay/impl/message_head.hpp"
+#include "relay/impl/send_outcome.hpp"
+#include "relay/impl/wire_dialect.hpp"
+
+#include <cstddef>
+#include <string>
+
+namespace sedgechute {
+
+/// \brief What bounds an exchange with an endpoint.
+struct exchange_bounds {
+  time_ms longest_silence; ///< of an endpoint whose request may not be run again
+  std::size_t most_reply_head{};
+  std::size_t most_buffered_body{}; ///< of an answer that is no stream
+};
+
+/// \brief One request on one connection to an endpoint, and the way of its reply to the caller.
+class endpoint_exchange {
+ public:
+  struct parts {
+    const wire_dialect& dialect;
+    endpoint_directory& endpoints;
+    const clock& time;
+    const admitted_request& request;
+    const placement& place;
+    caller_watch& watch;
+    caller_answer& answer;
+  };
+
+  /// \param sends  this one included
+  endpoint_exchange(const parts& joined, const exchange_bounds& bounds, connection& link,
+                    int sends);
+
+  [[nodiscard]] send_outcome go(std::string_view request_text);
+
+  /// \returns whether the endpoint has begun to answer
+  [[nodiscard]] bool prompt_read() const noexcept { return prompt_read_; }
+  /// \returns whether the connection may carry another exchange
+  [[nodiscard]] bool reusable() const noexcept { return reusable_; }
+
+ private:
+  [[nodiscard]] send_outcome read_reply();
+  [[nodiscard]] io_status read_final_head();
+  /// \returns whether the header is that of an answer to this request, by an endpoint
+  [[nodiscard]] bool is_answer(const reply_terms& said) const;
+  [[nodiscard]] send_outcome take_answer();
+  [[nodiscard]] send_outcome take_stream();
+  void note_prompt_read();
+  /// \returns until when the next bytes of the reply are waited for
+  [[nodiscard]] time_ms reply_deadline() const;
+  [[nodiscard]] send_outcome end_of(io_status status) const;
+
+  parts parts_;
+  exchange_bounds bounds_;
+  connection& link_;
+  int sends_;
+  response_head reply_;
+  bool prompt_read_{false};
+  bool reusable_{false};
+};
+
+/// \returns the request as it goes to the endpoint of `place`
+/// \param resume_behind  last event that the caller has
+[[nodiscard]] std::string endpoint_request(const request_head& head, const std::string& body,
+                                           const admitted_request& as, const placement& place,
+                                           std::optional<std::uint64_t> resume_behind,
+                                           const wire_dialect& dialect, time_ms now);
+
+/// \returns how the end of a reply's body is told
+[[nodiscard]] message_framing reply_framing(const response_head& reply);
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/relay/impl/incoming_request.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "relay/impl/connection.hpp"
+#include "relay/impl/message_head.hpp"
+
+#include <cstddef>
+#include <string>
+
+namespace sedgechute {
+
+/// \brief A request as it came from its caller, whole.
+struct incoming_request {
+  request_head head;
+  std::string body;
+  time_ms received; ///< when its first byte was read
+  connection& caller;
+  bool last_on_connection{false}; ///< the answer says that the connection is closed behind it
+  std::size_t on_connection{1};   ///< 1 for the first request of its connection
+  time_ms idle{};                 ///< how long the connection had waited for it
+};
+
+} // namespace sedgechute
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -5,7 +5,7 @@
 #include "relay/impl/connection_pool.hpp"
 #include "relay/impl/endpoint_directory.hpp"
 #include "relay/impl/fleet_config.hpp"
-#include "relay/impl/message_head.hpp"
+#include "relay/impl/incoming_request.hpp"
 #include "relay/impl/planned_stop.hpp"
 #include "relay/impl/retry_allowance.hpp"
 #include "relay/impl/wire_dialect.hpp"
@@ -19,17 +19,6 @@
 
 namespace sedgechute {
 
-/// \brief A request as it came from its caller, whole.
-struct incoming_request {
-  request_head head;
-  std::string body;
-  time_ms received; ///< when its first byte was read
-  connection& caller;
-  bool last_on_connection{false}; ///< the answer says that the connection is closed behind it
-  std::size_t on_connection{1};   ///< 1 for the first request of its connection
-  time_ms idle{};                 ///< how long the connection had waited for it
-};
-
 /// \brief What may follow an answer on its caller's connection.
 enum class after_answer {
   next_request,
--- /dev/null
+++ b/src/relay/impl/send_rules.cpp
@@ -0,0 +1,97 @@
+#include "relay/impl/send_rules.hpp"
+
+#include <algorithm>
+
+namespace sedgechute {
+
+namespace {
+
+constexpr int most_unreachable = 3; // endpoints without a connection that one request tries
+
+// A stall is several times what an undisturbed answer takes: engines at full load are up to three
+// times slower, and a run given up is lost work.
+constexpr std::int64_t targets_before_stall = 3;
+constexpr std::int64_t pauses_before_stall = 5;
+constexpr time_ms least_stall{600};
+
+run_end refused(error_kind kind, const std::string& where, const std::string& why,
+                std::optional<time_ms> retry_after = std::nullopt) {
+  return {final_answer::refusal, {}, error{kind, where, why, retry_after}};
+}
+
+} // namespace
+
+bool runs_once(const route& on) noexcept {
+  return on.kind == request_kind::unsafe || (on.kind == request_kind::stream && !on.resumable);
+}
+
+bool may_run_again(const route& on, int sends) noexcept {
+  return !runs_once(on) && sends < on.most_attempts;
+}
+
+next_send next_send_after(send_outcome end, const route& on, const send_progress& so_far) noexcept {
+  if (so_far.caller_failed)
+    return next_send::none;
+  const bool error_may_pass = on.kind == request_kind::safe;
+  switch (end) {
+  case send_outcome::answered:
+  case send_outcome::caller_left:
+  case send_outcome::timed_out:
+  case send_outcome::host_stopped:
+    return next_send::none;
+  case send_outcome::unreachable:
+  case send_outcome::silent:
+    return so_far.unreachable < most_unreachable ? next_send::uncounted : next_send::none;
+  case send_outcome::not_run:
+    return so_far.sends < on.most_attempts ? next_send::counted : next_send::none;
+  case send_outcome::own_error:
+    if (!error_may_pass)
+      return next_send::none;
+    [[fallthrough]];
+  case send_outcome::failed:
+  case send_outcome::stalled:
+    return may_run_again(on, so_far.sends) ? next_send::counted : next_send::none;
+  }
+  return next_send::none;
+}
+
+// An endpoint that accepts a request and says nothing looks like a slow one. Where the request may
+// be run again, waiting for it beyond several times what an answer takes only makes it later.
+time_ms patience_with_endpoint(const route& on, const send_progress& so_far,
+                               time_ms most) noexcept {
+  if (!may_run_again(on, so_far.sends))
+    return most;
+  if (so_far.events > 0)
+    return std::max(on.longest_pause * pauses_before_stall, least_stall);
+  return std::max(on.latency_target * targets_before_stall, least_stall);
+}
+
+run_end end_of_run(send_outcome end, const send_progress& so_far, const std::string& service,
+                   time_ms retry_after) {
+  if (end == send_outcome::caller_left || so_far.caller_failed)
+    return {final_answer::none, "caller_gone", std::nullopt};
+  if (so_far.stream_begun)
+    return {final_answer::cut_stream,
+            end == send_outcome::host_stopped ? "cut_by_stop" : "stream_cut", std::nullopt};
+  if (end == send_outcome::own_error)
+    return {final_answer::endpoints_error, "endpoint_error", std::nullopt};
+  if (end == send_outcome::host_stopped)
+    return refused(error_kind::outcome_unknown, "host", "it stops, and the request may have run");
+  const bool late = end == send_outcome::timed_out;
+  if (so_far.may_have_run)
+    return refused(late ? error_kind::outcome_unknown : error_kind::endpoint_failed, service,
+                   "the request may have run");
+  return refused(late ? error_kind::deadline_unreachable : error_kind::no_capacity, service,
+                 "no endpoint took the request", retry_after);
+}
+
+// Engines admit the more urgent first. Who must have the first event sooner goes before: a short
+// prompt that waits behind a long one is late, the long one hardly notices the short one.
+int urgency_of(const route& on) noexcept {
+  constexpr std::int64_t ms_a_step = 200;
+  constexpr std::int64_t least_urgent = 8;
+  return static_cast<int>(
+      std::clamp<std::int64_t>(on.latency_target.count() / ms_a_step, 0, least_urgent));
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/tests/relay/send_rules_test.cpp
@@ -0,0 +1,102 @@
+#include "relay/relay.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace sedgechute;
+
+namespace {
+
+route route_of(request_kind kind, bool resumable = false) {
+  route on;
+  on.kind = kind;
+  on.resumable = resumable;
+  on.most_attempts = 3;
+  on.latency_target = time_ms{400};
+  on.longest_pause = time_ms{200};
+  return on;
+}
+
+constexpr send_progress after_one_send{.sends = 1, .may_have_run = true};
+
+} // namespace
+
+// An endpoint breaks off in the middle of its answer. It may have booked what the request asked
+// for; a second endpoint would book it twice.
+TEST_CASE("what may have run goes out again only where the route allows it") {
+  for (const send_outcome end : {send_outcome::failed, send_outcome::stalled}) {
+    CHECK(next_send_after(end, route_of(request_kind::unsafe), after_one_send) == next_send::none);
+    CHECK(next_send_after(end, route_of(request_kind::stream), after_one_send) == next_send::none);
+    CHECK(next_send_after(end, route_of(request_kind::stream, true), after_one_send) ==
+          next_send::counted);
+    CHECK(next_send_after(end, route_of(request_kind::safe), after_one_send) == next_send::counted);
+  }
+}
+
+TEST_CASE("what an endpoint refused unrun goes out again on any route, within its attempts") {
+  for (const request_kind kind : {request_kind::unsafe, request_kind::stream, request_kind::safe}) {
+    CHECK(next_send_after(send_outcome::not_run, route_of(kind), {.sends = 2}) ==
+          next_send::counted);
+    CHECK(next_send_after(send_outcome::not_run, route_of(kind), {.sends = 3}) == next_send::none);
+  }
+}
+
+TEST_CASE("an endpoint without a connection repeats nothing, but only some are tried") {
+  const route on = route_of(request_kind::unsafe);
+  for (const send_outcome end : {send_outcome::unreachable, send_outcome::silent}) {
+    CHECK(next_send_after(end, on, {.unreachable = 2}) == next_send::uncounted);
+    CHECK(next_send_after(end, on, {.unreachable = 3}) == next_send::none);
+  }
+}
+
+TEST_CASE("an endpoint's own error is repeated only where it does no harm") {
+  const auto next = [](const route& on) {
+    return next_send_after(send_outcome::own_error, on, after_one_send);
+  };
+  CHECK(next(route_of(request_kind::safe)) == next_send::counted);
+  CHECK(next(route_of(request_kind::stream, true)) == next_send::none);
+  CHECK(next(route_of(request_kind::unsafe)) == next_send::none);
+}
+
+TEST_CASE("nothing is sent for a caller that has gone, or whose time is over") {
+  const route on = route_of(request_kind::safe);
+  for (const send_outcome end : {send_outcome::answered, send_outcome::caller_left,
+                                 send_outcome::timed_out, send_outcome::host_stopped})
+    CHECK(next_send_after(end, on, after_one_send) == next_send::none);
+  CHECK(next_send_after(send_outcome::failed, on, {.sends = 1, .caller_failed = true}) ==
+        next_send::none);
+}
+
+TEST_CASE("an endpoint that says nothing is waited for as long as no other may be asked") {
+  const time_ms most{60000};
+  CHECK(patience_with_endpoint(route_of(request_kind::unsafe), {}, most) == most);
+  const route on = route_of(request_kind::stream, true);
+  CHECK(patience_with_endpoint(on, {.sends = 1}, most) == time_ms{1200});
+  CHECK(patience_with_endpoint(on, {.sends = 1, .events = 4}, most) == time_ms{1000});
+  CHECK(patience_with_endpoint(on, {.sends = 3, .events = 4}, most) == most);
+}
+
+TEST_CASE("the last answer says whether the request may have run") {
+  const auto refusal = [](send_outcome end, const send_progress& so_far) {
+    const run_end how = end_of_run(end, so_far, "s", time_ms{500});
+    REQUIRE(how.answer == final_answer::refusal);
+    return *how.refusal;
+  };
+  const send_progress unrun{.sends = 1};
+  CHECK(refusal(send_outcome::not_run, unrun).kind() == error_kind::no_capacity);
+  CHECK(refusal(send_outcome::not_run, unrun).retry_after() == time_ms{500});
+  CHECK(refusal(send_outcome::timed_out, unrun).kind() == error_kind::deadline_unreachable);
+  CHECK(refusal(send_outcome::failed, after_one_send).kind() == error_kind::endpoint_failed);
+  CHECK(refusal(send_outcome::timed_out, after_one_send).kind() == error_kind::outcome_unknown);
+  CHECK(refusal(send_outcome::host_stopped, after_one_send).kind() == error_kind::outcome_unknown);
+}
+
+TEST_CASE("a stream that was begun is cut, never ended with a refusal") {
+  send_progress so_far = after_one_send;
+  so_far.stream_begun = true;
+  const run_end failed = end_of_run(send_outcome::failed, so_far, "s", time_ms{500});
+  CHECK(failed.answer == final_answer::cut_stream);
+  CHECK(failed.reason == "stream_cut");
+  CHECK(end_of_run(send_outcome::host_stopped, so_far, "s", time_ms{500}).reason == "cut_by_stop");
+  so_far.caller_failed = true;
+  CHECK(end_of_run(send_outcome::failed, so_far, "s", time_ms{500}).answer == final_answer::none);
+}
