--- a/bench/soak/main.cpp
+++ b/bench/soak/main.cpp
@@ -93,6 +93,7 @@
   int failed = 0;
   for (int i = 0; i < runs; ++i)
     failed += run_seed(seed + static_cast<std::uint64_t>(i), programs) ? 0 : 1;
-  std::cout << runs - failed << " passed, " << failed << " failed" << std::endl;
+  std::cout << R"({"first_seed":)" << seed << R"(,"passed":)" << runs - failed << R"(,"failed":)"
+            << failed << "}" << std::endl;
   return failed == 0 ? 0 : 1;
 }
