Entries that cannot be used are reported once each and counted by topic

Hosts read endpoints, configurations, hosts, accounts and datagrams that others write. Until now each reader reported in its own way what it could not read: some with every look, one by failing the whole list, and nothing was counted.

`entry_faults` writes one line (`entry_unusable`: document, entry, reason) when an entry becomes unusable or is so for another reason, and counts it in `sedgechute_unusable_entries_total{topic}`.

--- a/src/telemetry/impl/forward_declarations.hpp
+++ b/src/telemetry/impl/forward_declarations.hpp
@@ -16,6 +16,10 @@
 struct metric_family;
 class metrics;
 
+enum class entry_topic;
+struct entry_fault;
+class entry_faults;
+
 enum class decision_kind;
 struct decision;
 struct decision_filter;
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -129,13 +129,19 @@
                   "Renewed certificate and key files. side: callers, peers, admin, datagrams. "
                   "result: taken; refused while the old ones stay in use.",
                   {"side", "result"}},
+    metric_family{metric::unusable_entries,
+                  counter,
+                  "sedgechute_unusable_entries_total",
+                  "Entries that became unusable, or are so for another reason. topic: endpoints, "
+                  "configuration, hosts, accounts; datagrams (of one sender).",
+                  {"topic"}},
 };
 
 constexpr bool in_order() {
   for (std::size_t i = 0; i < families.size(); ++i)
     if (static_cast<std::size_t>(families[i].id) != i)
       return false;
-  return families.size() == static_cast<std::size_t>(metric::credential_reloads) + 1;
+  return families.size() == static_cast<std::size_t>(metric::unusable_entries) + 1;
 }
 static_assert(in_order(), "the table has one row for each metric, in the order of the enumeration");
 
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -42,6 +42,7 @@
   host_state,
   peer_messages_refused,
   credential_reloads,
+  unusable_entries,
 };
 
 inline constexpr std::size_t most_labels = 3;
--- a/src/telemetry/telemetry.hpp
+++ b/src/telemetry/telemetry.hpp
@@ -6,6 +6,7 @@
 #include "telemetry/impl/burn_report.hpp"
 #include "telemetry/impl/burn_series.hpp"
 #include "telemetry/impl/decision_events.hpp"
+#include "telemetry/impl/entry_faults.hpp"
 #include "telemetry/impl/forward_declarations.hpp"
 #include "telemetry/impl/json_text.hpp"
 #include "telemetry/impl/latency_histogram.hpp"
