Datagrams with figures that no host sends are refused

An answer to a question for tokens could name more than was asked for; the rest counted nowhere, and the team could use more than it paid for. A report of billions of requests at an endpoint kept all hosts away from it for three seconds. Both are refused now, and the right answer is still taken afterwards. The two tests fail on the code as it was.

--- a/src/prepaid/impl/token_loans.cpp
+++ b/src/prepaid/impl/token_loans.cpp
@@ -59,7 +59,7 @@
   {
     const std::scoped_lock lock{mutex_};
     number = ++last_number_;
-    open_[number].team = team;
+    open_[number] = {team, tokens, false, std::nullopt};
     while (open_.size() > options_.most_open)
       open_.erase(open_.begin());
   }
@@ -90,8 +90,7 @@
     lend(*message);
     break;
   case loan_step::given:
-    receive(*message);
-    break;
+    return receive(*message);
   }
   return true;
 }
@@ -106,13 +105,16 @@
 }
 
 // Tokens are taken whenever they come, once: who waited for them may have given up, but they count
-// as used where they were given.
-void token_loans::receive(const loan_message& given) {
+// as used where they were given. A host gives no more than it was asked for; more would be tokens
+// that count nowhere.
+bool token_loans::receive(const loan_message& given) {
   {
     const std::scoped_lock lock{mutex_};
     const auto at = open_.find(given.number);
     if (at == open_.end() || at->second.taken || at->second.team != given.team)
-      return;
+      return true;
+    if (given.tokens > at->second.asked)
+      return false;
     at->second.taken = true;
     silent_until_.erase(given.host);
   }
@@ -121,6 +123,7 @@
   if (const auto at = open_.find(given.number); at != open_.end())
     at->second.given = given.tokens;
   answered_.notify_all();
+  return true;
 }
 
 } // namespace sedgechute
--- a/src/prepaid/impl/token_loans.hpp
+++ b/src/prepaid/impl/token_loans.hpp
@@ -51,12 +51,13 @@
   std::uint64_t borrow(const token_demand& demand, const std::vector<token_holder>& from);
 
   /// \brief Takes a message of another host.
-  /// \returns false when the bytes are none
+  /// \returns false when the bytes are none, or none that a host sends
   [[nodiscard]] bool take(std::string_view bytes);
 
  private:
   struct question {
     std::string team;
+    std::uint64_t asked{};              ///< tokens
     bool taken{false};                  ///< its answer has come
     std::optional<std::uint64_t> given; ///< tokens that this host now has
   };
@@ -66,7 +67,8 @@
   [[nodiscard]] std::optional<std::uint64_t> ask(const std::string& host, const std::string& team,
                                                  std::uint64_t tokens, time_ms until);
   void lend(const loan_message& asked);
-  void receive(const loan_message& given);
+  /// \returns false when nobody who was asked can have said so
+  [[nodiscard]] bool receive(const loan_message& given);
 
   std::string self_;
   budget_desk& desk_;
--- a/src/relay/impl/load_board.cpp
+++ b/src/relay/impl/load_board.cpp
@@ -9,6 +9,11 @@
 constexpr std::size_t entry_bytes = 8 + 4 + 4;
 constexpr std::size_t sighting_bytes = 8 + 8;
 
+// Far above what a host can have at one endpoint. A report beyond would keep all hosts away from
+// it.
+constexpr std::uint32_t most_open = 1U << 20U;
+constexpr std::uint32_t most_unread_tokens = 1U << 30U;
+
 template <typename Number>
 void append(std::string& bytes, Number number) {
   for (std::size_t i = 0; i < sizeof(Number); ++i)
@@ -54,9 +59,10 @@
   use_report report;
   report.sender = take_number<std::uint64_t>(bytes);
   report.number = take_number<std::uint32_t>(bytes);
-  report.whole = take_number<std::uint8_t>(bytes) != 0;
+  const auto whole = take_number<std::uint8_t>(bytes);
+  report.whole = whole == 1;
   const std::size_t entries = take_number<std::uint16_t>(bytes);
-  if (bytes.size() < entries * entry_bytes ||
+  if (whole > 1 || bytes.size() < entries * entry_bytes ||
       (bytes.size() - entries * entry_bytes) % sighting_bytes != 0)
     return std::nullopt;
   for (std::size_t i = 0; i < entries; ++i) {
@@ -64,6 +70,8 @@
     entry.endpoint = take_number<std::uint64_t>(bytes);
     entry.use.open = take_number<std::uint32_t>(bytes);
     entry.use.unread_tokens = take_number<std::uint32_t>(bytes);
+    if (entry.use.open > most_open || entry.use.unread_tokens > most_unread_tokens)
+      return std::nullopt;
     report.entries.push_back(entry);
   }
   while (!bytes.empty()) {
--- a/tests/prepaid/token_loans_test.cpp
+++ b/tests/prepaid/token_loans_test.cpp
@@ -164,3 +164,20 @@
   CHECK(hosts.taker().desk.figures()[team].slack < held + 100000);
   CHECK_FALSE(hosts.taker().loans.take("garbage"));
 }
+
+// An answer names more tokens than were asked for. Nobody counts them as used, so the team could
+// use more than it paid for.
+TEST_CASE("an answer of more than was asked for brings nothing, and the right one still does") {
+  two_hosts hosts;
+  hosts.answers_lost = true;
+  CHECK(hosts.borrow(100) == 0);
+  const std::uint64_t held = hosts.taker().desk.figures()[team].slack;
+  auto answer = decode_loan(hosts.last_answer);
+  REQUIRE(answer.has_value());
+  REQUIRE(answer->tokens == 100);
+  answer->tokens = std::uint64_t{1} << 40U;
+  CHECK_FALSE(hosts.taker().loans.take(encode_loan(*answer)));
+  CHECK(hosts.taker().desk.figures()[team].slack < held + 100000);
+  REQUIRE(hosts.taker().loans.take(hosts.last_answer));
+  CHECK(hosts.taker().desk.figures()[team].slack >= held + 100);
+}
--- a/tests/relay/load_board_test.cpp
+++ b/tests/relay/load_board_test.cpp
@@ -36,6 +36,17 @@
   CHECK_FALSE(decode_use_report(other));
 }
 
+// A report says that a host has billions of requests at an endpoint. All hosts would keep away from
+// it for seconds.
+TEST_CASE("a report with figures that no host can have is refused") {
+  CHECK(decode_use_report(encode_use_report(report_of(5, 9, {{1, {1U << 20U, 1U << 30U}}}))));
+  CHECK_FALSE(decode_use_report(encode_use_report(report_of(5, 9, {{1, {~0U, 3}}}))));
+  CHECK_FALSE(decode_use_report(encode_use_report(report_of(5, 9, {{1, {2, ~0U}}}))));
+  std::string odd = encode_use_report(report_of(5, 9, {}));
+  odd[13] = 2; // neither whole nor not
+  CHECK_FALSE(decode_use_report(odd));
+}
+
 TEST_CASE("uses of all hosts add up, and later values replace earlier ones") {
   load_board board{time_ms{3000}};
   board.take(report_of(1, 1, {{10, {4, 400}}}), time_ms{0});
