A change is in force in time although a look for it is lost

Cause: the store did not answer some looks that waited when a version was written within some 5 ms of the end of the wait of an earlier, answered look of the same host (measured from a trial's log of all looks: waits of 3.00 s begun at 4.08 s, versions at 6.83 and 7.08 s, 1 to 5 of 9 hosts heard of the second 2.76 s after the others, when their wait was over). A host relied on being woken for up to its whole wait, 3 s, and for 4.2 s on a silent connection; the bound is 2 s. Change: a look waits a quarter of the bound and is given up after another half. The bound is a setting, config_bound_ms.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -57,8 +57,10 @@
 
 entry_host::entry_host(entry_settings settings, const clock& time, structured_log& log)
     : settings_{std::move(settings)}, time_{time}, log_{log}, figures_{settings_.host},
-      topics_{settings_.store, store_timeout}, hosts_{settings_.store, store_timeout},
-      endpoints_{data_centre_id{settings_.data_centre}, choice_weights{}, time} {
+      topics_{settings_.store, store_timeout,
+              std::min(store_timeout, config_look_within(settings_.config_bound).timeout)},
+      hosts_{settings_.store, store_timeout}, endpoints_{data_centre_id{settings_.data_centre},
+                                                         choice_weights{}, time} {
   const std::uint64_t incarnation = random_source::from_system()();
   const std::string identity = identity_of(settings_);
   const desk_owner owner{identity, incarnation, machine_time_.moment()};
@@ -66,7 +68,8 @@
                                            machine_time_, log);
   fleet_ = std::make_unique<fleet_watch>(
       topics_, endpoints_, [this](const config_ptr& config) { take_config(config); },
-      fleet_watch_options{}, time, log);
+      fleet_watch_options{.config_wait = config_look_within(settings_.config_bound).wait}, time,
+      log);
   peers_ =
       std::make_unique<peer_channel>(host_entry{identity, settings_.peers, settings_.data_centre},
                                      hosts_, machine_time_, peer_channel_options{}, log);
--- a/src/entry/impl/entry_settings.cpp
+++ b/src/entry/impl/entry_settings.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 13> known_names{
-    "host",        "data_centre",    "callers",        "peers",           "status",
-    "store",       "grace_s",        "notice_s",       "kept_for_exit_s", "retry_ratio",
-    "retry_slack", "retry_window_s", "processor_share"};
+constexpr std::array<std::string_view, 14> known_names{
+    "host",        "data_centre",    "callers",         "peers",           "status",
+    "store",       "grace_s",        "notice_s",        "kept_for_exit_s", "retry_ratio",
+    "retry_slack", "retry_window_s", "config_bound_ms", "processor_share"};
 constexpr double ms_a_second = 1000;
 
 class settings_reader {
@@ -70,6 +70,9 @@
 // Of a short grace no more than so much is kept for the exit unless the settings say so.
 constexpr std::int64_t least_parts_of_grace = 4;
 
+// Within less, a look that is lost cannot be followed by another that is heard.
+constexpr time_ms least_config_bound{1000};
+
 // What is not given follows the grace, so that any grace has bounds that can be kept.
 stop_bounds read_stop(const std::string& where, const settings_reader& reader) {
   stop_bounds stop;
@@ -114,6 +117,11 @@
   read.retry_ratio = reader.number("retry_ratio", read.retry_ratio);
   read.retry_slack = static_cast<std::uint64_t>(reader.number("retry_slack", 0));
   read.retry_window = reader.seconds("retry_window_s", read.retry_window);
+  read.config_bound = time_ms{static_cast<std::int64_t>(
+      reader.number("config_bound_ms", static_cast<double>(read.config_bound.count())))};
+  if (read.config_bound < least_config_bound)
+    throw error{error_kind::invalid_settings, where + " /config_bound_ms",
+                "must be " + std::to_string(least_config_bound.count()) + " ms or more"};
   read.processor_share = reader.number("processor_share", read.processor_share);
   if (read.processor_share <= 0)
     throw error{error_kind::invalid_settings, where + " /processor_share", "must be above 0"};
--- a/src/entry/impl/entry_settings.hpp
+++ b/src/entry/impl/entry_settings.hpp
@@ -21,7 +21,8 @@
   double retry_ratio{0.2};      ///< of the requests for a service
   std::uint64_t retry_slack{0}; ///< beyond it, for all hosts together
   time_ms retry_window{10000};
-  double processor_share{1}; ///< of a core, that this host may use
+  time_ms config_bound{2000}; ///< a change is to be in force here so long after its publication
+  double processor_share{1};  ///< of a core, that this host may use
 };
 
 /// \returns the name under which the host keeps accounts and is known to others: with its address
--- a/src/entry/impl/fleet_watch.cpp
+++ b/src/entry/impl/fleet_watch.cpp
@@ -5,6 +5,17 @@
 
 namespace sedgechute {
 
+// Two failures make a look miss a change. The store may not wake a look that waits: requests are
+// handled by the older version until the wait is over, and then the change is read. Or its
+// connection has gone silent: nothing comes on it until the time-out, and the change is read over a
+// new one. Wait and time-out together take three quarters of the bound; the last quarter is left
+// for the pause after a failed look, the new connection and a slow answer.
+config_look config_look_within(time_ms bound) noexcept {
+  constexpr std::int64_t wait_part = 4;
+  constexpr std::int64_t timeout_part = 2;
+  return {time_ms{bound.count() / wait_part}, time_ms{bound.count() / timeout_part}};
+}
+
 fleet_watch::fleet_watch(fleet_source& source, endpoint_directory& endpoints,
                          config_listener on_config, const fleet_watch_options& options,
                          const clock& time, structured_log& log)
--- a/src/entry/impl/fleet_watch.hpp
+++ b/src/entry/impl/fleet_watch.hpp
@@ -11,9 +11,8 @@
 namespace sedgechute {
 
 struct fleet_watch_options {
-  /// A look for configurations returns at once when there is one; a silent store is noticed after
-  /// this much longer than an answer takes.
-  time_ms config_wait{3000};
+  /// A look for configurations returns at once when there is one, and after this without one.
+  time_ms config_wait{500};
   /// Between looks at the list of endpoints. They may be sent requests for two seconds and more
   /// after they said that they leave; more than half of that is left for a slow store.
   time_ms endpoint_interval{600};
@@ -23,6 +22,15 @@
   time_ms lapse_grace{2200};
 };
 
+/// \brief How to look for configurations so that each is in force `bound` after its publication,
+/// also when the store's word of it is lost.
+struct config_look {
+  time_ms wait;
+  time_ms timeout; ///< beyond the wait, for a look on a connection that has gone silent
+};
+
+[[nodiscard]] config_look config_look_within(time_ms bound) noexcept;
+
 /// \brief Keeps configuration and endpoints up to date from where they are published, on two
 /// threads of its own. Safe for any number of threads.
 class fleet_watch {
--- a/src/standin/impl/topic_store.cpp
+++ b/src/standin/impl/topic_store.cpp
@@ -57,6 +57,13 @@
   appended_.notify_all();
 }
 
+void topic_store::put_unnoticed(const std::string& topic, const std::string& key,
+                                const std::string& value) {
+  const std::scoped_lock lock{mutex_};
+  add(partitions_[topic + "/0"], {frame(key, value), key, value});
+  ++unnoticed_;
+}
+
 void topic_store::forget_history() {
   const std::scoped_lock lock{mutex_};
   for (auto& [name, part] : partitions_) {
@@ -147,9 +154,10 @@
   const std::int64_t wait = std::min(call.number("WaitMs", 0), longest_wait_ms);
   const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds{wait};
   std::unique_lock lock{mutex_};
+  const std::uint64_t unnoticed_before = unnoticed_;
   const auto news = [&] {
     const partition& at = partitions_[name];
-    return from < at.first || from < at.end();
+    return unnoticed_ == unnoticed_before && (from < at.first || from < at.end());
   };
   while (!news() && std::chrono::steady_clock::now() < until && !call.caller_gone())
     appended_.wait_for(lock, wait_step, news);
--- a/src/standin/impl/topic_store.hpp
+++ b/src/standin/impl/topic_store.hpp
@@ -25,6 +25,9 @@
   /// \brief Writes as the operator or an endpoint would; nothing drops the key.
   void put(const std::string& topic, const std::string& key,
            const std::optional<std::string>& value);
+  /// \brief As `put`, but reads that wait already are not woken, and answer when their wait is
+  /// over.
+  void put_unnoticed(const std::string& topic, const std::string& key, const std::string& value);
   /// \brief Drops all records of the topics, but keeps the newest of each key.
   void forget_history();
   /// \brief Refuses every call with this status; 0 serves again.
@@ -57,6 +60,7 @@
   std::condition_variable appended_;
   std::map<std::string, partition> partitions_; ///< by topic and number
   int refusing_{0};
+  std::uint64_t unnoticed_{0}; ///< writes that woke nobody
   std::uint64_t conflicts_{0};
   std::uint64_t calls_{0};
   http_server server_;
--- a/tests/entry/entry_program.cpp
+++ b/tests/entry/entry_program.cpp
@@ -18,8 +18,8 @@
 
 namespace {
 
+constexpr std::string_view first_version = R"({"Version":2,"Routes":[)";
 constexpr std::string_view configuration =
-    R"({"Version":2,"Routes":[)"
     R"({"Name":"safe","Hostname":"f","PathPrefix":"/safe/","Type":"safe","TimeoutMs":2000,)"
     R"("LatencyTargetMs":200,"MaxAttempts":2,"Service":"s"},)"
     R"({"Name":"unsafe","Hostname":"f","PathPrefix":"/unsafe/","Type":"unsafe",)"
@@ -44,7 +44,7 @@
     : folder_{Poco::TemporaryFile::tempName()}, callers_{loopback()}, status_{loopback()},
       store_{standin::topic_store_options{}} {
   Poco::File{folder_}.createDirectories();
-  store_.put("keyed.op", "config", std::string{configuration});
+  store_.put("keyed.op", "config", std::string{first_version}.append(configuration));
   std::ofstream file{folder_ + "/settings.json"};
   file << R"({"host":"h0","data_centre":"dc","callers":")" << callers_ << R"(","peers":")"
        << loopback() << R"(","status":")" << status_ << R"(","store":")"
@@ -69,6 +69,14 @@
   Poco::File{folder_}.remove(true);
 }
 
+std::string entry_program::with_route(std::uint64_t version, const std::string& name) {
+  const std::string added =
+      R"({"Name":")" + name + R"(","Hostname":"f","PathPrefix":"/)" + name +
+      R"(/","Type":"safe","TimeoutMs":2000,"LatencyTargetMs":200,"Service":"s"},)";
+  return R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)" + added +
+         std::string{configuration};
+}
+
 void entry_program::add_endpoint(const std::string& id, const std::string& address) {
   store_.put("keyed.servers", id,
              R"({"Service":"s","Address":")" + address +
--- a/tests/entry/entry_program.hpp
+++ b/tests/entry/entry_program.hpp
@@ -21,6 +21,9 @@
   entry_program& operator=(const entry_program&) = delete;
   ~entry_program();
 
+  /// \returns the configuration that it starts with, as a later version that has one more route,
+  /// `/NAME/`, of safe requests
+  [[nodiscard]] static std::string with_route(std::uint64_t version, const std::string& name);
   /// \brief Lists an endpoint of the only service.
   void add_endpoint(const std::string& id, const std::string& address);
   /// \brief Waits until the host says that it is ready.
--- a/tests/entry/entry_settings_test.cpp
+++ b/tests/entry/entry_settings_test.cpp
@@ -23,11 +23,21 @@
   CHECK(reading.settings.host == "h");
   CHECK(reading.settings.stop.grace == time_ms{8000});
   CHECK(reading.settings.retry_slack == 58);
+  CHECK(reading.settings.config_bound == time_ms{2000});
   CHECK(reading.settings.processor_share == 1);
   REQUIRE(reading.unknown.size() == 1);
   CHECK(reading.unknown.front() == "new");
 }
 
+TEST_CASE("the bound for changes of the configuration is read, and looks keep within it") {
+  std::string text = good;
+  text.insert(1, R"("config_bound_ms":1200,)");
+  const time_ms bound = parse_entry_settings("file", text).settings.config_bound;
+  CHECK(bound == time_ms{1200});
+  const config_look look = config_look_within(bound);
+  CHECK(look.wait + look.timeout + fleet_watch_options{}.retry_pause < bound);
+}
+
 TEST_CASE("a missing or wrong setting is named") {
   for (const char* name : {"host", "data_centre", "callers", "peers", "status", "store"}) {
     try {
@@ -41,6 +51,9 @@
   std::string no_processor = good;
   no_processor.insert(1, R"("processor_share":0,)");
   CHECK_THROWS_AS((void)parse_entry_settings("file", no_processor), error);
+  std::string no_bound = good;
+  no_bound.insert(1, R"("config_bound_ms":0,)");
+  CHECK_THROWS_AS((void)parse_entry_settings("file", no_bound), error);
   CHECK_THROWS_AS((void)parse_entry_settings("file", "{"), error);
   CHECK_THROWS_AS((void)parse_entry_settings("file", "[]"), error);
   std::string negative = good;
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -154,7 +154,7 @@
   at.store.put("keyed.servers", "i-1", R"({"Service":"s","Address":"1.2.3.4:5"})");
   at.store.put("keyed.servers", "i-2", "garbage");
   at.store.put("keyed.servers", "i-1", std::nullopt);
-  fleet_topics topics{at.store.server().address().toString(), timeout};
+  fleet_topics topics{at.store.server().address().toString(), timeout, timeout};
   const config_changes configs = topics.newest_config();
   REQUIRE_FALSE(configs.versions.empty());
   CHECK(configs.versions.back()->version == 3);
