--- a/tests/entry/entry_program.cpp
+++ b/tests/entry/entry_program.cpp
@@ -18,8 +18,8 @@
 
 namespace {
 
+constexpr std::string_view first_version = R"({"Version":2,"Routes":[)";
 constexpr std::string_view usual_configuration =
-    R"({"Version":2,"Routes":[)"
     R"({"Name":"safe","Hostname":"f","PathPrefix":"/safe/","Type":"safe","TimeoutMs":2000,)"
     R"("LatencyTargetMs":200,"MaxAttempts":2,"Service":"s"},)"
     R"({"Name":"unsafe","Hostname":"f","PathPrefix":"/unsafe/","Type":"unsafe",)"
@@ -46,7 +46,8 @@
       status_{loopback()}, store_{standin::topic_store_options{}} {
   Poco::File{folder_}.createDirectories();
   store_.put("keyed.op", "config",
-             configuration.empty() ? std::string{usual_configuration} : configuration);
+             configuration.empty() ? std::string{first_version}.append(usual_configuration)
+                                   : configuration);
   std::ofstream file{folder_ + "/settings.json"};
   file << R"({"host":"h0","data_centre":"dc","callers":")" << callers_ << R"(","peers":")" << peers_
        << R"(","status":")" << status_ << R"(","store":")" << store_.server().address().toString()
@@ -70,6 +71,14 @@
   Poco::File{folder_}.remove(true);
 }
 
+std::string entry_program::with_route(std::uint64_t version, const std::string& name) {
+  const std::string added =
+      R"({"Name":")" + name + R"(","Hostname":"f","PathPrefix":"/)" + name +
+      R"(/","Type":"safe","TimeoutMs":2000,"LatencyTargetMs":200,"Service":"s"},)";
+  return R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)" + added +
+         std::string{usual_configuration};
+}
+
 void entry_program::add_endpoint(const std::string& id, const std::string& address) {
   store_.put("keyed.servers", id,
              R"({"Service":"s","Address":")" + address +
--- a/tests/platform/other_writers_test.cpp
+++ b/tests/platform/other_writers_test.cpp
@@ -34,7 +34,7 @@
   at.store.put("keyed.servers", "i-1", endpoint_at("1.2.3.4:5"));
   at.store.put("keyed.servers", "i-2", "garbage");
   at.store.put("keyed.servers", "i-1", std::nullopt);
-  fleet_topics topics{at.address(), timeout};
+  fleet_topics topics{at.address(), timeout, timeout};
   const config_changes configs = topics.configs_from(0, time_ms{});
   REQUIRE(configs.versions.size() == 1);
   CHECK(configs.versions.back()->version == 3);
@@ -65,7 +65,7 @@
   at.store.put("keyed.servers", "i-1", endpoint_at("1.2.3.4:5"));
   at.store.put("keyed.hosts", "h1", "10.0.0.1:7 dc");
   at.store.put("keyed.accounts", account_key("team", "h1"), encode_account({1, 500, 20, 3}));
-  fleet_topics topics{at.address(), timeout};
+  fleet_topics topics{at.address(), timeout, timeout};
   const auto is_good = [](const endpoint_change& one) { return one.entry.has_value(); };
   for (const endpoint_changes& page : {topics.newest_endpoints(), topics.endpoints_from(0)}) {
     CHECK(std::count_if(page.changes.begin(), page.changes.end(), is_good) == 1);
@@ -90,7 +90,7 @@
   for (std::size_t length = 1; length < cut.size(); ++length)
     at.store.put("keyed.servers", "i-" + std::to_string(length + 1), cut.substr(0, length));
   at.store.put("keyed.servers", "i-last", endpoint_at("1.2.3.4:7"));
-  fleet_topics topics{at.address(), timeout};
+  fleet_topics topics{at.address(), timeout, timeout};
   const endpoint_changes page = topics.newest_endpoints();
   const auto is_good = [](const endpoint_change& one) { return one.entry.has_value(); };
   CHECK(std::count_if(page.changes.begin(), page.changes.end(), is_good) == 2);
