A request that no endpoint is left for ends, and takes no repeats from others

When a request had been sent to every endpoint that could take it, the search for another one counted as a send that was refused unrun. It was allowed again as long as the service's allowance of repeats lasted: one request at a service whose only other endpoints were down took the whole allowance within a moment, and for up to ten seconds no request of that service was repeated.

The search now ends the request, with the answer that its last send calls for: an endpoint's own error is passed on as it is, where before the caller got a refusal of ours.

The new test failed before (503 for a request that a second endpoint had room for) and passes.

--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -53,16 +53,24 @@
 // host that has more to do than its processor carries, callers give up meanwhile, and a send would
 // only add work for nobody.
 after_answer request_run::run_sends() {
-  for (;;) {
-    const send_outcome end = watch_.left_by_now() ? send_outcome::caller_left : send_once();
-    if (end == send_outcome::answered) {
-      relay_.note_length(admitted_.on_route->name, now() - in_.received);
-      log_end(answer_.status(), "answered");
-      return done();
-    }
-    if (!may_send_again(end))
-      return give_up(end);
-  }
+  send_outcome end = send_outcome::not_run;
+  do {
+    if (watch_.left_by_now())
+      return give_up(send_outcome::caller_left);
+    const auto place = find_place();
+    if (!place)
+      break;
+    end = send_once(*place);
+    if (end == send_outcome::answered)
+      return note_answered();
+  } while (may_send_again(end));
+  return give_up(end);
+}
+
+after_answer request_run::note_answered() {
+  relay_.note_length(admitted_.on_route->name, now() - in_.received);
+  log_end(answer_.status(), "answered");
+  return done();
 }
 
 bool request_run::may_send_again(send_outcome end) {
@@ -86,21 +94,22 @@
           .caller_failed = answer_.caller_failed()};
 }
 
-send_outcome request_run::send_once() {
+std::optional<placement> request_run::find_place() {
   const auto& generation = admitted_.terms.generation;
-  const placement_request wanted{admitted_.service, generation ? &*generation : nullptr, sent_to_};
-  const auto place = relay_.parts_.endpoints.place(wanted);
-  if (!place) {
-    if (sent_to_.empty())
-      throw error{error_kind::no_capacity, admitted_.service, "no endpoint is ready",
-                  relay_.options_.full_retry_after};
-    return send_outcome::not_run;
-  }
+  auto place = relay_.parts_.endpoints.place(
+      {admitted_.service, generation ? &*generation : nullptr, sent_to_});
+  if (!place && sent_to_.empty())
+    throw error{error_kind::no_capacity, admitted_.service, "no endpoint is ready",
+                relay_.options_.full_retry_after};
+  return place;
+}
+
+send_outcome request_run::send_once(const placement& place) {
   const time_ms began = now();
   bool prompt_read = false;
-  const send_outcome end = send_to(*place, prompt_read);
-  relay_.parts_.endpoints.release(*place, end, prompt_read);
-  record_send(records_, admitted_, {*place, end, sent_to_.size(), began});
+  const send_outcome end = send_to(place, prompt_read);
+  relay_.parts_.endpoints.release(place, end, prompt_read);
+  record_send(records_, admitted_, {place, end, sent_to_.size(), began});
   return end;
 }
 
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -7,6 +7,8 @@
 #include "relay/impl/send_rules.hpp"
 
 #include <cstdint>
+#include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -29,12 +31,16 @@
   void check_time_left() const;
   [[nodiscard]] after_answer run_sends();
   [[nodiscard]] bool may_send_again(send_outcome end);
-  [[nodiscard]] send_outcome send_once();
+  /// \returns nothing when it was sent to every endpoint that could take it
+  /// \throws error when there is none at all
+  [[nodiscard]] std::optional<placement> find_place();
+  [[nodiscard]] send_outcome send_once(const placement& place);
   /// \param prompt_read  set to whether the endpoint has begun to answer
   [[nodiscard]] send_outcome send_to(const placement& place, bool& prompt_read);
   [[nodiscard]] send_outcome exchange(const placement& place, std::unique_ptr<connection> link,
                                       bool& prompt_read);
   [[nodiscard]] connect_result reach(const placement& place) const;
+  [[nodiscard]] after_answer note_answered();
   [[nodiscard]] after_answer give_up(send_outcome end);
   [[nodiscard]] after_answer refuse(const error& reason);
   [[nodiscard]] after_answer done() const noexcept;
--- a/tests/relay/request_path_test.cpp
+++ b/tests/relay/request_path_test.cpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <thread>
+#include <utility>
 
 using namespace sedgechute;
 
@@ -171,6 +172,26 @@
     CHECK(status_of(at.call("/safe/", "id-" + std::to_string(i))) == 200);
 }
 
+// The only endpoint of a service breaks off, and no other is left to ask. Asking for one again and
+// again took all repeats of the service within a moment, and requests that came later were refused
+// although a second endpoint had room.
+TEST_CASE("a request that no endpoint is left for takes no repeats from others") {
+  bool broken = true;
+  scripted_endpoint first{[&](const auto& request) {
+    const bool breaks_off = std::exchange(broken, false);
+    return breaks_off ? scripted_reply{"HTTP/1.1 200 OK\r\n", then::close, ""}
+                      : scripted_reply{whole_answer(attempt_of(request), "x"), then::keep, ""};
+  }};
+  scripted_endpoint full{
+      replies("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", then::keep)};
+  relay_fixture at;
+  at.add_endpoint("e1", first.address());
+  CHECK(status_of(at.call("/safe/", "id-1")) == 502);
+  at.add_endpoint("e2", full.address()); // has not failed: goes before the first
+  CHECK(status_of(at.call("/safe/", "id-2")) == 200);
+  CHECK(full.seen().size() == 1);
+}
+
 // An endpoint accepts requests and never answers. A safe request leaves it long before its caller's
 // patience is over.
 TEST_CASE("a safe request does not wait for a mute endpoint") {
@@ -248,6 +269,18 @@
   CHECK(answer.find("Response-Signature: mark") != std::string::npos);
 }
 
+TEST_CASE("an endpoint's own error is passed on when no other endpoint is left") {
+  scripted_endpoint endpoint{replies("HTTP/1.1 500 Own\r\nResponse-Signature: "
+                                     "mark\r\nContent-Length: 3\r\n\r\nown",
+                                     then::keep)};
+  relay_fixture at;
+  at.add_endpoint("e1", endpoint.address());
+  const std::string answer = at.call("/safe/", "id-1");
+  CHECK(status_of(answer) == 500);
+  CHECK(answer.ends_with("\r\n\r\nown"));
+  CHECK(endpoint.seen().size() == 1);
+}
+
 TEST_CASE("a stream reaches its caller whole") {
   scripted_endpoint endpoint{[](const auto& request) {
     return scripted_reply{stream_head(attempt_of(request)) + event_chunk(1), then::keep,
