--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -22,6 +22,10 @@
 }
 
 test_gateway::~test_gateway() {
+  stop_accepting();
+}
+
+void test_gateway::stop_accepting() {
   stop_server(socket_.address(), [this] { server_.stop_accepting(); });
 }
 
