--- a/src/daemon/impl/host.cpp
+++ b/src/daemon/impl/host.cpp
@@ -341,9 +341,9 @@
   status_.wait_until_empty();
   hand_over();
   if (callers_)
-    callers_->stop_accepting();
+    callers_->stop_taking();
   if (operators_)
-    operators_->stop_accepting();
+    operators_->stop_taking();
   stopping_ = true;
   for (std::thread& loop : loops_)
     loop.join();
--- a/src/gateway/impl/caller_session.cpp
+++ b/src/gateway/impl/caller_session.cpp
@@ -7,6 +7,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/StreamSocketImpl.h>
 
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -68,8 +69,19 @@
                                const clock& time)
     : HTTPServerSession{socket, std::move(params)}, time_{time} {}
 
-bool caller_session::wait_for_request(time_ms most) {
-  return buffered() > 0 || socket().poll(to_timespan(most), Poco::Net::Socket::SELECT_READ);
+// Bytes that were read with those before them no longer show on the connection: the socket is asked
+// first. What has come goes before the interruption, so that it gets an answer.
+bool caller_session::wait_for_request(time_ms most, int interrupt) {
+  if (buffered() > 0 || socket().poll(0, Poco::Net::Socket::SELECT_READ))
+    return true;
+  const time_ms deadline = time_.now() + most;
+  for (;;) {
+    const time_ms left = std::max(deadline - time_.now(), time_ms{0});
+    std::array<pollfd, 2> fds{{{socket().impl()->sockfd(), POLLIN, 0}, {interrupt, POLLIN, 0}}};
+    const int ready = ::poll(fds.data(), fds.size(), static_cast<int>(left.count()));
+    if (ready >= 0 || errno != EINTR)
+      return fds[0].revents != 0;
+  }
 }
 
 std::string caller_session::read_header(const header_limits& limits, time_ms deadline) {
--- a/src/gateway/impl/caller_session.hpp
+++ b/src/gateway/impl/caller_session.hpp
@@ -22,8 +22,9 @@
   caller_session(const Poco::Net::StreamSocket& socket, Poco::Net::HTTPServerParams::Ptr params,
                  const clock& time);
 
+  /// \param interrupt  a descriptor that can be read once the wait shall end
   /// \returns whether anything came, or the caller closed, within `most`.
-  [[nodiscard]] bool wait_for_request(time_ms most);
+  [[nodiscard]] bool wait_for_request(time_ms most, int interrupt);
 
   /// \brief Reads a header up to and with its empty line and leaves it to be read again.
   /// \returns the header; empty when the caller closed before it was whole
--- a/src/gateway/impl/http_server.cpp
+++ b/src/gateway/impl/http_server.cpp
@@ -50,7 +50,7 @@
       // The same bound as for a header: who connects and says nothing gets no more than who
       // says it slowly.
       time_ms wait = server_.options_.header_timeout;
-      while (!server_.stopping_ && session.wait_for_request(wait) && serve_one(session))
+      while (session.wait_for_request(wait, server_.idle_end_.descriptor()) && serve_one(session))
         wait = server_.options_.keep_alive;
     } catch (const Poco::Exception&) {
       return; // the connection failed; there is nobody to tell
@@ -104,7 +104,8 @@
     request_body body{session, framing};
     response.setVersion(request.getVersion());
     // What is left of a body that nobody read would be taken for the next request.
-    response.setKeepAlive(request.getKeepAlive() && !server_.crowded() && !server_.ending_);
+    response.setKeepAlive(request.getKeepAlive() && !server_.crowded() && !server_.ending_ &&
+                          !server_.stopping_);
     server_.serve(request, response, body);
     if (body.state() != body_state::whole)
       return sequel::close_gently;
@@ -147,7 +148,7 @@
 }
 
 http_server::~http_server() {
-  stop_accepting();
+  stop_taking();
   threads_.joinAll();
 }
 
@@ -155,9 +156,11 @@
   server_->start();
 }
 
-void http_server::stop_accepting() {
-  if (!stopping_.exchange(true))
-    server_->stop();
+void http_server::stop_taking() {
+  if (stopping_.exchange(true))
+    return;
+  idle_end_.open();
+  server_->stop();
 }
 
 // Idle connections hold threads. When nearly all are taken, callers that wait for one come before
@@ -188,6 +191,10 @@
   caller_exchange exchange{request, response, uri.substr(0, mark),
                            mark == std::string::npos ? "" : uri.substr(mark + 1), body};
   try {
+    // A connection that its caller keeps brings requests until it is closed: to look before the
+    // wait for one says nothing of the moment at which it comes.
+    if (stopping_)
+      throw error{error_kind::stopping, "", ""};
     handle_(exchange);
   } catch (const error& failure) {
     if (response.sent())
--- a/src/gateway/impl/http_server.hpp
+++ b/src/gateway/impl/http_server.hpp
@@ -46,8 +46,9 @@
   /// \brief Each answer from now on is the last of its connection, and says so.
   void end_connections() noexcept { ending_ = true; }
 
-  /// \brief Stops accepting connections; those that are open go on.
-  void stop_accepting();
+  /// \brief Takes nothing more: no connection, and no request on those that are open. Idle ones
+  /// end, requests that run are answered.
+  void stop_taking();
 
   /// \returns connections that are open now.
   [[nodiscard]] std::size_t connections() const noexcept { return connections_; }
@@ -67,6 +68,7 @@
   std::atomic<std::size_t> connections_{0};
   std::atomic<bool> ending_{false};
   std::atomic<bool> stopping_{false};
+  latch_pipe idle_end_; ///< ends the waits for a next request
   std::unique_ptr<Poco::Net::TCPServer> server_;
 };
 
--- a/tests/gateway/stopping_server_test.cpp
+++ b/tests/gateway/stopping_server_test.cpp
@@ -32,7 +32,7 @@
 TEST_CASE("a request on a kept connection of a stopped server is not run") {
   stopping_host stopping;
   raw_caller idle = stopping.kept_caller();
-  stopping.host.stop_accepting();
+  stopping.host.stop_taking();
   (void)idle.send(chat_request_text(chat_body(false)));
   CHECK(idle.receive().status == 0);
   CHECK(stopping.engine.runs() == 0);
@@ -45,7 +45,7 @@
   raw_caller late = stopping.kept_caller();
   const std::string request = chat_request_text(chat_body(false));
   REQUIRE(late.send(request.substr(0, 10)));
-  stopping.host.stop_accepting();
+  stopping.host.stop_taking();
   REQUIRE(late.send(request.substr(10)));
   const raw_answer answer = late.receive();
   CHECK(answer.status == 503);
@@ -67,7 +67,7 @@
   raw_caller caller = host.caller();
   REQUIRE(caller.send(chat_request_text(chat_body(false))));
   REQUIRE(eventually([&] { return engine.runs() == 1; }));
-  host.stop_accepting();
+  host.stop_taking();
   stopped = true;
   CHECK(caller.receive().status == 200);
   CHECK(caller.closed_by_host());
@@ -80,7 +80,7 @@
   raw_caller idle = stopping.kept_caller();
   const steady_clock time;
   const time_ms began = time.now();
-  stopping.host.stop_accepting();
+  stopping.host.stop_taking();
   CHECK(idle.closed_by_host());
   CHECK(time.now() - began < time_ms{2000});
 }
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -22,11 +22,11 @@
 }
 
 test_gateway::~test_gateway() {
-  stop_accepting();
+  stop_taking();
 }
 
-void test_gateway::stop_accepting() {
-  stop_server(socket_.address(), [this] { server_.stop_accepting(); });
+void test_gateway::stop_taking() {
+  stop_server(socket_.address(), [this] { server_.stop_taking(); });
 }
 
 raw_answer test_gateway::ask(const std::string& request) const {
--- a/tests/gateway/test_gateway.hpp
+++ b/tests/gateway/test_gateway.hpp
@@ -39,7 +39,7 @@
   /// \returns the answer to one request on a connection of its own.
   [[nodiscard]] raw_answer ask(const std::string& request) const;
 
-  void stop_accepting();
+  void stop_taking();
 
   /// \returns whether, in the end, nothing is reserved, queued, claimed or inside.
   [[nodiscard]] bool nothing_left() const;
