--- a/tests/entry/planned_stop_test.cpp
+++ b/tests/entry/planned_stop_test.cpp
@@ -149,3 +149,54 @@
   host.signal(SIGTERM);
   CHECK(host.wait(time_ms{4000}) == 0);
 }
+
+// A site gives its hosts half a second, and the store is slow. What is kept for the exit follows the
+// grace, but the bounds of the last exchange do not: the process would be killed at its work.
+TEST_CASE("a stop with a short grace ends within it also with a slow store") {
+  scripted_endpoint endpoint{long_stream};
+  entry_program host{R"("grace_s":0.5)"};
+  host.add_endpoint("e1", endpoint.address());
+  REQUIRE(host.ready());
+  Poco::JSON::Object slow;
+  slow.set("late_ms", 3000);
+  host.store().server().board().merge(slow);
+  const steady_clock time;
+  const time_ms began = time.now();
+  host.signal(SIGTERM);
+  CHECK(host.wait(time_ms{3000}) == 0);
+  const time_ms took = time.now() - began;
+  CHECK(took.count() <= 500);
+}
+
+// Everything that the end of a stop waits for takes its longest at once: a stream runs to the cut, a
+// caller has sent half a header, the store is slow, nobody reads the log.
+TEST_CASE("a stop ends within its grace when all that it waits for takes its longest") {
+  scripted_endpoint endpoint{[](const auto& request) {
+    return scripted_reply{stream_head(attempt_of(request)) + event_chunk(1), then::hang, ""};
+  }};
+  entry_program host{R"("grace_s":4)", log_reader::never_reads};
+  host.add_endpoint("e1", endpoint.address());
+  REQUIRE(host.ready());
+  const steady_clock time;
+  const auto link = connect_to(host.callers(), time_ms{1000}, time).link;
+  for (int i = 0; i < 40; ++i) {
+    const auto refused = connect_to(host.callers(), time_ms{1000}, time).link;
+    REQUIRE(refused->write_all(entry_request("none", "id-" + std::to_string(i)),
+                               time.now() + time_ms{1000}) == io_status::ok);
+    (void)refused->fill(time.now() + time_ms{1000});
+  }
+  REQUIRE(link->write_all(entry_request("once", "id-run"), time.now() + time_ms{1000}) ==
+          io_status::ok);
+  REQUIRE(link->fill(time.now() + time_ms{2000}) == io_status::ok);
+  Poco::JSON::Object slow;
+  slow.set("late_ms", 3000);
+  host.store().server().board().merge(slow);
+  const time_ms began = time.now();
+  host.signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds{3450});
+  const auto half = connect_to(host.callers(), time_ms{1000}, time).link;
+  (void)half->write_all("POST /once/ HTTP/1.1\r\n", time.now() + time_ms{100});
+  CHECK(host.wait(time_ms{3000}) == 0);
+  const time_ms took = time.now() - began;
+  CHECK(took.count() <= 4000);
+}
--- a/tests/prepaid/budget_desk_test.cpp
+++ b/tests/prepaid/budget_desk_test.cpp
@@ -131,3 +131,14 @@
   desk_fixture staying{shared, "desk-5", 2};
   CHECK(reserve_soon(staying.desk, "team-a", 100000) == reserve_outcome::reserved);
 }
+
+// A host ends while the log of the accounts refuses it. Its last line must not say that tokens were
+// handed back.
+TEST_CASE("a desk that could not hand its tokens back says so") {
+  shared_log shared;
+  desk_fixture a{shared, "a", 1};
+  REQUIRE(reserve_soon(a.desk, "team-a", 100) == reserve_outcome::reserved);
+  a.desk.settle("team-a", 100, 100);
+  shared.away = true;
+  CHECK_FALSE(a.desk.finish(time_ms{1000}));
+}
