--- a/tests/entry/planned_stop_test.cpp
+++ b/tests/entry/planned_stop_test.cpp
@@ -150,8 +150,8 @@
   CHECK(host.wait(time_ms{4000}) == 0);
 }
 
-// A site gives its hosts half a second, and the store is slow. What is kept for the exit follows the
-// grace, but the bounds of the last exchange do not: the process would be killed at its work.
+// A site gives its hosts half a second, and the store is slow. What is kept for the exit follows
+// the grace, but the bounds of the last exchange do not: the process would be killed at its work.
 TEST_CASE("a stop with a short grace ends within it also with a slow store") {
   scripted_endpoint endpoint{long_stream};
   entry_program host{R"("grace_s":0.5)"};
@@ -168,8 +168,8 @@
   CHECK(took.count() <= 500);
 }
 
-// Everything that the end of a stop waits for takes its longest at once: a stream runs to the cut, a
-// caller has sent half a header, the store is slow, nobody reads the log.
+// Everything that the end of a stop waits for takes its longest at once: a stream runs to the cut,
+// a caller has sent half a header, the store is slow, nobody reads the log.
 TEST_CASE("a stop ends within its grace when all that it waits for takes its longest") {
   scripted_endpoint endpoint{[](const auto& request) {
     return scripted_reply{stream_head(attempt_of(request)) + event_chunk(1), then::hang, ""};
