A check of the settings names every fault, and so does a start

A settings file with several mistakes was refused for the first of them. `--check`, a start and a SIGHUP now name each with file, path and reason: fields missing or of another type, empty or too long, out of range, standing twice, addresses that are no IP number and port (a name would have been looked up), the status address given to callers too, files that are missing, a folder, or no text. A grace of 1e300 seconds, or a retry window of 0, was taken; both are refused.

--- a/src/entry/impl/entry_settings.cpp
+++ b/src/entry/impl/entry_settings.cpp
@@ -2,9 +2,6 @@
 
 #include "config/config.hpp"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/SocketAddress.h>
-
 #include <algorithm>
 #include <array>
 
@@ -18,63 +15,98 @@
     "retry_slack", "retry_window_s", "config_bound_ms", "processor_share"};
 constexpr double ms_a_second = 1000;
 
+// A host's name and address, behind a team's name, are a key of the store, which takes 255 bytes.
+constexpr std::size_t longest_name = 100;
+
+struct number_bounds {
+  double least{0};
+  double most{};
+};
+constexpr number_bounds seconds_bounds{0, 86400};
+constexpr number_bounds ratio_bounds{0, 100};
+constexpr number_bounds slack_bounds{0, 1e9};
+// Within less, a look that is lost cannot be followed by another that is heard.
+constexpr number_bounds config_bounds{1000, 86'400'000}; // milliseconds
+constexpr number_bounds share_bounds{0.001, 1024};       // of a core
+
+/// Reads one setting after the other; what is wrong with them is gathered.
 class settings_reader {
  public:
-  settings_reader(std::string where, const json_node& node)
-      : where_{std::move(where)}, node_{node} {}
+  settings_reader(std::string where, const json_node& node, std::vector<settings_fault>& faults)
+      : where_{std::move(where)}, node_{node}, faults_{faults} {
+    for (std::size_t i = 0; i < node.names.size(); ++i)
+      if (node.find(node.names[i]) != &node.children[i])
+        fail(node.names[i], "stands there twice");
+  }
 
   [[nodiscard]] std::string text(std::string_view name) const {
     const json_node* at = node_.find(name);
-    if (at == nullptr || at->type != json_type::text || at->text.empty())
-      fail(name, "is missing or no text");
-    return at->text;
+    if (at == nullptr)
+      return fail(name, "is missing");
+    if (at->type != json_type::text)
+      return fail(name, "is no text");
+    return at->text.empty() ? fail(name, "is empty") : at->text;
+  }
+
+  /// \returns a text that can be part of a key and of a message
+  [[nodiscard]] std::string name(std::string_view name) const {
+    const std::string given = text(name);
+    const auto control = [](char c) { return c >= '\0' && c < ' '; };
+    if (std::any_of(given.begin(), given.end(), control))
+      return fail(name, "holds a control character");
+    if (given.size() > longest_name)
+      return fail(name, "is longer than " + std::to_string(longest_name) + " bytes");
+    return given;
   }
 
   [[nodiscard]] std::string address(std::string_view name) const {
     const std::string given = text(name);
-    try {
-      (void)Poco::Net::SocketAddress{given};
-    } catch (const Poco::Exception&) {
-      fail(name, "is not IP:port: " + given);
-    }
+    if (!given.empty() && !sedgechute::address::parse(given))
+      return fail(name, "is not IP:port: " + given);
     return given;
   }
 
-  [[nodiscard]] double number(std::string_view name, double otherwise) const {
+  [[nodiscard]] double number(std::string_view name, double otherwise,
+                              const number_bounds& bounds) const {
     const json_node* at = node_.find(name);
     if (at == nullptr || at->type == json_type::null)
       return otherwise;
-    if (at->type != json_type::integer && at->type != json_type::real)
+    if (at->type != json_type::integer && at->type != json_type::real) {
       fail(name, "is not a number");
+      return otherwise;
+    }
     const double value =
         at->type == json_type::integer ? static_cast<double>(at->integer) : at->real;
-    if (value < 0)
-      fail(name, "is below 0");
-    return value;
+    if (value >= bounds.least && value <= bounds.most)
+      return value;
+    fail(name, "is " + to_text(*at) + ", not within " + to_text(json_node::of(bounds.least)) +
+                   " and " + to_text(json_node::of(bounds.most)));
+    return otherwise;
   }
 
   [[nodiscard]] time_ms seconds(std::string_view name, time_ms otherwise) const {
-    const double given = number(name, static_cast<double>(otherwise.count()) / ms_a_second);
+    const double given =
+        number(name, static_cast<double>(otherwise.count()) / ms_a_second, seconds_bounds);
     return time_ms{static_cast<std::int64_t>(given * ms_a_second)};
   }
 
- private:
-  [[noreturn]] void fail(std::string_view name, const std::string& why) const {
-    throw error{error_kind::invalid_settings, where_ + " /" + std::string{name}, why};
+  /// \returns no text
+  std::string fail(std::string_view name, std::string why) const {
+    faults_.push_back({where_ + " /" + pointer_step(name), std::move(why)});
+    return {};
   }
 
+ private:
   std::string where_;
   const json_node& node_;
+  std::vector<settings_fault>& faults_;
 };
 
 // Of a short grace no more than so much is kept for the exit unless the settings say so.
 constexpr std::int64_t least_parts_of_grace = 4;
 
-// Within less, a look that is lost cannot be followed by another that is heard.
-constexpr time_ms least_config_bound{1000};
-
 // What is not given follows the grace, so that any grace has bounds that can be kept.
-stop_bounds read_stop(const std::string& where, const settings_reader& reader) {
+stop_bounds read_stop(const settings_reader& reader) {
   stop_bounds stop;
   stop.grace = reader.seconds("grace_s", stop.grace);
   stop.kept_for_exit = reader.seconds(
@@ -82,10 +114,32 @@
       std::min(stop.kept_for_exit, time_ms{stop.grace.count() / least_parts_of_grace}));
   stop.notice = reader.seconds("notice_s", std::min(stop.notice, cut_after(stop)));
   if (const auto fault = fault_of(stop))
-    throw error{error_kind::invalid_settings, where + " /grace_s", *fault};
+    reader.fail("grace_s", *fault);
   return stop;
 }
 
+entry_settings read_all(const settings_reader& reader) {
+  entry_settings read;
+  read.host = reader.name("host");
+  read.data_centre = reader.name("data_centre");
+  read.callers = reader.address("callers");
+  read.peers = reader.address("peers");
+  read.status = reader.address("status");
+  if (!read.status.empty() && read.status == read.callers)
+    reader.fail("status", "is the address of the callers too");
+  read.store = reader.address("store");
+  read.stop = read_stop(reader);
+  read.retry_ratio = reader.number("retry_ratio", read.retry_ratio, ratio_bounds);
+  read.retry_slack = static_cast<std::uint64_t>(reader.number("retry_slack", 0, slack_bounds));
+  read.retry_window = reader.seconds("retry_window_s", read.retry_window);
+  if (read.retry_window <= time_ms{})
+    reader.fail("retry_window_s", "must be above 0");
+  read.config_bound = time_ms{static_cast<std::int64_t>(reader.number(
+      "config_bound_ms", static_cast<double>(read.config_bound.count()), config_bounds))};
+  read.processor_share = reader.number("processor_share", read.processor_share, share_bounds);
+  return read;
+}
+
 } // namespace
 
 // A machine that is cut off may be replaced by another of its name while its process goes on and
@@ -95,40 +149,32 @@
   return settings.host + '@' + settings.peers;
 }
 
-settings_reading parse_entry_settings(const std::string& where, std::string_view text) {
+settings_reading check_entry_settings(const std::string& where, std::string_view text) {
+  settings_reading reading;
   json_node node;
   try {
     node = parse_json(text);
   } catch (const error& fault) {
-    throw error{error_kind::invalid_settings, where, fault.what()};
+    reading.faults.push_back({where, fault.why()});
+    return reading;
   }
-  if (node.type != json_type::object)
-    throw error{error_kind::invalid_settings, where, "is not a JSON object"};
-  const settings_reader reader{where, node};
-  settings_reading reading;
-  entry_settings& read = reading.settings;
-  read.host = reader.text("host");
-  read.data_centre = reader.text("data_centre");
-  read.callers = reader.address("callers");
-  read.peers = reader.address("peers");
-  read.status = reader.address("status");
-  read.store = reader.address("store");
-  read.stop = read_stop(where, reader);
-  read.retry_ratio = reader.number("retry_ratio", read.retry_ratio);
-  read.retry_slack = static_cast<std::uint64_t>(reader.number("retry_slack", 0));
-  read.retry_window = reader.seconds("retry_window_s", read.retry_window);
-  read.config_bound = time_ms{static_cast<std::int64_t>(
-      reader.number("config_bound_ms", static_cast<double>(read.config_bound.count())))};
-  if (read.config_bound < least_config_bound)
-    throw error{error_kind::invalid_settings, where + " /config_bound_ms",
-                "must be " + std::to_string(least_config_bound.count()) + " ms or more"};
-  read.processor_share = reader.number("processor_share", read.processor_share);
-  if (read.processor_share <= 0)
-    throw error{error_kind::invalid_settings, where + " /processor_share", "must be above 0"};
+  if (node.type != json_type::object) {
+    reading.faults.push_back({where, "is not a JSON object"});
+    return reading;
+  }
+  reading.settings = read_all({where, node, reading.faults});
   for (const std::string& name : node.names)
     if (std::find(known_names.begin(), known_names.end(), name) == known_names.end())
       reading.unknown.push_back(name);
   return reading;
 }
 
+settings_reading parse_entry_settings(const std::string& where, std::string_view text) {
+  settings_reading reading = check_entry_settings(where, text);
+  if (!reading.faults.empty())
+    throw error{error_kind::invalid_settings, reading.faults.front().where,
+                reading.faults.front().why};
+  return reading;
+}
+
 } // namespace sedgechute
--- a/src/entry/impl/entry_settings.hpp
+++ b/src/entry/impl/entry_settings.hpp
@@ -28,13 +28,22 @@
 /// \returns the name under which the host keeps accounts and is known to others: with its address
 [[nodiscard]] std::string identity_of(const entry_settings& settings);
 
+struct settings_fault {
+  std::string where; ///< file and pointer
+  std::string why;
+};
+
 struct settings_reading {
-  entry_settings settings;
-  std::vector<std::string> unknown; ///< names that mean nothing here; ignored
+  entry_settings settings;            ///< means nothing where there are faults
+  std::vector<std::string> unknown;   ///< names that mean nothing here; ignored
+  std::vector<settings_fault> faults; ///< all that is wrong
 };
 
 /// \param where  the file, for messages
-/// \throws error `invalid_settings` that names what is missing or out of range
+[[nodiscard]] settings_reading check_entry_settings(const std::string& where,
+                                                    std::string_view text);
+/// \brief The same for settings that are to be used.
+/// \throws error `invalid_settings`, the first of the faults
 [[nodiscard]] settings_reading parse_entry_settings(const std::string& where,
                                                     std::string_view text);
 
--- a/src/entry/program/main.cpp
+++ b/src/entry/program/main.cpp
@@ -11,6 +11,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -53,12 +54,21 @@
 constexpr time_ms last_lines{150};
 
 settings_reading read_settings(const std::string& file) {
+  if (file.empty())
+    return {.faults = {{"settings", "no file is named: use --settings or $SEDGECHUTE_CONFIG"}}};
   std::ifstream in{file};
-  if (!in)
-    throw error{error_kind::invalid_settings, file, "cannot be read"};
   std::ostringstream text;
   text << in.rdbuf();
-  return parse_entry_settings(file, text.str());
+  if (!in || std::filesystem::is_directory(file))
+    return {.faults = {{file, "cannot be read"}}};
+  return check_entry_settings(file, text.str());
+}
+
+/// \returns whether there are any
+bool tell_faults(const settings_reading& reading) {
+  for (const settings_fault& fault : reading.faults)
+    std::cerr << "sedgechute-entry: " << fault.where << ": " << fault.why << '\n';
+  return !reading.faults.empty();
 }
 
 // Signals are blocked before any thread starts, so that only the wait below receives them.
@@ -76,12 +86,12 @@
 // Addresses and names cannot change while callers are connected; what a new file says holds from
 // the next start on. It is checked at once, so that a fault shows before that.
 void check_again(const std::string& file, structured_log& log) {
-  try {
-    (void)read_settings(file);
+  const settings_reading reading = read_settings(file);
+  for (const settings_fault& fault : reading.faults)
+    log.write(severity::error, "settings_invalid", {},
+              {{log_field::path, fault.where}, {log_field::reason, fault.why}});
+  if (reading.faults.empty())
     log.write(severity::info, "settings_checked", {}, {{log_field::path, file}});
-  } catch (const error& fault) {
-    log.write(severity::error, "settings_invalid", {}, {{log_field::reason, fault.what()}});
-  }
 }
 
 void wait_for_stop(const sigset_t& signals, const std::string& file, structured_log& log) {
@@ -102,6 +112,8 @@
 int check() {
   const std::string file = settings_file();
   const settings_reading reading = read_settings(file);
+  if (tell_faults(reading))
+    return exit_bad_settings;
   for (const std::string& name : reading.unknown)
     std::cout << file << " /" << name << ": unknown, ignored\n";
   std::cout << file << ": settings of host " << reading.settings.host << " are valid\n";
@@ -119,6 +131,8 @@
   const sigset_t signals = block_signals();
   const std::string file = settings_file();
   const settings_reading reading = read_settings(file);
+  if (tell_faults(reading))
+    return exit_bad_settings;
   structured_log log{{.host = reading.settings.host,
                       .file = {},
                       .to_standard_output = true,
--- a/tests/entry/entry_settings_test.cpp
+++ b/tests/entry/entry_settings_test.cpp
@@ -96,6 +96,75 @@
   }
 }
 
+namespace {
+
+/// \returns `good` with the member `name` replaced by other text
+std::string with(const std::string& name, const std::string& member) {
+  const std::string whole = good;
+  const std::size_t at = whole.find("\"" + name + "\"");
+  REQUIRE(at != std::string::npos);
+  const std::size_t end = whole.find_first_of(",}", at);
+  return std::string{whole}.replace(at, end - at, member);
+}
+
+} // namespace
+
+// Somebody writes a new settings file with several mistakes. Each start, and each check, named one
+// of them.
+TEST_CASE("every fault of the settings is told, with file, path and reason") {
+  const settings_reading reading = check_entry_settings(
+      "file", R"({"host":7,"data_centre":"","callers":"10.0.0.1","peers":"h.example:1",
+       "status":"127.0.0.1:3","grace_s":"8","retry_ratio":-1,"retry_ratio":2,"retry_window_s":0,
+       "processor_share":1e300,"a/b":1})");
+  const std::vector<std::pair<std::string, std::string>> expected{
+      {"file /retry_ratio", "stands there twice"},
+      {"file /host", "is no text"},
+      {"file /data_centre", "is empty"},
+      {"file /callers", "is not IP:port: 10.0.0.1"},
+      {"file /peers", "is not IP:port: h.example:1"},
+      {"file /store", "is missing"},
+      {"file /grace_s", "is not a number"},
+      {"file /retry_ratio", "is -1, not within 0 and 100"},
+      {"file /retry_window_s", "must be above 0"},
+      {"file /processor_share", "is 1e+300, not within 0.001 and 1024"}};
+  REQUIRE(reading.faults.size() == expected.size());
+  for (std::size_t i = 0; i < expected.size(); ++i) {
+    CHECK(reading.faults[i].where == expected[i].first);
+    CHECK(reading.faults[i].why == expected[i].second);
+  }
+  CHECK(reading.unknown == std::vector<std::string>{"a/b"});
+}
+
+TEST_CASE("settings of another type or out of range are refused") {
+  for (const char* name : {"host", "data_centre", "callers", "peers", "status", "store"})
+    for (const char* value : {"1", "null", "true", "[]", "{}", R"("")"})
+      CHECK_FALSE(check_entry_settings("file", with(name, "\"" + std::string{name} + "\":" + value))
+                      .faults.empty());
+  for (const char* name : {"grace_s", "retry_ratio", "retry_slack", "retry_window_s"})
+    for (const char* value : {"\"1\"", "true", "[]", "{}", "-1", "1e300", "1e400"})
+      CHECK_FALSE(check_entry_settings("file", with(name, "\"" + std::string{name} + "\":" + value))
+                      .faults.empty());
+  const std::vector<std::pair<std::string, std::string>> wrong{
+      {"host", R"("a\nb")"},
+      {"host", "\"" + std::string(101, 'h') + "\""},
+      {"data_centre", R"("a\u0000")"},
+      {"peers", R"("1.2.3.4:0")"},
+      {"status", R"("127.0.0.1:1")"}}; // the callers' address
+  for (const auto& [name, value] : wrong)
+    CHECK_FALSE(
+        check_entry_settings("file", with(name, "\"" + name + "\":" + value)).faults.empty());
+}
+
+TEST_CASE("bytes that are no whole settings are refused, and no process ends") {
+  const std::string whole = good;
+  for (std::size_t length = 0; length < whole.size(); ++length)
+    CHECK(check_entry_settings("file", whole.substr(0, length)).faults.size() == 1);
+  for (const std::string& text : {std::string{"\xff"}, std::string{"null"}, std::string{"7"},
+                                  std::string(100000, '['), std::string(2U << 20U, ' ')})
+    CHECK(check_entry_settings("file", text).faults.size() == 1);
+  CHECK(check_entry_settings("file", "").faults.front().where == "file");
+}
+
 // A machine is cut off and another takes its name, at another address. The first goes on serving
 // from the tokens it was granted: the other must not take its accounts for those of an earlier
 // life.
