A service that the configuration does not describe gets no request

A version whose route names a service without a description is in force for its other routes. That route sent its requests to whoever had registered under the service's name: another writer's entry was in use. Its requests are refused now at once with 503 and a time to come back; a version that describes the service serves them, also from endpoints that registered before.

--- a/src/relay/impl/admitted_request.cpp
+++ b/src/relay/impl/admitted_request.cpp
@@ -28,6 +28,16 @@
   return *found;
 }
 
+// Whoever registers under the name of a service that the configuration does not describe is no
+// endpoint of the fleet, also where a route names that service.
+const service_traits& traits_of(const admitted_request& request) {
+  const service_traits* found = request.config->find_service(request.service);
+  if (found == nullptr)
+    throw error{error_kind::no_capacity, request.service,
+                "is not described in version " + std::to_string(request.config->version)};
+  return *found;
+}
+
 } // namespace
 
 std::string_view admitted_request::team_name() const noexcept {
@@ -57,8 +67,7 @@
   if (into.config->keys_required && !into.on_route->open_to_all)
     into.team = &team_of(into.terms.bearer, *into.config);
   into.service = choose_service(*into.on_route, into.terms.id);
-  if (const service_traits* traits = into.config->find_service(into.service))
-    into.event_tokens = std::max<std::uint64_t>(traits->tokens_per_event, 1);
+  into.event_tokens = std::max<std::uint64_t>(traits_of(into).tokens_per_event, 1);
   const time_ms patience = into.terms.patience.value_or(default_patience);
   into.deadline = received + std::min(patience, into.on_route->timeout);
 }
--- a/src/relay/impl/admitted_request.hpp
+++ b/src/relay/impl/admitted_request.hpp
@@ -26,7 +26,8 @@
 
 /// \brief Finds what the configuration says about a request.
 /// \param received  when its first byte was read
-/// \throws error `not_ready`, `malformed_request`, `unknown_path` or `unauthenticated`
+/// \throws error `not_ready`, `malformed_request`, `unknown_path`, `unauthenticated`, or
+///   `no_capacity` where the route's service is not described
 void admit(const request_head& head, time_ms received, const wire_dialect& dialect,
            config_ptr in_force, admitted_request& into);
 
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -62,10 +62,11 @@
   return all;
 }
 
-relay_fixture::relay_fixture(std::uint64_t prepaid, relay_options options)
+relay_fixture::relay_fixture(std::uint64_t prepaid, relay_options options, config_ptr config)
     : log_{{.host = "relay-test", .file = "/dev/null"}}, figures_{"relay-test"},
-      endpoints_{data_centre_id{"dc"}, choice_weights{}, time_}, config_{test_config(prepaid)},
-      socket_{Poco::Net::SocketAddress{"127.0.0.1", 0}} {
+      endpoints_{data_centre_id{"dc"}, choice_weights{}, time_},
+      config_{config ? std::move(config) : test_config(prepaid)}, socket_{Poco::Net::SocketAddress{
+                                                                      "127.0.0.1", 0}} {
   budgets_ = std::make_unique<budget_desk>(desk_owner{"relay-test", 1}, prepaid_options{},
                                            one_log(), machine_time_, faults_, log_);
   budgets_->set_prepaid({{"team-a", prepaid}});
@@ -83,8 +84,9 @@
   door_->start();
 }
 
-void relay_fixture::add_endpoint(const std::string& id, const std::string& address) {
-  endpoints_.put({endpoint_id{id}, "s", address, data_centre_id{"dc"}, 8, false});
+void relay_fixture::add_endpoint(const std::string& id, const std::string& address,
+                                 const std::string& service) {
+  endpoints_.put({endpoint_id{id}, service, address, data_centre_id{"dc"}, 8, false});
 }
 
 std::string relay_fixture::call(const std::string& path, const std::string& attempt,
--- a/tests/relay/relay_fixture.hpp
+++ b/tests/relay/relay_fixture.hpp
@@ -53,9 +53,12 @@
  public:
   /// \param prepaid  of the only team
   /// \param options  of the relay
-  explicit relay_fixture(std::uint64_t prepaid = 1000000, relay_options options = {});
+  /// \param config   in force; by default one with the only service and a route of each kind
+  explicit relay_fixture(std::uint64_t prepaid = 1000000, relay_options options = {},
+                         config_ptr config = nullptr);
 
-  void add_endpoint(const std::string& id, const std::string& address);
+  void add_endpoint(const std::string& id, const std::string& address,
+                    const std::string& service = "s");
   /// \returns the answer to one request, and closes the connection
   [[nodiscard]] std::string call(const std::string& path, const std::string& attempt,
                                  const std::string& more_fields = "",
