One rule says when another attempt may follow, for every way of a request

Whether a failed request may be tried again, and what its caller is told if not, was written four times: for the product's chats (run_request), its plain services (service_call), in decide_retry, which only the routing measurement calls, and for the users' platform (send_rules). It is now may_attempt_again and refusal_after in src/routing (attempt_rule); the four differ only in what they know of the request. Which refusal the platform's callers get stays in send_rules: there, a time limit that has passed has a word of its own.

A plain service's call took one more retry from its pool's budget after its last attempt, and waited for it, only to be refused. A new test saw three retries for two more attempts; now two.

--- a/src/gateway/impl/run_request.cpp
+++ b/src/gateway/impl/run_request.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/impl/engine_stream.hpp"
 #include "gateway/impl/held_turn.hpp"
+#include "routing/impl/attempt_rule.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -13,7 +14,7 @@
 
 // A stream that breaks this often without a token in between is not worth another connection.
 constexpr int most_resumes_without_progress = 2;
-constexpr int most_attempts = 4;
+constexpr std::uint32_t most_attempts = 4;
 
 // An engine that goes on behind what it was allowed, in tokens or in bytes, will not end by itself.
 constexpr std::uint64_t spare_tokens = 16;
@@ -293,19 +294,28 @@
     if (callers_fault)
       return refuse(error_kind::invalid_parameter, "the engine refused the request with status " +
                                                        std::to_string(rejected_status));
-    // Part of this run's answer is with the caller: another run's tokens must never follow it.
-    if (sink_.delivered())
-      return refuse(error_kind::stream_cut, "the endpoint was lost in the middle of the answer");
-    if (ran && !request_.idempotent)
-      return refuse(error_kind::outcome_unknown, "the endpoint was lost while it may have run");
-    const auto wait = attempts_ < most_attempts
+    const failed_so_far so_far{.may_have_run = ran,
+                               .harmless_twice = request_.idempotent,
+                               .answer_begun = sink_.delivered(),
+                               .attempts = static_cast<std::uint32_t>(attempts_),
+                               .most_attempts = most_attempts};
+    const auto wait = may_attempt_again(so_far)
                           ? host_.dispatch.retry_after_failure(wanted_, attempts_)
                           : std::nullopt;
     if (!wait)
-      return refuse(ran ? error_kind::endpoint_failed : error_kind::no_capacity, "");
+      return refuse_for_good(refusal_after(so_far));
     std::this_thread::sleep_for(std::chrono::milliseconds{wait->count()});
   }
 
+  void refuse_for_good(error_kind kind) {
+    std::string_view why;
+    if (kind == error_kind::stream_cut)
+      why = "the endpoint was lost in the middle of the answer";
+    if (kind == error_kind::outcome_unknown)
+      why = "the endpoint was lost while it may have run";
+    refuse(kind, std::string{why});
+  }
+
   // An engine that reports no usage is billed by what was delivered and an estimate of the prompt.
   [[nodiscard]] token_usage usage_of(const relay_state& state) const {
     if (state.usage)
--- a/src/gateway/impl/service_call.cpp
+++ b/src/gateway/impl/service_call.cpp
@@ -5,6 +5,7 @@
 #include "gateway/impl/chat_sinks.hpp"
 #include "gateway/impl/held_turn.hpp"
 #include "gateway/impl/refusal.hpp"
+#include "routing/impl/attempt_rule.hpp"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -25,7 +26,7 @@
 
 constexpr std::size_t block_bytes = 16 * 1024;
 constexpr std::size_t most_kept_bytes = 256 * 1024;
-constexpr int most_attempts = 3;
+constexpr std::uint32_t most_attempts = 3;
 
 // Headers that concern one connection only, and the team's key, which no endpoint may see.
 constexpr std::array not_passed_on{"connection",          "keep-alive", "proxy-authenticate",
@@ -218,7 +219,7 @@
   wanted.grant = call.grant;
   wanted.accepted = call.accepted;
   service_result result;
-  while (result.attempts < most_attempts) {
+  for (;;) {
     held_turn turn{host.dispatch, wanted, [&] { return has_hung_up(exchange); }};
     ++result.attempts;
     result.endpoint = turn.get().endpoint;
@@ -243,19 +244,19 @@
       return result;
     }
     wanted.avoid.push_back(result.endpoint);
-    const bool may_repeat = !result.may_have_run || call.idempotent;
-    if (!may_repeat || !body.replayable())
-      break;
-    const auto wait = host.dispatch.retry_after_failure(wanted, result.attempts);
-    if (!wait)
-      break;
+    const failed_so_far so_far{.may_have_run = result.may_have_run,
+                               .harmless_twice = call.idempotent,
+                               .attempts = static_cast<std::uint32_t>(result.attempts),
+                               .most_attempts = most_attempts};
+    const auto wait = may_attempt_again(so_far) && body.replayable()
+                          ? host.dispatch.retry_after_failure(wanted, result.attempts)
+                          : std::nullopt;
+    if (!wait) {
+      result.refused = refusal_after(so_far);
+      return result;
+    }
     std::this_thread::sleep_for(std::chrono::milliseconds{wait->count()});
   }
-  if (result.may_have_run)
-    result.refused = call.idempotent ? error_kind::endpoint_failed : error_kind::outcome_unknown;
-  else
-    result.refused = error_kind::no_capacity;
-  return result;
 }
 
 } // namespace sedgechute
--- a/src/relay/impl/send_rules.cpp
+++ b/src/relay/impl/send_rules.cpp
@@ -1,5 +1,7 @@
 #include "relay/impl/send_rules.hpp"
 
+#include "routing/impl/attempt_rule.hpp"
+
 #include <algorithm>
 
 namespace sedgechute {
@@ -14,6 +16,14 @@
 constexpr std::int64_t pauses_before_stall = 5;
 constexpr time_ms least_stall{600};
 
+failed_so_far failed_on(const route& on, int sends, bool may_have_run,
+                        bool harmless_twice) noexcept {
+  return {.may_have_run = may_have_run,
+          .harmless_twice = harmless_twice,
+          .attempts = static_cast<std::uint32_t>(sends),
+          .most_attempts = static_cast<std::uint32_t>(on.most_attempts)};
+}
+
 run_end refused(error_kind kind, const std::string& where, const std::string& why,
                 std::optional<time_ms> retry_after = std::nullopt) {
   return {final_answer::refusal, {}, error{kind, where, why, retry_after}};
@@ -26,13 +36,17 @@
 }
 
 bool may_run_again(const route& on, int sends) noexcept {
-  return !runs_once(on) && sends < on.most_attempts;
+  return may_attempt_again(failed_on(on, sends, true, !runs_once(on)));
 }
 
 next_send next_send_after(send_outcome end, const route& on, const send_progress& so_far) noexcept {
   if (so_far.caller_failed)
     return next_send::none;
-  const bool error_may_pass = on.kind == request_kind::safe;
+  const auto counted_if = [&](bool may_have_run, bool harmless_twice) {
+    const bool allowed =
+        may_attempt_again(failed_on(on, so_far.sends, may_have_run, harmless_twice));
+    return allowed ? next_send::counted : next_send::none;
+  };
   switch (end) {
   case send_outcome::answered:
   case send_outcome::caller_left:
@@ -43,14 +57,12 @@
   case send_outcome::silent:
     return so_far.unreachable < most_unreachable ? next_send::uncounted : next_send::none;
   case send_outcome::not_run:
-    return so_far.sends < on.most_attempts ? next_send::counted : next_send::none;
+    return counted_if(false, false);
   case send_outcome::own_error:
-    if (!error_may_pass)
-      return next_send::none;
-    [[fallthrough]];
+    return counted_if(true, on.kind == request_kind::safe);
   case send_outcome::failed:
   case send_outcome::stalled:
-    return may_run_again(on, so_far.sends) ? next_send::counted : next_send::none;
+    return counted_if(true, !runs_once(on));
   }
   return next_send::none;
 }
--- /dev/null
+++ b/src/routing/impl/attempt_rule.cpp
@@ -0,0 +1,20 @@
+#include "routing/impl/attempt_rule.hpp"
+
+namespace sedgechute {
+
+// Part of one run's answer is with the caller: another run's must never follow it. And what may
+// have run is done again only where that does no harm: a doubled order is a real parcel.
+bool may_attempt_again(const failed_so_far& request) noexcept {
+  const bool safe = !request.may_have_run || request.harmless_twice;
+  return safe && !request.answer_begun && request.attempts < request.most_attempts;
+}
+
+error_kind refusal_after(const failed_so_far& request) noexcept {
+  if (request.answer_begun)
+    return error_kind::stream_cut;
+  if (!request.may_have_run)
+    return error_kind::no_capacity;
+  return request.harmless_twice ? error_kind::endpoint_failed : error_kind::outcome_unknown;
+}
+
+} // namespace sedgechute
--- a/src/routing/impl/retry_policy.cpp
+++ b/src/routing/impl/retry_policy.cpp
@@ -1,5 +1,7 @@
 #include "routing/impl/retry_policy.hpp"
 
+#include "routing/impl/attempt_rule.hpp"
+
 #include <algorithm>
 
 namespace sedgechute {
@@ -47,13 +49,13 @@
 retry_decision decide_retry(const failed_attempt& failed, const retry_policy& policy,
                             retry_budget& budget, random_source& random, time_ms now) {
   const bool may_have_run = failed.stage != attempt_stage::connecting && !failed.refused_unrun;
-  const bool streaming = failed.stage == attempt_stage::streaming;
-  const error_kind truth = streaming      ? error_kind::stream_cut
-                           : may_have_run ? (failed.idempotent ? error_kind::endpoint_failed
-                                                               : error_kind::outcome_unknown)
-                                          : error_kind::no_capacity;
+  const failed_so_far so_far{.may_have_run = may_have_run,
+                             .harmless_twice = failed.idempotent,
+                             .answer_begun = failed.stage == attempt_stage::streaming,
+                             .attempts = failed.attempts,
+                             .most_attempts = policy.most_attempts};
   retry_decision decision;
-  decision.refusal = truth;
+  decision.refusal = refusal_after(so_far);
   decision.wait = std::max(backoff(policy, failed.attempts, random), failed.retry_after);
 
   // Taking up a run that goes on is no second run, so it needs no idempotence.
@@ -61,9 +63,7 @@
     decision.action = retry_action::resume;
     return decision;
   }
-  if (streaming || (may_have_run && !failed.idempotent))
-    return decision;
-  if (failed.attempts >= policy.most_attempts || now + decision.wait > failed.deadline)
+  if (!may_attempt_again(so_far) || now + decision.wait > failed.deadline)
     return decision;
   if (budget.spend(now))
     decision.action = retry_action::retry;
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -48,6 +48,7 @@
 /// append it. The host whose `epoch_of` is not 0 hands it to its `order_planner` by `set_epoch`,
 /// sends what `plan` returns and hands each engine's answer to `note_answer`.
 
+#include "routing/impl/attempt_rule.hpp"
 #include "routing/impl/choose_endpoint.hpp"
 #include "routing/impl/endpoint_health.hpp"
 #include "routing/impl/endpoint_index.hpp"
--- a/tests/gateway/fake_ports.cpp
+++ b/tests/gateway/fake_ports.cpp
@@ -150,6 +150,7 @@
 }
 
 std::optional<time_ms> fake_dispatch::retry_after_failure(const dispatch_request&, int) {
+  ++retries_taken_;
   return time_ms{1};
 }
 
--- a/tests/gateway/fake_ports.hpp
+++ b/tests/gateway/fake_ports.hpp
@@ -2,6 +2,7 @@
 
 #include "gateway/gateway.hpp"
 
+#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <mutex>
@@ -82,6 +83,8 @@
   [[nodiscard]] std::size_t waiting() const;
   [[nodiscard]] std::size_t held() const;
   [[nodiscard]] std::vector<turn_outcome> outcomes() const;
+  /// \returns how often a retry was taken from the budget.
+  [[nodiscard]] int retries_taken() const noexcept { return retries_taken_; }
 
  private:
   [[nodiscard]] dispatch_turn choose(const dispatch_request& request);
@@ -93,6 +96,7 @@
   std::set<std::uint64_t> held_;
   std::vector<dispatch_turn> endpoints_;
   std::vector<turn_outcome> outcomes_;
+  std::atomic<int> retries_taken_{0};
 };
 
 /// \brief Claims of one data centre: a key runs once, and its answer is kept.
--- a/tests/gateway/service_test.cpp
+++ b/tests/gateway/service_test.cpp
@@ -2,7 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <atomic>
+#include <memory>
 
 using namespace sedgechute;
 using namespace sedgechute::testing;
@@ -88,6 +90,21 @@
   }
 }
 
+// Every endpoint of a service fails. After the last attempt a request took one more retry from its
+// pool's budget, and waited for it, only to be refused.
+TEST_CASE("a service's call takes no retry that it will not make") {
+  std::array<std::unique_ptr<fake_engine>, 4> services;
+  test_gateway host;
+  for (std::size_t i = 0; i < services.size(); ++i) {
+    services.at(i) = std::make_unique<fake_engine>([](engine_call& call) { call.cut(); });
+    host.dispatch.add("s" + std::to_string(i), services.at(i)->address());
+  }
+  const raw_answer answer = host.ask(service_request("b", "X-Sedgechute-Idempotent: true\r\n"));
+  CHECK(answer.kind() == "endpoint_failed");
+  CHECK(host.dispatch.outcomes().size() == 3);
+  CHECK(host.dispatch.retries_taken() == 2);
+}
+
 // A caller uses one key for two orders. Told the first one's answer, it would take the second for
 // done.
 TEST_CASE("a key with another body is refused; with the same body it gets the kept answer") {
