One codec for numbers in messages; sending to one host copies no list

Whole numbers were turned into bytes by five pieces of code: reports of load, heads of datagrams, sealed datagrams, the store's records, and the stand-in of the store. They use append_number and take_number now (kernel); the bytes are the same. Sending to a named host copied the list of all hosts to find one.

--- a/src/relay/impl/load_board.cpp
+++ b/src/relay/impl/load_board.cpp
@@ -1,5 +1,7 @@
 #include "relay/impl/load_board.hpp"
 
+#include "kernel/impl/number_bytes.hpp"
+
 namespace sedgechute {
 
 namespace {
@@ -14,21 +16,7 @@
 constexpr std::uint32_t most_open = 1U << 20U;
 constexpr std::uint32_t most_unread_tokens = 1U << 30U;
 
-template <typename Number>
-void append(std::string& bytes, Number number) {
-  for (std::size_t i = 0; i < sizeof(Number); ++i)
-    bytes += static_cast<char>(number >> (8 * i) & 0xffU);
-}
-
-template <typename Number>
-Number take_number(std::string_view& bytes) {
-  Number number = 0;
-  for (std::size_t i = 0; i < sizeof(Number); ++i)
-    number |=
-        static_cast<Number>(static_cast<Number>(static_cast<unsigned char>(bytes[i])) << (8 * i));
-  bytes.remove_prefix(sizeof(Number));
-  return number;
-}
+constexpr std::endian order = std::endian::little;
 
 } // namespace
 
@@ -36,48 +24,48 @@
   std::string bytes;
   bytes.reserve(head_bytes + report.entries.size() * entry_bytes +
                 report.sightings.size() * sighting_bytes);
-  append(bytes, format);
-  append(bytes, report.sender);
-  append(bytes, report.number);
-  append(bytes, static_cast<std::uint8_t>(report.whole ? 1 : 0));
-  append(bytes, static_cast<std::uint16_t>(report.entries.size()));
+  append_number<order>(bytes, format);
+  append_number<order>(bytes, report.sender);
+  append_number<order>(bytes, report.number);
+  append_number<order>(bytes, static_cast<std::uint8_t>(report.whole ? 1 : 0));
+  append_number<order>(bytes, static_cast<std::uint16_t>(report.entries.size()));
   for (const use_entry& entry : report.entries) {
-    append(bytes, entry.endpoint);
-    append(bytes, entry.use.open);
-    append(bytes, entry.use.unread_tokens);
+    append_number<order>(bytes, entry.endpoint);
+    append_number<order>(bytes, entry.use.open);
+    append_number<order>(bytes, entry.use.unread_tokens);
   }
   for (const start_sighting& sighting : report.sightings) {
-    append(bytes, sighting.start);
-    append(bytes, sighting.endpoint);
+    append_number<order>(bytes, sighting.start);
+    append_number<order>(bytes, sighting.endpoint);
   }
   return bytes;
 }
 
 std::optional<use_report> decode_use_report(std::string_view bytes) {
-  if (bytes.size() < head_bytes || take_number<std::uint8_t>(bytes) != format)
+  if (bytes.size() < head_bytes || take_number<order, std::uint8_t>(bytes) != format)
     return std::nullopt;
   use_report report;
-  report.sender = take_number<std::uint64_t>(bytes);
-  report.number = take_number<std::uint32_t>(bytes);
-  const auto whole = take_number<std::uint8_t>(bytes);
+  report.sender = take_number<order, std::uint64_t>(bytes);
+  report.number = take_number<order, std::uint32_t>(bytes);
+  const auto whole = take_number<order, std::uint8_t>(bytes);
   report.whole = whole == 1;
-  const std::size_t entries = take_number<std::uint16_t>(bytes);
+  const std::size_t entries = take_number<order, std::uint16_t>(bytes);
   if (whole > 1 || bytes.size() < entries * entry_bytes ||
       (bytes.size() - entries * entry_bytes) % sighting_bytes != 0)
     return std::nullopt;
   for (std::size_t i = 0; i < entries; ++i) {
     use_entry entry;
-    entry.endpoint = take_number<std::uint64_t>(bytes);
-    entry.use.open = take_number<std::uint32_t>(bytes);
-    entry.use.unread_tokens = take_number<std::uint32_t>(bytes);
+    entry.endpoint = take_number<order, std::uint64_t>(bytes);
+    entry.use.open = take_number<order, std::uint32_t>(bytes);
+    entry.use.unread_tokens = take_number<order, std::uint32_t>(bytes);
     if (entry.use.open > most_open || entry.use.unread_tokens > most_unread_tokens)
       return std::nullopt;
     report.entries.push_back(entry);
   }
   while (!bytes.empty()) {
     start_sighting sighting;
-    sighting.start = take_number<std::uint64_t>(bytes);
-    sighting.endpoint = take_number<std::uint64_t>(bytes);
+    sighting.start = take_number<order, std::uint64_t>(bytes);
+    sighting.endpoint = take_number<order, std::uint64_t>(bytes);
     report.sightings.push_back(sighting);
   }
   return report;
--- a/src/relay/impl/peer_channel.cpp
+++ b/src/relay/impl/peer_channel.cpp
@@ -1,5 +1,7 @@
 #include "relay/impl/peer_channel.hpp"
 
+#include "kernel/impl/number_bytes.hpp"
+
 #include <Poco/Exception.h>
 
 #include <algorithm>
@@ -15,23 +17,19 @@
 constexpr long receive_look_us = 200'000; // how often the receiver looks whether it shall stop
 constexpr time_ms after_receive_fault{60};
 
-// Before each message: its kind, and the sender's time of day in milliseconds, the lowest byte
-// first.
-constexpr std::size_t wall_bytes = 8;
-constexpr std::size_t head_bytes = 1 + wall_bytes;
+// Before each message: its kind, and the sender's time of day in milliseconds.
+constexpr std::size_t head_bytes = 1 + sizeof(std::uint64_t);
+constexpr std::endian order = std::endian::little;
 
 std::string head_of(peer_message kind, time_ms wall) {
   std::string head(1, static_cast<char>(kind));
-  for (std::size_t i = 0; i < wall_bytes; ++i)
-    head += static_cast<char>(static_cast<std::uint64_t>(wall.count()) >> (8 * i) & 0xffU);
+  append_number<order>(head, static_cast<std::uint64_t>(wall.count()));
   return head;
 }
 
 time_ms wall_of(std::string_view head) {
-  std::uint64_t wall = 0;
-  for (std::size_t i = 0; i < wall_bytes; ++i)
-    wall |= static_cast<std::uint64_t>(static_cast<unsigned char>(head[1 + i])) << (8 * i);
-  return time_ms{static_cast<std::int64_t>(wall)};
+  head.remove_prefix(1);
+  return time_ms{static_cast<std::int64_t>(take_number<order, std::uint64_t>(head))};
 }
 
 // Later than any time of day, and far from what would overflow in a difference.
@@ -95,11 +93,16 @@
   return hosts;
 }
 
-bool peer_channel::near(const std::string& host) const {
+std::optional<peer> peer_channel::find_peer(const std::string& host) const {
   const std::scoped_lock lock{mutex_};
-  return std::any_of(peers_.begin(), peers_.end(), [&](const peer& one) {
-    return one.host == host && one.data_centre == self_.data_centre;
-  });
+  const auto found =
+      std::find_if(peers_.begin(), peers_.end(), [&](const peer& one) { return one.host == host; });
+  return found == peers_.end() ? std::nullopt : std::optional{*found};
+}
+
+bool peer_channel::near(const std::string& host) const {
+  const auto found = find_peer(host);
+  return found && found->data_centre == self_.data_centre;
 }
 
 void peer_channel::send(const peer& to, peer_message kind, std::string_view bytes) {
@@ -116,13 +119,10 @@
 }
 
 bool peer_channel::send(const std::string& host, peer_message kind, std::string_view bytes) {
-  for (const peer& one : peers()) {
-    if (one.host != host)
-      continue;
-    send(one, kind, bytes);
-    return true;
-  }
-  return false;
+  const auto to = find_peer(host);
+  if (to)
+    send(*to, kind, bytes);
+  return to.has_value();
 }
 
 void peer_channel::receive() {
--- a/src/relay/impl/peer_channel.hpp
+++ b/src/relay/impl/peer_channel.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -77,6 +78,7 @@
   [[nodiscard]] const host_entry& self() const noexcept { return self_; }
 
  private:
+  [[nodiscard]] std::optional<peer> find_peer(const std::string& host) const;
   void receive();
   void take(std::string_view bytes, const Poco::Net::SocketAddress& from);
   void read_hosts();
--- a/src/standin/impl/topic_store.cpp
+++ b/src/standin/impl/topic_store.cpp
@@ -1,5 +1,7 @@
 #include "standin/impl/topic_store.hpp"
 
+#include "kernel/impl/number_bytes.hpp"
+
 #include <Poco/Base64Encoder.h>
 #include <Poco/JSON/Array.h>
 
@@ -10,25 +12,11 @@
 
 namespace {
 
-constexpr std::size_t length_bytes = 4;
-constexpr std::size_t offset_bytes = 8;
+constexpr std::endian order = std::endian::big;
+constexpr std::size_t length_bytes = sizeof(std::uint32_t);
 constexpr std::int64_t longest_wait_ms = 30'000;
 constexpr std::chrono::milliseconds wait_step{50}; // so that a reader that left is noticed
 
-std::string big_endian(std::uint64_t number, std::size_t bytes) {
-  std::string text;
-  for (std::size_t i = 0; i < bytes; ++i)
-    text += static_cast<char>(number >> (8 * (bytes - 1 - i)) & 0xffU);
-  return text;
-}
-
-std::uint64_t from_big_endian(std::string_view bytes) {
-  std::uint64_t number = 0;
-  for (const char byte : bytes)
-    number = number << 8U | static_cast<unsigned char>(byte);
-  return number;
-}
-
 std::string to_base64(const std::string& bytes) {
   std::ostringstream text;
   Poco::Base64Encoder encoder{text};
@@ -39,8 +27,11 @@
 }
 
 std::string frame(const std::string& key, const std::optional<std::string>& value) {
-  const std::string content = big_endian(key.size(), 1) + key + value.value_or("");
-  return big_endian(content.size(), length_bytes) + content;
+  const std::string content =
+      std::string(1, static_cast<char>(key.size())) + key + value.value_or("");
+  std::string bytes;
+  append_number<order>(bytes, static_cast<std::uint32_t>(content.size()));
+  return bytes + content;
 }
 
 } // namespace
@@ -119,15 +110,16 @@
   const std::string body = call.body();
   std::vector<record> records;
   for (std::string_view rest = body; !rest.empty();) {
-    const std::uint64_t length = from_big_endian(rest.substr(0, length_bytes));
-    const std::string_view content = rest.substr(length_bytes, length);
+    const std::string_view whole = rest;
+    const auto length = take_number<order, std::uint32_t>(rest);
+    const std::string_view content = rest.substr(0, length);
     const std::size_t key_length = static_cast<unsigned char>(content.front());
-    record added{std::string{rest.substr(0, length_bytes + length)},
+    record added{std::string{whole.substr(0, length_bytes + length)},
                  std::string{content.substr(1, key_length)}, std::nullopt};
     if (content.size() > 1 + key_length)
       added.value = std::string{content.substr(1 + key_length)};
     records.push_back(std::move(added));
-    rest.remove_prefix(length_bytes + length);
+    rest.remove_prefix(length);
   }
   std::uint64_t first = 0;
   std::uint64_t end = 0;
@@ -168,7 +160,9 @@
     call.answer(410, gone);
     return;
   }
-  std::string bytes = big_endian(at.end(), offset_bytes) + big_endian(at.first, offset_bytes);
+  std::string bytes;
+  append_number<order>(bytes, at.end());
+  append_number<order>(bytes, at.first);
   for (std::uint64_t i = from; i < at.end(); ++i)
     bytes += at.records[i - at.first].bytes;
   lock.unlock();
--- a/src/wire/impl/datagram_seal.cpp
+++ b/src/wire/impl/datagram_seal.cpp
@@ -1,5 +1,7 @@
 #include "wire/impl/datagram_seal.hpp"
 
+#include "kernel/impl/number_bytes.hpp"
+
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -12,26 +14,13 @@
 
 namespace {
 
-constexpr std::size_t number_bytes = 8;
-constexpr std::size_t sender_at = 1;
-constexpr std::size_t number_at = sender_at + number_bytes;
-constexpr std::size_t header_bytes = number_at + number_bytes;
+constexpr std::endian order = std::endian::little;
+constexpr std::size_t purpose_bytes = 1;
+constexpr std::size_t header_bytes = purpose_bytes + 2 * sizeof(std::uint64_t);
 constexpr std::size_t tag_bytes = 16;
 constexpr std::size_t most_senders = 4096;
 static_assert(header_bytes + tag_bytes == datagram_seal::overhead_bytes);
 
-void append_number(std::string& out, std::uint64_t number) {
-  for (std::size_t i = 0; i < number_bytes; ++i)
-    out.push_back(static_cast<char>(number >> (8 * i)));
-}
-
-std::uint64_t number_from(std::string_view bytes) {
-  std::uint64_t number = 0;
-  for (std::size_t i = number_bytes; i-- > 0;)
-    number = number << 8U | static_cast<unsigned char>(bytes[i]);
-  return number;
-}
-
 std::array<unsigned char, EVP_MAX_MD_SIZE> tag_of(const datagram_key& key, std::string_view bytes) {
   std::array<unsigned char, EVP_MAX_MD_SIZE> tag{};
   const auto* data = reinterpret_cast<const unsigned char*>(bytes.data());
@@ -66,8 +55,8 @@
   std::string sealed;
   sealed.reserve(payload.size() + overhead_bytes);
   sealed.push_back(static_cast<char>(purpose_));
-  append_number(sealed, sender_);
-  append_number(sealed, ++last_number_);
+  append_number<order>(sealed, sender_);
+  append_number<order>(sealed, ++last_number_);
   sealed.append(payload);
   const auto tag = tag_of(present->front(), sealed);
   sealed.append(reinterpret_cast<const char*>(tag.data()), tag_bytes);
@@ -87,9 +76,12 @@
   });
   if (!authentic || covered[0] != static_cast<char>(purpose_))
     return {datagram_verdict::forged, {}};
-  if (!first_time(number_from(covered.substr(sender_at)), number_from(covered.substr(number_at))))
+  std::string_view rest = covered.substr(purpose_bytes);
+  const auto sender = take_number<order, std::uint64_t>(rest);
+  const auto number = take_number<order, std::uint64_t>(rest);
+  if (!first_time(sender, number))
     return {datagram_verdict::replayed, {}};
-  return {datagram_verdict::opened, covered.substr(header_bytes)};
+  return {datagram_verdict::opened, rest};
 }
 
 // Failure: somebody records a genuine datagram and sends it again, to bring back what it said: a
--- a/tests/kernel/kernel_test.cpp
+++ b/tests/kernel/kernel_test.cpp
@@ -1,8 +1,11 @@
 #include "kernel/kernel.hpp"
 
+#include "kernel/impl/number_bytes.hpp"
+
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <limits>
 #include <set>
 
 using namespace sedgechute;
@@ -74,3 +77,17 @@
   }
   CHECK(seen.size() == 100);
 }
+
+TEST_CASE("numbers are told in bytes of either order, behind each other") {
+  std::string bytes;
+  append_number<std::endian::little>(bytes, std::uint32_t{0x01020384});
+  append_number<std::endian::big>(bytes, std::uint16_t{0xff05});
+  append_number<std::endian::big>(bytes, std::numeric_limits<std::uint64_t>::max() - 1);
+  CHECK(bytes.starts_with("\x84\x03\x02\x01\xff\x05"));
+  std::string_view rest = bytes;
+  CHECK(take_number<std::endian::little, std::uint32_t>(rest) == 0x01020384);
+  CHECK(take_number<std::endian::big, std::uint16_t>(rest) == 0xff05);
+  CHECK(take_number<std::endian::big, std::uint64_t>(rest) ==
+        std::numeric_limits<std::uint64_t>::max() - 1);
+  CHECK(rest.empty());
+}
