Endpoints that are forgotten no longer keep their data centre cut

Three endpoints of a data centre that fall silent in a row mark it as cut. When they were dropped from the list before a probe reached them, no trouble was left to probe, and the count stayed: the whole data centre got no request until something already running there ended well. A forgotten endpoint that was counted is now taken out of the count. The test in reach_watch_test fails on the code before.

--- a/src/relay/impl/reach_watch.cpp
+++ b/src/relay/impl/reach_watch.cpp
@@ -7,7 +7,7 @@
 void reach_watch::note_unreachable(const endpoint_id& endpoint, const data_centre_id& centre,
                                    bool silent, time_ms now) {
   const auto [at, first] = troubles_.try_emplace(
-      endpoint, trouble{centre, now + options_.first_probe, options_.first_probe});
+      endpoint, trouble{centre, now + options_.first_probe, options_.first_probe, silent});
   if (!first) {
     at->second.wait = std::min(at->second.wait * 2, options_.longest_probe);
     at->second.next_probe = now + at->second.wait;
@@ -28,8 +28,17 @@
     std::erase_if(troubles_, [&](const auto& one) { return one.second.centre == centre; });
 }
 
+// A silent endpoint that is forgotten no longer speaks for its data centre either. Counted on,
+// three that fell silent and were replaced would leave a whole data centre unreachable, with no
+// trouble left of which a probe could find the way open again.
 void reach_watch::forget(const endpoint_id& endpoint) {
-  troubles_.erase(endpoint);
+  const auto at = troubles_.find(endpoint);
+  if (at == troubles_.end())
+    return;
+  const auto silent = silent_in_a_row_.find(at->second.centre.str());
+  if (at->second.silent && silent != silent_in_a_row_.end() && --silent->second == 0)
+    silent_in_a_row_.erase(silent);
+  troubles_.erase(at);
 }
 
 bool reach_watch::reachable(const endpoint_id& endpoint, const data_centre_id& centre) const {
--- a/src/relay/impl/reach_watch.hpp
+++ b/src/relay/impl/reach_watch.hpp
@@ -30,6 +30,7 @@
   void note_unreachable(const endpoint_id& endpoint, const data_centre_id& centre, bool silent,
                         time_ms now);
   void note_reachable(const endpoint_id& endpoint, const data_centre_id& centre);
+  /// \brief The endpoint is gone, or has started again: what it did before tells nothing.
   void forget(const endpoint_id& endpoint);
 
   [[nodiscard]] bool reachable(const endpoint_id& endpoint, const data_centre_id& centre) const;
@@ -41,6 +42,7 @@
     data_centre_id centre;
     time_ms next_probe;
     time_ms wait;
+    bool silent{false}; ///< counted among the silent of its data centre
   };
 
   reach_options options_;
--- a/tests/relay/reach_watch_test.cpp
+++ b/tests/relay/reach_watch_test.cpp
@@ -58,3 +58,20 @@
   CHECK(single.due(time_ms{600}).empty());
   CHECK(single.due(time_ms{750}).size() == 1);
 }
+
+// Three endpoints of a data centre fell silent, and were replaced before any probe reached them.
+// The data centre stayed unreachable for good: no trouble was left to probe.
+TEST_CASE("endpoints that are forgotten do not keep their data centre cut") {
+  reach_watch watch{reach_options{}};
+  const data_centre_id centre{"dc"};
+  for (const char* id : {"a", "b", "c"})
+    watch.note_unreachable(endpoint_id{id}, centre, true, time_ms{0});
+  REQUIRE_FALSE(watch.reachable(endpoint_id{"new"}, centre));
+  watch.forget(endpoint_id{"a"});
+  CHECK(watch.reachable(endpoint_id{"new"}, centre));
+  for (const char* id : {"b", "c"})
+    watch.forget(endpoint_id{id});
+  watch.note_unreachable(endpoint_id{"d"}, centre, true, time_ms{0});
+  watch.note_unreachable(endpoint_id{"f"}, centre, true, time_ms{0});
+  CHECK(watch.reachable(endpoint_id{"new"}, centre));
+}
