What a host believes of an endpoint belongs to one incarnation and ends with it

An endpoint may start again under its id; its entry and its report say when it started. Loads, counts, cached prompt starts, failures, reachability, leaving marks, kept connections and what other hosts tell were believed of the next life, and late ends of sends in the earlier one changed its counts.

An incarnation is id and start. Hosts name it by the hash of both; placements, probes and kept connections carry the number of the life in which they began, and what ends later changes nothing. A request avoids incarnations instead of ids. Of several starts in the list the last one shown holds: starts are never compared, as clocks are set. An endpoint that refused, did not answer or broke off is asked for its start, so a restart shows also while the store is away; only endpoints whose entry names a start are asked. Log line endpoint_restarted, counter sedgechute_endpoint_restarts_total.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -67,6 +67,7 @@
   const desk_owner owner{identity, incarnation, machine_time_.moment()};
   budgets_ = std::make_unique<budget_desk>(owner, prepaid_options{}, account_logs(settings_.store),
                                            machine_time_, faults_, log);
+  endpoints_.on_restart([this](const endpoint_restart& found) { note_restart(found); });
   fleet_ = std::make_unique<fleet_watch>(
       topics_, endpoints_, [this](const config_ptr& config) { take_config(config); },
       fleet_watch_options{.config_wait = config_look_within(settings_.config_bound).wait}, time,
@@ -89,7 +90,8 @@
   peers_->on(peer_message::token_loan,
              [this](std::string_view bytes) { return loans_->take(bytes); });
   relay_options options;
-  prober_ = std::make_unique<endpoint_prober>(endpoints_, options.connect_timeout, time, log);
+  prober_ =
+      std::make_unique<endpoint_prober>(endpoints_, dialect_, options.connect_timeout, time, log);
   options.retries.ratio = settings_.retry_ratio;
   options.retries.slack = settings_.retry_slack;
   options.retries.window = settings_.retry_window;
@@ -173,6 +175,14 @@
   budgets_->set_prepaid(std::move(prepaid));
 }
 
+void entry_host::note_restart(const endpoint_restart& found) {
+  figures_.add(metric::endpoint_restarts, {name_of(found.found_by)});
+  log_.write(severity::info, "endpoint_restarted", {.endpoint = found.endpoint.str()},
+             {{log_field::kind, name_of(found.found_by)},
+              {log_field::before_ms, found.before},
+              {log_field::started_ms, found.started}});
+}
+
 std::string entry_host::budget_page() const {
   std::ostringstream text;
   for (const auto& [team, figures] : budgets_->figures())
--- a/src/entry/impl/entry_host.hpp
+++ b/src/entry/impl/entry_host.hpp
@@ -30,6 +30,7 @@
   [[nodiscard]] status_door::pages pages();
   [[nodiscard]] std::string budget_page() const;
   void take_config(const config_ptr& config);
+  void note_restart(const endpoint_restart& found);
 
   entry_settings settings_;
   const clock& time_;
--- a/src/entry/impl/explain_request.cpp
+++ b/src/entry/impl/explain_request.cpp
@@ -15,17 +15,11 @@
 namespace {
 
 // Beliefs of a host: only the newest line of each counts when a request comes.
-constexpr std::array<std::string_view, 11> belief_events{"config_in_force",
-                                                         "account_written",
-                                                         "earlier_life_written_off",
-                                                         "store_reachable",
-                                                         "store_unreachable",
-                                                         "budget_log_reachable",
-                                                         "budget_log_unreachable",
-                                                         "endpoint_unreachable",
-                                                         "endpoint_reachable",
-                                                         "endpoint_gone",
-                                                         "stopping"};
+constexpr std::array<std::string_view, 12> belief_events{
+    "config_in_force",        "account_written",      "earlier_life_written_off",
+    "store_reachable",        "store_unreachable",    "budget_log_reachable",
+    "budget_log_unreachable", "endpoint_unreachable", "endpoint_reachable",
+    "endpoint_gone",          "endpoint_restarted",   "stopping"};
 
 struct log_entry {
   std::string text; ///< as it came
--- a/src/relay/impl/connection_pool.cpp
+++ b/src/relay/impl/connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "relay/impl/connection_pool.hpp"
 
+#include <utility>
+
 namespace sedgechute {
 
 namespace {
@@ -8,15 +10,21 @@
 
 } // namespace
 
-std::unique_ptr<connection> connection_pool::take(const endpoint_id& endpoint, time_ms most_idle) {
+std::unique_ptr<connection> connection_pool::take(const endpoint_id& endpoint, std::uint64_t life,
+                                                  time_ms most_idle) {
   std::vector<idle_connection> stale; // closed after the lock is free
   const std::scoped_lock lock{mutex_};
-  const auto at = idle_.find(endpoint);
-  if (at == idle_.end())
+  const auto at = known_.find(endpoint);
+  if (at == known_.end() || at->second.life > life)
     return nullptr;
-  while (!at->second.empty()) {
-    idle_connection last = std::move(at->second.back());
-    at->second.pop_back();
+  std::vector<idle_connection>& idle = at->second.idle;
+  if (at->second.life < life) {
+    stale = std::exchange(idle, {});
+    at->second.life = life;
+  }
+  while (!idle.empty()) {
+    idle_connection last = std::move(idle.back());
+    idle.pop_back();
     if (time_.now() - last.since <= most_idle && last.link->quiet())
       return std::move(last.link);
     stale.push_back(std::move(last));
@@ -24,16 +32,18 @@
   return nullptr;
 }
 
-void connection_pool::give_back(const endpoint_id& endpoint, std::unique_ptr<connection> idle) {
-  const std::scoped_lock lock{mutex_};
-  std::vector<idle_connection>& kept = idle_[endpoint];
-  if (kept.size() < most_idle_connections)
-    kept.push_back({std::move(idle), time_.now()});
-}
-
-void connection_pool::forget(const endpoint_id& endpoint) {
+void connection_pool::give_back(const endpoint_id& endpoint, std::uint64_t life,
+                                std::unique_ptr<connection> idle) {
+  std::vector<idle_connection> stale;
   const std::scoped_lock lock{mutex_};
-  idle_.erase(endpoint);
+  endpoint_connections& kept = known_[endpoint];
+  if (kept.life > life)
+    return;
+  if (kept.life < life)
+    stale = std::exchange(kept.idle, {});
+  kept.life = life;
+  if (kept.idle.size() < most_idle_connections)
+    kept.idle.push_back({std::move(idle), time_.now()});
 }
 
 } // namespace sedgechute
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -21,6 +21,15 @@
 // Engines of half a million tokens read some 10,000 new ones a second at their usual load.
 constexpr time_ms starts_kept{25000};
 
+// An endpoint that may have started again is asked so often, at most each `ask_interval`: its
+// answer may be lost, and one that never says when it started shall not be asked for ever.
+constexpr int most_asks = 3;
+constexpr time_ms ask_interval{2000};
+
+// Endpoints tried in one round of probes; a refused round takes some milliseconds, a silent one up
+// to a second.
+constexpr std::size_t most_probes = 6;
+
 double faded(double failing, time_ms span) noexcept {
   return failing * std::exp2(-static_cast<double>(span.count()) / failures_halve_ms);
 }
@@ -33,11 +42,84 @@
       starts_{starts_kept}, reach_{reach_options{}}, random_{random_source::from_system()} {}
 
 void endpoint_directory::put(endpoint_entry entry) {
-  const std::scoped_lock lock{mutex_};
-  state& at = endpoints_[entry.id];
-  if (at.entry.id.empty())
-    at.hash = stable_hash(entry.id.str());
-  at.entry = std::move(entry);
+  std::optional<endpoint_restart> restart;
+  {
+    const std::scoped_lock lock{mutex_};
+    restart = take_entry(std::move(entry));
+  }
+  tell(restart);
+}
+
+void endpoint_directory::tell(const std::optional<endpoint_restart>& restart) const {
+  if (restart && on_restart_)
+    on_restart_(*restart);
+}
+
+// Clocks of machines are set, so of two starts neither value tells which is the later one. The list
+// shows them in their order: whatever it shows last holds. The endpoint itself may have named a
+// start before the list shows it; until then entries that the list repeats are of a life that has
+// ended.
+std::optional<endpoint_restart> endpoint_directory::take_entry(endpoint_entry entry) {
+  const auto [at, first] = endpoints_.try_emplace(entry.id);
+  state& of = at->second;
+  if (first) {
+    const auto listed = entry.started;
+    of = new_life(std::move(entry));
+    of.listed = listed;
+    return std::nullopt;
+  }
+  const bool ahead_of_list = of.entry.started != of.listed;
+  if (!entry.started)
+    entry.started = of.entry.started; // says nothing of its start
+  else if (ahead_of_list && entry.started == of.listed)
+    return std::nullopt;
+  else
+    of.listed = entry.started;
+  if (entry.started == of.entry.started) {
+    of.entry = std::move(entry);
+    return std::nullopt;
+  }
+  const auto restart = begin_again(of, std::move(entry), restart_source::list);
+  if (ahead_of_list)
+    doubt_start(of); // the list may still be behind what the endpoint said
+  return restart;
+}
+
+endpoint_directory::state endpoint_directory::new_life(endpoint_entry entry) {
+  state made;
+  made.life = ++lives_;
+  made.hash = incarnation_of(entry.id, entry.started);
+  made.home_hash = incarnation_of(entry.id, std::nullopt);
+  made.entry = std::move(entry);
+  return made;
+}
+
+// The new life holds no prompts and runs nothing; the way to it may be open again. What the other
+// hosts tell of the earlier one is told under another name.
+std::optional<endpoint_restart> endpoint_directory::begin_again(state& of, endpoint_entry entry,
+                                                                restart_source found_by) {
+  const std::optional<time_ms> before = of.entry.started;
+  state next = new_life(std::move(entry));
+  next.listed = of.listed;
+  next.ask_at = of.ask_at;
+  of = std::move(next);
+  reach_.forget(of.entry.id);
+  if (!before)
+    return std::nullopt; // it was not known when it started: this may be the same life
+  return endpoint_restart{of.entry.id, found_by, *before, *of.entry.started};
+}
+
+endpoint_directory::state* endpoint_directory::alive(const endpoint_id& id, std::uint64_t life) {
+  const auto at = endpoints_.find(id);
+  return at != endpoints_.end() && at->second.life == life ? &at->second : nullptr;
+}
+
+// Connections that are refused or break off say that the endpoint may have ended. If it has begun
+// again, the list shows that only once the endpoint has reached the store and this host has read
+// it; either may be cut off from the store for long.
+void endpoint_directory::doubt_start(state& of) {
+  if (of.entry.started)
+    of.asks_left = most_asks;
 }
 
 void endpoint_directory::remove(const endpoint_id& id) {
@@ -76,7 +158,7 @@
       continue;
     if (!reach_.reachable(id, known.entry.data_centre))
       continue;
-    if (std::find(request.avoid.begin(), request.avoid.end(), id) != request.avoid.end())
+    if (std::find(request.avoid.begin(), request.avoid.end(), known.hash) != request.avoid.end())
       continue;
     into.states.push_back(&known);
     into.candidates.push_back(candidate_of(known, now));
@@ -111,7 +193,7 @@
       most_kept = kept;
       among.keeper = i;
     }
-    const std::uint64_t weight = mix_hash(among.starts.back().hash, hash);
+    const std::uint64_t weight = mix_hash(among.starts.back().hash, among.states[i]->home_hash);
     if (i == 0 || weight > home_weight) {
       home = i;
       home_weight = weight;
@@ -147,6 +229,8 @@
   const std::uint64_t unread = prompt_tokens - std::min(prompt_tokens, kept);
   placement place;
   place.endpoint = at.entry.id;
+  place.incarnation = at.hash;
+  place.life = at.life;
   place.address = at.entry.address;
   place.prompt_tokens = unread;
   place.candidates = among.candidates.size();
@@ -169,26 +253,24 @@
 
 void endpoint_directory::note_started(const placement& place) {
   const std::scoped_lock lock{mutex_};
-  const auto at = endpoints_.find(place.endpoint);
-  if (at != endpoints_.end())
-    at->second.unread_tokens -= std::min(at->second.unread_tokens, place.prompt_tokens);
+  if (state* at = alive(place.endpoint, place.life))
+    at->unread_tokens -= std::min(at->unread_tokens, place.prompt_tokens);
 }
 
-void endpoint_directory::note_load(const endpoint_id& id, const load_report& load) {
+void endpoint_directory::note_load(const placement& place, const load_report& load) {
   const std::scoped_lock lock{mutex_};
-  const auto at = endpoints_.find(id);
-  if (at == endpoints_.end())
+  state* at = alive(place.endpoint, place.life);
+  if (at == nullptr)
     return;
-  at->second.load = load;
-  at->second.load_at = time_.now();
-  at->second.sent_since_load = 0;
+  at->load = load;
+  at->load_at = time_.now();
+  at->sent_since_load = 0;
 }
 
-void endpoint_directory::note_leaving(const endpoint_id& id) {
+void endpoint_directory::note_leaving(const placement& place) {
   const std::scoped_lock lock{mutex_};
-  const auto at = endpoints_.find(id);
-  if (at != endpoints_.end())
-    at->second.leaving = true;
+  if (state* at = alive(place.endpoint, place.life))
+    at->leaving = true;
 }
 
 void endpoint_directory::note_result(state& of, bool good, time_ms now) const {
@@ -199,10 +281,10 @@
 
 void endpoint_directory::release(const placement& place, send_outcome outcome, bool started) {
   const std::scoped_lock lock{mutex_};
-  const auto at = endpoints_.find(place.endpoint);
-  if (at == endpoints_.end())
+  state* at = alive(place.endpoint, place.life);
+  if (at == nullptr)
     return;
-  state& of = at->second;
+  state& of = *at;
   of.open -= std::min<std::uint64_t>(of.open, 1);
   if (!started)
     of.unread_tokens -= std::min(of.unread_tokens, place.prompt_tokens);
@@ -210,6 +292,7 @@
   switch (outcome) {
   case send_outcome::unreachable:
   case send_outcome::silent:
+    doubt_start(of);
     reach_.note_unreachable(place.endpoint, of.entry.data_centre, outcome == send_outcome::silent,
                             now);
     return;
@@ -222,6 +305,9 @@
     note_result(of, true, now);
     break;
   case send_outcome::failed:
+    doubt_start(of);
+    note_result(of, false, now);
+    break;
   case send_outcome::own_error:
   case send_outcome::stalled:
   case send_outcome::timed_out:
@@ -233,27 +319,55 @@
 
 std::vector<endpoint_directory::probe> endpoint_directory::due_probes() {
   const std::scoped_lock lock{mutex_};
+  const time_ms now = time_.now();
   std::vector<probe> probes;
-  for (const endpoint_id& id : reach_.due(time_.now())) {
+  for (const endpoint_id& id : reach_.due(now)) {
     const auto at = endpoints_.find(id);
     if (at == endpoints_.end())
       reach_.forget(id);
     else
-      probes.push_back({id, at->second.entry.address});
+      probes.push_back({id, at->second.entry.address, at->second.life, at->second.asks_left > 0});
+  }
+  for (auto& [id, known] : endpoints_) {
+    if (known.asks_left == 0 || known.ask_at > now || probes.size() >= most_probes)
+      continue;
+    if (!reach_.reachable(id, known.entry.data_centre))
+      continue; // asked once a probe reaches it
+    known.ask_at = now + ask_interval;
+    probes.push_back({id, known.entry.address, known.life, true});
   }
   return probes;
 }
 
-void endpoint_directory::note_probe(const endpoint_id& endpoint, bool reached, bool silent) {
+void endpoint_directory::note_probe(const probe& of, bool reached, bool silent) {
   const std::scoped_lock lock{mutex_};
-  const auto at = endpoints_.find(endpoint);
-  if (at == endpoints_.end())
+  const state* at = alive(of.endpoint, of.life);
+  if (at == nullptr)
     return;
-  const data_centre_id& centre = at->second.entry.data_centre;
+  const data_centre_id& centre = at->entry.data_centre;
   if (reached)
-    reach_.note_reachable(endpoint, centre);
+    reach_.note_reachable(of.endpoint, centre);
   else
-    reach_.note_unreachable(endpoint, centre, silent, time_.now());
+    reach_.note_unreachable(of.endpoint, centre, silent, time_.now());
+}
+
+// An answer that was under way while another life was found may be of an earlier one still.
+void endpoint_directory::note_start(const probe& of, std::optional<time_ms> started) {
+  std::optional<endpoint_restart> restart;
+  {
+    const std::scoped_lock lock{mutex_};
+    state* at = alive(of.endpoint, of.life);
+    if (at == nullptr)
+      return;
+    at->asks_left = started ? 0 : std::max(at->asks_left - 1, 0);
+    if (!started || started == at->entry.started)
+      return;
+    endpoint_entry entry = at->entry;
+    entry.started = started;
+    entry.draining = false;
+    restart = begin_again(*at, std::move(entry), restart_source::endpoint);
+  }
+  tell(restart);
 }
 
 std::vector<use_entry> endpoint_directory::own_use(bool changed_only) {
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -2,12 +2,14 @@
 
 #include "kernel/kernel.hpp"
 #include "relay/impl/choose_replica.hpp"
+#include "relay/impl/endpoint_incarnation.hpp"
 #include "relay/impl/load_board.hpp"
 #include "relay/impl/prompt_starts.hpp"
 #include "relay/impl/reach_watch.hpp"
 #include "relay/impl/request_terms.hpp"
 #include "relay/impl/send_outcome.hpp"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -23,18 +25,23 @@
   data_centre_id data_centre;
   std::uint64_t slots{1};
   bool draining{false};
+  /// By its machine's time of day, which may be set: another start is another incarnation, also one
+  /// that looks older. Nothing when the endpoint does not tell.
+  std::optional<time_ms> started{};
 };
 
 /// \brief What is to be placed.
 struct placement_request {
   std::string service;
   const generation_terms* generation{nullptr}; ///< null for a plain service
-  std::vector<endpoint_id> avoid;              ///< endpoints that this request was sent to
+  std::vector<endpoint_hash> avoid;            ///< incarnations that this request was sent to
 };
 
 /// \brief One request's place at an endpoint, from the choice until `release`.
 struct placement {
   endpoint_id endpoint;
+  endpoint_hash incarnation{}; ///< the same at all hosts
+  std::uint64_t life{};        ///< of the endpoint as known here; grows with each that begins
   std::string address;
   std::string fetch_from; ///< endpoint that keeps parts of the prompt; or empty
   std::uint64_t prompt_tokens{};
@@ -46,11 +53,19 @@
   time_ms load_age;               ///< of what the endpoint told of its load; -1: it told nothing
 };
 
-/// \brief The endpoints of all services: who is there, how loaded, how sound. Thread-safe.
+/// \brief The endpoints of all services: who is there, how loaded, how sound. Whatever is known of
+/// an endpoint ends with its incarnation; what comes late of an ended one changes nothing.
+/// Thread-safe.
 class endpoint_directory {
  public:
+  using restart_listener = std::function<void(const endpoint_restart&)>;
+
   endpoint_directory(data_centre_id here, const choice_weights& weights, const clock& time);
 
+  /// \brief Before any thread uses the directory: who is told of restarts, without a lock held.
+  void on_restart(restart_listener told) { on_restart_ = std::move(told); }
+
+  /// \brief An entry as the list shows it; entries are put in the order in which it showed them.
   void put(endpoint_entry entry);
   /// \brief The entry is gone; requests already there go on.
   void remove(const endpoint_id& id);
@@ -59,18 +74,24 @@
   [[nodiscard]] std::optional<placement> place(const placement_request& request);
   /// \brief The endpoint has read the prompt: its first event came, or its answer.
   void note_started(const placement& place);
-  void note_load(const endpoint_id& id, const load_report& load);
+  void note_load(const placement& place, const load_report& load);
   /// \brief The endpoint said that it leaves, or that another has its address.
-  void note_leaving(const endpoint_id& id);
+  void note_leaving(const placement& place);
   void release(const placement& place, send_outcome outcome, bool started);
 
   struct probe {
     endpoint_id endpoint;
     std::string address;
+    std::uint64_t life{};
+    bool ask_start{false}; ///< it may have started again: once reached it is asked
   };
-  /// \returns endpoints that could not be reached and are to be tried again now
+  /// \returns endpoints that are to be tried now: they could not be reached, or may have started
+  /// again
   [[nodiscard]] std::vector<probe> due_probes();
-  void note_probe(const endpoint_id& endpoint, bool reached, bool silent);
+  void note_probe(const probe& of, bool reached, bool silent);
+  /// \brief The endpoint was asked when it started.
+  /// \param started  nothing when it did not say
+  void note_start(const probe& of, std::optional<time_ms> started);
 
   /// \brief What this host has at endpoints, for the other hosts.
   /// \param changed_only  leaves out what was returned before and has not changed
@@ -86,6 +107,12 @@
  private:
   struct state {
     endpoint_entry entry;
+    std::uint64_t life{};
+    endpoint_hash hash{};          ///< of the incarnation
+    endpoint_hash home_hash{};     ///< of the id: a restart does not move the homes of prompts
+    std::optional<time_ms> listed; ///< start in its newest entry that names one
+    int asks_left{};               ///< 0: nothing says that it may have started again
+    time_ms ask_at;
     std::uint64_t open{};
     std::uint64_t unread_tokens{};
     std::optional<load_report> load;
@@ -94,7 +121,6 @@
     double failing{};
     time_ms failed_at;
     bool leaving{false};
-    endpoint_hash hash{};
     endpoint_use told; ///< to the other hosts
   };
 
@@ -107,6 +133,14 @@
     std::size_t keeper{}; ///< of the longest shared start
   };
 
+  /// \returns the endpoint while it is in the life given; null otherwise
+  [[nodiscard]] state* alive(const endpoint_id& id, std::uint64_t life);
+  [[nodiscard]] state new_life(endpoint_entry entry);
+  [[nodiscard]] std::optional<endpoint_restart> take_entry(endpoint_entry entry);
+  [[nodiscard]] std::optional<endpoint_restart> begin_again(state& of, endpoint_entry entry,
+                                                            restart_source found_by);
+  static void doubt_start(state& of);
+  void tell(const std::optional<endpoint_restart>& restart) const;
   void gather(const placement_request& request, round& into, time_ms now);
   void compare_starts(round& among, time_ms now) const;
   [[nodiscard]] placement take_place(const round& among, std::size_t chosen,
@@ -127,6 +161,8 @@
   reach_watch reach_;
   random_source random_;
   std::vector<start_sighting> own_sightings_; ///< not told to the others yet
+  std::uint64_t lives_{0};                    ///< that have begun
+  restart_listener on_restart_;
 };
 
 } // namespace sedgechute
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -118,11 +118,10 @@
   if (status != io_status::ok)
     return end_of(status);
   const reply_terms said = parts_.dialect.read_reply(reply_);
-  const endpoint_id& endpoint = parts_.place.endpoint;
   if (said.load)
-    parts_.endpoints.note_load(endpoint, *said.load);
+    parts_.endpoints.note_load(parts_.place, *said.load);
   if (said.misdirected)
-    parts_.endpoints.note_leaving(endpoint);
+    parts_.endpoints.note_leaving(parts_.place);
   if (said.not_run)
     return send_outcome::not_run;
   if (!is_answer(said))
--- a/src/relay/impl/endpoint_prober.cpp
+++ b/src/relay/impl/endpoint_prober.cpp
@@ -1,6 +1,7 @@
 #include "relay/impl/endpoint_prober.hpp"
 
 #include "relay/impl/connection.hpp"
+#include "relay/impl/start_question.hpp"
 
 #include <chrono>
 
@@ -12,9 +13,10 @@
 
 } // namespace
 
-endpoint_prober::endpoint_prober(endpoint_directory& endpoints, time_ms connect_timeout,
-                                 const clock& time, structured_log& log)
-    : endpoints_{endpoints}, connect_timeout_{connect_timeout}, time_{time}, log_{log} {}
+endpoint_prober::endpoint_prober(endpoint_directory& endpoints, const wire_dialect& dialect,
+                                 time_ms connect_timeout, const clock& time, structured_log& log)
+    : endpoints_{endpoints}, dialect_{dialect},
+      connect_timeout_{connect_timeout}, time_{time}, log_{log} {}
 
 endpoint_prober::~endpoint_prober() {
   stop();
@@ -47,7 +49,10 @@
 void endpoint_prober::probe_one(const endpoint_directory::probe& probe) {
   const connect_result result = connect_to(probe.address, connect_timeout_, time_);
   const bool reached = result.link != nullptr;
-  endpoints_.note_probe(probe.endpoint, reached, result.silent);
+  endpoints_.note_probe(probe, reached, result.silent);
+  if (reached && probe.ask_start)
+    endpoints_.note_start(
+        probe, ask_start(*result.link, probe.endpoint, dialect_, time_.now() + connect_timeout_));
   log_.write(severity::info, reached ? "endpoint_reachable" : "endpoint_unreachable",
              {.endpoint = probe.endpoint.str()},
              {{log_field::address, probe.address},
--- a/src/relay/impl/endpoint_prober.hpp
+++ b/src/relay/impl/endpoint_prober.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay/impl/endpoint_directory.hpp"
+#include "relay/impl/wire_dialect.hpp"
 #include "telemetry/telemetry.hpp"
 
 #include <condition_variable>
@@ -9,11 +10,11 @@
 namespace sedgechute {
 
 /// \brief Tries, on a thread of its own, to connect to endpoints that could not be reached, so that
-/// no request has to.
+/// no request has to, and asks those that may have started again.
 class endpoint_prober {
  public:
-  endpoint_prober(endpoint_directory& endpoints, time_ms connect_timeout, const clock& time,
-                  structured_log& log);
+  endpoint_prober(endpoint_directory& endpoints, const wire_dialect& dialect,
+                  time_ms connect_timeout, const clock& time, structured_log& log);
   endpoint_prober(const endpoint_prober&) = delete;
   endpoint_prober& operator=(const endpoint_prober&) = delete;
   ~endpoint_prober();
@@ -26,6 +27,7 @@
   void probe_one(const endpoint_directory::probe& probe);
 
   endpoint_directory& endpoints_;
+  const wire_dialect& dialect_;
   time_ms connect_timeout_;
   const clock& time_;
   structured_log& log_;
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -97,7 +97,7 @@
 std::optional<placement> request_run::find_place() {
   const auto& generation = admitted_.terms.generation;
   auto place = relay_.parts_.endpoints.place(
-      {admitted_.service, generation ? &*generation : nullptr, sent_to_});
+      {admitted_.service, generation ? &*generation : nullptr, avoid_});
   if (!place && sent_to_.empty())
     throw error{error_kind::no_capacity, admitted_.service, "no endpoint is ready",
                 relay_.options_.full_retry_after};
@@ -122,6 +122,7 @@
   if (sent_to_.empty())
     relay_.note_first_send(admitted_.service);
   sent_to_.push_back(place.endpoint);
+  avoid_.push_back(place.incarnation);
   const bool may_have_run_before = may_have_run_;
   may_have_run_ = true; // from the first byte on, until the endpoint says otherwise
   const send_outcome end = exchange(place, std::move(reached.link), prompt_read);
@@ -133,7 +134,7 @@
 connect_result request_run::reach(const placement& place) const {
   const time_ms most_idle = runs_once(*admitted_.on_route) ? relay_.options_.most_idle_run_once
                                                            : relay_.options_.most_idle;
-  auto idle = relay_.connections_.take(place.endpoint, most_idle);
+  auto idle = relay_.connections_.take(place.endpoint, place.life, most_idle);
   if (idle)
     return {std::move(idle), false};
   return connect_to(place.address, relay_.options_.connect_timeout, relay_.parts_.time);
@@ -152,7 +153,7 @@
       in_.head, in_.body, admitted_, place, answer_.events().last_id(), parts.dialect, now()));
   prompt_read = one.prompt_read();
   if (one.reusable())
-    relay_.connections_.give_back(place.endpoint, std::move(link));
+    relay_.connections_.give_back(place.endpoint, place.life, std::move(link));
   else
     link->abort();
   return end;
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -58,6 +58,7 @@
   admitted_request admitted_;
   std::uint64_t reserved_{0};
   std::vector<endpoint_id> sent_to_;
+  std::vector<endpoint_hash> avoid_; ///< incarnations that it was sent to
   int unreachable_{0};
   bool may_have_run_{false};
 };
--- /dev/null
+++ b/src/relay/impl/start_question.cpp
@@ -0,0 +1,46 @@
+#include "relay/impl/start_question.hpp"
+
+#include "relay/impl/connection.hpp"
+#include "relay/impl/message_head.hpp"
+#include "relay/impl/wire_dialect.hpp"
+
+namespace sedgechute {
+
+namespace {
+
+constexpr std::size_t most_head_bytes = 8192;
+constexpr std::size_t most_body_bytes = 65536; // it names each request that runs there
+constexpr int ok = 200;
+
+/// \returns false when the body did not come whole within its bounds
+bool read_body(connection& link, const header_fields& fields, time_ms deadline) {
+  const auto length = fields.number("Content-Length");
+  const std::size_t wanted = length.value_or(most_body_bytes);
+  if (wanted > most_body_bytes)
+    return false;
+  while (link.buffered().size() < wanted) {
+    const io_status status = link.fill(deadline);
+    if (status == io_status::ended && !length)
+      return true;
+    if (status != io_status::ok)
+      return false;
+  }
+  return true;
+}
+
+} // namespace
+
+std::optional<time_ms> ask_start(connection& link, const endpoint_id& endpoint,
+                                 const wire_dialect& dialect, time_ms deadline) {
+  std::string text = to_text(dialect.self_question(endpoint.str()));
+  if (link.write_all(text, deadline) != io_status::ok)
+    return std::nullopt;
+  if (link.read_head(text, most_head_bytes, deadline) != io_status::ok)
+    return std::nullopt;
+  const auto head = parse_response_head(text);
+  if (!head || head->status != ok || !read_body(link, head->fields, deadline))
+    return std::nullopt;
+  return dialect.read_start(link.buffered());
+}
+
+} // namespace sedgechute
--- a/src/relay/impl/wire_dialect.hpp
+++ b/src/relay/impl/wire_dialect.hpp
@@ -47,6 +47,10 @@
   /// \brief Turns a caller's fields into those of a request to an endpoint.
   virtual void to_endpoint(header_fields& fields, const endpoint_send& send) const = 0;
   [[nodiscard]] virtual reply_terms read_reply(const response_head& head) const = 0;
+  /// \returns a request to an endpoint for what it says of itself; it runs nothing
+  [[nodiscard]] virtual request_head self_question(const std::string& endpoint) const = 0;
+  /// \returns when the endpoint started, by its machine's time of day; nothing when it does not say
+  [[nodiscard]] virtual std::optional<time_ms> read_start(std::string_view self_answer) const = 0;
   /// \brief Adds what a refusal of our own says beside its status.
   virtual void to_refusal(header_fields& fields, const std::string& attempt,
                           std::optional<time_ms> retry_after) const = 0;
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -8,6 +8,7 @@
 #include "relay/impl/connection.hpp"
 #include "relay/impl/connection_pool.hpp"
 #include "relay/impl/endpoint_directory.hpp"
+#include "relay/impl/endpoint_incarnation.hpp"
 #include "relay/impl/endpoint_prober.hpp"
 #include "relay/impl/event_splitter.hpp"
 #include "relay/impl/fleet_config.hpp"
@@ -28,4 +29,5 @@
 #include "relay/impl/retry_allowance.hpp"
 #include "relay/impl/send_outcome.hpp"
 #include "relay/impl/send_rules.hpp"
+#include "relay/impl/start_question.hpp"
 #include "relay/impl/wire_dialect.hpp"
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -60,6 +60,12 @@
                   "sedgechute_endpoints",
                   "Endpoints known. state: serving, leaving, unreachable, ejected.",
                   {"pool", "state"}},
+    metric_family{metric::endpoint_restarts,
+                  counter,
+                  "sedgechute_endpoint_restarts_total",
+                  "Endpoints found to have started again under their id. found_by: list (its entry "
+                  "names another start), endpoint (asked, it names another).",
+                  {"found_by"}},
     metric_family{metric::quarantined, gauge, "sedgechute_quarantined",
                   "Contents in quarantine because they ended endpoints."},
     metric_family{metric::orders,
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -24,6 +24,7 @@
   attempts,
   queue_length,
   endpoints,
+  endpoint_restarts,
   quarantined,
   orders,
   budget_refusals,
--- a/tests/entry/fleet_watch_test.cpp
+++ b/tests/entry/fleet_watch_test.cpp
@@ -3,7 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <map>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 using namespace sedgechute;
@@ -62,14 +64,29 @@
     changes_.push_back(change);
   }
 
+  void start_again(const std::string& name, time_ms started) {
+    {
+      const std::scoped_lock lock{mutex_};
+      started_[name] = started;
+    }
+    set(name, true);
+  }
+
   void set_away(bool away) {
     const std::scoped_lock lock{mutex_};
     away_ = away;
   }
 
  private:
-  static endpoint_entry entry(const std::string& name) {
-    return {endpoint_id{name}, "s", "127.0.0.1:1", data_centre_id{"dc"}, 4, false};
+  endpoint_entry entry(const std::string& name) const {
+    const auto started = started_.find(name);
+    return {endpoint_id{name},
+            "s",
+            "127.0.0.1:1",
+            data_centre_id{"dc"},
+            4,
+            false,
+            started == started_.end() ? std::nullopt : std::optional{started->second}};
   }
 
   void check() const {
@@ -80,6 +97,7 @@
   std::mutex mutex_;
   std::vector<config_ptr> configs_;
   std::map<std::string, bool> present_;
+  std::map<std::string, time_ms> started_;
   std::vector<endpoint_change> changes_;
   bool away_{false};
 };
@@ -166,3 +184,28 @@
   REQUIRE(at.soon([&] { return at.endpoints.size() == 1; }));
   CHECK(at.endpoints.ids().front().str() == "lives");
 }
+
+// A replica restarts twice between two reads of the list, the second time with its machine's clock
+// set back. What the list showed last holds, whichever start looks newer.
+TEST_CASE("of several starts in the list the last one shown holds") {
+  fixture at;
+  const time_ms first{1'790'000'000'000};
+  at.source.start_again("e", first);
+  at.watch.start();
+  REQUIRE(at.soon([&] { return at.endpoints.size() == 1; }));
+  const auto early = at.endpoints.place({"s", nullptr, {}});
+  REQUIRE(early.has_value());
+  at.source.set_away(true);
+  std::this_thread::sleep_for(std::chrono::milliseconds{50});
+  at.source.start_again("e", first + time_ms{5000});
+  at.source.start_again("e", first - time_ms{5000});
+  at.source.set_away(false);
+  const endpoint_hash last = incarnation_of(endpoint_id{"e"}, first - time_ms{5000});
+  std::optional<placement> now;
+  CHECK(at.soon([&] {
+    now = at.endpoints.place({"s", nullptr, {}});
+    at.endpoints.release(*now, send_outcome::caller_left, false);
+    return now->incarnation == last;
+  }));
+  CHECK(now->expected_open == 0);
+}
--- a/tests/entry/registered_endpoints_test.cpp
+++ b/tests/entry/registered_endpoints_test.cpp
@@ -48,7 +48,7 @@
     name_set names;
     while (const auto place = endpoints.place(request)) {
       names.insert(place->endpoint.str());
-      request.avoid.push_back(place->endpoint);
+      request.avoid.push_back(place->incarnation);
       endpoints.release(*place, send_outcome::caller_left, false);
     }
     return names;
--- a/tests/platform/endpoint_record_test.cpp
+++ b/tests/platform/endpoint_record_test.cpp
@@ -62,6 +62,12 @@
   CHECK_FALSE(parse_endpoint_record("i-1", text_of(plain)).draining);
 }
 
+TEST_CASE("an endpoint's start is read where it is told") {
+  CHECK_FALSE(parse_endpoint_record("i-1", text_of(plain)).started);
+  CHECK(parse_endpoint_record("i-1", with("born", "1764734000123")).started ==
+        time_ms{1'764'734'000'123});
+}
+
 // A newer release of the endpoints writes a field that this one does not know. Were its entries
 // refused, a host would drop all endpoints at once in the middle of an update.
 TEST_CASE(
--- a/tests/platform/header_dialect_test.cpp
+++ b/tests/platform/header_dialect_test.cpp
@@ -116,3 +116,16 @@
   dialect.to_refusal(bare, "", std::nullopt);
   CHECK(bare.all().empty());
 }
+
+TEST_CASE("an endpoint is asked what it says of itself, and its start is read from it") {
+  const header_dialect dialect;
+  const request_head question = dialect.self_question("i-1");
+  CHECK(question.method == "GET");
+  CHECK(question.target == "/report");
+  CHECK(*question.fields.find("Expected-Instance") == "i-1");
+  CHECK(dialect.read_start(R"({"Phase":"unified","born":1790000000123})") ==
+        time_ms{1'790'000'000'123});
+  CHECK_FALSE(dialect.read_start(R"({"Models":[{"born":1790000000123}]})"));
+  CHECK_FALSE(dialect.read_start("[1]"));
+  CHECK_FALSE(dialect.read_start(""));
+}
--- a/tests/relay/endpoint_directory_test.cpp
+++ b/tests/relay/endpoint_directory_test.cpp
@@ -58,7 +58,7 @@
   const auto place = at.place();
   REQUIRE(place.has_value());
   CHECK(place->endpoint.str() == "e0");
-  at.directory.note_leaving(endpoint_id{"e0"});
+  at.directory.note_leaving(*place);
   CHECK_FALSE(at.place().has_value());
   CHECK(at.directory.ready("engines") == 0);
 }
@@ -106,7 +106,7 @@
   at.time.advance(time_ms{300});
   const auto probes = at.directory.due_probes();
   REQUIRE(probes.size() == 1);
-  at.directory.note_probe(probes.front().endpoint, true, false);
+  at.directory.note_probe(probes.front(), true, false);
   CHECK(at.place().has_value());
 }
 
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -83,8 +83,9 @@
   door_->start();
 }
 
-void relay_fixture::add_endpoint(const std::string& id, const std::string& address) {
-  endpoints_.put({endpoint_id{id}, "s", address, data_centre_id{"dc"}, 8, false});
+void relay_fixture::add_endpoint(const std::string& id, const std::string& address,
+                                 std::optional<time_ms> started) {
+  endpoints_.put({endpoint_id{id}, "s", address, data_centre_id{"dc"}, 8, false, started});
 }
 
 std::string relay_fixture::call(const std::string& path, const std::string& attempt,
--- a/tests/relay/relay_fixture.hpp
+++ b/tests/relay/relay_fixture.hpp
@@ -4,6 +4,7 @@
 #include "scripted_endpoint.hpp"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,12 +56,15 @@
   /// \param options  of the relay
   explicit relay_fixture(std::uint64_t prepaid = 1000000, relay_options options = {});
 
-  void add_endpoint(const std::string& id, const std::string& address);
+  /// \param started  another one for a known id is a restart
+  void add_endpoint(const std::string& id, const std::string& address,
+                    std::optional<time_ms> started = std::nullopt);
   /// \returns the answer to one request, and closes the connection
   [[nodiscard]] std::string call(const std::string& path, const std::string& attempt,
                                  const std::string& more_fields = "",
                                  const std::string& method = "GET", const std::string& body = "");
   [[nodiscard]] std::string address() const { return socket_.address().toString(); }
+  [[nodiscard]] endpoint_directory& endpoints() noexcept { return endpoints_; }
   [[nodiscard]] budget_desk& budgets() noexcept { return *budgets_; }
   [[nodiscard]] front_door& door() noexcept { return *door_; }
   [[nodiscard]] request_relay& relay() noexcept { return *relay_; }
--- /dev/null
+++ b/tests/relay/restarted_endpoint_test.cpp
@@ -0,0 +1,209 @@
+// Requests on their whole way to endpoints that start again under their id.
+
+#include "relay_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <memory>
+#include <thread>
+
+using namespace sedgechute;
+
+namespace {
+
+using then = scripted_reply::then;
+
+constexpr time_ms first_start{1'790'000'000'000};
+constexpr time_ms second_start{first_start - time_ms{60'000}}; // its machine's clock was set back
+
+std::string attempt_of(const scripted_endpoint::seen_request& request) {
+  const std::string* id = request.head.fields.find("Attempt-Id");
+  return id == nullptr ? "" : *id;
+}
+
+scripted_reply whole(const scripted_endpoint::seen_request& request) {
+  return {whole_answer(attempt_of(request), "ok"), then::keep, ""};
+}
+
+scripted_reply full(const scripted_endpoint::seen_request&) {
+  return {"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", then::keep, ""};
+}
+
+/// What an endpoint says of itself when it is asked.
+scripted_reply says_start(const std::string& body) {
+  return {"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
+              std::to_string(body.size()) + "\r\n\r\n" + body,
+          then::close, ""};
+}
+
+std::string self_report(time_ms started) {
+  return R"({"Phase":"unified","Busy":false,"born":)" + std::to_string(started.count()) + "}";
+}
+
+void sleep_ms(int span) {
+  std::this_thread::sleep_for(std::chrono::milliseconds{span});
+}
+
+/// The first life breaks off what it was sent, as in a crash; the list shows the second at once.
+struct crashing {
+  explicit crashing(scripted_endpoint::script later)
+      : second{std::move(later)}, first{[this](const auto&) {
+          at.add_endpoint("e", second.address(), second_start);
+          return scripted_reply{"", then::reset, ""};
+        }} {
+    at.add_endpoint("e", first.address(), first_start);
+  }
+
+  relay_fixture at;
+  scripted_endpoint second;
+  scripted_endpoint first;
+};
+
+} // namespace
+
+// An order was sent to a replica, which crashed and came back at once. The order may have run: sent
+// to the new life it would run twice, and refused as not run it would be ordered again.
+TEST_CASE("what may have run in an earlier life is neither run again nor refused as not run") {
+  for (const auto& later : {whole, full}) {
+    crashing it{later};
+    const int status = status_of(it.at.call("/unsafe/", "id-1", "", "POST", "order"));
+    CHECK(status == 502);
+    CHECK(it.first.seen().size() == 1);
+    CHECK(it.second.seen().empty());
+  }
+}
+
+TEST_CASE("a stream that may run once stays cut when its endpoint is back") {
+  crashing it{whole};
+  CHECK(status_of(it.at.call("/once/", "id-1", "", "POST", "p")) == 502);
+  CHECK(it.second.seen().empty());
+}
+
+// The only endpoint crashed under a request that may be repeated. Its next life took it for the
+// endpoint that had failed, and the caller got an error although the endpoint was there.
+TEST_CASE("a request that may run again goes to the next life of its endpoint") {
+  crashing it{whole};
+  CHECK(status_of(it.at.call("/safe/", "id-1")) == 200);
+  CHECK(it.second.seen().size() == 1);
+}
+
+// The new life is full and says that it did not run the request. The earlier life may have.
+TEST_CASE("a new life's word that it did not run a request says nothing of the earlier life") {
+  crashing it{full};
+  CHECK(status_of(it.at.call("/safe/", "id-1")) == 502);
+  CHECK(it.second.seen().size() == 1);
+}
+
+TEST_CASE("a stream goes on at the next life of its endpoint, behind the last event") {
+  scripted_endpoint second{[](const auto& request) {
+    return scripted_reply{stream_head(attempt_of(request)) + event_chunk(3) + "0\r\n\r\n",
+                          then::keep, ""};
+  }};
+  relay_fixture at;
+  scripted_endpoint first{[&](const auto& request) {
+    at.add_endpoint("e", second.address(), second_start);
+    return scripted_reply{stream_head(attempt_of(request)) + event_chunk(1) + event_chunk(2),
+                          then::reset, ""};
+  }};
+  at.add_endpoint("e", first.address(), first_start);
+  const std::string answer = at.call("/stream/", "id-1", "", "POST", "p");
+  CHECK(answer.ends_with("\r\n0\r\n\r\n"));
+  CHECK(answer.find("id: 3") != std::string::npos);
+  REQUIRE(second.seen().size() == 1);
+  CHECK(second.seen()[0].head.fields.number("Last-Event-Id") == 2);
+}
+
+// A machine lost power behind a partition: the connection that is kept to it looks open. An order
+// written into it would get no answer, and could not be sent again.
+TEST_CASE("connections to an earlier life are not used") {
+  scripted_endpoint first{whole};
+  scripted_endpoint second{whole};
+  relay_fixture at;
+  at.add_endpoint("e", first.address(), first_start);
+  CHECK(status_of(at.call("/unsafe/", "id-1", "", "POST", "b")) == 200);
+  at.add_endpoint("e", second.address(), second_start);
+  CHECK(status_of(at.call("/unsafe/", "id-2", "", "POST", "b")) == 200);
+  CHECK(first.seen().size() == 1);
+  CHECK(second.seen().size() == 1);
+}
+
+TEST_CASE("a connection that comes back late from an earlier life is closed") {
+  steady_clock time;
+  scripted_endpoint endpoint{whole};
+  connection_pool pool{time};
+  const endpoint_id id{"e"};
+  const auto open = [&] { return connect_to(endpoint.address(), time_ms{500}, time).link; };
+  pool.give_back(id, 1, open());
+  pool.give_back(id, 2, open());
+  pool.give_back(id, 1, open());
+  CHECK(pool.take(id, 1, time_ms{1000}) == nullptr);
+  CHECK(pool.take(id, 2, time_ms{1000}) != nullptr);
+  CHECK(pool.take(id, 2, time_ms{1000}) == nullptr);
+  pool.give_back(id, 2, open());
+  CHECK(pool.take(id, 3, time_ms{1000}) == nullptr);
+  CHECK(pool.take(id, 2, time_ms{1000}) == nullptr);
+}
+
+// The store is away, and a replica crashes and starts again. Nothing is listed; the refused
+// connection makes the host ask, and the replica's own word shows that it is another life.
+TEST_CASE("a replica that refused a connection is asked for its start once it is back") {
+  relay_fixture at;
+  structured_log log{{.host = "ask-test", .file = "/dev/null"}};
+  const header_dialect dialect;
+  const steady_clock time;
+  std::vector<endpoint_restart> restarts;
+  std::mutex mutex;
+  at.endpoints().on_restart([&](const endpoint_restart& found) {
+    const std::scoped_lock lock{mutex};
+    restarts.push_back(found);
+  });
+  std::string address;
+  {
+    const scripted_endpoint first{whole};
+    address = first.address();
+    at.add_endpoint("e", address, first_start);
+    CHECK(status_of(at.call("/safe/", "id-1")) == 200);
+  }
+  CHECK(status_of(at.call("/safe/", "id-2")) == 503);
+  endpoint_prober prober{at.endpoints(), dialect, time_ms{300}, time, log};
+  prober.start();
+  const scripted_endpoint second{[](const auto& request) {
+                                   return request.head.target == "/report"
+                                              ? says_start(self_report(second_start))
+                                              : whole(request);
+                                 },
+                                 address};
+  for (int i = 0; i < 300; ++i) {
+    sleep_ms(10);
+    const std::scoped_lock lock{mutex};
+    if (!restarts.empty())
+      break;
+  }
+  prober.stop();
+  REQUIRE(restarts.size() == 1);
+  CHECK(restarts[0].found_by == restart_source::endpoint);
+  CHECK(restarts[0].started == second_start);
+  REQUIRE_FALSE(second.seen().empty());
+  CHECK(*second.seen()[0].head.fields.find("Expected-Instance") == "e");
+  CHECK(status_of(at.call("/safe/", "id-3")) == 200);
+}
+
+TEST_CASE("only a whole answer that names a start tells one") {
+  const steady_clock time;
+  const header_dialect dialect;
+  const auto ask = [&](const scripted_reply& reply) {
+    const scripted_endpoint endpoint{[&](const auto&) { return reply; }};
+    const auto link = connect_to(endpoint.address(), time_ms{500}, time).link;
+    return ask_start(*link, endpoint_id{"e"}, dialect, time.now() + time_ms{200});
+  };
+  CHECK(ask(says_start(self_report(first_start))) == first_start);
+  CHECK_FALSE(ask(says_start("{}")));
+  CHECK_FALSE(ask(says_start(R"({"born":"1790000000000"})")));
+  CHECK_FALSE(ask(says_start(R"({"born":1790000000000.5})")));
+  CHECK_FALSE(ask(says_start("not JSON")));
+  CHECK_FALSE(ask({"HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n", then::close, ""}));
+  CHECK_FALSE(ask({"HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n{", then::close, ""}));
+  CHECK_FALSE(ask({"garbage\r\n\r\n", then::close, ""}));
+  CHECK_FALSE(ask({"", then::hang, ""}));
+}
--- a/tests/relay/scripted_endpoint.cpp
+++ b/tests/relay/scripted_endpoint.cpp
@@ -14,8 +14,11 @@
 
 } // namespace
 
-scripted_endpoint::scripted_endpoint(script answer)
-    : answer_{std::move(answer)}, socket_{Poco::Net::SocketAddress{"127.0.0.1", 0}} {
+scripted_endpoint::scripted_endpoint(script answer, const std::string& address)
+    : answer_{std::move(answer)} {
+  constexpr bool reuse_address = true;
+  socket_.bind(Poco::Net::SocketAddress{address.empty() ? "127.0.0.1:0" : address}, reuse_address);
+  socket_.listen();
   acceptor_ = std::thread{[this] { accept(); }};
 }
 
--- a/tests/relay/scripted_endpoint.hpp
+++ b/tests/relay/scripted_endpoint.hpp
@@ -21,7 +21,8 @@
   time_ms pause{60};
 };
 
-/// \brief An endpoint on loopback that answers as a test says.
+/// \brief An endpoint on loopback that answers as a test says. Crashed and made anew at the same
+/// address it is another life of it.
 class scripted_endpoint {
  public:
   struct seen_request {
@@ -30,7 +31,8 @@
   };
   using script = std::function<scripted_reply(const seen_request&)>;
 
-  explicit scripted_endpoint(script answer);
+  /// \param address  where an earlier one was; empty: at a free port
+  explicit scripted_endpoint(script answer, const std::string& address = "");
   scripted_endpoint(const scripted_endpoint&) = delete;
   scripted_endpoint& operator=(const scripted_endpoint&) = delete;
   ~scripted_endpoint();
