Soak: engines crash and start again under their id

With a later or an earlier start, down for up to 300 ms, and listed at once or only after the next change. Connections that ran there are reset; the proxy leads to the new life.

--- a/bench/soak/fault_proxy.cpp
+++ b/bench/soak/fault_proxy.cpp
@@ -30,6 +30,16 @@
     one.join();
 }
 
+void fault_proxy::lead_to(const std::string& target) {
+  const std::scoped_lock lock{mutex_};
+  target_ = target;
+}
+
+std::string fault_proxy::target() {
+  const std::scoped_lock lock{mutex_};
+  return target_;
+}
+
 void fault_proxy::accept() {
   while (!stopping_) {
     if (socket_.poll(Poco::Timespan{look_ms * 1000}, Poco::Net::Socket::SELECT_READ))
@@ -40,7 +50,7 @@
 void fault_proxy::pass(Poco::Net::StreamSocket from) {
   const int resets = resets_;
   try {
-    Poco::Net::StreamSocket to{Poco::Net::SocketAddress{target_}};
+    Poco::Net::StreamSocket to{Poco::Net::SocketAddress{target()}};
     from.setNoDelay(true);
     to.setNoDelay(true);
     while (!stopping_ && resets == resets_) {
--- a/bench/soak/fault_proxy.hpp
+++ b/bench/soak/fault_proxy.hpp
@@ -4,6 +4,7 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <atomic>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -26,16 +27,20 @@
   ~fault_proxy();
 
   [[nodiscard]] std::string address() const { return socket_.address().toString(); }
+  /// \brief Connections from now on go to another server.
+  void lead_to(const std::string& target);
   void set(link_fault fault) noexcept { fault_ = fault; }
   /// \brief Resets every open connection.
   void reset_connections() noexcept { ++resets_; }
 
  private:
+  [[nodiscard]] std::string target();
   void accept();
   void pass(Poco::Net::StreamSocket from);
   /// \returns false when the connection is over
   [[nodiscard]] static bool pass_some(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to);
 
+  std::mutex mutex_;
   std::string target_;
   Poco::Net::ServerSocket socket_;
   std::atomic<link_fault> fault_{link_fault::none};
--- a/bench/soak/soak_world.cpp
+++ b/bench/soak/soak_world.cpp
@@ -24,6 +24,8 @@
 constexpr time_ms grace{4000};
 constexpr std::uint64_t longest_pause_ms = 400; // in a stream; a longer one looks like a stall
 constexpr int moods = 6;
+constexpr time_ms first_start{1'790'000'000'000};
+constexpr std::uint64_t longest_restart_ms = 300;
 
 void sleep_ms(int span) {
   std::this_thread::sleep_for(std::chrono::milliseconds{span});
@@ -33,6 +35,12 @@
   return "127.0.0.1:" + std::to_string(port);
 }
 
+/// What an engine says of itself when it is asked.
+std::string self_report(time_ms started) {
+  const std::string body = R"({"Phase":"unified","born":)" + std::to_string(started.count()) + "}";
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 /// Events of one attempt; each names it, so that a mix-up shows.
 std::string event_chunks(const std::string& attempt, int from, int to) {
   std::ostringstream text;
@@ -70,8 +78,7 @@
     auto made = std::make_unique<engine>();
     engine& one = *made;
     one.id = "e" + std::to_string(i);
-    one.program = std::make_unique<scripted_endpoint>(
-        [this, &one](const auto& request) { return run(one, request); });
+    start_engine(one);
     one.link = std::make_unique<fault_proxy>(one.program->address());
     engines_.push_back(std::move(made));
     list_engine(one, false);
@@ -129,12 +136,34 @@
   of.frozen = false;
 }
 
+// No two lives of an engine name the same start.
+void soak_world::start_engine(engine& of) {
+  const std::int64_t apart = random_.below(2) == 0 ? 1000 : -1000;
+  of.started = first_start + time_ms{apart * of.lives++};
+  of.program = std::make_unique<scripted_endpoint>(
+      [this, &of](const auto& request) { return run(of, request); });
+}
+
+// A crash and a new start under the same id and at the same address. What ran is cut, and the list
+// may show the new life at once, or only after the next one.
+void soak_world::restart_engine(engine& of) {
+  of.link->reset_connections();
+  of.program.reset();
+  if (random_.below(2) == 0)
+    sleep_ms(static_cast<int>(random_.below(longest_restart_ms)));
+  start_engine(of);
+  of.link->lead_to(of.program->address());
+  if (random_.below(3) != 0)
+    list_engine(of, false);
+}
+
 void soak_world::list_engine(const engine& of, bool draining) {
   store_.put("keyed.servers", of.id,
              R"({"Service":"s","Address":")" + of.link->address() +
                  R"(","Zone":"dc","Version":"v1","Slots":16,"ColdRemainingMs":0,"Sequence":1,)"
                  R"("State":")" +
-                 (draining ? "draining" : "ready") + "\"}");
+                 (draining ? "draining" : "ready") + R"(","born":)" +
+                 std::to_string(of.started.count()) + "}");
 }
 
 void soak_world::publish() {
@@ -157,6 +186,8 @@
 }
 
 scripted_reply soak_world::run(engine& on, const scripted_endpoint::seen_request& request) {
+  if (request.head.target == "/report")
+    return {self_report(on.started), then::close, ""};
   const std::string* id = request.head.fields.find("Attempt-Id");
   const std::string attempt = id == nullptr ? "" : *id;
   const int mood = on.mood;
@@ -338,7 +369,7 @@
   engine& on = *engines_[random_.below(engines_.size())];
   static constexpr std::array link_faults{link_fault::none, link_fault::delay, link_fault::silent,
                                           link_fault::one_way};
-  switch (random_.below(13)) {
+  switch (random_.below(15)) {
   case 0:
     thaw(at);
     at.program->crash();
@@ -377,6 +408,9 @@
       store_.forget_history();
     return;
   }
+  case 12:
+  case 13:
+    return restart_engine(on);
   default:
     if (random_.below(2) == 0)
       paid_ += random_.below(8000);
--- a/bench/soak/soak_world.hpp
+++ b/bench/soak/soak_world.hpp
@@ -61,6 +61,8 @@
     std::unique_ptr<scripted_endpoint> program;
     std::unique_ptr<fault_proxy> link;
     std::atomic<int> mood{0}; ///< what it does wrong
+    int lives{0};
+    time_ms started; ///< by the clock of its machine, which may be set back between two lives
   };
 
   /// One caller: it keeps a connection to each host for as long as that lasts.
@@ -80,6 +82,8 @@
   [[nodiscard]] static std::string output_of(const host& of);
   void start_host(host& of);
   void thaw(host& of);
+  void start_engine(engine& of);
+  void restart_engine(engine& of);
   void list_engine(const engine& of, bool draining);
   void publish();
   [[nodiscard]] scripted_reply run(engine& on, const scripted_endpoint::seen_request& request);
