Connections to endpoints that are gone are closed

Idle connections were only ever taken out by a request to the same endpoint. Those to an endpoint that had left the list kept their descriptors, up to sixteen an endpoint, until the host stopped. Connections idle for more than 10 s are now closed when another comes back, at most every 2 s.

--- a/src/relay/impl/connection_pool.cpp
+++ b/src/relay/impl/connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "relay/impl/connection_pool.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace sedgechute {
@@ -8,6 +10,10 @@
 
 constexpr std::size_t most_idle_connections = 16; // to one endpoint; more are hardly in use at once
 
+// Idle for longer, connections are not used by any kind of request; endpoints close them.
+constexpr time_ms longest_kept{10000};
+constexpr time_ms look_interval{2000}; // all endpoints are walked at most so often
+
 } // namespace
 
 std::unique_ptr<connection> connection_pool::take(const endpoint_id& endpoint, std::uint64_t life,
@@ -35,7 +41,9 @@
 void connection_pool::give_back(const endpoint_id& endpoint, std::uint64_t life,
                                 std::unique_ptr<connection> idle) {
   std::vector<idle_connection> stale;
+  std::vector<idle_connection> old;
   const std::scoped_lock lock{mutex_};
+  old = take_old();
   endpoint_connections& kept = known_[endpoint];
   if (kept.life > life)
     return;
@@ -46,4 +54,31 @@
     kept.idle.push_back({std::move(idle), time_.now()});
 }
 
+// Nobody asks for connections to an endpoint that is gone. Kept, they would hold a descriptor each
+// until this host stops; each replacement of the endpoints would add some.
+std::vector<connection_pool::idle_connection> connection_pool::take_old() {
+  std::vector<idle_connection> old;
+  const time_ms now = time_.now();
+  if (now - looked_for_old_ < look_interval)
+    return old;
+  looked_for_old_ = now;
+  for (auto at = known_.begin(); at != known_.end();) {
+    std::vector<idle_connection>& idle = at->second.idle; // the longest idle first
+    const auto young = std::find_if(
+        idle.begin(), idle.end(), [&](const auto& one) { return now - one.since <= longest_kept; });
+    old.insert(old.end(), std::make_move_iterator(idle.begin()), std::make_move_iterator(young));
+    idle.erase(idle.begin(), young);
+    at = idle.empty() ? known_.erase(at) : std::next(at);
+  }
+  return old;
+}
+
+std::size_t connection_pool::size() const {
+  const std::scoped_lock lock{mutex_};
+  std::size_t all = 0;
+  for (const auto& [endpoint, kept] : known_)
+    all += kept.idle.size();
+  return all;
+}
+
 } // namespace sedgechute
--- a/src/relay/impl/connection_pool.hpp
+++ b/src/relay/impl/connection_pool.hpp
@@ -24,6 +24,7 @@
   [[nodiscard]] std::unique_ptr<connection> take(const endpoint_id& endpoint, std::uint64_t life,
                                                  time_ms most_idle);
   void give_back(const endpoint_id& endpoint, std::uint64_t life, std::unique_ptr<connection> idle);
+  [[nodiscard]] std::size_t size() const;
 
  private:
   struct idle_connection {
@@ -36,8 +37,12 @@
     std::vector<idle_connection> idle;
   };
 
+  /// \brief Takes out what no request will use again, of all endpoints, to be closed.
+  [[nodiscard]] std::vector<idle_connection> take_old();
+
   const clock& time_;
-  ordered_mutex mutex_{lock_rank::endpoints};
+  mutable ordered_mutex mutex_{lock_rank::endpoints};
+  time_ms looked_for_old_;
   std::unordered_map<endpoint_id, endpoint_connections> known_;
 };
 
--- a/tests/relay/restarted_endpoint_test.cpp
+++ b/tests/relay/restarted_endpoint_test.cpp
@@ -41,6 +41,15 @@
   return R"({"Phase":"unified","Busy":false,"born":)" + std::to_string(started.count()) + "}";
 }
 
+/// One request on a connection of its own, from a caller that waits as long as it says.
+std::string call(const relay_fixture& at, const std::string& path, const std::string& attempt,
+                 const std::string& method = "GET", const std::string& body = "") {
+  constexpr time_ms patience{1600};
+  raw_caller caller{at.address()};
+  caller.send(request_text(path, attempt, "", method, body));
+  return caller.read_all(patience);
+}
+
 void sleep_ms(int span) {
   std::this_thread::sleep_for(std::chrono::milliseconds{span});
 }
@@ -67,7 +76,7 @@
 TEST_CASE("what may have run in an earlier life is neither run again nor refused as not run") {
   for (const auto& later : {whole, full}) {
     crashing it{later};
-    const int status = status_of(it.at.call("/unsafe/", "id-1", "", "POST", "order"));
+    const int status = status_of(call(it.at, "/unsafe/", "id-1", "POST", "order"));
     CHECK(status == 502);
     CHECK(it.first.seen().size() == 1);
     CHECK(it.second.seen().empty());
@@ -76,7 +85,7 @@
 
 TEST_CASE("a stream that may run once stays cut when its endpoint is back") {
   crashing it{whole};
-  CHECK(status_of(it.at.call("/once/", "id-1", "", "POST", "p")) == 502);
+  CHECK(status_of(call(it.at, "/once/", "id-1", "POST", "p")) == 502);
   CHECK(it.second.seen().empty());
 }
 
@@ -84,14 +93,14 @@
 // endpoint that had failed, and the caller got an error although the endpoint was there.
 TEST_CASE("a request that may run again goes to the next life of its endpoint") {
   crashing it{whole};
-  CHECK(status_of(it.at.call("/safe/", "id-1")) == 200);
+  CHECK(status_of(call(it.at, "/safe/", "id-1")) == 200);
   CHECK(it.second.seen().size() == 1);
 }
 
 // The new life is full and says that it did not run the request. The earlier life may have.
 TEST_CASE("a new life's word that it did not run a request says nothing of the earlier life") {
   crashing it{full};
-  CHECK(status_of(it.at.call("/safe/", "id-1")) == 502);
+  CHECK(status_of(call(it.at, "/safe/", "id-1")) == 502);
   CHECK(it.second.seen().size() == 1);
 }
 
@@ -107,7 +116,7 @@
                           then::reset, ""};
   }};
   at.add_endpoint("e", first.address(), first_start);
-  const std::string answer = at.call("/stream/", "id-1", "", "POST", "p");
+  const std::string answer = call(at, "/stream/", "id-1", "POST", "p");
   CHECK(answer.ends_with("\r\n0\r\n\r\n"));
   CHECK(answer.find("id: 3") != std::string::npos);
   REQUIRE(second.seen().size() == 1);
@@ -121,9 +130,9 @@
   scripted_endpoint second{whole};
   relay_fixture at;
   at.add_endpoint("e", first.address(), first_start);
-  CHECK(status_of(at.call("/unsafe/", "id-1", "", "POST", "b")) == 200);
+  CHECK(status_of(call(at, "/unsafe/", "id-1", "POST", "b")) == 200);
   at.add_endpoint("e", second.address(), second_start);
-  CHECK(status_of(at.call("/unsafe/", "id-2", "", "POST", "b")) == 200);
+  CHECK(status_of(call(at, "/unsafe/", "id-2", "POST", "b")) == 200);
   CHECK(first.seen().size() == 1);
   CHECK(second.seen().size() == 1);
 }
@@ -145,6 +154,24 @@
   CHECK(pool.take(id, 2, time_ms{1000}) == nullptr);
 }
 
+// Endpoints were replaced by others again and again. A host kept up to sixteen connections to each
+// that was gone, until it had no descriptors left for its callers.
+TEST_CASE("connections to endpoints that are gone are closed") {
+  manual_clock time;
+  const steady_clock real;
+  scripted_endpoint endpoint{whole};
+  connection_pool pool{time};
+  const auto open = [&] { return connect_to(endpoint.address(), time_ms{500}, real).link; };
+  for (int i = 0; i < 5; ++i) {
+    pool.give_back(endpoint_id{"e" + std::to_string(i)}, 1, open());
+    time.advance(time_ms{3000});
+  }
+  CHECK(pool.size() == 4);
+  time.advance(time_ms{20000});
+  pool.give_back(endpoint_id{"new"}, 1, open());
+  CHECK(pool.size() == 1);
+}
+
 // The store is away, and a replica crashes and starts again. Nothing is listed; the refused
 // connection makes the host ask, and the replica's own word shows that it is another life.
 TEST_CASE("a replica that refused a connection is asked for its start once it is back") {
@@ -163,9 +190,9 @@
     const scripted_endpoint first{whole};
     address = first.address();
     at.add_endpoint("e", address, first_start);
-    CHECK(status_of(at.call("/safe/", "id-1")) == 200);
+    CHECK(status_of(call(at, "/safe/", "id-1")) == 200);
   }
-  CHECK(status_of(at.call("/safe/", "id-2")) == 503);
+  CHECK(status_of(call(at, "/safe/", "id-2")) == 503);
   endpoint_prober prober{at.endpoints(), dialect, time_ms{300}, time, log};
   prober.start();
   const scripted_endpoint second{[](const auto& request) {
@@ -186,7 +213,7 @@
   CHECK(restarts[0].started == second_start);
   REQUIRE_FALSE(second.seen().empty());
   CHECK(*second.seen()[0].head.fields.find("Expected-Instance") == "e");
-  CHECK(status_of(at.call("/safe/", "id-3")) == 200);
+  CHECK(status_of(call(at, "/safe/", "id-3")) == 200);
 }
 
 TEST_CASE("only a whole answer that names a start tells one") {
