--- a/src/entry/impl/entry_host.hpp
+++ b/src/entry/impl/entry_host.hpp
@@ -33,6 +33,7 @@
   void serve_until_end(planned_stop& stop) const;
   void wait_until(const std::function<bool()>& done, time_ms most) const;
   void take_config(const config_ptr& config);
+  void note_restart(const endpoint_restart& found);
 
   entry_settings settings_;
   const clock& time_;
--- a/src/relay/impl/connection_pool.cpp
+++ b/src/relay/impl/connection_pool.cpp
@@ -1,22 +1,36 @@
 #include "relay/impl/connection_pool.hpp"
 
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
 namespace sedgechute {
 
 namespace {
 
 constexpr std::size_t most_idle_connections = 16; // to one endpoint; more are hardly in use at once
 
+// Idle for longer, connections are not used by any kind of request; endpoints close them.
+constexpr time_ms longest_kept{10000};
+constexpr time_ms look_interval{2000}; // all endpoints are walked at most so often
+
 } // namespace
 
-std::unique_ptr<connection> connection_pool::take(const endpoint_id& endpoint, time_ms most_idle) {
+std::unique_ptr<connection> connection_pool::take(const endpoint_id& endpoint, std::uint64_t life,
+                                                  time_ms most_idle) {
   std::vector<idle_connection> stale; // closed after the lock is free
   const std::scoped_lock lock{mutex_};
-  const auto at = idle_.find(endpoint);
-  if (at == idle_.end())
+  const auto at = known_.find(endpoint);
+  if (at == known_.end() || at->second.life > life)
     return nullptr;
-  while (!at->second.empty()) {
-    idle_connection last = std::move(at->second.back());
-    at->second.pop_back();
+  std::vector<idle_connection>& idle = at->second.idle;
+  if (at->second.life < life) {
+    stale = std::exchange(idle, {});
+    at->second.life = life;
+  }
+  while (!idle.empty()) {
+    idle_connection last = std::move(idle.back());
+    idle.pop_back();
     if (time_.now() - last.since <= most_idle && last.link->quiet())
       return std::move(last.link);
     stale.push_back(std::move(last));
@@ -24,16 +38,47 @@
   return nullptr;
 }
 
-void connection_pool::give_back(const endpoint_id& endpoint, std::unique_ptr<connection> idle) {
+void connection_pool::give_back(const endpoint_id& endpoint, std::uint64_t life,
+                                std::unique_ptr<connection> idle) {
+  std::vector<idle_connection> stale;
+  std::vector<idle_connection> old;
   const std::scoped_lock lock{mutex_};
-  std::vector<idle_connection>& kept = idle_[endpoint];
-  if (kept.size() < most_idle_connections)
-    kept.push_back({std::move(idle), time_.now()});
+  old = take_old();
+  endpoint_connections& kept = known_[endpoint];
+  if (kept.life > life)
+    return;
+  if (kept.life < life)
+    stale = std::exchange(kept.idle, {});
+  kept.life = life;
+  if (kept.idle.size() < most_idle_connections)
+    kept.idle.push_back({std::move(idle), time_.now()});
+}
+
+// Nobody asks for connections to an endpoint that is gone. Kept, they would hold a descriptor each
+// until this host stops; each replacement of the endpoints would add some.
+std::vector<connection_pool::idle_connection> connection_pool::take_old() {
+  std::vector<idle_connection> old;
+  const time_ms now = time_.now();
+  if (now - looked_for_old_ < look_interval)
+    return old;
+  looked_for_old_ = now;
+  for (auto at = known_.begin(); at != known_.end();) {
+    std::vector<idle_connection>& idle = at->second.idle; // the longest idle first
+    const auto young = std::find_if(
+        idle.begin(), idle.end(), [&](const auto& one) { return now - one.since <= longest_kept; });
+    old.insert(old.end(), std::make_move_iterator(idle.begin()), std::make_move_iterator(young));
+    idle.erase(idle.begin(), young);
+    at = idle.empty() ? known_.erase(at) : std::next(at);
+  }
+  return old;
 }
 
-void connection_pool::forget(const endpoint_id& endpoint) {
+std::size_t connection_pool::size() const {
   const std::scoped_lock lock{mutex_};
-  idle_.erase(endpoint);
+  std::size_t all = 0;
+  for (const auto& [endpoint, kept] : known_)
+    all += kept.idle.size();
+  return all;
 }
 
 } // namespace sedgechute
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -86,8 +86,8 @@
 }
 
 void relay_fixture::add_endpoint(const std::string& id, const std::string& address,
-                                 const std::string& service) {
-  endpoints_.put({endpoint_id{id}, service, address, data_centre_id{"dc"}, 8, false});
+                                 std::optional<time_ms> started, const std::string& service) {
+  endpoints_.put({endpoint_id{id}, service, address, data_centre_id{"dc"}, 8, false, started});
 }
 
 bool relay_fixture::has_open(std::size_t requests) const {
--- a/tests/relay/undescribed_service_test.cpp
+++ b/tests/relay/undescribed_service_test.cpp
@@ -43,8 +43,8 @@
                      {},
                      config_with(described ? std::vector<std::string>{"a", "b"}
                                            : std::vector<std::string>{"a"})};
-    at.add_endpoint("e1", known.address(), "a");
-    at.add_endpoint("e2", other.address(), "b");
+    at.add_endpoint("e1", known.address(), std::nullopt, "a");
+    at.add_endpoint("e2", other.address(), std::nullopt, "b");
     CHECK(status_of(at.call("/a/", "id-1")) == 200);
     const std::string answer = at.call("/b/", "id-2");
     CHECK(status_of(answer) == (described ? 200 : 503));
