--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -55,7 +55,7 @@
 }
 
 std::string raw_caller::read_all(time_ms quiet, time_ms first) {
-  last_ = link_->fill(time_.now() + std::max(quiet, first));
+  last_ = link_->fill(time_.now() + first);
   while (last_ == io_status::ok)
     last_ = link_->fill(time_.now() + quiet);
   std::string all{link_->buffered()};
@@ -102,7 +102,7 @@
                                 const std::string& body) {
   raw_caller caller{address()};
   caller.send(request_text(path, attempt, more_fields, method, body));
-  return caller.read_all(time_ms{400}, time_ms{3000});
+  return caller.read_all();
 }
 
 std::string request_text(const std::string& path, const std::string& attempt,
