--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -22,6 +22,7 @@
     check_room();
     admit(in_.head, in_.received, relay_.parts_.dialect, relay_.parts_.config(), admitted_);
     check_time_left();
+    check_processor();
     reserved_ =
         reserve_tokens(relay_.parts_.budgets, admitted_, relay_.options_.budget_retry_after);
     return run_sends();
@@ -37,6 +38,15 @@
                 relay_.options_.overload_retry_after};
 }
 
+// Refused before it costs more: the caller's next connection is dealt to another host.
+void request_run::check_processor() {
+  if (!relay_.parts_.sheds || !relay_.parts_.sheds())
+    return;
+  in_.last_on_connection = true;
+  throw error{error_kind::no_capacity, "host", "its processor is used up",
+              relay_.options_.shed_retry_after};
+}
+
 // A connection that its caller keeps brings requests until the process is gone.
 void request_run::check_time_left() const {
   if (!relay_.stop_.begun())
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -29,6 +29,7 @@
   void check_room() const;
   /// \throws error when this host stops before the request can have come to its end
   void check_time_left() const;
+  void check_processor();
   [[nodiscard]] after_answer run_sends();
   [[nodiscard]] bool may_send_again(send_outcome end);
   /// \returns nothing when it was sent to every endpoint that could take it
