--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -27,6 +27,9 @@
 constexpr double open_requests_a_core = 1600;
 constexpr std::size_t least_open_requests = 60;
 
+// Hosts whose processor was used up had a third of that open, or more; idle ones some requests.
+constexpr std::size_t open_of_a_busy_host = 10;
+
 std::size_t most_open_requests(double processor_share) {
   return std::max(least_open_requests,
                   static_cast<std::size_t>(open_requests_a_core * processor_share));
@@ -80,10 +83,13 @@
         return peers_->send(host, peer_message::token_loan, bytes);
       },
       [this](const std::string& host) { return peers_->near(host); }, loan_options{}, time, log);
+  // After a loss of power all hosts start at once. If each took tokens before it knew who else is
+  // there, their appends would stand in each other's way for a second, and then again to hand back.
   budgets_->hold_by([this](const std::string& team) {
-    return holds_tokens_of(account_partition(team, account_partitions), peers_->self().name,
-                           peers_->near_hosts());
+    return peers_->hosts_known() && holds_tokens_of(account_partition(team, account_partitions),
+                                                    peers_->self().name, peers_->near_hosts());
   });
+  peers_->on_hosts([this] { budgets_->review_holding(); });
   peers_->on(peer_message::token_loan,
              [this](std::string_view bytes) { return loans_->take(bytes); });
   relay_options options;
@@ -94,10 +100,13 @@
   options.retries.window = settings_.retry_window;
   options.stop = settings_.stop;
   options.most_open = most_open_requests(settings_.processor_share);
+  processor_ = std::make_unique<processor_watch>(
+      shedding_options{}, [this] { return relay_->open(); },
+      options.most_open / open_of_a_busy_host, time, log);
   relay_ = std::make_unique<request_relay>(
-      request_relay::parts{dialect_, endpoints_, *budgets_, time, log, figures_,
-                           [this] { return fleet_->config(); },
-                           [this] { return peers_->peers().size() + 1; }},
+      request_relay::parts{
+          dialect_, endpoints_, *budgets_, time, log, figures_, [this] { return fleet_->config(); },
+          [this] { return peers_->peers().size() + 1; }, [this] { return processor_->sheds(); }},
       options);
 }
 
@@ -111,6 +120,7 @@
   peers_->start();
   loads_->start();
   prober_->start();
+  processor_->start();
   const auto limits = [this] {
     const config_ptr config = fleet_->config();
     return config ? config->limits : caller_limits{};
@@ -170,6 +180,8 @@
     return "no endpoints";
   if (!budgets_->loaded())
     return "no accounts";
+  if (processor_->busy())
+    return "busy";
   return {};
 }
 
--- a/src/prepaid/impl/budget_desk.cpp
+++ b/src/prepaid/impl/budget_desk.cpp
@@ -81,6 +81,13 @@
     part->book.hold_by(holds);
 }
 
+void budget_desk::review_holding() {
+  const std::scoped_lock lock{mutex_};
+  for (const auto& part : partitions_)
+    if (part->book.is_pressed() && !part->book.holds_tokens())
+      want_exchange(*part);
+}
+
 void budget_desk::want_exchange(partition& part) {
   part.wanted = true;
   wake_.notify_all();
@@ -103,21 +110,35 @@
   return reachable_ && !stopping_ && !stuck;
 }
 
+reserve_outcome budget_desk::reserve(const std::string& team, std::uint64_t bound,
+                                     const std::string& request) {
+  reserve_outcome outcome = reserve_outcome::short_here;
+  bool idle = false;
+  {
+    std::unique_lock lock{mutex_};
+    prepaid_book& book = partition_of(team).book;
+    book.note_request(team, bound, time_.now());
+    outcome = reserve_anywhere({team, bound, request}, lock);
+    idle = book.idle_loans(team) > 0;
+  }
+  if (idle && give_back_)
+    give_back_(team);
+  return outcome;
+}
+
 // What the log has not granted to anyone comes from the log; what other hosts hold comes from them,
 // also where the log is away or has nothing left to grant. A host that shall not hold a team's
 // tokens asks those that do first: an answer takes some milliseconds, and no record.
-reserve_outcome budget_desk::reserve(const std::string& team, std::uint64_t bound,
-                                     const std::string& request) {
-  std::unique_lock lock{mutex_};
-  prepaid_book& book = partition_of(team).book;
-  book.note_request(team, bound, time_.now());
+reserve_outcome budget_desk::reserve_anywhere(const token_demand& demand,
+                                              std::unique_lock<ordered_mutex>& lock) {
+  const prepaid_book& book = partition_of(demand.team).book;
   reserve_outcome outcome = reserve_outcome::short_here;
-  if (!book.holds(team))
-    outcome = reserve_by_loan({team, bound, request}, lock);
+  if (!book.holds(demand.team))
+    outcome = reserve_by_loan(demand, lock);
   if (outcome == reserve_outcome::short_here)
-    outcome = reserve_by_log(team, bound, lock);
-  if (outcome == reserve_outcome::short_here && book.holds(team))
-    outcome = reserve_by_loan({team, bound, request}, lock);
+    outcome = reserve_by_log(demand.team, demand.tokens, lock);
+  if (outcome == reserve_outcome::short_here && book.holds(demand.team))
+    outcome = reserve_by_loan(demand, lock);
   return outcome;
 }
 
@@ -129,9 +150,11 @@
   const std::uint64_t missing = part.book.missing(demand.team, demand.tokens, time_.now());
   if (others_ && missing > 0 && prepaid_.contains(demand.team)) {
     const std::vector<token_holder> holders = part.book.holders(demand.team);
+    part.book.begin_borrowing(demand.team, demand.tokens);
     lock.unlock();
     (void)others_({demand.team, missing, demand.request}, holders);
     lock.lock();
+    part.book.end_borrowing(demand.team, demand.tokens);
   }
   const auto paid = prepaid_.find(demand.team);
   if (paid == prepaid_.end())
@@ -163,9 +186,18 @@
   }
 }
 
+// What a request borrowed and did not use goes back at once. Kept for the next request of its team
+// it would be missing to all others, and lost when this host loses power.
 void budget_desk::settle(const std::string& team, std::uint64_t bound, std::uint64_t used) {
-  const std::scoped_lock lock{mutex_};
-  partition_of(team).book.settle(team, bound, used);
+  bool idle = false;
+  {
+    const std::scoped_lock lock{mutex_};
+    prepaid_book& book = partition_of(team).book;
+    book.settle(team, bound, used);
+    idle = book.idle_loans(team) > 0;
+  }
+  if (idle && give_back_)
+    give_back_(team);
 }
 
 std::uint64_t budget_desk::lend(const std::string& team, std::uint64_t tokens) {
@@ -174,8 +206,10 @@
     return 0;
   partition& part = partition_of(team);
   const std::uint64_t given = part.book.lend(team, tokens, time_.now());
-  if (given < tokens && reachable_)
-    want_exchange(part);
+  if (given < tokens && reachable_) {
+    part.due = std::min(part.due, part.exchanged + options_.asked_pause);
+    wake_.notify_all();
+  }
   return given;
 }
 
@@ -184,6 +218,21 @@
   partition_of(team).book.receive(team, tokens);
 }
 
+std::uint64_t budget_desk::idle_loans(const std::string& team) const {
+  const std::scoped_lock lock{mutex_};
+  return partition_of(team).book.idle_loans(team);
+}
+
+std::uint64_t budget_desk::give_back(const std::string& team, std::uint64_t tokens) {
+  const std::scoped_lock lock{mutex_};
+  return partition_of(team).book.give_back(team, tokens);
+}
+
+void budget_desk::take_back(const std::string& team, std::uint64_t tokens) {
+  const std::scoped_lock lock{mutex_};
+  partition_of(team).book.take_back(team, tokens);
+}
+
 bool budget_desk::loaded() const {
   const std::scoped_lock lock{mutex_};
   return std::all_of(partitions_.begin(), partitions_.end(),
@@ -200,7 +249,8 @@
   std::map<std::string, team_figures> all;
   for (const auto& [team, paid] : prepaid_) {
     const prepaid_book& book = partition_of(team).book;
-    all[team] = {paid, book.granted(team), book.used(team), book.slack(team, time_.now())};
+    all[team] = {paid, book.granted(team), book.used(team), book.slack(team, time_.now()),
+                 book.lent(team)};
   }
   return all;
 }
@@ -209,9 +259,9 @@
 time_ms budget_desk::interval(const partition& part) const {
   if (!part.book.holds_tokens())
     return options_.idle_interval;
-  const std::size_t hosts = part.book.hosts(time_.now());
+  const std::size_t holders = part.book.holding_hosts(time_.now());
   return options_.report_interval +
-         options_.interval_per_host * static_cast<std::int64_t>(hosts - 1);
+         options_.interval_per_holder * static_cast<std::int64_t>(holders - 1);
 }
 
 budget_desk::partition* budget_desk::due_partition() const {
@@ -231,7 +281,7 @@
       std::min_element(partitions_.begin(), partitions_.end(),
                        [](const auto& a, const auto& b) { return a->due < b->due; });
   const time_ms pause = std::max((*earliest)->due - time_.now(), time_ms{1});
-  wake_.wait_for(lock, to_chrono(pause), [&] { return stopping_ || due_partition() != nullptr; });
+  wake_.wait_for(lock, to_chrono(pause)); // a partition may become due sooner than it was
 }
 
 void budget_desk::run() {
@@ -262,6 +312,7 @@
   ++part.cycles;
   cycled_.notify_all();
   const time_ms now = time_.now();
+  part.exchanged = now;
   part.due = now + (answered ? interval(part) : retry_pause);
   if (answered)
     return;
@@ -280,17 +331,23 @@
   }
 }
 
-std::size_t budget_desk::hosts_of(const partition& part) const {
+// Who only hands back what it does not hold any more has time, and leaves the log to the others.
+bool budget_desk::is_pressed(const partition& part) const {
+  const std::scoped_lock lock{mutex_};
+  return part.book.is_pressed();
+}
+
+std::size_t budget_desk::holding_hosts_of(const partition& part) const {
   const std::scoped_lock lock{mutex_};
-  return part.book.hosts(time_.now());
+  return part.book.holding_hosts(time_.now());
 }
 
 void budget_desk::exchange(partition& part, bool leaving) {
   for (int tries = 0; tries < most_tries; ++tries) {
     catch_up(part);
-    if (report(part, leaving))
+    if (report(part, leaving) || !(leaving || is_pressed(part)))
       return;
-    const std::uint64_t longest = longest_try_pause_ms + hosts_of(part) / more_hosts_a_ms;
+    const std::uint64_t longest = longest_try_pause_ms + holding_hosts_of(part) / more_hosts_a_ms;
     const time_ms pause{static_cast<std::int64_t>(1 + random_.below(longest))};
     std::this_thread::sleep_for(to_chrono(pause));
   }
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -29,6 +29,7 @@
   void check_room() const;
   /// \throws error when this host stops before the request can have come to its end
   void check_time_left() const;
+  void check_processor();
   [[nodiscard]] after_answer run_sends();
   [[nodiscard]] bool may_send_again(send_outcome end);
   /// \returns nothing when it was sent to every endpoint that could take it
@@ -45,6 +46,7 @@
   /// \brief Passes on the error that the last endpoint answered.
   [[nodiscard]] after_answer deliver_error(std::string_view reason);
   [[nodiscard]] after_answer refuse(const error& reason);
+  [[nodiscard]] bool ends_connection() const noexcept;
   [[nodiscard]] after_answer done() const noexcept;
   [[nodiscard]] send_progress progress() const noexcept;
   /// \returns of its team's budget
@@ -63,6 +65,7 @@
   std::vector<endpoint_hash> avoid_; ///< incarnations that it was sent to
   int unreachable_{0};
   bool may_have_run_{false};
+  bool last_on_connection_{false}; ///< its caller had better go elsewhere
 };
 
 } // namespace sedgechute
