What a request borrowed and did not use goes back to its lender at once

Change: the borrower gives it up and then sends it back under the number of the question that it answered; the lender credits each loan once, in the life that lent it, and never more than it lent. A message that is lost loses tokens, one that comes twice or late brings nothing more. A question that comes twice is answered alike and lends once.

--- a/src/prepaid/impl/budget_desk.cpp
+++ b/src/prepaid/impl/budget_desk.cpp
@@ -103,21 +103,35 @@
   return reachable_ && !stopping_ && !stuck;
 }
 
+reserve_outcome budget_desk::reserve(const std::string& team, std::uint64_t bound,
+                                     const std::string& request) {
+  reserve_outcome outcome = reserve_outcome::short_here;
+  bool idle = false;
+  {
+    std::unique_lock lock{mutex_};
+    prepaid_book& book = partition_of(team).book;
+    book.note_request(team, bound, time_.now());
+    outcome = reserve_anywhere({team, bound, request}, lock);
+    idle = book.idle_loans(team) > 0;
+  }
+  if (idle && give_back_)
+    give_back_(team);
+  return outcome;
+}
+
 // What the log has not granted to anyone comes from the log; what other hosts hold comes from them,
 // also where the log is away or has nothing left to grant. A host that shall not hold a team's
 // tokens asks those that do first: an answer takes some milliseconds, and no record.
-reserve_outcome budget_desk::reserve(const std::string& team, std::uint64_t bound,
-                                     const std::string& request) {
-  std::unique_lock lock{mutex_};
-  prepaid_book& book = partition_of(team).book;
-  book.note_request(team, bound, time_.now());
+reserve_outcome budget_desk::reserve_anywhere(const token_demand& demand,
+                                              std::unique_lock<ordered_mutex>& lock) {
+  const prepaid_book& book = partition_of(demand.team).book;
   reserve_outcome outcome = reserve_outcome::short_here;
-  if (!book.holds(team))
-    outcome = reserve_by_loan({team, bound, request}, lock);
+  if (!book.holds(demand.team))
+    outcome = reserve_by_loan(demand, lock);
   if (outcome == reserve_outcome::short_here)
-    outcome = reserve_by_log(team, bound, lock);
-  if (outcome == reserve_outcome::short_here && book.holds(team))
-    outcome = reserve_by_loan({team, bound, request}, lock);
+    outcome = reserve_by_log(demand.team, demand.tokens, lock);
+  if (outcome == reserve_outcome::short_here && book.holds(demand.team))
+    outcome = reserve_by_loan(demand, lock);
   return outcome;
 }
 
@@ -129,9 +143,11 @@
   const std::uint64_t missing = part.book.missing(demand.team, demand.tokens, time_.now());
   if (others_ && missing > 0 && prepaid_.contains(demand.team)) {
     const std::vector<token_holder> holders = part.book.holders(demand.team);
+    part.book.begin_borrowing(demand.team, demand.tokens);
     lock.unlock();
     (void)others_({demand.team, missing, demand.request}, holders);
     lock.lock();
+    part.book.end_borrowing(demand.team, demand.tokens);
   }
   const auto paid = prepaid_.find(demand.team);
   if (paid == prepaid_.end())
@@ -163,9 +179,18 @@
   }
 }
 
+// What a request borrowed and did not use goes back at once. Kept for the next request of its team
+// it would be missing to all others, and lost when this host loses power.
 void budget_desk::settle(const std::string& team, std::uint64_t bound, std::uint64_t used) {
-  const std::scoped_lock lock{mutex_};
-  partition_of(team).book.settle(team, bound, used);
+  bool idle = false;
+  {
+    const std::scoped_lock lock{mutex_};
+    prepaid_book& book = partition_of(team).book;
+    book.settle(team, bound, used);
+    idle = book.idle_loans(team) > 0;
+  }
+  if (idle && give_back_)
+    give_back_(team);
 }
 
 std::uint64_t budget_desk::lend(const std::string& team, std::uint64_t tokens) {
@@ -184,6 +209,21 @@
   partition_of(team).book.receive(team, tokens);
 }
 
+std::uint64_t budget_desk::idle_loans(const std::string& team) const {
+  const std::scoped_lock lock{mutex_};
+  return partition_of(team).book.idle_loans(team);
+}
+
+std::uint64_t budget_desk::give_back(const std::string& team, std::uint64_t tokens) {
+  const std::scoped_lock lock{mutex_};
+  return partition_of(team).book.give_back(team, tokens);
+}
+
+void budget_desk::take_back(const std::string& team, std::uint64_t tokens) {
+  const std::scoped_lock lock{mutex_};
+  partition_of(team).book.take_back(team, tokens);
+}
+
 bool budget_desk::loaded() const {
   const std::scoped_lock lock{mutex_};
   return std::all_of(partitions_.begin(), partitions_.end(),
@@ -200,7 +240,8 @@
   std::map<std::string, team_figures> all;
   for (const auto& [team, paid] : prepaid_) {
     const prepaid_book& book = partition_of(team).book;
-    all[team] = {paid, book.granted(team), book.used(team), book.slack(team, time_.now())};
+    all[team] = {paid, book.granted(team), book.used(team), book.slack(team, time_.now()),
+                 book.lent(team)};
   }
   return all;
 }
--- a/src/prepaid/impl/budget_desk.hpp
+++ b/src/prepaid/impl/budget_desk.hpp
@@ -40,6 +40,8 @@
   /// time.
   using lender = std::function<std::uint64_t(const token_demand& demand,
                                              const std::vector<token_holder>& from)>;
+  /// \brief Gives back to other hosts what they lent of a team's tokens and nobody uses here.
+  using returner = std::function<void(const std::string& team)>;
 
   /// \param logs  one for each partition; a team's accounts lie in the partition of its name
   budget_desk(const desk_owner& owner, const prepaid_options& options,
@@ -50,7 +52,10 @@
   ~budget_desk();
 
   /// \brief Before `start`: where to turn when the log cannot help.
-  void lend_by(lender others) { others_ = std::move(others); }
+  void lend_by(lender others, returner give_back) {
+    others_ = std::move(others);
+    give_back_ = std::move(give_back);
+  }
   /// \brief Before `start`: for which teams this host shall hold tokens; for all when not set.
   void hold_by(const prepaid_book::holds_team& holds);
 
@@ -76,6 +81,13 @@
   [[nodiscard]] std::uint64_t lend(const std::string& team, std::uint64_t tokens);
   /// \brief Takes tokens that another host gave.
   void receive(const std::string& team, std::uint64_t tokens);
+  /// \returns tokens that other hosts lent and that no request uses or waits for
+  [[nodiscard]] std::uint64_t idle_loans(const std::string& team) const;
+  /// \brief Gives up tokens that other hosts lent.
+  /// \returns how many: all, or as many as are idle
+  [[nodiscard]] std::uint64_t give_back(const std::string& team, std::uint64_t tokens);
+  /// \brief Takes tokens that this host lent and that were not used.
+  void take_back(const std::string& team, std::uint64_t tokens);
 
   /// \returns whether the accounts have been read from the log.
   [[nodiscard]] bool loaded() const;
@@ -87,6 +99,7 @@
     std::uint64_t granted{}; ///< to all hosts
     std::uint64_t used{};    ///< by all hosts, as reported
     std::uint64_t slack{};   ///< of this host
+    std::uint64_t lent{};    ///< by this host to others, and not given back
   };
   [[nodiscard]] std::map<std::string, team_figures> figures() const;
 
@@ -109,6 +122,8 @@
   void wait_until_due(std::unique_lock<ordered_mutex>& lock);
   /// \returns whether an exchange with the log is likely to bring an answer soon
   [[nodiscard]] bool log_answers() const;
+  [[nodiscard]] reserve_outcome reserve_anywhere(const token_demand& demand,
+                                                 std::unique_lock<ordered_mutex>& lock);
   [[nodiscard]] reserve_outcome reserve_by_loan(const token_demand& demand,
                                                 std::unique_lock<ordered_mutex>& lock);
   [[nodiscard]] reserve_outcome reserve_by_log(const std::string& team, std::uint64_t bound,
@@ -138,6 +153,7 @@
   std::vector<std::unique_ptr<partition>> partitions_;
   std::map<std::string, std::uint64_t> prepaid_;
   lender others_;
+  returner give_back_;
   random_source random_;
   std::optional<time_ms> cycle_began_; ///< of the exchange with the log that is under way
   bool reachable_{false};
--- /dev/null
+++ b/src/prepaid/impl/loan_ledger.cpp
@@ -0,0 +1,54 @@
+#include "prepaid/impl/loan_ledger.hpp"
+
+#include <algorithm>
+
+namespace sedgechute {
+
+void lent_ledger::note(const loan_key& loan, std::uint64_t tokens) {
+  open_[loan] = tokens;
+  oldest_first_.push_back(loan);
+  while (oldest_first_.size() > most_kept_) {
+    open_.erase(oldest_first_.front());
+    oldest_first_.pop_front();
+  }
+}
+
+std::optional<std::uint64_t> lent_ledger::given(const loan_key& loan) const {
+  const auto at = open_.find(loan);
+  return at == open_.end() ? std::nullopt : std::optional{at->second};
+}
+
+// A message may come twice or late, and the second of two must bring nothing: its borrower has
+// given the tokens away once. So the first one ends the loan, also where it returns a part. A later
+// life of this host knows no loan of this one: it counts as used what this one may have lent.
+std::uint64_t lent_ledger::close(const loan_key& loan, std::uint64_t returned) {
+  const auto at = open_.find(loan);
+  if (at == open_.end())
+    return 0;
+  const std::uint64_t credited = std::min(at->second, returned);
+  open_.erase(at);
+  return credited;
+}
+
+void borrowed_ledger::note(const std::string& team, const borrowed_loan& loan) {
+  std::deque<borrowed_loan>& of_team = loans_[team];
+  of_team.push_back(loan);
+  if (of_team.size() > most_kept_)
+    of_team.pop_front();
+}
+
+// Requests do not say which loan's tokens they use. Which one is given back is the same to the
+// team; the newest ones' lenders are the likeliest to be there still.
+std::vector<borrowed_loan> borrowed_ledger::take(const std::string& team, std::uint64_t unused) {
+  std::vector<borrowed_loan> taken;
+  std::deque<borrowed_loan>& of_team = loans_[team];
+  while (unused > 0 && !of_team.empty()) {
+    taken.push_back(of_team.back());
+    of_team.pop_back();
+    taken.back().tokens = std::min(taken.back().tokens, unused);
+    unused -= taken.back().tokens;
+  }
+  return taken;
+}
+
+} // namespace sedgechute
--- a/src/prepaid/impl/loan_message.hpp
+++ b/src/prepaid/impl/loan_message.hpp
@@ -10,20 +10,22 @@
 namespace sedgechute {
 
 enum class loan_step {
-  asked, ///< by who needs tokens
-  given, ///< by who holds them; none where `tokens` is 0
+  asked,    ///< by who needs tokens
+  given,    ///< by who holds them; none where `tokens` is 0
+  returned, ///< by who asked: so many were not used; no answer
 };
 
 template <>
 struct enum_names<loan_step> {
-  static constexpr auto entries =
-      enum_table<loan_step>({{loan_step::asked, "asked"}, {loan_step::given, "given"}});
+  static constexpr auto entries = enum_table<loan_step>({{loan_step::asked, "asked"},
+                                                         {loan_step::given, "given"},
+                                                         {loan_step::returned, "returned"}});
 };
 
 /// \brief What two hosts say to each other about tokens of a team.
 struct loan_message {
   loan_step step{loan_step::asked};
-  std::uint64_t number{}; ///< of the question; its answer bears the same
+  std::uint64_t number{}; ///< of the question; its answer, and what is returned, bear the same
   std::uint64_t tokens{};
   std::string host; ///< that sends this
   std::string team;
--- a/src/prepaid/impl/prepaid_book.cpp
+++ b/src/prepaid/impl/prepaid_book.cpp
@@ -175,7 +175,7 @@
   team_state& state = teams_[team];
   const std::uint64_t given = std::min(tokens, own_slack(state, now));
   state.lent += given;
-  state.lent_lately += given;
+  state.lent_lately += static_cast<double>(given);
   state.asked = std::max(state.asked, std::min(tokens - given, own_unused(state)));
   return given;
 }
@@ -184,6 +184,33 @@
   teams_[team].received += tokens;
 }
 
+void prepaid_book::begin_borrowing(const std::string& team, std::uint64_t bound) {
+  teams_[team].borrowing += bound;
+}
+
+void prepaid_book::end_borrowing(const std::string& team, std::uint64_t bound) {
+  std::uint64_t& borrowing = teams_[team].borrowing;
+  borrowing = minus(borrowing, bound);
+}
+
+std::uint64_t prepaid_book::idle_loans(const std::string& team) const {
+  const team_state* state = find(team);
+  return state == nullptr ? 0 : minus(unused_loans(*state), state->borrowing + state->wanted);
+}
+
+std::uint64_t prepaid_book::give_back(const std::string& team, std::uint64_t tokens) {
+  const std::uint64_t given = std::min(tokens, idle_loans(team));
+  teams_[team].received -= given;
+  return given;
+}
+
+// The next record says that they are not used; until then the promise made before covers them.
+void prepaid_book::take_back(const std::string& team, std::uint64_t tokens) {
+  team_state& state = teams_[team];
+  state.lent = minus(state.lent, tokens);
+  state.lent_lately -= static_cast<double>(tokens);
+}
+
 std::uint64_t prepaid_book::missing(const std::string& team, std::uint64_t bound,
                                     time_ms now) const {
   const team_state* state = find(team);
@@ -224,7 +251,7 @@
     return;
   }
   const double wanted =
-      static_cast<double>(state.requests) * usual_request_ + static_cast<double>(state.lent_lately);
+      std::max(static_cast<double>(state.requests) * usual_request_ + state.lent_lately, 0.0);
   const double weight = 1 - std::exp(-elapsed / static_cast<double>(options_.rate_window.count()));
   state.rate_weight += (1 - state.rate_weight) * weight;
   state.rate += (wanted * ms_a_second / elapsed - state.rate) * weight / state.rate_weight;
@@ -372,6 +399,11 @@
   return sum;
 }
 
+std::uint64_t prepaid_book::lent(const std::string& team) const {
+  const team_state* state = find(team);
+  return state == nullptr ? 0 : state->lent;
+}
+
 bool prepaid_book::grantable(const std::string& team, std::uint64_t prepaid,
                              std::uint64_t bound) const {
   const team_state* state = find(team);
--- a/src/prepaid/impl/prepaid_book.hpp
+++ b/src/prepaid/impl/prepaid_book.hpp
@@ -94,6 +94,16 @@
   [[nodiscard]] std::uint64_t lend(const std::string& team, std::uint64_t tokens, time_ms now);
   /// \brief Takes tokens that another host lent.
   void receive(const std::string& team, std::uint64_t tokens);
+  /// \brief A request waits for loans, or waits no longer: what comes meanwhile is for it.
+  void begin_borrowing(const std::string& team, std::uint64_t bound);
+  void end_borrowing(const std::string& team, std::uint64_t bound);
+  /// \returns tokens lent to this host that no request uses or waits for
+  [[nodiscard]] std::uint64_t idle_loans(const std::string& team) const;
+  /// \brief Gives up tokens that were lent to this host: from now on it does not use them.
+  /// \returns how many: all, or as many as are idle
+  [[nodiscard]] std::uint64_t give_back(const std::string& team, std::uint64_t tokens);
+  /// \brief Takes tokens that this life of this host lent and nobody used nor will.
+  void take_back(const std::string& team, std::uint64_t tokens);
   /// \returns tokens that are missing for a reservation here
   [[nodiscard]] std::uint64_t missing(const std::string& team, std::uint64_t bound,
                                       time_ms now) const;
@@ -113,6 +123,8 @@
   /// \returns what all hosts have used of a team's budget, as far as they reported it
   [[nodiscard]] std::uint64_t used(const std::string& team) const;
   [[nodiscard]] std::uint64_t granted(const std::string& team) const;
+  /// \returns what this life of this host lent and did not get back
+  [[nodiscard]] std::uint64_t lent(const std::string& team) const;
   /// \returns whether the log, as far as it is known, has tokens left to grant for a reservation
   [[nodiscard]] bool grantable(const std::string& team, std::uint64_t prepaid,
                                std::uint64_t bound) const;
@@ -134,13 +146,14 @@
     std::uint64_t reserved{};
     std::uint64_t lent{};            ///< to other hosts, by this life
     std::uint64_t received{};        ///< from other hosts, by this life
+    std::uint64_t borrowing{};       ///< bounds of requests that wait for loans
     std::uint64_t wanted{};          ///< by reservations that wait for the log
     std::uint64_t asked{};           ///< by another host, above what this one had promised to use
     std::vector<account> in_the_air; ///< written, but not known to be in the log or not
     double rate{};                   ///< tokens a second
     double rate_weight{};            ///< of what `rate` was measured from; 1 after a while
     std::uint64_t requests{};        ///< that came since `rated_at`
-    std::uint64_t lent_lately{};     ///< tokens, since then
+    double lent_lately{};            ///< tokens, less those given back, since then
     time_ms rated_at;
   };
   struct pool_view;
--- a/src/prepaid/impl/token_loans.cpp
+++ b/src/prepaid/impl/token_loans.cpp
@@ -9,10 +9,11 @@
 token_loans::token_loans(std::string self, budget_desk& desk, sender send, near_test is_near,
                          const loan_options& options, const clock& time, structured_log& log)
     : self_{std::move(self)}, desk_{desk}, send_{std::move(send)}, is_near_{std::move(is_near)},
-      options_{options}, time_{time}, log_{log}, random_{random_source::from_system()} {
-  desk_.lend_by([this](const token_demand& demand, const std::vector<token_holder>& from) {
-    return borrow(demand, from);
-  });
+      options_{options}, time_{time}, log_{log}, lent_{options.most_lent},
+      borrowed_{options.most_borrowed}, random_{random_source::from_system()} {
+  desk_.lend_by([this](const token_demand& demand,
+                       const std::vector<token_holder>& from) { return borrow(demand, from); },
+                [this](const std::string& team) { give_back(team); });
   // An answer to a question of an earlier life must not be taken for one of this life.
   last_number_ = random_() >> 1U;
 }
@@ -59,7 +60,9 @@
   {
     const std::scoped_lock lock{mutex_};
     number = ++last_number_;
-    open_[number] = {team, tokens, false, std::nullopt};
+    question& asked = open_[number];
+    asked.team = team;
+    asked.asked = tokens;
     while (open_.size() > options_.most_open)
       open_.erase(open_.begin());
   }
@@ -74,6 +77,8 @@
   const auto at = open_.find(number);
   if (at == open_.end() || !at->second.given) {
     silent_until_[host] = time_.now() + options_.silent_for;
+    if (at != open_.end())
+      at->second.awaited = false;
     return std::nullopt; // the question stays open: its answer may still come
   }
   const std::uint64_t given = *at->second.given;
@@ -91,12 +96,26 @@
     break;
   case loan_step::given:
     return receive(*message);
+  case loan_step::returned:
+    take_back(*message);
+    break;
   }
   return true;
 }
 
+// A question that comes twice has one answer: a second loan would be nobody's.
 void token_loans::lend(const loan_message& asked) {
-  const std::uint64_t given = desk_.lend(asked.team, asked.tokens);
+  const loan_key loan{asked.host, asked.team, asked.number};
+  std::optional<std::uint64_t> before;
+  {
+    const std::scoped_lock lock{mutex_};
+    before = lent_.given(loan);
+  }
+  const std::uint64_t given = before ? *before : desk_.lend(asked.team, asked.tokens);
+  if (!before && given > 0) {
+    const std::scoped_lock lock{mutex_};
+    lent_.note(loan, given);
+  }
   const bool sent =
       send_(asked.host, encode_loan({loan_step::given, asked.number, given, self_, asked.team}));
   if (given > 0)
@@ -117,13 +136,60 @@
       return false;
     at->second.taken = true;
     silent_until_.erase(given.host);
+    if (given.tokens > 0)
+      borrowed_.note(given.team, {given.host, given.number, given.tokens});
   }
   desk_.receive(given.team, given.tokens);
-  const std::scoped_lock lock{mutex_};
-  if (const auto at = open_.find(given.number); at != open_.end())
-    at->second.given = given.tokens;
-  answered_.notify_all();
+  bool awaited = false;
+  {
+    const std::scoped_lock lock{mutex_};
+    if (const auto at = open_.find(given.number); at != open_.end()) {
+      at->second.given = given.tokens;
+      awaited = at->second.awaited;
+    }
+    answered_.notify_all();
+  }
+  if (!awaited)
+    give_back(given.team);
   return true;
 }
 
+void token_loans::give_back(const std::string& team) {
+  std::vector<borrowed_loan> idle;
+  {
+    const std::uint64_t unused = desk_.idle_loans(team);
+    const std::scoped_lock lock{mutex_};
+    idle = borrowed_.take(team, unused);
+  }
+  for (const borrowed_loan& loan : idle)
+    send_back(team, loan);
+}
+
+// Given up here before it is sent: a message that is lost loses tokens, and none are used twice.
+void token_loans::send_back(const std::string& team, const borrowed_loan& loan) {
+  const std::uint64_t tokens = desk_.give_back(team, loan.tokens);
+  if (tokens == 0) {
+    const std::scoped_lock lock{mutex_};
+    borrowed_.note(team, loan);
+    return;
+  }
+  const bool sent =
+      send_(loan.lender, encode_loan({loan_step::returned, loan.number, tokens, self_, team}));
+  log_.write(severity::info, sent ? "tokens_returned" : "tokens_returned_to_unknown_host",
+             {.team = team}, {{log_field::tokens, tokens}, {log_field::peer, loan.lender}});
+}
+
+void token_loans::take_back(const loan_message& returned) {
+  std::uint64_t tokens = 0;
+  {
+    const std::scoped_lock lock{mutex_};
+    tokens = lent_.close({returned.host, returned.team, returned.number}, returned.tokens);
+  }
+  if (tokens == 0)
+    return;
+  desk_.take_back(returned.team, tokens);
+  log_.write(severity::info, "tokens_taken_back", {.team = returned.team},
+             {{log_field::tokens, tokens}, {log_field::peer, returned.host}});
+}
+
 } // namespace sedgechute
--- a/src/prepaid/impl/token_loans.hpp
+++ b/src/prepaid/impl/token_loans.hpp
@@ -3,6 +3,7 @@
 #include "kernel/kernel.hpp"
 #include "prepaid/impl/budget_desk.hpp"
 #include "prepaid/impl/holder_choice.hpp"
+#include "prepaid/impl/loan_ledger.hpp"
 #include "prepaid/impl/loan_message.hpp"
 #include "telemetry/telemetry.hpp"
 
@@ -28,10 +29,16 @@
   time_ms silent_for{1000};
   /// Questions without an answer that are remembered; their answers still bring tokens.
   std::size_t most_open{256};
+  /// Loans of a host that it may get back. The longest request takes fifteen seconds, and a holder
+  /// lends some fifty times a second; what is forgotten counts as used.
+  std::size_t most_lent{2048};
+  /// Loans of a team that a host can give back.
+  std::size_t most_borrowed{64};
 };
 
-/// \brief Tokens that hosts lend each other, when the log is out of reach or has none to grant. An
-/// answer that is lost loses its tokens: they count as used where they were given. Thread-safe.
+/// \brief Tokens that hosts lend each other, when the log is out of reach or has none to grant, and
+/// give back when they were not used. A message that is lost loses its tokens: they count as used
+/// where they were given. Thread-safe.
 class token_loans {
  public:
   /// \brief Sends a message to a host; false when no such host is known.
@@ -50,6 +57,9 @@
   /// \returns how many were
   std::uint64_t borrow(const token_demand& demand, const std::vector<token_holder>& from);
 
+  /// \brief Gives back what was lent of a team's tokens and nobody uses here.
+  void give_back(const std::string& team);
+
   /// \brief Takes a message of another host.
   /// \returns false when the bytes are none, or none that a host sends
   [[nodiscard]] bool take(std::string_view bytes);
@@ -58,6 +68,7 @@
   struct question {
     std::string team;
     std::uint64_t asked{};              ///< tokens
+    bool awaited{true};                 ///< by a request
     bool taken{false};                  ///< its answer has come
     std::optional<std::uint64_t> given; ///< tokens that this host now has
   };
@@ -69,6 +80,8 @@
   void lend(const loan_message& asked);
   /// \returns false when nobody who was asked can have said so
   [[nodiscard]] bool receive(const loan_message& given);
+  void take_back(const loan_message& returned);
+  void send_back(const std::string& team, const borrowed_loan& loan);
 
   std::string self_;
   budget_desk& desk_;
@@ -81,6 +94,8 @@
   std::condition_variable_any answered_;
   std::map<std::uint64_t, question> open_; ///< by number, the oldest first
   std::map<std::string, time_ms> silent_until_;
+  lent_ledger lent_;
+  borrowed_ledger borrowed_;
   random_source random_;
   std::uint64_t last_number_{0};
 };
--- a/src/prepaid/prepaid.hpp
+++ b/src/prepaid/prepaid.hpp
@@ -15,6 +15,7 @@
 #include "prepaid/impl/fleet_clock.hpp"
 #include "prepaid/impl/forward_declarations.hpp"
 #include "prepaid/impl/holder_choice.hpp"
+#include "prepaid/impl/loan_ledger.hpp"
 #include "prepaid/impl/loan_message.hpp"
 #include "prepaid/impl/machine_moment.hpp"
 #include "prepaid/impl/prepaid_book.hpp"
