A host whose processor is used up refuses new requests at once and says that it is busy

Change: a pure controller (`load_shedding`) takes how late a thread wakes up and says which part of new requests to refuse (503, Retry-After 50 ms, the connection closed) and when `/readyz` says busy, so that new connections go elsewhere. One late wake-up, as after a freeze, refuses little; some requests are always taken.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -97,10 +97,11 @@
   options.retries.window = settings_.retry_window;
   options.stop = settings_.stop;
   options.most_open = most_open_requests(settings_.processor_share);
+  processor_ = std::make_unique<processor_watch>(shedding_options{}, time, log);
   relay_ = std::make_unique<request_relay>(
-      request_relay::parts{dialect_, endpoints_, *budgets_, time, log, figures_,
-                           [this] { return fleet_->config(); },
-                           [this] { return peers_->peers().size() + 1; }},
+      request_relay::parts{
+          dialect_, endpoints_, *budgets_, time, log, figures_, [this] { return fleet_->config(); },
+          [this] { return peers_->peers().size() + 1; }, [this] { return processor_->sheds(); }},
       options);
 }
 
@@ -114,6 +115,7 @@
   peers_->start();
   loads_->start();
   prober_->start();
+  processor_->start();
   const auto limits = [this] {
     const config_ptr config = fleet_->config();
     return config ? config->limits : caller_limits{};
@@ -173,6 +175,8 @@
     return "no endpoints";
   if (!budgets_->loaded())
     return "no accounts";
+  if (processor_->busy())
+    return "busy";
   return {};
 }
 
--- a/src/entry/impl/entry_host.hpp
+++ b/src/entry/impl/entry_host.hpp
@@ -52,6 +52,7 @@
   std::unique_ptr<load_exchange> loads_;
   std::unique_ptr<peer_channel> peers_; ///< its thread calls loans_ and loads_
   std::unique_ptr<endpoint_prober> prober_;
+  std::unique_ptr<processor_watch> processor_;
   std::unique_ptr<request_relay> relay_;
   std::unique_ptr<front_door> callers_;
   std::unique_ptr<status_door> status_;
--- /dev/null
+++ b/src/relay/impl/load_shedding.cpp
@@ -0,0 +1,29 @@
+#include "relay/impl/load_shedding.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sedgechute {
+
+namespace {
+
+constexpr double ms_a_second = 1000;
+constexpr double most_excess = 2; // times the target, so that one bad moment does not refuse all
+
+} // namespace
+
+// The part follows the lateness instead of being a function of it: it settles where the host is
+// just not late, whatever its requests cost.
+void load_shedding::note_wake_up(time_ms lateness, time_ms since) noexcept {
+  const time_ms counted = std::clamp(lateness, time_ms{}, options_.most_lateness);
+  const time_ms elapsed = std::clamp(since, time_ms{}, options_.longest_span);
+  const double span = static_cast<double>(elapsed.count());
+  const double weight = 1 - std::exp(-span / static_cast<double>(options_.smoothing.count()));
+  lateness_ms_ += (static_cast<double>(counted.count()) - lateness_ms_) * weight;
+  const double excess = std::min(lateness_ms_ / options_.target_ms - 1, most_excess);
+  const double change = (excess > 0 ? options_.rise : options_.fall) * excess * span / ms_a_second;
+  refused_ = std::clamp(refused_ + change, 0.0, options_.most_refused);
+  busy_ = refused_ >= options_.busy_from || (busy_ && refused_ > options_.busy_until);
+}
+
+} // namespace sedgechute
--- /dev/null
+++ b/src/relay/impl/processor_watch.cpp
@@ -0,0 +1,64 @@
+#include "relay/impl/processor_watch.hpp"
+
+#include <chrono>
+
+namespace sedgechute {
+
+namespace {
+
+constexpr time_ms look_interval{50}; // twenty wake-ups a second take 0.1 % of a core
+
+} // namespace
+
+processor_watch::processor_watch(const shedding_options& options, const clock& time,
+                                 structured_log& log)
+    : time_{time}, log_{log}, shedding_{options}, random_{random_source::from_system()} {}
+
+processor_watch::~processor_watch() {
+  stop();
+}
+
+void processor_watch::start() {
+  thread_ = std::thread{[this] { run(); }};
+}
+
+void processor_watch::stop() noexcept {
+  {
+    const std::scoped_lock lock{mutex_};
+    stopping_ = true;
+    wake_.notify_all();
+  }
+  if (thread_.joinable())
+    thread_.join();
+}
+
+bool processor_watch::sheds() {
+  const std::scoped_lock lock{mutex_};
+  return shedding_.refused_part() > 0 && random_.unit() < shedding_.refused_part();
+}
+
+bool processor_watch::busy() const {
+  const std::scoped_lock lock{mutex_};
+  return shedding_.busy();
+}
+
+void processor_watch::run() {
+  std::unique_lock lock{mutex_};
+  time_ms last = time_.now();
+  while (!wake_.wait_for(lock, std::chrono::milliseconds{look_interval.count()},
+                         [&] { return stopping_; })) {
+    const time_ms now = time_.now();
+    note(now - last - look_interval, now - last);
+    last = now;
+  }
+}
+
+void processor_watch::note(time_ms lateness, time_ms since) {
+  const bool before = shedding_.busy();
+  shedding_.note_wake_up(lateness, since);
+  if (shedding_.busy() != before)
+    log_.write(severity::warning, before ? "processor_free" : "processor_busy", {},
+               {{log_field::duration_ms, lateness}});
+}
+
+} // namespace sedgechute
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -39,6 +39,7 @@
   /// of them late, and loses them all when it is killed.
   std::size_t most_open{600};
   time_ms overload_retry_after{400}; ///< told to callers beyond that; another host may have room
+  time_ms shed_retry_after{50};      ///< told while this host is busy; another one has room
   time_ms stop_retry_after{50};      ///< told while this host stops; another one has room
   time_ms budget_retry_after{700};   ///< told when tokens lie with other hosts
   /// Of an endpoint whose request may not be run again; its connection fails long before when the
@@ -61,6 +62,7 @@
     metrics& figures;
     std::function<config_ptr()> config; ///< in force now; null before the first
     std::function<std::size_t()> hosts; ///< that share bounds of the fleet
+    std::function<bool()> sheds;        ///< whether a new request is refused; none is when not set
   };
 
   request_relay(parts joined, const relay_options& options);
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -22,6 +22,7 @@
     check_room();
     admit(in_.head, in_.received, relay_.parts_.dialect, relay_.parts_.config(), admitted_);
     check_time_left();
+    check_processor();
     reserved_ =
         reserve_tokens(relay_.parts_.budgets, admitted_, relay_.options_.budget_retry_after);
     return run_sends();
@@ -37,6 +38,15 @@
                 relay_.options_.overload_retry_after};
 }
 
+// Refused before it costs more: the caller's next connection is dealt to another host.
+void request_run::check_processor() {
+  if (!relay_.parts_.sheds || !relay_.parts_.sheds())
+    return;
+  close_after_ = true;
+  throw error{error_kind::no_capacity, "host", "its processor is used up",
+              relay_.options_.shed_retry_after};
+}
+
 // A connection that its caller keeps brings requests until the process is gone.
 void request_run::check_time_left() const {
   if (!relay_.stop_.begun())
@@ -195,7 +205,7 @@
 
 after_answer request_run::refuse(const error& reason) {
   const std::string text =
-      refusal_text(relay_.parts_.dialect, reason, admitted_.terms.id, relay_.stop_.begun());
+      refusal_text(relay_.parts_.dialect, reason, admitted_.terms.id, closes());
   log_end(answer_for(reason.kind()).http_status, reason.what());
   return answer_.write(text) ? done() : after_answer::abort;
 }
@@ -203,7 +213,11 @@
 // The header of a stream may have gone before the signal to stop, without a word of the
 // connection's end. Its caller's next request would come here all the same, and be refused.
 after_answer request_run::done() const noexcept {
-  return relay_.stop_.begun() ? after_answer::close : after_answer::next_request;
+  return closes() ? after_answer::close : after_answer::next_request;
+}
+
+bool request_run::closes() const noexcept {
+  return close_after_ || relay_.stop_.begun();
 }
 
 std::uint64_t request_run::used() const noexcept {
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -29,6 +29,8 @@
   void check_room() const;
   /// \throws error when this host stops before the request can have come to its end
   void check_time_left() const;
+  /// \throws error when this host's processor is used up; its connection is closed then
+  void check_processor();
   [[nodiscard]] after_answer run_sends();
   [[nodiscard]] bool may_send_again(send_outcome end);
   /// \returns nothing when it was sent to every endpoint that could take it
@@ -46,6 +48,8 @@
   [[nodiscard]] after_answer deliver_error(std::string_view reason);
   [[nodiscard]] after_answer refuse(const error& reason);
   [[nodiscard]] after_answer done() const noexcept;
+  /// \returns whether the caller's connection ends behind the answer
+  [[nodiscard]] bool closes() const noexcept;
   [[nodiscard]] send_progress progress() const noexcept;
   /// \returns of its team's budget
   [[nodiscard]] std::uint64_t used() const noexcept;
@@ -63,6 +67,7 @@
   std::vector<endpoint_hash> avoid_; ///< incarnations that it was sent to
   int unreachable_{0};
   bool may_have_run_{false};
+  bool close_after_{false};
 };
 
 } // namespace sedgechute
--- /dev/null
+++ b/tests/relay/load_shedding_test.cpp
@@ -0,0 +1,84 @@
+#include "relay/relay.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace sedgechute;
+
+namespace {
+
+constexpr time_ms look{50};
+
+/// A host whose threads wake up the later the more of its processor is asked for. What it refuses
+/// is asked for elsewhere.
+class host_model {
+ public:
+  /// \param load  work that comes, as a part of what the processor can do
+  void run(double load, time_ms span) {
+    for (time_ms at{}; at < span; at += look) {
+      const double taken = load * (1 - shedding.refused_part());
+      waiting_ms_ = std::max(0.0, waiting_ms_ + (taken - 1) * static_cast<double>(look.count()));
+      const double late = std::min(waiting_ms_ / 10, 40.0) + (taken > 0.9 ? 1.0 : 0.0);
+      shedding.note_wake_up(time_ms{static_cast<std::int64_t>(late)}, look);
+    }
+  }
+
+  load_shedding shedding{shedding_options{}};
+
+  [[nodiscard]] double waiting_ms() const noexcept { return waiting_ms_; }
+
+ private:
+  double waiting_ms_{0}; ///< of work that was taken and not done
+};
+
+} // namespace
+
+// Ten requests a second on a host that can carry a hundred: its threads wake up within a
+// millisecond, and nothing is refused.
+TEST_CASE("a host with time to spare refuses nothing") {
+  host_model host;
+  host.run(0.5, time_ms{20000});
+  CHECK(host.shedding.refused_part() == 0);
+  CHECK_FALSE(host.shedding.busy());
+}
+
+// One caller with half of the requests of its data centre has been dealt to one small host: twice
+// what it can carry, for as long as that caller stays. Half must go elsewhere, and soon; what is
+// taken must not wait behind the rest.
+TEST_CASE("a host that gets twice what it can carry refuses half, within seconds") {
+  host_model host;
+  host.run(2.0, time_ms{2000});
+  CHECK(host.shedding.refused_part() > 0.3);
+  CHECK(host.shedding.busy());
+  host.run(2.0, time_ms{8000});
+  CHECK(host.shedding.refused_part() > 0.4);
+  CHECK(host.shedding.refused_part() < 0.75);
+  CHECK(host.waiting_ms() < 200);
+}
+
+TEST_CASE("a host that was busy takes all again soon after the load is gone") {
+  host_model host;
+  host.run(3.0, time_ms{5000});
+  REQUIRE(host.shedding.busy());
+  host.run(0.2, time_ms{6000});
+  CHECK(host.shedding.refused_part() == 0);
+  CHECK_FALSE(host.shedding.busy());
+}
+
+// A machine stood still for four seconds. It has time to spare when it goes on.
+TEST_CASE("one late wake-up refuses little") {
+  load_shedding shedding{shedding_options{}};
+  shedding.note_wake_up(time_ms{4000}, time_ms{4050});
+  CHECK(shedding.refused_part() <= 0.4);
+  for (int i = 0; i < 60; ++i)
+    shedding.note_wake_up(time_ms{0}, look);
+  CHECK(shedding.refused_part() < 0.2);
+}
+
+TEST_CASE("some requests are always taken") {
+  load_shedding shedding{shedding_options{}};
+  for (int i = 0; i < 1000; ++i)
+    shedding.note_wake_up(time_ms{90}, time_ms{140});
+  CHECK(shedding.refused_part() <= 0.9);
+}
--- a/tests/relay/relay_fixture.hpp
+++ b/tests/relay/relay_fixture.hpp
@@ -3,6 +3,7 @@
 #include "platform/platform.hpp"
 #include "scripted_endpoint.hpp"
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
@@ -76,6 +77,8 @@
   [[nodiscard]] budget_desk& budgets() noexcept { return *budgets_; }
   [[nodiscard]] front_door& door() noexcept { return *door_; }
   [[nodiscard]] request_relay& relay() noexcept { return *relay_; }
+  /// \brief Has the relay refuse new requests as a host does whose processor is used up.
+  void set_busy(bool busy) noexcept { busy_ = busy; }
   /// \returns whether so many requests are being served, now or soon
   [[nodiscard]] bool has_open(std::size_t requests) const;
 
@@ -87,6 +90,7 @@
   header_dialect dialect_;
   endpoint_directory endpoints_;
   config_ptr config_;
+  std::atomic<bool> busy_{false};
   boot_clock since_start_;
   fleet_clock machine_time_{since_start_};
   std::unique_ptr<budget_desk> budgets_;
