Threads that pause until they are told to stop share one pause

The prober of endpoints, the exchange of loads, the channel between hosts and the watch over the store each had a mutex, a condition, a flag and the same two functions around them; they use stoppable_pause (kernel).

--- a/src/entry/impl/fleet_watch.cpp
+++ b/src/entry/impl/fleet_watch.cpp
@@ -1,7 +1,5 @@
 #include "entry/impl/fleet_watch.hpp"
 
-#include <chrono>
-
 namespace sedgechute {
 
 // Two failures make a look miss a change. The store may not wake a look that waits: requests are
@@ -31,11 +29,7 @@
 }
 
 void fleet_watch::stop() noexcept {
-  {
-    const std::scoped_lock lock{mutex_};
-    stopping_ = true;
-    wake_.notify_all();
-  }
+  pauses_.stop();
   if (config_thread_.joinable())
     config_thread_.join();
   if (endpoint_thread_.joinable())
@@ -47,11 +41,6 @@
   return config_;
 }
 
-bool fleet_watch::pause(time_ms span) {
-  std::unique_lock lock{mutex_};
-  return !wake_.wait_for(lock, std::chrono::milliseconds{span.count()}, [&] { return stopping_; });
-}
-
 void fleet_watch::note_reachable(cursor& at, std::string_view what, bool reachable,
                                  std::string_view reason) {
   if (at.reachable == reachable)
@@ -71,7 +60,7 @@
     } catch (const std::exception& failure) {
       note_reachable(at, "configuration", false, failure.what());
     }
-  } while (pause(at.reachable ? time_ms{0} : options_.retry_pause));
+  } while (pauses_.pause(at.reachable ? time_ms{0} : options_.retry_pause));
 }
 
 void fleet_watch::look_for_configs(cursor& at) {
@@ -116,7 +105,7 @@
     } catch (const std::exception& failure) {
       note_reachable(at, "endpoints", false, failure.what());
     }
-  } while (pause(at.reachable ? options_.endpoint_interval : options_.retry_pause));
+  } while (pauses_.pause(at.reachable ? options_.endpoint_interval : options_.retry_pause));
 }
 
 void fleet_watch::look_for_endpoints(cursor& at) {
--- a/src/entry/impl/fleet_watch.hpp
+++ b/src/entry/impl/fleet_watch.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "entry/impl/registered_endpoints.hpp"
+#include "kernel/impl/stoppable_pause.hpp"
 #include "relay/relay.hpp"
 #include "telemetry/telemetry.hpp"
 
 #include <atomic>
-#include <condition_variable>
 #include <functional>
 #include <thread>
 
@@ -66,8 +66,6 @@
   void look_for_endpoints(cursor& at);
   void adopt(const config_ptr& offered);
   void note_reachable(cursor& at, std::string_view what, bool reachable, std::string_view reason);
-  /// \returns false when it is time to stop
-  [[nodiscard]] bool pause(time_ms span);
 
   fleet_source& source_;
   registered_endpoints registered_; ///< used by the endpoints' thread alone
@@ -77,9 +75,8 @@
   entry_faults& faults_;
   structured_log& log_;
   mutable ordered_mutex mutex_{lock_rank::documents};
-  std::condition_variable_any wake_;
+  stoppable_pause pauses_;
   config_ptr config_;
-  bool stopping_{false};
   std::atomic<bool> endpoints_known_{false};
   time_ms returned_at_; ///< when the store could last be reached again
   std::thread config_thread_;
--- a/src/relay/impl/endpoint_prober.cpp
+++ b/src/relay/impl/endpoint_prober.cpp
@@ -3,13 +3,11 @@
 #include "relay/impl/connection.hpp"
 #include "relay/impl/start_question.hpp"
 
-#include <chrono>
-
 namespace sedgechute {
 
 namespace {
 
-constexpr std::chrono::milliseconds round_interval{100}; // well below the first wait of a probe
+constexpr time_ms round_interval{100}; // well below the first wait of a probe
 
 } // namespace
 
@@ -27,23 +25,15 @@
 }
 
 void endpoint_prober::stop() noexcept {
-  {
-    const std::scoped_lock lock{mutex_};
-    stopping_ = true;
-    wake_.notify_all();
-  }
+  pauses_.stop();
   if (thread_.joinable())
     thread_.join();
 }
 
 void endpoint_prober::run() {
-  std::unique_lock lock{mutex_};
-  while (!wake_.wait_for(lock, round_interval, [&] { return stopping_; })) {
-    lock.unlock();
+  while (pauses_.pause(round_interval))
     for (const endpoint_directory::probe& probe : endpoints_.due_probes())
       probe_one(probe);
-    lock.lock();
-  }
 }
 
 void endpoint_prober::probe_one(const endpoint_directory::probe& probe) {
--- a/src/relay/impl/endpoint_prober.hpp
+++ b/src/relay/impl/endpoint_prober.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "kernel/impl/stoppable_pause.hpp"
 #include "relay/impl/endpoint_directory.hpp"
 #include "relay/impl/wire_dialect.hpp"
 #include "telemetry/telemetry.hpp"
 
-#include <condition_variable>
 #include <thread>
 
 namespace sedgechute {
@@ -31,9 +31,7 @@
   time_ms connect_timeout_;
   const clock& time_;
   structured_log& log_;
-  ordered_mutex mutex_{lock_rank::lifecycle};
-  std::condition_variable_any wake_;
-  bool stopping_{false};
+  stoppable_pause pauses_;
   std::thread thread_;
 };
 
--- a/src/relay/impl/load_exchange.cpp
+++ b/src/relay/impl/load_exchange.cpp
@@ -1,7 +1,6 @@
 #include "relay/impl/load_exchange.hpp"
 
 #include <algorithm>
-#include <chrono>
 
 namespace sedgechute {
 
@@ -37,20 +36,11 @@
 }
 
 void load_exchange::stop() noexcept {
-  {
-    const std::scoped_lock lock{mutex_};
-    stopping_ = true;
-    wake_.notify_all();
-  }
+  pauses_.stop();
   if (sender_.joinable())
     sender_.join();
 }
 
-bool load_exchange::pause(time_ms span) {
-  std::unique_lock lock{mutex_};
-  return !wake_.wait_for(lock, std::chrono::milliseconds{span.count()}, [&] { return stopping_; });
-}
-
 bool load_exchange::take_report(std::string_view bytes) {
   const auto report = decode_use_report(bytes);
   if (report)
@@ -68,7 +58,7 @@
 
 void load_exchange::send_reports() {
   time_ms next_whole = time_.now();
-  while (pause(options_.gather)) {
+  while (pauses_.pause(options_.gather)) {
     const bool whole = time_.now() >= next_whole;
     if (whole)
       next_whole = time_.now() + options_.whole_interval;
--- a/src/relay/impl/load_exchange.hpp
+++ b/src/relay/impl/load_exchange.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "kernel/impl/stoppable_pause.hpp"
 #include "relay/impl/endpoint_directory.hpp"
 #include "relay/impl/peer_channel.hpp"
 
-#include <condition_variable>
 #include <thread>
 #include <vector>
 
@@ -40,18 +40,14 @@
   void send_all(const std::vector<use_entry>& entries, const std::vector<start_sighting>& sightings,
                 bool whole);
   [[nodiscard]] std::vector<peer> told() const;
-  /// \returns false when it is time to stop
-  [[nodiscard]] bool pause(time_ms span);
 
   std::uint64_t incarnation_;
   peer_channel& channel_;
   endpoint_directory& endpoints_;
   load_exchange_options options_;
   const clock& time_;
-  ordered_mutex mutex_{lock_rank::membership};
-  std::condition_variable_any wake_;
+  stoppable_pause pauses_;
   std::uint32_t number_{0};
-  bool stopping_{false};
   std::thread sender_;
 };
 
--- a/src/relay/impl/peer_channel.cpp
+++ b/src/relay/impl/peer_channel.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <array>
-#include <chrono>
 #include <utility>
 
 namespace sedgechute {
@@ -63,22 +62,12 @@
 }
 
 void peer_channel::stop() noexcept {
-  {
-    const std::scoped_lock lock{mutex_};
-    stopping_ = true;
-    wake_.notify_all();
-  }
+  pauses_.stop();
   for (std::thread* one : {&receiver_, &reader_})
     if (one->joinable())
       one->join();
 }
 
-bool peer_channel::pause(time_ms span) {
-  std::unique_lock lock{mutex_};
-  return !wake_.wait_for(lock, std::chrono::milliseconds{span.count()},
-                         [&] { return stopping_.load(); });
-}
-
 std::vector<peer> peer_channel::peers() const {
   const std::scoped_lock lock{mutex_};
   return peers_;
@@ -127,7 +116,7 @@
 
 void peer_channel::receive() {
   std::array<char, receive_bytes> bytes{};
-  while (!stopping_) {
+  while (!pauses_.stopped()) {
     try {
       Poco::Net::SocketAddress from;
       const int got = socket_.receiveFrom(bytes.data(), static_cast<int>(bytes.size()), from);
@@ -137,7 +126,7 @@
     } catch (const std::exception& failure) { // also of a handler: the next message is another
       log_.write(severity::warning, "peer_messages_not_received", {},
                  {{log_field::reason, std::string_view{failure.what()}}});
-      if (!pause(after_receive_fault))
+      if (!pauses_.pause(after_receive_fault))
         return;
     }
   }
@@ -168,7 +157,7 @@
                    {{log_field::reason, std::string_view{failure.what()}}});
       list_reachable_ = false;
     }
-  } while (pause(known ? options_.hosts_interval : options_.first_hosts_interval));
+  } while (pauses_.pause(known ? options_.hosts_interval : options_.first_hosts_interval));
 }
 
 void peer_channel::refresh_hosts() {
--- a/src/relay/impl/peer_channel.hpp
+++ b/src/relay/impl/peer_channel.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kernel/impl/stoppable_pause.hpp"
 #include "kernel/kernel.hpp"
 #include "prepaid/prepaid.hpp"
 #include "relay/impl/host_list.hpp"
@@ -7,8 +8,6 @@
 
 #include <Poco/Net/DatagramSocket.h>
 
-#include <atomic>
-#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -84,8 +83,6 @@
   void read_hosts();
   void refresh_hosts();
   void report_faults(const host_listing& listing);
-  /// \returns false when it is time to stop
-  [[nodiscard]] bool pause(time_ms span);
 
   host_entry self_;
   host_list& hosts_;
@@ -96,11 +93,10 @@
   Poco::Net::DatagramSocket socket_;
   std::map<peer_message, handler> handlers_;
   mutable ordered_mutex mutex_{lock_rank::membership};
-  std::condition_variable_any wake_;
+  stoppable_pause pauses_;
   std::vector<peer> peers_;
   std::set<std::string> unusable_hosts_; ///< entries that named none at the last look
   bool list_reachable_{true};
-  std::atomic<bool> stopping_{false};
   std::thread receiver_;
   std::thread reader_;
 };
