SETTINGS.md names every setting of sedgechute-entry, from the table that the code goes by

The names were a list in the reader of the settings and a sentence in OPERATIONS.md. One table now holds name, unit, bounds, default and meaning: names in a file are checked by it, the reader takes only what it names, and tests compare the page with it and show that each of its settings is read.

--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -6,6 +6,7 @@
 
 #include "entry/impl/entry_host.hpp"
 #include "entry/impl/entry_settings.hpp"
+#include "entry/impl/entry_settings_table.hpp"
 #include "entry/impl/explain_request.hpp"
 #include "entry/impl/fleet_watch.hpp"
 #include "entry/impl/registered_endpoints.hpp"
--- a/src/entry/impl/entry_settings.cpp
+++ b/src/entry/impl/entry_settings.cpp
@@ -1,34 +1,19 @@
 #include "entry/impl/entry_settings.hpp"
 
 #include "config/config.hpp"
+#include "entry/impl/entry_settings_table.hpp"
 
 #include <algorithm>
-#include <array>
 
 namespace sedgechute {
 
 namespace {
 
-constexpr std::array<std::string_view, 14> known_names{
-    "host",        "data_centre",    "callers",         "peers",           "status",
-    "store",       "grace_s",        "notice_s",        "kept_for_exit_s", "retry_ratio",
-    "retry_slack", "retry_window_s", "config_bound_ms", "processor_share"};
 constexpr double ms_a_second = 1000;
 
 // A host's name and address, behind a team's name, are a key of the store, which takes 255 bytes.
 constexpr std::size_t longest_name = 100;
 
-struct number_bounds {
-  double least{0};
-  double most{};
-};
-constexpr number_bounds seconds_bounds{0, 86400};
-constexpr number_bounds ratio_bounds{0, 100};
-constexpr number_bounds slack_bounds{0, 1e9};
-// Within less than an answer of the store takes now and then, no look can be relied on.
-constexpr number_bounds config_bounds{100, 86'400'000}; // milliseconds
-constexpr number_bounds share_bounds{0.001, 1024};      // of a core
-
 /// Reads one setting after the other; what is wrong with them is gathered.
 class settings_reader {
  public:
@@ -40,7 +25,7 @@
   }
 
   [[nodiscard]] std::string text(std::string_view name) const {
-    const json_node* at = node_.find(name);
+    const json_node* at = node_.find(entry_setting_named(name).field.name);
     if (at == nullptr)
       return fail(name, "is missing");
     if (at->type != json_type::text)
@@ -66,8 +51,8 @@
     return given;
   }
 
-  [[nodiscard]] double number(std::string_view name, double otherwise,
-                              const number_bounds& bounds) const {
+  [[nodiscard]] double number(std::string_view name, double otherwise) const {
+    const number_bounds& bounds = entry_setting_named(name).bounds;
     const json_node* at = node_.find(name);
     if (at == nullptr || at->type == json_type::null)
       return otherwise;
@@ -85,8 +70,7 @@
   }
 
   [[nodiscard]] time_ms seconds(std::string_view name, time_ms otherwise) const {
-    const double given =
-        number(name, static_cast<double>(otherwise.count()) / ms_a_second, seconds_bounds);
+    const double given = number(name, static_cast<double>(otherwise.count()) / ms_a_second);
     return time_ms{static_cast<std::int64_t>(given * ms_a_second)};
   }
 
@@ -140,14 +124,14 @@
     reader.fail("status", "is the address of the callers too");
   read.store = reader.address("store");
   read.stop = read_stop(reader);
-  read.retry_ratio = reader.number("retry_ratio", read.retry_ratio, ratio_bounds);
-  read.retry_slack = static_cast<std::uint64_t>(reader.number("retry_slack", 0, slack_bounds));
+  read.retry_ratio = reader.number("retry_ratio", read.retry_ratio);
+  read.retry_slack = static_cast<std::uint64_t>(reader.number("retry_slack", 0));
   read.retry_window = reader.seconds("retry_window_s", read.retry_window);
   if (read.retry_window <= time_ms{})
     reader.fail("retry_window_s", "must be above 0");
-  read.config_bound = time_ms{static_cast<std::int64_t>(reader.number(
-      "config_bound_ms", static_cast<double>(read.config_bound.count()), config_bounds))};
-  read.processor_share = reader.number("processor_share", read.processor_share, share_bounds);
+  read.config_bound = time_ms{static_cast<std::int64_t>(
+      reader.number("config_bound_ms", static_cast<double>(read.config_bound.count())))};
+  read.processor_share = reader.number("processor_share", read.processor_share);
   return read;
 }
 
@@ -175,7 +159,7 @@
   }
   reading.settings = read_all({where, node, reading.faults});
   for (const std::string& name : node.names)
-    if (std::find(known_names.begin(), known_names.end(), name) == known_names.end())
+    if (!is_entry_setting(name))
       reading.unknown.push_back(name);
   return reading;
 }
--- /dev/null
+++ b/src/entry/impl/entry_settings_table.cpp
@@ -0,0 +1,112 @@
+#include "entry/impl/entry_settings_table.hpp"
+
+#include "entry/impl/entry_settings.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace sedgechute {
+
+namespace {
+
+std::string text_of(double number) {
+  return to_text(json_node::of(number));
+}
+
+double seconds_of(time_ms span) noexcept {
+  constexpr double ms_a_second = 1000;
+  return static_cast<double>(span.count()) / ms_a_second;
+}
+
+entry_setting name(std::string key, std::string brief) {
+  return {{std::move(key), std::move(brief), true, {}, {"text", "", "1 to 100 bytes", {}}}};
+}
+
+entry_setting address(std::string key, std::string brief) {
+  return {{std::move(key), std::move(brief), true, {}, {"address", "", "IP:port", {}}}};
+}
+
+entry_setting number(std::string key, std::string brief, double otherwise, std::string unit,
+                     const number_bounds& bounds) {
+  return {{std::move(key),
+           std::move(brief),
+           false,
+           text_of(otherwise),
+           {"number", std::move(unit), text_of(bounds.least) + " to " + text_of(bounds.most), {}}},
+          bounds};
+}
+
+constexpr number_bounds seconds_bounds{0, 86400};
+constexpr number_bounds ratio_bounds{0, 100};
+constexpr number_bounds slack_bounds{0, 1e9};
+// Within less than an answer of the store takes now and then, no look can be relied on.
+constexpr number_bounds config_bounds{100, 86'400'000}; // milliseconds
+constexpr number_bounds share_bounds{0.001, 1024};      // of a core
+
+std::vector<entry_setting> make_table() {
+  const entry_settings usual;
+  return {
+      name("host", "This host's name; with `peers` it names the accounts that it keeps"),
+      name("data_centre", "Where this host stands"),
+      address("callers", "HTTP for callers"),
+      address("peers", "Datagrams between entry hosts"),
+      address("status", "Readiness, metrics and budgets"),
+      address("store", "The platform's store"),
+      number("grace_s", "From the signal to stop until the process is killed",
+             seconds_of(usual.stop.grace), "s", seconds_bounds),
+      number("notice_s",
+             "From the signal until the balancer sends callers elsewhere; at most what the grace "
+             "leaves",
+             seconds_of(usual.stop.notice), "s", seconds_bounds),
+      number("kept_for_exit_s",
+             "At the end of the grace, for the last words to the store and the log; at most a "
+             "quarter of the grace",
+             seconds_of(usual.stop.kept_for_exit), "s", seconds_bounds),
+      number("retry_ratio", "Repeated sends for each request of a service, over all hosts",
+             usual.retry_ratio, "", ratio_bounds),
+      number("retry_slack", "Repeated sends beyond the ratio, for all hosts together",
+             static_cast<double>(usual.retry_slack), "sends", slack_bounds),
+      number("retry_window_s", "The two bounds hold in every window of this length; above 0",
+             seconds_of(usual.retry_window), "s", seconds_bounds),
+      number("config_bound_ms",
+             "A change of the configuration is to be in force so long after its publication",
+             static_cast<double>(usual.config_bound.count()), "ms", config_bounds),
+      number("processor_share",
+             "Of a core, that this host may use; bounds the requests open at once",
+             usual.processor_share, "cores", share_bounds),
+  };
+}
+
+const entry_setting* find(std::string_view name) noexcept {
+  const std::vector<entry_setting>& all = entry_settings_table();
+  const auto found = std::find_if(all.begin(), all.end(),
+                                  [&](const entry_setting& one) { return one.field.name == name; });
+  return found == all.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+const std::vector<entry_setting>& entry_settings_table() {
+  static const std::vector<entry_setting> table = make_table();
+  return table;
+}
+
+const entry_setting& entry_setting_named(std::string_view name) {
+  const entry_setting* found = find(name);
+  if (found == nullptr)
+    throw std::logic_error{std::string{name} + " is in no table of settings"};
+  return *found;
+}
+
+bool is_entry_setting(std::string_view name) noexcept {
+  return find(name) != nullptr;
+}
+
+std::string entry_settings_page() {
+  std::vector<field_info> fields;
+  for (const entry_setting& one : entry_settings_table())
+    fields.push_back(one.field);
+  return schema_page(fields);
+}
+
+} // namespace sedgechute
--- a/tests/entry/entry_settings_test.cpp
+++ b/tests/entry/entry_settings_test.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <fstream>
+#include <iterator>
+
 using namespace sedgechute;
 
 namespace {
@@ -29,6 +32,32 @@
   CHECK(reading.unknown.front() == "new");
 }
 
+TEST_CASE("the page of settings holds the table that names are checked by") {
+  std::ifstream file{SEDGECHUTE_SOURCE_DIR "/docs/SETTINGS.md"};
+  const std::string page{std::istreambuf_iterator<char>{file}, {}};
+  const std::string table = entry_settings_page();
+  CHECK_MESSAGE(page.find(table) != std::string::npos, table);
+}
+
+// A setting that nobody reads any more would go on being promised by the page.
+TEST_CASE("each setting of the table is read") {
+  for (const entry_setting& setting : entry_settings_table()) {
+    const field_info& field = setting.field;
+    std::string text = R"({"host":"h","data_centre":"dc","callers":"127.0.0.1:1",
+      "peers":"127.0.0.1:2","status":"127.0.0.1:3","store":"127.0.0.1:4"})";
+    if (field.required)
+      text.replace(text.find("\"" + field.name + "\""), field.name.size() + 2, "\"x\"");
+    else
+      text.insert(1, "\"" + field.name + "\":-1,");
+    try {
+      (void)parse_entry_settings("file", text);
+      FAIL_CHECK(field.name << " is not read");
+    } catch (const error& fault) {
+      CHECK(fault.where() == "file /" + field.name);
+    }
+  }
+}
+
 TEST_CASE("the bound for changes of the configuration is read, and looks keep within it") {
   std::string text = good;
   text.insert(1, R"("config_bound_ms":1200,)");
