A connection that is given back at a stop names its endpoint's life

Two changes met in a merge: connections in the pool belong to a life of their endpoint, and a send that comes too late for a stop gives its connection back. The merged tree did not compile.

--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -123,7 +123,7 @@
     return reached.silent ? send_outcome::silent : send_outcome::unreachable;
   }
   if (!relay_.stop_.taking()) { // the wait for the connection has outlasted the grace
-    relay_.connections_.give_back(place.endpoint, std::move(reached.link));
+    relay_.connections_.give_back(place.endpoint, place.life, std::move(reached.link));
     return send_outcome::host_stopped;
   }
   if (sent_to_.empty())
