--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 using enum metric_kind;
+using enum metric_exporter;
 
 constexpr std::array families{
     metric_family{metric::requests,
@@ -12,7 +13,8 @@
                   "sedgechute_requests_total",
                   "Requests that came to their end. outcome: answered, not_run, outcome_unknown, "
                   "partial.",
-                  {"team", "class", "outcome"}},
+                  {"team", "class", "outcome"},
+                  both},
     metric_family{metric::refusals,
                   counter,
                   "sedgechute_refusals_total",
@@ -32,12 +34,14 @@
                   histogram,
                   "sedgechute_first_token_seconds",
                   "Time from the request's last byte to the answer's first token.",
-                  {"class"}},
+                  {"class"},
+                  both},
     metric_family{metric::request_seconds,
                   histogram,
                   "sedgechute_request_seconds",
                   "Time from the request's last byte to the end of its answer.",
-                  {"class"}},
+                  {"class"},
+                  both},
     metric_family{metric::tokens_billed,
                   counter,
                   "sedgechute_tokens_billed_total",
@@ -49,7 +53,8 @@
                   counter,
                   "sedgechute_attempts_total",
                   "Attempts at endpoints, of requests that came to their end.",
-                  {"pool"}},
+                  {"pool"},
+                  both},
     metric_family{metric::queue_length,
                   gauge,
                   "sedgechute_queue_length",
@@ -65,7 +70,8 @@
                   "sedgechute_endpoint_restarts_total",
                   "Endpoints found to have started again under their id. found_by: list (its entry "
                   "names another start), endpoint (asked, it names another).",
-                  {"found_by"}},
+                  {"found_by"},
+                  entry},
     metric_family{metric::quarantined, gauge, "sedgechute_quarantined",
                   "Contents in quarantine because they ended endpoints."},
     metric_family{metric::orders,
@@ -114,10 +120,18 @@
                   "Log lines left out by the limit on repeats."},
     metric_family{metric::decisions_sampled_out, counter, "sedgechute_decisions_sampled_out_total",
                   "Decision events left out by sampling."},
-    metric_family{metric::resident_bytes, gauge, "sedgechute_resident_bytes",
-                  "Resident memory of the process."},
-    metric_family{metric::cpu_seconds, counter, "sedgechute_cpu_seconds_total",
-                  "Processor time of the process."},
+    metric_family{metric::resident_bytes,
+                  gauge,
+                  "sedgechute_resident_bytes",
+                  "Resident memory of the process.",
+                  {},
+                  both},
+    metric_family{metric::cpu_seconds,
+                  counter,
+                  "sedgechute_cpu_seconds_total",
+                  "Processor time of the process.",
+                  {},
+                  both},
     metric_family{metric::host_state,
                   gauge,
                   "sedgechute_host_state",
@@ -140,7 +154,8 @@
                   "sedgechute_unusable_entries_total",
                   "Entries that became unusable, or are so for another reason. topic: endpoints, "
                   "configuration, hosts, accounts; datagrams (of one sender).",
-                  {"topic"}},
+                  {"topic"},
+                  entry},
 };
 
 constexpr bool in_order() {
@@ -169,18 +184,20 @@
 }
 
 std::string metrics_page() {
-  std::string page = "# Metrics\n\n"
-                     "`GET /metrics` of every host, in Prometheus text format. This page is "
-                     "written by `sedgechute-metrics-page`\n"
-                     "from the table in `src/telemetry/impl/metric_table.cpp`. A family keeps a "
-                     "bounded number of series; beyond it\nlabel values are counted as `other`.\n\n"
-                     "| name | type | labels | meaning |\n| --- | --- | --- | --- |\n";
+  std::string page =
+      "# Metrics\n\n"
+      "`GET /metrics` of every host, in Prometheus text format. This page is "
+      "written by `sedgechute-metrics-page`\n"
+      "from the table in `src/telemetry/impl/metric_table.cpp`. A family keeps a "
+      "bounded number of series; beyond it\nlabel values are counted as `other`.\n\n"
+      "| name | type | labels | program | meaning |\n| --- | --- | --- | --- | --- |\n";
   for (const metric_family& family : families) {
     std::string labels;
     for (std::size_t i = 0; i < family.label_count(); ++i)
       labels.append(i == 0 ? "" : ", ").append(family.labels[i]);
     page.append("| `").append(family.name).append("` | ").append(name_of(family.kind));
-    page.append(" | ").append(labels).append(" | ").append(family.help).append(" |\n");
+    page.append(" | ").append(labels).append(" | ").append(name_of(family.exporter));
+    page.append(" | ").append(family.help).append(" |\n");
   }
   return page;
 }
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -11,7 +11,10 @@
 
 enum class metric_kind { counter, gauge, histogram };
 
-/// \brief Every metric of the daemon.
+/// \brief Which program of a host exports a metric.
+enum class metric_exporter { sedgechuted, entry, both };
+
+/// \brief Every metric of the two programs.
 enum class metric {
   requests,
   refusals,
@@ -55,6 +58,7 @@
   std::string_view name;
   std::string_view help;
   std::array<std::string_view, most_labels> labels{};
+  metric_exporter exporter{metric_exporter::sedgechuted};
 
   [[nodiscard]] constexpr std::size_t label_count() const noexcept {
     std::size_t count = 0;
@@ -69,12 +73,25 @@
 
 [[nodiscard]] const metric_family& family_of(metric id) noexcept;
 
+/// \returns whether a program exports the metric of a row
+[[nodiscard]] constexpr bool exports(metric_exporter program, const metric_family& row) noexcept {
+  return row.exporter == program || row.exporter == metric_exporter::both;
+}
+
 /// \returns upper bounds of a histogram's buckets, in seconds
 [[nodiscard]] std::span<const double> bucket_bounds() noexcept;
 
 /// \returns the page docs/METRICS.md
 [[nodiscard]] std::string metrics_page();
 
+template <>
+struct enum_names<metric_exporter> {
+  static constexpr auto entries =
+      enum_table<metric_exporter>({{metric_exporter::sedgechuted, "sedgechuted"},
+                                   {metric_exporter::entry, "sedgechute-entry"},
+                                   {metric_exporter::both, "both"}});
+};
+
 template <>
 struct enum_names<metric_kind> {
   static constexpr auto entries = enum_table<metric_kind>({{metric_kind::counter, "counter"},
--- a/tests/entry/entry_program.cpp
+++ b/tests/entry/entry_program.cpp
@@ -38,6 +38,26 @@
   return "127.0.0.1:" + std::to_string(fleet_test::free_port());
 }
 
+/// \returns the status of the answer, or 0, and the answer's bytes
+std::pair<int, std::string> exchange(const std::string& address, const std::string& request,
+                                     time_ms most) {
+  const steady_clock time;
+  const time_ms until = time.now() + most;
+  const auto link = connect_to(address, time_ms{1000}, time).link;
+  std::string text;
+  if (!link || link->write_all(request, until) != io_status::ok ||
+      link->read_head(text, 8192, until) != io_status::ok)
+    return {};
+  const auto head = parse_response_head(text);
+  const auto length = head->fields.number("Content-Length");
+  const auto whole = [&] {
+    return length ? link->buffered().size() >= *length : link->buffered().ends_with("0\r\n\r\n");
+  };
+  while (!whole() && link->fill(until) == io_status::ok) {
+  }
+  return {head->status, std::string{link->buffered()}};
+}
+
 } // namespace
 
 entry_program::entry_program(const std::string& settings, log_reader reader,
@@ -79,21 +99,26 @@
          std::string{usual_configuration};
 }
 
-void entry_program::add_endpoint(const std::string& id, const std::string& address) {
+void entry_program::add_endpoint(const std::string& id, const std::string& address,
+                                 std::optional<std::int64_t> started) {
   store_.put("keyed.servers", id,
              R"({"Service":"s","Address":")" + address +
-                 R"(","Zone":"dc","Version":"v1","Slots":16,"State":"ready",)"
+                 R"(","Zone":"dc","Version":"v1","Slots":16,"State":"ready",)" +
+                 (started ? R"("born":)" + std::to_string(*started) + "," : std::string{}) +
                  R"("ColdRemainingMs":0,"Sequence":1})");
 }
 
 bool entry_program::ready_now() const {
-  const steady_clock time;
-  const time_ms until = time.now() + time_ms{10000};
-  const auto link = connect_to(status_, time_ms{300}, time).link;
-  std::string head;
-  return link &&
-         link->write_all("GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n", until) == io_status::ok &&
-         link->read_head(head, 4096, until) == io_status::ok && head.starts_with("HTTP/1.1 200");
+  return look_at("/readyz").first == 200;
+}
+
+std::pair<int, std::string> entry_program::look_at(const std::string& path) const {
+  return exchange(status_, "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n", time_ms{10000});
+}
+
+std::pair<int, std::string> entry_program::ask(const std::string& route,
+                                               const std::string& attempt) const {
+  return exchange(callers_, entry_request(route, attempt), time_ms{9000});
 }
 
 bool entry_program::ready() const {
--- a/tests/entry/entry_program.hpp
+++ b/tests/entry/entry_program.hpp
@@ -4,8 +4,11 @@
 #include "scripted_endpoint.hpp"
 #include "standin/standin.hpp"
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace sedgechute {
 
@@ -27,11 +30,20 @@
   /// `/NAME/`, of safe requests
   [[nodiscard]] static std::string with_route(std::uint64_t version, const std::string& name);
   /// \brief Lists an endpoint of the only service.
-  void add_endpoint(const std::string& id, const std::string& address);
+  /// \param started  Unix milliseconds of its start, where its entry names it
+  void add_endpoint(const std::string& id, const std::string& address,
+                    std::optional<std::int64_t> started = {});
   /// \brief Waits until the host says that it is ready.
   [[nodiscard]] bool ready() const;
   /// \returns whether it says so at this moment
   [[nodiscard]] bool ready_now() const;
+  /// \brief Asks the door for operators.
+  /// \returns the status of the answer, or 0, and the answer's body
+  [[nodiscard]] std::pair<int, std::string> look_at(const std::string& path) const;
+  /// \brief Sends `entry_request` on a connection of its own and waits for the whole answer.
+  /// \returns the status of the answer, or 0, and the answer's bytes
+  [[nodiscard]] std::pair<int, std::string> ask(const std::string& route,
+                                                const std::string& attempt) const;
   void signal(int number) const { program_->signal(number); }
   /// \returns its exit code; -1 when it does not end in time
   [[nodiscard]] int wait(time_ms most) { return program_->wait(static_cast<int>(most.count())); }
--- a/tests/entry/other_writers_test.cpp
+++ b/tests/entry/other_writers_test.cpp
@@ -26,25 +26,6 @@
   std::this_thread::sleep_for(std::chrono::milliseconds{span.count()});
 }
 
-/// \returns the status of the answer, or 0, and the answer's bytes
-std::pair<int, std::string> ask(entry_program& host, const std::string& route,
-                                const std::string& attempt) {
-  const steady_clock time;
-  const time_ms until = time.now() + time_ms{9000};
-  const auto link = connect_to(host.callers(), time_ms{1000}, time).link;
-  std::string text;
-  if (!link || link->write_all(entry_request(route, attempt), until) != io_status::ok ||
-      link->read_head(text, 8192, until) != io_status::ok)
-    return {};
-  const auto head = parse_response_head(text);
-  const bool streamed = head->status == 200 && route == "once";
-  while ((streamed ? !link->buffered().ends_with("0\r\n\r\n")
-                   : link->buffered().size() < head->fields.number("Content-Length").value_or(0)) &&
-         link->fill(until) == io_status::ok) {
-  }
-  return {head->status, std::string{link->buffered()}};
-}
-
 std::size_t lines_with(const std::string& text, const std::string& part) {
   std::size_t count = 0;
   for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
@@ -67,18 +48,18 @@
   entry_program host{R"("grace_s":4)"};
   host.add_endpoint("e1", endpoint.address());
   REQUIRE(host.ready());
-  auto stream = std::async(std::launch::async, [&] { return ask(host, "once", "a1"); });
+  auto stream = std::async(std::launch::async, [&] { return host.ask("once", "a1"); });
   sleep_for(time_ms{200});
   host.store().put("keyed.servers", "e1", "\xff garbage");
   sleep_for(one_look);
-  CHECK(ask(host, "safe", "a2").first == 503);
+  CHECK(host.ask("safe", "a2").first == 503);
   CHECK(endpoint.seen().size() == 1);
   const auto [status, body] = stream.get();
   CHECK(status == 200);
   CHECK(body.ends_with(event_chunk(2) + "0\r\n\r\n"));
   host.add_endpoint("e1", endpoint.address());
   sleep_for(one_look);
-  CHECK(ask(host, "safe", "a3").first == 200);
+  CHECK(host.ask("safe", "a3").first == 200);
   host.signal(SIGTERM);
   CHECK(host.wait(time_ms{6000}) == 0);
   CHECK(lines_with(host.output(), "\"event\":\"entry_unusable\"") == 1);
@@ -97,7 +78,7 @@
                           R"({"Version":"99","Routes":[],"Services":[]})", "\xff", "[]", "{}"}) {
     host.store().put("keyed.op", "config", bad);
     sleep_for(time_ms{150});
-    CHECK(ask(host, "safe", std::string{"a"} + bad[0]).first == 200);
+    CHECK(host.ask("safe", std::string{"a"} + bad[0]).first == 200);
   }
 }
 
--- a/tests/fleet/metrics_test.cpp
+++ b/tests/fleet/metrics_test.cpp
@@ -10,7 +10,7 @@
 
 // An operator's alert watches a metric of the list. It never fires, since nothing in the program
 // ever sets that metric: the list was written first, and the parts that should feed it never did.
-TEST_CASE("every metric of the list is exported by a running fleet") {
+TEST_CASE("every metric that the list gives to sedgechuted is exported by a running fleet") {
   running_fleet fleet{{.hosts = 2, .engines = 1, .token_ms = 0}};
   // Engines that honour fencing are told each new decider's number: an order like any other.
   REQUIRE(fleet.publish_models(0, {chat_model}, true, "fencing") == 200);
@@ -23,7 +23,8 @@
     const std::string text = fleet.get(0, "/metrics").body + fleet.get(1, "/metrics").body;
     missing.clear();
     for (const metric_family& family : metric_families())
-      if (text.find("# TYPE " + std::string{family.name} + " ") == std::string::npos)
+      if (exports(metric_exporter::sedgechuted, family) &&
+          text.find("# TYPE " + std::string{family.name} + " ") == std::string::npos)
         missing.append(family.name).append(" ");
     return missing.empty();
   });
