--- a/tests/entry/other_writers_test.cpp
+++ b/tests/entry/other_writers_test.cpp
@@ -18,10 +18,6 @@
 
 constexpr time_ms one_look{1500}; // the list of endpoints is read more than twice in it
 
-std::string attempt_of(const scripted_endpoint::seen_request& request) {
-  return *request.head.fields.find("Attempt-Id");
-}
-
 void sleep_for(time_ms span) {
   std::this_thread::sleep_for(std::chrono::milliseconds{span.count()});
 }
--- a/tests/entry/planned_stop_test.cpp
+++ b/tests/entry/planned_stop_test.cpp
@@ -16,10 +16,6 @@
 
 constexpr time_ms stream_length{1500};
 
-std::string attempt_of(const scripted_endpoint::seen_request& request) {
-  return *request.head.fields.find("Attempt-Id");
-}
-
 /// A stream whose second half comes late.
 scripted_reply long_stream(const scripted_endpoint::seen_request& request) {
   return {stream_head(attempt_of(request)) + event_chunk(1), then::keep,
--- a/tests/relay/restarted_endpoint_test.cpp
+++ b/tests/relay/restarted_endpoint_test.cpp
@@ -17,11 +17,6 @@
 constexpr time_ms first_start{1'790'000'000'000};
 constexpr time_ms second_start{first_start - time_ms{60'000}}; // its machine's clock was set back
 
-std::string attempt_of(const scripted_endpoint::seen_request& request) {
-  const std::string* id = request.head.fields.find("Attempt-Id");
-  return id == nullptr ? "" : *id;
-}
-
 scripted_reply whole(const scripted_endpoint::seen_request& request) {
   return {whole_answer(attempt_of(request), "ok"), then::keep, ""};
 }
--- a/tests/relay/scripted_endpoint.cpp
+++ b/tests/relay/scripted_endpoint.cpp
@@ -94,6 +94,25 @@
   return reply.after == scripted_reply::then::keep;
 }
 
+std::string attempt_of(const scripted_endpoint::seen_request& request) {
+  const std::string* id = request.head.fields.find("Attempt-Id");
+  return id == nullptr ? "" : *id;
+}
+
+scripted_endpoint::script answers(const std::string& body) {
+  return [body](const auto& request) {
+    return scripted_reply{whole_answer(attempt_of(request), body), scripted_reply::then::keep, ""};
+  };
+}
+
+scripted_endpoint::script replies(const std::string& bytes, scripted_reply::then after) {
+  return [=](const auto&) { return scripted_reply{bytes, after, ""}; };
+}
+
+bool ends_in_order(const std::string& stream) {
+  return stream.ends_with("\r\n0\r\n\r\n");
+}
+
 std::string whole_answer(const std::string& attempt, const std::string& body, int status) {
   std::ostringstream text;
   text << "HTTP/1.1 " << status << " Any\r\nAttempt-Id: " << attempt
--- a/tests/relay/scripted_endpoint.hpp
+++ b/tests/relay/scripted_endpoint.hpp
@@ -60,6 +60,15 @@
   std::thread acceptor_;
 };
 
+/// \returns the id of a request's attempt; empty: it names none
+[[nodiscard]] std::string attempt_of(const scripted_endpoint::seen_request& request);
+/// \returns a script that gives every request a whole answer
+[[nodiscard]] scripted_endpoint::script answers(const std::string& body);
+/// \returns a script that sends every request the same bytes
+[[nodiscard]] scripted_endpoint::script replies(const std::string& bytes,
+                                                scripted_reply::then after);
+/// \returns whether an answer in chunks ends as it should
+[[nodiscard]] bool ends_in_order(const std::string& stream);
 /// \returns a whole answer with the mark of an endpoint
 [[nodiscard]] std::string whole_answer(const std::string& attempt, const std::string& body,
                                        int status = 200);
--- a/tests/relay/stop_gaps_test.cpp
+++ b/tests/relay/stop_gaps_test.cpp
@@ -15,21 +15,10 @@
 
 using then = scripted_reply::then;
 
-std::string attempt_of(const scripted_endpoint::seen_request& request) {
-  const std::string* id = request.head.fields.find("Attempt-Id");
-  return id == nullptr ? "" : *id;
-}
-
 void sleep_for(time_ms span) {
   std::this_thread::sleep_for(std::chrono::milliseconds{span.count()});
 }
 
-scripted_endpoint::script answers(const std::string& body) {
-  return [body](const auto& request) {
-    return scripted_reply{whole_answer(attempt_of(request), body), then::keep, ""};
-  };
-}
-
 /// An address that completes no connection: its backlog is full.
 class silent_address {
  public:
