Failing tests: what a stop does with requests that arrive, that were sent ahead, that wait for an endpoint

Cause, by reading the mended stop cold: the end of a stop looks at requests that were read whole, not at those that arrive; waits for the rest of a request and for a connection to an endpoint are not ended by the cut; what was sent ahead behind a stream is dropped without a word; the cut holds only once the main thread has declared it, and the exit takes as long after a late cut as after one in time. Change: tests, and the moment of the exit as an argument that is not used yet.

--- a/src/routing/impl/stop_policy.cpp
+++ b/src/routing/impl/stop_policy.cpp
@@ -24,7 +24,7 @@
 }
 
 // A tenth is left: each step notices its end some milliseconds late.
-exit_spans spans_of_exit(const stop_bounds& bounds) noexcept {
+exit_spans spans_of_exit(const stop_bounds& bounds, time_ms /*since*/) noexcept {
   constexpr std::int64_t parts = 20;
   const auto part = [kept = bounds.grace - cut_after(bounds)](std::int64_t of) {
     return time_ms{kept.count() * of / parts};
--- a/src/routing/impl/stop_policy.hpp
+++ b/src/routing/impl/stop_policy.hpp
@@ -39,7 +39,8 @@
   time_ms lines;    ///< the log's reader takes the last lines
 };
 
-[[nodiscard]] exit_spans spans_of_exit(const stop_bounds& bounds) noexcept;
+/// \param since  the signal, when the exit begins
+[[nodiscard]] exit_spans spans_of_exit(const stop_bounds& bounds, time_ms since) noexcept;
 
 /// \brief Why bounds cannot be kept.
 enum class stop_fault {
--- a/tests/entry/planned_stop_test.cpp
+++ b/tests/entry/planned_stop_test.cpp
@@ -196,3 +196,84 @@
   (void)half->write_all("POST /once/ HTTP/1.1\r\n", time.now() + time_ms{100});
   CHECK(host.wait(time_ms{3000}) == 0);
 }
+
+// The notice is over, nothing runs, and two requests are still arriving: one has sent half of its
+// header on a connection that it kept, the other half of its body on a new one. The host counted
+// only what it had read whole, saw nothing open, and ended with six seconds of its grace left: both
+// callers had their connection closed without a word.
+TEST_CASE("a request that is arriving when the notice is over is waited for") {
+  scripted_endpoint endpoint{[](const auto& request) {
+    return scripted_reply{whole_answer(attempt_of(request), "x"), then::keep, ""};
+  }};
+  entry_program host{R"("grace_s":8,"notice_s":1)"};
+  host.add_endpoint("e1", endpoint.address());
+  REQUIRE(host.ready());
+  const steady_clock time;
+  const time_ms until = time.now() + time_ms{10000};
+  const auto send = [&](connection& link, std::string_view bytes) {
+    return link.write_all(bytes, until) == io_status::ok;
+  };
+  const auto status = [&](connection& link) {
+    std::string text;
+    return link.read_head(text, 8192, until) == io_status::ok ? parse_response_head(text)->status
+                                                              : 0;
+  };
+  const auto kept = connect_to(host.callers(), time_ms{3000}, time).link;
+  REQUIRE(kept != nullptr);
+  REQUIRE(send(*kept, entry_request("safe", "id-before")));
+  REQUIRE(status(*kept) == 200);
+  while (kept->buffered().empty())
+    REQUIRE(kept->fill(until) == io_status::ok);
+  kept->consume(1);
+
+  const std::string header_late = entry_request("safe", "id-header");
+  const std::string body_late = entry_request("unsafe", "id-body");
+  host.signal(SIGTERM);
+  const auto fresh = connect_to(host.callers(), time_ms{3000}, time).link;
+  REQUIRE(fresh != nullptr);
+  REQUIRE(send(*kept, header_late.substr(0, 30)));
+  REQUIRE(send(*fresh, body_late.substr(0, body_late.size() - 2)));
+  sleep_for(time_ms{1800});
+  (void)send(*kept, header_late.substr(30));
+  (void)send(*fresh, body_late.substr(body_late.size() - 2));
+  CHECK(status(*kept) == 200);
+  CHECK(status(*fresh) == 200);
+  CHECK(host.wait(time_ms{8000}) == 0);
+}
+
+// Whoever stops a host may say so twice, and change its settings meanwhile. None of it ends what
+// runs any sooner.
+TEST_CASE("more signals during a stop change nothing") {
+  scripted_endpoint endpoint{long_stream};
+  entry_program host{R"("grace_s":8)"};
+  host.add_endpoint("e1", endpoint.address());
+  REQUIRE(host.ready());
+  const steady_clock time;
+  const auto link = connect_to(host.callers(), time_ms{3000}, time).link;
+  REQUIRE(link != nullptr);
+  auto asked = std::async(std::launch::async, [&] { return ask(*link, "id-1"); });
+  for (int i = 0; i < 500 && endpoint.seen().empty(); ++i)
+    sleep_for(time_ms{10});
+  REQUIRE(endpoint.seen().size() == 1);
+  for (const int signal : {SIGHUP, SIGTERM, SIGTERM, SIGINT, SIGHUP}) {
+    host.signal(signal);
+    sleep_for(time_ms{20});
+  }
+  CHECK(asked.get().whole);
+  CHECK(host.wait(time_ms{8000}) == 0);
+  CHECK(host.output().find("\"event\":\"stopped\"") != std::string::npos);
+}
+
+// A host is started while the store answers nothing, and told to stop before it ever was ready.
+TEST_CASE("a host that was never ready stops within its grace") {
+  entry_program host{R"("grace_s":4)"};
+  Poco::JSON::Object silent;
+  silent.set("late_ms", 30000);
+  host.store().server().board().merge(silent);
+  for (int i = 0; i < 500 && host.look_at("/readyz").first == 0; ++i)
+    sleep_for(time_ms{10});
+  REQUIRE_FALSE(host.ready_now());
+  host.signal(SIGTERM);
+  CHECK(host.wait(time_ms{4000}) == 0);
+  CHECK(host.output().find("\"event\":\"stopped\"") != std::string::npos);
+}
--- a/tests/relay/relay_fixture.hpp
+++ b/tests/relay/relay_fixture.hpp
@@ -42,14 +42,13 @@
   [[nodiscard]] std::string read_all(time_ms quiet) { return read_all(quiet, quiet); }
   /// \brief Reads an answer that must come, however long a busy machine takes to begin it.
   [[nodiscard]] std::string read_all() { return read_all(time_ms{400}, time_ms{3000}); }
+  /// \param first  to wait for the first byte
+  [[nodiscard]] std::string read_all(time_ms quiet, time_ms first);
   void close() { link_.reset(); }
   /// \returns how the connection ended, if it has
   [[nodiscard]] io_status last() const noexcept { return last_; }
 
  private:
-  /// \param first  to wait for the first byte
-  [[nodiscard]] std::string read_all(time_ms quiet, time_ms first);
-
   steady_clock time_;
   std::unique_ptr<connection> link_;
   io_status last_{io_status::ok};
--- a/tests/relay/stop_gaps_test.cpp
+++ b/tests/relay/stop_gaps_test.cpp
@@ -150,3 +150,98 @@
   CHECK(slow.seen().empty());
   CHECK(status_of(answer) == 503);
 }
+
+// At the cut one caller has sent half of its header, another half of its body. The host waited for
+// the rest until its process ended, and closed without a word.
+TEST_CASE("a request that is arriving at the cut is refused at once") {
+  relay_fixture at;
+  raw_caller half_header{at.address()};
+  raw_caller half_body{at.address()};
+  const std::string text = request_text("/unsafe/", "id-1", "", "POST", "body");
+  half_header.send(text.substr(0, 30));
+  half_body.send(text.substr(0, text.size() - 2));
+  for (int i = 0; i < 200 && at.door().busy() < 2; ++i)
+    sleep_for(time_ms{5});
+  REQUIRE(at.door().busy() == 2);
+  at.relay().stop().begin();
+  at.relay().stop().cut();
+  CHECK(status_of(half_header.read_all(time_ms{1000})) == 503);
+  CHECK(status_of(half_body.read_all(time_ms{1000})) == 503);
+}
+
+// A caller sends its next request while a stream of its connection runs, whose header went out
+// before the signal and so does not say that the connection ends. The host closed behind the stream
+// and dropped what it had received: the caller could not tell whether that had run.
+TEST_CASE(
+    "a request that was sent ahead is answered where no header told that its connection ends") {
+  scripted_endpoint endpoint{[](const auto& request) {
+    if (request.head.path() == "/safe/")
+      return scripted_reply{whole_answer(attempt_of(request), "second"), then::keep, ""};
+    return scripted_reply{stream_head(attempt_of(request)) + event_chunk(1), then::keep,
+                          event_chunk(2) + "0\r\n\r\n", time_ms{600}};
+  }};
+  relay_fixture at;
+  at.add_endpoint("e1", endpoint.address());
+  raw_caller caller{at.address()};
+  caller.send(request_text("/once/", "id-1", "Model: m\r\nToken-Usage: 300,60\r\n") +
+              request_text("/safe/", "id-2"));
+  const std::string begun = caller.read_all(time_ms{200}, time_ms{3000});
+  REQUIRE(status_of(begun) == 200);
+  REQUIRE(begun.find("Connection: close") == std::string::npos);
+  at.relay().stop().begin();
+  const std::string rest = caller.read_all(time_ms{1000});
+  const std::size_t second = rest.find("0\r\n\r\nHTTP/1.1 200");
+  REQUIRE(second != std::string::npos);
+  CHECK(rest.find("Connection: close", second) != std::string::npos);
+  CHECK(rest.ends_with("second"));
+  CHECK(caller.last() == io_status::ended);
+}
+
+// An endpoint completes no connection, and a request waits for one when the grace is over. Only the
+// time-out of the connection ended that wait, later than the host waits for its last answers: the
+// process was gone before the refusal was written.
+TEST_CASE("a wait for a connection to an endpoint ends at the cut") {
+  const silent_address silent;
+  relay_options options;
+  options.connect_timeout = time_ms{3000};
+  options.stop.kept_for_exit = time_ms{2500};
+  relay_fixture at{1000000, options};
+  at.add_endpoint("e-silent", silent.address());
+  raw_caller caller{at.address()};
+  caller.send(request_text("/unsafe/", "id-1", "", "POST", "b"));
+  REQUIRE(at.has_open(1));
+  at.relay().stop().begin();
+  at.relay().stop().cut();
+  CHECK(status_of(caller.read_all(spans_of_exit(options.stop, cut_after(options.stop)).answers)) ==
+        503);
+}
+
+// The same wait, and its caller leaves. What is sent on after that is work for nobody.
+TEST_CASE("a wait for a connection to an endpoint ends when the caller leaves") {
+  const silent_address silent;
+  relay_options options;
+  options.connect_timeout = time_ms{10000};
+  relay_fixture at{1000000, options};
+  at.add_endpoint("e-silent", silent.address());
+  raw_caller caller{at.address()};
+  caller.send(request_text("/unsafe/", "id-1", "", "POST", "b"));
+  REQUIRE(at.has_open(1));
+  sleep_for(time_ms{50});
+  caller.close();
+  CHECK(at.has_open(0));
+}
+
+// The machine stands still across the cut. When it goes on, a request's thread may be the first to
+// run: nobody has declared the cut yet, and what was decided before is sent on.
+TEST_CASE("nothing is taken or sent on after the cut, also before anyone has declared it") {
+  manual_clock time;
+  const stop_bounds bounds;
+  planned_stop stop{bounds, time};
+  CHECK(stop.taking());
+  stop.begin();
+  time.advance(cut_after(bounds) - time_ms{1});
+  CHECK(stop.taking());
+  time.advance(time_ms{1});
+  CHECK_FALSE(stop.taking());
+  CHECK_FALSE(stop.may_take({time_ms{0}, time_ms{-200}}));
+}
--- a/tests/routing/stop_policy_test.cpp
+++ b/tests/routing/stop_policy_test.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 using namespace sedgechute;
 
 namespace {
@@ -51,16 +53,39 @@
   rc::check([] {
     const stop_bounds any{time_ms{*rc::gen::inRange(0, 700000)}, time_ms{0},
                           time_ms{*rc::gen::inRange(0, 5000)}};
-    const exit_spans spans = spans_of_exit(any);
+    const exit_spans spans = spans_of_exit(any, cut_after(any));
     RC_ASSERT(cut_after(any) + spans.answers + spans.exchange + spans.lines <= any.grace);
     RC_ASSERT(spans.answers >= time_ms{0} && spans.lines >= time_ms{0});
   });
-  const exit_spans usual = spans_of_exit(bounds);
+  const exit_spans usual = spans_of_exit(bounds, cut_after(bounds));
   CHECK(usual.answers == time_ms{100});
   CHECK(usual.exchange == time_ms{250});
   CHECK(usual.lines == time_ms{100});
 }
 
+// A machine that stood still, or had no processor, comes to the cut late. Steps as long as ever
+// would outlast the grace, and the process would be killed with the last lines of its log
+// unwritten.
+TEST_CASE("a cut that comes late leaves shorter steps to the exit") {
+  rc::check([] {
+    const auto ms = [](int most) { return time_ms{*rc::gen::inRange(0, most)}; };
+    const stop_bounds any{ms(20000), time_ms{0}, ms(5000)};
+    const time_ms since = ms(25000);
+    const exit_spans spans = spans_of_exit(any, since);
+    const time_ms all = spans.answers + spans.exchange + spans.lines;
+    RC_ASSERT(since + all <= std::max(any.grace, since));
+    RC_ASSERT(all <= any.kept_for_exit);
+    RC_ASSERT(spans.answers >= time_ms{0} && spans.exchange >= time_ms{0} &&
+              spans.lines >= time_ms{0});
+  });
+  const exit_spans late = spans_of_exit(bounds, time_ms{7900});
+  CHECK(late.answers == time_ms{20});
+  CHECK(late.exchange == time_ms{50});
+  CHECK(late.lines == time_ms{20});
+  const exit_spans early = spans_of_exit(bounds, time_ms{2600});
+  CHECK(early.answers == time_ms{100});
+}
+
 TEST_CASE("what is taken after the notice is never running at the cut") {
   rc::check([] {
     const auto ms = [](int most) { return time_ms{*rc::gen::inRange(0, most)}; };
