A stop's cut holds by the clock, and an exit that begins late takes less

Cause: nothing was sent on only once the main thread had declared the cut; on a machine that stood still across it a request's thread may run first. And the exit's steps took as long after a late cut as after one in time, beyond the grace, so that the process was killed with its last lines unwritten. Change: taking ends by the time since the signal, too; the steps share what is left of the grace.

--- a/src/relay/impl/planned_stop.cpp
+++ b/src/relay/impl/planned_stop.cpp
@@ -22,8 +22,14 @@
   return begun() && since() >= bounds_.notice;
 }
 
+// By the clock, too: on a machine that stood still across the cut a request's thread may be the
+// first to run again, and nobody has declared the cut yet.
+bool planned_stop::taking() const noexcept {
+  return taking_ && since() < cut_after(bounds_);
+}
+
 bool planned_stop::may_take(const run_forecast& run) const noexcept {
-  return taking_ && (!begun() || sedgechute::may_take(bounds_, since(), run));
+  return taking() && (!begun() || sedgechute::may_take(bounds_, since(), run));
 }
 
 bool planned_stop::may_end(std::size_t open) const noexcept {
--- a/src/relay/impl/planned_stop.hpp
+++ b/src/relay/impl/planned_stop.hpp
@@ -21,7 +21,8 @@
   void cut() noexcept;
 
   [[nodiscard]] bool begun() const noexcept { return began_ != not_begun; }
-  [[nodiscard]] bool taking() const noexcept { return taking_; }
+  /// \returns whether the cut is still to come, and `end_taking` too
+  [[nodiscard]] bool taking() const noexcept;
   /// \brief Since the signal.
   [[nodiscard]] time_ms since() const noexcept;
   [[nodiscard]] bool may_take(const run_forecast& run) const noexcept;
--- a/src/routing/impl/stop_policy.cpp
+++ b/src/routing/impl/stop_policy.cpp
@@ -23,12 +23,13 @@
   return since >= cut || (open == 0 && since >= bounds.notice);
 }
 
-// A tenth is left: each step notices its end some milliseconds late.
-exit_spans spans_of_exit(const stop_bounds& bounds, time_ms /*since*/) noexcept {
+// A tenth is left: each step notices its end some milliseconds late. A machine that stood still
+// comes here late; steps as long as ever would outlast the grace, and the log's last lines be lost.
+exit_spans spans_of_exit(const stop_bounds& bounds, time_ms since) noexcept {
   constexpr std::int64_t parts = 20;
-  const auto part = [kept = bounds.grace - cut_after(bounds)](std::int64_t of) {
-    return time_ms{kept.count() * of / parts};
-  };
+  const time_ms left = std::max(bounds.grace - since, time_ms{0});
+  const time_ms kept = std::min(bounds.grace - cut_after(bounds), left);
+  const auto part = [kept](std::int64_t of) { return time_ms{kept.count() * of / parts}; };
   return {part(4), part(10), part(4)};
 }
 
--- a/src/routing/impl/stop_policy.hpp
+++ b/src/routing/impl/stop_policy.hpp
@@ -29,7 +29,7 @@
                             const run_forecast& run) noexcept;
 
 /// \brief Decides whether the host may end now.
-/// \param open  requests that run
+/// \param open  requests that arrive or run
 [[nodiscard]] bool may_end(const stop_bounds& bounds, time_ms since, std::size_t open) noexcept;
 
 /// \brief The longest that each step of the exit may take; together less than is kept for it.
