Waits for an endpoint's connection end at the cut; what was sent ahead is answered

Cause: only its own time-out, 0.3 s, ended the wait for a connection to an endpoint, and the exit waits 0.1 s for the last answers: the process was gone before the refusal. And behind a stream whose header went out before the signal, without a word of its connection's end, a request that had come already was dropped. Change: the wait for a connection watches the caller and the cut like all others; a connection whose answer did not say that it ends goes on if its next request is there.

--- a/src/relay/impl/caller_answer.cpp
+++ b/src/relay/impl/caller_answer.cpp
@@ -32,11 +32,12 @@
     first_ready_ = caller_.time().now();
 }
 
-response_head caller_answer::answer_head() const {
+response_head caller_answer::answer_head() {
   response_head head = head_;
   head.fields.remove_hop_by_hop();
   head.fields.remove("Content-Length");
-  if (stop_.begun())
+  told_end_ = stop_.begun();
+  if (told_end_)
     head.fields.set("Connection", "close");
   return head;
 }
--- a/src/relay/impl/caller_answer.hpp
+++ b/src/relay/impl/caller_answer.hpp
@@ -36,6 +36,8 @@
   [[nodiscard]] int status() const noexcept { return head_.status; }
   [[nodiscard]] bool stream_begun() const noexcept { return stream_begun_; }
   [[nodiscard]] bool caller_failed() const noexcept { return caller_failed_; }
+  /// \returns whether its header says that the connection ends
+  [[nodiscard]] bool told_end() const noexcept { return told_end_; }
   /// \returns whether the stop of the host ended a write
   [[nodiscard]] bool cut() const noexcept { return cut_; }
   /// \returns when the first event, or the answer, was ready for the caller
@@ -44,7 +46,7 @@
 
  private:
   /// \returns the header that the caller gets, without what tells the body's end
-  [[nodiscard]] response_head answer_head() const;
+  [[nodiscard]] response_head answer_head();
   [[nodiscard]] bool begin_stream();
 
   connection& caller_;
@@ -56,6 +58,7 @@
   bool stream_begun_{false};
   bool caller_failed_{false};
   bool cut_{false};
+  bool told_end_{false};
   std::optional<time_ms> first_ready_;
 };
 
--- a/src/relay/impl/connection.cpp
+++ b/src/relay/impl/connection.cpp
@@ -25,10 +25,6 @@
 constexpr int probe_interval_s = 1;
 constexpr int probes = 2;
 
-Poco::Timespan to_timespan(time_ms span) {
-  return Poco::Timespan{span.count() * Poco::Timespan::MILLISECONDS};
-}
-
 } // namespace
 
 short caller_watch::events() const noexcept {
@@ -104,6 +100,19 @@
   }
 }
 
+io_status connection::wait_open(time_ms deadline, caller_watch* watch) {
+  if (const io_status waited = wait(POLLOUT, deadline, watch); waited != io_status::ok)
+    return waited;
+  switch (socket_.impl()->socketError()) {
+  case 0:
+    return io_status::ok;
+  case ETIMEDOUT:
+    return io_status::timed_out;
+  default:
+    return io_status::reset;
+  }
+}
+
 io_status connection::fill(time_ms deadline, caller_watch* watch) {
   std::array<char, read_block_bytes> block; // NOLINT(cppcoreguidelines-pro-type-member-init)
   for (;;) {
@@ -178,17 +187,20 @@
   (void)::shutdown(descriptor_, SHUT_RD);
 }
 
-connect_result connect_to(const std::string& address, time_ms timeout, const clock& time) {
+connect_result connect_to(const std::string& address, time_ms timeout, const clock& time,
+                          caller_watch* watch) {
   try {
     Poco::Net::StreamSocket socket;
-    socket.connect(Poco::Net::SocketAddress{address}, to_timespan(timeout));
+    socket.connectNB(Poco::Net::SocketAddress{address});
+    auto link = std::make_unique<connection>(socket, time);
+    const io_status status = link->wait_open(time.now() + timeout, watch);
+    if (status != io_status::ok)
+      return {nullptr, status}; // whoever asked logs the endpoint as unreachable
     socket.setNoDelay(true);
     guard_against_silence(socket);
-    return {std::make_unique<connection>(socket, time), false};
-  } catch (const Poco::TimeoutException&) {
-    return {nullptr, true}; // whoever asked logs the endpoint as unreachable
+    return {std::move(link), status};
   } catch (const Poco::Exception&) {
-    return {nullptr, false};
+    return {nullptr, io_status::reset};
   }
 }
 
--- a/src/relay/impl/connection.hpp
+++ b/src/relay/impl/connection.hpp
@@ -67,6 +67,10 @@
   [[nodiscard]] std::string_view buffered() const noexcept;
   void consume(std::size_t count) noexcept;
 
+  /// \brief Waits until a connection that was begun is there.
+  /// \returns `reset` when it was refused
+  [[nodiscard]] io_status wait_open(time_ms deadline, caller_watch* watch);
+
   /// \brief Reads at least one more byte into the buffer.
   [[nodiscard]] io_status fill(time_ms deadline, caller_watch* watch = nullptr);
   [[nodiscard]] io_status write_all(std::string_view bytes, time_ms deadline,
@@ -102,12 +106,15 @@
 
 struct connect_result {
   std::unique_ptr<connection> link; ///< null when there is none
-  bool silent{false};               ///< nothing answered; a refusal proves at least a live host
+  /// Why there is none. `timed_out`: nothing answered; a refusal (`reset`) proves at least a live
+  /// host.
+  io_status status{io_status::ok};
 };
 
 /// \param address  `IP:port`
+/// \param watch    ends the wait for the other side
 [[nodiscard]] connect_result connect_to(const std::string& address, time_ms timeout,
-                                        const clock& time);
+                                        const clock& time, caller_watch* watch = nullptr);
 
 /// \brief Sets what ends a connection whose other side has gone without a word.
 void guard_against_silence(Poco::Net::StreamSocket& socket);
--- a/src/relay/impl/endpoint_prober.cpp
+++ b/src/relay/impl/endpoint_prober.cpp
@@ -39,14 +39,15 @@
 void endpoint_prober::probe_one(const endpoint_directory::probe& probe) {
   const connect_result result = connect_to(probe.address, connect_timeout_, time_);
   const bool reached = result.link != nullptr;
-  endpoints_.note_probe(probe, reached, result.silent);
+  const bool silent = result.status == io_status::timed_out;
+  endpoints_.note_probe(probe, reached, silent);
   if (reached && probe.ask_start)
     endpoints_.note_start(
         probe, ask_start(*result.link, probe.endpoint, dialect_, time_.now() + connect_timeout_));
-  log_.write(severity::info, reached ? "endpoint_reachable" : "endpoint_unreachable",
-             {.endpoint = probe.endpoint.str()},
-             {{log_field::address, probe.address},
-              {log_field::kind, result.silent ? "silent" : "refused"}});
+  log_.write(
+      severity::info, reached ? "endpoint_reachable" : "endpoint_unreachable",
+      {.endpoint = probe.endpoint.str()},
+      {{log_field::address, probe.address}, {log_field::kind, silent ? "silent" : "refused"}});
 }
 
 } // namespace sedgechute
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -128,11 +128,9 @@
 
 send_outcome request_run::send_to(const placement& place, bool& prompt_read) {
   connect_result reached = reach(place);
-  if (!reached.link) {
-    ++unreachable_;
-    return reached.silent ? send_outcome::silent : send_outcome::unreachable;
-  }
-  if (!relay_.stop_.taking()) { // the wait for the connection has outlasted the grace
+  if (!reached.link)
+    return without_connection(reached.status);
+  if (!relay_.stop_.taking()) { // since it was looked at, an endpoint was chosen and connected to
     relay_.connections_.give_back(place.endpoint, place.life, std::move(reached.link));
     return send_outcome::host_stopped;
   }
@@ -148,13 +146,24 @@
   return end;
 }
 
-connect_result request_run::reach(const placement& place) const {
+send_outcome request_run::without_connection(io_status why) noexcept {
+  if (why == io_status::caller_left)
+    return send_outcome::caller_left;
+  if (why == io_status::interrupted)
+    return send_outcome::host_stopped;
+  ++unreachable_;
+  return why == io_status::timed_out ? send_outcome::silent : send_outcome::unreachable;
+}
+
+// An endpoint that takes no connection would hold its request beyond the time that the exit has for
+// the last answers: the wait ends at the cut.
+connect_result request_run::reach(const placement& place) {
   const time_ms most_idle = runs_once(*admitted_.on_route) ? relay_.options_.most_idle_run_once
                                                            : relay_.options_.most_idle;
   auto idle = relay_.connections_.take(place.endpoint, place.life, most_idle);
   if (idle)
-    return {std::move(idle), false};
-  return connect_to(place.address, relay_.options_.connect_timeout, relay_.parts_.time);
+    return {std::move(idle), io_status::ok};
+  return connect_to(place.address, relay_.options_.connect_timeout, relay_.parts_.time, &watch_);
 }
 
 send_outcome request_run::exchange(const placement& place, std::unique_ptr<connection> link,
@@ -204,8 +213,9 @@
 }
 
 after_answer request_run::refuse(const error& reason) {
+  told_end_ = ends_connection();
   const std::string text =
-      refusal_text(relay_.parts_.dialect, reason, admitted_.terms.id, ends_connection());
+      refusal_text(relay_.parts_.dialect, reason, admitted_.terms.id, told_end_);
   log_end(answer_for(reason.kind()).http_status, reason.what());
   return answer_.write(text) ? done() : after_answer::abort;
 }
@@ -215,9 +225,14 @@
 }
 
 // The header of a stream may have gone before the signal to stop, without a word of the
-// connection's end. Its caller's next request would come here all the same, and be refused.
+// connection's end. Its caller's next request would come here all the same, and be refused. One
+// that has come already gets an answer, which says what the first did not: dropped, it may have run
+// as far as its caller can tell.
 after_answer request_run::done() const noexcept {
-  return ends_connection() ? after_answer::close : after_answer::next_request;
+  if (!ends_connection())
+    return after_answer::next_request;
+  const bool told = told_end_ || answer_.told_end();
+  return told || in_.caller.quiet() ? after_answer::close : after_answer::next_request;
 }
 
 std::uint64_t request_run::used() const noexcept {
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -40,7 +40,9 @@
   [[nodiscard]] send_outcome send_to(const placement& place, bool& prompt_read);
   [[nodiscard]] send_outcome exchange(const placement& place, std::unique_ptr<connection> link,
                                       bool& prompt_read);
-  [[nodiscard]] connect_result reach(const placement& place) const;
+  [[nodiscard]] connect_result reach(const placement& place);
+  /// \param why  there is none
+  [[nodiscard]] send_outcome without_connection(io_status why) noexcept;
   [[nodiscard]] after_answer note_answered();
   [[nodiscard]] after_answer give_up(send_outcome end);
   /// \brief Passes on the error that the last endpoint answered.
@@ -66,6 +68,7 @@
   int unreachable_{0};
   bool may_have_run_{false};
   bool last_on_connection_{false}; ///< its caller had better go elsewhere
+  bool told_end_{false};           ///< a refusal says that its connection ends
 };
 
 } // namespace sedgechute
