Failing test: a stop while the settings cannot be read

Cause: SIGHUP is answered on the thread that waits for the signal to stop. A file whose storage hangs, here one whose open waits for good, keeps it there, and SIGTERM is not noticed.

--- a/tests/entry/entry_program.cpp
+++ b/tests/entry/entry_program.cpp
@@ -132,6 +132,12 @@
   return false;
 }
 
+void entry_program::hang_settings() const {
+  const std::string file = folder_ + "/settings.json";
+  Poco::File{file}.remove();
+  REQUIRE(::mkfifo(file.c_str(), S_IRUSR | S_IWUSR) == 0); // without a writer an open waits
+}
+
 std::string entry_program::output() const {
   std::ifstream file{folder_ + "/output"};
   std::ostringstream text;
--- a/tests/entry/entry_program.hpp
+++ b/tests/entry/entry_program.hpp
@@ -50,6 +50,8 @@
   [[nodiscard]] const std::string& callers() const noexcept { return callers_; }
   [[nodiscard]] const std::string& peers() const noexcept { return peers_; }
   [[nodiscard]] standin::topic_store& store() noexcept { return store_; }
+  /// \brief From now on whoever reads its settings waits for good.
+  void hang_settings() const;
   /// \returns all that it has printed; only where somebody reads it
   [[nodiscard]] std::string output() const;
 
--- a/tests/entry/planned_stop_test.cpp
+++ b/tests/entry/planned_stop_test.cpp
@@ -282,3 +282,17 @@
   CHECK(host.wait(time_ms{4000}) == 0);
   CHECK(host.output().find("\"event\":\"stopped\"") != std::string::npos);
 }
+
+// The settings lie on storage that hangs, and a host is told that they have changed. It read them
+// on the thread that waits for signals: the next one, to stop, was not noticed, and all that ran
+// was cut when the grace was over.
+TEST_CASE("a stop does not wait for settings that cannot be read") {
+  entry_program host{R"("grace_s":4)"};
+  REQUIRE(host.ready());
+  host.hang_settings();
+  host.signal(SIGHUP);
+  sleep_for(time_ms{200});
+  host.signal(SIGTERM);
+  CHECK(host.wait(time_ms{4000}) == 0);
+  CHECK(host.output().find("\"event\":\"stopped\"") != std::string::npos);
+}
