SIGHUP is answered on a thread of its own

Cause: the thread that waits for the signal to stop also read the changed settings; a file that cannot be read to its end kept it there, and the whole grace passed unnoticed. Change: the check of changed settings waits for its signal and reads on its own thread. Measured: the test failed and passes, with those of more signals during a stop and of a host never ready.

--- a/src/entry/program/main.cpp
+++ b/src/entry/program/main.cpp
@@ -13,8 +13,11 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <initializer_list>
 #include <iostream>
 #include <sstream>
+#include <system_error>
+#include <thread>
 
 ABSL_FLAG(std::string, settings, "",
           "JSON file with this host's settings; $SEDGECHUTE_CONFIG when not given");
@@ -56,7 +59,8 @@
   std::ifstream in{file};
   std::ostringstream text;
   text << in.rdbuf();
-  if (!in || std::filesystem::is_directory(file))
+  std::error_code fault; // a file that has gone meanwhile is no directory
+  if (!in || std::filesystem::is_directory(file, fault))
     return {.faults = {{file, "cannot be read"}}};
   return check_entry_settings(file, text.str());
 }
@@ -68,16 +72,19 @@
   return !reading.faults.empty();
 }
 
-// Signals are blocked before any thread starts, so that only the wait below receives them.
-sigset_t block_signals() {
+sigset_t set_of(std::initializer_list<int> numbers) {
   sigset_t signals;
   sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGHUP);
+  for (const int number : numbers)
+    sigaddset(&signals, number);
+  return signals;
+}
+
+// Signals are blocked before any thread starts, so that only the waits below receive them.
+void block_signals() {
+  const sigset_t signals = set_of({SIGTERM, SIGINT, SIGHUP});
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   (void)std::signal(SIGPIPE, SIG_IGN);
-  return signals;
 }
 
 // Addresses and names cannot change while callers are connected; what a new file says holds from
@@ -91,12 +98,20 @@
     log.write(severity::info, "settings_checked", {}, {{log_field::path, file}});
 }
 
-void wait_for_stop(const sigset_t& signals, const std::string& file, structured_log& log) {
-  for (int received = 0; received != SIGTERM && received != SIGINT;) {
-    sigwait(&signals, &received);
-    if (received == SIGHUP)
+// On a thread of its own: the file may lie on storage that hangs, and the signal to stop must be
+// noticed all the same.
+void check_at_each_change(const std::string& file, structured_log& log) {
+  std::thread{[file, &log] {
+    const sigset_t change = set_of({SIGHUP});
+    for (int received = 0; sigwait(&change, &received) == 0;)
       check_again(file, log);
-  }
+  }}.detach(); // lives as long as the process
+}
+
+void wait_for_stop() {
+  const sigset_t stops = set_of({SIGTERM, SIGINT});
+  int received = 0;
+  sigwait(&stops, &received);
 }
 
 // Standard error may be the same pipe that nobody reads; then nothing can be told.
@@ -125,7 +140,7 @@
 }
 
 int run() {
-  const sigset_t signals = block_signals();
+  block_signals();
   const std::string file = settings_file();
   const settings_reading reading = read_settings(file);
   if (tell_faults(reading))
@@ -140,7 +155,8 @@
   const steady_clock time;
   entry_host self{reading.settings, time, log};
   self.start();
-  wait_for_stop(signals, file, log);
+  check_at_each_change(file, log);
+  wait_for_stop();
   const time_ms left = self.stop();
   tell_unwritten(log.finish(left));
   std::_Exit(exit_ok); // callers that outlast the grace still hold threads
--- a/tests/entry/planned_stop_test.cpp
+++ b/tests/entry/planned_stop_test.cpp
@@ -265,6 +265,7 @@
     sleep_for(time_ms{20});
   }
   CHECK(asked.get().whole);
+  CHECK(host.output().find("settings_checked") != std::string::npos);
   CHECK(host.wait(time_ms{8000}) == 0);
   CHECK(host.output().find("\"event\":\"stopped\"") != std::string::npos);
 }
