--- a/src/relay/impl/front_door.cpp
+++ b/src/relay/impl/front_door.cpp
@@ -63,6 +63,8 @@
 
   // A new connection is there for a request that is still on its way: until the end of a stop the
   // balancer sends some. One that has had its answers is closed when the notice is over.
+  // A descriptor ends the wait: a flag that was looked at before it took late requests for a
+  // second.
   [[nodiscard]] bool wait_for_request(connection& link, std::size_t number) const {
     const planned_stop& stop = door_.relay_.stop();
     caller_watch watch{-1, number == 1 ? stop.cut_descriptor() : stop.idle_descriptor()};
