--- a/src/routing/impl/stop_policy.hpp
+++ b/src/routing/impl/stop_policy.hpp
@@ -29,7 +29,7 @@
                             const run_forecast& run) noexcept;
 
 /// \brief Decides whether the host may end now.
-/// \param open  requests that run
+/// \param open  requests that arrive or run
 [[nodiscard]] bool may_end(const stop_bounds& bounds, time_ms since, std::size_t open) noexcept;
 
 /// \brief The longest that each step of the exit may take; together less than is kept for it.
@@ -39,7 +39,8 @@
   time_ms lines;    ///< the log's reader takes the last lines
 };
 
-[[nodiscard]] exit_spans spans_of_exit(const stop_bounds& bounds) noexcept;
+/// \param since  the signal, when the exit begins
+[[nodiscard]] exit_spans spans_of_exit(const stop_bounds& bounds, time_ms since) noexcept;
 
 /// \brief Why bounds cannot be kept.
 enum class stop_fault {
