--- a/tests/ledger/fleet_model.cpp
+++ b/tests/ledger/fleet_model.cpp
@@ -1,65 +1,16 @@
 #include "fleet_model.hpp"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace sedgechute::ledger {
 
 namespace {
 
-struct weighted_kind {
-  step_kind kind;
-  std::uint32_t weight;
-};
-
-using enum step_kind;
-constexpr std::array weights{weighted_kind{pass_time, 10},  weighted_kind{run, 14},
-                             weighted_kind{deliver, 14},    weighted_kind{drop, 3},
-                             weighted_kind{repeat, 4},      weighted_kind{append, 5},
-                             weighted_kind{lose_append, 1}, weighted_kind{repeat_append, 3},
-                             weighted_kind{read, 5},        weighted_kind{see_members, 4},
-                             weighted_kind{request, 16},    weighted_kind{retry, 4},
-                             weighted_kind{settle, 12},     weighted_kind{no_usage, 1},
-                             weighted_kind{shrink, 2},      weighted_kind{withdraw, 2},
-                             weighted_kind{top_up, 2},      weighted_kind{reduce_contract, 1},
-                             weighted_kind{crash, 2},       weighted_kind{pause, 3},
-                             weighted_kind{cut_hosts, 3},   weighted_kind{cut_data_centre, 2},
-                             weighted_kind{cut_log, 2},     weighted_kind{log_outage, 2},
-                             weighted_kind{checkpoint, 1},  weighted_kind{trim, 1},
-                             weighted_kind{release, 2},     weighted_kind{drain, 1},
-                             weighted_kind{long_wait, 1}};
-
-constexpr std::uint32_t favoured = 5;
-
 constexpr time_ms round_span{60};
 
 } // namespace
 
-step_source::step_source(random_source& random) : random_{random} {
-  for (const weighted_kind& w : weights) {
-    const std::uint64_t drawn = random_.below(10);
-    const bool needed = w.kind == run || w.kind == request || w.kind == settle;
-    std::uint32_t weight = w.weight;
-    if (drawn < 2 && !needed)
-      weight = 0;
-    else if (drawn > 7)
-      weight *= favoured;
-    weights_.push_back(weight);
-    total_ += weight;
-  }
-}
-
-step step_source::next() {
-  auto drawn = static_cast<std::uint32_t>(random_.below(total_));
-  const std::uint64_t numbers = random_();
-  std::size_t kind = 0;
-  while (drawn >= weights_[kind])
-    drawn -= weights_[kind++];
-  return {weights[kind].kind, static_cast<std::uint32_t>(numbers),
-          static_cast<std::uint32_t>(numbers >> 32U)};
-}
-
 std::string to_text(const step& s) {
   return std::string{name_of(s.kind)} + ' ' + std::to_string(s.a) + ' ' + std::to_string(s.b);
 }
@@ -151,6 +102,27 @@
   collect(to);
 }
 
+// A copy that takes another way may come after all that was sent later, also after a wait beyond
+// every timeout. Rounds don't deliver it.
+void fleet_model::copy_late(std::size_t index) {
+  late_messages_.push_back(network_[index]);
+  deliver(index, false);
+}
+
+void fleet_model::deliver_late(std::size_t index) {
+  network_.push_back(std::move(late_messages_[index]));
+  late_messages_[index] = std::move(late_messages_.back());
+  late_messages_.pop_back();
+  deliver(network_.size() - 1, false);
+}
+
+void fleet_model::append_late(std::size_t index) {
+  appends_.push_back(std::move(late_appends_[index]));
+  late_appends_[index] = std::move(late_appends_.back());
+  late_appends_.pop_back();
+  append(appends_.size() - 1, false);
+}
+
 void fleet_model::append(std::size_t index, bool keep) {
   if (log_down_)
     return;
--- a/tests/ledger/fleet_model.hpp
+++ b/tests/ledger/fleet_model.hpp
@@ -24,6 +24,10 @@
   append,        ///< one record is appended
   lose_append,   ///< one record is lost on its way to the log
   repeat_append, ///< one record is appended and stays on its way
+  copy_late,     ///< one message arrives, and a copy of it is held up beyond all rounds
+  hold_append,   ///< one record is held up beyond all rounds
+  late_message,  ///< a message that was held up arrives
+  late_append,   ///< a record that was held up is appended
   read,          ///< one host reads the log
   see_members,   ///< one host learns who is alive
   request,       ///< a caller sends a request
@@ -54,16 +58,23 @@
 };
 
 /// \brief Draws steps; the frequent kinds let work move on between faults. Each source favours some
-/// kinds and never draws others, so that schedules differ more than if all drew alike.
+/// kinds and never draws others, so that schedules differ more than if all drew alike. Every second
+/// one also tells episodes: steps of the same hosts that make sense one after the other, which
+/// single draws hardly ever bring together.
 class step_source {
  public:
   explicit step_source(random_source& random);
   [[nodiscard]] step next();
 
  private:
+  [[nodiscard]] step single();
+  void begin_episode();
+
   random_source& random_;
   std::vector<std::uint32_t> weights_; ///< by kind
   std::uint32_t total_{};
+  bool tells_episodes_{};
+  std::deque<step> episode_; ///< what is left of the one that was begun
 };
 
 [[nodiscard]] std::string to_text(const step& s);
@@ -180,7 +191,10 @@
 
   void start_host(std::uint32_t index);
   void deliver(std::size_t index, bool keep);
+  void copy_late(std::size_t index);
+  void deliver_late(std::size_t index);
   void append(std::size_t index, bool keep);
+  void append_late(std::size_t index);
   void read_log(std::uint32_t index, std::size_t most);
   void restore_next_part(fake_host& h);
   void start_checkpoint(std::uint32_t index);
@@ -207,8 +221,10 @@
   std::vector<fake_host> hosts_;
   std::vector<bool> cuts_; ///< hosts x hosts
   std::vector<in_flight> network_;
+  std::vector<in_flight> late_messages_; ///< copies that are held up
   std::vector<ledger_record> appends_;
-  std::vector<log_entry> log_; ///< offset - 1
+  std::vector<ledger_record> late_appends_; ///< held up
+  std::vector<log_entry> log_;              ///< offset - 1
   log_offset first_retained_{1};
   std::optional<open_checkpoint> open_checkpoint_;
   std::vector<ledger_snapshot> checkpoint_; ///< parts of the last whole one
@@ -238,6 +254,10 @@
                                                  {append, "append"},
                                                  {lose_append, "lose_append"},
                                                  {repeat_append, "repeat_append"},
+                                                 {copy_late, "copy_late"},
+                                                 {hold_append, "hold_append"},
+                                                 {late_message, "late_message"},
+                                                 {late_append, "late_append"},
                                                  {read, "read"},
                                                  {see_members, "see_members"},
                                                  {request, "request"},
--- a/tests/ledger/fleet_steps.cpp
+++ b/tests/ledger/fleet_steps.cpp
@@ -50,6 +50,24 @@
     if (!appends_.empty())
       appends_.erase(appends_.begin() + static_cast<std::ptrdiff_t>(record));
     break;
+  case step_kind::copy_late:
+    if (!network_.empty())
+      copy_late(message);
+    break;
+  case step_kind::hold_append:
+    if (!appends_.empty()) {
+      late_appends_.push_back(std::move(appends_[record]));
+      appends_.erase(appends_.begin() + static_cast<std::ptrdiff_t>(record));
+    }
+    break;
+  case step_kind::late_message:
+    if (!late_messages_.empty())
+      deliver_late(s.b % late_messages_.size());
+    break;
+  case step_kind::late_append:
+    if (!late_appends_.empty())
+      append_late(s.b % late_appends_.size());
+    break;
   case step_kind::read:
     read_log(index, 1 + s.b % 4);
     break;
@@ -257,6 +275,10 @@
     hosts_[i].log_cut = false;
   }
   see_all_members();
+  while (!late_messages_.empty())
+    deliver_late(0);
+  while (!late_appends_.empty())
+    append_late(0);
   for (int i = 0; i < rounds; ++i)
     run_round();
   for (running_request& r : requests_) {
