--- a/tests/entry/fleet_watch_test.cpp
+++ b/tests/entry/fleet_watch_test.cpp
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <optional>
 #include <thread>
+#include <utility>
 
 using namespace sedgechute;
 
@@ -15,16 +16,24 @@
 /// What is published, as a test changes it.
 class scripted_source final : public fleet_source {
  public:
-  config_changes newest_config() override { return configs_from(0, time_ms{0}); }
+  config_changes newest_config() override {
+    config_changes all = configs_from(0, time_ms{0});
+    if (all.versions.size() > 1)
+      all.versions.erase(all.versions.begin(), all.versions.end() - 1);
+    return all;
+  }
 
   config_changes configs_from(std::uint64_t from, time_ms) override {
     std::this_thread::sleep_for(std::chrono::milliseconds{5});
     const std::scoped_lock lock{mutex_};
     check();
     config_changes changes;
+    changes.end = configs_.size();
+    changes.history_lost = from > 0 && std::exchange(history_lost_, false);
+    if (changes.history_lost)
+      return changes;
     for (std::uint64_t i = from; i < configs_.size(); ++i)
       changes.versions.push_back(configs_[i]);
-    changes.end = configs_.size();
     return changes;
   }
 
@@ -55,6 +64,19 @@
     configs_.push_back(config);
   }
 
+  /// \brief Forgets all versions, and that which is published next is the newest that is known.
+  void lose_history(std::uint64_t newest) {
+    auto config = std::make_shared<fleet_config>();
+    config->version = newest;
+    const std::scoped_lock lock{mutex_};
+    configs_ = {config};
+    history_lost_ = true;
+  }
+  [[nodiscard]] bool history_was_read_anew() {
+    const std::scoped_lock lock{mutex_};
+    return !history_lost_;
+  }
+
   void set(const std::string& name, bool present) {
     const std::scoped_lock lock{mutex_};
     present_[name] = present;
@@ -100,6 +122,7 @@
   std::map<std::string, time_ms> started_;
   std::vector<endpoint_change> changes_;
   bool away_{false};
+  bool history_lost_{false};
 };
 
 struct fixture {
@@ -151,6 +174,22 @@
   CHECK(at.watch.config()->version == 9);
 }
 
+// The store loses its history, and the newest version that it still has is older than the one in
+// force. Keys that were taken away since would be let in again.
+TEST_CASE("an older configuration is not let in when the store has lost its history") {
+  fixture at;
+  at.source.publish(5);
+  at.source.publish(9);
+  at.watch.start();
+  REQUIRE(at.soon([&] { return at.watch.config() != nullptr && at.watch.config()->version == 9; }));
+  at.source.lose_history(7);
+  REQUIRE(at.soon([&] { return at.source.history_was_read_anew(); }));
+  std::this_thread::sleep_for(std::chrono::milliseconds{100});
+  CHECK(at.watch.config()->version == 9);
+  at.source.publish(10);
+  CHECK(at.soon([&] { return at.watch.config()->version == 10; }));
+}
+
 TEST_CASE("endpoints come and go with their entries") {
   fixture at;
   at.source.set("e1", true);
--- a/tests/prepaid/account_test.cpp
+++ b/tests/prepaid/account_test.cpp
@@ -56,6 +56,15 @@
   CHECK_FALSE(decode_account("team-a\nhost-1", "1 2 3 99999999999999999999999"));
 }
 
+// Another program writes an account whose numbers are near the end of 64 bits. Two of them would
+// sum up to little, and a budget that is granted whole would look free.
+TEST_CASE("numbers that would make sums wrap are no account") {
+  CHECK(decode_account("team-a\nhost-1", "1 1125899906842624 3 4").has_value());
+  CHECK_FALSE(decode_account("team-a\nhost-1", "1 1125899906842625 3 4"));
+  CHECK_FALSE(decode_account("team-a\nhost-1", "1 18446744073709551615 3 4"));
+  CHECK_FALSE(decode_account("team-a\nhost-1", "1 2 3 4 18446744073709551615 6 7 8 9 10 0"));
+}
+
 TEST_CASE("an account that uses more than it was granted has no slack") {
   CHECK(account{.incarnation = 1, .granted = 100, .used = 130}.slack() == 0);
   CHECK(account{.incarnation = 1, .granted = 130, .used = 100}.slack() == 30);
--- a/tests/prepaid/budget_desk_test.cpp
+++ b/tests/prepaid/budget_desk_test.cpp
@@ -16,6 +16,9 @@
   std::mutex mutex;
   log_model log;
   std::atomic<bool> away{false};
+  std::atomic<bool> appends_refused{false}; ///< as if another host's came first each time
+  std::atomic<bool> appends_lost{false};    ///< neither carried out nor answered
+  std::vector<entry_fault> faults;          ///< of records that cannot be read; set before use
   std::atomic<int> appends{0};
 };
 
@@ -32,6 +35,7 @@
     page.end = shared_.log.end();
     page.records.assign(shared_.log.records.begin() + static_cast<std::ptrdiff_t>(from),
                         shared_.log.records.end());
+    page.faults = shared_.faults;
     return page;
   }
 
@@ -40,7 +44,9 @@
     check();
     const std::scoped_lock lock{shared_.mutex};
     ++shared_.appends;
-    if (!shared_.log.append_at(end, records))
+    if (shared_.appends_lost)
+      throw error{error_kind::log_unavailable, "log", "does not answer"};
+    if (shared_.appends_refused || !shared_.log.append_at(end, records))
       return std::nullopt;
     return shared_.log.end();
   }
@@ -78,6 +84,18 @@
   budget_desk desk;
 };
 
+/// \returns whether no request gets tokens, however often one asks while appends are tried
+bool serves_nothing(shared_log& shared, budget_desk& desk) {
+  const int tried = shared.appends;
+  bool nothing = true;
+  for (int i = 0; i < 500 && shared.appends < tried + 3; ++i) {
+    nothing = nothing && desk.reserve("team-a", 100) != reserve_outcome::reserved;
+    std::this_thread::sleep_for(std::chrono::milliseconds{10});
+  }
+  REQUIRE(shared.appends >= tried + 3);
+  return nothing && desk.figures()["team-a"].granted == 0;
+}
+
 /// Tries as a caller would that is told to come back.
 reserve_outcome reserve_soon(budget_desk& desk, const std::string& team, std::uint64_t bound) {
   reserve_outcome outcome = desk.reserve(team, bound);
@@ -118,6 +136,42 @@
   CHECK(host.desk.reserve("team-a", 90000) == reserve_outcome::short_here);
 }
 
+// Each time a host asks for tokens another host's record comes first, and its own is not in the
+// log. What it asked for may be granted to the other: it has nothing until its own record is there.
+TEST_CASE("an append that the log refused grants nothing") {
+  shared_log shared;
+  shared.appends_refused = true;
+  desk_fixture host{shared, "desk-8", 1};
+  REQUIRE(host.desk.loaded());
+  CHECK(serves_nothing(shared, host.desk));
+  shared.appends_refused = false;
+  CHECK(reserve_soon(host.desk, "team-a", 100) == reserve_outcome::reserved);
+}
+
+// The answer to a host's append is lost. The record may be in the log or not, and here it is not:
+// the host has nothing until it has read its record there.
+TEST_CASE("an append without an answer grants nothing") {
+  shared_log shared;
+  shared.appends_lost = true;
+  desk_fixture host{shared, "desk-9", 1};
+  REQUIRE(host.desk.loaded());
+  CHECK(serves_nothing(shared, host.desk));
+  shared.appends_lost = false;
+  CHECK(reserve_soon(host.desk, "team-a", 100) == reserve_outcome::reserved);
+}
+
+// A host starts, and another program has written over the newest account of one that it doesn't
+// know yet. That one may hold the whole budget, so none of it is granted again.
+TEST_CASE("a desk that cannot read an account takes no tokens beside it") {
+  shared_log shared;
+  shared.faults = {{account_key("team-a", "other"), "not an account"}};
+  desk_fixture host{shared, "desk-10", 1};
+  REQUIRE(host.desk.loaded());
+  for (int i = 0; i < 5; ++i)
+    CHECK(host.desk.reserve("team-a", 100) == reserve_outcome::short_here);
+  CHECK(host.desk.figures()["team-a"].granted == 0);
+}
+
 // Two hosts stop one after the other while the other serves. What the first had not used is there
 // for the second.
 TEST_CASE("a host that stops hands its tokens to the others") {
--- a/tests/prepaid/log_model.hpp
+++ b/tests/prepaid/log_model.hpp
@@ -47,6 +47,7 @@
   void read_into(prepaid_book& book, time_ms now) const {
     for (std::uint64_t i = book.end(); i < records.size(); ++i)
       read_one(book, i, now);
+    book.advance(end()); // also where a look finds nothing new
   }
 
   /// \brief What a host reads that has just started: the newest record of each host.
--- a/tests/prepaid/prepaid_book_test.cpp
+++ b/tests/prepaid/prepaid_book_test.cpp
@@ -143,6 +143,25 @@
   CHECK(after.book.granted(team) <= paid);
 }
 
+// The log is away from a new life for some seconds, and its earlier life's promise would have grown
+// meanwhile. What hands the earlier life's tokens back may be under way: by that promise the new
+// life would use what another host is granted.
+TEST_CASE("a new life that waits for its first record uses nothing by its earlier life's promise") {
+  log_model log;
+  host_model before{"h1", 1};
+  REQUIRE(before.reserve(log, 500, time_ms{1000}));
+  for (int i = 1; i < 10; ++i)
+    before.book.note_request(team, 500, time_ms{1000 + i * 100});
+  REQUIRE(before.report(log, time_ms{2000}));
+  const account last = before.last_record(log);
+  REQUIRE(most_used(last, time_ms{8000}) > most_used(last, time_ms{1500}));
+  host_model after{"h1", 2, moment(time_ms{3500})};
+  log.read_into(after.book, time_ms{3500});
+  CHECK(after.book.slack(team, time_ms{10000}) == 0);
+  CHECK(after.book.reserve(team, paid, 1, time_ms{10000}) == reserve_outcome::short_here);
+  CHECK(after.book.lend(team, 1, time_ms{10000}) == 0);
+}
+
 // A host holds much and has promised to use little of it soon. A large request is not served before
 // a record promises more; in a cut from the log the promise grows with time.
 TEST_CASE("a host keeps to what its last record promised") {
@@ -256,6 +275,19 @@
   CHECK(host.book.slack(team, time_ms{9000}) == 0);
 }
 
+// A host hands tokens back and gets no answer. It looks at the log, which has not grown: the append
+// may still be carried out there, so the tokens are not spent.
+TEST_CASE("a look at a log that has not grown frees nothing that is on its way back") {
+  log_model log;
+  host_model host{"h1", 1};
+  REQUIRE(host.reserve(log, 500, time_ms{20}));
+  REQUIRE(host.book.slack(team, time_ms{20}) > 0);
+  (void)host.book.plan({{team, paid}}, moment(time_ms{30}), true);
+  host.book.advance(host.book.end());
+  CHECK(host.book.slack(team, time_ms{40}) == 0);
+  CHECK(host.book.reserve(team, paid, 1, time_ms{40}) != reserve_outcome::reserved);
+}
+
 // The append was never carried out, and another host's record came instead: the log tells, and what
 // the host holds by the log may be spent again.
 TEST_CASE("tokens that were not handed back after all may be spent") {
--- a/tests/prepaid/token_loans_test.cpp
+++ b/tests/prepaid/token_loans_test.cpp
@@ -186,6 +186,24 @@
   CHECK(hosts.lent() == 230);
 }
 
+// A message gives more back than was lent. Nobody counted the rest as used before, so what another
+// loan still uses would look free.
+TEST_CASE("no more is taken back than a loan had") {
+  two_hosts hosts;
+  REQUIRE(hosts.borrow(100) == 100);
+  REQUIRE(hosts.taker().desk.reserve(team, 100) == reserve_outcome::reserved);
+  REQUIRE(hosts.borrow(60) == 60);
+  REQUIRE(hosts.taker().desk.reserve(team, 60) == reserve_outcome::reserved);
+  REQUIRE(hosts.lent() == 160);
+  auto returned = decode_loan(hosts.last_answer);
+  REQUIRE(returned.has_value());
+  returned->step = loan_step::returned;
+  returned->host = "taker";
+  returned->tokens = 150;
+  REQUIRE(hosts.giver().loans.take(encode_loan(*returned)));
+  CHECK(hosts.lent() == 100);
+}
+
 // A host stops while a request runs on what it borrowed. When that ends, its rest goes back too.
 TEST_CASE("a host that stops gives back what others lent it") {
   two_hosts hosts;
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -74,7 +74,8 @@
   budgets_->start();
   for (int i = 0; i < 300 && budgets_->figures()["team-a"].slack == 0; ++i)
     std::this_thread::sleep_for(std::chrono::milliseconds{5});
-  options.retries.slack = 1000;
+  if (options.retries.slack == 0)
+    options.retries.slack = 1000;
   relay_ = std::make_unique<request_relay>(
       request_relay::parts{dialect_, endpoints_, *budgets_, time_, log_, figures_,
                            [this] { return config_; }, [] { return std::size_t{1}; },
--- a/tests/relay/relay_fixture.hpp
+++ b/tests/relay/relay_fixture.hpp
@@ -59,7 +59,7 @@
 class relay_fixture {
  public:
   /// \param prepaid  of the only team
-  /// \param options  of the relay
+  /// \param options  of the relay; as many repeats as are wanted where they say nothing of them
   /// \param config   in force; by default one with the only service and a route of each kind
   explicit relay_fixture(std::uint64_t prepaid = 1000000, relay_options options = {},
                          config_ptr config = nullptr);
--- a/tests/relay/retry_allowance_test.cpp
+++ b/tests/relay/retry_allowance_test.cpp
@@ -27,6 +27,22 @@
   }
 }
 
+// Repeats of a moment are all that the bound allows for a whole window: halfway through it none are
+// left, and after it all are.
+TEST_CASE("repeats count for a whole window") {
+  retry_allowance allowance{{.ratio = 0.2, .slack = 10, .window = time_ms{10000}}};
+  const auto taken_at = [&](time_ms now) {
+    int taken = 0;
+    while (taken < 20 && allowance.take_repeat("a", 1, now))
+      ++taken;
+    return taken;
+  };
+  CHECK(taken_at(time_ms{500}) == 7);
+  for (const std::int64_t now : {3000, 6000, 9000, 10499})
+    CHECK(taken_at(time_ms{now}) == 0);
+  CHECK(taken_at(time_ms{22000}) == 7);
+}
+
 TEST_CASE("services do not draw on each other's allowance") {
   retry_allowance allowance{{.ratio = 0.2, .slack = 10, .window = time_ms{10000}}};
   int first = 0;
