--- a/bench/mutations/mutate.py
+++ b/bench/mutations/mutate.py
@@ -46,6 +46,15 @@
     return text.replace(mutation["old"], mutation["new"])
 
 
+def fits(mutation):
+    try:
+        changed_source(mutation)
+        return True
+    except (OSError, refused) as reason:
+        print(f"{mutation['name']}: DOES NOT FIT, {reason}", flush=True)
+        return False
+
+
 def compile_changed(mutation, commands, folder):
     original = str(root / mutation["file"])
     source = folder / pathlib.Path(mutation["file"]).name
@@ -134,6 +143,8 @@
     options.add_argument("--table", default=str(root / "bench/mutations/platform.toml"))
     options.add_argument("--build", help="folder of the build; else $BUILD_DIR, or build")
     options.add_argument("--quick", action="store_true", help="only those marked quick")
+    options.add_argument("--fits", action="store_true",
+                         help="only look whether each text to replace stands once in its file")
     options.add_argument("--jobs", type=int, default=3, help="mutations tried at a time")
     options.add_argument("--discover", action="store_true",
                          help="run all test cases of a group and show which ones fail")
@@ -143,6 +154,10 @@
     table = tomllib.loads(pathlib.Path(given.table).read_text())["mutation"]
     chosen = [m for m in table if (not given.quick or m.get("quick"))
               and (not given.names or m["name"] in given.names)]
+    if given.fits:
+        missed = sum(not fits(mutation) for mutation in chosen)
+        print(json.dumps({"mutations": len(chosen), "missed": missed}))
+        return 0 if chosen and missed == 0 else 1
     commands = {entry["file"]: entry
                 for entry in json.loads((build / "compile_commands.json").read_text())}
     try:
--- a/tests/mutations/mutations_test.cpp
+++ b/tests/mutations/mutations_test.cpp
@@ -36,6 +36,13 @@
   CHECK(output.ends_with("{\"mutations\":20,\"missed\":0}\nexit code 0"));
 }
 
+// A line that a mutation replaces was changed, and the mutation with it would be lost unseen.
+TEST_CASE("each deliberate fault in the code on the platform still fits its source") {
+  const std::string output = output_of(source + "/bench/mutations/mutate.py", {"--fits"});
+  INFO(output);
+  CHECK(output.ends_with("\"missed\": 0}\nexit code 0"));
+}
+
 TEST_CASE("tests notice a deliberate fault of each kind in the code on the platform") {
   const std::string output =
       output_of(source + "/bench/mutations/mutate.py", {"--quick", "--build", build});
