--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -37,9 +37,9 @@
 } // namespace
 
 endpoint_directory::endpoint_directory(data_centre_id here, const choice_weights& weights,
-                                       const clock& time)
+                                       const clock& time, random_source random)
     : here_{std::move(here)}, weights_{weights}, time_{time}, others_{silent_host},
-      starts_{starts_kept}, reach_{reach_options{}}, random_{random_source::from_system()} {}
+      starts_{starts_kept}, reach_{reach_options{}}, random_{random} {}
 
 void endpoint_directory::put(endpoint_entry entry) {
   std::optional<endpoint_restart> restart;
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -60,7 +60,9 @@
  public:
   using restart_listener = std::function<void(const endpoint_restart&)>;
 
-  endpoint_directory(data_centre_id here, const choice_weights& weights, const clock& time);
+  /// \param random  breaks ties between equals; every host needs another one
+  endpoint_directory(data_centre_id here, const choice_weights& weights, const clock& time,
+                     random_source random = random_source::from_system());
 
   /// \brief Before any thread uses the directory: who is told of restarts, without a lock held.
   void on_restart(restart_listener told) { on_restart_ = std::move(told); }
