--- a/bench/pool/impl/deployment.hpp
+++ b/bench/pool/impl/deployment.hpp
@@ -10,15 +10,16 @@
 /// \brief Lengths by a log-normal law, cut off above.
 struct token_length {
   double mean{1};
-  double spread{0}; ///< of the logarithm
+  double spread{0}; ///< standard deviation, in parts of the mean
   double most{1e9};
 };
 
-/// \brief A part that prompts share: one of so many, the first ones more often.
+/// \brief A part that prompts share: one of so many. The last shared part of a prompt decides which
+/// ones come before it.
 struct shared_part {
   token_length tokens;
   std::uint32_t choices{1};
-  double skew{0}; ///< exponent of Zipf's law
+  double skew{0}; ///< exponent of Zipf's law, by which the last ones are drawn
 };
 
 /// \brief Requests of one kind and what they are worth to their callers.
--- a/bench/pool/impl/engine.hpp
+++ b/bench/pool/impl/engine.hpp
@@ -88,6 +88,7 @@
   bool preempt_one(const place& for_whom, std::vector<engine_word>& words);
   void free_memory(engine_run& run);
   void hold_next_tokens(std::vector<engine_word>& words);
+  [[nodiscard]] bool is_read(const place& at) const;
   [[nodiscard]] double plan_reading();
   void read(engine_run& run, std::uint64_t tokens, std::vector<engine_word>& words);
   void make_token(engine_run& run, std::vector<engine_word>& words) const;
@@ -97,6 +98,7 @@
   part_memory memory_;
   std::map<place, engine_run> waiting_;
   std::map<place, engine_run> running_;
+  std::vector<place> readers_;                         ///< in the order of their admission
   std::vector<std::pair<place, std::uint64_t>> chunk_; ///< who reads how much in this step
   std::vector<place> making_;                          ///< who makes a token in this step
   std::uint64_t orders_{0};
--- a/bench/pool/impl/figures.cpp
+++ b/bench/pool/impl/figures.cpp
@@ -85,6 +85,8 @@
     add(all.read, kind.read);
   }
   all.preemptions = played.preemptions();
+  for (const engine& at : played.engines())
+    all.tokens_read += at.tokens_read();
   return all;
 }
 
@@ -94,6 +96,7 @@
     all.owed += runs[r].owed;
     all.earned += runs[r].earned;
     all.preemptions += runs[r].preemptions;
+    all.tokens_read += runs[r].tokens_read;
     add(all.read, runs[r].read);
     for (std::size_t i = 0; i < all.kinds.size(); ++i) {
       kind_figures& to = all.kinds[i];
--- a/bench/pool/impl/figures.hpp
+++ b/bench/pool/impl/figures.hpp
@@ -28,6 +28,7 @@
   double earned{0};
   reading read;
   std::uint64_t preemptions{0};
+  std::uint64_t tokens_read{0};
 
   [[nodiscard]] double worth() const noexcept { return owed > 0 ? earned / owed : 0; }
 };
