--- a/bench/pool/impl/arrival.cpp
+++ b/bench/pool/impl/arrival.cpp
@@ -38,8 +38,8 @@
 class generator {
  public:
   generator(const deployment& of, const traffic& how)
-      : of_{of}, how_{how}, random_{mix_hash(how.seed, stable_hash(of.name))},
-        teams_{sums_of(of.team_parts)} {
+      : of_{of}, how_{how}, random_{mix_hash(how.seed, stable_hash(of.name))}, teams_{sums_of(
+                                                                                   of.team_parts)} {
     draw_kinds();
     place_callers();
   }
@@ -114,8 +114,7 @@
     for (std::size_t level = 0; level < kind.shared.size(); ++level) {
       const bool last = level + 1 == kind.shared.size();
       const std::uint32_t choice = last ? subject : subject % kind.shared[level].choices;
-      const std::string id =
-          kind.name + std::to_string(level) + '-' + std::to_string(choice);
+      const std::string id = kind.name + std::to_string(level) + '-' + std::to_string(choice);
       add_part(made, id, shared_length(id, kind.shared[level].tokens));
     }
     add_part(made, "r" + std::to_string(requests_++), whole_length(kind.own_tokens, random_));
--- a/bench/pool/impl/arrival.hpp
+++ b/bench/pool/impl/arrival.hpp
@@ -29,7 +29,7 @@
   double surge{1}; ///< times the traffic, within the span below
   double surge_from_ms{0};
   double surge_until_ms{0};
-  std::uint32_t surging_teams{0}; ///< 0: all; else only the first so many
+  std::uint32_t surging_teams{0};     ///< 0: all; else only the first so many
   std::vector<double> kind_factors{}; ///< times the rate of each kind; empty: the usual
   std::uint64_t seed{1};
 };
--- a/bench/pool/impl/engine.cpp
+++ b/bench/pool/impl/engine.cpp
@@ -153,7 +153,8 @@
       break;
     const engine_run& run = running_.at(at);
     const std::uint64_t count = std::min(left, run.to_read);
-    const auto before = static_cast<double>(context_of(run) - std::min(context_of(run), run.to_read));
+    const auto before =
+        static_cast<double>(context_of(run) - std::min(context_of(run), run.to_read));
     const auto now = static_cast<double>(count);
     pairs += now * before + now * now / 2;
     tokens += count;
--- a/bench/pool/impl/engine.hpp
+++ b/bench/pool/impl/engine.hpp
@@ -18,7 +18,7 @@
 /// \brief One request at an engine.
 struct engine_run {
   std::uint32_t request{};
-  int urgency{}; ///< 0 comes first
+  int urgency{};                    ///< 0 comes first
   std::vector<prompt_piece> pieces; ///< of the whole prompt, in order
   std::uint32_t prompt_tokens{};
   std::uint32_t output_tokens{1};
--- a/bench/pool/impl/engine_sheet.hpp
+++ b/bench/pool/impl/engine_sheet.hpp
@@ -15,9 +15,9 @@
   double tokens_read_a_ms{70};
   /// A pair is a token that is read and a token before it.
   double read_ms_each_million_pairs{0.25};
-  double first_ms{0};              ///< before a request is in line
+  double first_ms{0};               ///< before a request is in line
   std::uint32_t chunk_tokens{1024}; ///< read in one step at most
-  std::uint32_t event_tokens{5};   ///< in one event of a stream
+  std::uint32_t event_tokens{5};    ///< in one event of a stream
   double fetch_setup_ms{4};
   double tokens_fetched_a_ms{140};
   double report_lag_ms{100}; ///< age of the load that it tells
--- a/bench/pool/impl/own_policies.cpp
+++ b/bench/pool/impl/own_policies.cpp
@@ -121,7 +121,8 @@
     };
     const auto chosen =
         cheapest(request, engines.size(), random_.below(engines.size()), [&](std::uint32_t engine) {
-          return wait_at(at, engine) + static_cast<double>(unread(engine)) / sheet_.tokens_read_a_ms;
+          return wait_at(at, engine) +
+                 static_cast<double>(unread(engine)) / sheet_.tokens_read_a_ms;
         });
     if (!chosen)
       return chosen;
@@ -175,8 +176,8 @@
   [[nodiscard]] double wait_at(const host& at, std::uint32_t engine) const {
     constexpr double usual_prompt = 2500;
     const engine_load& told = at.told[engine];
-    const auto running = static_cast<double>(
-        std::max<std::uint64_t>(at.open[engine], told.running + told.waiting + at.sent_since[engine]));
+    const auto running = static_cast<double>(std::max<std::uint64_t>(
+        at.open[engine], told.running + told.waiting + at.sent_since[engine]));
     const double unread =
         std::max(static_cast<double>(at.unread[engine]), told.waiting * usual_prompt);
     return running * sheet_.step_ms_each_running + unread / sheet_.tokens_read_a_ms;
--- a/bench/pool/impl/placement_policy.hpp
+++ b/bench/pool/impl/placement_policy.hpp
@@ -13,7 +13,7 @@
 /// \brief An engine as the model knows it, with the load that it would tell now.
 struct engine_view {
   const engine* state{nullptr};
-  engine_load told; ///< as old as its reports are
+  engine_load told;                  ///< as old as its reports are
   std::uint64_t on_the_way{};        ///< requests sent to it that are not there yet
   std::uint64_t unread_on_the_way{}; ///< tokens of their prompts, without what it keeps
   std::uint32_t zone{};
--- a/bench/pool/impl/shipped_policy.cpp
+++ b/bench/pool/impl/shipped_policy.cpp
@@ -12,8 +12,8 @@
 
 // Endpoints are named and addressed by their numbers.
 endpoint_entry entry_of(std::uint32_t engine, std::uint32_t zone, std::uint64_t slots) {
-  return {endpoint_id{"e" + std::to_string(engine)}, "engines", std::to_string(engine),
-          data_centre_id{"z" + std::to_string(zone)}, slots, false};
+  return {endpoint_id{"e" + std::to_string(engine)},  "engines", std::to_string(engine),
+          data_centre_id{"z" + std::to_string(zone)}, slots,     false};
 }
 
 template <typename Row>
@@ -62,8 +62,7 @@
   host& at = hosts_.at(request.what->host);
   placement_request asked{"engines", &request.what->terms, {}};
   for (const std::uint32_t engine : request.avoid)
-    asked.avoid.push_back(
-        incarnation_of(endpoint_id{"e" + std::to_string(engine)}, std::nullopt));
+    asked.avoid.push_back(incarnation_of(endpoint_id{"e" + std::to_string(engine)}, std::nullopt));
   auto place = at.endpoints->place(asked);
   if (!place)
     return std::nullopt;
--- a/bench/pool/impl/world.cpp
+++ b/bench/pool/impl/world.cpp
@@ -28,8 +28,8 @@
 world::world(const deployment& of, std::vector<arrival> arrivals, placement_policy& way,
              const world_options& options)
     : of_{of}, arrivals_{std::move(arrivals)}, way_{way}, options_{options},
-      fates_(arrivals_.size()), requests_(arrivals_.size()), readings_(of.kinds.size()),
-      open_{arrivals_.size()} {
+      fates_(arrivals_.size()), requests_(arrivals_.size()),
+      readings_(of.kinds.size()), open_{arrivals_.size()} {
   for (std::uint32_t i = 0; i < of_.engines; ++i) {
     engines_.emplace_back(of_.sheet, of_.slowness[i % of_.slowness.size()]);
     places_.emplace_back().zone = i % static_cast<std::uint32_t>(of_.zones.size());
@@ -114,9 +114,10 @@
   of.at_engine = false;
   of.fetch_from = chosen->fetch_from;
   const arrival& what_asked = arrivals_[request];
-  of.unread_on_the_way = what_asked.prompt_tokens -
-                         std::min<std::uint64_t>(what_asked.prompt_tokens,
-                                                 engines_[end.engine].kept_tokens(what_asked.pieces));
+  of.unread_on_the_way =
+      what_asked.prompt_tokens -
+      std::min<std::uint64_t>(what_asked.prompt_tokens,
+                              engines_[end.engine].kept_tokens(what_asked.pieces));
   ++places_[end.engine].on_the_way;
   places_[end.engine].unread_on_the_way += of.unread_on_the_way;
   const double reaches = now_ + way(what_asked.host, end.engine);
@@ -145,8 +146,7 @@
     return at(now_ + of_.sheet.first_ms, what::join, request, fates_[request].sends);
   const auto tokens = static_cast<double>(there - here);
   const double begins = std::max(now_, places_[*from].link_free_ms);
-  const double ends =
-      begins + of_.sheet.fetch_setup_ms + tokens / of_.sheet.tokens_fetched_a_ms;
+  const double ends = begins + of_.sheet.fetch_setup_ms + tokens / of_.sheet.tokens_fetched_a_ms;
   places_[*from].link_free_ms = ends;
   readings_[of.kind].fetched += there - here;
   at(ends + of_.sheet.first_ms, what::join, request, fates_[request].sends);
--- a/bench/pool/impl/world.hpp
+++ b/bench/pool/impl/world.hpp
@@ -41,12 +41,13 @@
 };
 
 struct world_options {
-  double message_interval_ms{60};  ///< between a host's messages to the others
-  double poll_interval_ms{250};    ///< for policies that ask engines
-  double used_lately_ms{9'000};    ///< a part last used before counts as new when read again
-  std::uint32_t most_sends{3};     ///< of one try of a caller, while engines refuse it
-  double retry_after_ms{500};      ///< told to callers that were refused
-  double cancel_ms{20};            ///< until an engine learns that a caller has left
+  /// Between a host's messages to the others; as the product ships it.
+  double message_interval_ms{static_cast<double>(load_exchange_options{}.gather.count())};
+  double poll_interval_ms{250}; ///< for policies that ask engines
+  double used_lately_ms{9'000}; ///< a part last used before counts as new when read again
+  std::uint32_t most_sends{3};  ///< of one try of a caller, while engines refuse it
+  double retry_after_ms{500};   ///< told to callers that were refused
+  double cancel_ms{20};         ///< until an engine learns that a caller has left
 };
 
 /// \brief Plays arrivals against engines in virtual time. Deterministic: nothing depends on the
@@ -60,13 +61,26 @@
 
   [[nodiscard]] const std::vector<arrival>& arrivals() const noexcept { return arrivals_; }
   [[nodiscard]] const std::vector<fate>& fates() const noexcept { return fates_; }
-  [[nodiscard]] const std::vector<reading>& readings() const noexcept { return readings_; } ///< a kind
+  [[nodiscard]] const std::vector<reading>& readings() const noexcept {
+    return readings_;
+  } ///< a kind
   [[nodiscard]] const std::vector<engine>& engines() const noexcept { return engines_; }
   [[nodiscard]] const deployment& of() const noexcept { return of_; }
   [[nodiscard]] std::uint64_t preemptions() const noexcept { return preemptions_; }
 
  private:
-  enum class what { arrive, reach, join, step, hear_start, hear_end, wait_over, cancel, tell, poll };
+  enum class what {
+    arrive,
+    reach,
+    join,
+    step,
+    hear_start,
+    hear_end,
+    wait_over,
+    cancel,
+    tell,
+    poll
+  };
 
   struct happening {
     double at{};
@@ -138,7 +152,7 @@
   std::vector<fate> fates_;
   std::vector<progress> requests_;
   std::vector<reading> readings_;
-  std::vector<int> urgencies_; ///< of the kinds
+  std::vector<int> urgencies_;                ///< of the kinds
   std::unordered_map<part_key, double> used_; ///< when a shared part was last used anywhere
   std::priority_queue<happening> happenings_;
   std::vector<engine_word> words_;
--- a/bench/pool/program/main.cpp
+++ b/bench/pool/program/main.cpp
@@ -15,6 +15,7 @@
 using namespace sedgechute;
 using namespace sedgechute::pool;
 
+constexpr double ms_a_second = 1000;
 constexpr double run_ms = 45'000;
 constexpr double quick_run_ms = 15'000;
 constexpr double warm_up_ms = 5'000; // engines begin with nothing kept
@@ -31,7 +32,9 @@
   std::string only; ///< a scenario; empty: all
   std::uint64_t seeds{3};
   double duration_ms{run_ms};
+  std::string policy; ///< empty: all
   choice_weights weights;
+  world_options options;
 };
 
 traffic at_load(double load, double duration_ms) {
@@ -95,7 +98,7 @@
     traffic how = what.how;
     how.seed = seed;
     const auto way = make_policy(kind, of, chosen.weights, seed);
-    world one{of, make_arrivals(of, how), *way, {}};
+    world one{of, make_arrivals(of, how), *way, chosen.options};
     one.play();
     runs.push_back(figures_of(one, what.from_ms));
   }
@@ -142,11 +145,10 @@
                 const run_figures& run) {
   const auto shared = static_cast<double>(run.read.shared);
   std::cout << std::fixed << std::left << std::setw(10) << where << std::setw(14) << what
-            << std::setw(19) << name_of(kind) << std::right << std::setprecision(3)
-            << " worth " << run.worth() << " read again "
+            << std::setw(19) << name_of(kind) << std::right << std::setprecision(3) << " worth "
+            << run.worth() << " read again "
             << part(static_cast<double>(run.read.read_again), shared) << " kept "
-            << part(static_cast<double>(run.read.kept), shared) << " preempted "
-            << run.preemptions;
+            << part(static_cast<double>(run.read.kept), shared) << " preempted " << run.preemptions;
   for (const kind_figures& one : run.kinds) {
     const auto all = static_cast<double>(one.requests);
     std::cout << " | " << one.name << ' ' << std::setprecision(0) << one.first_p50_ms << '/'
@@ -192,6 +194,10 @@
       chosen.seeds = std::stoull(value);
     else if (name == "--duration_ms")
       chosen.duration_ms = std::stod(value);
+    else if (name == "--policy")
+      chosen.policy = value;
+    else if (name == "--message_interval_ms")
+      chosen.options.message_interval_ms = std::stod(value);
     else if (name.starts_with("--weight."))
       set_weight(chosen.weights, name.substr(std::string{"--weight."}.size()), std::stod(value));
     else
@@ -200,27 +206,32 @@
   return chosen;
 }
 
+void play_policies(const deployment& of, const scenario& what, const selection& chosen,
+                   Poco::JSON::Array& runs) {
+  for (const auto& [kind, name] : enum_names<policy_kind>::entries) {
+    if (!chosen.policy.empty() && chosen.policy != name)
+      continue;
+    const run_figures run = play(of, what, kind, chosen);
+    print_line(of.name, what.name, kind, run);
+    Poco::JSON::Object out = json_of(run);
+    out.set("deployment", of.name);
+    out.set("scenario", what.name);
+    out.set("policy", std::string{name});
+    runs.add(out);
+  }
+}
+
 void play_all(const selection& chosen) {
   Poco::JSON::Array runs;
   for (const std::string& file : chosen.files) {
     const deployment of = read_deployment(file);
-    for (const scenario& what : scenarios(of, chosen.duration_ms)) {
-      if (!chosen.only.empty() && chosen.only != what.name)
-        continue;
-      for (const auto& [kind, name] : enum_names<policy_kind>::entries) {
-        const run_figures run = play(of, what, kind, chosen);
-        print_line(of.name, what.name, kind, run);
-        Poco::JSON::Object out = json_of(run);
-        out.set("deployment", of.name);
-        out.set("scenario", what.name);
-        out.set("policy", std::string{name});
-        runs.add(out);
-      }
-    }
+    for (const scenario& what : scenarios(of, chosen.duration_ms))
+      if (chosen.only.empty() || chosen.only == what.name)
+        play_policies(of, what, chosen, runs);
   }
   Poco::JSON::Object whole;
   whole.set("seeds", chosen.seeds);
-  whole.set("seconds", chosen.duration_ms / 1000);
+  whole.set("seconds", chosen.duration_ms / ms_a_second);
   whole.set("runs", runs);
   Poco::JSON::Stringifier::stringify(whole, std::cout);
   std::cout << '\n';
--- a/tests/pool/world_test.cpp
+++ b/tests/pool/world_test.cpp
@@ -19,10 +19,28 @@
   of.sheet.memory_tokens = 60'000;
   of.team_parts = {3, 2, 1};
   of.clump = 2;
-  of.kinds = {{"draft", 6, 800, 200, 15'000, 4, 2, {{{400, 0.3, 1000}, 2, 0}, {{3000, 0.5, 9000}, 20, 0.3}},
-               {4000, 1, 20'000}, {60, 0.4, 200}, 1},
-              {"chat", 14, 300, 200, 12'000, 1.5, 0.7, {{{100, 0.3, 300}, 4, 0}},
-               {500, 0.8, 3000}, {40, 0.5, 150}, 1}};
+  of.kinds = {{"draft",
+               6,
+               800,
+               200,
+               15'000,
+               4,
+               2,
+               {{{400, 0.3, 1000}, 2, 0}, {{3000, 0.5, 9000}, 20, 0.3}},
+               {4000, 1, 20'000},
+               {60, 0.4, 200},
+               1},
+              {"chat",
+               14,
+               300,
+               200,
+               12'000,
+               1.5,
+               0.7,
+               {{{100, 0.3, 300}, 4, 0}},
+               {500, 0.8, 3000},
+               {40, 0.5, 150},
+               1}};
   return of;
 }
 
@@ -34,6 +52,13 @@
   return how;
 }
 
+std::vector<policy_kind> all_policies() {
+  std::vector<policy_kind> all;
+  for (const auto& entry : enum_names<policy_kind>::entries)
+    all.push_back(entry.first);
+  return all;
+}
+
 struct played {
   played(policy_kind kind, const traffic& how, const deployment& of = small_pool())
       : way{make_policy(kind, of, {}, how.seed)}, one{of, make_arrivals(of, how), *way, {}} {
@@ -53,16 +78,15 @@
 }
 
 std::uint64_t sum_of(const world& one, std::uint64_t (engine::*figure)() const noexcept) {
-  return std::accumulate(
-      one.engines().begin(), one.engines().end(), std::uint64_t{0},
-      [&](std::uint64_t sum, const engine& at) { return sum + (at.*figure)(); });
+  return std::accumulate(one.engines().begin(), one.engines().end(), std::uint64_t{0},
+                         [&](std::uint64_t sum, const engine& at) { return sum + (at.*figure)(); });
 }
 
 } // namespace
 
 TEST_CASE("the same seed gives the same run") {
-  for (const auto& [kind, name] : enum_names<policy_kind>::entries) {
-    CAPTURE(name);
+  for (const policy_kind kind : all_policies()) {
+    CAPTURE(name_of(kind));
     const played first{kind, some(3)};
     const played second{kind, some(3)};
     REQUIRE(first.one.fates().size() == second.one.fates().size());
@@ -80,9 +104,9 @@
 }
 
 TEST_CASE("every request has one end, also far above what the engines carry") {
-  for (const auto& [kind, name] : enum_names<policy_kind>::entries)
+  for (const policy_kind kind : all_policies())
     for (const double load : {0.5, 8.0}) {
-      CAPTURE(name);
+      CAPTURE(name_of(kind));
       CAPTURE(load);
       const played run{kind, some(load)};
       CHECK(std::none_of(run.one.fates().begin(), run.one.fates().end(),
@@ -93,8 +117,8 @@
 // At a load at which nobody leaves, the engines have made each token of each answer once, and have
 // read each token of each prompt that was not kept once.
 TEST_CASE("work is conserved") {
-  for (const auto& [kind, name] : enum_names<policy_kind>::entries) {
-    CAPTURE(name);
+  for (const policy_kind kind : all_policies()) {
+    CAPTURE(name_of(kind));
     const played run{kind, some(0.5)};
     std::uint64_t to_make = 0;
     std::uint64_t to_read = 0;
