Placement: long starts stay at home for longer, hosts hear of each other within 20 ms

Cause: at high load a draft went to another engine for a wait a little shorter there; what it pushed out was read again, and chats stood behind that. Reports every 60 ms came when half of a long prompt was read. Change: away_token_ms 0.005 -> 0.04, load_exchange_options::gather 60 -> 20 ms.

--- a/src/relay/impl/choose_replica.hpp
+++ b/src/relay/impl/choose_replica.hpp
@@ -25,8 +25,12 @@
   double reread_token_ms{0.2};
   /// The same when the token is fetched from the engine that keeps it.
   double fetched_token_ms{0.02};
-  /// Dislike of reading a token elsewhere than at its home, where the next prompts look for it.
-  double away_token_ms{0.005};
+  /// Dislike of reading a token elsewhere than at its home, where the next prompts look for it. A
+  /// start of 5,000 tokens is worth a wait of 200 ms there: what it pushes out elsewhere is read
+  /// again by others. In the pool's model at 1.75 times the usual load chats in time rise from 0.71
+  /// to 0.77 of all against 0.005 and reports every 60 ms, and shared tokens read again fall from
+  /// 0.085 to 0.051; from 0.06 on drafts wait longer for it than they gain.
+  double away_token_ms{0.04};
   /// Dislike of an endpoint that has failed each of its last requests.
   double failing_ms{3000};
   /// How long what an endpoint said of its load counts. Loads change within a second.
--- a/src/relay/impl/load_exchange.hpp
+++ b/src/relay/impl/load_exchange.hpp
@@ -10,9 +10,11 @@
 namespace sedgechute {
 
 struct load_exchange_options {
-  /// Changes are gathered for so long. A prompt of 7,000 tokens takes an engine 100 ms to read; a
-  /// report that comes within that time still keeps the next prompt away.
-  time_ms gather{60};
+  /// Changes are gathered for so long. A prompt of 7,000 tokens takes an engine 100 ms to read, and
+  /// a report keeps the next prompt away only for what is left of it. In the pool's model at 1.5
+  /// times the usual load chats in time rise from 0.90 to 0.94 of all against 60 ms; 10 ms gain no
+  /// more.
+  time_ms gather{20};
   /// Everything is told anew after so long: a datagram may have been lost.
   time_ms whole_interval{1000};
   /// With more hosts than this only those of the own data centre are told, so that messages do not
--- a/tests/pool/placement_weights_test.cpp
+++ b/tests/pool/placement_weights_test.cpp
@@ -24,10 +24,11 @@
   return made;
 }
 
-run_figures play(const placing& how, const std::string& document, double load) {
+run_figures play(const placing& how, const std::string& document, double load,
+                 std::uint64_t seeds) {
   const deployment of = read_deployment(document);
   std::vector<run_figures> runs;
-  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     traffic come;
     come.load = load;
     come.duration_ms = run_ms;
@@ -53,8 +54,8 @@
 TEST_CASE(
     "at high load drafts stay where their start is kept, and every kind is more often in time") {
   const std::string document = DEPLOYMENTS "/drafts.json";
-  const run_figures before = play(wandering(), document, 1.75);
-  const run_figures now = play({}, document, 1.75);
+  const run_figures before = play(wandering(), document, 1.75, 12);
+  const run_figures now = play({}, document, 1.75, 12);
   for (std::size_t i = 0; i < now.kinds.size(); ++i) {
     CAPTURE(now.kinds[i].name);
     CHECK(in_time(now.kinds[i]) > in_time(before.kinds[i]) + 0.02);
@@ -67,8 +68,8 @@
 // What helps at high load must not cost callers at the usual one.
 TEST_CASE("at the usual load no kind is less often in time for it") {
   const std::string document = DEPLOYMENTS "/listings.json";
-  const run_figures before = play(wandering(), document, 1);
-  const run_figures now = play({}, document, 1);
+  const run_figures before = play(wandering(), document, 1, 3);
+  const run_figures now = play({}, document, 1, 3);
   for (std::size_t i = 0; i < now.kinds.size(); ++i) {
     CAPTURE(now.kinds[i].name);
     CHECK(in_time(now.kinds[i]) >= in_time(before.kinds[i]) - 0.01);
