--- a/bench/soak/fault_proxy.cpp
+++ b/bench/soak/fault_proxy.cpp
@@ -16,6 +16,14 @@
 constexpr std::chrono::milliseconds delay{40};
 constexpr std::size_t block_bytes = 16 * 1024;
 
+bool requests_pass(link_fault fault) noexcept {
+  return fault != link_fault::silent && fault != link_fault::no_requests;
+}
+
+bool answers_pass(link_fault fault) noexcept {
+  return fault != link_fault::silent && fault != link_fault::no_answers;
+}
+
 } // namespace
 
 fault_proxy::fault_proxy(std::string target)
@@ -26,8 +34,8 @@
 fault_proxy::~fault_proxy() {
   stopping_ = true;
   acceptor_.join();
-  for (std::thread& one : threads_)
-    one.join();
+  for (worker& one : workers_)
+    one.thread.join();
 }
 
 void fault_proxy::lead_to(const std::string& target) {
@@ -42,8 +50,25 @@
 
 void fault_proxy::accept() {
   while (!stopping_) {
-    if (socket_.poll(Poco::Timespan{look_ms * 1000}, Poco::Net::Socket::SELECT_READ))
-      threads_.emplace_back([this, from = socket_.acceptConnection()] { pass(from); });
+    join_done();
+    if (!socket_.poll(Poco::Timespan{look_ms * 1000}, Poco::Net::Socket::SELECT_READ))
+      continue;
+    worker& one = workers_.emplace_back();
+    one.thread = std::thread{[this, &one, from = socket_.acceptConnection()] {
+      pass(from);
+      one.done = true;
+    }};
+  }
+}
+
+void fault_proxy::join_done() {
+  for (auto at = workers_.begin(); at != workers_.end();) {
+    if (!at->done) {
+      ++at;
+      continue;
+    }
+    at->thread.join();
+    at = workers_.erase(at);
   }
 }
 
@@ -53,24 +78,7 @@
     Poco::Net::StreamSocket to{Poco::Net::SocketAddress{target()}};
     from.setNoDelay(true);
     to.setNoDelay(true);
-    while (!stopping_ && resets == resets_) {
-      std::array<pollfd, 2> fds{
-          {{from.impl()->sockfd(), POLLIN, 0}, {to.impl()->sockfd(), POLLIN, 0}}};
-      const link_fault fault = fault_;
-      if (fault == link_fault::silent) {
-        std::this_thread::sleep_for(std::chrono::milliseconds{look_ms});
-        continue;
-      }
-      const nfds_t watched = fault == link_fault::one_way ? 1 : 2;
-      if (::poll(fds.data(), watched, look_ms) <= 0)
-        continue;
-      if (fault == link_fault::delay)
-        std::this_thread::sleep_for(delay);
-      if (fds[0].revents != 0 && !pass_some(from, to))
-        break;
-      if (fds[1].revents != 0 && !pass_some(to, from))
-        break;
-    }
+    pass_all(from, to, resets);
   } catch (const Poco::Exception&) {
     from.setLinger(true, 0); // the server is not there: its caller sees a reset
   }
@@ -79,6 +87,25 @@
   from.close();
 }
 
+void fault_proxy::pass_all(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to, int resets) {
+  const int silences = silences_;
+  while (!stopping_ && resets == resets_) {
+    const link_fault fault = silences == silences_ ? fault_.load() : link_fault::silent;
+    // A negative descriptor is passed over.
+    std::array<pollfd, 2> fds{
+        {{requests_pass(fault) ? from.impl()->sockfd() : -1, POLLIN, 0},
+         {answers_pass(fault) ? to.impl()->sockfd() : -1, POLLIN, 0}}};
+    if (::poll(fds.data(), fds.size(), look_ms) <= 0)
+      continue;
+    if (fault == link_fault::delay)
+      std::this_thread::sleep_for(delay);
+    if (fds[0].revents != 0 && !pass_some(from, to))
+      return;
+    if (fds[1].revents != 0 && !pass_some(to, from))
+      return;
+  }
+}
+
 bool fault_proxy::pass_some(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to) {
   std::array<char, block_bytes> block{};
   const int got = from.receiveBytes(block.data(), static_cast<int>(block.size()));
--- a/bench/soak/fault_proxy.hpp
+++ b/bench/soak/fault_proxy.hpp
@@ -4,18 +4,19 @@
 #include <Poco/Net/StreamSocket.h>
 
 #include <atomic>
+#include <list>
 #include <mutex>
 #include <string>
 #include <thread>
-#include <vector>
 
 namespace sedgechute::soak {
 
 enum class link_fault {
   none,
-  delay,  ///< bytes take longer, both ways
-  silent, ///< nothing passes, nothing is closed
-  one_way ///< answers do not pass
+  delay,       ///< bytes take longer, both ways
+  silent,      ///< nothing passes, nothing is closed
+  no_answers,  ///< only what callers send passes
+  no_requests, ///< only what the server sends passes
 };
 
 /// \brief A loopback proxy in front of one server, which does to its connections what links do.
@@ -30,13 +31,24 @@
   /// \brief Connections from now on go to another server.
   void lead_to(const std::string& target);
   void set(link_fault fault) noexcept { fault_ = fault; }
+  [[nodiscard]] bool harmed() const noexcept { return fault_ != link_fault::none; }
   /// \brief Resets every open connection.
   void reset_connections() noexcept { ++resets_; }
+  /// \brief Open connections are silent from now on and for good; new ones work.
+  void silence_connections() noexcept { ++silences_; }
 
  private:
+  struct worker {
+    std::thread thread;
+    std::atomic<bool> done{false};
+  };
+
   [[nodiscard]] std::string target();
   void accept();
+  void join_done();
   void pass(Poco::Net::StreamSocket from);
+  /// \brief Passes bytes until the connection ends, by itself or by a reset.
+  void pass_all(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to, int resets);
   /// \returns false when the connection is over
   [[nodiscard]] static bool pass_some(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to);
 
@@ -45,8 +57,9 @@
   Poco::Net::ServerSocket socket_;
   std::atomic<link_fault> fault_{link_fault::none};
   std::atomic<int> resets_{0};
+  std::atomic<int> silences_{0};
   std::atomic<bool> stopping_{false};
-  std::vector<std::thread> threads_;
+  std::list<worker> workers_; ///< used by the acceptor alone
   std::thread acceptor_;
 };
 
--- /dev/null
+++ b/bench/soak/fleet_promises.cpp
@@ -0,0 +1,210 @@
+// Promises about what all hosts do together, and about hosts and endpoints that leave.
+
+#include "observation_index.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace sedgechute::soak {
+
+std::vector<std::string> check_budgets(const observations& seen,
+                                       const promised_bounds& /*bounds*/) {
+  struct balance {
+    std::uint64_t prepaid{};
+    std::uint64_t used{};
+    std::uint64_t most_above{};
+  };
+  std::map<std::string, balance> teams;
+  std::set<std::string> read; // a prompt is counted once, however often it runs
+  for (const budget_step& step : seen.budget) {
+    balance& team = teams[step.team];
+    if (step.kind == budget_step_kind::prepaid)
+      team.prepaid = step.tokens;
+    else if (step.kind == budget_step_kind::output || read.insert(step.attempt).second)
+      team.used += step.tokens;
+    // Looked at after each step: a budget that is raised later would hide it.
+    if (team.used > team.prepaid)
+      team.most_above = std::max(team.most_above, team.used - team.prepaid);
+  }
+  std::vector<std::string> found;
+  for (const auto& [name, team] : teams)
+    if (team.most_above > 0)
+      found.push_back("team " + name + " used " + std::to_string(team.most_above) +
+                      " tokens above what was paid");
+  return found;
+}
+
+namespace {
+
+struct service_traffic {
+  std::vector<time_ms> requests;
+  std::vector<time_ms> repeats; ///< arrivals beyond the first of each request
+};
+
+std::size_t count_within(const std::vector<time_ms>& moments, time_ms from, time_ms until) {
+  const auto first = std::upper_bound(moments.begin(), moments.end(), from);
+  return static_cast<std::size_t>(std::upper_bound(first, moments.end(), until) - first);
+}
+
+std::map<std::string, service_traffic> traffic_of(const observations& seen) {
+  std::map<std::string, service_traffic> services;
+  for (const sent_request& one : seen.sent)
+    services[std::string{traits_of(one.kind).service}].requests.push_back(one.at);
+  std::set<std::string> arrived;
+  for (const arrival& one : seen.arrivals)
+    if (!arrived.insert(one.attempt).second)
+      services[one.service].repeats.push_back(one.at);
+  for (auto& [name, service] : services) {
+    std::sort(service.requests.begin(), service.requests.end());
+    std::sort(service.repeats.begin(), service.repeats.end());
+  }
+  return services;
+}
+
+} // namespace
+
+// Requests count in the window, in the one before it, or in the one half a window before it: repeats
+// of requests that came at its edge fall into the next.
+std::vector<std::string> check_retries(const observations& seen, const promised_bounds& bounds) {
+  const time_ms window = bounds.retry_window;
+  const time_ms half{window.count() / 2};
+  std::vector<std::string> found;
+  for (const auto& [name, service] : traffic_of(seen)) {
+    for (const time_ms end : service.repeats) {
+      const std::size_t repeats = count_within(service.repeats, end - window, end);
+      std::size_t requests = 0;
+      for (const time_ms back : {time_ms{}, half, window})
+        requests = std::max(requests,
+                            count_within(service.requests, end - back - window, end - back));
+      const double most = bounds.retry_ratio * static_cast<double>(requests) +
+                          static_cast<double>(bounds.retry_slack);
+      if (static_cast<double>(repeats) <= most)
+        continue;
+      found.push_back("service " + name + " got " + std::to_string(repeats) + " repeats beside " +
+                      std::to_string(requests) + " requests");
+      break;
+    }
+  }
+  return found;
+}
+
+namespace {
+
+/// What requests that ran have shown of the configuration in force in each life of each host.
+class shown_versions {
+ public:
+  shown_versions(const observations& seen, const observation_index& index) {
+    for (const arrival& one : seen.arrivals) {
+      const sent_request* const sent = index.sent(one.attempt);
+      const outcome* const got = index.ended(one.attempt);
+      if (!one.ran || sent == nullptr || got == nullptr || !got->same_life ||
+          sent->allowed.first == version_span::never)
+        continue;
+      lives_[{sent->host, sent->life}].push_back({one.at, sent->allowed.first});
+    }
+  }
+
+  /// \returns the newest version that showed in this life by then
+  [[nodiscard]] std::uint64_t newest(std::size_t host, int life, time_ms by) const {
+    std::uint64_t newest = 1;
+    if (const auto at = lives_.find({host, life}); at != lives_.end())
+      for (const shown& one : at->second)
+        if (one.at <= by)
+          newest = std::max(newest, one.version);
+    return newest;
+  }
+
+ private:
+  struct shown {
+    time_ms at;
+    std::uint64_t version;
+  };
+  std::map<std::pair<std::size_t, int>, std::vector<shown>> lives_;
+};
+
+std::uint64_t newest_acknowledged(const observations& seen, time_ms by) {
+  std::uint64_t newest = 1;
+  for (std::size_t i = 0; i < seen.published.size(); ++i)
+    if (seen.published[i].acknowledged <= by)
+      newest = i + 1;
+  return newest;
+}
+
+std::uint64_t newest_sent(const observations& seen, time_ms by) {
+  std::uint64_t newest = 1;
+  for (std::size_t i = 0; i < seen.published.size(); ++i)
+    if (seen.published[i].sent <= by)
+      newest = i + 1;
+  return newest;
+}
+
+std::string span_text(std::uint64_t oldest, std::uint64_t newest) {
+  return "versions " + std::to_string(oldest) + " to " + std::to_string(newest);
+}
+
+} // namespace
+
+// A host may use any version from the newest that it must know to the newest that there is. What it
+// does must be what one of these says.
+std::vector<std::string> check_configurations(const observations& seen,
+                                              const promised_bounds& bounds) {
+  const observation_index index{seen};
+  const shown_versions shown{seen, index};
+  std::vector<std::string> found;
+  for (const outcome& got : seen.outcomes) {
+    const sent_request* const sent = index.sent(got.attempt);
+    if (sent == nullptr || got.left)
+      continue;
+    std::uint64_t oldest = 1;
+    if (in_touch(seen, bounds, sent->host, sent->at, got.at))
+      oldest = newest_acknowledged(seen, sent->at - bounds.propagation);
+    if (got.same_life)
+      oldest = std::max(
+          oldest, shown.newest(sent->host, sent->life, sent->at - bounds.downgrade_slack));
+    const std::uint64_t newest = newest_sent(seen, got.at);
+    const bool denied = got.status == 401 || got.status == 403 || got.status == 404;
+    if (denied && sent->allowed.first <= oldest && sent->allowed.last >= newest)
+      found.push_back(got.attempt + " was denied with " + std::to_string(got.status) +
+                      ", and all of " + span_text(oldest, newest) + " allow it");
+    if (index.ran(got.attempt) && (sent->allowed.last < oldest || sent->allowed.first > newest))
+      found.push_back(got.attempt + " ran, and none of " + span_text(oldest, newest) +
+                      " allows it");
+  }
+  return found;
+}
+
+std::vector<std::string> check_draining(const observations& seen, const promised_bounds& bounds) {
+  const observation_index index{seen};
+  std::vector<std::string> found;
+  for (const arrival& one : seen.arrivals) {
+    const sent_request* const sent = index.sent(one.attempt);
+    if (!one.ran || !one.left_list || sent == nullptr || one.at - *one.left_list <= bounds.drain)
+      continue;
+    if (in_touch(seen, bounds, sent->host, *one.left_list, one.at))
+      found.push_back(one.attempt + " reached " + one.endpoint + " " +
+                      std::to_string((one.at - *one.left_list).count()) +
+                      " ms after it was listed as leaving");
+  }
+  return found;
+}
+
+std::vector<std::string> check_stops(const observations& seen, const promised_bounds& bounds) {
+  std::vector<std::string> found;
+  for (const process_end& one : seen.ends) {
+    const std::string host = "host " + std::to_string(one.host);
+    if (!one.told)
+      found.push_back(host + " ended by itself with code " + std::to_string(one.code));
+    else if (one.code < 0)
+      found.push_back(host + " outlasted its grace");
+    else if (one.code != 0)
+      found.push_back(host + " ended its stop with code " + std::to_string(one.code));
+  }
+  for (const readiness& one : seen.ready)
+    if (one.ready && one.since_signal > bounds.not_ready_within)
+      found.push_back("host " + std::to_string(one.host) + " said that it is ready " +
+                      std::to_string(one.since_signal.count()) + " ms after its signal to stop");
+  return found;
+}
+
+} // namespace sedgechute::soak
--- a/bench/soak/main.cpp
+++ b/bench/soak/main.cpp
@@ -1,21 +1,24 @@
+#include "promises.hpp"
 #include "soak_world.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
-#include <chrono>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 
 // NOLINTBEGIN(readability-identifier-naming): Abseil names the variables behind flags
 ABSL_FLAG(std::uint64_t, seed, 0, "first seed; 0 draws one");
 ABSL_FLAG(int, runs, 1, "so many seeds, one after the other");
 ABSL_FLAG(int, seconds, 8, "how long faults are injected in one run");
-ABSL_FLAG(int, hosts, 4, "entry hosts");
+ABSL_FLAG(int, hosts, 4, "entry hosts, each a process");
+ABSL_FLAG(int, endpoints, 6, "endpoints of the two services");
 ABSL_FLAG(int, callers, 10, "callers at a time");
 ABSL_FLAG(bool, planned, false, "only planned work: stops, changes, endpoints that leave");
+ABSL_FLAG(std::vector<std::string>, families, {}, "only these kinds of faults; empty: by the seed");
 ABSL_FLAG(std::string, folder, "/tmp/sedgechute-soak", "for settings and logs; one folder a seed");
 // NOLINTEND(readability-identifier-naming)
 
@@ -24,58 +27,72 @@
 using namespace sedgechute;
 using namespace sedgechute::soak;
 
-constexpr int start_ms = 1500;
+constexpr time_ms start_span{1500};
+constexpr time_ms check_interval{2000};
 constexpr int recovery_ms = 12000; // the bound within which a fleet must serve again
 constexpr int step_ms = 250;
 constexpr double least_served = 0.8;
-constexpr int tries_at_end = 10;
+constexpr std::size_t most_told = 20; // of what was broken
 
-void sleep_ms(int span) {
-  std::this_thread::sleep_for(std::chrono::milliseconds{span});
-}
-
-bool recovers(soak_world& world) {
-  for (int waited = 0; waited < recovery_ms; waited += step_ms) {
-    sleep_ms(step_ms);
-    if (world.served_now(tries_at_end) >= least_served)
-      return true;
-  }
-  return false;
-}
-
-/// \returns whether every promise was kept
-bool run_seed(std::uint64_t seed, const std::string& programs) {
+soak_shape shape_of(std::uint64_t seed, const std::string& programs) {
   soak_shape shape;
   shape.hosts = absl::GetFlag(FLAGS_hosts);
+  shape.endpoints = absl::GetFlag(FLAGS_endpoints);
   shape.callers = absl::GetFlag(FLAGS_callers);
   shape.kind = absl::GetFlag(FLAGS_planned) ? soak_kind::planned_work : soak_kind::faults;
+  shape.families = absl::GetFlag(FLAGS_families);
   shape.programs = programs;
   shape.folder = absl::GetFlag(FLAGS_folder) + "/" + std::to_string(seed);
-  std::filesystem::create_directories(shape.folder);
-  soak_world world{shape, seed};
-  sleep_ms(start_ms);
-  random_source pace{mix_hash(seed, 1)};
-  const auto end =
-      std::chrono::steady_clock::now() + std::chrono::seconds{absl::GetFlag(FLAGS_seconds)};
-  while (std::chrono::steady_clock::now() < end) {
-    world.inject();
-    sleep_ms(static_cast<int>(30 + pace.below(350)));
+  return shape;
+}
+
+/// \returns what was broken at the first look that found something, or at the end
+std::vector<std::string> play(soak_world& world) {
+  const promised_bounds bounds;
+  world.run_calm(start_span);
+  time_ms left{absl::GetFlag(FLAGS_seconds) * 1000};
+  for (; left > time_ms{}; left -= check_interval) {
+    world.run(std::min(left, check_interval));
+    if (auto broken = broken_promises(world.seen(), bounds); !broken.empty())
+      return broken;
   }
   world.heal();
-  const bool recovered = recovers(world);
+  bool recovered = false;
+  for (int waited = 0; waited < recovery_ms && !recovered; waited += step_ms) {
+    world.run_calm(time_ms{step_ms});
+    recovered = world.served_now() >= least_served;
+  }
   world.stop_callers();
-  std::vector<std::string> broken = world.kept().broken();
+  std::vector<std::string> broken = broken_promises(world.seen(), bounds);
   if (!recovered)
-    broken.emplace_back("does not serve again within the bound");
+    broken.emplace_back("recovery: does not serve again within the bound");
+  return broken;
+}
+
+/// \returns whether every promise was kept
+bool run_seed(std::uint64_t seed, const std::string& programs) {
+  const soak_shape shape = shape_of(seed, programs);
+  std::filesystem::remove_all(shape.folder);
+  std::filesystem::create_directories(shape.folder);
+  soak_world world{shape, seed};
+  const std::vector<std::string> broken = play(world);
+  const observations seen = world.seen();
   std::cout << "seed " << seed << ": " << (broken.empty() ? "kept" : "BROKEN") << "; "
-            << world.kept().summary() << std::endl;
-  for (const std::string& one : broken)
-    std::cout << "  " << one << '\n';
-  if (!broken.empty())
-    std::cout << "  logs: " << shape.folder << std::endl;
-  else
+            << summary_of(seen) << "; " << world.families() << std::endl;
+  for (std::size_t i = 0; i < broken.size() && i < most_told; ++i)
+    std::cout << "  " << broken[i] << '\n';
+  if (broken.size() > most_told)
+    std::cout << "  and " << broken.size() - most_told << " more\n";
+  if (broken.empty()) {
     std::filesystem::remove_all(shape.folder);
-  return broken.empty();
+    return true;
+  }
+  std::ofstream lines{shape.folder + "/seen.log"};
+  write_lines(seen, wall_time() - steady_clock{}.now(), lines);
+  for (const std::string& one : broken)
+    lines << "broken " << one << '\n';
+  std::cout << "  logs: " << shape.folder << std::endl;
+  return false;
 }
 
 } // namespace
--- a/bench/soak/promises.cpp
+++ b/bench/soak/promises.cpp
@@ -1,99 +1,80 @@
 #include "promises.hpp"
 
-#include <algorithm>
+#include <array>
+#include <map>
 #include <sstream>
 
 namespace sedgechute::soak {
 
-namespace {
-
-bool says_not_run(int status) noexcept {
-  return status == 408 || status == 421 || status == 429 || status == 503 || status == 402;
-}
-
-bool succeeded(int status) noexcept {
-  return status >= 200 && status < 300;
-}
-
-} // namespace
-
-// Checked at once: a budget that is raised later would hide it.
-void promises::spend(std::uint64_t tokens) noexcept {
-  spent_ += tokens;
-  if (spent_ > paid_)
-    most_above_ = std::max(most_above_, spent_ - paid_);
-}
-
-void promises::note_run(const std::string& attempt, bool run_once, std::uint64_t prompt_tokens) {
-  const std::scoped_lock lock{mutex_};
-  attempt_runs& runs = runs_[attempt];
-  runs.run_once = run_once;
-  if (++runs.runs == 1)
-    spend(prompt_tokens); // counted once a request
-}
-
-void promises::note_delivered(std::uint64_t tokens) {
-  const std::scoped_lock lock{mutex_};
-  spend(tokens);
-}
-
-void promises::note_paid(std::uint64_t tokens) {
-  const std::scoped_lock lock{mutex_};
-  paid_ = tokens;
-}
-
-void promises::note_outcome(const outcome& got) {
-  const std::scoped_lock lock{mutex_};
-  outcomes_.push_back(got);
+std::span<const promise> promises() noexcept {
+  static constexpr std::array all{promise{"answers", check_answers},
+                                  promise{"unchanged", check_unchanged},
+                                  promise{"runs", check_runs},
+                                  promise{"deadlines", check_deadlines},
+                                  promise{"left", check_left},
+                                  promise{"timeouts", check_timeouts},
+                                  promise{"lost", check_lost},
+                                  promise{"budgets", check_budgets},
+                                  promise{"retries", check_retries},
+                                  promise{"configurations", check_configurations},
+                                  promise{"draining", check_draining},
+                                  promise{"stops", check_stops}};
+  return all;
 }
 
-void promises::note_stop(int code) {
-  const std::scoped_lock lock{mutex_};
-  ++stops_;
-  if (code != 0)
-    bad_stops_.push_back(code);
-}
-
-std::vector<std::string> promises::broken() const {
-  const std::scoped_lock lock{mutex_};
+std::vector<std::string> broken_promises(const observations& seen, const promised_bounds& bounds) {
   std::vector<std::string> found;
-  if (most_above_ > 0)
-    found.push_back("spent " + std::to_string(most_above_) + " tokens above what was paid");
-  for (const auto& [attempt, runs] : runs_)
-    if (runs.run_once && runs.runs > 1)
-      found.push_back(attempt + " ran " + std::to_string(runs.runs) + " times");
-  for (const int code : bad_stops_)
-    found.push_back(code < 0 ? "a stop outlasted its grace"
-                             : "a stop ended with code " + std::to_string(code));
-  for (const outcome& got : outcomes_) {
-    const bool ran = runs_.contains(got.attempt);
-    if (only_planned_ && ran && !got.whole && !got.left)
-      found.push_back(got.attempt + " was lost with status " + std::to_string(got.status));
-    if (says_not_run(got.status) && ran)
-      found.push_back(got.attempt + " was called unrun with " + std::to_string(got.status));
-    if (succeeded(got.status) && got.whole && !got.right)
-      found.push_back(got.attempt + " got a whole answer that is not its own");
-    if (succeeded(got.status) && !ran)
-      found.push_back(got.attempt + " was answered and never ran");
-  }
+  for (const promise& one : promises())
+    for (const std::string& what : one.check(seen, bounds))
+      found.push_back(std::string{one.name} + ": " + what);
   return found;
 }
 
-std::string promises::summary() const {
-  const std::scoped_lock lock{mutex_};
+std::string summary_of(const observations& seen) {
   std::map<int, int> by_status;
   int cut = 0;
-  for (const outcome& got : outcomes_) {
+  for (const outcome& got : seen.outcomes) {
     ++by_status[got.status];
-    cut += succeeded(got.status) && !got.whole ? 1 : 0;
+    cut += got.status == 200 && !got.whole ? 1 : 0;
   }
   std::ostringstream text;
-  text << outcomes_.size() << " requests";
+  text << seen.outcomes.size() << " requests";
   for (const auto& [status, count] : by_status)
     text << ", " << status << ": " << count;
-  text << ", cut: " << cut << ", stops: " << stops_ << "; " << spent_ << " of " << paid_
-       << " tokens";
+  text << ", cut: " << cut << "; " << seen.arrivals.size() << " sends, " << seen.published.size()
+       << " configurations, " << seen.ends.size() << " ends of hosts";
   return text.str();
 }
 
+void write_lines(const observations& seen, time_ms wall, std::ostream& out) {
+  std::multimap<time_ms, std::string> lines;
+  const auto add = [&](time_ms at, const std::ostringstream& text) {
+    lines.emplace(at, text.str());
+  };
+  for (const disruption& one : seen.disruptions)
+    lines.emplace(one.at, "disruption " + one.what);
+  for (const sent_request& one : seen.sent) {
+    std::ostringstream text;
+    text << "sent " << one.attempt << " " << one.target << " to h" << one.host << " life "
+         << one.life << " team " << one.team;
+    add(one.at, text);
+  }
+  for (const arrival& one : seen.arrivals) {
+    std::ostringstream text;
+    text << (one.ran ? "ran " : "refused ") << one.attempt << " at " << one.endpoint << " "
+         << one.service << " status " << one.status << " mark " << one.mark;
+    add(one.at, text);
+  }
+  for (const outcome& one : seen.outcomes) {
+    std::ostringstream text;
+    text << "got " << one.attempt << " status " << one.status << (one.whole ? " whole" : " cut")
+         << (one.right ? " right" : "") << (one.left ? " left" : "") << " mark " << one.mark;
+    add(one.at, text);
+  }
+  for (std::size_t i = 0; i < seen.published.size(); ++i)
+    lines.emplace(seen.published[i].sent, "published " + std::to_string(i + 1));
+  for (const auto& [at, text] : lines)
+    out << (at + wall).count() << " " << text << '\n';
+}
+
 } // namespace sedgechute::soak
--- a/bench/soak/promises.hpp
+++ b/bench/soak/promises.hpp
@@ -1,61 +1,86 @@
 #pragma once
 
-#include <atomic>
-#include <cstdint>
-#include <map>
-#include <mutex>
+#include "observations.hpp"
+
+#include <span>
 #include <string>
 #include <vector>
 
 namespace sedgechute::soak {
 
-/// \brief What was promised, checked from what callers got and what engines ran. Thread-safe.
-class promises {
- public:
-  /// \brief An engine began to run an attempt.
-  void note_run(const std::string& attempt, bool run_once, std::uint64_t prompt_tokens);
-  /// \brief A caller got events of a stream, each of so many tokens at most.
-  void note_delivered(std::uint64_t tokens);
-  /// \brief The team has paid for so much from now on.
-  void note_paid(std::uint64_t tokens);
-
-  /// \brief What a caller got in the end.
-  struct outcome {
-    std::string attempt;
-    int status{}; ///< 0: the connection ended without an answer
-    bool whole{}; ///< the answer ended as a complete one does
-    bool right{}; ///< what came belongs to this attempt, in order
-    bool left{};  ///< the caller gave up
-  };
-  void note_outcome(const outcome& got);
-  /// \brief A host was told to stop and ended by itself.
-  /// \param code  its exit code; -1 when it had to be killed after its grace
-  void note_stop(int code);
-  /// \brief From now on only planned work happens: every request that an engine ran and whose
-  /// caller waited has a whole answer.
-  void only_planned_work() noexcept { only_planned_ = true; }
-
-  /// \returns what was broken; empty when nothing was
-  [[nodiscard]] std::vector<std::string> broken() const;
-  [[nodiscard]] std::string summary() const;
-
- private:
-  void spend(std::uint64_t tokens) noexcept;
-
-  struct attempt_runs {
-    int runs{};
-    bool run_once{};
-  };
-
-  mutable std::mutex mutex_;
-  std::map<std::string, attempt_runs> runs_;
-  std::vector<outcome> outcomes_;
-  std::uint64_t spent_{0};
-  std::uint64_t paid_{0};
-  std::vector<int> bad_stops_; ///< exit codes
-  int stops_{0};
-  std::atomic<bool> only_planned_{false};
-  std::uint64_t most_above_{0}; ///< tokens spent above what was paid then
+/// \brief Bounds of the promises, as the platform states them, and of this soak's settings.
+struct promised_bounds {
+  time_ms stable{3000};          ///< so long a host must be undisturbed to be held to a bound
+  time_ms propagation{2000};     ///< a configuration is in force so long after its acknowledgement
+  time_ms downgrade_slack{250};  ///< no older version so long after a newer one showed
+  time_ms drain{2000};           ///< an endpoint that leaves gets requests no longer than this
+  time_ms route_timeout{2000};
+  time_ms answer_slack{500};     ///< beyond the route's time-out
+  time_ms deadline_slack{500};   ///< beyond the caller's own deadline
+  time_ms left_slack{500};       ///< after a caller has left
+  time_ms loss_slack{200};       ///< within which an unread request may be cut by a planned stop
+  time_ms not_ready_within{1000}; ///< of the signal to stop
+  double retry_ratio{0.2};
+  std::uint64_t retry_slack{50};
+  time_ms retry_window{10000};
+  std::size_t few{3}; ///< so many requests of one kind may miss a promise about timing
+};
+
+/// \brief Looks through everything that was seen for what broke one promise.
+using promise_check = std::vector<std::string> (*)(const observations& seen,
+                                                   const promised_bounds& bounds);
+
+struct promise {
+  std::string_view name;
+  promise_check check;
 };
 
+[[nodiscard]] std::span<const promise> promises() noexcept;
+
+/// \returns what was broken, each with the promise's name in front; empty when nothing was
+[[nodiscard]] std::vector<std::string> broken_promises(const observations& seen,
+                                                       const promised_bounds& bounds);
+[[nodiscard]] std::string summary_of(const observations& seen);
+/// \brief Writes what was seen, line by line in the order of time, as the hosts' logs tell it.
+/// \param wall  time of day, less the time of the observations
+void write_lines(const observations& seen, time_ms wall, std::ostream& out);
+
+// Each accepted request has one whole answer or one true refusal.
+[[nodiscard]] std::vector<std::string> check_answers(const observations& seen,
+                                                     const promised_bounds& bounds);
+// What endpoints run is what callers sent, at a service that the configuration names.
+[[nodiscard]] std::vector<std::string> check_unchanged(const observations& seen,
+                                                       const promised_bounds& bounds);
+// What may not be repeated runs once; what may be, at no more endpoints than its route allows.
+[[nodiscard]] std::vector<std::string> check_runs(const observations& seen,
+                                                  const promised_bounds& bounds);
+// Endpoints are given no more time than the caller has left.
+[[nodiscard]] std::vector<std::string> check_deadlines(const observations& seen,
+                                                       const promised_bounds& bounds);
+// Nothing is sent for a caller that has left.
+[[nodiscard]] std::vector<std::string> check_left(const observations& seen,
+                                                  const promised_bounds& bounds);
+// A request ends soon after the time-out of its route.
+[[nodiscard]] std::vector<std::string> check_timeouts(const observations& seen,
+                                                      const promised_bounds& bounds);
+// No connection ends without an answer to a request that a sound endpoint has got; with only
+// planned work, no request is lost at all.
+[[nodiscard]] std::vector<std::string> check_lost(const observations& seen,
+                                                  const promised_bounds& bounds);
+// No team uses more than it has paid for, at any step.
+[[nodiscard]] std::vector<std::string> check_budgets(const observations& seen,
+                                                     const promised_bounds& bounds);
+// Repeated sends of all hosts together stay within their part of the requests.
+[[nodiscard]] std::vector<std::string> check_retries(const observations& seen,
+                                                     const promised_bounds& bounds);
+// A configuration is in force in time, and no older one after it; nothing is denied that all allow.
+[[nodiscard]] std::vector<std::string> check_configurations(const observations& seen,
+                                                            const promised_bounds& bounds);
+// An endpoint that leaves gets no new requests.
+[[nodiscard]] std::vector<std::string> check_draining(const observations& seen,
+                                                      const promised_bounds& bounds);
+// A host ends when it is told to, in its grace, without an error; until then it is not ready.
+[[nodiscard]] std::vector<std::string> check_stops(const observations& seen,
+                                                   const promised_bounds& bounds);
+
 } // namespace sedgechute::soak
--- /dev/null
+++ b/bench/soak/soak_callers.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "observations.hpp"
+#include "received_answer.hpp"
+#include "relay/relay.hpp"
+#include "soak_hosts.hpp"
+#include "soak_operator.hpp"
+#include "soak_shape.hpp"
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sedgechute::soak {
+
+/// \brief Callers of all hosts, each on a thread of its own.
+class soak_callers {
+ public:
+  soak_callers(const soak_shape& shape, const soak_hosts& hosts, const soak_operator& versions,
+               recorder& seen, const clock& time, std::uint64_t seed);
+  soak_callers(const soak_callers&) = delete;
+  soak_callers& operator=(const soak_callers&) = delete;
+  ~soak_callers();
+
+  void stop();
+  /// \returns the part of ordinary requests that are served now, tried for `tries` requests
+  [[nodiscard]] double served_now(int tries);
+
+ private:
+  struct kept_connection {
+    std::unique_ptr<connection> link;
+    int life{}; ///< of the host's process
+    bool used{false};
+  };
+  /// One caller: it keeps a connection to each host for as long as that lasts.
+  struct caller {
+    explicit caller(std::uint64_t seed) : random{seed} {}
+    random_source random;
+    std::vector<kept_connection> kept; ///< by host
+  };
+  /// What a caller is about to send.
+  struct call_plan {
+    sent_request request;
+    std::string text;
+    bool leaves{false}; ///< before the answer
+  };
+
+  void call_forever(std::uint64_t seed);
+  /// \param ordinary  a request that every version allows, whose caller waits
+  [[nodiscard]] call_plan plan(caller& by, bool ordinary);
+  /// \returns the status of a whole answer, 0 without one
+  int call(caller& by, bool ordinary);
+  /// \brief Takes the connection to use, new or kept.
+  /// \returns whether there is one
+  [[nodiscard]] bool connect(caller& by, std::size_t host, outcome& got);
+  /// \brief Sends a request and reads its answer as far as it comes.
+  [[nodiscard]] std::optional<received_answer> exchange(connection& link, const call_plan& plan);
+  /// \brief Notes the events that have come since the last look.
+  void note_delivered(const sent_request& of, const received_answer& answer, int& counted);
+
+  soak_shape shape_;
+  const soak_hosts& hosts_;
+  const soak_operator& versions_;
+  recorder& seen_;
+  const clock& time_;
+  std::uint64_t seed_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<std::uint64_t> attempts_{0};
+  std::vector<std::thread> threads_;
+};
+
+} // namespace sedgechute::soak
--- /dev/null
+++ b/bench/soak/soak_endpoints.cpp
@@ -0,0 +1,343 @@
+#include "soak_endpoints.hpp"
+
+#include "received_answer.hpp"
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+namespace sedgechute::soak {
+
+namespace {
+
+using then = scripted_reply::then;
+
+constexpr int first_events = 3;                 // sent before the pause
+constexpr std::uint64_t longest_pause_ms = 400; // in a stream; a longer one looks like a stall
+constexpr time_ms first_start{1'790'000'000'000};
+constexpr std::uint64_t longest_restart_ms = 300;
+constexpr std::uint64_t longest_lapse_ms = 1500;
+constexpr std::uint64_t longest_wavering_ms = 3000;
+// An endpoint serves for so long after it is listed as leaving, and a little longer.
+constexpr std::int64_t drain_ms = 2000;
+constexpr std::uint64_t longest_rest_ms = 1500;
+constexpr std::int64_t reuse_after_ms = 2000;
+constexpr int slots = 16;
+
+/// What an endpoint says of itself when it is asked.
+std::string self_report(time_ms started) {
+  const std::string body = R"({"Phase":"unified","born":)" + std::to_string(started.count()) + "}";
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string refusal(int status, bool says_so) {
+  return "HTTP/1.1 " + std::to_string(status) + " No\r\n" +
+         (says_so ? "Not-Executed: 1\r\n" : "") + "Content-Length: 0\r\n\r\n";
+}
+
+std::string event_chunks(const std::string& attempt, int from, int to) {
+  std::ostringstream text;
+  for (int id = from; id <= to; ++id) {
+    const std::string event = event_text(attempt, id);
+    text << std::hex << event.size() << "\r\n" << event << "\r\n";
+  }
+  return text.str();
+}
+
+/// \returns the answer with its own mark
+std::string marked(std::string answer, const std::string& mark) {
+  static const std::string usual = "Response-Signature: mark";
+  for (std::size_t at = answer.find(usual); at != std::string::npos; at = answer.find(usual, at + 1))
+    answer.replace(at, usual.size(), "Response-Signature: " + mark);
+  return answer;
+}
+
+std::string field_of(const request_head& head, std::string_view name) {
+  const std::string* found = head.fields.find(name);
+  return found == nullptr ? "" : *found;
+}
+
+std::string foreign_field_of(const request_head& head) {
+  if (head.fields.has("Authorization"))
+    return "Authorization";
+  const auto& all = head.fields.all();
+  const auto smuggled = std::find_if(
+      all.begin(), all.end(), [](const header_field& one) { return one.value == smuggled_value; });
+  return smuggled == all.end() ? "" : smuggled->name;
+}
+
+arrival seen_of(const scripted_endpoint::seen_request& request) {
+  arrival seen;
+  seen.attempt = field_of(request.head, "Attempt-Id");
+  seen.target = request.head.target;
+  seen.body = request.body;
+  seen.team = field_of(request.head, "Tenant");
+  seen.foreign_field = foreign_field_of(request.head);
+  if (const auto left = request.head.fields.number("Deadline-Ms"))
+    seen.deadline = time_ms{static_cast<std::int64_t>(*left)};
+  return seen;
+}
+
+} // namespace
+
+soak_endpoints::soak_endpoints(const soak_shape& shape, standin::topic_store& store,
+                               recorder& seen, agenda& later, const clock& time,
+                               std::uint64_t seed)
+    : shape_{shape}, store_{store}, seen_{seen}, later_{later}, time_{time}, random_{seed} {
+  for (int i = 0; i < shape_.endpoints; ++i) {
+    endpoint& one = *all_.emplace_back(std::make_unique<endpoint>());
+    one.data_centre = i % shape_.data_centres;
+    become(one, i % 2 == 0 ? "lm" : "app");
+  }
+}
+
+soak_endpoints::endpoint& soak_endpoints::any() {
+  return *all_[random_.below(all_.size())];
+}
+
+void soak_endpoints::become(endpoint& of, const std::string& service) {
+  of.id = "e" + std::to_string(named_++);
+  of.service = service;
+  start(of);
+  list(of, false);
+  tell(of, "begins as " + service + " at " + of.link->address());
+}
+
+void soak_endpoints::tell(const endpoint& of, const std::string& what) {
+  seen_.note(disruption{time_.now(), of.id + " " + what});
+}
+
+// No two lives of an endpoint name the same start.
+void soak_endpoints::start(endpoint& of) {
+  const std::int64_t apart = random_.below(2) == 0 ? 1000 : -1000;
+  of.started = first_start + time_ms{apart * of.lives++};
+  of.program = std::make_unique<scripted_endpoint>(
+      [this, &of](const auto& request) { return take(of, request); });
+  if (of.link)
+    of.link->lead_to(of.program->address());
+  else
+    of.link = std::make_unique<fault_proxy>(of.program->address());
+}
+
+bool soak_endpoints::is_spare(const endpoint& of) const {
+  return std::any_of(all_.begin(), all_.end(), [&](const auto& one) {
+    return one.get() != &of && one->program && !one->leaving && one->service == of.service;
+  });
+}
+
+std::string soak_endpoints::service_for_new() {
+  const auto count = [&](const char* service) {
+    return std::count_if(all_.begin(), all_.end(), [&](const auto& one) {
+      return one->program && !one->leaving && one->service == service;
+    });
+  };
+  if (count("lm") < 2)
+    return "lm";
+  if (count("app") < 2)
+    return "app";
+  return random_.below(2) == 0 ? "lm" : "app";
+}
+
+void soak_endpoints::list(endpoint& of, bool draining) {
+  std::ostringstream text;
+  text << R"({"Service":")" << of.service << R"(","Address":")" << of.link->address()
+       << R"(","Zone":")" << data_centre_name(of.data_centre)
+       << R"(","Version":"v1","Slots":)" << slots
+       << R"(,"ColdRemainingMs":0,"Sequence":1,"State":")" << (draining ? "draining" : "ready")
+       << R"(","born":)" << of.started.count() << "}";
+  if (!draining)
+    note_leaving(of, false); // from before the list says so
+  store_.put("keyed.servers", of.id, text.str());
+  if (draining)
+    note_leaving(of, true);
+}
+
+void soak_endpoints::unlist(endpoint& of) {
+  store_.put("keyed.servers", of.id, std::nullopt);
+  note_leaving(of, true);
+}
+
+void soak_endpoints::note_leaving(endpoint& of, bool leaves) {
+  if (!leaves)
+    of.left_list = stays;
+  else if (of.left_list == stays)
+    of.left_list = time_.now().count();
+}
+
+void soak_endpoints::harm(endpoint& of) {
+  constexpr std::int64_t shows_ms = 3000; // as long as a request can take
+  of.harmed_until = time_.now().count() + shows_ms;
+}
+
+// What ran is cut, and the list may show the new life at once, or only after the next change.
+void soak_endpoints::restart_one() {
+  endpoint& of = any();
+  if (!of.program || of.leaving)
+    return;
+  harm(of);
+  tell(of, "crashes");
+  of.link->reset_connections();
+  of.program.reset();
+  const std::uint64_t down = random_.below(2) == 0 ? random_.below(longest_restart_ms) : 0;
+  const bool listed = random_.below(3) != 0;
+  later_.add(time_.now() + time_ms{static_cast<std::int64_t>(down)}, [this, &of, listed] {
+    start(of);
+    tell(of, listed ? "is back" : "is back unlisted");
+    if (listed && !of.leaving)
+      list(of, false);
+  });
+}
+
+void soak_endpoints::retire_one() {
+  endpoint& of = any();
+  if (!of.program || of.leaving || !is_spare(of))
+    return;
+  of.leaving = true;
+  tell(of, "retires");
+  if (random_.below(3) != 0)
+    list(of, true);
+  else
+    unlist(of); // it says nothing, and serves for as long
+  const time_ms end = time_.now() + time_ms{drain_ms + static_cast<std::int64_t>(
+                                                           500 + random_.below(longest_rest_ms))};
+  later_.add(end, [this, &of] {
+    unlist(of);
+    of.program.reset();
+  });
+  later_.add(end + time_ms{reuse_after_ms}, [this, &of] {
+    of.leaving = false;
+    become(of, service_for_new());
+  });
+}
+
+void soak_endpoints::waver_one() {
+  endpoint& of = any();
+  if (!of.program || of.leaving || !is_spare(of))
+    return;
+  of.leaving = true;
+  tell(of, "wavers");
+  list(of, true);
+  const auto span = static_cast<std::int64_t>(random_.below(longest_wavering_ms));
+  later_.add(time_.now() + time_ms{span}, [this, &of] {
+    of.leaving = false;
+    if (of.program)
+      list(of, false);
+  });
+}
+
+void soak_endpoints::spoil_entry() {
+  static constexpr std::array spoiled{"", "no entry", R"({"Service":"app"})",
+                                      R"({"Service":7,"Address":"x"})"};
+  endpoint& of = any();
+  if (!of.program || of.leaving)
+    return;
+  of.leaving = true;
+  tell(of, "has its entry spoiled");
+  const std::string text = spoiled.at(random_.below(spoiled.size()));
+  if (text.empty()) {
+    unlist(of);
+  } else {
+    store_.put("keyed.servers", of.id, text);
+    note_leaving(of, true);
+  }
+  const auto span = static_cast<std::int64_t>(random_.below(longest_lapse_ms));
+  later_.add(time_.now() + time_ms{span}, [this, &of] {
+    of.leaving = false;
+    list(of, false);
+  });
+}
+
+void soak_endpoints::misbehave_one() {
+  endpoint& of = any();
+  harm(of);
+  of.does = static_cast<mood>(random_.below(moods));
+  tell(of, "does " + std::to_string(static_cast<int>(of.does.load())));
+}
+
+void soak_endpoints::harm_link() {
+  static constexpr std::array faults{link_fault::none, link_fault::delay, link_fault::silent,
+                                     link_fault::no_answers, link_fault::no_requests};
+  endpoint& of = any();
+  harm(of);
+  const link_fault fault = faults.at(random_.below(faults.size()));
+  tell(of, "has link fault " + std::to_string(static_cast<int>(fault)));
+  of.link->set(fault);
+}
+
+void soak_endpoints::reset_link() {
+  endpoint& of = any();
+  harm(of);
+  tell(of, "loses its connections");
+  if (random_.below(2) == 0)
+    of.link->reset_connections();
+  else
+    of.link->silence_connections();
+}
+
+void soak_endpoints::heal() {
+  for (auto& one : all_) {
+    one->does = mood::good;
+    one->link->set(link_fault::none);
+    one->leaving = false;
+    if (!one->program)
+      become(*one, service_for_new());
+    list(*one, false);
+  }
+}
+
+scripted_reply soak_endpoints::take(endpoint& on, const scripted_endpoint::seen_request& request) {
+  if (request.head.target == "/report")
+    return {self_report(on.started), then::close, ""};
+  arrival seen = seen_of(request);
+  seen.at = time_.now();
+  seen.endpoint = on.id;
+  seen.service = on.service;
+  seen.sound =
+      on.does == mood::good && !on.link->harmed() && seen.at.count() > on.harmed_until;
+  if (const std::int64_t left = on.left_list; left != stays)
+    seen.left_list = time_ms{left};
+  seen.mark = "m" + std::to_string(++marks_);
+  scripted_reply answer = reply(on, request, seen);
+  answer.bytes = marked(std::move(answer.bytes), seen.mark);
+  // Before the first byte of the answer: whoever sees that it ran finds it noted.
+  if (seen.ran && request.head.fields.has("Token-Usage"))
+    seen_.note(budget_step{seen.team, budget_step_kind::prompt, prompt_tokens, seen.attempt});
+  seen_.note(std::move(seen));
+  return answer;
+}
+
+scripted_reply soak_endpoints::reply(endpoint& on, const scripted_endpoint::seen_request& request,
+                                     arrival& seen) {
+  const std::string& attempt = seen.attempt;
+  const mood does = on.does;
+  const std::string expected = field_of(request.head, "Expected-Instance");
+  seen.status = 0;
+  if (!expected.empty() && expected != on.id)
+    return {refusal(421, false), then::keep, ""};
+  if (does == mood::full)
+    return {refusal(503, true), then::keep, ""};
+  seen.ran = true;
+  if (does == mood::resets)
+    return {"", then::reset, ""};
+  if (does == mood::hangs)
+    return {"", then::hang, ""};
+  if (does == mood::garbles)
+    return {"HTTP/1.1 200 garbage without an end", then::close, ""};
+  seen.status = does == mood::fails ? 500 : 200;
+  if (does == mood::fails)
+    return {whole_answer(attempt, "failed", seen.status), then::keep, ""};
+  if (!request.head.fields.has("Token-Usage")) {
+    const std::string answer = whole_answer(attempt, attempt);
+    return {answer + (does == mood::overflows ? answer : ""), then::keep, ""};
+  }
+  const int begin =
+      static_cast<int>(request.head.fields.number("Last-Event-Id").value_or(0)) + 1;
+  const int pause = std::min(begin + first_events, events_of_a_stream);
+  const std::string first = stream_head(attempt) + event_chunks(attempt, begin, pause);
+  if (does == mood::overflows)
+    return {first + "20\r\nid: 9", then::reset, ""};
+  return {first, then::keep, event_chunks(attempt, pause + 1, events_of_a_stream) + "0\r\n\r\n",
+          time_ms{static_cast<std::int64_t>(stable_hash(attempt) % longest_pause_ms)}};
+}
+
+} // namespace sedgechute::soak
--- /dev/null
+++ b/bench/soak/soak_endpoints.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "agenda.hpp"
+#include "fault_proxy.hpp"
+#include "observations.hpp"
+#include "scripted_endpoint.hpp"
+#include "soak_shape.hpp"
+#include "standin/standin.hpp"
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sedgechute::soak {
+
+/// \brief The endpoints of a run, their entries in the list and the links to them. All but the
+/// requests that they run is done on one thread.
+class soak_endpoints {
+ public:
+  soak_endpoints(const soak_shape& shape, standin::topic_store& store, recorder& seen,
+                 agenda& later, const clock& time, std::uint64_t seed);
+
+  /// \brief One crashes and starts again under its id, later or at once.
+  void restart_one();
+  /// \brief One says that it leaves, or only disappears from the list, and ends some time later.
+  /// Its address is then used by another, of either service.
+  void retire_one();
+  /// \brief One says that it leaves and soon after that it stays.
+  void waver_one();
+  /// \brief The entry of one lapses for a while, or is overwritten by what is no entry.
+  void spoil_entry();
+  /// \brief One answers wrongly from now on, or rightly again.
+  void misbehave_one();
+  void harm_link();
+  void reset_link();
+  /// \brief Lets all work as they should.
+  void heal();
+
+ private:
+  /// What an endpoint does wrong.
+  enum class mood { good, full, fails, resets, hangs, garbles, overflows };
+  static constexpr std::uint64_t moods = 7;
+
+  struct endpoint {
+    std::string id;
+    std::string service;
+    int data_centre{};
+    std::unique_ptr<scripted_endpoint> program; ///< null while it is down
+    std::unique_ptr<fault_proxy> link;
+    std::atomic<mood> does{mood::good};
+    std::atomic<std::int64_t> harmed_until{0}; ///< ms; requests that run by then may fail
+    std::atomic<std::int64_t> left_list{stays}; ///< ms, when the list first said so
+    bool leaving{false};
+    int lives{0};
+    time_ms started; ///< by the clock of its machine, which may be set back between two lives
+  };
+  static constexpr std::int64_t stays = -1;
+
+  [[nodiscard]] endpoint& any();
+  void start(endpoint& of);
+  void become(endpoint& of, const std::string& service);
+  /// \returns whether its service has another endpoint to go to
+  [[nodiscard]] bool is_spare(const endpoint& of) const;
+  /// \returns the service that needs an endpoint most, or any
+  [[nodiscard]] std::string service_for_new();
+  void list(endpoint& of, bool draining);
+  void unlist(endpoint& of);
+  void note_leaving(endpoint& of, bool leaves);
+  void harm(endpoint& of);
+  void tell(const endpoint& of, const std::string& what);
+
+  [[nodiscard]] scripted_reply take(endpoint& on, const scripted_endpoint::seen_request& request);
+  [[nodiscard]] scripted_reply reply(endpoint& on, const scripted_endpoint::seen_request& request,
+                                     arrival& seen);
+
+  soak_shape shape_;
+  standin::topic_store& store_;
+  recorder& seen_;
+  agenda& later_;
+  const clock& time_;
+  random_source random_;
+  int named_{0};
+  std::atomic<std::uint64_t> marks_{0};
+  std::vector<std::unique_ptr<endpoint>> all_;
+};
+
+} // namespace sedgechute::soak
--- a/tests/fleet/process.cpp
+++ b/tests/fleet/process.cpp
@@ -42,14 +42,18 @@
     ::kill(pid_, number);
 }
 
+std::optional<int> process::ended() {
+  int status = 0;
+  if (!ended_ && ::waitpid(pid_, &status, WNOHANG) == pid_)
+    ended_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  return ended_;
+}
+
 int process::wait(int most_ms) {
   constexpr int step_ms = 20;
   for (int waited = 0; waited <= most_ms; waited += step_ms) {
-    int status = 0;
-    if (::waitpid(pid_, &status, WNOHANG) == pid_) {
-      ended_ = true;
-      return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
-    }
+    if (const std::optional<int> code = ended())
+      return *code;
     ::usleep(step_ms * 1000);
   }
   return -1;
@@ -61,7 +65,7 @@
   ::kill(pid_, SIGKILL);
   int status = 0;
   ::waitpid(pid_, &status, 0);
-  ended_ = true;
+  ended_ = 128 + SIGKILL;
 }
 
 std::uint16_t free_port() {
--- a/tests/fleet/process.hpp
+++ b/tests/fleet/process.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -19,12 +20,14 @@
   void signal(int number) const;
   /// \returns the exit code, or -1 when it did not end in `most_ms`.
   [[nodiscard]] int wait(int most_ms);
+  /// \returns the exit code if it has ended by now, without waiting
+  [[nodiscard]] std::optional<int> ended();
   /// \brief Ends it as a crash would.
   void crash();
 
  private:
   pid_t pid_{-1};
-  bool ended_{false};
+  std::optional<int> ended_; ///< its exit code
 };
 
 /// \returns a TCP port that nothing listens on now.
