--- a/bench/soak/fault_proxy.cpp
+++ b/bench/soak/fault_proxy.cpp
@@ -92,9 +92,8 @@
   while (!stopping_ && resets == resets_) {
     const link_fault fault = silences == silences_ ? fault_.load() : link_fault::silent;
     // A negative descriptor is passed over.
-    std::array<pollfd, 2> fds{
-        {{requests_pass(fault) ? from.impl()->sockfd() : -1, POLLIN, 0},
-         {answers_pass(fault) ? to.impl()->sockfd() : -1, POLLIN, 0}}};
+    std::array<pollfd, 2> fds{{{requests_pass(fault) ? from.impl()->sockfd() : -1, POLLIN, 0},
+                               {answers_pass(fault) ? to.impl()->sockfd() : -1, POLLIN, 0}}};
     if (::poll(fds.data(), fds.size(), look_ms) <= 0)
       continue;
     if (fault == link_fault::delay)
--- a/bench/soak/fleet_promises.cpp
+++ b/bench/soak/fleet_promises.cpp
@@ -64,8 +64,8 @@
 
 } // namespace
 
-// Requests count in the window, in the one before it, or in the one half a window before it: repeats
-// of requests that came at its edge fall into the next.
+// Requests count in the window, in the one before it, or in the one half a window before it:
+// repeats of requests that came at its edge fall into the next.
 std::vector<std::string> check_retries(const observations& seen, const promised_bounds& bounds) {
   const time_ms window = bounds.retry_window;
   const time_ms half{window.count() / 2};
@@ -75,8 +75,8 @@
       const std::size_t repeats = count_within(service.repeats, end - window, end);
       std::size_t requests = 0;
       for (const time_ms back : {time_ms{}, half, window})
-        requests = std::max(requests,
-                            count_within(service.requests, end - back - window, end - back));
+        requests =
+            std::max(requests, count_within(service.requests, end - back - window, end - back));
       const double most = bounds.retry_ratio * static_cast<double>(requests) +
                           static_cast<double>(bounds.retry_slack);
       if (static_cast<double>(repeats) <= most)
@@ -160,8 +160,8 @@
     if (in_touch(seen, bounds, sent->host, sent->at, got.at))
       oldest = newest_acknowledged(seen, sent->at - bounds.propagation);
     if (got.same_life)
-      oldest = std::max(
-          oldest, shown.newest(sent->host, sent->life, sent->at - bounds.downgrade_slack));
+      oldest =
+          std::max(oldest, shown.newest(sent->host, sent->life, sent->at - bounds.downgrade_slack));
     const std::uint64_t newest = newest_sent(seen, got.at);
     const bool denied = got.status == 401 || got.status == 403 || got.status == 404;
     if (denied && sent->allowed.first <= oldest && sent->allowed.last >= newest)
--- a/bench/soak/observation_index.cpp
+++ b/bench/soak/observation_index.cpp
@@ -47,8 +47,7 @@
   const time_ms since = from - bounds.stable;
   if (any_within(seen.store_disturbed, since, until))
     return false;
-  return host >= seen.host_disturbed.size() ||
-         !any_within(seen.host_disturbed[host], since, until);
+  return host >= seen.host_disturbed.size() || !any_within(seen.host_disturbed[host], since, until);
 }
 
 } // namespace sedgechute::soak
--- a/bench/soak/observations.hpp
+++ b/bench/soak/observations.hpp
@@ -73,11 +73,11 @@
   bool right{}; ///< what came belongs to this attempt, in order
   bool left{};  ///< the caller gave up
   time_ms at;
-  std::string mark;       ///< of the endpoint, in the answer
-  bool unasked{};         ///< bytes came on the connection while no request was open
-  bool connected{true};   ///< the request could be written
-  bool kept{};            ///< the connection had carried a request before
-  bool same_life{true};   ///< the host's process was the same one all the while
+  std::string mark;     ///< of the endpoint, in the answer
+  bool unasked{};       ///< bytes came on the connection while no request was open
+  bool connected{true}; ///< the request could be written
+  bool kept{};          ///< the connection had carried a request before
+  bool same_life{true}; ///< the host's process was the same one all the while
 };
 
 enum class budget_step_kind { prepaid, prompt, output };
--- a/bench/soak/promises.cpp
+++ b/bench/soak/promises.cpp
@@ -1,4 +1,4 @@
-#include "promises.hpp"
+#include "observation_index.hpp"
 
 #include <array>
 #include <map>
@@ -7,18 +7,13 @@
 namespace sedgechute::soak {
 
 std::span<const promise> promises() noexcept {
-  static constexpr std::array all{promise{"answers", check_answers},
-                                  promise{"unchanged", check_unchanged},
-                                  promise{"runs", check_runs},
-                                  promise{"deadlines", check_deadlines},
-                                  promise{"left", check_left},
-                                  promise{"timeouts", check_timeouts},
-                                  promise{"lost", check_lost},
-                                  promise{"budgets", check_budgets},
-                                  promise{"retries", check_retries},
-                                  promise{"configurations", check_configurations},
-                                  promise{"draining", check_draining},
-                                  promise{"stops", check_stops}};
+  static constexpr std::array all{
+      promise{"answers", check_answers},   promise{"unchanged", check_unchanged},
+      promise{"runs", check_runs},         promise{"deadlines", check_deadlines},
+      promise{"left", check_left},         promise{"timeouts", check_timeouts},
+      promise{"lost", check_lost},         promise{"budgets", check_budgets},
+      promise{"retries", check_retries},   promise{"configurations", check_configurations},
+      promise{"draining", check_draining}, promise{"stops", check_stops}};
   return all;
 }
 
@@ -30,6 +25,21 @@
   return found;
 }
 
+namespace {
+
+std::size_t count_in_touch(const observations& seen) {
+  const observation_index index{seen};
+  const promised_bounds bounds;
+  std::size_t count = 0;
+  for (const outcome& got : seen.outcomes) {
+    const sent_request* const sent = index.sent(got.attempt);
+    count += sent != nullptr && in_touch(seen, bounds, sent->host, sent->at, got.at) ? 1 : 0;
+  }
+  return count;
+}
+
+} // namespace
+
 std::string summary_of(const observations& seen) {
   std::map<int, int> by_status;
   int cut = 0;
@@ -41,8 +51,9 @@
   text << seen.outcomes.size() << " requests";
   for (const auto& [status, count] : by_status)
     text << ", " << status << ": " << count;
-  text << ", cut: " << cut << "; " << seen.arrivals.size() << " sends, " << seen.published.size()
-       << " configurations, " << seen.ends.size() << " ends of hosts";
+  text << ", cut: " << cut << ", by hosts in touch: " << count_in_touch(seen) << "; "
+       << seen.arrivals.size() << " sends, " << seen.published.size() << " configurations, "
+       << seen.ends.size() << " ends of hosts";
   return text.str();
 }
 
--- a/bench/soak/promises.hpp
+++ b/bench/soak/promises.hpp
@@ -10,15 +10,15 @@
 
 /// \brief Bounds of the promises, as the platform states them, and of this soak's settings.
 struct promised_bounds {
-  time_ms stable{3000};          ///< so long a host must be undisturbed to be held to a bound
-  time_ms propagation{2000};     ///< a configuration is in force so long after its acknowledgement
-  time_ms downgrade_slack{250};  ///< no older version so long after a newer one showed
-  time_ms drain{2000};           ///< an endpoint that leaves gets requests no longer than this
+  time_ms stable{3000};         ///< so long a host must be undisturbed to be held to a bound
+  time_ms propagation{2000};    ///< a configuration is in force so long after its acknowledgement
+  time_ms downgrade_slack{250}; ///< no older version so long after a newer one showed
+  time_ms drain{2000};          ///< an endpoint that leaves gets requests no longer than this
   time_ms route_timeout{2000};
-  time_ms answer_slack{500};     ///< beyond the route's time-out
-  time_ms deadline_slack{500};   ///< beyond the caller's own deadline
-  time_ms left_slack{500};       ///< after a caller has left
-  time_ms loss_slack{200};       ///< within which an unread request may be cut by a planned stop
+  time_ms answer_slack{500};      ///< beyond the route's time-out
+  time_ms deadline_slack{500};    ///< beyond the caller's own deadline
+  time_ms left_slack{500};        ///< after a caller has left
+  time_ms loss_slack{200};        ///< within which an unread request may be cut by a planned stop
   time_ms not_ready_within{1000}; ///< of the signal to stop
   double retry_ratio{0.2};
   std::uint64_t retry_slack{50};
--- a/bench/soak/received_answer.hpp
+++ b/bench/soak/received_answer.hpp
@@ -21,9 +21,9 @@
 
 /// \brief The events of a stream, which name the attempt that they belong to.
 struct received_events {
-  int count{};      ///< whole events in order, from the first
-  bool in_order{};  ///< nothing else came, but for the beginning of the next event
-  bool cut{};       ///< the last event is not whole
+  int count{};     ///< whole events in order, from the first
+  bool in_order{}; ///< nothing else came, but for the beginning of the next event
+  bool cut{};      ///< the last event is not whole
 };
 
 [[nodiscard]] std::string event_text(const std::string& attempt, int id);
--- a/bench/soak/request_promises.cpp
+++ b/bench/soak/request_promises.cpp
@@ -36,7 +36,8 @@
 
 } // namespace
 
-std::vector<std::string> check_answers(const observations& seen, const promised_bounds& /*bounds*/) {
+std::vector<std::string> check_answers(const observations& seen,
+                                       const promised_bounds& /*bounds*/) {
   const observation_index index{seen};
   std::vector<std::string> found;
   for (const outcome& got : seen.outcomes) {
@@ -128,8 +129,7 @@
     const outcome* const got = index.ended(one.attempt);
     if (sent == nullptr || got == nullptr || !got->left)
       continue;
-    if (one.at > got->at + bounds.left_slack &&
-        in_touch(seen, bounds, sent->host, got->at, one.at))
+    if (one.at > got->at + bounds.left_slack && in_touch(seen, bounds, sent->host, got->at, one.at))
       found.push_back(one.attempt + " was sent " + ms(one.at - got->at) + " after its caller left");
   }
   return if_many(std::move(found), bounds);
@@ -172,8 +172,7 @@
     if (seen.only_planned && passed_on)
       planned.push_back(got.attempt + " was lost with status " + std::to_string(got.status));
     else if (seen.only_planned && got.connected && got.at - sent->at > bounds.loss_slack)
-      planned.push_back(got.attempt + " was left without an answer after " +
-                        ms(got.at - sent->at));
+      planned.push_back(got.attempt + " was left without an answer after " + ms(got.at - sent->at));
     else if (passed_on && sound && got.kept && got.status == 0 &&
              in_touch(seen, bounds, sent->host, sent->at, got.at))
       closed.push_back(got.attempt + " ran, and its kept connection ended without an answer");
--- a/bench/soak/soak_callers.cpp
+++ b/bench/soak/soak_callers.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 constexpr time_ms patience{2500};
-constexpr time_ms beyond_patience{1000}; // a caller waits longer than it says, and sees late answers
+constexpr time_ms beyond_patience{
+    1000}; // a caller waits longer than it says, and sees late answers
 constexpr time_ms early_leave{50};
 constexpr time_ms connect_timeout{300};
 constexpr std::uint64_t kinds = 4;
@@ -27,9 +28,11 @@
     return text.str();
   }
   const std::size_t half = body.size() / 2;
-  text << "Transfer-Encoding: chunked\r\n\r\n" << std::hex << half << "\r\n"
-       << body.substr(0, half) << "\r\n" << body.size() - half << "\r\n" << body.substr(half)
-       << "\r\n0\r\n\r\n";
+  text << "Transfer-Encoding: chunked\r\n\r\n"
+       << std::hex << half << "\r\n"
+       << body.substr(0, half) << "\r\n"
+       << body.size() - half << "\r\n"
+       << body.substr(half) << "\r\n0\r\n\r\n";
   return text.str();
 }
 
@@ -118,7 +121,7 @@
   call_plan plan;
   sent_request& request = plan.request;
   const std::uint64_t team = by.random.below(teams);
-  const std::uint64_t newest = versions_.newest();
+  const std::uint64_t newest = versions_.newest(); // at least 1
   // The next version may be asked for before it is there.
   const version_mark mark{newest + 1 - by.random.below(std::min(newest + 1, versions_back + 1))};
   request.attempt = "a" + std::to_string(++attempts_);
@@ -132,11 +135,12 @@
   if (!ordinary && request.kind == call_kind::safe && by.random.below(2) == 0) {
     request.target = mark.prefix() + "x";
     request.allowed = mark.with_route();
-  } else if (const std::uint64_t drawn = by.random.below(10); !ordinary && drawn < 3) {
+  } else if (const std::uint64_t drawn = by.random.below(16); !ordinary && drawn < 3) {
     const bool held = drawn > 0; // else nobody ever has the key
     request.team = held ? team_name(0) : "";
     key = held ? mark.key() : "stranger";
-    request.allowed = held ? mark.with_key() : version_span{version_span::never, version_span::never};
+    request.allowed =
+        held ? mark.with_key() : version_span{version_span::never, version_span::never};
   }
   plan.leaves = !ordinary && by.random.below(20) == 0;
   plan.text = request_text(request, key, by.random);
@@ -167,8 +171,7 @@
   const int count = read_events(answer.body, of.attempt).count;
   if (count > counted)
     seen_.note(budget_step{of.team, budget_step_kind::output,
-                           static_cast<std::uint64_t>(count - counted) * event_tokens,
-                           of.attempt});
+                           static_cast<std::uint64_t>(count - counted) * event_tokens, of.attempt});
   counted = std::max(counted, count);
 }
 
--- a/bench/soak/soak_endpoints.cpp
+++ b/bench/soak/soak_endpoints.cpp
@@ -31,8 +31,8 @@
 }
 
 std::string refusal(int status, bool says_so) {
-  return "HTTP/1.1 " + std::to_string(status) + " No\r\n" +
-         (says_so ? "Not-Executed: 1\r\n" : "") + "Content-Length: 0\r\n\r\n";
+  return "HTTP/1.1 " + std::to_string(status) + " No\r\n" + (says_so ? "Not-Executed: 1\r\n" : "") +
+         "Content-Length: 0\r\n\r\n";
 }
 
 std::string event_chunks(const std::string& attempt, int from, int to) {
@@ -47,7 +47,8 @@
 /// \returns the answer with its own mark
 std::string marked(std::string answer, const std::string& mark) {
   static const std::string usual = "Response-Signature: mark";
-  for (std::size_t at = answer.find(usual); at != std::string::npos; at = answer.find(usual, at + 1))
+  for (std::size_t at = answer.find(usual); at != std::string::npos;
+       at = answer.find(usual, at + 1))
     answer.replace(at, usual.size(), "Response-Signature: " + mark);
   return answer;
 }
@@ -80,9 +81,8 @@
 
 } // namespace
 
-soak_endpoints::soak_endpoints(const soak_shape& shape, standin::topic_store& store,
-                               recorder& seen, agenda& later, const clock& time,
-                               std::uint64_t seed)
+soak_endpoints::soak_endpoints(const soak_shape& shape, standin::topic_store& store, recorder& seen,
+                               agenda& later, const clock& time, std::uint64_t seed)
     : shape_{shape}, store_{store}, seen_{seen}, later_{later}, time_{time}, random_{seed} {
   for (int i = 0; i < shape_.endpoints; ++i) {
     endpoint& one = *all_.emplace_back(std::make_unique<endpoint>());
@@ -141,10 +141,9 @@
 void soak_endpoints::list(endpoint& of, bool draining) {
   std::ostringstream text;
   text << R"({"Service":")" << of.service << R"(","Address":")" << of.link->address()
-       << R"(","Zone":")" << data_centre_name(of.data_centre)
-       << R"(","Version":"v1","Slots":)" << slots
-       << R"(,"ColdRemainingMs":0,"Sequence":1,"State":")" << (draining ? "draining" : "ready")
-       << R"(","born":)" << of.started.count() << "}";
+       << R"(","Zone":")" << data_centre_name(of.data_centre) << R"(","Version":"v1","Slots":)"
+       << slots << R"(,"ColdRemainingMs":0,"Sequence":1,"State":")"
+       << (draining ? "draining" : "ready") << R"(","born":)" << of.started.count() << "}";
   if (!draining)
     note_leaving(of, false); // from before the list says so
   store_.put("keyed.servers", of.id, text.str());
@@ -198,8 +197,9 @@
     list(of, true);
   else
     unlist(of); // it says nothing, and serves for as long
-  const time_ms end = time_.now() + time_ms{drain_ms + static_cast<std::int64_t>(
-                                                           500 + random_.below(longest_rest_ms))};
+  const time_ms end =
+      time_.now() +
+      time_ms{drain_ms + static_cast<std::int64_t>(500 + random_.below(longest_rest_ms))};
   later_.add(end, [this, &of] {
     unlist(of);
     of.program.reset();
@@ -292,8 +292,7 @@
   seen.at = time_.now();
   seen.endpoint = on.id;
   seen.service = on.service;
-  seen.sound =
-      on.does == mood::good && !on.link->harmed() && seen.at.count() > on.harmed_until;
+  seen.sound = on.does == mood::good && !on.link->harmed() && seen.at.count() > on.harmed_until;
   if (const std::int64_t left = on.left_list; left != stays)
     seen.left_list = time_ms{left};
   seen.mark = "m" + std::to_string(++marks_);
@@ -330,8 +329,7 @@
     const std::string answer = whole_answer(attempt, attempt);
     return {answer + (does == mood::overflows ? answer : ""), then::keep, ""};
   }
-  const int begin =
-      static_cast<int>(request.head.fields.number("Last-Event-Id").value_or(0)) + 1;
+  const int begin = static_cast<int>(request.head.fields.number("Last-Event-Id").value_or(0)) + 1;
   const int pause = std::min(begin + first_events, events_of_a_stream);
   const std::string first = stream_head(attempt) + event_chunks(attempt, begin, pause);
   if (does == mood::overflows)
--- a/bench/soak/soak_endpoints.hpp
+++ b/bench/soak/soak_endpoints.hpp
@@ -49,7 +49,7 @@
     std::unique_ptr<scripted_endpoint> program; ///< null while it is down
     std::unique_ptr<fault_proxy> link;
     std::atomic<mood> does{mood::good};
-    std::atomic<std::int64_t> harmed_until{0}; ///< ms; requests that run by then may fail
+    std::atomic<std::int64_t> harmed_until{0};  ///< ms; requests that run by then may fail
     std::atomic<std::int64_t> left_list{stays}; ///< ms, when the list first said so
     bool leaving{false};
     int lives{0};
--- a/bench/soak/soak_hosts.cpp
+++ b/bench/soak/soak_hosts.cpp
@@ -16,6 +16,7 @@
 constexpr time_ms longest_exit{1000}; // beyond the grace
 constexpr std::uint64_t longest_down_ms = 600;
 constexpr std::uint64_t longest_freeze_ms = 3500;
+constexpr std::uint64_t longest_link_fault_ms = 3000;
 constexpr std::int64_t longest_jump_ms = 2400; // what the product allows for, of one jump
 constexpr std::uint64_t roll_ms = 700;         // between two stops of a series
 constexpr time_ms question_timeout{300};
@@ -78,8 +79,7 @@
        << R"(","callers":")" << of.callers << R"(","peers":")" << of.peers << R"(","status":")"
        << of.status << R"(","store":")" << of.store->address() << R"(","grace_s":)"
        << grace.count() / 1000 << R"(,"retry_ratio":0.2,"retry_slack":50,"retry_window_s":10)"
-       << (changed ? R"(,"notice_s":1.2,"config_bound_ms":1500,"processor_share":0.5)" : "")
-       << "}";
+       << (changed ? R"(,"notice_s":1.2,"config_bound_ms":1500,"processor_share":0.5)" : "") << "}";
 }
 
 void soak_hosts::write_clocks(const host& of) const {
@@ -94,6 +94,12 @@
   return of.output + "-" + std::to_string(of.lives) + ".log";
 }
 
+// A signal that comes before the program has begun ends it at once; nothing ran there yet. Its
+// first line comes when it has read its settings.
+bool soak_hosts::has_begun(const host& of) {
+  return std::filesystem::file_size(output_of(of)) > 0;
+}
+
 // With faults, the program whose clocks can be set; it differs in nothing else.
 void soak_hosts::start(host& of) {
   seen_.disturbed(of.number, time_.now());
@@ -180,9 +186,8 @@
 // freeze that the first one meets or that comes after it.
 void soak_hosts::stop_one() {
   host& of = any();
-  const auto serve = std::count_if(all_.begin(), all_.end(), [](const auto& one) {
-    return one->program && !one->stop_sent;
-  });
+  const auto serve = std::count_if(all_.begin(), all_.end(),
+                                   [](const auto& one) { return one->program && !one->stop_sent; });
   if (!of.program || (shape_.kind == soak_kind::planned_work && serve < 2 && !of.stop_sent))
     return;
   const std::uint64_t more = random_.below(shape_.kind == soak_kind::faults ? 5 : 3);
@@ -221,19 +226,19 @@
     freeze(of);
 }
 
-// What the file says holds from the next start on; what is no settings file changes nothing. A
-// start writes a good one.
+// What the file says holds from the next start on; what is no settings file changes nothing while
+// the program runs. A start finds a good file, so none is spoiled before the program has read it.
 void soak_hosts::reload_one() {
   host& of = any();
+  if (!of.program || !has_begun(of))
+    return;
   const std::uint64_t how = random_.below(3);
   tell(of, "reloads settings of kind " + std::to_string(how));
   if (how == 2)
     std::ofstream{of.settings} << R"({"host":)";
   else
     write_settings(of, how == 1);
-  // A signal that comes before the program has begun ends it; nothing ran there yet.
-  if (of.program && std::filesystem::file_size(output_of(of)) > 0)
-    of.program->signal(SIGHUP);
+  of.program->signal(SIGHUP);
 }
 
 void soak_hosts::set_clock() {
@@ -244,11 +249,19 @@
   write_clocks(of);
 }
 
+// Most faults of links end by themselves; the others last until another comes.
+void soak_hosts::harm(fault_proxy& link, link_fault fault) {
+  link.set(fault);
+  if (random_.below(3) != 0)
+    later_.add(time_.now() + below(random_, longest_link_fault_ms),
+               [&link] { link.set(link_fault::none); });
+}
+
 void soak_hosts::harm_store_link() {
   host& of = any();
   const link_fault fault = any_fault(random_);
   tell(of, "has store link fault " + std::to_string(static_cast<int>(fault)));
-  of.store->set(fault);
+  harm(*of.store, fault);
 }
 
 void soak_hosts::reset_store_link() {
@@ -265,7 +278,7 @@
   host& of = any();
   const link_fault fault = any_fault(random_);
   tell(of, "has callers' link fault " + std::to_string(static_cast<int>(fault)));
-  of.front->set(fault);
+  harm(*of.front, fault);
 }
 
 void soak_hosts::reset_callers_link() {
@@ -297,9 +310,7 @@
   const bool outlasted = of.stop_sent && time_.now() - *of.stop_sent > grace + longest_exit;
   if (!code && (!outlasted || of.frozen))
     return;
-  // A signal that comes before the program has begun ends it at once; nothing ran there yet.
-  const bool begun = std::filesystem::file_size(output_of(of)) > 0;
-  if (begun && (code || !of.froze_in_stop))
+  if (has_begun(of) && (code || !of.froze_in_stop))
     seen_.note(process_end{of.number, code.value_or(-1), of.stop_sent.has_value()});
   kill(of);
 }
@@ -311,8 +322,9 @@
     const time_ms since = time_.now() - *one->stop_sent;
     const auto link = connect_to(one->status, question_timeout, time_).link;
     std::string head;
-    if (!link || link->write_all("GET /readyz HTTP/1.1\r\nHost: f\r\nConnection: close\r\n\r\n",
-                                 time_.now() + question_timeout) != io_status::ok ||
+    if (!link ||
+        link->write_all("GET /readyz HTTP/1.1\r\nHost: f\r\nConnection: close\r\n\r\n",
+                        time_.now() + question_timeout) != io_status::ok ||
         link->read_head(head, 4096, time_.now() + question_timeout) != io_status::ok)
       continue; // no answer is not ready either
     seen_.note(readiness{one->number, since, head.starts_with("HTTP/1.1 200")});
--- a/bench/soak/soak_hosts.hpp
+++ b/bench/soak/soak_hosts.hpp
@@ -26,11 +26,15 @@
 
   [[nodiscard]] std::size_t count() const noexcept { return all_.size(); }
   /// \returns where callers reach a host, for any thread
-  [[nodiscard]] const std::string& address(std::size_t number) const { return all_[number]->reached_at; }
+  [[nodiscard]] const std::string& address(std::size_t number) const {
+    return all_[number]->reached_at;
+  }
   /// \returns which process of the host runs, for any thread
   [[nodiscard]] int life(std::size_t number) const noexcept { return all_[number]->lives; }
   /// \returns the name under which a host keeps its accounts
-  [[nodiscard]] const std::string& identity(std::size_t number) const { return all_[number]->identity; }
+  [[nodiscard]] const std::string& identity(std::size_t number) const {
+    return all_[number]->identity;
+  }
 
   void kill_one();
   /// \brief Many or all hosts end at the same moment, by a kill or a loss of power.
@@ -68,13 +72,13 @@
     std::string identity;
     std::string settings;
     std::string output;
-    std::string clocks; ///< file with what its machine's clocks are ahead
-    std::unique_ptr<fault_proxy> store; ///< its own link to the store
-    std::unique_ptr<fault_proxy> front; ///< callers' link to it; null: they connect to it
+    std::string clocks;                           ///< file with what its machine's clocks are ahead
+    std::unique_ptr<fault_proxy> store;           ///< its own link to the store
+    std::unique_ptr<fault_proxy> front;           ///< callers' link to it; null: they connect to it
     std::unique_ptr<fleet_test::process> program; ///< null while it is down
-    std::optional<time_ms> stop_sent; ///< when it was told to stop
+    std::optional<time_ms> stop_sent;             ///< when it was told to stop
     bool frozen{false};
-    bool froze_in_stop{false}; ///< so that it may outlast its grace
+    bool froze_in_stop{false};    ///< so that it may outlast its grace
     std::int64_t jump_ms{};       ///< by which its time of day is set, and set back
     std::int64_t wall_ahead_ms{}; ///< of the true time of day
     std::int64_t boot_ahead_ms{}; ///< of the true time since the machine was started
@@ -85,6 +89,7 @@
   void write_settings(const host& of, bool changed) const;
   void write_clocks(const host& of) const;
   [[nodiscard]] static std::string output_of(const host& of);
+  [[nodiscard]] static bool has_begun(const host& of);
   void start(host& of);
   void freeze(host& of);
   void thaw(host& of);
@@ -92,6 +97,7 @@
   void kill(host& of);
   void lose_power(host& of);
   void stop(host& of);
+  void harm(fault_proxy& link, link_fault fault);
   void look_after(host& of);
   [[nodiscard]] static bool harmed(const host& of);
   void tell(const host& of, const std::string& what);
--- a/bench/soak/soak_operator.cpp
+++ b/bench/soak/soak_operator.cpp
@@ -63,8 +63,9 @@
   text << R"({"Version":)" << version * version_step << R"(,"Routes":[)" << lasting_routes();
   for (std::uint64_t of = 1; of <= version; ++of) {
     const version_mark mark{of};
-    text << "," << route("v" + std::to_string(of), mark.prefix(),
-                         R"("Type":"safe","MaxAttempts":2,"Service":"app")");
+    text << ","
+         << route("v" + std::to_string(of), mark.prefix(),
+                  R"("Type":"safe","MaxAttempts":2,"Service":"app")");
   }
   text << R"(],"Services":[{"Name":"app","MaxConnections":900},{"Name":"lm","MaxConnections":900,)"
        << R"("Runtime":{"Slots":16,"KvCapacityTokens":90000,"Stride":)" << event_tokens
--- a/bench/soak/soak_world.cpp
+++ b/bench/soak/soak_world.cpp
@@ -17,10 +17,11 @@
 
 constexpr std::uint64_t scarce_tokens = 14000; // of a team: used up within seconds
 constexpr std::uint64_t plenty_tokens = 2'000'000;
-constexpr std::uint64_t most_paid = 6000;        // at a time
-constexpr std::uint64_t shortest_pause_ms = 30;  // between two disruptions
-constexpr std::uint64_t longest_pause_ms = 350;  // beyond it, for four hosts
+constexpr std::uint64_t most_paid = 6000;       // at a time
+constexpr std::uint64_t shortest_pause_ms = 30; // between two disruptions
+constexpr std::uint64_t longest_pause_ms = 350; // beyond it, for four hosts
 constexpr std::uint64_t usual_hosts = 4;
+constexpr std::uint64_t longest_store_fault_ms = 2000;
 constexpr time_ms step_span{20};
 constexpr time_ms question_interval{250}; // between two questions for readiness
 constexpr std::size_t account_partitions = 4;
@@ -42,8 +43,7 @@
                                        {"clock", &soak_world::set_clock},
                                        {"store_link", &soak_world::harm_store_link},
                                        {"callers_link", &soak_world::harm_callers_link},
-                                       {"store_refuses", &soak_world::refuse_calls},
-                                       {"store_answers", &soak_world::lose_answers},
+                                       {"store", &soak_world::harm_store},
                                        {"store_forgets", &soak_world::forget_history},
                                        {"endpoint_link", &soak_world::harm_endpoint_link},
                                        {"endpoint_answers", &soak_world::misbehave},
@@ -59,16 +59,15 @@
 
 // Names that stand twice are drawn twice as often.
 const std::vector<soak_world::family>& soak_world::planned_families() {
-  static const std::vector<family> all{
-      {"stop", &soak_world::stop},
-      {"stop", &soak_world::stop},
-      {"roll", &soak_world::roll},
-      {"reload", &soak_world::reload},
-      {"endpoint_retires", &soak_world::retire_endpoint},
-      {"endpoint_wavers", &soak_world::waver_endpoint},
-      {"store_forgets", &soak_world::forget_history},
-      {"pay", &soak_world::pay},
-      {"storm", &soak_world::storm}};
+  static const std::vector<family> all{{"stop", &soak_world::stop},
+                                       {"stop", &soak_world::stop},
+                                       {"roll", &soak_world::roll},
+                                       {"reload", &soak_world::reload},
+                                       {"endpoint_retires", &soak_world::retire_endpoint},
+                                       {"endpoint_wavers", &soak_world::waver_endpoint},
+                                       {"store_forgets", &soak_world::forget_history},
+                                       {"pay", &soak_world::pay},
+                                       {"storm", &soak_world::storm}};
   return all;
 }
 
@@ -77,21 +76,22 @@
   const bool planned = shape_.kind == soak_kind::planned_work;
   if (planned)
     seen_.only_planned();
+  static constexpr std::array<std::uint64_t, 4> paces{1, 1, 3, 8};
+  pace_ = planned ? 1 : paces.at(random_.below(paces.size()));
   shape_.data_centres = 1 + static_cast<int>(random_.below(3));
   draw_families();
   operator_ = std::make_unique<soak_operator>(store_, seen_, time_,
                                               planned ? plenty_tokens : scarce_tokens);
   endpoints_ = std::make_unique<soak_endpoints>(shape_, store_, seen_, later_, time_, random_());
-  hosts_ = std::make_unique<soak_hosts>(shape_, store_.server().address().toString(), seen_,
-                                        later_, time_, random_());
-  callers_ =
-      std::make_unique<soak_callers>(shape_, *hosts_, *operator_, seen_, time_, random_());
+  hosts_ = std::make_unique<soak_hosts>(shape_, store_.server().address().toString(), seen_, later_,
+                                        time_, random_());
+  callers_ = std::make_unique<soak_callers>(shape_, *hosts_, *operator_, seen_, time_, random_());
 }
 
 soak_world::~soak_world() = default;
 
-// Each run has some families and lacks others: where everything fails all the time, hosts are never
-// calm for long enough to be held to a bound, and few faults show what they do alone.
+// Each run has some families and lacks others, and some runs have few disruptions: where everything
+// fails all the time, hosts are never calm for long enough to be held to a bound in time.
 void soak_world::draw_families() {
   constexpr std::size_t least = 3;
   const bool planned = shape_.kind == soak_kind::planned_work;
@@ -122,7 +122,7 @@
 void soak_world::step() {
   later_.run_due(time_.now());
   hosts_->look_after();
-  if (store_harmed_)
+  if (store_faults_ > 0)
     seen_.store_disturbed(time_.now());
   if (time_.now() < next_question_)
     return;
@@ -135,7 +135,7 @@
   const family& chosen = families_[random_.below(families_.size())];
   seen_.note(disruption{time_.now(), std::string{chosen.name}});
   (this->*chosen.begin)();
-  const std::uint64_t pause = shortest_pause_ms + random_.below(longest_pause_ms);
+  const std::uint64_t pause = (shortest_pause_ms + random_.below(longest_pause_ms)) * pace_;
   const std::uint64_t hosts = std::max<std::uint64_t>(hosts_->count(), usual_hosts);
   next_disruption_ = time_.now() + time_ms{static_cast<std::int64_t>(pause * usual_hosts / hosts)};
 }
@@ -158,17 +158,39 @@
   }
 }
 
-void soak_world::kill() { hosts_->kill_one(); }
-void soak_world::stop() { hosts_->stop_one(); }
-void soak_world::freeze() { hosts_->freeze_one(); }
-void soak_world::reload() { hosts_->reload_one(); }
-void soak_world::set_clock() { hosts_->set_clock(); }
-void soak_world::misbehave() { endpoints_->misbehave_one(); }
-void soak_world::restart_endpoint() { endpoints_->restart_one(); }
-void soak_world::retire_endpoint() { endpoints_->retire_one(); }
-void soak_world::waver_endpoint() { endpoints_->waver_one(); }
-void soak_world::spoil_entry() { endpoints_->spoil_entry(); }
-void soak_world::forget_history() { store_.forget_history(); }
+void soak_world::kill() {
+  hosts_->kill_one();
+}
+void soak_world::stop() {
+  hosts_->stop_one();
+}
+void soak_world::freeze() {
+  hosts_->freeze_one();
+}
+void soak_world::reload() {
+  hosts_->reload_one();
+}
+void soak_world::set_clock() {
+  hosts_->set_clock();
+}
+void soak_world::misbehave() {
+  endpoints_->misbehave_one();
+}
+void soak_world::restart_endpoint() {
+  endpoints_->restart_one();
+}
+void soak_world::retire_endpoint() {
+  endpoints_->retire_one();
+}
+void soak_world::waver_endpoint() {
+  endpoints_->waver_one();
+}
+void soak_world::spoil_entry() {
+  endpoints_->spoil_entry();
+}
+void soak_world::forget_history() {
+  store_.forget_history();
+}
 
 // Rare, as all that runs ends with it.
 void soak_world::kill_many() {
@@ -202,22 +224,52 @@
     endpoints_->reset_link();
 }
 
-void soak_world::refuse_calls() {
-  static constexpr std::array refusals{0, 503, 429, 0};
-  const int status = refusals.at(random_.below(refusals.size()));
-  store_harmed_ = status != 0;
-  seen_.store_disturbed(time_.now());
-  store_.refuse(status);
-}
-
-void soak_world::lose_answers() {
+void soak_world::set_store(const std::string& fault, const Poco::Dynamic::Var& value) {
   Poco::JSON::Object change;
-  change.set(random_.below(2) == 0 ? "lose_answers" : "late_ms",
-             static_cast<std::int64_t>(random_.below(4)));
-  seen_.store_disturbed(time_.now());
+  change.set(fault, value);
   store_.server().board().merge(change);
 }
 
+// The store refuses, is slow before or after the effect of a call, loses the answers to calls that
+// it carries out, or is silent. What overlaps ends together.
+void soak_world::harm_store() {
+  constexpr std::int64_t slow_ms = 600;
+  constexpr int all = -1;
+  switch (random_.below(6)) {
+  case 0:
+    store_.refuse(503);
+    break;
+  case 1:
+    store_.refuse(429);
+    break;
+  case 2:
+    set_store("delay_ms", slow_ms);
+    break;
+  case 3:
+    set_store("late_ms", slow_ms);
+    break;
+  case 4:
+    set_store("lose_answers", all);
+    break;
+  default:
+    set_store("outage", "mute");
+  }
+  ++store_faults_;
+  const auto span = static_cast<std::int64_t>(random_.below(longest_store_fault_ms));
+  later_.add(time_.now() + time_ms{span}, [this] {
+    if (--store_faults_ == 0)
+      calm_store();
+  });
+}
+
+void soak_world::calm_store() {
+  store_.refuse(0);
+  for (const char* fault : {"delay_ms", "late_ms", "lose_answers"})
+    set_store(fault, 0);
+  set_store("outage", "none");
+  store_faults_ = 0;
+}
+
 // What stands under an account's key is no account any more, until its host writes it again.
 void soak_world::spoil_account() {
   const std::string team = team_name(random_.below(teams));
@@ -225,7 +277,8 @@
   const auto part = static_cast<unsigned>(account_partition(team, account_partitions));
   store_client writer{store_.server().address().toString(), time_ms{500}};
   try {
-    writer.append({"keyed.accounts", part}, {{account_key(team, hosts_->identity(host)), "spoiled"}});
+    writer.append({"keyed.accounts", part},
+                  {{account_key(team, hosts_->identity(host)), "spoiled"}});
   } catch (const error&) {
     return; // the store refuses calls just now, or loses answers
   }
@@ -250,12 +303,7 @@
     return;
   }
   later_.clear();
-  store_.refuse(0);
-  store_harmed_ = false;
-  Poco::JSON::Object calm;
-  calm.set("lose_answers", 0);
-  calm.set("late_ms", 0);
-  store_.server().board().merge(calm);
+  calm_store();
   endpoints_->heal();
   operator_->publish_paid(plenty_tokens); // so that nothing is refused for want of tokens
   hosts_->heal();
--- a/bench/soak/soak_world.hpp
+++ b/bench/soak/soak_world.hpp
@@ -9,6 +9,8 @@
 #include "soak_shape.hpp"
 #include "standin/standin.hpp"
 
+#include <Poco/Dynamic/Var.h>
+
 #include <memory>
 #include <string>
 #include <vector>
@@ -48,6 +50,8 @@
   void draw_families();
   void step();
   void disrupt();
+  void set_store(const std::string& fault, const Poco::Dynamic::Var& value);
+  void calm_store();
 
   void kill();
   void kill_many();
@@ -58,8 +62,7 @@
   void set_clock();
   void harm_store_link();
   void harm_callers_link();
-  void refuse_calls();
-  void lose_answers();
+  void harm_store();
   void forget_history();
   void harm_endpoint_link();
   void misbehave();
@@ -78,7 +81,8 @@
   recorder seen_;
   standin::topic_store store_;
   std::vector<family> families_;
-  bool store_harmed_{false};
+  int store_faults_{0};  ///< that last
+  std::uint64_t pace_{}; ///< by which pauses between disruptions are longer than the shortest
   time_ms next_disruption_;
   time_ms next_question_; ///< for the readiness of hosts that stop
   std::unique_ptr<soak_operator> operator_;
--- a/tests/soak/received_answer_test.cpp
+++ b/tests/soak/received_answer_test.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-const std::string plain = "HTTP/1.1 200 OK\r\nResponse-Signature: m7\r\nContent-Length: 5\r\n\r\nhello";
+const std::string plain =
+    "HTTP/1.1 200 OK\r\nResponse-Signature: m7\r\nContent-Length: 5\r\n\r\nhello";
 const std::string stream_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 } // namespace
