--- a/bench/soak/fault_proxy.cpp
+++ b/bench/soak/fault_proxy.cpp
@@ -24,6 +24,11 @@
   return fault != link_fault::silent && fault != link_fault::no_answers;
 }
 
+bool is_closed(const Poco::Net::StreamSocket& socket) {
+  pollfd look{socket.impl()->sockfd(), POLLRDHUP, 0};
+  return ::poll(&look, 1, 0) > 0;
+}
+
 } // namespace
 
 fault_proxy::fault_proxy(std::string target)
@@ -90,7 +95,9 @@
 void fault_proxy::pass_all(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to, int resets) {
   const int silences = silences_;
   while (!stopping_ && resets == resets_) {
-    const link_fault fault = silences == silences_ ? fault_.load() : link_fault::silent;
+    if (silences != silences_)
+      return hold_up(from, to, resets);
+    const link_fault fault = fault_;
     // A negative descriptor is passed over.
     std::array<pollfd, 2> fds{{{requests_pass(fault) ? from.impl()->sockfd() : -1, POLLIN, 0},
                                {answers_pass(fault) ? to.impl()->sockfd() : -1, POLLIN, 0}}};
@@ -105,6 +112,18 @@
   }
 }
 
+// Both ends may go on using the connection: what they send is held up until the caller gives up.
+void fault_proxy::hold_up(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to, int resets) {
+  bool held = false;
+  while (!stopping_ && resets == resets_) {
+    std::this_thread::sleep_for(std::chrono::milliseconds{look_ms});
+    const bool holds = !is_closed(from) && (from.available() > 0 || to.available() > 0);
+    holding_up_ += static_cast<int>(holds) - static_cast<int>(held);
+    held = holds;
+  }
+  holding_up_ -= held ? 1 : 0;
+}
+
 bool fault_proxy::pass_some(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to) {
   std::array<char, block_bytes> block{};
   const int got = from.receiveBytes(block.data(), static_cast<int>(block.size()));
--- a/bench/soak/fault_proxy.hpp
+++ b/bench/soak/fault_proxy.hpp
@@ -31,7 +31,10 @@
   /// \brief Connections from now on go to another server.
   void lead_to(const std::string& target);
   void set(link_fault fault) noexcept { fault_ = fault; }
-  [[nodiscard]] bool harmed() const noexcept { return fault_ != link_fault::none; }
+  /// \returns whether bytes may be held up now
+  [[nodiscard]] bool harmed() const noexcept {
+    return fault_ != link_fault::none || holding_up_ > 0;
+  }
   /// \brief Resets every open connection.
   void reset_connections() noexcept { ++resets_; }
   /// \brief Open connections are silent from now on and for good; new ones work.
@@ -49,6 +52,8 @@
   void pass(Poco::Net::StreamSocket from);
   /// \brief Passes bytes until the connection ends, by itself or by a reset.
   void pass_all(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to, int resets);
+  /// \brief Passes nothing more; ends when the proxy does, or with a reset of all connections.
+  void hold_up(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to, int resets);
   /// \returns false when the connection is over
   [[nodiscard]] static bool pass_some(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to);
 
@@ -58,6 +63,7 @@
   std::atomic<link_fault> fault_{link_fault::none};
   std::atomic<int> resets_{0};
   std::atomic<int> silences_{0};
+  std::atomic<int> holding_up_{0}; ///< silent connections on which something was sent
   std::atomic<bool> stopping_{false};
   std::list<worker> workers_; ///< used by the acceptor alone
   std::thread acceptor_;
--- a/bench/soak/promises.cpp
+++ b/bench/soak/promises.cpp
@@ -53,7 +53,7 @@
     text << ", " << status << ": " << count;
   text << ", cut: " << cut << ", by hosts in touch: " << count_in_touch(seen) << "; "
        << seen.arrivals.size() << " sends, " << seen.published.size() << " configurations, "
-       << seen.ends.size() << " ends of hosts";
+       << seen.ends.size() << " ends of hosts, " << seen.ready.size() << " questions for readiness";
   return text.str();
 }
 
--- a/tests/fleet/process.cpp
+++ b/tests/fleet/process.cpp
@@ -1,5 +1,8 @@
 #include "process.hpp"
 
+#include "kernel/kernel.hpp"
+
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 
 #include <csignal>
@@ -68,14 +71,23 @@
   ended_ = 128 + SIGKILL;
 }
 
+// Below the ports that Linux hands out by itself: one of those may be given to any socket that is
+// opened between this look and the start of the program that is to listen there.
 std::uint16_t free_port() {
-  // A port handed out before is not bound yet and might be found free again.
-  static std::set<std::uint16_t> given;
+  constexpr std::uint16_t first = 10000;
+  constexpr std::uint16_t ports = 22000;
+  static std::set<std::uint16_t> given; // those handed out before are perhaps not bound yet
+  static random_source random = random_source::from_system();
   for (;;) {
-    const Poco::Net::ServerSocket probe{Poco::Net::SocketAddress{"127.0.0.1", 0}};
-    const std::uint16_t port = probe.address().port();
-    if (given.insert(port).second)
+    const auto port = static_cast<std::uint16_t>(first + random.below(ports));
+    if (!given.insert(port).second)
+      continue;
+    try {
+      const Poco::Net::ServerSocket probe{Poco::Net::SocketAddress{"127.0.0.1", port}};
       return port;
+    } catch (const Poco::Net::NetException&) {
+      continue; // something listens there
+    }
   }
 }
 
