--- a/bench/soak/fleet_promises.cpp
+++ b/bench/soak/fleet_promises.cpp
@@ -8,27 +8,25 @@
 
 namespace sedgechute::soak {
 
-std::vector<std::string> check_budgets(const observations& seen,
-                                       const promised_bounds& /*bounds*/) {
-  struct balance {
-    std::uint64_t prepaid{};
-    std::uint64_t used{};
-    std::uint64_t most_above{};
-  };
-  std::map<std::string, balance> teams;
+std::map<std::string, team_balance> balances_of(const observations& seen) {
+  std::map<std::string, team_balance> teams;
   std::set<std::string> read; // a prompt is counted once, however often it runs
   for (const budget_step& step : seen.budget) {
-    balance& team = teams[step.team];
+    team_balance& team = teams[step.team];
     if (step.kind == budget_step_kind::prepaid)
       team.prepaid = step.tokens;
     else if (step.kind == budget_step_kind::output || read.insert(step.attempt).second)
       team.used += step.tokens;
-    // Looked at after each step: a budget that is raised later would hide it.
     if (team.used > team.prepaid)
       team.most_above = std::max(team.most_above, team.used - team.prepaid);
   }
+  return teams;
+}
+
+std::vector<std::string> check_budgets(const observations& seen,
+                                       const promised_bounds& /*bounds*/) {
   std::vector<std::string> found;
-  for (const auto& [name, team] : teams)
+  for (const auto& [name, team] : balances_of(seen))
     if (team.most_above > 0)
       found.push_back("team " + name + " used " + std::to_string(team.most_above) +
                       " tokens above what was paid");
--- a/bench/soak/main.cpp
+++ b/bench/soak/main.cpp
@@ -30,7 +30,8 @@
 
 constexpr time_ms start_span{1500};
 constexpr time_ms check_interval{2000};
-constexpr int recovery_ms = 12000; // the bound within which a fleet must serve again
+constexpr time_ms spend_span{2500}; // in which a team uses up what it has left
+constexpr int recovery_ms = 12000;  // the bound within which a fleet must serve again
 constexpr int step_ms = 250;
 constexpr double least_served = 0.8;
 constexpr std::size_t most_told = 20; // of what was broken
@@ -66,6 +67,7 @@
     world.run_calm(time_ms{step_ms});
     recovered = world.served_now() >= least_served;
   }
+  world.run_calm(spend_span);
   world.stop_callers();
   std::vector<std::string> broken = broken_promises(world.seen(), bounds);
   if (!recovered)
--- a/bench/soak/promises.cpp
+++ b/bench/soak/promises.cpp
@@ -54,6 +54,8 @@
   text << ", cut: " << cut << ", by hosts in touch: " << count_in_touch(seen) << "; "
        << seen.arrivals.size() << " sends, " << seen.published.size() << " configurations, "
        << seen.ends.size() << " ends of hosts, " << seen.ready.size() << " questions for readiness";
+  for (const auto& [name, team] : balances_of(seen))
+    text << ", " << name << " used " << team.used << " of " << team.prepaid;
   return text.str();
 }
 
--- a/bench/soak/promises.hpp
+++ b/bench/soak/promises.hpp
@@ -2,6 +2,8 @@
 
 #include "observations.hpp"
 
+#include <map>
+#include <ostream>
 #include <span>
 #include <string>
 #include <vector>
@@ -40,6 +42,15 @@
 /// \returns what was broken, each with the promise's name in front; empty when nothing was
 [[nodiscard]] std::vector<std::string> broken_promises(const observations& seen,
                                                        const promised_bounds& bounds);
+/// \brief A team's budget and its use at the end of what was seen.
+struct team_balance {
+  std::uint64_t prepaid{};
+  std::uint64_t used{};
+  std::uint64_t most_above{}; ///< tokens used above what was paid by then, after any step
+};
+
+[[nodiscard]] std::map<std::string, team_balance> balances_of(const observations& seen);
+
 [[nodiscard]] std::string summary_of(const observations& seen);
 /// \brief Writes what was seen, line by line in the order of time, as the hosts' logs tell it.
 /// \param wall  time of day, less the time of the observations
--- a/bench/soak/soak_callers.cpp
+++ b/bench/soak/soak_callers.cpp
@@ -120,7 +120,8 @@
 soak_callers::call_plan soak_callers::plan(caller& by, bool ordinary) {
   call_plan plan;
   sent_request& request = plan.request;
-  const std::uint64_t team = by.random.below(teams);
+  // The first team's budget is used up in the end.
+  const std::uint64_t team = ordinary ? 1 + by.random.below(teams - 1) : by.random.below(teams);
   const std::uint64_t newest = versions_.newest(); // at least 1
   // The next version may be asked for before it is there.
   const version_mark mark{newest + 1 - by.random.below(std::min(newest + 1, versions_back + 1))};
--- a/bench/soak/soak_operator.cpp
+++ b/bench/soak/soak_operator.cpp
@@ -38,19 +38,26 @@
 
 soak_operator::soak_operator(standin::topic_store& store, recorder& seen, const clock& time,
                              std::uint64_t prepaid)
-    : store_{store}, seen_{seen}, time_{time}, prepaid_{prepaid} {
+    : store_{store}, seen_{seen}, time_{time} {
+  publish_paid(prepaid);
+}
+
+void soak_operator::publish_paid(std::uint64_t more) {
+  for (std::uint64_t& prepaid : prepaid_)
+    prepaid += more;
   publish();
 }
 
-void soak_operator::publish() {
-  publish_paid(0);
+void soak_operator::publish_paid_but_first(std::uint64_t more) {
+  for (std::size_t team = 1; team < prepaid_.size(); ++team)
+    prepaid_.at(team) += more;
+  publish();
 }
 
 // What is paid counts from before the store has it: no host can use it sooner.
-void soak_operator::publish_paid(std::uint64_t more) {
-  prepaid_ += more;
-  for (int i = 0; i < teams; ++i)
-    seen_.note(budget_step{team_name(i), budget_step_kind::prepaid, prepaid_, {}});
+void soak_operator::publish() {
+  for (std::size_t team = 0; team < prepaid_.size(); ++team)
+    seen_.note(budget_step{team_name(team), budget_step_kind::prepaid, prepaid_.at(team), {}});
   const std::uint64_t version = newest_ + 1;
   seen_.note(publication{time_.now()});
   newest_ = version;
@@ -75,7 +82,7 @@
          << lasting_key(team) << '"';
     for (std::uint64_t of = version; team == 0 && of > 0 && of + oldest_key >= version; --of)
       text << R"(,")" << version_mark{of}.key() << '"';
-    text << R"(],"Prepaid":)" << prepaid_ << "}";
+    text << R"(],"Prepaid":)" << prepaid_.at(team) << "}";
   }
   text << "]}";
   return text.str();
--- a/bench/soak/soak_operator.hpp
+++ b/bench/soak/soak_operator.hpp
@@ -4,6 +4,7 @@
 #include "soak_shape.hpp"
 #include "standin/standin.hpp"
 
+#include <array>
 #include <atomic>
 #include <string>
 
@@ -37,6 +38,8 @@
   void publish();
   /// \brief As `publish`, with more tokens for every team.
   void publish_paid(std::uint64_t more);
+  /// \brief The same for all teams but the first, whose budget is used up to its end.
+  void publish_paid_but_first(std::uint64_t more);
   /// \returns how many versions have been published
   [[nodiscard]] std::uint64_t newest() const noexcept { return newest_; }
 
@@ -46,7 +49,7 @@
   standin::topic_store& store_;
   recorder& seen_;
   const clock& time_;
-  std::uint64_t prepaid_;
+  std::array<std::uint64_t, teams> prepaid_{}; ///< tokens of each team
   std::atomic<std::uint64_t> newest_{0};
 };
 
--- a/bench/soak/soak_world.cpp
+++ b/bench/soak/soak_world.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::uint64_t scarce_tokens = 14000; // of a team: used up within seconds
+constexpr std::array<std::uint64_t, 2> scarce_tokens{14000, 40000}; // of a team, for some seconds
 constexpr std::uint64_t plenty_tokens = 2'000'000;
 constexpr std::uint64_t most_paid = 6000;       // at a time
 constexpr std::uint64_t shortest_pause_ms = 30; // between two disruptions
@@ -82,8 +82,9 @@
   pace_ = planned ? 1 : paces.at(random_.below(paces.size()));
   shape_.data_centres = 1 + static_cast<int>(random_.below(3));
   draw_families();
-  operator_ = std::make_unique<soak_operator>(store_, seen_, time_,
-                                              planned ? plenty_tokens : scarce_tokens);
+  operator_ = std::make_unique<soak_operator>(
+      store_, seen_, time_,
+      planned ? plenty_tokens : scarce_tokens.at(random_.below(scarce_tokens.size())));
   endpoints_ = std::make_unique<soak_endpoints>(shape_, store_, seen_, later_, time_, random_());
   hosts_ = std::make_unique<soak_hosts>(shape_, store_.server().address().toString(), seen_, later_,
                                         time_, random_());
@@ -318,7 +319,9 @@
   later_.clear();
   calm_store();
   endpoints_->heal();
-  operator_->publish_paid(plenty_tokens); // so that nothing is refused for want of tokens
+  // So that the others are not refused for want of tokens, and the first one's are used up to the
+  // last: what hosts forgot to count would only then show.
+  operator_->publish_paid_but_first(plenty_tokens);
   hosts_->heal();
 }
 
