Soak: a team's tokens are spent at the end by all callers; recovery is asked of each kind of request

Found by a trial with a deliberate fault, in which no request with tokens was served: of ten requests of drawn kinds eight were once of the others, and the run counted as recovered.

--- a/bench/soak/main.cpp
+++ b/bench/soak/main.cpp
@@ -67,6 +67,7 @@
     world.run_calm(time_ms{step_ms});
     recovered = world.served_now() >= least_served;
   }
+  world.spend_first_team();
   world.run_calm(spend_span);
   world.stop_callers();
   std::vector<std::string> broken = broken_promises(world.seen(), bounds);
--- a/bench/soak/soak_callers.cpp
+++ b/bench/soak/soak_callers.cpp
@@ -101,7 +101,7 @@
 void soak_callers::call_forever(std::uint64_t seed) {
   caller by{seed};
   while (!stopping_) {
-    call(by, false);
+    call(by, std::nullopt);
     sleep_ms(10 + by.random.below(60));
   }
 }
@@ -109,24 +109,29 @@
 double soak_callers::served_now(int tries) {
   caller by{mix_hash(seed_, attempts_)};
   int served = 0;
-  for (int i = 0; i < tries; ++i) {
-    const int status = call(by, true);
+  const int all = tries * static_cast<int>(kinds);
+  for (int i = 0; i < all; ++i) {
+    const int status = call(by, static_cast<call_kind>(i % static_cast<int>(kinds)));
     served += status >= 200 && status < 300 ? 1 : 0;
   }
-  return static_cast<double>(served) / tries;
+  return static_cast<double>(served) / all;
 }
 
 // Most requests are allowed by all versions; the others tell which one is in force.
-soak_callers::call_plan soak_callers::plan(caller& by, bool ordinary) {
+soak_callers::call_plan soak_callers::plan(caller& by, std::optional<call_kind> ordinary) {
   call_plan plan;
   sent_request& request = plan.request;
-  // The first team's budget is used up in the end.
-  const std::uint64_t team = ordinary ? 1 + by.random.below(teams - 1) : by.random.below(teams);
+  const bool spends = spending_ && !ordinary;
+  // The first team's budget is used up in the end, which is no failure to serve.
+  const std::uint64_t any_team = ordinary ? 1 + by.random.below(teams - 1) : by.random.below(teams);
+  const std::uint64_t team = spends ? 0 : any_team;
   const std::uint64_t newest = versions_.newest(); // at least 1
   // The next version may be asked for before it is there.
   const version_mark mark{newest + 1 - by.random.below(std::min(newest + 1, versions_back + 1))};
   request.attempt = "a" + std::to_string(++attempts_);
-  request.kind = static_cast<call_kind>(by.random.below(kinds));
+  request.kind = ordinary.value_or(static_cast<call_kind>(by.random.below(kinds)));
+  if (spends)
+    request.kind = call_kind::stream;
   request.target = std::string{traits_of(request.kind).prefix} + "x";
   request.patience = patience;
   request.team = team_name(team);
@@ -195,7 +200,7 @@
   return answer;
 }
 
-int soak_callers::call(caller& by, bool ordinary) {
+int soak_callers::call(caller& by, std::optional<call_kind> ordinary) {
   call_plan plan = this->plan(by, ordinary);
   sent_request& request = plan.request;
   request.host = by.random.below(hosts_.count());
--- a/bench/soak/soak_callers.hpp
+++ b/bench/soak/soak_callers.hpp
@@ -24,8 +24,10 @@
   soak_callers& operator=(const soak_callers&) = delete;
   ~soak_callers();
 
+  /// \brief From now on all callers use tokens of the first team.
+  void spend_first_team() noexcept { spending_ = true; }
   void stop();
-  /// \returns the part of ordinary requests that are served now, tried for `tries` requests
+  /// \returns the part of ordinary requests that are served now, tried for `tries` of each kind
   [[nodiscard]] double served_now(int tries);
 
  private:
@@ -48,10 +50,10 @@
   };
 
   void call_forever(std::uint64_t seed);
-  /// \param ordinary  a request that every version allows, whose caller waits
-  [[nodiscard]] call_plan plan(caller& by, bool ordinary);
+  /// \param ordinary  kind of a request that every version allows and whose caller waits; none: any
+  [[nodiscard]] call_plan plan(caller& by, std::optional<call_kind> ordinary);
   /// \returns the status of a whole answer, 0 without one
-  int call(caller& by, bool ordinary);
+  int call(caller& by, std::optional<call_kind> ordinary);
   /// \brief Takes the connection to use, new or kept.
   /// \returns whether there is one
   [[nodiscard]] bool connect(caller& by, std::size_t host, outcome& got);
@@ -67,6 +69,7 @@
   const clock& time_;
   std::uint64_t seed_;
   std::atomic<bool> stopping_{false};
+  std::atomic<bool> spending_{false};
   std::atomic<std::uint64_t> attempts_{0};
   std::vector<std::thread> threads_;
 };
--- a/bench/soak/soak_world.cpp
+++ b/bench/soak/soak_world.cpp
@@ -25,7 +25,7 @@
 constexpr time_ms step_span{20};
 constexpr time_ms question_interval{250}; // between two questions for readiness
 constexpr std::size_t account_partitions = 4;
-constexpr int tries = 10;
+constexpr int tries = 3; // of each kind
 
 void sleep_for(time_ms span) {
   std::this_thread::sleep_for(std::chrono::milliseconds{span.count()});
--- a/bench/soak/soak_world.hpp
+++ b/bench/soak/soak_world.hpp
@@ -34,6 +34,7 @@
   void heal();
   /// \returns the part of ordinary requests that are served now
   [[nodiscard]] double served_now();
+  void spend_first_team() noexcept { callers_->spend_first_team(); }
   void stop_callers() { callers_->stop(); }
   [[nodiscard]] observations seen() const { return seen_.so_far(); }
   /// \returns the names of the families of disruptions that this run has
