--- a/bench/soak/soak_endpoints.cpp
+++ b/bench/soak/soak_endpoints.cpp
@@ -276,6 +276,7 @@
 
 void soak_endpoints::heal() {
   for (auto& one : all_) {
+    harm(*one); // what a link has held up comes now
     one->does = mood::good;
     one->link->set(link_fault::none);
     one->leaving = false;
--- a/tests/fleet/process.cpp
+++ b/tests/fleet/process.cpp
@@ -30,6 +30,9 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
                                    O_WRONLY | O_CREAT | O_TRUNC, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A socket that the program inherits stays open when whoever started it closes it, and its other
+  // end never learns of that.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int failed = posix_spawn(&pid_, program.c_str(), &actions, nullptr, argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   if (failed != 0)
