--- a/bench/soak/main.cpp
+++ b/bench/soak/main.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <sys/resource.h>
 
 // NOLINTBEGIN(readability-identifier-naming): Abseil names the variables behind flags
 ABSL_FLAG(std::uint64_t, seed, 0, "first seed; 0 draws one");
@@ -48,6 +49,22 @@
   return shape;
 }
 
+// Callers and hosts keep connections, each of which has three ends here: a caller's or an
+// endpoint's, and both of the proxy between them. Without descriptors the soak would fail, and not
+// what it runs.
+bool fits_descriptors(const soak_shape& shape) {
+  constexpr int ends = 3;
+  constexpr int store_connections = 8; // of a host
+  rlimit limit{};
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  const int needed = shape.hosts * ends * (shape.endpoints + shape.callers + store_connections);
+  if (static_cast<rlim_t>(needed) <= limit.rlim_cur)
+    return true;
+  std::cerr << "sedgechute-soak: needs up to " << needed << " descriptors of " << limit.rlim_cur
+            << ": take fewer hosts, endpoints or callers\n";
+  return false;
+}
+
 // Hosts end with the soak also when it is told to end.
 std::atomic<bool> ending{false}; // NOLINT(cppcoreguidelines-avoid-non-const-global-variables)
 
@@ -116,6 +133,8 @@
   if (seed == 0)
     seed = 1 + random_source::from_system()() % 1000000;
   const int runs = absl::GetFlag(FLAGS_runs);
+  if (!fits_descriptors(shape_of(seed, programs)))
+    return 2;
   int failed = 0;
   for (int i = 0; i < runs && !ending; ++i)
     failed += run_seed(seed + static_cast<std::uint64_t>(i), programs) ? 0 : 1;
