--- a/bench/soak/main.cpp
+++ b/bench/soak/main.cpp
@@ -21,6 +21,7 @@
 ABSL_FLAG(int, callers, 10, "callers at a time");
 ABSL_FLAG(bool, planned, false, "only planned work: stops, changes, endpoints that leave");
 ABSL_FLAG(std::vector<std::string>, families, {}, "only these kinds of faults; empty: by the seed");
+ABSL_FLAG(std::vector<std::string>, without, {}, "none of these kinds of faults");
 ABSL_FLAG(std::string, folder, "/tmp/sedgechute-soak", "for settings and logs; one folder a seed");
 // NOLINTEND(readability-identifier-naming)
 
@@ -44,6 +45,7 @@
   shape.callers = absl::GetFlag(FLAGS_callers);
   shape.kind = absl::GetFlag(FLAGS_planned) ? soak_kind::planned_work : soak_kind::faults;
   shape.families = absl::GetFlag(FLAGS_families);
+  shape.without = absl::GetFlag(FLAGS_without);
   shape.programs = programs;
   shape.folder = absl::GetFlag(FLAGS_folder) + "/" + std::to_string(seed);
   return shape;
--- a/bench/soak/soak_shape.hpp
+++ b/bench/soak/soak_shape.hpp
@@ -17,6 +17,7 @@
   int data_centres{1};
   soak_kind kind{soak_kind::faults};
   std::vector<std::string> families; ///< of disruptions; empty: the seed draws them
+  std::vector<std::string> without;  ///< families that a run does not have
   std::string programs;              ///< folder of the programs
   std::string folder;                ///< for settings and logs of this run
 };
