--- a/tests/soak/seeds_test.cpp
+++ b/tests/soak/seeds_test.cpp
@@ -29,8 +29,8 @@
 // An operator's mistake, or a fault of the store, overwrites the account of a host that runs. All
 // hosts are started again before it has written the account anew. Callers of that team get 503 from
 // every host from then on, also after more was paid: none of the hosts knows what stood there, so
-// none grants anything, and the owner of the account does not write a new one. Seeds 3 and 80004
-// broke by this too.
+// none grants anything, and the owner of the account does not write a new one. Seeds 3, 80004 and
+// 100002 broke by this too.
 TEST_CASE("a team whose account was overwritten is served again") {
   CHECK(run_seed(301, "--seconds 3 --families accounts,kill_many") == 0);
 }
