Released tokens are not given back once more, and moved ones were not lost

A release was kept apart from what the holder gave back, so a report that came after it gave back tokens that were released already. And what a holder had written off was subtracted in full also where a receiver had shown that part of it moved on.

Change: a release counts as given back. A report gives back only what is beyond that; its sum may therefore be smaller, and nothing is void for it. A reclaim of an epoch that is not live any more counts all of it against what was never signed, also what its holder gave back: less returns to the pool, never more. Written-off tokens are at most what remains. Weighed: a field of its own for released tokens, which would change the checkpoints' format. The record format and the checkpoints' are as they were; hosts of the release before replay a release differently, so the digests of states differ while both run.

--- a/src/ledger/impl/delegation.hpp
+++ b/src/ledger/impl/delegation.hpp
@@ -2,6 +2,7 @@
 
 #include "ledger/impl/units.hpp"
 
+#include <algorithm>
 #include <vector>
 
 namespace sedgechute::ledger {
@@ -28,11 +29,11 @@
   token_count opened{}; ///< least that the witness of this term has to count as countersigned
   token_count received{};
   token_count spent{};
-  token_count returned{};
+  token_count returned{}; ///< given back by its holder, or released by an operator
   token_count lost{};
   token_count sent{};         ///< as reported by the sender, which counts only in its closing
   token_count moved{};        ///< of `sent`, reported by receivers
-  token_count gone{};         ///< returned by reclaim, close or release
+  token_count gone{};         ///< returned by reclaim or close
   std::uint32_t moved_upto{}; ///< every transfer up to this sequence number has been reported
   std::vector<std::uint32_t> moved_after; ///< those reported above `moved_upto`, sorted
   epoch_number next_of_team{};
@@ -42,7 +43,8 @@
     return granted + received - spent - returned - moved - gone;
   }
   [[nodiscard]] token_count written_off() const noexcept {
-    return state == delegation_state::live ? lost : remainder();
+    // What a receiver reports to have moved was not lost, whatever the sender has reported yet.
+    return state == delegation_state::live ? std::min(lost, remainder()) : remainder();
   }
   [[nodiscard]] token_count outstanding() const noexcept { return remainder() - written_off(); }
 
--- a/src/ledger/impl/holder_report.cpp
+++ b/src/ledger/impl/holder_report.cpp
@@ -145,8 +145,8 @@
 }
 
 bool holder_role::is_changed(const slice& s, const delegation& d) const {
-  return s.spent != d.spent || s.returned != d.returned || s.lost != d.lost ||
-         !s.receipts.empty() || s.state == slice_state::closing;
+  return s.spent != d.spent || s.returned > d.returned || s.lost != d.lost || !s.receipts.empty() ||
+         s.state == slice_state::closing;
 }
 
 epoch_report holder_role::make_report(time_ms now, slice& s) const {
@@ -222,7 +222,7 @@
   }
   const bool wanted = !s.receipts.empty() && (!a.wants.empty() || collector(a) != nullptr);
   const bool urgent =
-      s.state == slice_state::closing || s.returned != d.returned || wanted || probing;
+      s.state == slice_state::closing || s.returned > d.returned || wanted || probing;
   return (regular && is_changed(s, d)) || (urgent && now >= s.report_due);
 }
 
--- a/src/ledger/impl/ledger_replay.cpp
+++ b/src/ledger/impl/ledger_replay.cpp
@@ -78,7 +78,9 @@
   return all;
 }
 
-// Reports are sums since the epoch began, so a lost, repeated or late one needs no id.
+// Reports are sums since the epoch began, so a lost, repeated or late one needs no id. What an
+// operator released counts as given back. One that was under way meanwhile may give back some of
+// the same tokens, and only what it gives back beyond them is new.
 record_verdict ledger_state::apply_report(const epoch_report& item) {
   delegation* d = find_mutable(item.epoch);
   if (d == nullptr)
@@ -88,14 +90,15 @@
   if (item.version <= d->version)
     return repeated;
   apply_receipts(*d, item);
-  const bool shrinks = item.spent < d->spent || item.returned < d->returned || item.lost < 0;
-  const token_count used = item.spent - d->spent + item.returned - d->returned;
+  const bool shrinks = item.spent < d->spent || item.returned < 0 || item.lost < 0;
+  const token_count returned = std::max(item.returned, d->returned);
+  const token_count used = item.spent - d->spent + returned - d->returned;
   if (shrinks || used + item.lost > d->remainder())
     return out_of_range;
   take_out(*d);
   d->version = item.version;
   d->spent = item.spent;
-  d->returned = item.returned;
+  d->returned = returned;
   d->lost = item.lost;
   d->sent = item.sent;
   if (item.closing)
@@ -146,7 +149,7 @@
 
 // Only the witness of the current term knows all that was countersigned: a replaced one may have
 // missed what its successor signed. What was released before may be among what it never signed, so
-// it counts against that.
+// it counts against that, with what was given back: the two are one sum.
 record_verdict ledger_state::apply_reclaim(const reclaim& item) {
   delegation* const d = find_mutable(item.epoch);
   if (d == nullptr)
@@ -157,7 +160,9 @@
     return wrong_term;
   if (item.opened < 0)
     return out_of_range;
-  const token_count released = fault_ == mutation::reclaim_released ? 0 : d->gone;
+  const bool may_be_released =
+      d->state != delegation_state::live && fault_ != mutation::reclaim_released;
+  const token_count released = may_be_released ? d->returned : 0;
   const token_count unopened = std::max<token_count>(d->granted - item.opened - released, 0);
   take_out(*d);
   d->gone += std::min(unopened, d->remainder());
@@ -217,7 +222,7 @@
   if (body.of != d->remainder())
     return changed;
   take_out(*d);
-  d->gone += body.tokens;
+  d->returned += body.tokens;
   put_back(*d);
   drop_if_over(body.epoch);
   return applied;
