A request that has borrowed all it needs is refused when another takes its tokens: failing test

Cause: a request that comes while another one is waiting for a loan counts what has just come for that one as there for itself, asks for nothing and takes it. The first wakes up, finds nothing and is refused with 503.

--- a/tests/prepaid/budget_desk_test.cpp
+++ b/tests/prepaid/budget_desk_test.cpp
@@ -160,6 +160,43 @@
   CHECK(shared.appends <= before + 3 + pauses);
 }
 
+// Two requests of a team come at once to a host that holds nothing. The first has borrowed what it
+// needs and is not awake yet when the second comes. Both borrow, and both are served: were the
+// second to take the first one's tokens, the first would be refused for no reason.
+TEST_CASE("a request does not take what another one has just borrowed") {
+  shared_log shared;
+  boot_clock since_start;
+  fleet_clock time{since_start};
+  structured_log log{{.host = "desk-8", .file = "/dev/null"}};
+  metrics figures{"desk-test"};
+  entry_faults faults{log, figures};
+  prepaid_options options;
+  options.idle_interval = time_ms{50}; // soon notices that the log is away
+  budget_desk desk{{"desk-8", 1, {}}, options, desk_fixture::logs(shared), time, faults, log};
+  desk.hold_by([](const std::string&) { return false; });
+  int loans = 0;
+  reserve_outcome second = reserve_outcome::exhausted;
+  desk.lend_by(
+      [&](const token_demand& demand, const std::vector<token_holder>&) {
+        desk.receive("team-a", demand.tokens);
+        if (++loans == 1)
+          second = desk.reserve("team-a", 100);
+        return demand.tokens;
+      },
+      nullptr);
+  desk.set_prepaid({{"team-a", 100000}});
+  desk.start();
+  for (int i = 0; i < 500 && !desk.loaded(); ++i)
+    std::this_thread::sleep_for(std::chrono::milliseconds{10});
+  shared.away = true;
+  for (int i = 0; i < 500 && desk.log_reachable(); ++i)
+    std::this_thread::sleep_for(std::chrono::milliseconds{10});
+  REQUIRE_FALSE(desk.log_reachable());
+  CHECK(desk.reserve("team-a", 100) == reserve_outcome::reserved);
+  CHECK(second == reserve_outcome::reserved);
+  CHECK(loans == 2);
+}
+
 // A host has just started and does not know the others yet, so it holds nothing. As soon as it
 // knows that it is a holder it takes tokens, and not when it next looks at the log.
 TEST_CASE("a host that learns that it is a holder takes tokens at once") {
