A request does not take what another one has just borrowed

Cause: a request reckoned what had come for one that still waits as there for itself, asked for nothing and took it; the other woke up, found nothing and was refused with 503. Change: what is missing is reckoned besides the bounds of all requests that wait for loans. Measured: build/bin/test_prepaid whole, 78 of 78 pass.

--- a/src/prepaid/impl/prepaid_book.cpp
+++ b/src/prepaid/impl/prepaid_book.cpp
@@ -211,10 +211,13 @@
   state.lent_lately -= static_cast<double>(tokens);
 }
 
+// What has come for a request that waits for loans is that request's: it may not have woken up yet.
 std::uint64_t prepaid_book::missing(const std::string& team, std::uint64_t bound,
                                     time_ms now) const {
   const team_state* state = find(team);
-  return state == nullptr ? bound : minus(bound, own_slack(*state, now) + unused_loans(*state));
+  if (state == nullptr)
+    return bound;
+  return minus(bound, minus(own_slack(*state, now) + unused_loans(*state), state->borrowing));
 }
 
 std::vector<token_holder> prepaid_book::holders(const std::string& team) const {
--- a/src/prepaid/impl/prepaid_book.hpp
+++ b/src/prepaid/impl/prepaid_book.hpp
@@ -106,7 +106,7 @@
   [[nodiscard]] std::uint64_t give_back(const std::string& team, std::uint64_t tokens);
   /// \brief Takes tokens that this life of this host lent and nobody used nor will.
   void take_back(const std::string& team, std::uint64_t tokens);
-  /// \returns tokens that are missing for a reservation here
+  /// \returns tokens that are missing for a reservation here, beside those that wait for loans
   [[nodiscard]] std::uint64_t missing(const std::string& team, std::uint64_t bound,
                                       time_ms now) const;
   /// \returns the other hosts that hold tokens of a team
