A holder with nothing left to lend still turns to the log when it is asked: failing test

Cause: a holder that cannot give all goes to the log, at most each 100 ms, also where no record can promise more.

--- a/tests/prepaid/budget_desk_test.cpp
+++ b/tests/prepaid/budget_desk_test.cpp
@@ -17,6 +17,7 @@
   log_model log;
   std::atomic<bool> away{false};
   std::atomic<int> appends{0};
+  std::atomic<int> reads{0};
 };
 
 class shared_account_log final : public account_log {
@@ -27,6 +28,7 @@
 
   account_page read(std::uint64_t from) override {
     check();
+    ++shared_.reads;
     const std::scoped_lock lock{shared_.mutex};
     account_page page;
     page.end = shared_.log.end();
@@ -197,6 +199,25 @@
   CHECK(loans == 2);
 }
 
+// All of a team's tokens here are used up, and other hosts still ask for some. No record can
+// promise them anything, so the log is not asked either.
+TEST_CASE("a holder that has nothing left to lend does not turn to the log for it") {
+  shared_log shared;
+  desk_fixture host{shared, "desk-9", 1};
+  REQUIRE(reserve_soon(host.desk, "team-a", 100000) == reserve_outcome::reserved);
+  host.desk.settle("team-a", 100000, 100000);
+  std::this_thread::sleep_for(std::chrono::milliseconds{200});
+  const steady_clock time;
+  const time_ms began = time.now();
+  const int before = shared.reads.load();
+  for (int i = 0; i < 200; ++i) {
+    CHECK(host.desk.lend("team-a", 500) == 0);
+    std::this_thread::sleep_for(std::chrono::milliseconds{5});
+  }
+  const auto reports = (time.now() - began).count() / prepaid_options{}.report_interval.count();
+  CHECK(shared.reads.load() <= before + 1 + reports);
+}
+
 // A host has just started and does not know the others yet, so it holds nothing. As soon as it
 // knows that it is a holder it takes tokens, and not when it next looks at the log.
 TEST_CASE("a host that learns that it is a holder takes tokens at once") {
