A holder with nothing left to lend leaves the log alone

Cause: each request of a team that is all but spent asks several holders, and each went to the log. Change: only where the next record can promise more of the team's tokens.

--- a/src/prepaid/impl/budget_desk.cpp
+++ b/src/prepaid/impl/budget_desk.cpp
@@ -206,7 +206,7 @@
     return 0;
   partition& part = partition_of(team);
   const std::uint64_t given = part.book.lend(team, tokens, time_.now());
-  if (given < tokens && reachable_) {
+  if (given < tokens && reachable_ && part.book.is_asked(team)) {
     part.due = std::min(part.due, part.exchanged + options_.asked_pause);
     wake_.notify_all();
   }
--- a/src/prepaid/impl/prepaid_book.cpp
+++ b/src/prepaid/impl/prepaid_book.cpp
@@ -180,6 +180,11 @@
   return given;
 }
 
+bool prepaid_book::is_asked(const std::string& team) const {
+  const team_state* state = find(team);
+  return state != nullptr && state->asked > 0;
+}
+
 void prepaid_book::receive(const std::string& team, std::uint64_t tokens) {
   teams_[team].received += tokens;
 }
--- a/src/prepaid/impl/prepaid_book.hpp
+++ b/src/prepaid/impl/prepaid_book.hpp
@@ -94,6 +94,9 @@
   /// that
   ///   is wanted of the next record.
   [[nodiscard]] std::uint64_t lend(const std::string& team, std::uint64_t tokens, time_ms now);
+  /// \returns whether other hosts want more of a team's tokens than this one may use, and its next
+  ///   record can promise some
+  [[nodiscard]] bool is_asked(const std::string& team) const;
   /// \brief Takes tokens that another host lent.
   void receive(const std::string& team, std::uint64_t tokens);
   /// \brief A request waits for loans, or waits no longer: what comes meanwhile is for it.
