--- a/src/entry/impl/fleet_watch.cpp
+++ b/src/entry/impl/fleet_watch.cpp
@@ -1,5 +1,7 @@
 #include "entry/impl/fleet_watch.hpp"
 
+#include <algorithm>
+
 namespace sedgechute {
 
 // Two failures make a look miss a change. The store may not wake a look that waits: requests are
@@ -105,7 +107,16 @@
     } catch (const std::exception& failure) {
       note_reachable(at, "endpoints", false, failure.what());
     }
-  } while (pauses_.pause(at.reachable ? options_.endpoint_interval : options_.retry_pause));
+  } while (pauses_.pause(at.reachable ? until_next_endpoints() : options_.retry_pause));
+}
+
+// What is missing since the store is back is taken out by the first look after the grace. One
+// interval later is too late for an endpoint that has left: within it requests went to one that had
+// said so 2.04 s before.
+time_ms fleet_watch::until_next_endpoints() const {
+  const time_ms grace_left = returned_at_ + options_.lapse_grace - time_.now();
+  return grace_left > time_ms{0} ? std::min(grace_left, options_.endpoint_interval)
+                                 : options_.endpoint_interval;
 }
 
 void fleet_watch::look_for_endpoints(cursor& at) {
--- a/src/entry/impl/fleet_watch.hpp
+++ b/src/entry/impl/fleet_watch.hpp
@@ -64,6 +64,8 @@
   void watch_endpoints();
   void look_for_configs(cursor& at);
   void look_for_endpoints(cursor& at);
+  /// \returns the pause before the next look at the list
+  [[nodiscard]] time_ms until_next_endpoints() const;
   void adopt(const config_ptr& offered);
   void note_reachable(cursor& at, std::string_view what, bool reachable, std::string_view reason);
 
