Requests refused for tokens come back soon; a stop waits for the log

Cause: callers refused for tokens were told to come back after 700 ms, beyond most targets, though the next host may hold them. A host that stopped while it was cut off from the log could not hand its tokens back, and its next life could not serve either. Change: come back after 100 ms, or when this host's promise covers it if that is sooner; a stop goes on until the log takes the tokens or the grace ends.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -154,9 +154,13 @@
 }
 
 // A request that is still arriving counts like one that runs: it came in time, and its caller would
-// learn nothing from a process that is gone.
+// learn nothing from a process that is gone. While the log is away tokens cannot be handed back,
+// and would be lost to their teams; the next life could not serve either.
 void entry_host::serve_until_end(planned_stop& stop) const {
-  const auto may_end = [&] { return stop.may_end(callers_->unanswered()); };
+  const auto may_end = [&] {
+    const bool log_away = budgets_->loaded() && !budgets_->log_reachable();
+    return stop.may_end(callers_->unanswered() + (log_away ? 1 : 0));
+  };
   while (!stop.notice_over())
     sleep_for(stop_look);
   stop.close_idle();
--- a/src/relay/impl/request_accounts.cpp
+++ b/src/relay/impl/request_accounts.cpp
@@ -1,9 +1,20 @@
 #include "relay/impl/request_accounts.hpp"
 
+#include <algorithm>
+#include <optional>
+
 namespace sedgechute {
 
 namespace {
 
+// A caller that comes back sooner may meet the same state.
+constexpr time_ms least_retry_after{50};
+
+// Another host may hold the tokens, and still serve the request in time; this one may later.
+time_ms soonest_retry(std::optional<time_ms> covered_here, time_ms elsewhere) noexcept {
+  return std::max(std::min(covered_here.value_or(elsewhere), elsewhere), least_retry_after);
+}
+
 double seconds(time_ms span) noexcept {
   constexpr double ms_a_second = 1000;
   return static_cast<double>(span.count()) / ms_a_second;
@@ -17,7 +28,11 @@
   if (!request.terms.generation || team == nullptr || !team->prepaid)
     return 0;
   const std::uint64_t bound = request.terms.generation->bound();
-  switch (budgets.reserve(team->name.str(), bound, request.terms.id)) {
+  const token_demand demand{.team = team->name.str(),
+                            .tokens = bound,
+                            .request = request.terms.id,
+                            .patience = time_ms{request.on_route->latency_target.count() / 2}};
+  switch (budgets.reserve(demand)) {
   case reserve_outcome::reserved:
     return bound;
   case reserve_outcome::exhausted:
@@ -25,7 +40,8 @@
                 "what is left does not cover " + std::to_string(bound) + " tokens"};
   case reserve_outcome::short_here:
     throw error{error_kind::budget_unreachable, team->name.str(),
-                "this host holds too few tokens now", retry_after};
+                "this host holds too few tokens now",
+                soonest_retry(budgets.covered_in(demand.team, bound), retry_after)};
   }
   return 0;
 }
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -41,7 +41,7 @@
   time_ms overload_retry_after{400}; ///< told to callers beyond that; another host may have room
   time_ms shed_retry_after{50};      ///< told while this host is busy; another one has room
   time_ms stop_retry_after{50};      ///< told while this host stops; another one has room
-  time_ms budget_retry_after{700};   ///< told when tokens lie with other hosts
+  time_ms budget_retry_after{100};   ///< told when tokens lie with other hosts
   /// Of an endpoint whose request may not be run again; its connection fails long before when the
   /// endpoint or the way to it is gone.
   time_ms longest_silence{60000};
