Budget desk split: exchanges with the log, and the choice of a wait as a pure function

Change: what talks to the log moves to budget_exchange.cpp unchanged; wait_for_tokens decides over a plain struct, with tests of each case. Behaviour is the same.

--- a/src/prepaid/impl/account.hpp
+++ b/src/prepaid/impl/account.hpp
@@ -35,8 +35,7 @@
 /// \returns the most that the host may have used so long after it wrote the account
 [[nodiscard]] std::uint64_t most_used(const account& of, time_ms since_written) noexcept;
 
-/// \returns how long after it wrote the account the host may have used so much; nothing where it
-/// may
+/// \returns how long after writing the account the host may have used so much; nothing where it may
 ///   not before its next record
 [[nodiscard]] std::optional<time_ms> earliest_used(const account& of,
                                                    std::uint64_t tokens) noexcept;
--- a/src/prepaid/impl/budget_desk.hpp
+++ b/src/prepaid/impl/budget_desk.hpp
@@ -138,15 +138,6 @@
                                                 std::unique_lock<ordered_mutex>& lock);
   [[nodiscard]] reserve_outcome reserve_by_log(const token_demand& demand,
                                                std::unique_lock<ordered_mutex>& lock);
-  /// \returns until when a request waits: for the log, or for what this host promised; nothing when
-  ///   neither can help in time
-  struct token_wait {
-    time_ms until;
-    bool for_log{false};
-  };
-  [[nodiscard]] std::optional<token_wait> wait_for_tokens(const partition& part,
-                                                          const token_demand& demand, time_ms began,
-                                                          int exchanges) const;
   void run();
   void run_exchange(partition& part, std::unique_lock<ordered_mutex>& lock);
   /// \returns whether the log answered
