--- a/src/relay/impl/choose_replica.hpp
+++ b/src/relay/impl/choose_replica.hpp
@@ -12,7 +12,7 @@
 
 /// \brief Weights of the choice, in milliseconds of a caller's wait or as figures of the engines.
 struct choice_weights {
-  /// Prompt tokens that an engine reads in a millisecond; from the engines' data sheet.
+  /// Prompt tokens that an engine reads in a millisecond.
   double tokens_read_a_ms{60};
   /// Tokens of a prompt that waits at an engine and of which nothing else is known.
   double waiting_prompt_tokens{2500};
@@ -25,11 +25,8 @@
   double reread_token_ms{0.2};
   /// The same when the token is fetched from the engine that keeps it.
   double fetched_token_ms{0.02};
-  /// Dislike of reading a token elsewhere than at its home, where the next prompts look for it. A
-  /// start of 5,000 tokens is worth a wait of 200 ms there: what it pushes out elsewhere is read
-  /// again by others. In the pool's model at 1.75 times the usual load chats in time rise from 0.71
-  /// to 0.77 of all against 0.005 and reports every 60 ms, and shared tokens read again fall from
-  /// 0.085 to 0.051; from 0.06 on drafts wait longer for it than they gain.
+  /// Dislike of reading a token elsewhere than at its home, where the next prompts look for it:
+  /// what it pushes out elsewhere is read again by others.
   double away_token_ms{0.04};
   /// Dislike of an endpoint that has failed each of its last requests.
   double failing_ms{3000};
--- a/src/relay/impl/load_exchange.hpp
+++ b/src/relay/impl/load_exchange.hpp
@@ -10,14 +10,10 @@
 namespace sedgechute {
 
 struct load_exchange_options {
-  /// Changes are gathered for so long. A prompt of 7,000 tokens takes an engine 100 ms to read, and
-  /// a report keeps the next prompt away only for what is left of it. In the pool's model at 1.5
-  /// times the usual load chats in time rise from 0.90 to 0.94 of all against 60 ms; 10 ms gain no
-  /// more.
+  /// Changes are gathered for so long. A report keeps other hosts' prompts away from an engine only
+  /// while it still reads this one.
   time_ms gather{20};
-  /// To all hosts together. Nine hosts tell each other each 20 ms within it; among the 26 to 30 of
-  /// a large data centre, whose hosts have as little as an eighth of a core, it is a report each 65
-  /// to 73 ms.
+  /// To all hosts together; in a large data centre reports become rarer instead.
   std::size_t most_datagrams_a_second{400};
   /// Everything is told anew after so long: a datagram may have been lost.
   time_ms whole_interval{1000};
