A refused caller is told the latest moment that it can use; pressure is judged once a request

Cause: at full size the host of a hot team still refused 311 requests of 8 s on threads, as its door and its relay both drew whether to shed; callers with 3 s were told to come back after 50 ms, to the same busy host. Change: one draw a request; Retry-After up to a third of the caller's time while the balancer has not turned; connections that have queued up are read as they are accepted.

--- a/src/relay/impl/caller_poll.cpp
+++ b/src/relay/impl/caller_poll.cpp
@@ -134,7 +134,11 @@
       return;
     }
     Poco::Net::StreamSocket socket{new Poco::Net::StreamSocketImpl{descriptor}};
-    park(std::make_unique<open_caller>(socket, time_, connections_));
+    auto caller = std::make_unique<open_caller>(socket, time_, connections_);
+    if (i == 0)
+      park(std::move(caller));
+    else // callers have queued up, and their requests are likely to be here
+      take_bytes(std::move(caller));
   }
 }
 
@@ -148,10 +152,13 @@
     caller = std::move(at->second);
     callers_.erase(at);
   }
-  if (caller->closing != nullptr) {
+  if (caller->closing != nullptr)
     drain(std::move(caller));
-    return;
-  }
+  else
+    take_bytes(std::move(caller));
+}
+
+void caller_poll::take_bytes(std::unique_ptr<open_caller> caller) {
   switch (caller->link.fill(time_.now())) {
   case io_status::ok:
     on_ready_(std::move(caller));
--- a/src/relay/impl/caller_poll.hpp
+++ b/src/relay/impl/caller_poll.hpp
@@ -76,6 +76,8 @@
   void accept_callers();
   void listen(bool on) noexcept;
   void note_ready(int descriptor);
+  /// \brief Reads what has come, and hands the connection over if anything has.
+  void take_bytes(std::unique_ptr<open_caller> caller);
   void drain(std::unique_ptr<open_caller> caller);
   void park(std::unique_ptr<open_caller> caller);
   /// \param served_only  connections that still wait for their first request are kept
--- a/src/relay/impl/front_door.cpp
+++ b/src/relay/impl/front_door.cpp
@@ -82,7 +82,8 @@
   while (!screened && !relay_.stop().begun() && !caller->overdue) {
     if (!caller->arriving)
       caller->shed = relay_.sheds();
-    if (!caller->shed && relay_.has_room())
+    screened = !caller->shed && relay_.has_room();
+    if (screened)
       break;
     switch (screen(*caller, mark)) {
     case screen_result::serve:
@@ -102,7 +103,7 @@
   caller->arriving = false;
   caller->overdue = false;
   relay_.note_request(false);
-  if (!screened)
+  if (!mark.begun())
     mark = relay_.preparing().begin({});
   run(std::make_shared<job>(*this, std::move(caller), std::move(mark), screened));
 }
--- a/src/relay/impl/host_pressure.cpp
+++ b/src/relay/impl/host_pressure.cpp
@@ -11,7 +11,8 @@
   const auto spread =
       time_ms{static_cast<std::int64_t>(drawn * static_cast<double>(options.spread.count()))};
   const time_ms until_dealt = std::max(options.dealt_after - *busy_for, options.soon) + spread;
-  return until_dealt * options.usable_parts <= left ? until_dealt : options.soon;
+  const time_ms usable{left.count() / options.usable_parts};
+  return std::max(std::min(until_dealt, usable), options.soon);
 }
 
 } // namespace sedgechute
--- a/src/relay/impl/host_pressure.hpp
+++ b/src/relay/impl/host_pressure.hpp
@@ -24,7 +24,7 @@
 };
 
 /// \brief When a caller that a host under pressure refuses had better come back: once the balancer
-/// deals it to another host, or soon where that would be too late for it.
+/// deals it to another host, or as late as it can use.
 /// \param left      until the caller gives up
 /// \param busy_for  how long the host has been busy, if it is
 /// \param drawn     from 0 to below 1, for the spread
--- a/src/relay/impl/incoming_request.hpp
+++ b/src/relay/impl/incoming_request.hpp
@@ -17,7 +17,7 @@
   connection& caller;
   std::size_t on_connection{1};         ///< 1 for the first request of its connection
   time_ms idle{};                       ///< how long the connection had waited for it
-  bool screened{false};                 ///< it was let in although the host is under pressure
+  bool screened{false};                 ///< the host's pressure has been considered
   preparing_requests::mark preparing{}; ///< ends with the first send
 };
 
--- a/src/relay/impl/preparing_requests.hpp
+++ b/src/relay/impl/preparing_requests.hpp
@@ -43,6 +43,7 @@
     ~mark();
 
     void end() noexcept;
+    [[nodiscard]] bool begun() const noexcept { return in_ != nullptr; }
     /// \brief Its team has become known.
     void belong_to(std::string_view team);
 
--- a/tests/relay/host_pressure_test.cpp
+++ b/tests/relay/host_pressure_test.cpp
@@ -18,6 +18,7 @@
   CHECK(wait == options.dealt_after - time_ms{300});
   CHECK(retry_after_pressure(time_ms{12000}, time_ms{300}, middle, options) > wait);
   CHECK(retry_after_pressure(time_ms{12000}, time_ms{60000}, 0, options) == options.soon);
+  CHECK(retry_after_pressure(time_ms{3000}, time_ms{300}, 0, options) == time_ms{1000});
 }
 
 TEST_CASE("a caller is never told to come back later than it can use") {
