--- a/src/relay/impl/front_door.cpp
+++ b/src/relay/impl/front_door.cpp
@@ -147,7 +147,7 @@
              {{log_field::count, std::exchange(refused_, 0)}});
 }
 
-void front_door::run(std::shared_ptr<job> work) {
+void front_door::run(const std::shared_ptr<job>& work) {
   if (!threads_.run([this, work] { serve(*work); }))
     refuse(*work);
 }
--- a/src/relay/impl/front_door.hpp
+++ b/src/relay/impl/front_door.hpp
@@ -45,7 +45,7 @@
   /// \brief Decides by the header about a request that has come, as far as it has come.
   [[nodiscard]] screen_result screen(open_caller& caller, preparing_requests::mark& mark);
   void note_refused();
-  void run(std::shared_ptr<job> work);
+  void run(const std::shared_ptr<job>& work);
   void refuse(job& work);
   /// \brief Serves what has come on a connection, and gives the connection back to the poll.
   void serve(job& work);
