Closing gently is the poll's; a request's mark needs no early end

Cause: reading the change as a newcomer. Change: connection::close_gently and request_mark::end had no callers left. Result: no change in behaviour.

--- a/src/relay/impl/connection.cpp
+++ b/src/relay/impl/connection.cpp
@@ -183,13 +183,6 @@
   (void)::shutdown(descriptor_, SHUT_WR);
 }
 
-void connection::close_gently(time_ms most) noexcept {
-  end_writing();
-  const time_ms deadline = time_.now() + most;
-  while (fill(deadline) == io_status::ok)
-    consume(buffered().size());
-}
-
 void connection::abort() noexcept {
   const linger at_once{1, 0};
   (void)::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
--- a/src/relay/impl/connection.hpp
+++ b/src/relay/impl/connection.hpp
@@ -89,9 +89,6 @@
   void trim() noexcept;
   /// \brief Ends our side; what the other side sends may still be read.
   void end_writing() noexcept;
-  /// \brief Ends our side, then discards what still comes for `most`. Closing with bytes unread
-  /// would reset the connection and could take the answer from a caller that has not read it.
-  void close_gently(time_ms most) noexcept;
   /// \brief Resets the connection, so that what was sent cannot pass for a complete answer.
   void abort() noexcept;
 
--- a/src/relay/impl/front_door.cpp
+++ b/src/relay/impl/front_door.cpp
@@ -16,17 +16,13 @@
 // Counts a request, whichever way it ends.
 class request_mark {
  public:
-  explicit request_mark(std::atomic<std::size_t>& of) : count_{&of} { ++*count_; }
+  explicit request_mark(std::atomic<std::size_t>& of) : count_{of} { ++count_; }
   request_mark(const request_mark&) = delete;
   request_mark& operator=(const request_mark&) = delete;
-  ~request_mark() { end(); }
-  void end() noexcept {
-    if (auto* const count = std::exchange(count_, nullptr))
-      --*count;
-  }
+  ~request_mark() { --count_; }
 
  private:
-  std::atomic<std::size_t>* count_;
+  std::atomic<std::size_t>& count_;
 };
 
 } // namespace
