--- a/src/relay/impl/elastic_pool.cpp
+++ b/src/relay/impl/elastic_pool.cpp
@@ -2,10 +2,8 @@
 
 #include <Poco/Exception.h>
 
-#include <algorithm>
 #include <chrono>
 #include <utility>
-#include <vector>
 
 namespace sedgechute {
 
@@ -14,7 +12,7 @@
   if (stopping_)
     return false;
   const bool may_grow = workers_.size() < options_.most_threads;
-  if (tasks_.size() >= idle_ && !may_grow && tasks_.size() >= idle_ + options_.most_queued)
+  if (!may_grow && tasks_.size() >= idle_ + options_.most_queued)
     return false;
   tasks_.push_back(std::move(work));
   if (tasks_.size() <= idle_ || !may_grow) {
--- a/src/relay/impl/front_door.cpp
+++ b/src/relay/impl/front_door.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t most_fields = 200;
 constexpr std::size_t read_block = 16 * 1024;
 
 // Counts a request, whichever way it ends.
@@ -205,7 +204,8 @@
       throw error{error_kind::payload_too_large, "header", "is larger than allowed"};
     if (status != io_status::ok)
       return after_answer::close;
-    const message_framing framing = check_request_header(text, {most_fields, limits.header_bytes});
+    const message_framing framing =
+        check_request_header(text, {most_header_fields, limits.header_bytes});
     incoming_request request{parse_request_head(text), {},   received, link,
                              caller.requests,          idle, screened, std::move(mark)};
     read_body(link, framing, limits, request, until_cut);
--- a/src/relay/impl/request_preview.cpp
+++ b/src/relay/impl/request_preview.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr std::string_view end_mark = "\r\n\r\n";
-constexpr std::size_t most_fields = 200;
 
 } // namespace
 
@@ -25,7 +24,7 @@
   if (header.size() > most_header)
     return seen;
   try {
-    const message_framing framing = check_request_header(header, {most_fields, most_header});
+    const message_framing framing = check_request_header(header, {most_header_fields, most_header});
     if (framing.body == body_framing::chunked || framing.bytes > most_body)
       return seen;
     seen.head = parse_request_head(header);
--- a/src/relay/impl/request_preview.hpp
+++ b/src/relay/impl/request_preview.hpp
@@ -7,6 +7,8 @@
 
 namespace sedgechute {
 
+constexpr std::size_t most_header_fields = 200;
+
 /// \brief How far a request can be told from the bytes that have come.
 enum class preview_state {
   arriving, ///< more bytes are needed
--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -29,11 +29,11 @@
   parts_.figures.add(metric::requests, {team, admitted.on_route->name, status});
   const auto busy_for = parts_.pressure.busy_for ? parts_.pressure.busy_for() : std::nullopt;
   const bool ends = shed || busy_for;
-  const error reason = full() && !ends
-                           ? too_many_open()
-                           : error{error_kind::no_capacity, "host", "its processor is used up",
-                                   retry_after_pressure(admitted.deadline - parts_.time.now(),
-                                                        busy_for, draw(), options_.pressure_retry)};
+  const error reason =
+      full() && !ends
+          ? too_many_open()
+          : processor_used_up(retry_after_pressure(admitted.deadline - parts_.time.now(), busy_for,
+                                                   draw(), options_.pressure_retry));
   return {.taken = false,
           .refusal = refusal_text(parts_.dialect, reason, admitted.terms.id, ends),
           .ends_connection = ends};
@@ -45,6 +45,10 @@
           options_.overload_retry_after};
 }
 
+error request_relay::processor_used_up(time_ms retry_after) {
+  return {error_kind::no_capacity, "host", "its processor is used up", retry_after};
+}
+
 double request_relay::draw() {
   const std::scoped_lock lock{mutex_};
   return random_.unit();
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -106,6 +106,7 @@
 
   [[nodiscard]] double draw();
   [[nodiscard]] error too_many_open() const;
+  [[nodiscard]] static error processor_used_up(time_ms retry_after);
   [[nodiscard]] bool may_repeat(const std::string& service);
   void note_first_send(const std::string& service);
   void note_length(const std::string& kind, time_ms length);
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -37,13 +37,13 @@
     throw relay_.too_many_open();
 }
 
-// Refused before it costs more: the caller's next connection is dealt to another host.
+// Refused before it costs more. Once the balancer has seen the host busy, the caller's next
+// connection is dealt to another one.
 void request_run::check_processor() {
   if (in_.screened || !relay_.sheds())
     return;
   last_on_connection_ = true;
-  throw error{error_kind::no_capacity, "host", "its processor is used up",
-              relay_.options_.pressure_retry.soon};
+  throw request_relay::processor_used_up(relay_.options_.pressure_retry.soon);
 }
 
 // A connection that its caller keeps brings requests until the process is gone.
