Admission: requests are bounded by the bytes that the host's link carries

Cause: hosts of the shifted deployment have links of 10 Mbit/s and prompts of 12 kB in the mean. One team that sends 7.5 times its usual overran one host (mix): within half a second connections to endpoints and the store timed out there, and the host of 73 lost 1,200 of its data centre's 8,100 requests. Requests are counted by bytes and team over half a second; beyond 0.6 of the link, teams above an equal share are refused as when too many are being prepared.

--- a/src/relay/impl/http_frontend.cpp
+++ b/src/relay/impl/http_frontend.cpp
@@ -213,6 +213,7 @@
     incoming_request request{parse_request_head(text), {},   received, link,
                              caller.requests,          idle, screened, std::move(guard)};
     read_body(link, framing, limits, request, until_cut);
+    request.bytes = text.size() + request.body.size();
     return relay_.serve(request);
   } catch (const error& reason) {
     log_.write(severity::info, "request_unreadable", {},
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -22,6 +22,7 @@
     check_capacity();
     admit(in_.head, in_.received, relay_.parts_.dialect, relay_.parts_.config(), admitted_);
     in_.preparing.assign_team(admitted_.team_name());
+    relay_.link_.note(admitted_.team_name(), in_.bytes, now());
     check_time_left();
     check_overload();
     reserved_ =
