--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -60,6 +60,10 @@
   return random_.unit();
 }
 
+bool request_relay::busy() const {
+  return parts_.pressure.busy_for && parts_.pressure.busy_for();
+}
+
 void request_relay::note_request(bool turned_away) const {
   if (parts_.pressure.note_request)
     parts_.pressure.note_request(turned_away);
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -79,6 +79,8 @@
 
   /// \returns whether the next new request is to be refused because the processor is overloaded
   [[nodiscard]] bool sheds() const { return parts_.pressure.sheds && parts_.pressure.sheds(); }
+  /// \returns whether the balancer should send callers to other hosts
+  [[nodiscard]] bool busy() const;
   /// \brief Counts a request that arrived.
   void note_request(bool turned_away) const;
   /// \returns whether the maximum number of requests is open
