A refusal that ends the connection does not wait for the body

Cause: refused requests were read whole first, so their bodies filled the link that was to be relieved.

--- a/tests/relay/busy_host_test.cpp
+++ b/tests/relay/busy_host_test.cpp
@@ -68,3 +68,19 @@
   at.set_out_of_rotation(false);
   CHECK(at.call("/unsafe/", "id-3", "", "POST").find("Connection: close") == std::string::npos);
 }
+
+// Guards against a congested link that fills with the bodies of requests that are to be refused.
+TEST_CASE("a busy host refuses a request before its body has arrived") {
+  scripted_endpoint endpoint{answers("x")};
+  relay_fixture at;
+  at.add_endpoint("e1", endpoint.address());
+  at.set_busy(true);
+  const std::string whole = request_text("/unsafe/", "id-1", "", "POST", std::string(5000, 'x'));
+  raw_caller caller{at.address()};
+  caller.send(std::string_view{whole}.substr(0, whole.size() - 4000));
+  const std::string refused = caller.read_all();
+  CHECK(status_of(refused) == 503);
+  CHECK(refused.find("Attempt-Id: id-1") != std::string::npos);
+  CHECK(refused.find("Connection: close") != std::string::npos);
+  CHECK(endpoint.seen().empty());
+}
