--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -10,4 +10,4 @@
 #include "entry/impl/explain_request.hpp"
 #include "entry/impl/fleet_watch.hpp"
 #include "entry/impl/registered_endpoints.hpp"
-#include "entry/impl/status_door.hpp"
+#include "entry/impl/status_server.hpp"
--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -14,25 +14,23 @@
 // The store answers within some milliseconds; when it is slow, within half a second.
 constexpr time_ms store_timeout{1200};
 
-// Partitions of the accounts: appends to one are ordered, and wait for each other.
+// Appends to one partition of the accounts wait for each other.
 constexpr unsigned account_partitions = 4;
 
-constexpr time_ms stop_look{10};
+constexpr time_ms stop_poll_interval{10};
 
 constexpr int listen_backlog = 512;
 
-// Open requests of a host that is busy all the time. A quarter of a core carries some 160 requests
-// a second; in a burst of three times that it had 1,900 open, of which few were in time. With 150
-// it refuses what it could serve, with 400 it serves most.
-constexpr double open_requests_a_core = 1600;
-constexpr std::size_t least_open_requests = 60;
+// Open requests of a host whose processor is fully used. With more, all of them are late.
+constexpr double open_requests_per_core = 1600;
+constexpr std::size_t min_open_requests = 60;
 
-// Hosts whose processor was used up had a third of that open, or more; idle ones some requests.
-constexpr std::size_t open_of_a_busy_host = 10;
+// With fewer than a tenth of its maximum open, a host is not what delays its own threads.
+constexpr std::size_t busy_divisor = 10;
 
-std::size_t most_open_requests(double processor_share) {
-  return std::max(least_open_requests,
-                  static_cast<std::size_t>(open_requests_a_core * processor_share));
+std::size_t max_open_requests(double processor_share) {
+  return std::max(min_open_requests,
+                  static_cast<std::size_t>(open_requests_per_core * processor_share));
 }
 
 void sleep_for(time_ms span) {
@@ -41,7 +39,7 @@
 
 Poco::Net::ServerSocket listen_on(const std::string& address) {
   Poco::Net::ServerSocket socket;
-  socket.bind(Poco::Net::SocketAddress{address}, true, false); // one host an address
+  socket.bind(Poco::Net::SocketAddress{address}, true, false); // exclusively
   socket.listen(listen_backlog);
   return socket;
 }
@@ -85,8 +83,8 @@
         return peers_->send(host, peer_message::token_loan, bytes);
       },
       [this](const std::string& host) { return peers_->near(host); }, loan_options{}, time, log);
-  // After a loss of power all hosts start at once. If each took tokens before it knew who else is
-  // there, their appends would stand in each other's way for a second, and then again to hand back.
+  // After a loss of power all hosts start at once. If each took tokens before it knew the others,
+  // their appends would conflict, and again when they return the tokens.
   budgets_->set_holder_predicate([this](const std::string& team) {
     return peers_->hosts_known() && holds_tokens_of(account_partition(team, account_partitions),
                                                     peers_->self().name, peers_->near_hosts());
@@ -101,12 +99,12 @@
   options.retries.slack = settings_.retry_slack;
   options.retries.window = settings_.retry_window;
   options.stop = settings_.stop;
-  options.max_open = most_open_requests(settings_.processor_share);
+  options.max_open = max_open_requests(settings_.processor_share);
   options.max_preparing = max_preparing(settings_.processor_share);
   options.link_mbps = settings_.link_mbps;
   processor_ = std::make_unique<processor_monitor>(
-      shedding_options{}, [this] { return relay_->open(); }, options.max_open / open_of_a_busy_host,
-      time, log);
+      shedding_options{}, [this] { return relay_->open(); }, options.max_open / busy_divisor, time,
+      log);
   relay_ = std::make_unique<request_relay>(
       request_relay::parts{
           dialect_, endpoints_, *budgets_, time, log, figures_, [this] { return fleet_->config(); },
@@ -121,7 +119,7 @@
 entry_host::~entry_host() = default;
 
 void entry_host::start() {
-  status_ = std::make_unique<status_door>(pages(), listen_on(settings_.status));
+  status_ = std::make_unique<status_server>(pages(), listen_on(settings_.status));
   status_->start();
   budgets_->start();
   fleet_->start();
@@ -141,8 +139,8 @@
       {{log_field::address, settings_.callers}, {log_field::data_centre, settings_.data_centre}});
 }
 
-// New connections are taken until the end. The balancer sends some also when it knows better: in a
-// data centre with most of its hosts out of rotation it uses all of them.
+// New connections are accepted until the end: in a data centre with most of its hosts out of
+// rotation, the balancer uses all of them.
 time_ms entry_host::stop() {
   planned_stop& stop = relay_->stop();
   stop.begin();
@@ -161,29 +159,29 @@
   return spans.lines;
 }
 
-// A request that is still arriving counts like one that runs: it came in time, and its caller would
-// learn nothing from a process that is gone. While the log is away tokens cannot be handed back,
-// and would be lost to their teams; the next life could not serve either.
+// A request that is still arriving counts like one that runs: otherwise its caller would get no
+// answer. While the log is down, tokens cannot be returned and would be lost to their teams, and
+// the next incarnation could not serve either.
 void entry_host::serve_until_end(planned_stop& stop) const {
   const auto may_end = [&] {
     const bool log_away = budgets_->loaded() && !budgets_->log_reachable();
     return stop.may_end(callers_->unanswered() + (log_away ? 1 : 0));
   };
   while (!stop.notice_over())
-    sleep_for(stop_look);
+    sleep_for(stop_poll_interval);
   stop.close_idle();
   log_.write(severity::info, "notice_over", {},
              {{log_field::count, callers_->connections()}, {log_field::open, relay_->open()}});
   while (!may_end())
-    sleep_for(stop_look);
+    sleep_for(stop_poll_interval);
   stop.end_taking();
   while (!may_end())
-    sleep_for(stop_look); // what was taken in the last moment
+    sleep_for(stop_poll_interval); // requests that were accepted in the last moment
 }
 
 void entry_host::wait_until(const std::function<bool()>& done, time_ms most) const {
   for (const time_ms until = time_.now() + most; !done() && time_.now() < until;)
-    sleep_for(stop_look);
+    sleep_for(stop_poll_interval);
 }
 
 std::string entry_host::not_ready_reason() const {
@@ -236,7 +234,7 @@
   return text.str();
 }
 
-status_door::pages entry_host::pages() {
+status_server::pages entry_host::pages() {
   return {
       {"/readyz",
        [this] {
--- a/src/entry/impl/entry_host.hpp
+++ b/src/entry/impl/entry_host.hpp
@@ -2,7 +2,7 @@
 
 #include "entry/impl/entry_settings.hpp"
 #include "entry/impl/fleet_watch.hpp"
-#include "entry/impl/status_door.hpp"
+#include "entry/impl/status_server.hpp"
 #include "platform/platform.hpp"
 #include "prepaid/prepaid.hpp"
 #include "relay/relay.hpp"
@@ -13,7 +13,7 @@
 
 namespace sedgechute {
 
-/// \brief One entry host: its parts, how they are joined, and their start and stop.
+/// \brief One entry host: creates its parts, connects, starts and stops them.
 class entry_host {
  public:
   entry_host(entry_settings settings, const clock& time, structured_log& log);
@@ -22,13 +22,13 @@
   ~entry_host();
 
   void start();
-  /// \brief Lets what runs come to its end within the grace, and stops.
-  /// \returns how long the log may still take
+  /// \brief Lets open requests end within the grace period, and stops.
+  /// \returns the time left for writing the log
   [[nodiscard]] time_ms stop();
 
  private:
   [[nodiscard]] std::string not_ready_reason() const;
-  [[nodiscard]] status_door::pages pages();
+  [[nodiscard]] status_server::pages pages();
   [[nodiscard]] std::string budget_page() const;
   void serve_until_end(planned_stop& stop) const;
   void wait_until(const std::function<bool()>& done, time_ms most) const;
@@ -57,7 +57,7 @@
   std::unique_ptr<request_relay> relay_;
   std::unique_ptr<processor_monitor> processor_; ///< its thread counts what relay_ serves
   std::unique_ptr<http_frontend> callers_;
-  std::unique_ptr<status_door> status_;
+  std::unique_ptr<status_server> status_;
   std::atomic<bool> stopping_{false};
 };
 
--- a/src/entry/impl/entry_settings.hpp
+++ b/src/entry/impl/entry_settings.hpp
@@ -10,7 +10,7 @@
 
 namespace sedgechute {
 
-/// \brief What an entry host is told at its start.
+/// \brief Settings of an entry host, read at its start.
 struct entry_settings {
   std::string host;
   std::string data_centre;
--- a/src/entry/impl/entry_settings_table.cpp
+++ b/src/entry/impl/entry_settings_table.cpp
@@ -39,8 +39,8 @@
 constexpr number_bounds seconds_bounds{0, 86400};
 constexpr number_bounds ratio_bounds{0, 100};
 constexpr number_bounds slack_bounds{0, 1e9};
-// Within less than an answer of the store takes now and then, no look can be relied on.
-constexpr number_bounds look_bounds{100, 86'400'000}; // milliseconds
+// A bound shorter than a slow reply of the store cannot be kept.
+constexpr number_bounds read_bounds{100, 86'400'000}; // milliseconds
 constexpr number_bounds share_bounds{0.001, 1024};    // of a core
 constexpr number_bounds link_bounds{0, 1e7};
 constexpr number_bounds cold_bounds{0, 1e6};
@@ -72,10 +72,10 @@
              seconds_of(usual.retry_window), "s", seconds_bounds),
       number("config_bound_ms",
              "A change of the configuration is to be in force so long after its publication",
-             static_cast<double>(usual.config_bound.count()), "ms", look_bounds),
+             static_cast<double>(usual.config_bound.count()), "ms", read_bounds),
       number("drain_bound_ms",
              "An endpoint that leaves still serves so long after the store has taken word of it",
-             static_cast<double>(usual.drain_bound.count()), "ms", look_bounds),
+             static_cast<double>(usual.drain_bound.count()), "ms", read_bounds),
       number("processor_share",
              "Of a core, that this host may use; bounds the requests open at once",
              usual.processor_share, "cores", share_bounds),
--- a/src/entry/impl/fleet_watch.cpp
+++ b/src/entry/impl/fleet_watch.cpp
@@ -166,7 +166,7 @@
   registered_.apply(changes, all);
   if (!just_back)
     registered_.drop_lapsed();
-  registered_.judge_services(config());
+  registered_.check_services(config());
   at.end = changes.end;
   at.known = !changes.history_lost;
   endpoints_known_ = true;
--- a/src/entry/impl/registered_endpoints.cpp
+++ b/src/entry/impl/registered_endpoints.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-// Of several changes of one entry the last one holds.
+/// \returns the last change of each entry
 std::map<endpoint_id, const endpoint_change*> last_of_each(const endpoint_changes& changes) {
   std::map<endpoint_id, const endpoint_change*> last;
   for (const endpoint_change& change : changes.changes)
@@ -21,13 +21,12 @@
                                            structured_log& log)
     : endpoints_{endpoints}, faults_{faults}, log_{log} {}
 
-// An entry that is missing after the store was away may only have lapsed, and its endpoint lives.
-// One that is there and cannot be read was written by somebody: what stood there before holds no
-// more, and nothing is waited for.
+// The entry of a running endpoint may expire while the store is down. An invalid entry was written,
+// so its endpoint is removed at once.
 void registered_endpoints::apply(const endpoint_changes& changes, bool all) {
   const auto last = last_of_each(changes);
   for (const auto& [id, change] : last) {
-    judged_ = false;
+    checked_ = false;
     lapsed_.erase(id);
     if (change->entry) {
       services_[id] = change->entry->service;
@@ -36,7 +35,7 @@
       lapsed_.insert(id);
     } else {
       faults_.note(entry_topic::endpoints, id.str(), change->fault);
-      take_out(id);
+      remove(id);
     }
   }
   if (!all)
@@ -46,7 +45,7 @@
       lapsed_.insert(id);
 }
 
-void registered_endpoints::take_out(const endpoint_id& id) {
+void registered_endpoints::remove(const endpoint_id& id) {
   if (services_.erase(id) == 0)
     return;
   endpoints_.remove(id);
@@ -56,15 +55,15 @@
 void registered_endpoints::drop_lapsed() {
   for (const endpoint_id& id : std::exchange(lapsed_, {})) {
     faults_.clear(entry_topic::endpoints, id.str());
-    take_out(id);
+    remove(id);
   }
 }
 
-void registered_endpoints::judge_services(const config_ptr& config) {
-  if (!config || (judged_ && judged_by_ == config->version))
+void registered_endpoints::check_services(const config_ptr& config) {
+  if (!config || (checked_ && checked_by_ == config->version))
     return;
-  judged_ = true;
-  judged_by_ = config->version;
+  checked_ = true;
+  checked_by_ = config->version;
   for (const auto& [id, service] : services_) {
     if (config->find_service(service) != nullptr)
       faults_.clear(entry_topic::endpoints, id.str());
--- a/src/entry/impl/registered_endpoints.hpp
+++ b/src/entry/impl/registered_endpoints.hpp
@@ -11,33 +11,32 @@
 
 namespace sedgechute {
 
-/// \brief Follows the list of endpoints: which of its entries name an endpoint to use. Not
-/// thread-safe.
+/// \brief Applies changes of the endpoint list to the directory. Not thread-safe.
 class registered_endpoints {
  public:
   registered_endpoints(endpoint_directory& endpoints, entry_faults& faults, structured_log& log);
 
-  /// \brief Takes changes in their order. An entry that cannot be read ends the use of its
-  /// endpoint, a good one begins it; one that is gone only lapses.
-  /// \param all  the changes name every entry that there is
+  /// \brief Applies changes in their order. A valid entry adds its endpoint, an invalid one removes
+  /// it; a deleted entry has only lapsed.
+  /// \param all  the changes contain every entry
   void apply(const endpoint_changes& changes, bool all);
-  /// \brief Ends the use of the endpoints whose entries lapsed and have not come back.
+  /// \brief Removes the endpoints whose entries have lapsed and not come back.
   void drop_lapsed();
-  /// \brief Reports the entries whose service no route can name. They are kept: a configuration
-  /// that describes the service may come after them.
+  /// \brief Reports entries whose service the configuration does not describe. They are kept, as a
+  /// later configuration may describe it.
   /// \param config  in force; null before the first
-  void judge_services(const config_ptr& config);
+  void check_services(const config_ptr& config);
 
  private:
-  void take_out(const endpoint_id& id);
+  void remove(const endpoint_id& id);
 
   endpoint_directory& endpoints_;
   entry_faults& faults_;
   structured_log& log_;
-  std::map<endpoint_id, std::string> services_; ///< of entries that can be read
-  std::set<endpoint_id> lapsed_; ///< gone from the list, perhaps only while the store was away
-  std::uint64_t judged_by_{};    ///< version of the configuration
-  bool judged_{false};           ///< none has changed since `judge_services`
+  std::map<endpoint_id, std::string> services_; ///< of valid entries
+  std::set<endpoint_id> lapsed_;                ///< deleted, perhaps only while the store was down
+  std::uint64_t checked_by_{};                  ///< version of the configuration
+  bool checked_{false};                         ///< no entry has changed since `check_services`
 };
 
 } // namespace sedgechute
--- a/src/entry/impl/status_door.hpp
+++ b/src/entry/impl/status_server.hpp
@@ -18,15 +18,15 @@
 };
 
 /// \brief A small HTTP server for readiness, metrics and the state of the host.
-class status_door {
+class status_server {
  public:
-  /// \brief What is told at each path.
+  /// \brief The answer of each path.
   using pages = std::map<std::string, std::function<status_answer()>>;
 
-  status_door(pages told, const Poco::Net::ServerSocket& socket);
-  status_door(const status_door&) = delete;
-  status_door& operator=(const status_door&) = delete;
-  ~status_door();
+  status_server(pages served, const Poco::Net::ServerSocket& socket);
+  status_server(const status_server&) = delete;
+  status_server& operator=(const status_server&) = delete;
+  ~status_server();
 
   void start();
 
--- a/tests/entry/registered_endpoints_test.cpp
+++ b/tests/entry/registered_endpoints_test.cpp
@@ -113,7 +113,7 @@
   at.take({{"e1", entry_text("s", "failing")}});
   CHECK(at.reported() == 2); // for another reason
   at.take({{"e1", entry_text("s")}});
-  at.list.judge_services(config_of(1, {"s"}));
+  at.list.check_services(config_of(1, {"s"}));
   at.take({{"e1", entry_text("s", "failing")}});
   CHECK(at.reported() == 3);
   at.take({{"e1", std::nullopt}});
@@ -126,15 +126,15 @@
 TEST_CASE("an entry of a service that no configuration describes is kept until one does") {
   fixture at;
   at.take({{"e1", entry_text("s")}, {"e2", entry_text("new")}});
-  at.list.judge_services(nullptr);
+  at.list.check_services(nullptr);
   CHECK(at.reported() == 0); // nothing is known of any service yet
-  at.list.judge_services(config_of(1, {"s"}));
-  at.list.judge_services(config_of(1, {"s"}));
+  at.list.check_services(config_of(1, {"s"}));
+  at.list.check_services(config_of(1, {"s"}));
   CHECK(at.reported() == 1);
-  at.list.judge_services(config_of(2, {"s", "new"}));
+  at.list.check_services(config_of(2, {"s", "new"}));
   CHECK(at.reported() == 1);
   CHECK(at.used("new") == name_set{"e2"});
-  at.list.judge_services(config_of(3, {"s"}));
+  at.list.check_services(config_of(3, {"s"}));
   CHECK(at.reported() == 2);
 }
 
@@ -220,7 +220,7 @@
         records.push_back(random_record(keys, known));
       at.take(records);
       if (*rc::gen::arbitrary<bool>())
-        at.list.judge_services(config);
+        at.list.check_services(config);
       name_set all;
       for (const auto& [id, said] : known)
         all.insert(id);
