A publish is answered after its budget is in force on the host

The outcome of a record became visible, and waiters were woken, before the replay went on to the ledger. Change: the outcome of a record is returned only once its effects are in force.

--- a/src/daemon/impl/document_service.cpp
+++ b/src/daemon/impl/document_service.cpp
@@ -54,11 +54,19 @@
   {
     const std::scoped_lock lock{mutex_};
     applied = store_.apply(offset, record, committed);
+    applying_ = record.record_id;
   }
-  applied_.notify_all();
   return applied;
 }
 
+void document_service::finish_apply() noexcept {
+  {
+    const std::scoped_lock lock{mutex_};
+    applying_.clear();
+  }
+  applied_.notify_all();
+}
+
 cut_number document_service::open_cut() {
   const std::scoped_lock lock{mutex_};
   return store_.open_cut();
@@ -129,7 +137,9 @@
   const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds{most.count()};
   std::unique_lock lock{mutex_};
   for (;;) {
-    if (const publish_outcome* outcome = store_.outcome_of(record_id))
+    const publish_outcome* outcome =
+        record_id == applying_ ? nullptr : store_.outcome_of(record_id);
+    if (outcome != nullptr)
       return *outcome;
     if (applied_.wait_until(lock, deadline) == std::cv_status::timeout)
       return std::nullopt;
--- a/src/daemon/impl/document_service.hpp
+++ b/src/daemon/impl/document_service.hpp
@@ -18,6 +18,8 @@
  public:
   [[nodiscard]] applied_document apply(std::uint64_t offset, const document_record& record,
                                        const committed_tokens& committed);
+  /// \brief Ends `apply`: the effects of the record are in force, and its outcome may be returned.
+  void finish_apply() noexcept;
 
   /// \brief The state in parts, as `document_store` gives and takes them. What is being restored
   /// takes effect at the end, at once.
@@ -59,6 +61,7 @@
 
   mutable ordered_mutex mutex_{lock_rank::documents};
   std::condition_variable_any applied_;
+  std::string applying_; ///< id of the record whose effects are not in force yet
   document_store store_;
   std::optional<document_store> arriving_; ///< used by the replaying thread only
 };
--- a/tests/fleet/faults_test.cpp
+++ b/tests/fleet/faults_test.cpp
@@ -162,6 +162,16 @@
   CHECK(fleet.publish(1, 3'000'000, "once") == 200);
 }
 
+// Guards against an answer to a publish that comes before its budget is in force on the host.
+TEST_CASE("a budget is in force on a host that has answered its publish") {
+  running_fleet fleet{{.hosts = 2, .engines = 1}};
+  for (std::int64_t tokens = 2'000'001; tokens <= 2'000'040; ++tokens) {
+    const std::string id = "raise-" + std::to_string(tokens);
+    REQUIRE(eventually([&] { return fleet.publish(0, tokens, id) == 200; }));
+    CHECK(field(budget(fleet, 0), "bought") == tokens);
+  }
+}
+
 // One host cannot reach the log, the others can. A contract is published through them. The cut-off
 // host must go by it within seconds all the same, since it can still reach its peers.
 TEST_CASE("a host cut off from the log is current through its peers") {
