--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -101,7 +101,6 @@
   options.stop = settings_.stop;
   options.max_open = max_open_requests(settings_.processor_share);
   options.max_preparing = max_preparing(settings_.processor_share);
-  options.link_mbps = settings_.link_mbps;
   processor_ = std::make_unique<processor_monitor>(
       shedding_options{}, [this] { return relay_->open(); }, options.max_open / busy_divisor, time,
       log);
--- a/src/entry/impl/entry_settings_table.cpp
+++ b/src/entry/impl/entry_settings_table.cpp
@@ -42,7 +42,6 @@
 // A bound shorter than a slow reply of the store cannot be kept.
 constexpr number_bounds read_bounds{100, 86'400'000}; // milliseconds
 constexpr number_bounds share_bounds{0.001, 1024};    // of a core
-constexpr number_bounds link_bounds{0, 1e7};
 constexpr number_bounds cold_bounds{0, 1e6};
 
 std::vector<entry_setting> make_table() {
@@ -79,9 +78,6 @@
       number("processor_share",
              "Of a core, that this host may use; bounds the requests open at once",
              usual.processor_share, "cores", share_bounds),
-      number("link_mbps",
-             "Capacity of this host's network link; bounds the bytes of requests; 0: no bound",
-             usual.link_mbps, "Mbit/s", link_bounds),
       number("cold_overage",
              "Factor of the rate that a cold endpoint sustains, for all hosts together",
              usual.cold_start.overage, "", cold_bounds),
--- a/src/relay/impl/caller_answer.cpp
+++ b/src/relay/impl/caller_answer.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <cstdio>
-#include <utility>
 
 namespace sedgechute {
 
@@ -20,10 +19,8 @@
 
 } // namespace
 
-caller_answer::caller_answer(connection& caller, const planned_stop& stop,
-                             std::function<bool()> last_on_connection)
-    : caller_{caller}, last_on_connection_{std::move(last_on_connection)},
-      stop_watch_{-1, stop.cut_descriptor()} {}
+caller_answer::caller_answer(connection& caller, const planned_stop& stop)
+    : caller_{caller}, stop_{stop}, stop_watch_{-1, stop.cut_descriptor()} {}
 
 void caller_answer::take_head(const response_head& head) {
   if (!stream_begun_)
@@ -39,7 +36,7 @@
   response_head head = head_;
   head.fields.remove_hop_by_hop();
   head.fields.remove("Content-Length");
-  announced_close_ = last_on_connection_();
+  announced_close_ = stop_.begun();
   if (announced_close_)
     head.fields.set("Connection", "close");
   return head;
--- a/src/relay/impl/caller_answer.hpp
+++ b/src/relay/impl/caller_answer.hpp
@@ -5,7 +5,6 @@
 #include "relay/impl/message_head.hpp"
 #include "relay/impl/planned_stop.hpp"
 
-#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,10 +15,9 @@
 /// together from several runs; the caller sees one header and each event once.
 class caller_answer {
  public:
-  /// \param stop  interrupts writes to the caller at its cut
-  /// \param last_on_connection  returns whether headers are to contain `Connection: close`
-  caller_answer(connection& caller, const planned_stop& stop,
-                std::function<bool()> last_on_connection);
+  /// \param stop  interrupts writes to the caller at its cut; once it has begun, headers contain
+  ///   `Connection: close`
+  caller_answer(connection& caller, const planned_stop& stop);
 
   /// \brief Sets the header of the answer. A stream keeps the header of its first run.
   void take_head(const response_head& head);
@@ -54,7 +52,7 @@
   [[nodiscard]] bool begin_stream();
 
   connection& caller_;
-  std::function<bool()> last_on_connection_;
+  const planned_stop& stop_;
   caller_watch stop_watch_;
   response_head head_;
   std::string kept_body_;
--- a/src/relay/impl/http_frontend.cpp
+++ b/src/relay/impl/http_frontend.cpp
@@ -44,7 +44,6 @@
   serve,   ///< the request is accepted
   arrives, ///< the request is incomplete
   refused, ///< the refusal has been written
-  closing, ///< the refusal has been written, and the connection must be closed gracefully
   ends,    ///< the connection must be closed
 };
 
@@ -94,9 +93,6 @@
     case screen_result::arrives:
       poll_.wait_for_request(std::move(caller));
       return;
-    case screen_result::closing:
-      poll_.close_gracefully(std::move(caller));
-      return;
     case screen_result::ends:
       return; // closed with `caller`
     }
@@ -115,8 +111,6 @@
   request_preview seen =
       preview_request(caller.link.buffered(), limits.header_bytes, limits.body_bytes);
   while (seen.state == preview_state::arriving) {
-    if (const auto refused = refuse_by_header(caller, seen))
-      return *refused;
     const io_status status = caller.link.fill(time_.now());
     caller.arriving = status == io_status::timed_out;
     if (caller.arriving)
@@ -140,21 +134,6 @@
   return written && !decision.ends_connection ? screen_result::refused : screen_result::ends;
 }
 
-// The rest of a refused body would only delay other callers on a congested link. The connection
-// ends with the refusal, as the body would follow on it.
-std::optional<http_frontend::screen_result>
-http_frontend::refuse_by_header(caller_connection& caller, const request_preview& seen) {
-  if (!seen.has_head)
-    return std::nullopt;
-  const request_relay::screening decision = relay_.screen(seen.head, caller.shed);
-  if (decision.taken || !decision.ends_connection)
-    return std::nullopt;
-  note_refused();
-  relay_.note_request(true);
-  const bool written = caller.link.write_all(decision.refusal, time_.now()) == io_status::ok;
-  return written ? screen_result::closing : screen_result::ends;
-}
-
 // At most one log line per interval: one per refusal would cost more than the refusals do.
 void http_frontend::note_refused() {
   constexpr time_ms interval{1000};
@@ -234,7 +213,6 @@
     incoming_request request{parse_request_head(text), {},   received, link,
                              caller.requests,          idle, screened, std::move(guard)};
     read_body(link, framing, limits, request, until_cut);
-    request.bytes = text.size() + request.body.size();
     return relay_.serve(request);
   } catch (const error& reason) {
     log_.write(severity::info, "request_unreadable", {},
--- a/src/relay/impl/http_frontend.hpp
+++ b/src/relay/impl/http_frontend.hpp
@@ -3,7 +3,6 @@
 #include "gateway/impl/request_header.hpp"
 #include "relay/impl/caller_poll.hpp"
 #include "relay/impl/elastic_pool.hpp"
-#include "relay/impl/request_preview.hpp"
 #include "relay/impl/request_relay.hpp"
 
 #include <Poco/Net/ServerSocket.h>
@@ -11,7 +10,6 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
-#include <optional>
 
 namespace sedgechute {
 
@@ -46,10 +44,6 @@
   void dispatch(std::unique_ptr<caller_connection> caller);
   /// \brief Decides by its header whether a request is served, without waiting for more bytes.
   [[nodiscard]] screen_result screen(caller_connection& caller, preparing_requests::guard& guard);
-  /// \brief Refuses a request before its body has arrived, if the host has to and its connection
-  /// is to end anyway.
-  [[nodiscard]] std::optional<screen_result> refuse_by_header(caller_connection& caller,
-                                                              const request_preview& seen);
   void note_refused();
   void run(const std::shared_ptr<job>& work);
   void refuse(job& work);
--- a/src/relay/impl/incoming_request.hpp
+++ b/src/relay/impl/incoming_request.hpp
@@ -19,7 +19,6 @@
   time_ms idle{};                        ///< time that the connection was idle before it
   bool screened{false};                  ///< the host's load has already been checked for it
   preparing_requests::guard preparing{}; ///< counts it until the first send
-  std::size_t bytes{};                   ///< size of header and body
 };
 
 } // namespace sedgechute
--- a/src/relay/impl/request_preview.cpp
+++ b/src/relay/impl/request_preview.cpp
@@ -30,7 +30,6 @@
     seen.head = parse_request_head(header);
     if (seen.head.fields.has("Expect"))
       return seen;
-    seen.has_head = true;
     seen.bytes = header.size() + static_cast<std::size_t>(framing.bytes);
     seen.state = bytes.size() < seen.bytes ? preview_state::arriving : preview_state::whole;
   } catch (const error&) {
--- a/src/relay/impl/request_preview.hpp
+++ b/src/relay/impl/request_preview.hpp
@@ -19,8 +19,7 @@
 /// \brief The first request in a connection's buffer.
 struct request_preview {
   preview_state state{preview_state::arriving};
-  request_head head; ///< once the header has arrived, of a request that is not `other`
-  bool has_head{false};
+  request_head head;   ///< only when the request is whole
   std::size_t bytes{}; ///< size of header and body; only when the request is whole
 };
 
--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -5,8 +5,8 @@
 namespace sedgechute {
 
 request_relay::request_relay(parts joined, const relay_options& options)
-    : parts_{std::move(joined)}, options_{options}, connections_{parts_.time},
-      stop_{options.stop, parts_.time}, retries_{options.retries}, link_{options.link_mbps} {}
+    : parts_{std::move(joined)}, options_{options},
+      connections_{parts_.time}, stop_{options.stop, parts_.time}, retries_{options.retries} {}
 
 connection_action request_relay::serve(incoming_request& request) {
   request_run run{*this, request};
@@ -24,7 +24,7 @@
     return {};
   }
   const std::string_view team = admitted.team_name();
-  if (!shed && !full() && !exceeds_team_share(team))
+  if (!shed && !full() && !exceeds_share(preparing_.load(team), options_.max_preparing))
     return {.guard = preparing_.begin(team)};
   constexpr std::string_view status = "503";
   parts_.figures.add(metric::requests, {team, admitted.on_route->name, status});
@@ -40,11 +40,6 @@
           .ends_connection = ends};
 }
 
-bool request_relay::exceeds_team_share(std::string_view team) const {
-  return exceeds_share(preparing_.load(team), options_.max_preparing) ||
-         link_.exceeded_by(team, parts_.time.now());
-}
-
 error request_relay::too_many_open() const {
   return {error_kind::no_capacity, "host",
           std::to_string(options_.max_open) + " requests are already open on this host",
@@ -60,10 +55,6 @@
   return random_.unit();
 }
 
-bool request_relay::busy() const {
-  return parts_.pressure.busy_for && parts_.pressure.busy_for();
-}
-
 void request_relay::note_request(bool turned_away) const {
   if (parts_.pressure.note_request)
     parts_.pressure.note_request(turned_away);
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -7,7 +7,6 @@
 #include "relay/impl/fleet_config.hpp"
 #include "relay/impl/host_pressure.hpp"
 #include "relay/impl/incoming_request.hpp"
-#include "relay/impl/link_usage.hpp"
 #include "relay/impl/planned_stop.hpp"
 #include "relay/impl/preparing_requests.hpp"
 #include "relay/impl/retry_limiter.hpp"
@@ -44,7 +43,6 @@
   /// Maximum number of requests in preparation, i.e. not yet sent to an endpoint; beyond it, teams
   /// that have used up their share are refused.
   std::size_t max_preparing{100};
-  double link_mbps{0};               ///< capacity of this host's link; 0: unknown
   time_ms overload_retry_after{400}; ///< `Retry-After` beyond that; another host may have capacity
   retry_hint_options
       pressure_retry;              ///< for `Retry-After` while this host's processor is overloaded
@@ -79,16 +77,13 @@
 
   /// \returns whether the next new request is to be refused because the processor is overloaded
   [[nodiscard]] bool sheds() const { return parts_.pressure.sheds && parts_.pressure.sheds(); }
-  /// \returns whether the balancer should send callers to other hosts
-  [[nodiscard]] bool busy() const;
   /// \brief Counts a request that arrived.
   void note_request(bool turned_away) const;
   /// \returns whether the maximum number of requests is open
   [[nodiscard]] bool full() const noexcept { return open_ >= options_.max_open; }
   /// \returns whether requests may be accepted without examining them
   [[nodiscard]] bool has_capacity() const {
-    return !full() && preparing_.total() < options_.max_preparing &&
-           link_.has_capacity(parts_.time.now());
+    return !full() && preparing_.total() < options_.max_preparing;
   }
   [[nodiscard]] preparing_requests& preparing() noexcept { return preparing_; }
 
@@ -114,8 +109,6 @@
   [[nodiscard]] double draw();
   [[nodiscard]] error too_many_open() const;
   [[nodiscard]] static error processor_used_up(time_ms retry_after);
-  /// \returns whether a team has used up its share of what this host can handle
-  [[nodiscard]] bool exceeds_team_share(std::string_view team) const;
   [[nodiscard]] bool may_retry(const std::string& service);
   void note_first_send(const std::string& service);
   void note_length(const std::string& kind, time_ms length);
@@ -132,7 +125,6 @@
   random_source random_{random_source::from_system()};
   std::atomic<std::size_t> open_{0};
   preparing_requests preparing_;
-  link_usage link_;
 };
 
 /// \returns a refusal by this host as a complete HTTP response
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -6,8 +6,8 @@
 
 request_run::request_run(request_relay& relay, incoming_request& in)
     : relay_{relay}, in_{in}, watch_{in.caller.descriptor(), relay.stop_.cut_descriptor()},
-      answer_{in.caller, relay.stop_, [&relay] { return relay.stop_.begun() || relay.busy(); }},
-      records_{relay.parts_.log, relay.parts_.figures, relay.parts_.time} {
+      answer_{in.caller, relay.stop_}, records_{relay.parts_.log, relay.parts_.figures,
+                                                relay.parts_.time} {
   ++relay_.open_;
 }
 
@@ -22,7 +22,6 @@
     check_capacity();
     admit(in_.head, in_.received, relay_.parts_.dialect, relay_.parts_.config(), admitted_);
     in_.preparing.assign_team(admitted_.team_name());
-    relay_.link_.note(admitted_.team_name(), in_.bytes, now());
     check_time_left();
     check_overload();
     reserved_ =
@@ -214,17 +213,15 @@
 }
 
 connection_action request_run::refuse(const error& reason) {
-  announced_close_ = ends_connection() || relay_.busy();
+  announced_close_ = ends_connection();
   const std::string text =
       refusal_text(relay_.parts_.dialect, reason, admitted_.terms.id, announced_close_);
   log_end(answer_for(reason.kind()).http_status, reason.what());
   return answer_.write(text) ? done() : connection_action::abort;
 }
 
-// The balancer gives a busy host no new connections, but callers go on using those that they have.
 bool request_run::ends_connection() const noexcept {
-  return last_on_connection_ || announced_close_ || answer_.announced_close() ||
-         relay_.stop_.begun();
+  return last_on_connection_ || relay_.stop_.begun();
 }
 
 // A stream's header may have been sent before the stop began, without `Connection: close`. Then the
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -23,7 +23,6 @@
 #include "relay/impl/host_pressure.hpp"
 #include "relay/impl/http_frontend.hpp"
 #include "relay/impl/incoming_request.hpp"
-#include "relay/impl/link_usage.hpp"
 #include "relay/impl/load_exchange.hpp"
 #include "relay/impl/load_shedding.hpp"
 #include "relay/impl/message_head.hpp"
