--- a/src/daemon/impl/replicated_state.cpp
+++ b/src/daemon/impl/replicated_state.cpp
@@ -47,11 +47,14 @@
 // A publish is answered only after its effects: an operator who reads a budget after the answer has
 // to find the new one.
 void replicated_state::apply_document(std::uint64_t offset, const wire::document_record& record) {
-  struct finish_at_end {
+  class finish_at_end {
+   public:
     explicit finish_at_end(document_service& documents) : documents_{documents} {}
     finish_at_end(const finish_at_end&) = delete;
     finish_at_end& operator=(const finish_at_end&) = delete;
     ~finish_at_end() { documents_.finish_apply(); }
+
+   private:
     document_service& documents_;
   };
   const finish_at_end finish{documents_};
