--- a/src/daemon/impl/document_service.hpp
+++ b/src/daemon/impl/document_service.hpp
@@ -16,6 +16,7 @@
 /// admitted it.
 class document_service final : public access_port {
  public:
+  /// \brief Applies a record. Its outcome is withheld from waiters until `finish_apply`.
   [[nodiscard]] applied_document apply(std::uint64_t offset, const document_record& record,
                                        const committed_tokens& committed);
   /// \brief Ends `apply`: the effects of the record are in force, and its outcome may be returned.
--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -25,7 +25,8 @@
 constexpr double open_requests_per_core = 1600;
 constexpr std::size_t min_open_requests = 60;
 
-// With fewer than a tenth of its maximum open, a host is not what delays its own threads.
+// With fewer than a tenth of its maximum open, delays of its threads are not attributed to its own
+// load.
 constexpr std::size_t busy_divisor = 10;
 
 std::size_t max_open_requests(double processor_share) {
