Log line for an account that is written off as unreadable

The log could not tell how much was written off, by whom and against which budget: 'account_written' names no host and was the same for a usual record. The line names the host, the tokens and the budget in force. No decision changes.

--- a/src/prepaid/impl/budget_sync.cpp
+++ b/src/prepaid/impl/budget_sync.cpp
@@ -230,10 +230,17 @@
 
 void budget_manager::apply_own_record(partition& part, const account_record& record,
                                       std::uint64_t end) {
+  const bool written_off = part.budgets.is_unreadable(record.team, record.host);
   part.budgets.apply(record, end, time_.now());
   const auto paid = prepaid_.find(record.team);
   const std::uint64_t prepaid = paid == prepaid_.end() ? 0 : paid->second;
   const std::uint64_t all = part.budgets.granted(record.team);
+  if (written_off)
+    log_.write(severity::warning, "unreadable_account_written_off", {.team = record.team},
+               {{log_field::entry, record.host},
+                {log_field::granted, record.value.granted},
+                {log_field::tokens, prepaid},
+                {log_field::offset, end}});
   log_.write(severity::info, "account_written", {.team = record.team},
              {{log_field::granted, record.value.granted},
               {log_field::used, record.value.used},
--- a/src/prepaid/impl/partition_budgets.cpp
+++ b/src/prepaid/impl/partition_budgets.cpp
@@ -106,6 +106,11 @@
     state.unacknowledged.clear();
 }
 
+bool partition_budgets::is_unreadable(const std::string& team, const std::string& host) const {
+  const team_state* state = find(team);
+  return state != nullptr && state->unreadable.contains(host);
+}
+
 const partition_budgets::team_state* partition_budgets::find(const std::string& team) const {
   const auto at = teams_.find(team);
   return at == teams_.end() ? nullptr : &at->second;
--- a/src/prepaid/impl/partition_budgets.hpp
+++ b/src/prepaid/impl/partition_budgets.hpp
@@ -81,6 +81,8 @@
   /// \brief The log was read up to `end`, including records that are not accounts.
   void advance(std::uint64_t end) noexcept;
   [[nodiscard]] std::uint64_t end() const noexcept { return end_; }
+  /// \returns whether the newest record of a host is unreadable, and no earlier one is known
+  [[nodiscard]] bool is_unreadable(const std::string& team, const std::string& host) const;
 
   /// \brief Counts a request for a team's tokens, whatever its outcome.
   void note_request(const std::string& team, std::uint64_t bound, time_ms now);
