An account that is overwritten after missed records counts as unknown

What callers saw: nothing at first; a team could use more than it had paid for. Cause: a host whose reads lagged until the store had forgotten its history reads the newest records again. Where a newest record was overwritten, it kept what it had last known of that host, although the missed records may have granted the host more, and granted the rest anew. Change: after such a gap an unreadable account that the retained history does not show counts as unknown, as for a host that has just started. A host still knows its own account if none of its appends is unanswered.

--- a/src/prepaid/impl/budget_sync.cpp
+++ b/src/prepaid/impl/budget_sync.cpp
@@ -145,7 +145,7 @@
   restore_overwritten(part, history, page.faults);
   for (const account_record& record : page.records)
     part.budgets.apply(record, from, time_.now());
-  apply_faults(part, page, history);
+  apply_faults(part, page, history, whole && part.loaded);
   part.budgets.advance(page.end);
   if (!part.loaded)
     log_write_offs(part);
@@ -167,21 +167,24 @@
 // Called after the accounts of the page were applied, so that a host with a readable account counts
 // as known whatever the order of the records.
 void budget_manager::apply_faults(partition& part, const account_page& page,
-                                  const account_page& history) {
+                                  const account_page& history, bool records_missed) {
   for (const account_record& record : page.records)
     faults_.clear(entry_topic::accounts, account_key(record.team, record.host));
   for (const entry_fault& fault : page.faults) {
     faults_.note(entry_topic::accounts, fault.key, fault.why);
     const auto owner = read_account_key(fault.key);
+    if (!owner)
+      continue;
+    const bool in_history = std::any_of(
+        history.records.begin(), history.records.end(), [&](const account_record& record) {
+          return record.team == owner->team && record.host == owner->host;
+        });
     // No record was ever deleted and none under this key is an account, so the host had none.
-    const bool never_written =
-        history.from_start && !history.history_lost &&
-        std::none_of(history.records.begin(), history.records.end(),
-                     [&](const account_record& record) {
-                       return account_key(record.team, record.host) == fault.key;
-                     });
-    if (owner && !never_written)
-      part.budgets.note_unreadable(owner->team, owner->host, time_.now());
+    if (!in_history && history.from_start && !history.history_lost)
+      continue;
+    if (!in_history && records_missed)
+      part.budgets.forget_account(owner->team, owner->host);
+    part.budgets.note_unreadable(owner->team, owner->host, time_.now());
   }
 }
 
--- a/src/prepaid/impl/partition_budgets.cpp
+++ b/src/prepaid/impl/partition_budgets.cpp
@@ -68,6 +68,12 @@
     state.overwritten = true;
 }
 
+void partition_budgets::forget_account(const std::string& team, const std::string& host) {
+  team_state& state = teams_[team];
+  if (host != host_ || !state.unacknowledged.empty())
+    state.accounts.erase(host);
+}
+
 void partition_budgets::write_off_previous_incarnation(team_state& state) const {
   const account& last = *state.previous_incarnation;
   const auto elapsed = max_elapsed(last.written, started_);
--- a/src/prepaid/impl/partition_budgets.hpp
+++ b/src/prepaid/impl/partition_budgets.hpp
@@ -78,6 +78,10 @@
   /// host, it may hold all tokens that no other host holds; `plan` writes them off as used after a
   /// timeout.
   void note_unreadable(const std::string& team, const std::string& host, time_ms now);
+  /// \brief Records of a host may have been missed, and its newest one is unreadable: what is known
+  /// of its account may be out of date, and counts as unknown. This host still knows its own
+  /// account if no append is unanswered.
+  void forget_account(const std::string& team, const std::string& host);
   /// \brief The log was read up to `end`, including records that are not accounts.
   void advance(std::uint64_t end) noexcept;
   [[nodiscard]] std::uint64_t end() const noexcept { return end_; }
--- /dev/null
+++ b/tests/prepaid/overwritten_account_test.cpp
@@ -0,0 +1,61 @@
+// Budget managers over a store in which another program overwrites accounts.
+
+#include "store_model.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <thread>
+
+using namespace sedgechute;
+
+namespace {
+
+const std::string team = "team-a";
+constexpr std::uint64_t paid = 100000;
+
+/// A host that holds no tokens but those that its requests need.
+struct running_host {
+  running_host(store_model& store, const std::string& name, std::uint64_t incarnation)
+      : log{{.host = name, .file = "/dev/null"}},
+        manager{{name, incarnation}, prepaid_options{}, logs(store), time, faults, log} {
+    manager.set_holder_predicate([](const std::string&) { return false; });
+    manager.set_prepaid({{team, paid}});
+    manager.start();
+    for (int i = 0; i < 500 && !manager.loaded(); ++i)
+      std::this_thread::sleep_for(std::chrono::milliseconds{10});
+    REQUIRE(manager.loaded());
+  }
+
+  static std::vector<std::unique_ptr<account_log>> logs(store_model& store) {
+    std::vector<std::unique_ptr<account_log>> all;
+    all.push_back(std::make_unique<store_model_log>(store));
+    return all;
+  }
+
+  boot_clock since_start;
+  fleet_clock time{since_start};
+  structured_log log;
+  metrics figures{"overwritten-account-test"};
+  entry_faults faults{log, figures};
+  budget_manager manager;
+};
+
+account account_of(std::uint64_t incarnation, std::uint64_t granted) {
+  return {.incarnation = incarnation, .granted = granted, .used = 1000};
+}
+
+} // namespace
+
+// A host misses the record by which another one was granted more: the account is overwritten, and
+// the store forgets its history. What the host last knew of it must not count as current:
+// otherwise the tokens are granted twice, and the team uses more than it paid for.
+TEST_CASE("an account that is overwritten after missed records counts as unknown") {
+  store_model store;
+  store.append({team, "h1", account_of(1, 20000)});
+  running_host host{store, "h2", 2};
+  REQUIRE(host.manager.reserve(team, 100) == reserve_outcome::reserved);
+  store.lose({team, "h1", account_of(1, 90000)});
+  CHECK(host.manager.reserve(team, 50000) != reserve_outcome::reserved);
+  CHECK(host.manager.totals()[team].granted <= paid - 90000);
+}
