Hosts that have read the log restore accounts that other programs overwrite

Cause: a host that reads an unreadable record under a key without an account took the account for unknown, as if it had just started. But it had read everything before: there was none. So every host refused to grant, the first of them that was told wrote off what was left of the budget after 5 s, and where hosts restarted before that, nobody knew any more. An account that hosts did know was written again by its owner alone, also if that was killed, frozen or replaced. Change: a host that has read all earlier records knows that the account under a new key is empty. Any host that knows an overwritten account appends it again, as it was, with its next records: the append takes effect only if nothing was written since. A record that was restored does not count as a sign of life of its owner. A fault that a later record of the same page supersedes is reported, but nothing is restored. Of the new tests 'a record under a key without an account does not keep a team from being served' and 'an account that is overwritten is restored by a host that has read it' failed before (4 checks).

--- a/src/prepaid/impl/budget_manager.hpp
+++ b/src/prepaid/impl/budget_manager.hpp
@@ -149,10 +149,11 @@
   void catch_up(partition& part);
   void restore_overwritten(partition& part, const account_page& history,
                            const std::vector<entry_fault>& faults);
-  /// \param history  the records that the log retains; empty if the page continues the last one
-  /// \param records_missed  records between the last page and this one were deleted
-  void apply_faults(partition& part, const account_page& page, const account_page& history,
-                    bool records_missed);
+  /// \param history  the records that the log retains; nothing if the page continues the last one
+  void apply_faults(partition& part, const account_page& page,
+                    const std::optional<account_page>& history);
+  void apply_fault(partition& part, const account_owner& owner,
+                   const std::optional<account_page>& history);
   /// \returns false if the log had grown since it was read
   [[nodiscard]] bool append_planned(partition& part, bool leaving);
   void restate_start(partition& part);
--- a/src/prepaid/impl/budget_sync.cpp
+++ b/src/prepaid/impl/budget_sync.cpp
@@ -145,7 +145,7 @@
   restore_overwritten(part, history, page.faults);
   for (const account_record& record : page.records)
     part.budgets.apply(record, from, time_.now());
-  apply_faults(part, page, history, whole && part.loaded);
+  apply_faults(part, page, whole ? std::optional{history} : std::nullopt);
   part.budgets.advance(page.end);
   if (!part.loaded)
     log_write_offs(part);
@@ -167,27 +167,34 @@
 // Called after the accounts of the page were applied, so that a host with a readable account counts
 // as known whatever the order of the records.
 void budget_manager::apply_faults(partition& part, const account_page& page,
-                                  const account_page& history, bool records_missed) {
+                                  const std::optional<account_page>& history) {
   for (const account_record& record : page.records)
     faults_.clear(entry_topic::accounts, account_key(record.team, record.host));
   for (const entry_fault& fault : page.faults) {
     faults_.note(entry_topic::accounts, fault.key, fault.why);
-    const auto owner = read_account_key(fault.key);
-    if (!owner)
-      continue;
-    const bool in_history = std::any_of(
-        history.records.begin(), history.records.end(), [&](const account_record& record) {
-          return record.team == owner->team && record.host == owner->host;
-        });
-    // No record was ever deleted and none under this key is an account, so the host had none.
-    if (!in_history && history.from_start && !history.history_lost)
-      continue;
-    if (!in_history && records_missed)
-      part.budgets.forget_account(owner->team, owner->host);
-    part.budgets.note_unreadable(owner->team, owner->host, time_.now());
+    if (fault.superseded)
+      faults_.clear(entry_topic::accounts, fault.key);
+    else if (const auto owner = read_account_key(fault.key))
+      apply_fault(part, *owner, history);
   }
 }
 
+void budget_manager::apply_fault(partition& part, const account_owner& owner,
+                                 const std::optional<account_page>& history) {
+  const bool in_history =
+      history && std::any_of(history->records.begin(), history->records.end(),
+                             [&](const account_record& record) {
+                               return record.team == owner.team && record.host == owner.host;
+                             });
+  // If no record was ever deleted, the host had no account unless the history shows one.
+  const bool all_known = !history || (history->from_start && !history->history_lost);
+  if (all_known)
+    return part.budgets.note_overwritten(owner.team, owner.host, time_.now());
+  if (!in_history && part.loaded)
+    part.budgets.forget_account(owner.team, owner.host);
+  part.budgets.note_unreadable(owner.team, owner.host, time_.now());
+}
+
 // In the first seconds of an incarnation only this machine's time of day is known. The median of
 // the fleet's clocks is more reliable, so less has to be written off.
 void budget_manager::restate_start(partition& part) {
@@ -244,6 +251,14 @@
                 {log_field::granted, record.value.granted},
                 {log_field::tokens, prepaid},
                 {log_field::offset, end}});
+  else if (record.host != part.budgets.host())
+    log_.write(severity::info, "overwritten_account_restored", {.team = record.team},
+               {{log_field::entry, record.host},
+                {log_field::granted, record.value.granted},
+                {log_field::used, record.value.used},
+                {log_field::offset, end}});
+  if (record.host != part.budgets.host())
+    return;
   log_.write(severity::info, "account_written", {.team = record.team},
              {{log_field::granted, record.value.granted},
               {log_field::used, record.value.used},
--- a/src/prepaid/impl/partition_budgets.cpp
+++ b/src/prepaid/impl/partition_budgets.cpp
@@ -41,7 +41,10 @@
 // incarnation began.
 void partition_budgets::apply(const account_record& record, std::uint64_t end, time_ms now) {
   team_state& state = teams_[record.team];
-  state.accounts[record.host] = {record.value, now};
+  // A record that another host restored does not show that its owner is still there.
+  if (const auto known = state.accounts.find(record.host);
+      known == state.accounts.end() || known->second.value != record.value)
+    state.accounts[record.host] = {record.value, now};
   const bool was_unreadable = state.unreadable.erase(record.host) > 0;
   if (record.host == host_ && record.value.incarnation != incarnation_) {
     state.previous_incarnation = record.value;
@@ -51,21 +54,28 @@
     if (was_unreadable) // written by `write_off_unreadable`
       state.written_off = record.value.used;
   }
-  if (record.host == host_)
-    state.overwritten = false;
+  state.overwritten.erase(record.host);
   advance(end);
 }
 
 // A host that has read all records knows the previous account under the key. One that has just
-// started does not: if it took the account for empty, it would grant those tokens a second time. A
-// host that knows its own account writes it again, and all hosts can read it.
+// started does not: if it took the account for empty, it would grant those tokens a second time.
+// Hosts that know the account write it again, and all hosts can read it.
 void partition_budgets::note_unreadable(const std::string& team, const std::string& host,
                                         time_ms now) {
   team_state& state = teams_[team];
   if (!state.accounts.contains(host))
     state.unreadable.emplace(host, now);
-  else if (host == host_)
-    state.overwritten = true;
+  else
+    state.overwritten.insert(host);
+}
+
+void partition_budgets::note_overwritten(const std::string& team, const std::string& host,
+                                         time_ms now) {
+  team_state& state = teams_[team];
+  if (!state.unreadable.contains(host))
+    state.accounts.try_emplace(host, known_account{account{}, now});
+  note_unreadable(team, host, now);
 }
 
 void partition_budgets::forget_account(const std::string& team, const std::string& host) {
@@ -413,10 +423,19 @@
   next.written = now;
 }
 
+std::vector<account_record> partition_budgets::restored_accounts(const std::string& team,
+                                                                 const team_state& state) const {
+  std::vector<account_record> restored;
+  for (const std::string& host : state.overwritten)
+    if (host != host_)
+      restored.push_back({team, host, state.accounts.at(host).value});
+  return restored;
+}
+
 // All grants add up to at most the paid tokens, so an unreadable account was granted no more than
-// what no other host holds. An owner that still knows its account writes it again at once. If no
-// host knows it, the team would never be granted tokens again without this record. The owner waits
-// until it has certainly read the newest configuration, since the grant may rest on a budget raised
+// what no other host holds. Hosts that still know it restore it with their next records. If no host
+// knows it, the team would never be granted tokens again without this record. The owner waits until
+// it has certainly read the newest configuration, since the grant may rest on a budget raised
 // meanwhile. Other hosts wait longer, since the owner may be cut off.
 std::optional<account_record>
 partition_budgets::write_off_unreadable(const std::string& team, const team_state& state,
@@ -443,7 +462,7 @@
     return next.granted > 0;
   const account& known = at->second.value;
   if (known.granted != next.granted || state.wanted > 0 || state.unpromised_demand > 0 ||
-      state.overwritten)
+      state.overwritten.contains(host_))
     return true;
   // A new incarnation without usable tokens promises nothing, as the last record already says.
   if (known.incarnation != next.incarnation)
@@ -464,6 +483,8 @@
       records.push_back(std::move(*lost));
       continue;
     }
+    for (account_record& restored : restored_accounts(team, state))
+      records.push_back(std::move(restored));
     const budget_summary pool = summarize(state, paid, now.boot);
     account next = next_account(team, state, leaving ? nullptr : &pool);
     promise(next, state, pool, now);
--- a/src/prepaid/impl/partition_budgets.hpp
+++ b/src/prepaid/impl/partition_budgets.hpp
@@ -74,10 +74,13 @@
   /// \brief Applies a record of the log, in log order; `end` is the offset after it.
   void apply(const account_record& record, std::uint64_t end, time_ms now);
   /// \brief The newest record under a host's key is unreadable or was deleted. This frees no
-  /// tokens: what the host was last known to hold stays granted to it. If nothing is known of the
-  /// host, it may hold all tokens that no other host holds; `plan` writes them off as used after a
-  /// timeout.
+  /// tokens: what the host was last known to hold stays granted to it, and `plan` restores that
+  /// record. If nothing is known of the host, it may hold all tokens that no other host holds;
+  /// `plan` writes them off as used after a timeout.
   void note_unreadable(const std::string& team, const std::string& host, time_ms now);
+  /// \brief The same, if all earlier records were read: a host of which nothing is known has no
+  /// account.
+  void note_overwritten(const std::string& team, const std::string& host, time_ms now);
   /// \brief Records of a host may have been missed, and its newest one is unreadable: what is known
   /// of its account may be out of date, and counts as unknown. This host still knows its own
   /// account if no append is unanswered.
@@ -85,6 +88,7 @@
   /// \brief The log was read up to `end`, including records that are not accounts.
   void advance(std::uint64_t end) noexcept;
   [[nodiscard]] std::uint64_t end() const noexcept { return end_; }
+  [[nodiscard]] const std::string& host() const noexcept { return host_; }
   /// \returns whether the newest record of a host is unreadable, and no earlier one is known
   [[nodiscard]] bool is_unreadable(const std::string& team, const std::string& host) const;
 
@@ -160,9 +164,9 @@
     std::map<std::string, known_account> accounts; ///< by host
     std::optional<account> previous_incarnation;   ///< last record of the previous incarnation
     std::map<std::string, time_ms> unreadable; ///< hosts with an unreadable account, and since when
-    bool overwritten{false};                   ///< another writer replaced this host's record
-    std::uint64_t written_off{};               ///< tokens that earlier incarnations may have used
-    std::uint64_t settled{};                   ///< tokens used by this incarnation
+    std::set<std::string> overwritten; ///< hosts whose known account another writer replaced
+    std::uint64_t written_off{};       ///< tokens that earlier incarnations may have used
+    std::uint64_t settled{};           ///< tokens used by this incarnation
     std::uint64_t reserved{};
     std::uint64_t lent{};                ///< to other hosts, by this incarnation
     std::uint64_t received{};            ///< from other hosts, by this incarnation
@@ -205,6 +209,9 @@
                                      const budget_summary* pool) const;
   void promise(account& next, const team_state& state, const budget_summary& pool,
                const clock_reading& now) const;
+  /// \returns records of other hosts as they were before another writer replaced them
+  [[nodiscard]] std::vector<account_record> restored_accounts(const std::string& team,
+                                                              const team_state& state) const;
   /// \returns a record that counts as used whatever an unreadable account may have been granted
   [[nodiscard]] std::optional<account_record> write_off_unreadable(const std::string& team,
                                                                    const team_state& state,
--- a/src/telemetry/impl/entry_faults.hpp
+++ b/src/telemetry/impl/entry_faults.hpp
@@ -16,6 +16,7 @@
 struct entry_fault {
   std::string key;
   std::string why;
+  bool superseded{false}; ///< a later record under the key can be read
 
   bool operator==(const entry_fault&) const = default;
 };
--- a/tests/platform/other_writers_test.cpp
+++ b/tests/platform/other_writers_test.cpp
@@ -158,3 +158,18 @@
   CHECK(page.faults[0].key == key);
   CHECK(page.end == 3);
 }
+
+// The owner of an account writes it again after another program overwrote it; both records are on
+// one page. If the later one were ignored, others would write the account anew.
+TEST_CASE("an invalid account is marked as superseded by a later valid one") {
+  fixture at;
+  account_topic topic{at.address(), timeout, 0};
+  const account_record good{"team", "h1", {1, 500, 20, 3}};
+  at.store.put("keyed.accounts", account_key("team", "h1"), "garbage");
+  at.store.put("keyed.accounts", account_key("team", "h2"), "garbage");
+  REQUIRE(topic.append_at(2, {good}) == 3);
+  const account_page page = topic.read(0);
+  REQUIRE(page.faults.size() == 2);
+  CHECK(page.faults[0].superseded);
+  CHECK_FALSE(page.faults[1].superseded);
+}
--- a/tests/prepaid/log_model.hpp
+++ b/tests/prepaid/log_model.hpp
@@ -44,8 +44,12 @@
   }
 
   void read_into(partition_budgets& budgets, time_ms now) const {
-    for (std::uint64_t i = budgets.end(); i < records.size(); ++i)
+    for (std::uint64_t i = budgets.end(); i < records.size(); ++i) {
       read_one(budgets, i, now);
+      if (unreadable.contains(i) && !overwritten_frees)
+        budgets.note_overwritten(records[i].team, records[i].host, now);
+      budgets.advance(i + 1);
+    }
     budgets.advance(end()); // also if nothing new was read
   }
 
@@ -54,8 +58,11 @@
     std::map<std::string, std::uint64_t> newest;
     for (std::uint64_t i = 0; i < records.size(); ++i)
       newest[account_key(records[i].team, records[i].host)] = i;
-    for (const auto& [key, at] : newest)
+    for (const auto& [key, at] : newest) {
       read_one(budgets, at, now);
+      if (unreadable.contains(at) && !overwritten_frees)
+        budgets.note_unreadable(records[at].team, records[at].host, now);
+    }
     budgets.advance(end());
   }
 
@@ -72,10 +79,7 @@
  private:
   void read_one(partition_budgets& budgets, std::uint64_t at, time_ms now) const {
     if (!unreadable.contains(at))
-      return budgets.apply(records[at], at + 1, now);
-    if (!overwritten_frees)
-      budgets.note_unreadable(records[at].team, records[at].host, now);
-    budgets.advance(at + 1);
+      budgets.apply(records[at], at + 1, now);
   }
 };
 
--- a/tests/prepaid/overwritten_account_test.cpp
+++ b/tests/prepaid/overwritten_account_test.cpp
@@ -59,3 +59,42 @@
   CHECK(host.manager.reserve(team, 50000) != reserve_outcome::reserved);
   CHECK(host.manager.totals()[team].granted <= paid - 90000);
 }
+
+// A record is written under the key of a host that has no account, as of one that has just been
+// replaced. Hosts that run have read the log and know that; if they refused the team, it would lose
+// its budget.
+TEST_CASE("a record under a key without an account does not keep a team from being served") {
+  store_model store;
+  running_host host{store, "h2", 2};
+  REQUIRE(host.manager.reserve(team, 100) == reserve_outcome::reserved);
+  store.overwrite(account_key(team, "h1"));
+  CHECK(host.manager.reserve(team, 50000) == reserve_outcome::reserved);
+  CHECK(store.newest_of(team, "h1") == account{});
+}
+
+// A host's account is overwritten while the host is away, and the store forgets its history.
+TEST_CASE("an account that is overwritten is restored by a host that has read it") {
+  store_model store;
+  store.append({team, "h1", account_of(1, 20000)});
+  running_host host{store, "h2", 2};
+  store.overwrite(account_key(team, "h1"));
+  REQUIRE(host.manager.reserve(team, 100) == reserve_outcome::reserved);
+  store.forget_history();
+  CHECK(store.newest_of(team, "h1") == account_of(1, 20000));
+  running_host started{store, "h3", 3};
+  CHECK(started.manager.reserve(team, 50000) == reserve_outcome::reserved);
+  CHECK(started.manager.reserve(team, 70000) != reserve_outcome::reserved);
+}
+
+// The owner writes its account again before others have read that it was overwritten.
+TEST_CASE("an account whose owner has written it again is not restored by others") {
+  store_model store;
+  store.append({team, "h1", account_of(1, 20000)});
+  running_host host{store, "h2", 2};
+  store.overwrite(account_key(team, "h1"));
+  store.append({team, "h1", account_of(1, 30000)});
+  const std::uint64_t before = store.end();
+  REQUIRE(host.manager.reserve(team, 100) == reserve_outcome::reserved);
+  CHECK(store.end() == before + 1);
+  CHECK(store.newest_of(team, "h1") == account_of(1, 30000));
+}
--- a/tests/prepaid/store_model.hpp
+++ b/tests/prepaid/store_model.hpp
@@ -102,10 +102,11 @@
   };
 
   static void add(account_page& page, const entry& one) {
-    if (one.record)
-      page.records.push_back(*one.record);
-    else
-      page.faults.push_back({one.key, "is not a valid account"});
+    if (!one.record)
+      return page.faults.push_back({one.key, "is not a valid account"});
+    for (entry_fault& fault : page.faults)
+      fault.superseded = fault.superseded || fault.key == one.key;
+    page.records.push_back(*one.record);
   }
 
   [[nodiscard]] account_page page_from(std::uint64_t from) const {
--- a/tests/prepaid/unreadable_account_test.cpp
+++ b/tests/prepaid/unreadable_account_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace sedgechute;
 
 namespace {
@@ -99,6 +101,46 @@
   CHECK(log.records.size() == written + 1);
 }
 
+// A host is killed, or cut off, and its account is overwritten. Another host that knows it writes
+// it again, so that hosts that start do not refuse the team.
+TEST_CASE("a host restores the account of another host that another program overwrote") {
+  log_model log;
+  partition_budgets first = book_of("h1", 1);
+  partition_budgets second = book_of("h2", 2);
+  grant(first, log, 8000, time_ms{1000});
+  log.read_into(second, time_ms{1000});
+  const account_record lost = log.records.back();
+  log.overwrite(team, "h1");
+  REQUIRE(report(second, log, time_ms{1100}));
+  partition_budgets started = book_of("h3", 3);
+  log.read_newest_into(started, time_ms{1200});
+  CHECK(started.granted(team) == second.granted(team));
+  CHECK(started.grantable(team, paid, paid - second.granted(team)));
+  CHECK(std::count_if(log.records.begin(), log.records.end(), [&](const account_record& one) {
+          return one.host == lost.host && one.value == lost.value;
+        }) == 2); // the one that was overwritten, and the one that restores it
+  const std::size_t written = log.records.size();
+  REQUIRE(report(second, log, time_ms{1110}));
+  CHECK(log.records.size() == written);
+}
+
+// A record is written under the key of a host that has no account. Hosts that have read all earlier
+// records know that: they must not refuse the team, nor write off its budget.
+TEST_CASE("a record under a key without an account blocks no host that has read the log") {
+  log_model log;
+  partition_budgets running = book_of("h1", 1);
+  grant(running, log, 500, time_ms{1000});
+  log.overwrite(team, "h2");
+  log.read_into(running, time_ms{1100});
+  CHECK(running.grantable(team, paid, 5000));
+  REQUIRE(report(running, log, time_ms{1200}));
+  partition_budgets started = book_of("h3", 3, time_ms{1300});
+  log.read_newest_into(started, time_ms{1300});
+  CHECK(started.grantable(team, paid, 100));
+  REQUIRE(report(running, log, time_ms{30000}));
+  CHECK(running.used(team) == 0);
+}
+
 // A host is killed, its account is overwritten, and the host restarts. What its earlier incarnation
 // was granted and may have used is unknown, so it must not write an account that omits this.
 TEST_CASE("a host that cannot read its own earlier account does not overwrite it") {
