A host that wakes with a pending signal to stop does not say that it is ready

What callers saw: a host that was paused across its signal to stop answered its first readiness question with 200 after waking, and got new callers for up to a second more. Cause: readiness rests on a flag that is set by the thread that takes the signal; all threads of a paused process wake at once, and the status server's may run first. Change: readiness asks for the pending signal. The waiting thread polls a signalfd and does not take the signal, so that it stays pending.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -54,11 +54,12 @@
 
 } // namespace
 
-entry_host::entry_host(entry_settings settings, const clock& time, structured_log& log)
-    : settings_{std::move(settings)}, time_{time}, log_{log}, figures_{settings_.host},
-      faults_{log, figures_}, topics_{settings_.store, store_timeout,
-                                      std::min(store_timeout,
-                                               config_read_within(settings_.config_bound).timeout)},
+entry_host::entry_host(entry_settings settings, const clock& time, structured_log& log,
+                       std::function<bool()> stop_requested)
+    : settings_{std::move(settings)}, time_{time}, log_{log},
+      stop_requested_{std::move(stop_requested)}, figures_{settings_.host}, faults_{log, figures_},
+      topics_{settings_.store, store_timeout,
+              std::min(store_timeout, config_read_within(settings_.config_bound).timeout)},
       hosts_{settings_.store, store_timeout},
       endpoints_{data_centre_id{settings_.data_centre}, choice_weights{},  time,
                  random_source::from_system(),          settings_.regions, settings_.cold_start} {
@@ -185,7 +186,7 @@
 }
 
 std::string entry_host::not_ready_reason() const {
-  if (stopping_)
+  if (stopping_ || stop_requested_())
     return "stopping";
   if (!fleet_->config())
     return "no configuration";
--- a/src/entry/impl/entry_host.hpp
+++ b/src/entry/impl/entry_host.hpp
@@ -9,6 +9,7 @@
 #include "telemetry/telemetry.hpp"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 
 namespace sedgechute {
@@ -16,7 +17,9 @@
 /// \brief One entry host: creates its parts, connects, starts and stops them.
 class entry_host {
  public:
-  entry_host(entry_settings settings, const clock& time, structured_log& log);
+  /// \param stop_requested  whether the process was told to stop, also before `stop` is called
+  entry_host(entry_settings settings, const clock& time, structured_log& log,
+             std::function<bool()> stop_requested);
   entry_host(const entry_host&) = delete;
   entry_host& operator=(const entry_host&) = delete;
   ~entry_host();
@@ -42,6 +45,7 @@
   boot_clock since_start_;
   fleet_clock machine_time_{since_start_};
   structured_log& log_;
+  std::function<bool()> stop_requested_;
   metrics figures_;
   entry_faults faults_;
   header_dialect dialect_;
--- a/src/entry/program/main.cpp
+++ b/src/entry/program/main.cpp
@@ -7,8 +7,10 @@
 #include <malloc.h>
 #include <poll.h>
 #include <pthread.h>
+#include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -108,10 +110,26 @@
   }}.detach(); // lives as long as the process
 }
 
+const sigset_t& stop_signals() {
+  static const sigset_t signals = set_of({SIGTERM, SIGINT});
+  return signals;
+}
+
+// The signal is not taken: it stays pending, so that `stop_requested` holds from the signal on.
 void wait_for_stop() {
-  const sigset_t stops = set_of({SIGTERM, SIGINT});
-  int received = 0;
-  sigwait(&stops, &received);
+  pollfd signals{::signalfd(-1, &stop_signals(), SFD_CLOEXEC), POLLIN, 0};
+  if (signals.fd < 0)
+    throw std::system_error{errno, std::generic_category(), "signalfd"};
+  while (::poll(&signals, 1, -1) <= 0) {
+  }
+}
+
+// A process that was paused across the signal answers what came meanwhile before the thread that
+// waits for the signal runs.
+bool stop_requested() {
+  sigset_t pending{};
+  sigpending(&pending);
+  return sigismember(&pending, SIGTERM) == 1 || sigismember(&pending, SIGINT) == 1;
 }
 
 // Standard error may be the same pipe that nobody reads; then nothing can be told.
@@ -153,7 +171,7 @@
   for (const std::string& name : reading.unknown)
     log.write(severity::warning, "setting_ignored", {}, {{log_field::path, name}});
   const steady_clock time;
-  entry_host self{reading.settings, time, log};
+  entry_host self{reading.settings, time, log, stop_requested};
   self.start();
   check_at_each_change(file, log);
   wait_for_stop();
--- a/tests/entry/entry_program.hpp
+++ b/tests/entry/entry_program.hpp
@@ -49,6 +49,7 @@
   [[nodiscard]] int wait(time_ms most) { return program_->wait(static_cast<int>(most.count())); }
   [[nodiscard]] const std::string& callers() const noexcept { return callers_; }
   [[nodiscard]] const std::string& peers() const noexcept { return peers_; }
+  [[nodiscard]] const std::string& status() const noexcept { return status_; }
   [[nodiscard]] standin::topic_store& store() noexcept { return store_; }
   /// \brief From now on whoever reads its settings waits for good.
   void hang_settings() const;
--- a/tests/entry/planned_stop_test.cpp
+++ b/tests/entry/planned_stop_test.cpp
@@ -4,9 +4,12 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <future>
+#include <thread>
+#include <vector>
 
 using namespace sedgechute;
 
@@ -53,6 +56,30 @@
   std::this_thread::sleep_for(std::chrono::milliseconds{span.count()});
 }
 
+/// Keeps all processors busy, so that the threads of a program that wakes run in any order.
+class busy_processors {
+ public:
+  busy_processors() {
+    constexpr unsigned threads_per_processor = 3;
+    for (unsigned i = 0; i < threads_per_processor * std::thread::hardware_concurrency(); ++i)
+      threads_.emplace_back([this] {
+        while (!ended_) {
+        }
+      });
+  }
+  busy_processors(const busy_processors&) = delete;
+  busy_processors& operator=(const busy_processors&) = delete;
+  ~busy_processors() {
+    ended_ = true;
+    for (std::thread& one : threads_)
+      one.join();
+  }
+
+ private:
+  std::atomic<bool> ended_{false};
+  std::vector<std::thread> threads_;
+};
+
 } // namespace
 
 // Callers saw streams break off in the middle of a planned restart. The host closed to callers 2.6
@@ -103,6 +130,38 @@
   CHECK(host.output().find("\"event\":\"stopped\"") != std::string::npos);
 }
 
+// A host is paused across its signal to stop, as by a machine that stands still. When it wakes it
+// must not say that it is ready: it would be sent callers until the next question.
+TEST_CASE("a host that was paused across its signal to stop does not say that it is ready") {
+  scripted_endpoint endpoint{long_stream};
+  constexpr int rounds = 8;
+  constexpr int questions = 8;
+  for (int round = 0; round < rounds; ++round) {
+    entry_program host{R"("grace_s":4)"};
+    host.add_endpoint("e1", endpoint.address());
+    REQUIRE(host.ready());
+    host.signal(SIGSTOP);
+    host.signal(SIGTERM);
+    const steady_clock time;
+    const time_ms until = time.now() + time_ms{10000};
+    std::vector<std::unique_ptr<connection>> asked;
+    for (int i = 0; i < questions; ++i) {
+      REQUIRE(asked.emplace_back(connect_to(host.status(), time_ms{3000}, time).link) != nullptr);
+      REQUIRE(
+          asked.back()->write_all("GET /readyz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+                                  until) == io_status::ok);
+    }
+    const busy_processors others;
+    host.signal(SIGCONT);
+    for (const auto& link : asked) {
+      std::string head;
+      REQUIRE(link->read_head(head, 8192, until) == io_status::ok);
+      CHECK(head.starts_with("HTTP/1.1 503"));
+    }
+    CHECK(host.wait(time_ms{5000}) == 0);
+  }
+}
+
 // The store answers within seconds, when the host is told to stop. Handing tokens back to it took
 // each of its partitions a time-out, the grace was over, and the process was killed before its log
 // was written.
