Deleted accounts and overwritten budgets among missed records count as unknown

Cause: after a gap a host reads the newest record of each key. A deleted account is not among them, and the host went on with what it had known of it. A recorded budget that was overwritten in the gap was recorded again as the host had known it, which bounds a later write-off too low. Found by reading for the same fault elsewhere; not seen in a soak. Change: after a gap, accounts and recorded budgets that are known and not among the newest records count as deleted, and are handled like unreadable ones; a recorded budget that cannot be read and is not in the history is forgotten.

--- a/src/prepaid/impl/account_log.hpp
+++ b/src/prepaid/impl/account_log.hpp
@@ -14,9 +14,9 @@
   std::vector<account_record> records;
   std::uint64_t end{};      ///< offset after the last record of the log
   bool history_lost{false}; ///< earlier records were deleted; read the newest of each key instead
-  std::vector<entry_fault> faults{}; ///< records that are not valid, and deleted ones
-  bool from_start{false};            ///< set by `retained` only: no record was ever deleted
-  std::vector<budget_record> budgets{};
+  std::vector<entry_fault> faults{};    ///< records that are not valid, and deleted ones
+  bool from_start{false};               ///< set by `retained` only: no record was ever deleted
+  std::vector<budget_record> budgets{}; ///< recorded budgets, in log order
 };
 
 /// \brief One partition of the log of accounts. Functions throw `log_unavailable` when it is
--- a/src/prepaid/impl/budget_manager.hpp
+++ b/src/prepaid/impl/budget_manager.hpp
@@ -147,6 +147,7 @@
   [[nodiscard]] bool needs_prompt_sync(const partition& part) const;
   [[nodiscard]] std::size_t holding_hosts_of(const partition& part) const;
   void catch_up(partition& part);
+  void add_missed_deletions(const partition& part, account_page& newest) const;
   void restore_overwritten(partition& part, const account_page& history,
                            const std::vector<entry_fault>& faults);
   /// \param history  the records that the log retains; nothing if the page continues the last one
@@ -154,6 +155,8 @@
                     const std::optional<account_page>& history);
   void apply_fault(partition& part, const account_owner& owner,
                    const std::optional<account_page>& history);
+  void apply_budget_fault(partition& part, const std::string& team,
+                          const std::optional<account_page>& history);
   /// \returns false if the log had grown since it was read
   [[nodiscard]] bool append_planned(partition& part, bool leaving);
   void restate_start(partition& part);
--- a/src/prepaid/impl/budget_sync.cpp
+++ b/src/prepaid/impl/budget_sync.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 
 namespace sedgechute {
 
@@ -137,8 +138,10 @@
     page = part.log->read(from);
     whole = page.history_lost;
   }
-  if (whole)
+  if (whole) {
     page = part.log->newest();
+    add_missed_deletions(part, page);
+  }
   const account_page history =
       whole && !page.faults.empty() ? part.log->retained() : account_page{};
   const std::scoped_lock lock{mutex_};
@@ -154,6 +157,21 @@
   part.loaded = true;
 }
 
+// The newest records show nothing of a key that was deleted among records that this host missed.
+void budget_manager::add_missed_deletions(const partition& part, account_page& newest) const {
+  std::set<std::string> keys;
+  for (const account_record& record : newest.records)
+    keys.insert(account_key(record.team, record.host));
+  for (const budget_record& record : newest.budgets)
+    keys.insert(budget_key(record.team));
+  for (const entry_fault& fault : newest.faults)
+    keys.insert(fault.key);
+  const std::scoped_lock lock{mutex_};
+  for (const std::string& known : part.budgets.known_keys())
+    if (!keys.contains(known))
+      newest.faults.push_back({known, "was deleted"});
+}
+
 // An unreadable newest record under a key hides the owner's last account, which the log may still
 // retain.
 void budget_manager::restore_overwritten(partition& part, const account_page& history,
@@ -181,7 +199,7 @@
     if (fault.superseded)
       faults_.clear(entry_topic::accounts, fault.key);
     else if (const auto team = read_budget_key(fault.key))
-      part.budgets.note_unreadable_budget(*team);
+      apply_budget_fault(part, *team, history);
     else if (const auto owner = read_account_key(fault.key))
       apply_fault(part, *owner, history);
   }
@@ -203,6 +221,17 @@
   part.budgets.note_unreadable(owner.team, owner.host, time_.now());
 }
 
+void budget_manager::apply_budget_fault(partition& part, const std::string& team,
+                                        const std::optional<account_page>& history) {
+  const bool in_history =
+      history && std::any_of(history->budgets.begin(), history->budgets.end(),
+                             [&](const budget_record& record) { return record.team == team; });
+  if (history && !in_history)
+    part.budgets.forget_budget(team);
+  else
+    part.budgets.note_unreadable_budget(team);
+}
+
 // In the first seconds of an incarnation only this machine's time of day is known. The median of
 // the fleet's clocks is more reliable, so less has to be written off.
 void budget_manager::restate_start(partition& part) {
--- a/src/prepaid/impl/partition_budgets.cpp
+++ b/src/prepaid/impl/partition_budgets.cpp
@@ -60,6 +60,17 @@
   advance(end);
 }
 
+std::vector<std::string> partition_budgets::known_keys() const {
+  std::vector<std::string> keys;
+  for (const auto& [team, state] : teams_) {
+    for (const auto& [host, kept] : state.accounts)
+      keys.push_back(account_key(team, host));
+    if (state.recorded_budget)
+      keys.push_back(budget_key(team));
+  }
+  return keys;
+}
+
 // Recorded budgets are never lowered, so a smaller one is another writer's.
 void partition_budgets::apply(const budget_record& record) {
   team_state& state = teams_[record.team];
@@ -71,6 +82,11 @@
   teams_[team].budget_overwritten = true;
 }
 
+void partition_budgets::forget_budget(const std::string& team) {
+  teams_[team].recorded_budget.reset();
+  note_unreadable_budget(team);
+}
+
 std::optional<std::uint64_t> partition_budgets::recorded_budget(const std::string& team) const {
   const team_state* state = find(team);
   return state == nullptr ? std::nullopt : state->recorded_budget;
--- a/src/prepaid/impl/partition_budgets.hpp
+++ b/src/prepaid/impl/partition_budgets.hpp
@@ -85,10 +85,14 @@
   /// of its account may be out of date, and counts as unknown. This host still knows its own
   /// account if no append is unanswered.
   void forget_account(const std::string& team, const std::string& host);
+  /// \returns the keys of the accounts and recorded budgets that are known
+  [[nodiscard]] std::vector<std::string> known_keys() const;
   /// \brief Applies a team's recorded budget, in log order.
   void apply(const budget_record& record);
   /// \brief The newest record of a team's recorded budget is unreadable or was deleted.
   void note_unreadable_budget(const std::string& team);
+  /// \brief The same, if records may have been missed: what is known of it may be out of date.
+  void forget_budget(const std::string& team);
   /// \returns the team's recorded budget, if it is known
   [[nodiscard]] std::optional<std::uint64_t> recorded_budget(const std::string& team) const;
   /// \brief The log was read up to `end`, including records that are not accounts.
--- a/tests/prepaid/overwritten_account_test.cpp
+++ b/tests/prepaid/overwritten_account_test.cpp
@@ -67,6 +67,44 @@
   CHECK(host.manager.totals()[team].granted <= paid - 90000);
 }
 
+// The account is deleted instead. The newest records do not show that there was one.
+TEST_CASE("an account that is deleted among missed records counts as unknown") {
+  store_model store;
+  store.append({team, "h1", account_of(1, 20000)});
+  running_host host{store, "h2", 2};
+  REQUIRE(host.manager.reserve(team, 100) == reserve_outcome::reserved);
+  store.lose_by_deletion({team, "h1", account_of(1, 90000)});
+  CHECK(host.manager.reserve(team, 50000) != reserve_outcome::reserved);
+  CHECK(host.manager.totals()[team].granted <= paid - 90000);
+}
+
+// The log still retains the last record of the account that was deleted.
+TEST_CASE("an account that is deleted among missed records is found in the log's history") {
+  store_model store;
+  store.append({team, "h1", account_of(1, 20000)});
+  running_host host{store, "h2", 2};
+  REQUIRE(host.manager.reserve(team, 100) == reserve_outcome::reserved);
+  store.append({team, "h3", account_of(1, 2000)});
+  store.lose_by_deletion({team, "h1", account_of(1, 90000)}, 1);
+  CHECK(host.manager.reserve(team, 50000) != reserve_outcome::reserved);
+  CHECK(host.manager.reserve(team, 5000) == reserve_outcome::reserved);
+  CHECK(host.manager.totals()[team].granted <= paid);
+}
+
+// The same happens to a raised budget that was recorded with that account. If the host recorded the
+// one that it knew again, the lost account would be written off too low.
+TEST_CASE("a recorded budget that is overwritten after missed records counts as unknown") {
+  store_model store;
+  running_host host{store, "h2", 2};
+  REQUIRE(host.manager.reserve(team, 100) == reserve_outcome::reserved);
+  REQUIRE(store.newest_budget_of(team) == budget_record{team, paid});
+  host.manager.settle(team, 100, 50);
+  store.lose({team, "h1", account_of(1, paid + 50000), 2 * paid});
+  for (int i = 0; i < 3; ++i)
+    CHECK(host.manager.reserve(team, 50000) != reserve_outcome::reserved);
+  CHECK_FALSE(store.newest_budget_of(team));
+}
+
 // A record is written under the key of a host that has no account, as of one that has just been
 // replaced. Hosts that run have read the log and know that; if they refused the team, it would lose
 // its budget.
--- a/tests/prepaid/store_model.hpp
+++ b/tests/prepaid/store_model.hpp
@@ -39,14 +39,36 @@
     first_ = entries_.size();
   }
 
-  /// \brief All of the above at one moment: a host's account grows, is overwritten and forgotten.
+  /// \brief All of the above at one moment: a host's account grows, is overwritten and forgotten,
+  /// and so is the budget that is recorded with it.
   void lose(const account_record& record) {
     const std::scoped_lock lock{mutex_};
-    entries_.push_back({account_key(record.team, record.host), record});
+    add(record);
     entries_.push_back({account_key(record.team, record.host), std::nullopt});
+    if (record.recorded_budget)
+      entries_.push_back({budget_key(record.team), std::nullopt});
     first_ = entries_.size();
   }
 
+  /// \brief The same, but another program deletes the account.
+  /// \param kept  records that the store retains before the deletion
+  void lose_by_deletion(const account_record& record, std::uint64_t kept = 0) {
+    const std::scoped_lock lock{mutex_};
+    add(record);
+    const std::string key = account_key(record.team, record.host);
+    for (entry& one : entries_)
+      one.deleted = one.deleted || one.key == key;
+    first_ = entries_.size() - kept;
+  }
+
+  /// \returns a team's recorded budget, or nothing if there is none that can be read
+  [[nodiscard]] std::optional<budget_record> newest_budget_of(const std::string& team) const {
+    const std::scoped_lock lock{mutex_};
+    const auto at = std::find_if(entries_.rbegin(), entries_.rend(),
+                                 [&](const entry& one) { return one.key == budget_key(team); });
+    return at == entries_.rend() ? std::nullopt : at->budget;
+  }
+
   /// \returns the newest account of a host, or nothing if there is none that can be read
   [[nodiscard]] std::optional<account> newest_of(const std::string& team,
                                                  const std::string& host) const {
@@ -61,7 +83,8 @@
     const std::scoped_lock lock{mutex_};
     std::map<std::string, const entry*> newest;
     for (const entry& one : entries_)
-      newest[one.key] = &one;
+      if (!one.deleted)
+        newest[one.key] = &one;
     account_page page;
     page.end = entries_.size();
     for (const auto& [key, one] : newest)
@@ -90,13 +113,8 @@
     const std::scoped_lock lock{mutex_};
     if (end != entries_.size())
       return std::nullopt;
-    for (const account_record& record : records) {
-      entries_.push_back(
-          {account_key(record.team, record.host), {{record.team, record.host, record.value}}});
-      if (record.recorded_budget)
-        entries_.push_back({budget_key(record.team), std::nullopt,
-                            budget_record{record.team, *record.recorded_budget}});
-    }
+    for (const account_record& record : records)
+      add(record);
     return entries_.size();
   }
 
@@ -105,8 +123,17 @@
     std::string key;
     std::optional<account_record> record; ///< nothing in what other programs wrote
     std::optional<budget_record> budget{};
+    bool deleted{false}; ///< no longer the newest record of its key
   };
 
+  void add(const account_record& record) {
+    entries_.push_back(
+        {account_key(record.team, record.host), {{record.team, record.host, record.value}}});
+    if (record.recorded_budget)
+      entries_.push_back({budget_key(record.team), std::nullopt,
+                          budget_record{record.team, *record.recorded_budget}});
+  }
+
   static void add(account_page& page, const entry& one) {
     if (one.budget)
       return page.budgets.push_back(*one.budget);
