A restored empty account does not replace one that is known

What callers saw: nothing; tokens that a host holds could be granted again. It needs an account that is deleted, a host that starts before another one has written it again, and a stray record under the same key: that host then restores an empty account, which the others believed. Cause: a host that starts does not see a key that was deleted, so it knows of no account. Change: a host that knows an account with grants does not believe an empty one that belongs to no incarnation, and writes the account that it knows again.

--- a/src/prepaid/impl/partition_budgets.cpp
+++ b/src/prepaid/impl/partition_budgets.cpp
@@ -41,9 +41,15 @@
 // incarnation began.
 void partition_budgets::apply(const account_record& record, std::uint64_t end, time_ms now) {
   team_state& state = teams_[record.team];
+  const auto known = state.accounts.find(record.host);
+  // Restored by a host that knew of no account: a deleted one is invisible to a host that starts.
+  if (record.value == account{} && known != state.accounts.end() &&
+      known->second.value.granted > 0) {
+    state.overwritten.insert(record.host);
+    return advance(end);
+  }
   // A record that another host restored does not show that its owner is still there.
-  if (const auto known = state.accounts.find(record.host);
-      known == state.accounts.end() || known->second.value != record.value)
+  if (known == state.accounts.end() || known->second.value != record.value)
     state.accounts[record.host] = {record.value, now};
   const bool was_unreadable = state.unreadable.erase(record.host) > 0;
   if (record.host == host_ && record.value.incarnation != incarnation_) {
--- a/tests/prepaid/unreadable_account_test.cpp
+++ b/tests/prepaid/unreadable_account_test.cpp
@@ -142,6 +142,24 @@
   CHECK(running.used(team) == 0);
 }
 
+// An account is deleted, a host starts and sees nothing of it, and the key is overwritten: the host
+// restores an empty account. Those that know better must not count the tokens as free.
+TEST_CASE("an empty account that was restored does not replace one that is known") {
+  log_model log;
+  partition_budgets owner = book_of("h1", 1);
+  partition_budgets other = book_of("h2", 2);
+  grant(owner, log, 8000, time_ms{1000});
+  log.read_into(other, time_ms{1000});
+  const std::uint64_t held = owner.granted(team);
+  log.records.push_back({team, "h1", account{}});
+  log.read_into(other, time_ms{1100});
+  CHECK(other.granted(team) == held);
+  REQUIRE(report(other, log, time_ms{1200}));
+  log.read_into(owner, time_ms{1300});
+  CHECK(owner.granted(team) == other.granted(team));
+  CHECK(owner.reserve(team, paid, 500, time_ms{1300}) == reserve_outcome::reserved);
+}
+
 // A host is killed, its account is overwritten, and the host restarts. What its earlier incarnation
 // was granted and may have used is unknown, so it must not write an account that omits this.
 TEST_CASE("a host that cannot read its own earlier account does not overwrite it") {
