--- a/tests/soak/seeds_test.cpp
+++ b/tests/soak/seeds_test.cpp
@@ -39,6 +39,11 @@
   CHECK(run_seed(3, "--runs 1 --seconds 7") == 0);
 }
 
+// A host is paused across its signal to stop, and said when it woke that it is ready.
+TEST_CASE("a host that wakes after its signal to stop does not say that it is ready") {
+  CHECK(run_seed(6106, "--seconds 8") == 0);
+}
+
 // 5000: callers went on using connections that had been silenced, or that other programs had
 // inherited, and hosts were held to the time-out of what never reached them. Later it broke by an
 // account that was overwritten, as above.
