--- a/tests/soak/seeds_test.cpp
+++ b/tests/soak/seeds_test.cpp
@@ -33,8 +33,8 @@
   CHECK(run_seed(301, "--seconds 3 --families accounts,kill_many") == 0);
 }
 
-// An account is overwritten and the store forgets its history, then a budget is raised and all hosts
-// start again: the raise was written off together with the account, and the team refused.
+// An account is overwritten and the store forgets its history, then a budget is raised and all
+// hosts start again: the raise was written off together with the account, and the team refused.
 TEST_CASE("a team whose budget is raised before its account is written off is served") {
   CHECK(run_seed(3, "--runs 1 --seconds 7") == 0);
 }
