A host restores no account that it has forgotten

What callers saw: nothing yet; the host's thread for the budget log would have failed with map::at at each attempt, and the host would have served from what it held until the account could be read. Cause: an account that was noted as overwritten and then forgotten, as records were missed before it was restored, was still to be restored. Change: what is forgotten is not restored. Result: the new test threw map::at before and passes; 132 test cases of prepaid pass.

--- a/src/prepaid/impl/partition_budgets.cpp
+++ b/src/prepaid/impl/partition_budgets.cpp
@@ -120,8 +120,10 @@
 
 void partition_budgets::forget_account(const std::string& team, const std::string& host) {
   team_state& state = teams_[team];
-  if (host != host_ || !state.unacknowledged.empty())
-    state.accounts.erase(host);
+  if (host == host_ && state.unacknowledged.empty())
+    return;
+  state.accounts.erase(host);
+  state.overwritten.erase(host); // nothing is known to restore
 }
 
 void partition_budgets::write_off_previous_incarnation(team_state& state) const {
--- a/tests/prepaid/unreadable_account_test.cpp
+++ b/tests/prepaid/unreadable_account_test.cpp
@@ -142,6 +142,23 @@
   CHECK(running.used(team) == 0);
 }
 
+// An account is overwritten, and before a host that knows it can restore it, that host misses
+// records. It has nothing to restore any more, and goes on reporting its own use.
+TEST_CASE("a host restores no account that it has forgotten") {
+  log_model log;
+  partition_budgets owner = book_of("h1", 1);
+  partition_budgets other = book_of("h2", 2);
+  grant(owner, log, 500, time_ms{1000});
+  grant(other, log, 500, time_ms{1000});
+  other.note_unreadable(team, "h1", time_ms{1100});
+  other.forget_account(team, "h1");
+  other.note_unreadable(team, "h1", time_ms{1200});
+  REQUIRE(other.reserve(team, paid, 500, time_ms{1200}) == reserve_outcome::reserved);
+  const auto records = other.plan({{team, paid}}, reading(time_ms{2000}), false);
+  REQUIRE(records.size() == 1);
+  CHECK(records.front().host == "h2");
+}
+
 // An account is deleted, a host starts and sees nothing of it, and the key is overwritten: the host
 // restores an empty account. Those that know better must not count the tokens as free.
 TEST_CASE("an empty account that was restored does not replace one that is known") {
