Random schedules: hosts that miss records

Hosts of the schedules with lagging budgets also find at times that the log has deleted records that they have not read. They do not find a host that goes on with what it knew before the gap: three mutations of that are noticed by single tests alone.

--- a/tests/prepaid/log_model.hpp
+++ b/tests/prepaid/log_model.hpp
@@ -95,6 +95,26 @@
     read_newest_into(budgets, now);
   }
 
+  /// \brief Reads like a host that has missed records, and finds those from `first` on retained.
+  void read_after_gap_into(partition_budgets& budgets, std::uint64_t first, time_ms now) const {
+    std::set<std::string> in_history;
+    for (std::uint64_t i = first; i < records.size(); ++i) {
+      if (is_foreign(i))
+        continue;
+      in_history.insert(account_key(records[i].team, records[i].host));
+      if (records[i].recorded_budget)
+        in_history.insert(budget_key(records[i].team));
+    }
+    for (std::uint64_t i = 0; i < records.size(); ++i) {
+      const std::string key = account_key(records[i].team, records[i].host);
+      if (unreadable.contains(i) && !in_history.contains(key))
+        budgets.forget_account(records[i].team, records[i].host);
+      if (overwritten_budgets.contains(i) && !in_history.contains(budget_key(records[i].team)))
+        budgets.forget_budget(records[i].team);
+    }
+    read_newest_and_history_into(budgets, first, now);
+  }
+
  private:
   // As it stands under its key: the budget that was recorded with it has a key of its own.
   void read_account(partition_budgets& budgets, std::uint64_t at, time_ms now) const {
--- a/tests/prepaid/prepaid_schedule_test.cpp
+++ b/tests/prepaid/prepaid_schedule_test.cpp
@@ -39,7 +39,8 @@
 enum class workload {
   even,
   others_write, ///< other programs overwrite accounts, and new incarnations read the newest records
-  budgets_lag,  ///< the same; hosts learn of raised budgets late, and at times all are killed
+  budgets_lag,  ///< the same; hosts learn of raised budgets late and miss records, and at times all
+                ///< are killed
   in_turns,     ///< one host acts for a while, and reads the log without reporting
 };
 
@@ -115,6 +116,8 @@
       return log_.overwrite(team, "h" + std::to_string(host));
     if (workload_ == workload::budgets_lag && random_.below(40) == 0)
       return lose_account(host);
+    if (workload_ == workload::budgets_lag && random_.below(30) == 0)
+      return miss_records(host);
     switch (random_.below(20)) {
     case 0:
       return kill(host);
@@ -194,6 +197,15 @@
     now_ += time_ms{static_cast<std::int64_t>(random_.below(9000))};
   }
 
+  // The log has deleted records that a host has not read yet.
+  void miss_records(std::size_t host) {
+    const std::uint64_t unread = log_.end() - budgets_[host]->end();
+    if (unread < 2)
+      return;
+    forgotten_ = std::max(forgotten_, budgets_[host]->end() + 1 + random_.below(unread));
+    log_.read_after_gap_into(*budgets_[host], forgotten_, boot(host));
+  }
+
   std::size_t next_host() {
     if (workload_ != workload::in_turns || random_.below(12) == 0)
       turn_ = random_.below(hosts);
