--- a/tests/relay/endpoint_directory_test.cpp
+++ b/tests/relay/endpoint_directory_test.cpp
@@ -122,3 +122,22 @@
   REQUIRE(changed.size() == 1);
   CHECK(changed.front().use == endpoint_use{});
 }
+
+// A host that was cut off by resets took each refused connection for the death of an endpoint, and
+// contents that had run there were quarantined.
+TEST_CASE("a host whose connections to all endpoints are refused counts none of them as dead") {
+  fixture at;
+  int lost = 0;
+  at.directory.on_loss([&](const endpoint_id&, endpoint_hash, loss_source) { ++lost; });
+  for (int i = 0; i < 6; ++i) {
+    const auto place = at.place();
+    REQUIRE(place.has_value());
+    at.directory.release(*place, send_outcome::unreachable, false);
+  }
+  for (int round = 0; round < 40; ++round) {
+    at.time.advance(time_ms{100});
+    for (const endpoint_directory::probe& probe : at.directory.due_probes())
+      at.directory.note_probe(probe, false, false);
+  }
+  CHECK(lost == 0);
+}
