A host that reaches no endpoint forwards requests to other hosts

Cause: such a host had nothing to do with a request but refuse it, and stayed in rotation; no host handed a request to another one. The class: one way to serve a request, and no other when it is lost. Change: a request that no endpoint has received goes to a host that reaches the service.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -29,6 +29,9 @@
 // load.
 constexpr std::size_t busy_divisor = 10;
 
+// The rest of the maximum is left to the host's own callers.
+constexpr std::size_t forwarded_divisor = 2;
+
 std::size_t max_open_requests(double processor_share) {
   return std::max(min_open_requests,
                   static_cast<std::size_t>(open_requests_per_core * processor_share));
@@ -71,6 +74,7 @@
       owner, prepaid_options{}, account_logs(settings_.store), machine_time_, faults_, log);
   endpoints_.on_restart([this](const endpoint_restart& found) { note_restart(found); });
   endpoints_.on_limit([this](const limit_notice& notice) { note_limit(notice); });
+  endpoints_.on_cut([this](bool cut_off) { note_cut(cut_off); });
   endpoints_.on_loss([this](const endpoint_id& endpoint, endpoint_hash life, loss_source source) {
     contents_.note_lost(endpoint, life, source, time_.now());
   });
@@ -111,6 +115,7 @@
   options.retries.window = settings_.retry_window;
   options.stop = settings_.stop;
   options.max_open = max_open_requests(settings_.processor_share);
+  options.max_forwarded = options.max_open / forwarded_divisor;
   options.max_preparing = max_preparing(settings_.processor_share);
   processor_ = std::make_unique<processor_monitor>(
       shedding_options{}, [this] { return relay_->open(); }, options.max_open / busy_divisor, time,
@@ -122,7 +127,8 @@
           host_pressure{
               .sheds = [this] { return processor_->sheds(); },
               .busy_for = [this] { return processor_->busy_for(); },
-              .note_request = [this](bool turned_away) { processor_->note_request(turned_away); }}},
+              .note_request = [this](bool turned_away) { processor_->note_request(turned_away); }},
+          region_of(settings_.data_centre)},
       options);
 }
 
@@ -139,18 +145,30 @@
   limit_exchange_->start();
   prober_->start();
   processor_->start();
-  const auto limits = [this] {
-    const config_ptr config = fleet_->config();
-    return config ? config->limits : caller_limits{};
-  };
-  callers_ = std::make_unique<http_frontend>(*relay_, dialect_, limits, http_frontend_options{},
-                                             listen_on(settings_.callers), time_, log_);
+  forwarding_hosts_ = make_frontend(settings_.peers, true);
+  forwarding_hosts_->start();
+  callers_ = make_frontend(settings_.callers, false);
   callers_->start();
   log_.write(
       severity::info, "started", {},
       {{log_field::address, settings_.callers}, {log_field::data_centre, settings_.data_centre}});
 }
 
+std::unique_ptr<http_frontend> entry_host::make_frontend(const std::string& address,
+                                                         bool from_hosts) {
+  const auto limits = [this] {
+    const config_ptr config = fleet_->config();
+    return config ? config->limits : caller_limits{};
+  };
+  return std::make_unique<http_frontend>(*relay_, dialect_, limits,
+                                         http_frontend_options{.from_hosts = from_hosts},
+                                         listen_on(address), time_, log_);
+}
+
+std::size_t entry_host::unanswered() const noexcept {
+  return callers_->unanswered() + forwarding_hosts_->unanswered();
+}
+
 // New connections are accepted until the end: in a data centre with most of its hosts out of
 // rotation, the balancer uses all of them.
 time_ms entry_host::stop() {
@@ -162,7 +180,7 @@
   const std::size_t cut = relay_->open();
   stop.cut();
   const exit_timeouts spans = exit_timeouts_for(settings_.stop, stop.since());
-  wait_until([&] { return callers_->busy() == 0; }, spans.answers);
+  wait_until([&] { return callers_->busy() + forwarding_hosts_->busy() == 0; }, spans.answers);
   const bool handed_back = budgets_->finish(spans.exchange);
   log_.write(severity::info, "stopped", {},
              {{log_field::count, cut},
@@ -177,7 +195,7 @@
 void entry_host::serve_until_end(planned_stop& stop) const {
   const auto may_end = [&] {
     const bool log_away = budgets_->loaded() && !budgets_->log_reachable();
-    return stop.may_end(callers_->unanswered() + (log_away ? 1 : 0));
+    return stop.may_end(unanswered() + (log_away ? 1 : 0));
   };
   while (!stop.notice_over())
     sleep_for(stop_poll_interval);
@@ -205,6 +223,8 @@
     return "no endpoints";
   if (!budgets_->loaded())
     return "no accounts";
+  if (endpoints_.cut_off())
+    return "cut off";
   if (processor_->busy())
     return "busy";
   return {};
@@ -225,11 +245,26 @@
 void entry_host::take_hosts() {
   budgets_->on_holders_changed();
   std::vector<std::string> others;
-  for (const peer& other : peers_->peers())
+  std::vector<forward_target> targets;
+  for (const peer& other : peers_->peers()) {
     others.push_back(other.host);
+    targets.push_back({other.host, other.address.toString(), region_of(other.data_centre)});
+  }
+  relay_->set_hosts(std::move(targets));
   endpoints_.set_hosts(peers_->self().name, others);
 }
 
+std::string entry_host::region_of(const std::string& data_centre) const {
+  const auto at = settings_.regions.find(data_centre);
+  return at == settings_.regions.end() ? std::string{} : at->second;
+}
+
+void entry_host::note_cut(bool cut_off) {
+  contents_.set_cut_off(cut_off);
+  log_.write(severity::warning, cut_off ? "endpoints_cut_off" : "endpoints_reached", {},
+             {{log_field::count, endpoints_.size()}});
+}
+
 void entry_host::note_restart(const endpoint_restart& found) {
   figures_.add(metric::endpoint_restarts, {name_of(found.found_by)});
   log_.write(severity::info, "endpoint_restarted", {.endpoint = found.endpoint.str()},
@@ -275,6 +310,7 @@
                       static_cast<double>(contents_.quarantined(time_.now())));
          figures_.set(metric::limited_endpoints, {},
                       static_cast<double>(endpoints_.limits().size()));
+         figures_.set(metric::cut_off, {}, endpoints_.cut_off() ? 1 : 0);
          figures_.set(metric::cold_endpoints, {}, static_cast<double>(endpoints_.cold()));
          return status_answer{200, figures_.text()};
        }},
--- a/src/entry/impl/entry_host.hpp
+++ b/src/entry/impl/entry_host.hpp
@@ -40,6 +40,13 @@
   void take_hosts();
   void note_restart(const endpoint_restart& found);
   void note_limit(const limit_notice& notice);
+  /// \brief Records that no endpoint is reached any more, or that one is again.
+  void note_cut(bool cut_off);
+  /// \returns the region of a data centre; empty when it is unknown
+  [[nodiscard]] std::string region_of(const std::string& data_centre) const;
+  [[nodiscard]] std::unique_ptr<http_frontend> make_frontend(const std::string& address,
+                                                             bool from_hosts);
+  [[nodiscard]] std::size_t unanswered() const noexcept;
 
   entry_settings settings_;
   const clock& time_;
@@ -66,6 +73,7 @@
   std::unique_ptr<request_relay> relay_;
   std::unique_ptr<processor_monitor> processor_; ///< its thread counts what relay_ serves
   std::unique_ptr<http_frontend> callers_;
+  std::unique_ptr<http_frontend> forwarding_hosts_; ///< serves what other hosts forward
   std::unique_ptr<status_server> status_;
   std::atomic<bool> stopping_{false};
 };
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -118,6 +118,8 @@
   if (status != io_status::ok)
     return end_of(status);
   const reply_terms terms = parts_.dialect.read_reply(reply_);
+  if (bounds_.with_host && !terms.whole)
+    return take_host_refusal();
   if (terms.load)
     parts_.endpoints.note_load(parts_.place, *terms.load);
   const bool of_this = terms.echoed_id.empty() || terms.echoed_id == parts_.request.terms.id;
@@ -144,18 +146,35 @@
   parts_.endpoints.note_prompt_read(parts_.place);
 }
 
+body_state endpoint_exchange::read_body(body_decoder& body, std::string& bytes) const {
+  std::array<char, read_block> block; // NOLINT(cppcoreguidelines-pro-type-member-init)
+  while (body.state() == body_state::open && bytes.size() <= bounds_.max_buffered_body)
+    bytes.append(block.data(), body.read(block.data(), block.size()));
+  return bytes.size() > bounds_.max_buffered_body ? body_state::open : body.state();
+}
+
+// Hosts promise with these statuses, and with errors of the caller, that nothing has run.
+send_outcome endpoint_exchange::take_host_refusal() {
+  if (is_success(reply_.status))
+    return send_outcome::failed;
+  connection_source source{link_, [this] { return reply_deadline(); }, &parts_.watch};
+  body_decoder body{source, reply_framing(reply_)};
+  std::string bytes;
+  const bool whole = read_body(body, bytes) == body_state::whole;
+  parts_.answer.take_head(reply_);
+  parts_.answer.keep_body(whole ? std::move(bytes) : std::string{});
+  if (promises_not_run(reply_.status))
+    return send_outcome::not_run;
+  return whole ? send_outcome::own_error : send_outcome::failed;
+}
+
 send_outcome endpoint_exchange::take_answer() {
   connection_source source{link_, [this] { return reply_deadline(); }, &parts_.watch};
   body_decoder body{source, reply_framing(reply_)};
   std::string bytes;
-  std::array<char, read_block> block; // NOLINT(cppcoreguidelines-pro-type-member-init)
-  while (body.state() == body_state::open) {
-    bytes.append(block.data(), body.read(block.data(), block.size()));
-    if (bytes.size() > bounds_.max_buffered_body)
-      return send_outcome::failed;
-  }
-  if (body.state() != body_state::whole)
-    return body.state() == body_state::slow ? end_of(source.last()) : send_outcome::failed;
+  const body_state end = read_body(body, bytes);
+  if (end != body_state::whole)
+    return end == body_state::slow ? end_of(source.last()) : send_outcome::failed;
   note_prompt_read();
   reusable_ = is_reusable(reply_, link_);
   if (!is_success(reply_.status)) {
--- a/src/relay/impl/endpoint_exchange.hpp
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/impl/body_decoder.hpp"
 #include "gateway/impl/request_header.hpp"
 #include "relay/impl/admitted_request.hpp"
 #include "relay/impl/caller_answer.hpp"
@@ -14,11 +15,12 @@
 
 namespace sedgechute {
 
-/// \brief Limits of an exchange with an endpoint.
+/// \brief Limits of an exchange with an endpoint or with another host.
 struct exchange_bounds {
   time_ms longest_silence; ///< without a byte, when the request may not be run again
   std::size_t max_reply_head{};
   std::size_t max_buffered_body{}; ///< of an answer that is not a stream
+  bool with_host{false};           ///< the other end is a host that passes on an endpoint's reply
 };
 
 /// \brief Sends one request on one connection to an endpoint and passes its reply to the caller.
@@ -53,6 +55,10 @@
   [[nodiscard]] bool is_answer(const reply_terms& terms) const;
   [[nodiscard]] send_outcome take_answer();
   [[nodiscard]] send_outcome take_stream();
+  /// \brief Keeps a refusal by the other host for the caller.
+  [[nodiscard]] send_outcome take_host_refusal();
+  /// \returns the state of the body when it has ended or is too large
+  [[nodiscard]] body_state read_body(body_decoder& body, std::string& bytes) const;
   void note_prompt_read();
   /// \returns the deadline of the wait for the next bytes of the reply
   [[nodiscard]] time_ms reply_deadline() const;
--- a/src/relay/impl/http_frontend.cpp
+++ b/src/relay/impl/http_frontend.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::size_t read_block = 16 * 1024;
 
+constexpr std::size_t forwarded_field_bytes = 128; // of the field that hosts add
+
 // Counts a request until its destruction.
 class in_flight_count {
  public:
@@ -73,6 +75,13 @@
   poll_.start();
 }
 
+caller_limits http_frontend::limits() const {
+  caller_limits limits = limits_();
+  if (options_.from_hosts)
+    limits.header_bytes += forwarded_field_bytes;
+  return limits;
+}
+
 void http_frontend::dispatch(std::unique_ptr<caller_connection> caller) {
   preparing_requests::guard guard;
   bool screened = false;
@@ -107,7 +116,7 @@
 
 http_frontend::screen_result http_frontend::screen(caller_connection& caller,
                                                    preparing_requests::guard& guard) {
-  const caller_limits limits = limits_();
+  const caller_limits limits = this->limits();
   request_preview seen =
       preview_request(caller.link.buffered(), limits.header_bytes, limits.body_bytes);
   while (seen.state == preview_state::arriving) {
@@ -189,7 +198,7 @@
 // answer before the process exits.
 connection_action http_frontend::answer_one(caller_connection& caller,
                                             preparing_requests::guard guard, bool screened) {
-  const caller_limits limits = limits_();
+  const caller_limits limits = this->limits();
   const time_ms received = time_.now();
   const time_ms idle = received - caller.since;
   connection& link = caller.link;
@@ -208,10 +217,12 @@
       throw error{error_kind::payload_too_large, "header", "is larger than allowed"};
     if (status != io_status::ok)
       return connection_action::close;
-    const message_framing framing =
-        check_request_header(text, {max_header_fields, limits.header_bytes});
+    const message_framing framing = check_request_header(
+        text, {max_header_fields + (options_.from_hosts ? 1 : 0), limits.header_bytes});
     incoming_request request{parse_request_head(text), {},   received, link,
                              caller.requests,          idle, screened, std::move(guard)};
+    if (options_.from_hosts)
+      request.forwarded = take_forwarded_terms(request.head.fields);
     read_body(link, framing, limits, request, until_cut);
     return relay_.serve(request);
   } catch (const error& reason) {
--- a/src/relay/impl/http_frontend.hpp
+++ b/src/relay/impl/http_frontend.hpp
@@ -16,11 +16,13 @@
 struct http_frontend_options {
   time_ms body_timeout{10000}; ///< for a whole request body
   caller_poll_options connections{};
+  bool from_hosts{false};         ///< serves requests that other hosts forward
   elastic_pool_options threads{}; ///< each serves one request and uses some 30 KB of its stack
 };
 
-/// \brief HTTP server in front of a relay. One thread polls all idle connections, and each accepted
-/// request gets a thread from a pool. Under load, requests are refused by their header alone.
+/// \brief HTTP server in front of a relay, for callers or for other hosts. One thread polls all
+/// idle connections, and each accepted request gets a thread from a pool. Under load, requests are
+/// refused by their header alone.
 class http_frontend {
  public:
   http_frontend(request_relay& relay, const wire_dialect& dialect,
@@ -41,6 +43,8 @@
   struct job;
   enum class screen_result;
 
+  /// \returns the limits on requests, with room for what hosts add
+  [[nodiscard]] caller_limits limits() const;
   void dispatch(std::unique_ptr<caller_connection> caller);
   /// \brief Decides by its header whether a request is served, without waiting for more bytes.
   [[nodiscard]] screen_result screen(caller_connection& caller, preparing_requests::guard& guard);
--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -6,7 +6,11 @@
 
 request_relay::request_relay(parts joined, const relay_options& options)
     : parts_{std::move(joined)}, options_{options},
-      connections_{parts_.time}, stop_{options.stop, parts_.time}, retries_{options.retries} {}
+      connections_{parts_.time}, stop_{options.stop, parts_.time}, retries_{options.retries} {
+  for (const auto result :
+       {forward_result::served, forward_result::refused, forward_result::unreachable})
+    parts_.figures.add(metric::forwarded, {name_of(result)}, 0);
+}
 
 connection_action request_relay::serve(incoming_request& request) {
   request_run run{*this, request};
@@ -50,6 +54,29 @@
   return {error_kind::no_capacity, "host", "the processor is overloaded", retry_after};
 }
 
+void request_relay::set_hosts(std::vector<forward_target> hosts) {
+  const std::scoped_lock lock{mutex_};
+  hosts_.set_hosts(std::move(hosts));
+}
+
+bool request_relay::has_other_hosts() const {
+  const std::scoped_lock lock{mutex_};
+  return !hosts_.empty();
+}
+
+std::optional<forward_target>
+request_relay::choose_host(const std::string& service, const forward_targets::predicate& allowed) {
+  const std::scoped_lock lock{mutex_};
+  return hosts_.choose(service, allowed, random_, parts_.time.now());
+}
+
+void request_relay::note_forwarded(const std::string& host, const std::string& service,
+                                   forward_result result) {
+  parts_.figures.add(metric::forwarded, {name_of(result)});
+  const std::scoped_lock lock{mutex_};
+  hosts_.note_result(host, service, result, parts_.time.now());
+}
+
 double request_relay::draw() {
   const std::scoped_lock lock{mutex_};
   return random_.unit();
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -6,6 +6,7 @@
 #include "relay/impl/content_guard.hpp"
 #include "relay/impl/endpoint_directory.hpp"
 #include "relay/impl/fleet_config.hpp"
+#include "relay/impl/forward_targets.hpp"
 #include "relay/impl/host_pressure.hpp"
 #include "relay/impl/incoming_request.hpp"
 #include "relay/impl/planned_stop.hpp"
@@ -19,6 +20,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace sedgechute {
 
@@ -41,6 +43,8 @@
   /// Maximum number of open requests. With more than its processor can handle, a host answers all
   /// of them late, and all are lost if it is killed.
   std::size_t max_open{600};
+  std::size_t max_forwarded{300}; ///< open requests that other hosts have forwarded to this one
+  int max_hosts_tried{3};         ///< per request that is forwarded
   /// Maximum number of requests in preparation, i.e. not yet sent to an endpoint; beyond it, teams
   /// that have used up their share are refused.
   std::size_t max_preparing{100};
@@ -71,6 +75,7 @@
     std::function<config_ptr()> config; ///< returns the one in force; null before the first
     std::function<std::size_t()> hosts; ///< returns the number of hosts that share fleet limits
     host_pressure pressure{};
+    std::string region{}; ///< of this host; empty when it is unknown
   };
 
   request_relay(parts joined, const relay_options& options);
@@ -102,6 +107,9 @@
 
   /// \returns the number of requests that are being served
   [[nodiscard]] std::size_t open() const noexcept { return open_; }
+  /// \brief Sets the other hosts, to which requests are forwarded while this host reaches no
+  /// endpoint of their service.
+  void set_hosts(std::vector<forward_target> hosts);
   [[nodiscard]] planned_stop& stop() noexcept { return stop_; }
   [[nodiscard]] const planned_stop& stop() const noexcept { return stop_; }
 
@@ -109,6 +117,10 @@
   friend class request_run;
 
   [[nodiscard]] double draw();
+  [[nodiscard]] bool has_other_hosts() const;
+  [[nodiscard]] std::optional<forward_target>
+  choose_host(const std::string& service, const forward_targets::predicate& allowed);
+  void note_forwarded(const std::string& host, const std::string& service, forward_result result);
   [[nodiscard]] error too_many_open() const;
   [[nodiscard]] static error processor_used_up(time_ms retry_after);
   [[nodiscard]] bool may_retry(const std::string& service);
@@ -123,9 +135,11 @@
   planned_stop stop_;
   mutable ordered_mutex mutex_{lock_rank::requests};
   retry_limiter retries_;
+  forward_targets hosts_;
   run_durations lengths_;
   random_source random_{random_source::from_system()};
   std::atomic<std::size_t> open_{0};
+  std::atomic<std::size_t> forwarded_open_{0};
   preparing_requests preparing_;
 };
 
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -1,32 +1,72 @@
 #include "relay/impl/request_run.hpp"
 
 #include "relay/impl/endpoint_exchange.hpp"
+#include "relay/impl/forwarded_request.hpp"
 #include "relay/impl/request_content.hpp"
 
+#include <algorithm>
+
 namespace sedgechute {
 
+namespace {
+
+// Failed connects to endpoints per request. Where other hosts may reach the endpoints, a caller
+// waits for fewer.
+constexpr int max_unreachable = 3;
+constexpr int max_unreachable_before_forward = 2;
+
+forward_result result_of(send_outcome end) noexcept {
+  switch (end) {
+  case send_outcome::not_run:
+    return forward_result::refused;
+  case send_outcome::unreachable:
+  case send_outcome::silent:
+  case send_outcome::failed:
+    return forward_result::unreachable;
+  case send_outcome::answered:
+  case send_outcome::own_error:
+  case send_outcome::stalled:
+  case send_outcome::timed_out:
+  case send_outcome::caller_left:
+  case send_outcome::host_stopped:
+    break;
+  }
+  return forward_result::served;
+}
+
+} // namespace
+
 request_run::request_run(request_relay& relay, incoming_request& in)
     : relay_{relay}, in_{in}, watch_{in.caller.descriptor(), relay.stop_.cut_descriptor()},
       answer_{in.caller, relay.stop_}, records_{relay.parts_.log, relay.parts_.figures,
                                                 relay.parts_.time} {
   ++relay_.open_;
+  relay_.forwarded_open_ += in_.forwarded ? 1 : 0;
 }
 
 request_run::~request_run() {
   if (reserved_ > 0)
     relay_.parts_.budgets.settle(admitted_.team->name.str(), reserved_, used());
+  relay_.forwarded_open_ -= in_.forwarded ? 1 : 0;
   --relay_.open_;
 }
 
 connection_action request_run::run() {
   try {
     check_capacity();
-    admit(in_.head, in_.received, relay_.parts_.dialect, relay_.parts_.config(), admitted_);
+    const config_ptr in_force = relay_.parts_.config();
+    check_version(in_force);
+    admit(in_.head, in_.received, relay_.parts_.dialect, in_force, admitted_);
+    if (in_.forwarded)
+      admitted_.deadline = std::min(admitted_.deadline, in_.received + in_.forwarded->time_left);
     in_.preparing.assign_team(admitted_.team_name());
     admitted_.content = content_of(in_.head, in_.body, admitted_.team_name());
     check_content();
     check_time_left();
     check_overload();
+    if (may_forward() &&
+        relay_.parts_.endpoints.paths_to(admitted_.service) == endpoint_directory::paths::none)
+      return end_forwarded(forward());
     reserved_ =
         reserve_tokens(relay_.parts_.budgets, admitted_, relay_.options_.budget_retry_after);
     return run_sends();
@@ -38,6 +78,17 @@
 void request_run::check_capacity() const {
   if (relay_.open_ > relay_.options_.max_open)
     throw relay_.too_many_open();
+  if (in_.forwarded && relay_.forwarded_open_ > relay_.options_.max_forwarded)
+    throw error{error_kind::no_capacity, "host", "too many forwarded requests are open",
+                relay_.options_.overload_retry_after};
+}
+
+// A request that was handled by another version than the one in force at the host that the caller
+// has chosen would show that host's callers a change too early or too late.
+void request_run::check_version(const config_ptr& in_force) const {
+  if (in_.forwarded && in_force && in_force->version != in_.forwarded->version)
+    throw error{error_kind::no_capacity, "host",
+                "has configuration version " + std::to_string(in_force->version)};
 }
 
 // Refuses early, before the request costs more. Once the balancer has seen that the host is busy,
@@ -89,6 +140,101 @@
     if (end == send_outcome::answered)
       return note_answered();
   } while (may_send_again(end));
+  const bool not_sent = end == send_outcome::unreachable || end == send_outcome::silent ||
+                        end == send_outcome::not_run;
+  if (not_sent && may_forward())
+    return end_forwarded(forward());
+  return give_up(end);
+}
+
+bool request_run::may_forward() const {
+  return !in_.forwarded && sent_to_.empty() && relay_.has_other_hosts();
+}
+
+bool request_run::lacks_paths() const {
+  using paths = endpoint_directory::paths;
+  const paths known = relay_.parts_.endpoints.paths_to(admitted_.service);
+  return may_forward() && (known == paths::none || known == paths::some);
+}
+
+// The other host reserves the tokens and counts the sends, so that neither is counted twice. It
+// does not forward the request again.
+send_outcome request_run::forward() {
+  if (reserved_ > 0)
+    relay_.parts_.budgets.settle(admitted_.team->name.str(), std::exchange(reserved_, 0), 0);
+  std::vector<std::string> tried;
+  const data_residency residency = admitted_.residency();
+  const auto allowed = [&](const forward_target& host) {
+    return std::find(tried.begin(), tried.end(), host.host) == tried.end() &&
+           (host.region == relay_.parts_.region || allows(residency, host.region));
+  };
+  send_outcome end = send_outcome::unreachable;
+  for (int i = 0; i < relay_.options_.max_hosts_tried; ++i) {
+    if (watch_.has_left())
+      return send_outcome::caller_left;
+    check_time_left();
+    const auto to = relay_.choose_host(admitted_.service, allowed);
+    if (!to)
+      break;
+    tried.push_back(to->host);
+    end = forward_to(*to);
+    relay_.note_forwarded(to->host, admitted_.service, result_of(end));
+    if (end != send_outcome::not_run && end != send_outcome::unreachable &&
+        end != send_outcome::silent)
+      break;
+  }
+  return end;
+}
+
+// Each request has a connection of its own: one that another request left may be broken, and then
+// it would be unknown whether this request has run.
+send_outcome request_run::forward_to(const forward_target& to) {
+  const time_ms began = now();
+  connect_result reached =
+      connect_to(to.address, relay_.options_.connect_timeout, relay_.parts_.time, &watch_);
+  send_outcome end = send_outcome::host_stopped;
+  if (!reached.link)
+    end = connect_failure(reached.status);
+  else if (relay_.stop_.taking())
+    end = exchange_with_host(to, std::move(reached.link));
+  relay_.parts_.log.write(severity::info, "request_forwarded",
+                          {admitted_.terms.id, admitted_.team_name()},
+                          {{log_field::peer, to.host},
+                           {log_field::kind, name_of(end)},
+                           {log_field::duration_ms, now() - began}});
+  return end;
+}
+
+send_outcome request_run::exchange_with_host(const forward_target& to,
+                                             std::unique_ptr<connection> link) {
+  const request_relay::parts& parts = relay_.parts_;
+  const relay_options& options = relay_.options_;
+  placement place; // of no endpoint that this host knows
+  place.endpoint = endpoint_id{to.host};
+  endpoint_exchange one{
+      {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_},
+      {options.longest_silence, options.max_reply_head, options.max_buffered_body, true},
+      *link,
+      admitted_.on_route->max_attempts};
+  in_.preparing.end();
+  may_have_run_ = true;
+  const send_outcome end = one.run(forwarded_request(
+      in_.head, in_.body, {admitted_.config->version, admitted_.deadline - now()}));
+  if (end == send_outcome::not_run) {
+    may_have_run_ = false;
+    refused_by_host_ = true;
+  } else if (end != send_outcome::answered && end != send_outcome::own_error) {
+    link->abort();
+  }
+  return end;
+}
+
+connection_action request_run::end_forwarded(send_outcome end) {
+  if (end == send_outcome::answered)
+    return note_answered();
+  if (refused_by_host_ && !may_have_run_ && end != send_outcome::caller_left &&
+      end != send_outcome::host_stopped)
+    return deliver_error("refused by another host");
   return give_up(end);
 }
 
@@ -110,9 +256,10 @@
   return false;
 }
 
-send_progress request_run::progress() const noexcept {
+send_progress request_run::progress() const {
   return {.sends = static_cast<int>(sent_to_.size()),
           .unreachable = unreachable_,
+          .max_unreachable = may_forward() ? max_unreachable_before_forward : max_unreachable,
           .may_have_run = may_have_run_,
           .events = answer_.events().events(),
           .stream_begun = answer_.stream_begun(),
@@ -124,7 +271,7 @@
   const auto& generation = admitted_.terms.generation;
   auto place = relay_.parts_.endpoints.place(
       {admitted_.service, generation ? &*generation : nullptr, avoid_, admitted_.residency()});
-  if (!place && sent_to_.empty())
+  if (!place && sent_to_.empty() && !lacks_paths())
     throw error{error_kind::no_capacity, admitted_.service, "no endpoint is ready",
                 relay_.options_.full_retry_after};
   return place;
@@ -174,10 +321,11 @@
 
 // The connect is interrupted at the cut. Otherwise a silent endpoint could hold the request beyond
 // the time that is left for the last answers before the exit.
-connect_result request_run::open_connection(const placement& place) {
+connect_result request_run::open_connection(placement& place) {
   const time_ms max_idle =
       runs_once(*admitted_.on_route) ? relay_.options_.max_idle_run_once : relay_.options_.max_idle;
   auto idle = relay_.connections_.take(place.endpoint, place.local_incarnation, max_idle);
+  place.reused = idle != nullptr;
   if (idle)
     return {std::move(idle), io_status::ok};
   return connect_to(place.address, relay_.options_.connect_timeout, relay_.parts_.time, &watch_);
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -37,12 +37,25 @@
   /// \returns nothing when the request has been sent to every suitable endpoint
   /// \throws error when there is no suitable endpoint at all
   [[nodiscard]] std::optional<placement> choose_placement();
+  /// \returns whether the request can be forwarded to other hosts, as no endpoint of this host's
+  /// has received it
+  [[nodiscard]] bool may_forward() const;
+  /// \returns whether it can, and this host does not reach all endpoints of the service
+  [[nodiscard]] bool lacks_paths() const;
+  /// \brief Forwards the request to other hosts, one after the other, until one accepts it.
+  [[nodiscard]] send_outcome forward();
+  [[nodiscard]] send_outcome forward_to(const forward_target& to);
+  [[nodiscard]] send_outcome exchange_with_host(const forward_target& to,
+                                                std::unique_ptr<connection> link);
+  [[nodiscard]] connection_action end_forwarded(send_outcome end);
+  /// \throws error when this host has another configuration than the one that forwarded the request
+  void check_version(const config_ptr& in_force) const;
   [[nodiscard]] send_outcome send_once(placement& place);
   /// \param prompt_read  set to whether the endpoint has begun to answer
   [[nodiscard]] send_outcome send_to(placement& place, bool& prompt_read);
   [[nodiscard]] send_outcome exchange(const placement& place, std::unique_ptr<connection> link,
                                       bool& prompt_read);
-  [[nodiscard]] connect_result open_connection(const placement& place);
+  [[nodiscard]] connect_result open_connection(placement& place);
   /// \param why  the status of the failed connect
   [[nodiscard]] send_outcome connect_failure(io_status why) noexcept;
   [[nodiscard]] connection_action note_answered();
@@ -52,7 +65,7 @@
   [[nodiscard]] connection_action refuse(const error& reason);
   [[nodiscard]] bool ends_connection() const noexcept;
   [[nodiscard]] connection_action done() const noexcept;
-  [[nodiscard]] send_progress progress() const noexcept;
+  [[nodiscard]] send_progress progress() const;
   /// \returns the tokens used of the team's budget
   [[nodiscard]] std::uint64_t used() const noexcept;
   [[nodiscard]] time_ms now() const noexcept { return relay_.parts_.time.now(); }
@@ -69,6 +82,7 @@
   std::vector<endpoint_hash> avoid_; ///< incarnations that the request was sent to
   int unreachable_{0};
   bool may_have_run_{false};
+  bool refused_by_host_{false};    ///< the answer holds the refusal of another host
   bool last_on_connection_{false}; ///< the caller should connect to another host
   bool announced_close_{false};    ///< the refusal contains `Connection: close`
 };
--- a/src/relay/impl/send_rules.cpp
+++ b/src/relay/impl/send_rules.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr int max_unreachable = 3; // failed connects per request
-
 // A stall is several times the usual duration: engines at full load are up to three times slower,
 // and an abandoned run is wasted work.
 constexpr std::int64_t targets_until_stall = 3;
@@ -55,7 +53,7 @@
     return next_send::none;
   case send_outcome::unreachable:
   case send_outcome::silent:
-    return so_far.unreachable < max_unreachable ? next_send::uncounted : next_send::none;
+    return so_far.unreachable < so_far.max_unreachable ? next_send::uncounted : next_send::none;
   case send_outcome::not_run:
     return counted_if(false, false);
   case send_outcome::own_error:
--- a/src/relay/impl/send_rules.hpp
+++ b/src/relay/impl/send_rules.hpp
@@ -14,6 +14,7 @@
 struct send_progress {
   int sends{};            ///< number of sends that reached an endpoint
   int unreachable{};      ///< number of failed connects
+  int max_unreachable{3}; ///< after which no other endpoint is tried
   bool may_have_run{};    ///< an endpoint may have run it, at least in part
   std::uint64_t events{}; ///< number of events that the caller has received
   bool stream_begun{};    ///< the caller has received the header of a stream
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -178,13 +178,27 @@
                   "Endpoints that name a limit on the requests of all hosts together.",
                   {},
                   entry},
+    metric_family{
+        metric::forwarded,
+        counter,
+        "sedgechute_forwarded_total",
+        "Requests forwarded to another host because this one reached no endpoint. result: "
+        "served, refused, unreachable.",
+        {"result"},
+        entry},
+    metric_family{metric::cut_off,
+                  gauge,
+                  "sedgechute_cut_off",
+                  "1 while this host reaches no endpoint at all, 0 otherwise.",
+                  {},
+                  entry},
 };
 
 constexpr bool in_order() {
   for (std::size_t i = 0; i < families.size(); ++i)
     if (static_cast<std::size_t>(families[i].id) != i)
       return false;
-  return families.size() == static_cast<std::size_t>(metric::limited_endpoints) + 1;
+  return families.size() == static_cast<std::size_t>(metric::cut_off) + 1;
 }
 static_assert(in_order(), "the table has one row for each metric, in the order of the enumeration");
 
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -50,6 +50,8 @@
   evacuated_data_centres,
   cold_endpoints,
   limited_endpoints,
+  forwarded,
+  cut_off,
 };
 
 inline constexpr std::size_t most_labels = 3;
