Test of a host that reaches no endpoint: the other host is listed before the program starts

The program reads the host list at its start and then every five seconds; where that first read came before the test had listed the other host, nobody could be asked.

--- a/tests/entry/cut_off_host_test.cpp
+++ b/tests/entry/cut_off_host_test.cpp
@@ -20,7 +20,7 @@
   return "127.0.0.1:" + std::to_string(fleet_test::free_port());
 }
 
-/// Two hosts that know each other and list the same endpoints; the first has no path to them.
+/// Two hosts that list the same endpoints; the first knows the second and has no path to them.
 struct split_fleet {
   /// \param cut_address  address at which the first host looks for each endpoint
   explicit split_fleet(const std::vector<std::string>& cut_addresses) {
@@ -37,8 +37,6 @@
       cut.add_endpoint(id, cut_addresses.at(i));
       sound.add_endpoint(id, endpoints.back()->address());
     }
-    cut.store().put("keyed.hosts", "h1", sound.peers() + " dc");
-    sound.store().put("keyed.hosts", "h1", cut.peers() + " dc");
     REQUIRE(cut.ready());
     REQUIRE(sound.ready());
   }
@@ -51,8 +49,8 @@
   }
 
   std::vector<std::unique_ptr<scripted_endpoint>> endpoints;
-  entry_program cut{R"("grace_s":4)"};
   entry_program sound{R"("grace_s":4)"};
+  entry_program cut{R"("grace_s":4)", log_reader::reads, {}, sound.peers()};
 };
 
 } // namespace
--- a/tests/entry/entry_program.cpp
+++ b/tests/entry/entry_program.cpp
@@ -61,13 +61,15 @@
 } // namespace
 
 entry_program::entry_program(const std::string& settings, log_reader reader,
-                             const std::string& configuration)
+                             const std::string& configuration, const std::string& known_host)
     : folder_{Poco::TemporaryFile::tempName()}, callers_{loopback()}, peers_{loopback()},
       status_{loopback()}, store_{standin::topic_store_options{}} {
   Poco::File{folder_}.createDirectories();
   store_.put("keyed.op", "config",
              configuration.empty() ? std::string{first_version}.append(usual_configuration)
                                    : configuration);
+  if (!known_host.empty())
+    store_.put("keyed.hosts", "known", known_host + " dc");
   std::ofstream file{folder_ + "/settings.json"};
   file << R"({"host":"h0","data_centre":"dc","callers":")" << callers_ << R"(","peers":")" << peers_
        << R"(","status":")" << status_ << R"(","store":")" << store_.server().address().toString()
--- a/tests/entry/entry_program.hpp
+++ b/tests/entry/entry_program.hpp
@@ -20,8 +20,9 @@
  public:
   /// \param settings  more members of its settings, such as `"grace_s":4`
   /// \param configuration  as the store has it; by default one with the routes of `entry_request`
+  /// \param known_host  `IP:port` for datagrams of another host that is listed from the start
   explicit entry_program(const std::string& settings, log_reader reader = log_reader::reads,
-                         const std::string& configuration = {});
+                         const std::string& configuration = {}, const std::string& known_host = {});
   entry_program(const entry_program&) = delete;
   entry_program& operator=(const entry_program&) = delete;
   ~entry_program();
