A request whose deadline has passed is not forwarded

What callers saw: 400 for a proper request, where the deadline passed while the host tried endpoints. Cause: the time left that is sent along was negative, and the other host took it for malformed. Change: forwarding ends as timed out, which is refused unrun. Result: the new test passes, and fails where the check is taken out (mutation forwarded_after_deadline).

--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -172,6 +172,8 @@
   for (int i = 0; i < relay_.options_.max_hosts_tried; ++i) {
     if (watch_.has_left())
       return send_outcome::caller_left;
+    if (now() >= admitted_.deadline)
+      return send_outcome::timed_out;
     check_time_left();
     const auto to = relay_.choose_host(admitted_.service, allowed);
     if (!to)
