The last report of a lost or regained path wins

Cause: two threads could report the begin and the end of a cut in the wrong order; the host then counted no cut run as evidence until its next cut. Found in reading. Change: the report carries no state; the listener reads it under a lock. Result: the two entry tests of cut-off hosts pass; no test forces the order of the threads.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -74,7 +74,7 @@
       owner, prepaid_options{}, account_logs(settings_.store), machine_time_, faults_, log);
   endpoints_.on_restart([this](const endpoint_restart& found) { note_restart(found); });
   endpoints_.on_limit([this](const limit_notice& notice) { note_limit(notice); });
-  endpoints_.on_cut([this](bool cut_off) { note_cut(cut_off); });
+  endpoints_.on_cut([this] { note_cut(); });
   endpoints_.on_loss([this](const endpoint_id& endpoint, endpoint_hash life, loss_source source) {
     contents_.note_lost(endpoint, life, source, time_.now());
   });
@@ -259,7 +259,11 @@
   return at == settings_.regions.end() ? std::string{} : at->second;
 }
 
-void entry_host::note_cut(bool cut_off) {
+// Several threads may report changes at once. Reading the state under the lock lets the last report
+// win.
+void entry_host::note_cut() {
+  const std::scoped_lock lock{cut_mutex_};
+  const bool cut_off = endpoints_.cut_off();
   contents_.set_cut_off(cut_off);
   log_.write(severity::warning, cut_off ? "endpoints_cut_off" : "endpoints_reached", {},
              {{log_field::count, endpoints_.size()}});
--- a/src/entry/impl/entry_host.hpp
+++ b/src/entry/impl/entry_host.hpp
@@ -41,7 +41,7 @@
   void note_restart(const endpoint_restart& found);
   void note_limit(const limit_notice& notice);
   /// \brief Records that no endpoint is reached any more, or that one is again.
-  void note_cut(bool cut_off);
+  void note_cut();
   /// \returns the region of a data centre; empty when it is unknown
   [[nodiscard]] std::string region_of(const std::string& data_centre) const;
   [[nodiscard]] std::unique_ptr<http_frontend> make_frontend(const std::string& address,
@@ -76,6 +76,7 @@
   std::unique_ptr<http_frontend> forwarding_hosts_; ///< serves what other hosts forward
   std::unique_ptr<status_server> status_;
   std::atomic<bool> stopping_{false};
+  ordered_mutex cut_mutex_{lock_rank::lifecycle};
 };
 
 } // namespace sedgechute
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -618,7 +618,7 @@
 
 void endpoint_directory::notify_cut(cut_detector::change change) const {
   if (on_cut_ && change != cut_detector::change::none)
-    on_cut_(change == cut_detector::change::begun);
+    on_cut_();
 }
 
 std::vector<endpoint_directory::probe> endpoint_directory::due_probes() {
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -96,9 +96,8 @@
   /// \brief Sets the listener for incarnations that are found dead; see `on_restart`.
   void on_loss(loss_listener listener) { on_loss_ = std::move(listener); }
 
-  using cut_listener = std::function<void(bool cut_off)>;
-  /// \brief Sets the listener for the loss of all paths to endpoints, and for the first one that is
-  /// back; see `on_restart`.
+  using cut_listener = std::function<void()>;
+  /// \brief Sets the listener for changes of `cut_off`; see `on_restart`. Calls may overlap.
   void on_cut(cut_listener listener) { on_cut_ = std::move(listener); }
 
   using limit_listener = std::function<void(const limit_notice&)>;
