Refused connections of an endpoint have a history of their own

The word 'refused_again' and the frontends' names stopped a reader. Change: refusal_history stands alone; probes and named limits have their own sources; the struct is a repeated_refusal, and the frontends are named after who connects. No behaviour changes.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -145,10 +145,10 @@
   limit_exchange_->start();
   prober_->start();
   processor_->start();
-  forwarding_hosts_ = make_frontend(settings_.peers, true);
-  forwarding_hosts_->start();
-  callers_ = make_frontend(settings_.callers, false);
-  callers_->start();
+  host_frontend_ = make_frontend(settings_.peers, true);
+  host_frontend_->start();
+  caller_frontend_ = make_frontend(settings_.callers, false);
+  caller_frontend_->start();
   log_.write(
       severity::info, "started", {},
       {{log_field::address, settings_.callers}, {log_field::data_centre, settings_.data_centre}});
@@ -166,7 +166,7 @@
 }
 
 std::size_t entry_host::unanswered() const noexcept {
-  return callers_->unanswered() + forwarding_hosts_->unanswered();
+  return caller_frontend_->unanswered() + host_frontend_->unanswered();
 }
 
 // New connections are accepted until the end: in a data centre with most of its hosts out of
@@ -180,7 +180,7 @@
   const std::size_t cut = relay_->open();
   stop.cut();
   const exit_timeouts spans = exit_timeouts_for(settings_.stop, stop.since());
-  wait_until([&] { return callers_->busy() + forwarding_hosts_->busy() == 0; }, spans.answers);
+  wait_until([&] { return caller_frontend_->busy() + host_frontend_->busy() == 0; }, spans.answers);
   const bool handed_back = budgets_->finish(spans.exchange);
   log_.write(severity::info, "stopped", {},
              {{log_field::count, cut},
@@ -200,8 +200,9 @@
   while (!stop.notice_over())
     sleep_for(stop_poll_interval);
   stop.close_idle();
-  log_.write(severity::info, "notice_over", {},
-             {{log_field::count, callers_->connections()}, {log_field::open, relay_->open()}});
+  log_.write(
+      severity::info, "notice_over", {},
+      {{log_field::count, caller_frontend_->connections()}, {log_field::open, relay_->open()}});
   while (!may_end())
     sleep_for(stop_poll_interval);
   stop.end_taking();
--- a/src/entry/impl/entry_host.hpp
+++ b/src/entry/impl/entry_host.hpp
@@ -72,8 +72,8 @@
   std::unique_ptr<endpoint_prober> prober_;
   std::unique_ptr<request_relay> relay_;
   std::unique_ptr<processor_monitor> processor_; ///< its thread counts what relay_ serves
-  std::unique_ptr<http_frontend> callers_;
-  std::unique_ptr<http_frontend> forwarding_hosts_; ///< serves what other hosts forward
+  std::unique_ptr<http_frontend> caller_frontend_;
+  std::unique_ptr<http_frontend> host_frontend_; ///< serves what other hosts forward
   std::unique_ptr<status_server> status_;
   std::atomic<bool> stopping_{false};
   ordered_mutex cut_mutex_{lock_rank::lifecycle};
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -22,26 +22,9 @@
 // ones a second at its usual load.
 constexpr time_ms prefix_lifetime{25000};
 
-// Start time queries of an endpoint that may have restarted, at least `start_query_interval` apart.
+// Start time queries of an endpoint that may have restarted.
 // More than one, as a reply may be lost; bounded, as some endpoints never report a start time.
 constexpr int max_start_queries = 3;
-constexpr time_ms start_query_interval{2000};
-
-// Endpoints per round of probes. A round takes some milliseconds when connections are refused, and
-// up to a second when endpoints are silent.
-constexpr std::size_t max_probes = 6;
-
-// Probes of an endpoint after a broken connection. A crashing process may close its connections
-// some time before its port.
-constexpr int max_loss_checks = 2;
-constexpr time_ms loss_check_interval{400};
-
-// After a connection has broken, its endpoint is not known to be reached for so long.
-constexpr time_ms broken_time{1000};
-
-// Rounds of probes, of other endpoints and then of the one that refused a connection.
-constexpr int max_confirmations = 3;
-constexpr time_ms confirmation_interval{200};
 
 double decayed(double failing, time_ms span) noexcept {
   return failing * std::exp2(-static_cast<double>(span.count()) / failure_half_life_ms);
@@ -87,10 +70,6 @@
     on_loss_(endpoint, *incarnation, source);
 }
 
-void endpoint_directory::suspect_loss(state& of) {
-  of.checks_left = max_loss_checks;
-}
-
 // Wall clocks may be set back, so the values of two start times do not tell which is later. The
 // order of the list does: its last entry holds. An endpoint may have reported a start time that the
 // list does not show yet; until it does, repeated list entries belong to an earlier incarnation.
@@ -247,86 +226,6 @@
   return terms == nullptr || of.sends.count(now) < cold_start_.quota(*terms, of.affinity_hash, now);
 }
 
-endpoint_directory::limit_permit endpoint_directory::limit_allows(const state& of,
-                                                                  time_ms now) const {
-  if (!of.limit.holds())
-    return limit_permit::share;
-  if (!cold_start_.hosts_settled(now))
-    return limit_permit::none;
-  const double per_second = of.limit.per_second();
-  const limit_split split = split_endpoint_limit(per_second, cold_start_.hosts());
-  if (cold_start_.is_sender(of.affinity_hash, split.senders) &&
-      of.sends.count(now, split.window) < split.requests)
-    return limit_permit::share;
-  const time_ms after =
-      limit_trial_after(per_second, cold_start_.hosts(), cold_start_.rank(of.affinity_hash));
-  return of.limit.trial_due(after, now) ? limit_permit::trial : limit_permit::none;
-}
-
-void endpoint_directory::notify_limit(const limit_notice& notice) const {
-  if (on_limit_ && (notice.change != endpoint_limit::change::none || notice.malformed))
-    on_limit_(notice);
-}
-
-void endpoint_directory::note_limit(const placement& place, const reply_terms& terms) {
-  limit_notice notice{place.endpoint, {}, 0, false, terms.malformed_limit};
-  {
-    const std::scoped_lock lock{mutex_};
-    state* const at = find_current(place.endpoint, place.local_incarnation);
-    if (at == nullptr)
-      return;
-    const time_ms now = time_.now();
-    if (terms.limit)
-      notice.change = at->limit.note_named(*terms.limit, now);
-    else if (!terms.malformed_limit)
-      notice.change = at->limit.note_unnamed(place.sent_at, now);
-    at->limit_news = at->limit_news || terms.limit || notice.change != endpoint_limit::change::none;
-    notice.per_second = at->limit.per_second();
-  }
-  notify_limit(notice);
-}
-
-std::vector<limit_entry> endpoint_directory::take_limit_news() {
-  const std::scoped_lock lock{mutex_};
-  const time_ms now = time_.now();
-  std::vector<limit_entry> entries;
-  for (auto& [id, known] : endpoints_)
-    if (std::exchange(known.limit_news, false))
-      entries.push_back({known.hash, known.limit.per_second(),
-                         known.limit.holds() ? now - known.limit.heard_at() : time_ms{}});
-  return entries;
-}
-
-std::vector<limit_entry> endpoint_directory::limits() const {
-  const std::scoped_lock lock{mutex_};
-  const time_ms now = time_.now();
-  std::vector<limit_entry> entries;
-  for (const auto& [id, known] : endpoints_)
-    if (known.limit.holds())
-      entries.push_back({known.hash, known.limit.per_second(), now - known.limit.heard_at()});
-  return entries;
-}
-
-void endpoint_directory::take_limits(const std::vector<limit_entry>& entries) {
-  std::vector<limit_notice> notices;
-  {
-    const std::scoped_lock lock{mutex_};
-    const time_ms now = time_.now();
-    for (const limit_entry& entry : entries)
-      for (auto& [id, known] : endpoints_) {
-        if (known.hash != entry.endpoint)
-          continue;
-        if (entry.per_second <= 0)
-          known.limit.note_told_ended(entry.age, now);
-        else
-          notices.push_back({id, known.limit.note_told(entry.per_second, entry.age, now),
-                             entry.per_second, true});
-      }
-  }
-  for (const limit_notice& notice : notices)
-    notify_limit(notice);
-}
-
 replica_candidate endpoint_directory::candidate_of(const state& of, time_ms now) const {
   replica_candidate candidate;
   candidate.open_here = of.open;
@@ -535,7 +434,7 @@
   case send_outcome::failed:
     suspect_restart(of);
     suspect_loss(of);
-    of.broken_at = now;
+    of.refusals.note_broken(now);
     note_result(of, false, now);
     break;
   case send_outcome::own_error:
@@ -549,68 +448,6 @@
     reachability_.note_reachable(place.endpoint, of.entry.data_centre);
 }
 
-// A host that is cut off by resets is refused by all endpoints. So a refusal proves a death only
-// when the host reaches other endpoints and is then refused again; that is found out by probes.
-bool endpoint_directory::note_refused(state& of, std::optional<time_ms> began, time_ms now) const {
-  if (!of.refused_at)
-    of.confirmations_left = max_confirmations;
-  const std::optional<time_ms> before = std::exchange(of.refused_at, now);
-  if (!before || !began)
-    return false;
-  const data_centre_id& centre = of.entry.data_centre;
-  const path_counts all = count_paths([](const state&) { return true; });
-  const path_counts broken = count_paths([&](const state& one) {
-    return one.broken_at && now - *one.broken_at <= broken_time &&
-           reachability_.reachable(one.entry.id, one.entry.data_centre);
-  });
-  const path_counts near =
-      count_paths([&](const state& one) { return one.entry.data_centre == centre; });
-  const std::size_t itself = is_usable(of) ? 1 : 0;
-  const bool dead =
-      path_evidence_.proves_death({centre, *before, *began, near.usable - itself,
-                                   all.usable - itself, all.unreachable + broken.usable});
-  if (dead)
-    of.confirmations_left = 0;
-  return dead;
-}
-
-std::vector<const endpoint_directory::state*>
-endpoint_directory::controls_of(const state& suspect) const {
-  const state* near = nullptr;
-  const state* any = nullptr;
-  for (const auto& [id, known] : endpoints_) {
-    if (&known == &suspect || !is_usable(known) || known.refused_at ||
-        !reachability_.reachable(id, known.entry.data_centre))
-      continue;
-    const bool in_centre = known.entry.data_centre == suspect.entry.data_centre;
-    (near == nullptr && in_centre ? near : any) = &known;
-  }
-  std::vector<const state*> controls;
-  for (const state* const one : {near, any})
-    if (one != nullptr)
-      controls.push_back(one);
-  return controls;
-}
-
-endpoint_directory::probe endpoint_directory::probe_of(const state& of, time_ms now) {
-  return {of.entry.id, of.entry.address, of.local_incarnation, false, now};
-}
-
-void endpoint_directory::add_confirmations(std::vector<probe>& probes, time_ms now) {
-  for (auto& [id, known] : endpoints_) {
-    if (known.confirmations_left == 0 || known.next_confirmation > now)
-      continue;
-    const std::vector<const state*> controls = controls_of(known);
-    if (controls.empty() || probes.size() + controls.size() + 1 > max_probes)
-      continue;
-    --known.confirmations_left;
-    known.next_confirmation = now + confirmation_interval;
-    for (const state* const control : controls)
-      probes.push_back(probe_of(*control, now));
-    probes.push_back(probe_of(known, now));
-  }
-}
-
 cut_detector::change endpoint_directory::observe_paths(time_ms now) {
   const path_counts all = count_paths([](const state&) { return true; });
   return cut_detector_.observe(all.usable, all.unreachable, now);
@@ -621,82 +458,6 @@
     on_cut_();
 }
 
-std::vector<endpoint_directory::probe> endpoint_directory::due_probes() {
-  const std::scoped_lock lock{mutex_};
-  const time_ms now = time_.now();
-  std::vector<probe> probes;
-  add_confirmations(probes, now);
-  for (const endpoint_id& id : reachability_.due(now)) {
-    const auto at = endpoints_.find(id);
-    if (at == endpoints_.end())
-      reachability_.forget(id);
-    else
-      probes.push_back({id, at->second.entry.address, at->second.local_incarnation,
-                        at->second.start_queries_left > 0 && !at->second.evacuated, now});
-  }
-  for (auto& [id, known] : endpoints_) {
-    const bool query = known.start_queries_left > 0 && known.next_start_query <= now;
-    const bool check = known.checks_left > 0 && known.next_check <= now;
-    if ((!query && !check) || known.evacuated || probes.size() >= max_probes)
-      continue;
-    if (!reachability_.reachable(id, known.entry.data_centre))
-      continue; // queried when a probe reaches it
-    if (query)
-      known.next_start_query = now + start_query_interval;
-    known.checks_left -= check ? 1 : 0;
-    known.next_check = now + loss_check_interval;
-    probes.push_back({id, known.entry.address, known.local_incarnation, query, now});
-  }
-  return probes;
-}
-
-void endpoint_directory::note_probe(const probe& of, bool reached, bool silent) {
-  std::optional<endpoint_hash> lost;
-  cut_detector::change change{};
-  {
-    const std::scoped_lock lock{mutex_};
-    state* const at = find_current(of.endpoint, of.local_incarnation);
-    if (at == nullptr)
-      return;
-    const data_centre_id& centre = at->entry.data_centre;
-    const time_ms now = time_.now();
-    if (reached) {
-      reachability_.note_reachable(of.endpoint, centre);
-      path_evidence_.note_reached(of.endpoint, centre, of.began, now);
-      at->refused_at.reset();
-      at->broken_at.reset();
-      at->confirmations_left = 0;
-    } else {
-      reachability_.note_unreachable(of.endpoint, centre, silent, now);
-      at->checks_left = 0;
-      if (!silent && note_refused(*at, of.began, now))
-        lost = at->hash;
-    }
-    change = observe_paths(now);
-  }
-  notify_cut(change);
-  notify_loss(of.endpoint, lost, loss_source::refused);
-}
-
-// A reply to a probe of an earlier local incarnation is ignored as it may be outdated.
-void endpoint_directory::note_start_time(const probe& of, std::optional<time_ms> started) {
-  std::optional<endpoint_restart> restart;
-  {
-    const std::scoped_lock lock{mutex_};
-    state* at = find_current(of.endpoint, of.local_incarnation);
-    if (at == nullptr)
-      return;
-    at->start_queries_left = started ? 0 : std::max(at->start_queries_left - 1, 0);
-    if (!started || started == at->entry.started)
-      return;
-    endpoint_entry entry = at->entry;
-    entry.started = started;
-    entry.draining = false;
-    restart = start_incarnation(*at, std::move(entry), restart_source::endpoint);
-  }
-  notify_restart(restart);
-}
-
 std::vector<use_entry> endpoint_directory::own_use(bool changed_only) {
   const std::scoped_lock lock{mutex_};
   others_.remove_silent(time_.now());
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -188,11 +188,7 @@
     std::optional<time_ms> listed; ///< start time in its newest entry that has one
     int start_queries_left{};      ///< start time queries left; 0: no restart is suspected
     time_ms next_start_query;
-    /// Its latest refusal of a connection, while no later one was accepted.
-    std::optional<time_ms> refused_at;
-    std::optional<time_ms> broken_at; ///< when a connection broke; no probe reached it since
-    int confirmations_left{}; ///< probes left that find out whether a refusal proves its death
-    time_ms next_confirmation;
+    refusal_history refusals;
     int checks_left{}; ///< probes left after a broken connection, to find out whether it is dead
     time_ms next_check;
     std::uint64_t open{};
--- a/src/relay/impl/path_evidence.cpp
+++ b/src/relay/impl/path_evidence.cpp
@@ -19,15 +19,37 @@
 // All endpoints may be silent for a moment although the paths are sound.
 constexpr time_ms confirmation_time{500};
 
+// After a connection has broken, its endpoint is not known to be reached for so long.
+constexpr time_ms broken_connection_timeout{1000};
+
+// Rounds of probes, of other endpoints and then of the one that refused a connection.
+constexpr int max_confirmations = 3;
+constexpr time_ms confirmation_interval{200};
+
 } // namespace
 
+std::optional<time_ms> refusal_history::note_refused(time_ms now) {
+  if (!refused_at_)
+    confirmations_left_ = max_confirmations;
+  return std::exchange(refused_at_, now);
+}
+
+bool refusal_history::recently_broken(time_ms now) const noexcept {
+  return broken_at_ && now - *broken_at_ <= broken_connection_timeout;
+}
+
+void refusal_history::begin_confirmation(time_ms now) noexcept {
+  --confirmations_left_;
+  next_confirmation_ = now + confirmation_interval;
+}
+
 void path_evidence::note_reached(const endpoint_id& endpoint, const data_centre_id& centre,
                                  time_ms began, time_ms now) {
   std::erase_if(reached_, [&](const auto& one) { return now - one.second.ended > max_span; });
   reached_.insert_or_assign(endpoint, reached_endpoint{centre, began, now});
 }
 
-bool path_evidence::proves_death(const refused_again& refusal) const {
+bool path_evidence::proves_death(const repeated_refusal& refusal) const {
   const bool most_reached = 2 * refusal.unreachable <= refusal.others + 1;
   if (!most_reached || refusal.began - refusal.refused_before > max_span)
     return false;
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -211,11 +211,14 @@
                                              std::unique_ptr<connection> link) {
   const request_relay::parts& parts = relay_.parts_;
   const relay_options& options = relay_.options_;
-  placement place; // of no endpoint that this host knows
+  placement place; // its results are ignored, as the directory knows no such endpoint
   place.endpoint = endpoint_id{to.host};
   endpoint_exchange one{
       {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_},
-      {options.longest_silence, options.max_reply_head, options.max_buffered_body, true},
+      {.longest_silence = options.longest_silence,
+       .max_reply_head = options.max_reply_head,
+       .max_buffered_body = options.max_buffered_body,
+       .with_host = true},
       *link,
       admitted_.on_route->max_attempts};
   in_.preparing.end();
--- a/tests/relay/forwarding_schedule_test.cpp
+++ b/tests/relay/forwarding_schedule_test.cpp
@@ -200,7 +200,7 @@
   const data_centre_id centre{"dc"};
   evidence.note_reached(endpoint_id{"e1"}, centre, time_ms{1100}, time_ms{1110});
   evidence.note_reached(endpoint_id{"e2"}, centre, time_ms{1110}, time_ms{1120});
-  refused_again refusal{centre, time_ms{1000}, time_ms{1120}, 11, 11, 6};
+  repeated_refusal refusal{centre, time_ms{1000}, time_ms{1120}, 11, 11, 6};
   CHECK(evidence.proves_death(refusal));
   refusal.unreachable = 7;
   CHECK_FALSE(evidence.proves_death(refusal));
@@ -211,6 +211,6 @@
   const data_centre_id centre{"dc"};
   evidence.note_reached(endpoint_id{"e1"}, centre, time_ms{900}, time_ms{910});
   evidence.note_reached(endpoint_id{"e2"}, centre, time_ms{1100}, time_ms{1130});
-  const refused_again refusal{centre, time_ms{1000}, time_ms{1120}, 11, 11, 1};
+  const repeated_refusal refusal{centre, time_ms{1000}, time_ms{1120}, 11, 11, 1};
   CHECK_FALSE(evidence.proves_death(refusal));
 }
