Soak: hosts that lose their paths to all endpoints

Cause: no family took the paths to endpoints from one host alone; on one loopback address all hosts look alike to a proxy, so neither tests nor soak could meet the incident. Change: the soak's program connects to endpoints from an address of its own, and such connects may hang or be refused; open connections are reset, silent or live on; one host, or most or all of a data centre, while a third of all hosts keep their paths. The promise cut_off compares what they serve with the others.

--- a/bench/soak/fault_proxy.cpp
+++ b/bench/soak/fault_proxy.cpp
@@ -31,8 +31,8 @@
 
 } // namespace
 
-fault_proxy::fault_proxy(std::string target)
-    : target_{std::move(target)}, socket_{Poco::Net::SocketAddress{"127.0.0.1", 0}},
+fault_proxy::fault_proxy(std::string target, const std::string& ip)
+    : target_{std::move(target)}, socket_{Poco::Net::SocketAddress{ip, 0}},
       address_{socket_.address().toString()} {
   acceptor_ = std::thread{[this] { accept(); }};
 }
@@ -49,6 +49,26 @@
   target_ = target;
 }
 
+void fault_proxy::reset_connections_from(const std::string& ip) {
+  const std::scoped_lock lock{mutex_};
+  ++counts_by_ip_[ip].resets;
+}
+
+void fault_proxy::silence_connections_from(const std::string& ip) {
+  const std::scoped_lock lock{mutex_};
+  ++counts_by_ip_[ip].silences;
+}
+
+fault_proxy::fault_counts fault_proxy::counts_for(const std::string& ip) {
+  fault_counts counts{resets_, silences_};
+  const std::scoped_lock lock{mutex_};
+  if (const auto at = counts_by_ip_.find(ip); at != counts_by_ip_.end()) {
+    counts.resets += at->second.resets;
+    counts.silences += at->second.silences;
+  }
+  return counts;
+}
+
 std::string fault_proxy::target() {
   const std::scoped_lock lock{mutex_};
   return target_;
@@ -97,25 +117,29 @@
 }
 
 void fault_proxy::pass(Poco::Net::StreamSocket from) {
-  const int resets = resets_;
+  const std::string ip = from.peerAddress().host().toString();
+  const fault_counts before = counts_for(ip);
   try {
     Poco::Net::StreamSocket to{Poco::Net::SocketAddress{target()}};
     from.setNoDelay(true);
     to.setNoDelay(true);
-    pass_all(from, to, resets);
+    pass_all(from, to, ip, before);
   } catch (const Poco::Exception&) {
     from.setLinger(true, 0); // the server is not there: its caller sees a reset
   }
-  if (resets != resets_)
+  if (before.resets != counts_for(ip).resets)
     from.setLinger(true, 0);
   from.close();
 }
 
-void fault_proxy::pass_all(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to, int resets) {
-  const int silences = silences_;
-  while (!stopping_ && resets == resets_) {
-    if (silences != silences_)
-      return hold_up(from, to, resets);
+void fault_proxy::pass_all(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to,
+                           const std::string& ip, const fault_counts& before) {
+  while (!stopping_) {
+    const fault_counts now = counts_for(ip);
+    if (now.resets != before.resets)
+      return;
+    if (now.silences != before.silences)
+      return hold_up(from, to, ip, before.resets);
     const link_fault fault = fault_;
     // A negative descriptor is passed over.
     std::array<pollfd, 2> fds{{{requests_pass(fault) ? from.impl()->sockfd() : -1, POLLIN, 0},
@@ -132,9 +156,10 @@
 }
 
 // Both ends may go on using the connection: what they send is held up until the caller gives up.
-void fault_proxy::hold_up(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to, int resets) {
+void fault_proxy::hold_up(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to,
+                          const std::string& ip, int resets) {
   bool held = false;
-  while (!stopping_ && resets == resets_) {
+  while (!stopping_ && resets == counts_for(ip).resets) {
     std::this_thread::sleep_for(std::chrono::milliseconds{look_ms});
     const bool holds = !is_closed(from) && (from.available() > 0 || to.available() > 0);
     holding_up_ += static_cast<int>(holds) - static_cast<int>(held);
--- a/bench/soak/fault_proxy.hpp
+++ b/bench/soak/fault_proxy.hpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <list>
+#include <map>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -22,7 +23,8 @@
 /// \brief A loopback proxy in front of one server, which does to its connections what links do.
 class fault_proxy {
  public:
-  explicit fault_proxy(std::string target);
+  /// \param ip  at which it listens
+  explicit fault_proxy(std::string target, const std::string& ip = "127.0.0.1");
   fault_proxy(const fault_proxy&) = delete;
   fault_proxy& operator=(const fault_proxy&) = delete;
   ~fault_proxy();
@@ -41,6 +43,9 @@
   void reset_connections() noexcept { ++resets_; }
   /// \brief Open connections are silent from now on and for good; new ones work.
   void silence_connections() noexcept { ++silences_; }
+  /// \brief The same two for connections from one IP number.
+  void reset_connections_from(const std::string& ip);
+  void silence_connections_from(const std::string& ip);
 
  private:
   struct worker {
@@ -48,21 +53,32 @@
     std::atomic<bool> done{false};
   };
 
+  /// How often connections were reset and silenced.
+  struct fault_counts {
+    int resets{};
+    int silences{};
+  };
+
   [[nodiscard]] std::string target();
+  /// \returns the counts for connections from an IP number
+  [[nodiscard]] fault_counts counts_for(const std::string& ip);
   void accept();
   /// \brief Stops or resumes listening; the port stays bound meanwhile.
   void set_listening(bool listens);
   void join_done();
   void pass(Poco::Net::StreamSocket from);
   /// \brief Passes bytes until the connection ends, by itself or by a reset.
-  void pass_all(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to, int resets);
+  void pass_all(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to, const std::string& ip,
+                const fault_counts& before);
   /// \brief Passes nothing more; ends when the proxy does, or with a reset of all connections.
-  void hold_up(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to, int resets);
+  void hold_up(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to, const std::string& ip,
+               int resets);
   /// \returns false when the connection is over
   [[nodiscard]] static bool pass_some(Poco::Net::StreamSocket& from, Poco::Net::StreamSocket& to);
 
   std::mutex mutex_;
   std::string target_;
+  std::map<std::string, fault_counts> counts_by_ip_;
   Poco::Net::ServerSocket socket_; ///< used by the acceptor alone
   std::string address_;
   std::atomic<link_fault> fault_{link_fault::none};
--- a/bench/soak/fleet_promises.cpp
+++ b/bench/soak/fleet_promises.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
+#include <sstream>
 
 namespace sedgechute::soak {
 
@@ -250,6 +252,65 @@
   return found;
 }
 
+namespace {
+
+/// \returns whether a host reached no endpoint for all of the span, and before it for as long as
+/// bounds need
+bool was_cut_off(const observations& seen, const promised_bounds& bounds, std::size_t host,
+                 time_ms from, time_ms until) {
+  std::optional<time_ms> lost;
+  for (const path_change& one : seen.path_changes) {
+    if (one.host != host || one.at > until)
+      continue;
+    if (!one.lost)
+      lost.reset();
+    else if (!lost)
+      lost = one.at;
+  }
+  return lost && *lost + bounds.stable <= from;
+}
+
+struct served_count {
+  double all{};
+  double served{};
+};
+
+} // namespace
+
+// Requests count that every version allows, at hosts in touch, while a host is cut off.
+std::vector<std::string> check_cut_off(const observations& seen, const promised_bounds& bounds) {
+  const observation_index index{seen};
+  std::set<std::size_t> hosts;
+  for (const path_change& one : seen.path_changes)
+    hosts.insert(one.host);
+  served_count cut;
+  served_count others;
+  for (const outcome& got : seen.outcomes) {
+    const sent_request* const sent = index.sent(got.attempt);
+    if (sent == nullptr || got.left || sent->poison > 0 || sent->allowed.first > 1 ||
+        sent->allowed.last != version_span::never ||
+        !in_touch(seen, bounds, sent->host, sent->at, got.at))
+      continue;
+    const auto is_cut = [&](std::size_t host) {
+      return was_cut_off(seen, bounds, host, sent->at, got.at);
+    };
+    if (std::none_of(hosts.begin(), hosts.end(), is_cut))
+      continue;
+    served_count& count = is_cut(sent->host) ? cut : others;
+    ++count.all;
+    count.served += got.status == 200 && got.whole ? 1 : 0;
+  }
+  const bool as_often = cut.served * others.all >= bounds.served_part * others.served * cut.all;
+  const bool few_failed =
+      cut.all - cut.served <= bounds.failed_slack + bounds.failed_part * (cut.all + others.all);
+  if (as_often || few_failed)
+    return {};
+  std::ostringstream text;
+  text << "hosts without paths to endpoints served " << cut.served << " of " << cut.all
+       << " requests, the others " << others.served << " of " << others.all;
+  return {text.str()};
+}
+
 std::vector<std::string> check_stops(const observations& seen, const promised_bounds& bounds) {
   std::vector<std::string> found;
   for (const process_end& one : seen.ends) {
--- a/bench/soak/observations.cpp
+++ b/bench/soak/observations.cpp
@@ -81,6 +81,16 @@
   note_moment(seen_.store_disturbed, now);
 }
 
+void recorder::cut_off(std::size_t host, time_ms now) {
+  const std::scoped_lock lock{mutex_};
+  seen_.path_changes.push_back({host, true, now});
+}
+
+void recorder::reaches_endpoints(std::size_t host, time_ms now) {
+  const std::scoped_lock lock{mutex_};
+  seen_.path_changes.push_back({host, false, now});
+}
+
 void recorder::only_planned() {
   const std::scoped_lock lock{mutex_};
   seen_.only_planned = true;
--- a/bench/soak/observations.hpp
+++ b/bench/soak/observations.hpp
@@ -114,6 +114,13 @@
   bool ready{};
 };
 
+/// \brief A host loses its paths to all endpoints, or has them back.
+struct path_change {
+  std::size_t host{};
+  bool lost{};
+  time_ms at;
+};
+
 /// \brief Something that was done to the system, for whoever traces a run.
 struct disruption {
   time_ms at;
@@ -132,6 +139,7 @@
   std::vector<disruption> disruptions;
   std::vector<std::vector<time_ms>> host_disturbed; ///< by host: moments, ascending
   std::vector<time_ms> store_disturbed;             ///< moments, ascending
+  std::vector<path_change> path_changes;            ///< in the order of time
   bool only_planned{}; ///< nothing but planned work happened: stops, changes, endpoints that leave
 };
 
@@ -151,6 +159,8 @@
   /// \brief A host's process or links are harmed now. Lasting harm is noted again and again.
   void disturbed(std::size_t host, time_ms now);
   void store_disturbed(time_ms now);
+  void cut_off(std::size_t host, time_ms now);
+  void reaches_endpoints(std::size_t host, time_ms now);
   void only_planned();
   [[nodiscard]] observations so_far() const;
 
--- a/bench/soak/promises.cpp
+++ b/bench/soak/promises.cpp
@@ -15,7 +15,8 @@
       promise{"lost", check_lost},         promise{"budgets", check_budgets},
       promise{"retries", check_retries},   promise{"configurations", check_configurations},
       promise{"draining", check_draining}, promise{"stops", check_stops},
-      promise{"crashes", check_crashes},   promise{"limits", check_limits}};
+      promise{"crashes", check_crashes},   promise{"limits", check_limits},
+      promise{"cut_off", check_cut_off}};
   return all;
 }
 
--- a/bench/soak/soak_endpoints.cpp
+++ b/bench/soak/soak_endpoints.cpp
@@ -1,5 +1,7 @@
 #include "soak_endpoints.hpp"
 
+#include "machine_paths.hpp"
+
 #include "received_answer.hpp"
 
 #include <algorithm>
@@ -127,7 +129,7 @@
   of.program = std::make_unique<scripted_endpoint>(
       [this, &of](const auto& request) { return take(of, request); });
   if (!of.link)
-    of.link = std::make_unique<fault_proxy>(of.program->address());
+    of.link = std::make_unique<fault_proxy>(of.program->address(), endpoints_ip);
   of.link->lead_to(of.program->address());
   of.link->refuse(false);
 }
@@ -354,6 +356,16 @@
     of.link->silence_connections();
 }
 
+void soak_endpoints::reset_connections_from(const std::string& ip) {
+  for (auto& one : all_)
+    one->link->reset_connections_from(ip);
+}
+
+void soak_endpoints::silence_connections_from(const std::string& ip) {
+  for (auto& one : all_)
+    one->link->silence_connections_from(ip);
+}
+
 void soak_endpoints::heal() {
   for (auto& one : all_) {
     harm(*one); // what a link has held up comes now
--- a/bench/soak/soak_endpoints.hpp
+++ b/bench/soak/soak_endpoints.hpp
@@ -40,6 +40,9 @@
   void limit_one();
   void harm_link();
   void reset_link();
+  /// \brief Connections of one machine to all endpoints are reset, or silent for good.
+  void reset_connections_from(const std::string& ip);
+  void silence_connections_from(const std::string& ip);
   /// \brief Lets all work as they should.
   void heal();
 
--- a/bench/soak/soak_hosts.cpp
+++ b/bench/soak/soak_hosts.cpp
@@ -20,9 +20,12 @@
 constexpr std::uint64_t longest_freeze_ms = 3500;
 constexpr std::uint64_t longest_replacement_ms = 4000;
 constexpr std::uint64_t longest_link_fault_ms = 3000;
+constexpr std::int64_t shortest_cut_ms = 1500;
+constexpr std::uint64_t longest_cut_ms = 6000; // beyond it
 constexpr std::int64_t longest_jump_ms = 2400; // what the product allows for, of one jump
 constexpr std::uint64_t roll_ms = 700;         // between two stops of a series
 constexpr time_ms question_timeout{300};
+constexpr int hosts_per_net = 250;
 
 std::string loopback(std::uint16_t port) {
   return "127.0.0.1:" + std::to_string(port);
@@ -52,6 +55,9 @@
     one.settings = shape_.folder + "/" + name + ".json";
     one.output = shape_.folder + "/" + name;
     one.clocks = shape_.folder + "/" + name + ".clocks";
+    one.paths = shape_.folder + "/" + name + ".paths";
+    one.ip = "127.0." + std::to_string(1 + i / hosts_per_net) + "." +
+             std::to_string(1 + i % hosts_per_net);
     one.store = std::make_unique<fault_proxy>(store_);
     if (faults)
       one.front = std::make_unique<fault_proxy>(one.callers);
@@ -59,6 +65,7 @@
     const auto span = static_cast<std::int64_t>(random_.below(longest_jump_ms));
     one.jump_ms = random_.below(2) == 0 ? span : -span;
     write_clocks(one);
+    write_paths(one, path_state::sound);
     start(one);
   }
 }
@@ -97,6 +104,15 @@
   file.write(reinterpret_cast<const char*>(ahead.data()), sizeof ahead);
 }
 
+void soak_hosts::write_paths(const host& of, path_state state) const {
+  const auto port = Poco::Net::SocketAddress{silent_.address()}.port();
+  const path_file paths{state, port};
+  std::fstream file{of.paths, std::ios::in | std::ios::out | std::ios::binary};
+  if (!file)
+    file.open(of.paths, std::ios::out | std::ios::binary);
+  file.write(reinterpret_cast<const char*>(&paths), sizeof paths);
+}
+
 std::string soak_hosts::output_of(const host& of) {
   return of.output + "-" + std::to_string(of.lives) + ".log";
 }
@@ -114,7 +130,8 @@
   ++of.lives;
   std::vector<std::string> arguments{"--settings", of.settings};
   if (of.front)
-    arguments.insert(arguments.end(), {"--clocks", of.clocks});
+    arguments.insert(arguments.end(),
+                     {"--clocks", of.clocks, "--paths", of.paths, "--machine", of.ip});
   of.program = std::make_unique<fleet_test::process>(
       shape_.programs + (of.front ? "/sedgechute-soak-entry" : "/sedgechute-entry"), arguments,
       output_of(of));
@@ -320,6 +337,41 @@
     of.front->silence_connections();
 }
 
+void soak_hosts::cut_off_some(const loss_handler& lose_connections) {
+  static constexpr std::array losses{path_loss::resets, path_loss::silence,
+                                     path_loss::open_connections_stay};
+  const path_loss how = losses.at(random_.below(losses.size()));
+  host& first = any();
+  const bool alone = random_.below(3) == 0;
+  const bool whole_centre = shape_.data_centres > 1 && random_.below(2) == 0;
+  const auto centre = [&](const host& of) {
+    return static_cast<int>(of.number) % shape_.data_centres;
+  };
+  for (auto& one : all_) {
+    const bool near = !alone && centre(*one) == centre(first);
+    const bool chosen = one.get() == &first || (near && (whole_centre || random_.below(4) != 0));
+    const auto cut =
+        std::count_if(all_.begin(), all_.end(), [](const auto& other) { return other->cuts > 0; });
+    if (chosen && (one->cuts > 0 || 3 * (cut + 1) <= 2 * static_cast<std::ptrdiff_t>(all_.size())))
+      cut_off(*one, how, lose_connections);
+  }
+}
+
+void soak_hosts::cut_off(host& of, path_loss how, const loss_handler& lose_connections) {
+  tell(of, "is cut off from all endpoints in way " + std::to_string(static_cast<int>(how)));
+  ++of.cuts;
+  seen_.cut_off(of.number, time_.now());
+  write_paths(of, how == path_loss::silence ? path_state::hangs : path_state::refuses);
+  lose_connections(of.ip, how);
+  later_.add(time_.now() + time_ms{shortest_cut_ms} + below(random_, longest_cut_ms), [this, &of] {
+    if (--of.cuts > 0)
+      return;
+    tell(of, "reaches endpoints again");
+    seen_.reaches_endpoints(of.number, time_.now());
+    write_paths(of, path_state::sound);
+  });
+}
+
 bool soak_hosts::harmed(const host& of) {
   return !of.program || of.frozen || of.store->harmed() || (of.front && of.front->harmed());
 }
@@ -371,6 +423,9 @@
     one->front->set(link_fault::none);
     one->wall_ahead_ms = 0;
     write_clocks(*one);
+    one->cuts = 0;
+    seen_.reaches_endpoints(one->number, time_.now());
+    write_paths(*one, path_state::sound);
     one->replaced.reset();
     if (one->program)
       one->program->crash();
--- a/bench/soak/soak_hosts.hpp
+++ b/bench/soak/soak_hosts.hpp
@@ -2,11 +2,14 @@
 
 #include "agenda.hpp"
 #include "fault_proxy.hpp"
+#include "machine_paths.hpp"
 #include "observations.hpp"
 #include "process.hpp"
+#include "silent_address.hpp"
 #include "soak_shape.hpp"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -53,6 +56,12 @@
   void reload_one();
   /// \brief Sets the time of day of one machine, or sets it back.
   void set_clock();
+  /// \brief What becomes of open connections to endpoints when a host loses its paths to them.
+  enum class path_loss { resets, silence, open_connections_stay };
+  using loss_handler = std::function<void(const std::string& ip, path_loss how)>;
+  /// \brief One host, or most or all of a data centre, lose their paths to all endpoints for some
+  /// seconds. A third of all hosts keep theirs.
+  void cut_off_some(const loss_handler& lose_connections);
   void harm_store_link();
   void reset_store_link();
   void harm_callers_link();
@@ -77,6 +86,9 @@
     std::string identity;
     std::string settings;
     std::string output;
+    std::string ip;                               ///< from which it connects to endpoints
+    std::string paths;                            ///< file with the state of its paths to endpoints
+    int cuts{0};                                  ///< that last
     std::string clocks;                           ///< file with what its machine's clocks are ahead
     std::unique_ptr<fault_proxy> store;           ///< its own link to the store
     std::unique_ptr<fault_proxy> front;           ///< callers' link to it; null: they connect to it
@@ -95,6 +107,8 @@
   void take_addresses(host& of);
   void write_settings(const host& of, bool changed) const;
   void write_clocks(const host& of) const;
+  void write_paths(const host& of, path_state state) const;
+  void cut_off(host& of, path_loss how, const loss_handler& lose_connections);
   [[nodiscard]] static std::string output_of(const host& of);
   [[nodiscard]] static bool has_begun(const host& of);
   void start(host& of);
@@ -116,6 +130,7 @@
   const clock& time_;
   random_source random_;
   std::vector<std::unique_ptr<host>> all_;
+  silent_address silent_;
 };
 
 } // namespace sedgechute::soak
--- a/bench/soak/soak_world.cpp
+++ b/bench/soak/soak_world.cpp
@@ -62,7 +62,8 @@
 const std::vector<soak_world::family>& soak_world::added_fault_families() {
   static const std::vector<family> all{{"poison", &soak_world::send_poison},
                                        {"endpoint_outage", &soak_world::crash_endpoints},
-                                       {"limits", &soak_world::limit_endpoint}};
+                                       {"limits", &soak_world::limit_endpoint},
+                                       {"cut_off", &soak_world::cut_off}};
   return all;
 }
 
@@ -243,6 +244,18 @@
     hosts_->roll_stops();
 }
 
+// Rare, as it harms several hosts for seconds.
+void soak_world::cut_off() {
+  if (random_.below(4) != 0)
+    return;
+  hosts_->cut_off_some([this](const std::string& ip, soak_hosts::path_loss how) {
+    if (how == soak_hosts::path_loss::resets)
+      endpoints_->reset_connections_from(ip);
+    if (how == soak_hosts::path_loss::silence)
+      endpoints_->silence_connections_from(ip);
+  });
+}
+
 void soak_world::harm_store_link() {
   if (random_.below(2) == 0)
     hosts_->harm_store_link();
--- a/bench/soak/soak_world.hpp
+++ b/bench/soak/soak_world.hpp
@@ -66,6 +66,7 @@
   void replace();
   void send_stray_datagram();
   void set_clock();
+  void cut_off();
   void harm_store_link();
   void harm_callers_link();
   void harm_store();
--- a/tests/soak/promises_test.cpp
+++ b/tests/soak/promises_test.cpp
@@ -457,6 +457,35 @@
   CHECK(run.broken().empty());
 }
 
+// Guards against hosts that refuse their callers while they reach no endpoint.
+TEST_CASE("a host that serves nothing while it is cut off from all endpoints is found") {
+  constexpr int requests = 30;
+  recorded run;
+  run.seen.path_changes = {{1, true, start - time_ms{3000}}};
+  for (int i = 0; i < requests; ++i) {
+    run.served(name("other", i));
+    run.sent(name("cut", i)).host = 1;
+    run.got(name("cut", i), 503);
+  }
+  CHECK(run.breaks_only("cut_off"));
+  run.seen.path_changes.front().at = start - time_ms{2000}; // not for long enough
+  CHECK(run.broken().empty());
+  run.seen.path_changes = {{1, true, start - time_ms{9000}}, {1, false, start - time_ms{100}}};
+  CHECK(run.broken().empty());
+}
+
+TEST_CASE("a host that serves as much as others while it is cut off is no break") {
+  constexpr int requests = 30;
+  recorded run;
+  run.seen.path_changes = {{1, true, start - time_ms{3000}}};
+  for (int i = 0; i < requests; ++i) {
+    run.served(name("other", i));
+    run.served(name("cut", i));
+    run.seen.sent.back().host = 1;
+  }
+  CHECK(run.broken().empty());
+}
+
 TEST_CASE("a stop that outlasts its grace, or ends in error, is found") {
   recorded run;
   run.seen.ends = {{0, 0, true}, {1, -1, true}, {2, 134, true}};
