A stream goes on only at the build that began it

Cause: no host knew an endpoint's build, nor the build of a stream. Within an answer a broken stream went on at any endpoint, and a caller's resume went anywhere, as Resumes was read nowhere. Change: endpoints have a build (service and version). An answer goes on at its build or ends broken. As the first event leaves, a record of the build goes to four hosts, chosen by rendezvous hashing of team and attempt, in as many data centres as there are; a host that does not know a stream asks them for up to 100 ms. A host that stops hands its records over. If only leaving endpoints of the build are left, they take streams up for a short time.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -21,6 +21,9 @@
 
 constexpr int listen_backlog = 512;
 
+// Of a request whose stream may go on only where the endpoint list shows a sole build.
+constexpr time_ms max_refresh_wait{300};
+
 // Open requests of a host whose processor is fully used. With more, all of them are late.
 constexpr double open_requests_per_core = 1600;
 constexpr std::size_t min_open_requests = 60;
@@ -92,6 +95,9 @@
       contents_, *peers_, quarantines_, quarantine_exchange_options{}, time, faults_);
   limit_exchange_ =
       std::make_unique<limit_exchange>(endpoints_, *peers_, limit_exchange_options{}, time);
+  stream_builds_ =
+      std::make_unique<stream_build_exchange>(*peers_, stream_build_exchange_options{}, time);
+  endpoints_.set_drain_grace(endpoint_interval_within(settings_.drain_bound));
   loans_ = std::make_unique<token_loans>(
       identity, *budgets_,
       [this](const std::string& host, std::string_view bytes) {
@@ -128,7 +134,11 @@
               .sheds = [this] { return processor_->sheds(); },
               .busy_for = [this] { return processor_->busy_for(); },
               .note_request = [this](bool turned_away) { processor_->note_request(turned_away); }},
-          region_of(settings_.data_centre)},
+          region_of(settings_.data_centre),
+          stream_build_port{
+              .record = [this](const stream_record& begun) { stream_builds_->record(begun); },
+              .find = [this](stream_key stream) { return stream_builds_->find(stream); },
+              .refresh_endpoints = [this] { return fleet_->refresh_endpoints(max_refresh_wait); }}},
       options);
 }
 
@@ -143,6 +153,7 @@
   loads_->start();
   quarantine_exchange_->start();
   limit_exchange_->start();
+  stream_builds_->start();
   prober_->start();
   processor_->start();
   host_frontend_ = make_frontend(settings_.peers, true);
@@ -176,7 +187,9 @@
   stop.begin();
   stopping_ = true;
   log_.write(severity::info, "stopping", {}, {{log_field::open, relay_->open()}});
+  stream_builds_->hand_over();
   serve_until_end(stop);
+  stream_builds_->hand_over();
   const std::size_t cut = relay_->open();
   stop.cut();
   const exit_timeouts spans = exit_timeouts_for(settings_.stop, stop.since());
@@ -253,6 +266,7 @@
   }
   relay_->set_hosts(std::move(targets));
   endpoints_.set_hosts(peers_->self().name, others);
+  stream_builds_->update_hosts();
 }
 
 std::string entry_host::region_of(const std::string& data_centre) const {
@@ -315,6 +329,7 @@
                       static_cast<double>(contents_.quarantined(time_.now())));
          figures_.set(metric::limited_endpoints, {},
                       static_cast<double>(endpoints_.limits().size()));
+         figures_.set(metric::stream_records, {}, static_cast<double>(stream_builds_->records()));
          figures_.set(metric::cut_off, {}, endpoints_.cut_off() ? 1 : 0);
          figures_.set(metric::cold_endpoints, {}, static_cast<double>(endpoints_.cold()));
          return status_answer{200, figures_.text()};
--- a/src/entry/impl/entry_host.hpp
+++ b/src/entry/impl/entry_host.hpp
@@ -68,6 +68,7 @@
   std::unique_ptr<load_exchange> loads_;
   std::unique_ptr<quarantine_exchange> quarantine_exchange_;
   std::unique_ptr<limit_exchange> limit_exchange_;
+  std::unique_ptr<stream_build_exchange> stream_builds_;
   std::unique_ptr<peer_channel> peers_; ///< its thread calls loans_, loads_ and the exchanges
   std::unique_ptr<endpoint_prober> prober_;
   std::unique_ptr<request_relay> relay_;
--- a/src/entry/impl/fleet_watch.cpp
+++ b/src/entry/impl/fleet_watch.cpp
@@ -1,6 +1,8 @@
 #include "entry/impl/fleet_watch.hpp"
 
 #include <algorithm>
+#include <chrono>
+#include <mutex>
 #include <utility>
 
 namespace sedgechute {
@@ -41,6 +43,11 @@
 
 void fleet_watch::stop() noexcept {
   pauses_.stop();
+  {
+    const std::scoped_lock lock{refresh_mutex_};
+    stopping_ = true;
+    refreshed_.notify_all();
+  }
   if (config_thread_.joinable())
     config_thread_.join();
   if (endpoint_thread_.joinable())
@@ -130,19 +137,49 @@
   on_config_(offered);
 }
 
+bool fleet_watch::refresh_endpoints(time_ms timeout) {
+  std::unique_lock lock{refresh_mutex_};
+  const std::uint64_t number = ++refreshes_asked_;
+  refreshed_.notify_all();
+  return refreshed_.wait_for(lock, std::chrono::milliseconds{timeout.count()}, [&] {
+    return stopping_ || refreshes_done_ >= number;
+  }) && refreshes_done_ >= number;
+}
+
+bool fleet_watch::pause_endpoints(time_ms span) {
+  std::unique_lock lock{refresh_mutex_};
+  refreshed_.wait_for(lock, std::chrono::milliseconds{span.count()},
+                      [&] { return stopping_ || refreshes_asked_ > refreshes_done_; });
+  return !stopping_;
+}
+
+std::uint64_t fleet_watch::refreshes_asked() {
+  const std::scoped_lock lock{refresh_mutex_};
+  return refreshes_asked_;
+}
+
+void fleet_watch::note_refreshed(std::uint64_t asked) {
+  const std::scoped_lock lock{refresh_mutex_};
+  refreshes_done_ = asked;
+  refreshed_.notify_all();
+}
+
 void fleet_watch::watch_endpoints() {
   cursor at;
   do {
     const bool was_reachable = at.reachable;
     try {
+      const std::uint64_t asked = refreshes_asked();
       read_endpoints(at);
+      note_refreshed(asked);
       if (!was_reachable)
         returned_at_ = time_.now();
       note_reachable(at, "endpoints", true, "");
     } catch (const std::exception& failure) {
       note_reachable(at, "endpoints", false, failure.what());
     }
-  } while (pauses_.pause(at.reachable ? until_next_endpoints() : options_.retry_pause));
+  } while (at.reachable ? pause_endpoints(until_next_endpoints())
+                        : pauses_.pause(options_.retry_pause));
 }
 
 // Entries that are still missing after the grace are removed by the first read after it. One
@@ -160,6 +197,8 @@
     changes = source_.newest_endpoints();
     all = true;
   }
+  if (all)
+    endpoints_.begin_list();
   // While the store is down, entries expire although their endpoints run. Until these have had time
   // to register again, a missing entry proves nothing.
   const bool just_back = !at.reachable || time_.now() - returned_at_ < options_.lapse_grace;
--- a/src/entry/impl/fleet_watch.hpp
+++ b/src/entry/impl/fleet_watch.hpp
@@ -6,6 +6,8 @@
 #include "telemetry/telemetry.hpp"
 
 #include <atomic>
+#include <condition_variable>
+#include <cstdint>
 #include <functional>
 #include <thread>
 
@@ -53,6 +55,9 @@
 
   /// \returns the configuration in force; null before the first
   [[nodiscard]] config_ptr config() const;
+  /// \brief Waits until the list of endpoints has been read by a read that begins now.
+  /// \returns false when that takes longer than `timeout`
+  [[nodiscard]] bool refresh_endpoints(time_ms timeout);
   /// \returns whether the list of endpoints has been read.
   [[nodiscard]] bool endpoints_known() const noexcept { return endpoints_known_; }
 
@@ -67,6 +72,11 @@
   void watch_endpoints();
   void read_configs(cursor& at);
   void read_endpoints(cursor& at);
+  /// \brief Pauses until the list is to be read again.
+  /// \returns false when it is time to stop
+  [[nodiscard]] bool pause_endpoints(time_ms span);
+  [[nodiscard]] std::uint64_t refreshes_asked();
+  void note_refreshed(std::uint64_t asked);
   /// \brief Puts evacuations in force or ends them.
   /// \param all  the changes name every evacuation
   void take_evacuations(const std::vector<evacuation_change>& changes, bool all);
@@ -88,7 +98,12 @@
   config_ptr config_;
   evacuated_centres evacuated_; ///< used by the configurations' thread alone
   std::atomic<bool> endpoints_known_{false};
-  time_ms returned_at_; ///< when the store could last be reached again
+  ordered_mutex refresh_mutex_{lock_rank::queues};
+  std::condition_variable_any refreshed_;
+  std::uint64_t refreshes_asked_{0};
+  std::uint64_t refreshes_done_{0};
+  bool stopping_{false}; ///< under `refresh_mutex_`
+  time_ms returned_at_;  ///< when the store could last be reached again
   std::thread config_thread_;
   std::thread endpoint_thread_;
 };
--- a/src/entry/impl/registered_endpoints.cpp
+++ b/src/entry/impl/registered_endpoints.cpp
@@ -25,6 +25,9 @@
 // so its endpoint is removed at once.
 void registered_endpoints::apply(const endpoint_changes& changes, bool all) {
   const auto last = last_of_each(changes);
+  for (const endpoint_change& change : changes.changes)
+    if (change.entry && last.at(change.id) != &change)
+      endpoints_.note_listed(*change.entry); // replaced before this host has read it
   for (const auto& [id, change] : last) {
     checked_ = false;
     lapsed_.erase(id);
--- a/src/kernel/impl/error.cpp
+++ b/src/kernel/impl/error.cpp
@@ -69,6 +69,8 @@
                                             "the endpoint failed while it ran the request"}},
     std::pair{stream_cut, error_answer{502, partial, false, never,
                                        "the answer was cut and could not be resumed"}},
+    std::pair{build_gone, error_answer{409, not_run, false, never,
+                                       "the stream cannot go on; its build is gone or unknown"}},
     std::pair{not_ready, error_answer{503, not_run, true, soon, "this host is not ready yet"}},
     std::pair{stopping, error_answer{503, not_run, true, soon, "this host is stopping"}},
     std::pair{caller_gone,
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -90,7 +90,7 @@
   else
     of.listed = entry.started;
   if (entry.started == of.entry.started) {
-    of.entry = std::move(entry);
+    renew_entry(of, std::move(entry));
     return std::nullopt;
   }
   const auto restart = start_incarnation(of, std::move(entry), restart_source::list);
@@ -99,8 +99,25 @@
   return restart;
 }
 
+// The software of an endpoint changes with a restart only.
+void endpoint_directory::renew_entry(state& of, endpoint_entry entry) {
+  if (of.entry.version && entry.version != of.entry.version) {
+    (void)start_incarnation(of, std::move(entry), restart_source::list);
+    return;
+  }
+  if (!entry.draining)
+    of.draining_since.reset();
+  else if (!of.entry.draining)
+    of.draining_since = time_.now();
+  of.entry = std::move(entry);
+  if (of.entry.version)
+    of.build = build_of(of.entry.service, *of.entry.version);
+}
+
 endpoint_directory::state endpoint_directory::new_state(endpoint_entry entry) {
   state made;
+  if (entry.version)
+    made.build = build_of(entry.service, *entry.version);
   made.local_incarnation = ++last_local_incarnation_;
   made.hash = incarnation_of(entry.id, entry.started);
   made.affinity_hash = incarnation_of(entry.id, std::nullopt);
@@ -119,6 +136,7 @@
 // of other hosts on the earlier incarnation carry a different hash.
 std::optional<endpoint_restart>
 endpoint_directory::start_incarnation(state& of, endpoint_entry entry, restart_source found_by) {
+  note_build_ended(of.entry);
   const std::optional<time_ms> before = of.entry.started;
   state next = new_state(std::move(entry));
   next.listed = of.listed;
@@ -155,12 +173,63 @@
       return;
     if (!at->second.entry.draining && !at->second.leaving)
       lost = at->second.hash;
+    note_build_ended(at->second.entry);
     endpoints_.erase(at);
     reachability_.forget(id);
   }
   notify_loss(id, lost, loss_source::unlisted);
 }
 
+void endpoint_directory::set_drain_grace(time_ms grace) {
+  const std::scoped_lock lock{mutex_};
+  drain_grace_ = grace;
+}
+
+void endpoint_directory::begin_list() {
+  const std::scoped_lock lock{mutex_};
+  list_followed_since_ = time_.now();
+  earlier_builds_.clear();
+}
+
+void endpoint_directory::note_listed(const endpoint_entry& entry) {
+  const std::scoped_lock lock{mutex_};
+  note_build_ended(entry);
+}
+
+// More builds than any service has in its life would be written by a faulty program.
+void endpoint_directory::note_build_ended(const endpoint_entry& entry) {
+  constexpr std::size_t max_builds = 64;
+  if (!entry.version)
+    return;
+  auto& builds = earlier_builds_[entry.service];
+  builds[build_of(entry.service, *entry.version)] = time_.now();
+  if (builds.size() <= max_builds)
+    return;
+  builds.clear();
+  list_followed_since_ = time_.now();
+}
+
+std::optional<build_hash> endpoint_directory::sole_build(const std::string& service,
+                                                         time_ms since) const {
+  const std::scoped_lock lock{mutex_};
+  if (!list_followed_since_ || *list_followed_since_ > since)
+    return std::nullopt;
+  std::optional<build_hash> sole;
+  const auto differs = [&](build_hash build) {
+    if (!sole)
+      sole = build;
+    return *sole != build;
+  };
+  for (const auto& [id, known] : endpoints_)
+    if (known.entry.service == service && (!known.build || differs(*known.build)))
+      return std::nullopt;
+  if (const auto earlier = earlier_builds_.find(service); earlier != earlier_builds_.end())
+    for (const auto& [build, listed] : earlier->second)
+      if (listed >= since && differs(build))
+        return std::nullopt;
+  return sole;
+}
+
 std::vector<endpoint_id> endpoint_directory::ids() const {
   const std::scoped_lock lock{mutex_};
   std::vector<endpoint_id> all;
@@ -242,21 +311,31 @@
   return candidate;
 }
 
+bool endpoint_directory::may_serve(const state& of, const placement_request& request,
+                                   time_ms now) const {
+  if (of.entry.service != request.service || (request.build && !is_of_build(of, *request.build)))
+    return false;
+  if (!reachability_.reachable(of.entry.id, of.entry.data_centre))
+    return false;
+  if (!allows(request.residency, of.region) || !cold_start_allows(of, now) ||
+      limit_allows(of, now) == limit_permit::none)
+    return false;
+  return std::find(request.avoid.begin(), request.avoid.end(), of.hash) == request.avoid.end();
+}
+
 void endpoint_directory::gather_candidates(const placement_request& request, candidate_set& into,
                                            time_ms now) {
-  for (auto& [id, known] : endpoints_) {
-    if (known.entry.service != request.service || !is_usable(known))
-      continue;
-    if (!reachability_.reachable(id, known.entry.data_centre))
-      continue;
-    if (!allows(request.residency, known.region) || !cold_start_allows(known, now) ||
-        limit_allows(known, now) == limit_permit::none)
-      continue;
-    if (std::find(request.avoid.begin(), request.avoid.end(), known.hash) != request.avoid.end())
-      continue;
-    into.states.push_back(&known);
-    into.candidates.push_back(candidate_of(known, now));
-  }
+  const auto gather = [&](const auto& usable) {
+    for (auto& [id, known] : endpoints_) {
+      if (!usable(known) || !may_serve(known, request, now))
+        continue;
+      into.states.push_back(&known);
+      into.candidates.push_back(candidate_of(known, now));
+    }
+  };
+  gather([](const state& of) { return is_usable(of); });
+  if (into.states.empty() && request.build)
+    gather([&](const state& of) { return is_last_resort(of, now); });
   // The first of equal candidates is chosen. Without a random rotation all hosts would choose the
   // same one.
   if (!into.states.empty()) {
@@ -328,6 +407,7 @@
   place.incarnation = at.hash;
   place.local_incarnation = at.local_incarnation;
   place.address = at.entry.address;
+  place.build = at.build;
   place.prompt_tokens = unread;
   place.candidates = among.candidates.size();
   place.expected_open = static_cast<std::uint64_t>(expected_open(candidate, weights_));
@@ -495,10 +575,12 @@
       }));
 }
 
-endpoint_directory::paths endpoint_directory::paths_to(const std::string& service) const {
+endpoint_directory::paths endpoint_directory::paths_to(const std::string& service,
+                                                       std::optional<build_hash> build) const {
   const std::scoped_lock lock{mutex_};
-  const path_counts counts =
-      count_paths([&](const state& one) { return one.entry.service == service; });
+  const path_counts counts = count_paths([&](const state& one) {
+    return one.entry.service == service && (!build || one.build == build);
+  });
   if (counts.usable == 0)
     return paths::no_endpoint;
   if (counts.unreachable == counts.usable)
@@ -506,6 +588,15 @@
   return counts.unreachable == 0 ? paths::all : paths::some;
 }
 
+std::optional<std::string> endpoint_directory::service_of(build_hash build) const {
+  const std::scoped_lock lock{mutex_};
+  const time_ms now = time_.now();
+  for (const auto& [id, known] : endpoints_)
+    if (known.build == build && (is_usable(known) || is_last_resort(known, now)))
+      return known.entry.service;
+  return std::nullopt;
+}
+
 bool endpoint_directory::cut_off() const {
   const std::scoped_lock lock{mutex_};
   return cut_detector_.cut_off();
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -5,6 +5,7 @@
 #include "relay/impl/cold_start.hpp"
 #include "relay/impl/crash_evidence.hpp"
 #include "relay/impl/data_residency.hpp"
+#include "relay/impl/endpoint_build.hpp"
 #include "relay/impl/endpoint_incarnation.hpp"
 #include "relay/impl/endpoint_limit.hpp"
 #include "relay/impl/evacuation.hpp"
@@ -36,6 +37,8 @@
   /// an earlier one, is another incarnation. Nothing when the endpoint does not report it.
   std::optional<time_ms> started{};
   time_ms cold_left{}; ///< time until it is no longer cold, as of when it wrote the entry
+  /// Version of its software. Nothing: it has restarted, and its entry is from before.
+  std::optional<std::string> version{std::string{}};
 };
 
 /// \brief A request for which an endpoint is to be chosen.
@@ -44,6 +47,7 @@
   const generation_terms* generation{nullptr}; ///< null for a plain service
   std::vector<endpoint_hash> avoid;            ///< incarnations that it has been sent to already
   data_residency residency{};
+  std::optional<build_hash> build{}; ///< the only one that may serve it; nothing: any
 };
 
 /// \brief The assignment of a request to an endpoint, from the choice until `release`.
@@ -52,6 +56,7 @@
   endpoint_hash incarnation{};       ///< the same on all hosts
   std::uint64_t local_incarnation{}; ///< number on this host; increases with each one
   std::string address;
+  std::optional<build_hash> build{}; ///< nothing when it is unknown
   std::string fetch_from;  ///< address of an endpoint that has cached parts of the prompt; or empty
   bool reused{false};      ///< sent on a connection that was open before
   bool sent{false};        ///< `note_sent` was called
@@ -110,6 +115,14 @@
   void remove(const endpoint_id& id);
   [[nodiscard]] std::vector<endpoint_id> ids() const;
 
+  /// \brief Sets the time for which an endpoint that says that it leaves still gets requests that
+  /// no other endpoint can serve.
+  void set_drain_grace(time_ms grace);
+  /// \brief Records that the endpoint list is read from its start, so that changes before may have
+  /// been missed.
+  void begin_list();
+  /// \brief Records that the list has named an endpoint of this build, if only for a short time.
+  void note_listed(const endpoint_entry& entry);
   /// \brief Sets the data centres whose endpoints get no requests.
   void set_evacuated(const evacuated_centres& centres);
   /// \brief Sets the limits on requests to cold endpoints, by service.
@@ -175,7 +188,15 @@
     some,
     none,
   };
-  [[nodiscard]] paths paths_to(const std::string& service) const;
+  /// \param build  the only one that counts; nothing: all
+  [[nodiscard]] paths paths_to(const std::string& service,
+                               std::optional<build_hash> build = std::nullopt) const;
+  /// \returns the service of the endpoints of the build, if requests may be sent to any of them
+  [[nodiscard]] std::optional<std::string> service_of(build_hash build) const;
+  /// \returns the build of all endpoints that the list has named for a service since a moment;
+  /// nothing when there were several, or when that is not known
+  [[nodiscard]] std::optional<build_hash> sole_build(const std::string& service,
+                                                     time_ms since) const;
   /// \returns whether this host has lost its paths to all endpoints
   [[nodiscard]] bool cut_off() const;
 
@@ -183,7 +204,9 @@
   struct state {
     endpoint_entry entry;
     std::uint64_t local_incarnation{};
-    endpoint_hash hash{};          ///< of the incarnation
+    std::optional<build_hash> build;
+    std::optional<time_ms> draining_since; ///< nothing: it was draining when it was first listed
+    endpoint_hash hash{};                  ///< of the incarnation
     endpoint_hash affinity_hash{}; ///< of the id alone, so that a restart keeps prefix affinity
     std::optional<time_ms> listed; ///< start time in its newest entry that has one
     int start_queries_left{};      ///< start time queries left; 0: no restart is suspected
@@ -222,6 +245,10 @@
   /// current one
   [[nodiscard]] state* find_current(const endpoint_id& id, std::uint64_t local_incarnation);
   [[nodiscard]] state new_state(endpoint_entry entry);
+  /// \brief Replaces the entry of an incarnation.
+  void renew_entry(state& of, endpoint_entry entry);
+  /// \brief Records that an endpoint with this build is no longer listed.
+  void note_build_ended(const endpoint_entry& entry);
   /// \brief Sets what follows from the data centre of the endpoint.
   void locate(state& of) const;
   [[nodiscard]] std::optional<endpoint_restart> take_entry(endpoint_entry entry);
@@ -264,12 +291,24 @@
   void compare_prefixes(candidate_set& among, time_ms now) const;
   [[nodiscard]] placement take_place(const candidate_set& among, std::size_t chosen,
                                      std::uint64_t prompt_tokens, time_ms now);
+  /// \returns whether a request may be sent to an endpoint, if it is usable at all
+  [[nodiscard]] bool may_serve(const state& of, const placement_request& request,
+                               time_ms now) const;
   [[nodiscard]] replica_candidate candidate_of(const state& of, time_ms now) const;
   void note_result(state& of, bool good, time_ms now) const;
   void end_placement(state& of, const placement& place, send_outcome outcome, bool started);
   [[nodiscard]] static bool is_usable(const state& of) noexcept {
     return !of.leaving && !of.entry.draining && !of.evacuated;
   }
+  /// \returns whether an endpoint that leaves may still get requests
+  [[nodiscard]] bool is_last_resort(const state& of, time_ms now) const noexcept {
+    return of.entry.draining && !of.leaving && !of.evacuated && of.draining_since &&
+           now < *of.draining_since + drain_grace_;
+  }
+  /// \returns whether the endpoint is known to be of the build
+  [[nodiscard]] static bool is_of_build(const state& of, build_hash build) noexcept {
+    return of.build == build && of.start_queries_left == 0;
+  }
   [[nodiscard]] static bool is_cold(const state& of, time_ms now) noexcept {
     return now < of.cold_until || now < of.maybe_cold_until;
   }
@@ -295,6 +334,10 @@
   cut_detector cut_detector_;
   cold_start_limiter cold_start_;
   evacuated_centres evacuated_;
+  time_ms drain_grace_;
+  std::optional<time_ms> list_followed_since_;
+  /// When builds were last listed that may be listed no more, by service.
+  std::unordered_map<std::string, std::unordered_map<build_hash, time_ms>> earlier_builds_;
   random_source random_;
   std::vector<prefix_location> own_prefix_locations_; ///< not reported to the other hosts yet
   std::uint64_t last_local_incarnation_{0};           ///< number of the last one assigned
--- a/src/relay/impl/endpoint_directory_probes.cpp
+++ b/src/relay/impl/endpoint_directory_probes.cpp
@@ -148,6 +148,7 @@
     endpoint_entry entry = at->entry;
     entry.started = started;
     entry.draining = false;
+    entry.version.reset();
     restart = start_incarnation(*at, std::move(entry), restart_source::endpoint);
   }
   notify_restart(restart);
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -195,8 +195,11 @@
     const std::size_t got = body.read(block.data(), block.size());
     events.feed({block.data(), got});
     const std::string whole = events.take_whole();
-    if (!whole.empty())
+    if (!whole.empty()) {
       note_prompt_read();
+      if (!parts_.answer.stream_begun() && parts_.before_first_event)
+        parts_.before_first_event();
+    }
     if (!parts_.answer.forward_events(whole))
       return send_outcome::caller_left;
   }
--- a/src/relay/impl/endpoint_exchange.hpp
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -11,6 +11,7 @@
 #include "relay/impl/wire_dialect.hpp"
 
 #include <cstddef>
+#include <functional>
 #include <string>
 
 namespace sedgechute {
@@ -34,6 +35,7 @@
     const placement& place;
     caller_watch& watch;
     caller_answer& answer;
+    std::function<void()> before_first_event{}; ///< called before the caller receives it
   };
 
   /// \param sends  number of sends of the request, including this one
--- a/src/relay/impl/peer_channel.hpp
+++ b/src/relay/impl/peer_channel.hpp
@@ -26,6 +26,7 @@
   token_loan = 2,
   quarantine = 3,
   endpoint_limits = 4,
+  stream_builds = 5,
 };
 
 template <>
@@ -34,7 +35,8 @@
       enum_table<peer_message>({{peer_message::load_report, "load_report"},
                                 {peer_message::token_loan, "token_loan"},
                                 {peer_message::quarantine, "quarantine"},
-                                {peer_message::endpoint_limits, "endpoint_limits"}});
+                                {peer_message::endpoint_limits, "endpoint_limits"},
+                                {peer_message::stream_builds, "stream_builds"}});
 };
 
 /// \brief Another entry host and the address at which it receives datagrams.
--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -10,6 +10,9 @@
   for (const auto result :
        {forward_result::served, forward_result::refused, forward_result::unreachable})
     parts_.figures.add(metric::forwarded, {name_of(result)}, 0);
+  for (const auto result : {resume_result::known, resume_result::sole_build, resume_result::unknown,
+                            resume_result::gone})
+    parts_.figures.add(metric::stream_resumes, {name_of(result)}, 0);
 }
 
 connection_action request_relay::serve(incoming_request& request) {
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -12,6 +12,7 @@
 #include "relay/impl/planned_stop.hpp"
 #include "relay/impl/preparing_requests.hpp"
 #include "relay/impl/retry_limiter.hpp"
+#include "relay/impl/stream_origin.hpp"
 #include "relay/impl/wire_dialect.hpp"
 #include "routing/impl/run_durations.hpp"
 #include "telemetry/telemetry.hpp"
@@ -76,6 +77,7 @@
     std::function<std::size_t()> hosts; ///< returns the number of hosts that share fleet limits
     host_pressure pressure{};
     std::string region{}; ///< of this host; empty when it is unknown
+    stream_build_port builds{};
   };
 
   request_relay(parts joined, const relay_options& options);
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -15,6 +15,9 @@
 constexpr int max_unreachable = 3;
 constexpr int max_unreachable_before_forward = 2;
 
+// Callers may take a stream up after the deadline of the attempt that began it.
+constexpr time_ms record_kept_after_deadline{60000};
+
 forward_result result_of(send_outcome end) noexcept {
   switch (end) {
   case send_outcome::not_run:
@@ -67,6 +70,11 @@
     if (may_forward() &&
         relay_.parts_.endpoints.paths_to(admitted_.service) == endpoint_directory::paths::none)
       return end_forwarded(forward());
+    find_build();
+    if (build_ && may_forward() &&
+        relay_.parts_.endpoints.paths_to(admitted_.service, build_) ==
+            endpoint_directory::paths::none)
+      return end_forwarded(forward());
     reserved_ =
         reserve_tokens(relay_.parts_.budgets, admitted_, relay_.options_.budget_retry_after);
     return run_sends();
@@ -120,6 +128,73 @@
                 relay_.options_.stop_retry_after};
 }
 
+void request_run::find_build() {
+  if (admitted_.on_route->kind != request_kind::stream || !admitted_.terms.last_event)
+    return;
+  const time_ms began = now();
+  const stream_build_port& builds = relay_.parts_.builds;
+  stream_build recorded;
+  if (admitted_.terms.resumes && builds.find)
+    recorded = builds.find(stream_key_of(admitted_.team_name(), *admitted_.terms.resumes));
+  const resume_decision made = decide_resume(
+      recorded, [this] { return find_sole_build(); },
+      [this](build_hash build) { return is_served(build); });
+  relay_.parts_.figures.add(metric::stream_resumes, {name_of(made.result)});
+  relay_.parts_.log.write(severity::info, "stream_resumed",
+                          {admitted_.terms.id, admitted_.team_name()},
+                          {{log_field::kind, name_of(made.result)},
+                           {log_field::service, admitted_.service},
+                           {log_field::duration_ms, now() - began}});
+  if (!made.build)
+    throw error{error_kind::build_gone, admitted_.service,
+                made.result == resume_result::gone
+                    ? "no endpoint of the build that began the stream is left"
+                    : "it is not known which build began the stream"};
+  build_ = made.build;
+}
+
+// An endpoint of another build may have registered since the list was last read.
+std::optional<build_hash> request_run::find_sole_build() const {
+  const request_relay::parts& parts = relay_.parts_;
+  const auto age = max_stream_age(*admitted_.on_route, admitted_.terms.patience);
+  if (!age || admitted_.on_route->services.size() != 1)
+    return std::nullopt;
+  const time_ms since = in_.received - *age;
+  const auto sole = parts.endpoints.sole_build(admitted_.service, since);
+  if (!sole || !parts.builds.refresh_endpoints || !parts.builds.refresh_endpoints())
+    return std::nullopt;
+  return parts.endpoints.sole_build(admitted_.service, since);
+}
+
+bool request_run::is_served(build_hash build) {
+  const auto service = relay_.parts_.endpoints.service_of(build);
+  const auto& services = admitted_.on_route->services;
+  if (!service || std::none_of(services.begin(), services.end(), [&](const weighted_service& one) {
+        return one.service == *service;
+      }))
+    return false;
+  admitted_.service = *service;
+  return true;
+}
+
+const std::string& request_run::stream_origin() const noexcept {
+  const request_terms& terms = admitted_.terms;
+  return terms.last_event && terms.resumes ? *terms.resumes : terms.id;
+}
+
+// A stream that is taken up is recorded once more: some hosts that held its record may have
+// stopped.
+void request_run::note_begun(const placement& place) {
+  if (!build_)
+    build_ = place.build;
+  const bool origin_known = !admitted_.terms.last_event || admitted_.terms.resumes;
+  if (!build_ || !origin_known || stream_origin().empty() || !relay_.parts_.builds.record)
+    return;
+  relay_.parts_.builds.record({stream_key_of(admitted_.team_name(), stream_origin()),
+                               {stream_build::state::known, *build_},
+                               admitted_.deadline - now() + record_kept_after_deadline});
+}
+
 // The request may have waited to be read or for tokens. On an overloaded host callers give up
 // meanwhile, and sending their requests would only add load.
 connection_action request_run::run_sends() {
@@ -153,7 +228,7 @@
 
 bool request_run::lacks_paths() const {
   using paths = endpoint_directory::paths;
-  const paths known = relay_.parts_.endpoints.paths_to(admitted_.service);
+  const paths known = relay_.parts_.endpoints.paths_to(admitted_.service, build_);
   return may_forward() && (known == paths::none || known == paths::some);
 }
 
@@ -273,9 +348,12 @@
 }
 
 std::optional<placement> request_run::choose_placement() {
+  if (answer_.stream_begun() && !build_)
+    return std::nullopt;
   const auto& generation = admitted_.terms.generation;
-  auto place = relay_.parts_.endpoints.place(
-      {admitted_.service, generation ? &*generation : nullptr, avoid_, admitted_.residency()});
+  auto place =
+      relay_.parts_.endpoints.place({admitted_.service, generation ? &*generation : nullptr, avoid_,
+                                     admitted_.residency(), build_});
   if (!place && sent_to_.empty() && !lacks_paths())
     throw error{error_kind::no_capacity, admitted_.service, "no endpoint is ready",
                 relay_.options_.full_retry_after};
@@ -341,7 +419,8 @@
   const request_relay::parts& parts = relay_.parts_;
   const relay_options& options = relay_.options_;
   endpoint_exchange one{
-      {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_},
+      {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_,
+       [&] { note_begun(place); }},
       {options.longest_silence, options.max_reply_head, options.max_buffered_body},
       *link,
       static_cast<int>(sent_to_.size())};
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -32,6 +32,17 @@
   void check_overload();
   /// \throws error when the content of the request may not run
   void check_content() const;
+  /// \brief Finds the build at which a stream that the caller takes up may go on.
+  /// \throws error `build_gone` when there is none, or when it is not known which one it is
+  void find_build();
+  /// \returns the build that all endpoints have had since before the stream began
+  [[nodiscard]] std::optional<build_hash> find_sole_build() const;
+  /// \returns whether endpoints of a build may be sent this request
+  [[nodiscard]] bool is_served(build_hash build);
+  /// \returns the id of the attempt that began the stream
+  [[nodiscard]] const std::string& stream_origin() const noexcept;
+  /// \brief Records the build of the endpoint that begins the stream.
+  void note_begun(const placement& place);
   [[nodiscard]] connection_action run_sends();
   [[nodiscard]] bool may_send_again(send_outcome end);
   /// \returns nothing when the request has been sent to every suitable endpoint
@@ -80,6 +91,7 @@
   std::uint64_t reserved_{0};
   std::vector<endpoint_id> sent_to_;
   std::vector<endpoint_hash> avoid_; ///< incarnations that the request was sent to
+  std::optional<build_hash> build_;  ///< of the stream, once it has begun
   int unreachable_{0};
   bool may_have_run_{false};
   bool refused_by_host_{false};    ///< the answer holds the refusal of another host
--- a/src/relay/impl/request_terms.hpp
+++ b/src/relay/impl/request_terms.hpp
@@ -34,6 +34,7 @@
   std::optional<time_ms> patience; ///< how long the caller waits for the answer
   std::optional<generation_terms> generation;
   std::optional<std::uint64_t> last_event; ///< the caller resumes a stream after this event
+  std::optional<std::string> resumes; ///< id of the caller's attempt that brought its first event
 };
 
 } // namespace sedgechute
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -192,13 +192,26 @@
                   "1 while this host reaches no endpoint at all, 0 otherwise.",
                   {},
                   entry},
+    metric_family{metric::stream_resumes,
+                  counter,
+                  "sedgechute_stream_resumes_total",
+                  "Streams that callers took up, by what is known of the build that began them. "
+                  "result: known, sole_build, unknown, gone.",
+                  {"result"},
+                  entry},
+    metric_family{metric::stream_records,
+                  gauge,
+                  "sedgechute_stream_records",
+                  "Records of the builds that began streams, held for all hosts.",
+                  {},
+                  entry},
 };
 
 constexpr bool in_order() {
   for (std::size_t i = 0; i < families.size(); ++i)
     if (static_cast<std::size_t>(families[i].id) != i)
       return false;
-  return families.size() == static_cast<std::size_t>(metric::cut_off) + 1;
+  return families.size() == static_cast<std::size_t>(metric::stream_records) + 1;
 }
 static_assert(in_order(), "the table has one row for each metric, in the order of the enumeration");
 
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -52,6 +52,8 @@
   limited_endpoints,
   forwarded,
   cut_off,
+  stream_resumes,
+  stream_records,
 };
 
 inline constexpr std::size_t most_labels = 3;
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -90,7 +90,19 @@
                            figures_,
                            [this] { return config_; },
                            [] { return std::size_t{1}; },
-                           {.sheds = [this] { return busy_.load(); }}},
+                           {.sheds = [this] { return busy_.load(); }},
+                           {},
+                           {.record =
+                                [this](const stream_record& begun) {
+                                  const std::scoped_lock lock{builds_mutex_};
+                                  builds_.note(begun, time_.now());
+                                },
+                            .find =
+                                [this](stream_key stream) {
+                                  const std::scoped_lock lock{builds_mutex_};
+                                  return builds_.find(stream, time_.now());
+                                },
+                            .refresh_endpoints = [] { return true; }}},
       options);
   frontend_ = std::make_unique<http_frontend>(
       *relay_, dialect_, [this] { return config_->limits; }, http_frontend_options{}, socket_,
--- a/tests/relay/relay_fixture.hpp
+++ b/tests/relay/relay_fixture.hpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
@@ -92,6 +93,8 @@
   header_dialect dialect_;
   endpoint_directory endpoints_;
   content_guard contents_;
+  std::mutex builds_mutex_;
+  stream_build_table builds_;
   config_ptr config_;
   std::atomic<bool> busy_{false};
   boot_clock since_start_;
