Soak: endpoints of two builds, and callers that take up broken streams

Change: the family builds ends endpoints, which may come back as another build, and breaks callers' connections; callers take up what was broken off at any host. Events name the build that made them. The promise builds: a stream holds events of one build, and of twelve or more streams that are taken up by hosts in touch while two sound endpoints of their build serve, at least half as many go on as new ones begin.

--- a/bench/soak/fleet_promises.cpp
+++ b/bench/soak/fleet_promises.cpp
@@ -311,6 +311,50 @@
   return {text.str()};
 }
 
+namespace {
+
+/// Events of one stream over all attempts of its caller.
+std::vector<std::string> mixed_streams(const observations& seen, const observation_index& index) {
+  std::map<std::string, std::set<std::string>> builds;
+  for (const outcome& got : seen.outcomes) {
+    const sent_request* const sent = index.sent(got.attempt);
+    if (sent != nullptr)
+      builds[sent->origin.empty() ? got.attempt : sent->origin].insert(got.builds.begin(),
+                                                                       got.builds.end());
+  }
+  std::vector<std::string> found;
+  for (const auto& [origin, named] : builds)
+    if (named.size() > 1)
+      found.push_back("the stream that began as " + origin + " holds events of several builds");
+  return found;
+}
+
+} // namespace
+
+std::vector<std::string> check_builds(const observations& seen, const promised_bounds& bounds) {
+  const observation_index index{seen};
+  std::vector<std::string> found = mixed_streams(seen, index);
+  served_count resumed;
+  served_count fresh;
+  for (const outcome& got : seen.outcomes) {
+    const sent_request* const sent = index.sent(got.attempt);
+    if (sent == nullptr || sent->kind != call_kind::stream || got.left || !sent->build_serves ||
+        sent->poison > 0 || !in_touch(seen, bounds, sent->host, sent->at, got.at))
+      continue;
+    served_count& count = sent->origin.empty() ? fresh : resumed;
+    ++count.all;
+    count.served += got.events > 0 || (got.status == 200 && got.whole) ? 1 : 0;
+  }
+  if (static_cast<std::size_t>(resumed.all) >= bounds.resumes &&
+      resumed.served * fresh.all < bounds.resumed_part * fresh.served * resumed.all) {
+    std::ostringstream text;
+    text << resumed.served << " of " << resumed.all << " streams went on that were taken up, and "
+         << fresh.served << " of " << fresh.all << " new ones began";
+    found.push_back(text.str());
+  }
+  return found;
+}
+
 std::vector<std::string> check_stops(const observations& seen, const promised_bounds& bounds) {
   std::vector<std::string> found;
   for (const process_end& one : seen.ends) {
--- a/bench/soak/observations.hpp
+++ b/bench/soak/observations.hpp
@@ -6,6 +6,7 @@
 #include <limits>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,7 +46,10 @@
   int life{};              ///< of the host's process
   std::uint64_t poison{0}; ///< number of the content that crashes endpoints; 0: harmless
   time_ms at;
-  time_ms patience; ///< what the caller said it would wait
+  time_ms patience;        ///< what the caller said it would wait
+  std::string origin;      ///< attempt that brought the first event; empty: a new request
+  int last_event{0};       ///< with `origin`: after which the stream is taken up
+  bool build_serves{true}; ///< with `origin`: two sound endpoints of its build served
 };
 
 /// \brief A request as it reached an endpoint.
@@ -76,12 +80,14 @@
   bool right{}; ///< what came belongs to this attempt, in order
   bool left{};  ///< the caller gave up
   time_ms at;
-  std::string mark;     ///< of the endpoint, in the answer
-  bool unasked{};       ///< bytes came on the connection while no request was open
-  bool connected{true}; ///< the request could be written
-  bool kept{};          ///< the connection had carried a request before
-  bool same_life{true}; ///< the host's process was the same one all the while
-  bool quarantined{};   ///< refused because of its content
+  std::string mark;             ///< of the endpoint, in the answer
+  bool unasked{};               ///< bytes came on the connection while no request was open
+  bool connected{true};         ///< the request could be written
+  bool kept{};                  ///< the connection had carried a request before
+  bool same_life{true};         ///< the host's process was the same one all the while
+  bool quarantined{};           ///< refused because of its content
+  int events{0};                ///< whole events of a stream that came
+  std::set<std::string> builds; ///< of the endpoints that made them
 };
 
 enum class budget_step_kind { prepaid, prompt, output };
--- a/bench/soak/promises.cpp
+++ b/bench/soak/promises.cpp
@@ -16,7 +16,7 @@
       promise{"retries", check_retries},   promise{"configurations", check_configurations},
       promise{"draining", check_draining}, promise{"stops", check_stops},
       promise{"crashes", check_crashes},   promise{"limits", check_limits},
-      promise{"cut_off", check_cut_off}};
+      promise{"cut_off", check_cut_off},   promise{"builds", check_builds}};
   return all;
 }
 
@@ -41,6 +41,16 @@
   return count;
 }
 
+/// \returns the attempts with which callers took up streams and that brought at least `events`
+std::size_t count_resumed(const observations& seen, int events) {
+  const observation_index index{seen};
+  return static_cast<std::size_t>(
+      std::count_if(seen.outcomes.begin(), seen.outcomes.end(), [&](const outcome& got) {
+        const sent_request* const sent = index.sent(got.attempt);
+        return sent != nullptr && !sent->origin.empty() && got.events >= events;
+      }));
+}
+
 std::size_t count_crashes(const observations& seen) {
   const observation_index index{seen};
   return static_cast<std::size_t>(
@@ -66,7 +76,9 @@
   text << ", cut: " << cut << ", by hosts in touch: " << count_in_touch(seen) << "; "
        << seen.arrivals.size() << " sends, " << seen.published.size() << " configurations, "
        << seen.ends.size() << " ends of hosts, " << seen.ready.size()
-       << " questions for readiness, " << count_crashes(seen) << " crashes by requests";
+       << " questions for readiness, " << count_crashes(seen) << " crashes by requests, "
+       << count_resumed(seen, 1) << " of " << count_resumed(seen, 0)
+       << " streams went on that were taken up";
   for (const auto& [name, team] : balances_of(seen))
     text << ", " << name << " used " << team.used << " of " << team.prepaid;
   return text.str();
--- a/bench/soak/promises.hpp
+++ b/bench/soak/promises.hpp
@@ -33,6 +33,8 @@
   double served_part{2.0 / 3}; ///< of what other hosts serve, while a host reaches no endpoint
   double failed_slack{10};     ///< requests of such hosts that may fail beyond that
   double failed_part{0.02};    ///< and a part of all requests
+  std::size_t resumes{12};     ///< of streams, from which on the share that goes on counts
+  double resumed_part{0.5};    ///< of the share of new streams that begin
   std::size_t few{3};          ///< so many requests of one kind may miss a promise about timing
 };
 
@@ -107,6 +109,9 @@
 // Hosts that reach no endpoint serve about as much as others.
 [[nodiscard]] std::vector<std::string> check_cut_off(const observations& seen,
                                                      const promised_bounds& bounds);
+// A stream holds events of one build, and about as many go on as new ones begin.
+[[nodiscard]] std::vector<std::string> check_builds(const observations& seen,
+                                                    const promised_bounds& bounds);
 // A host ends when it is told to, in its grace, without an error; until then it is not ready.
 [[nodiscard]] std::vector<std::string> check_stops(const observations& seen,
                                                    const promised_bounds& bounds);
--- a/bench/soak/received_answer.cpp
+++ b/bench/soak/received_answer.cpp
@@ -2,6 +2,7 @@
 
 #include "relay/relay.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace sedgechute::soak {
@@ -60,19 +61,54 @@
   return answer;
 }
 
-std::string event_text(const std::string& attempt, int id) {
-  return "id: " + std::to_string(id) + "\ndata: " + attempt + "\n\n";
+namespace {
+
+constexpr std::string_view event_end = "\n\n";
+
+std::string event_begin(const std::string& attempt, int id) {
+  return "id: " + std::to_string(id) + "\ndata: " + attempt;
+}
+
+bool is_build(std::string_view text) {
+  const auto plain = [](char c) { return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9'); };
+  return text.empty() || (text.front() == ' ' && std::all_of(text.begin() + 1, text.end(), plain));
+}
+
+/// \returns whether the bytes are the beginning of an event, but not all of it
+bool begins_event(std::string_view bytes, const std::string& begin) {
+  if (bytes.size() <= begin.size())
+    return std::string_view{begin}.starts_with(bytes);
+  if (!bytes.starts_with(begin))
+    return false;
+  bytes.remove_prefix(begin.size());
+  if (bytes.ends_with('\n'))
+    bytes.remove_suffix(1);
+  return is_build(bytes);
+}
+
+} // namespace
+
+std::string event_text(const std::string& attempt, int id, const std::string& build) {
+  return event_begin(attempt, id) + (build.empty() ? "" : " " + build) + std::string{event_end};
 }
 
-received_events read_events(std::string_view body, const std::string& attempt) {
+received_events read_events(std::string_view body, const std::string& attempt, int first) {
   received_events events;
-  for (std::string next = event_text(attempt, 1); body.starts_with(next);
-       next = event_text(attempt, events.count + 1)) {
+  for (;;) {
+    const std::string begin = event_begin(attempt, first + events.count);
+    events.in_order = begins_event(body, begin);
+    const std::size_t end = body.find(event_end);
+    if (events.in_order || !body.starts_with(begin) || end == std::string_view::npos)
+      break;
+    const std::string_view build = body.substr(begin.size(), end - begin.size());
+    if (!is_build(build))
+      break;
+    if (!build.empty())
+      events.builds.emplace(build.substr(1));
     ++events.count;
-    body.remove_prefix(next.size());
+    body.remove_prefix(end + event_end.size());
   }
   events.cut = !body.empty();
-  events.in_order = event_text(attempt, events.count + 1).starts_with(body);
   return events;
 }
 
--- a/bench/soak/received_answer.hpp
+++ b/bench/soak/received_answer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -21,12 +22,17 @@
 
 /// \brief The events of a stream, which name the attempt that they belong to.
 struct received_events {
-  int count{};     ///< whole events in order, from the first
-  bool in_order{}; ///< nothing else came, but for the beginning of the next event
-  bool cut{};      ///< the last event is not whole
+  int count{};                  ///< whole events in order, from the first
+  bool in_order{};              ///< nothing else came, but for the beginning of the next event
+  bool cut{};                   ///< the last event is not whole
+  std::set<std::string> builds; ///< of the endpoints that made the whole events
 };
 
-[[nodiscard]] std::string event_text(const std::string& attempt, int id);
-[[nodiscard]] received_events read_events(std::string_view body, const std::string& attempt);
+/// \param build  of the endpoint that makes the event; empty: it names none
+[[nodiscard]] std::string event_text(const std::string& attempt, int id,
+                                     const std::string& build = "");
+/// \param first  id of the first event
+[[nodiscard]] received_events read_events(std::string_view body, const std::string& attempt,
+                                          int first = 1);
 
 } // namespace sedgechute::soak
--- a/bench/soak/soak_callers.cpp
+++ b/bench/soak/soak_callers.cpp
@@ -52,6 +52,8 @@
   if (traits.generated)
     text << "Model: m\r\nToken-Usage: " << prompt_tokens << "," << most_output_tokens
          << "\r\nPrefix-Hash: p" << random.below(5) << ":200,own:100\r\n";
+  if (!of.origin.empty())
+    text << "Last-Event-Id: " << of.last_event << "\r\nResumes: " << of.origin << "\r\n";
   if (random.below(4) == 0)
     text << smuggled_field(random);
   text << (of.body.empty() ? "\r\n" : body_text(of.body, random.below(4) == 0));
@@ -71,8 +73,11 @@
     got.right = answer->body == request.attempt;
     return;
   }
-  const received_events events = read_events(answer->body, request.attempt);
-  got.right = events.in_order && !events.cut && events.count == events_of_a_stream;
+  const received_events events = read_events(answer->body, request.attempt, request.last_event + 1);
+  got.events = events.count;
+  got.builds = events.builds;
+  got.right =
+      events.in_order && !events.cut && request.last_event + events.count == events_of_a_stream;
   if (!events.in_order)
     got.whole = true; // out of order is wrong however it ends
 }
@@ -80,9 +85,10 @@
 } // namespace
 
 soak_callers::soak_callers(const soak_shape& shape, const soak_hosts& hosts,
-                           const soak_operator& versions, recorder& seen, const clock& time,
-                           std::uint64_t seed)
-    : shape_{shape}, hosts_{hosts}, versions_{versions}, seen_{seen}, time_{time}, seed_{seed} {
+                           const soak_endpoints& endpoints, const soak_operator& versions,
+                           recorder& seen, const clock& time, std::uint64_t seed)
+    : shape_{shape}, hosts_{hosts},
+      endpoints_{endpoints}, versions_{versions}, seen_{seen}, time_{time}, seed_{seed} {
   for (int i = 0; i < shape_.callers; ++i)
     threads_.emplace_back(
         [this, seed, i] { call_forever(mix_hash(seed, static_cast<std::uint64_t>(i))); });
@@ -200,7 +206,7 @@
 
 void soak_callers::note_delivered(const sent_request& of, const received_answer& answer,
                                   int& counted) {
-  const int count = read_events(answer.body, of.attempt).count;
+  const int count = read_events(answer.body, of.attempt, of.last_event + 1).count;
   if (count > counted)
     seen_.note(budget_step{of.team, budget_step_kind::output,
                            static_cast<std::uint64_t>(count - counted) * event_tokens, of.attempt});
@@ -251,7 +257,30 @@
     kept.link.reset();
   got.at = time_.now();
   seen_.note(got);
+  if (auto next = resume_plan(by, request, got))
+    return call(by, std::move(*next));
   return got.whole ? got.status : 0;
 }
 
+std::optional<soak_callers::call_plan>
+soak_callers::resume_plan(caller& by, const sent_request& broken, const outcome& got) {
+  constexpr time_ms resume_patience{1500};
+  const bool has_begun = broken.last_event + got.events > 0;
+  if (!resuming_ || stopping_ || broken.kind != call_kind::stream || got.left || got.whole ||
+      got.events == 0 || !has_begun || got.builds.size() != 1)
+    return std::nullopt;
+  call_plan plan;
+  sent_request& request = plan.request;
+  request = broken;
+  request.attempt = "a" + std::to_string(++attempts_);
+  request.origin = broken.origin.empty() ? broken.attempt : broken.origin;
+  request.last_event = broken.last_event + got.events;
+  request.build_serves = endpoints_.serving(*got.builds.begin()) >= 2;
+  request.patience = resume_patience;
+  constexpr std::size_t prefix = 1; // team names are a letter and a number
+  plan.text =
+      request_text(request, lasting_key(std::stoull(broken.team.substr(prefix))), by.random);
+  return plan;
+}
+
 } // namespace sedgechute::soak
--- a/bench/soak/soak_callers.hpp
+++ b/bench/soak/soak_callers.hpp
@@ -3,6 +3,7 @@
 #include "observations.hpp"
 #include "received_answer.hpp"
 #include "relay/relay.hpp"
+#include "soak_endpoints.hpp"
 #include "soak_hosts.hpp"
 #include "soak_operator.hpp"
 #include "soak_shape.hpp"
@@ -18,14 +19,17 @@
 /// \brief Callers of all hosts, each on a thread of its own.
 class soak_callers {
  public:
-  soak_callers(const soak_shape& shape, const soak_hosts& hosts, const soak_operator& versions,
-               recorder& seen, const clock& time, std::uint64_t seed);
+  soak_callers(const soak_shape& shape, const soak_hosts& hosts, const soak_endpoints& endpoints,
+               const soak_operator& versions, recorder& seen, const clock& time,
+               std::uint64_t seed);
   soak_callers(const soak_callers&) = delete;
   soak_callers& operator=(const soak_callers&) = delete;
   ~soak_callers();
 
   /// \brief From now on all callers use tokens of the first team.
   void spend_first_team() noexcept { spending_ = true; }
+  /// \brief From now on callers take up streams that were broken off, at any host.
+  void take_up_streams() noexcept { resuming_ = true; }
   /// \brief A caller sends one content again and again that crashes the endpoints that run it.
   void send_poison(std::uint64_t number, time_ms until);
   void stop();
@@ -63,6 +67,9 @@
   /// \returns the status of a whole answer, 0 without one
   int call(caller& by, std::optional<call_kind> ordinary);
   int call(caller& by, call_plan plan);
+  /// \returns the next attempt for a stream that was broken off; nothing when it is not taken up
+  [[nodiscard]] std::optional<call_plan> resume_plan(caller& by, const sent_request& broken,
+                                                     const outcome& got);
   /// \brief Makes a planned request ask for a content that crashes endpoints.
   static void poison(call_plan& plan, const poison_content& content, caller& by);
   /// \brief Takes the connection to use, new or kept.
@@ -75,12 +82,14 @@
 
   soak_shape shape_;
   const soak_hosts& hosts_;
+  const soak_endpoints& endpoints_;
   const soak_operator& versions_;
   recorder& seen_;
   const clock& time_;
   std::uint64_t seed_;
   std::atomic<bool> stopping_{false};
   std::atomic<bool> spending_{false};
+  std::atomic<bool> resuming_{false};
   std::atomic<std::uint64_t> attempts_{0};
   std::vector<std::thread> threads_;
 };
--- a/bench/soak/soak_endpoints.cpp
+++ b/bench/soak/soak_endpoints.cpp
@@ -28,6 +28,7 @@
 constexpr std::uint64_t longest_rest_ms = 1500;
 constexpr std::int64_t reuse_after_ms = 2000;
 constexpr int slots = 16;
+const std::array<std::string, 2> build_names{"v1", "v2"};
 
 /// What an endpoint says of itself when it is asked.
 std::string self_report(time_ms started) {
@@ -40,10 +41,10 @@
          "Content-Length: 0\r\n\r\n";
 }
 
-std::string event_chunks(const std::string& attempt, int from, int to) {
+std::string event_chunks(const std::string& attempt, int from, int to, const std::string& build) {
   std::ostringstream text;
   for (int id = from; id <= to; ++id) {
-    const std::string event = event_text(attempt, id);
+    const std::string event = event_text(attempt, id, build);
     text << std::hex << event.size() << "\r\n" << event << "\r\n";
   }
   return text.str();
@@ -113,6 +114,7 @@
   of.limit = 0; // of the endpoint that was here before
   of.names_nonsense = false;
   of.service = service;
+  of.build = mixed_ ? build_names.at(random_.below(build_names.size())) : build_names.front();
   start(of);
   list(of, false);
   tell(of, "begins as " + service + " at " + of.link->address());
@@ -156,8 +158,8 @@
 void soak_endpoints::list(endpoint& of, bool draining) {
   std::ostringstream text;
   text << R"({"Service":")" << of.service << R"(","Address":")" << of.link->address()
-       << R"(","Zone":")" << data_centre_name(of.data_centre) << R"(","Version":"v1","Slots":)"
-       << slots << R"(,"ColdRemainingMs":0,"Sequence":1,"State":")"
+       << R"(","Zone":")" << data_centre_name(of.data_centre) << R"(","Version":")" << of.build
+       << R"(","Slots":)" << slots << R"(,"ColdRemainingMs":0,"Sequence":1,"State":")"
        << (draining ? "draining" : "ready") << R"(","born":)" << of.started.count() << "}";
   if (!draining)
     note_leaving(of, false); // from before the list says so
@@ -336,6 +338,30 @@
   });
 }
 
+void soak_endpoints::mix_builds() {
+  mixed_ = true;
+  endpoint& of = any();
+  if (!of.program || of.leaving || !is_spare(of))
+    return;
+  tell(of, "ends, and may come back as another build");
+  crash(of);
+}
+
+void soak_endpoints::count_builds() {
+  for (std::size_t i = 0; i < build_names.size(); ++i)
+    serving_.at(i) = static_cast<int>(std::count_if(all_.begin(), all_.end(), [&](const auto& one) {
+      return one->program && !one->leaving && one->service == "lm" && one->does == mood::good &&
+             !one->link->harmed() && one->build == build_names.at(i);
+    }));
+}
+
+int soak_endpoints::serving(const std::string& build) const {
+  const auto at = std::find(build_names.begin(), build_names.end(), build);
+  if (at == build_names.end())
+    return 0;
+  return serving_.at(static_cast<std::size_t>(at - build_names.begin()));
+}
+
 void soak_endpoints::harm_link() {
   static constexpr std::array faults{link_fault::none, link_fault::delay, link_fault::silent,
                                      link_fault::no_answers, link_fault::no_requests};
@@ -440,10 +466,11 @@
   }
   const int begin = static_cast<int>(request.head.fields.number("Last-Event-Id").value_or(0)) + 1;
   const int pause = std::min(begin + first_events, events_of_a_stream);
-  const std::string first = stream_head(attempt) + event_chunks(attempt, begin, pause);
+  const std::string first = stream_head(attempt) + event_chunks(attempt, begin, pause, on.build);
   if (does == mood::overflows)
     return {first + "20\r\nid: 9", then::reset, ""};
-  return {first, then::keep, event_chunks(attempt, pause + 1, events_of_a_stream) + "0\r\n\r\n",
+  return {first, then::keep,
+          event_chunks(attempt, pause + 1, events_of_a_stream, on.build) + "0\r\n\r\n",
           time_ms{static_cast<std::int64_t>(stable_hash(attempt) % longest_pause_ms)}};
 }
 
--- a/bench/soak/soak_endpoints.hpp
+++ b/bench/soak/soak_endpoints.hpp
@@ -7,6 +7,7 @@
 #include "soak_shape.hpp"
 #include "standin/standin.hpp"
 
+#include <array>
 #include <atomic>
 #include <memory>
 #include <string>
@@ -38,6 +39,12 @@
   void misbehave_one();
   /// \brief One names a limit for some time, or what is no limit.
   void limit_one();
+  /// \brief One ends, and those that start from now on are of either build.
+  void mix_builds();
+  /// \brief Counts the sound endpoints of each build.
+  void count_builds();
+  /// \returns how many sound endpoints of a build there were at the last count; thread-safe
+  [[nodiscard]] int serving(const std::string& build) const;
   void harm_link();
   void reset_link();
   /// \brief Connections of one machine to all endpoints are reset, or silent for good.
@@ -54,6 +61,7 @@
   struct endpoint {
     std::string id;
     std::string service;
+    std::string build;
     int data_centre{};
     std::unique_ptr<scripted_endpoint> program; ///< null while it is down
     std::unique_ptr<fault_proxy> link;
@@ -96,6 +104,8 @@
   random_source random_;
   int named_{0};
   std::atomic<std::uint64_t> marks_{0};
+  bool mixed_{false}; ///< there are endpoints of several builds
+  std::array<std::atomic<int>, 2> serving_{};
   std::vector<std::unique_ptr<endpoint>> all_;
 };
 
--- a/bench/soak/soak_world.cpp
+++ b/bench/soak/soak_world.cpp
@@ -63,7 +63,8 @@
   static const std::vector<family> all{{"poison", &soak_world::send_poison},
                                        {"endpoint_outage", &soak_world::crash_endpoints},
                                        {"limits", &soak_world::limit_endpoint},
-                                       {"cut_off", &soak_world::cut_off}};
+                                       {"cut_off", &soak_world::cut_off},
+                                       {"builds", &soak_world::mix_builds}};
   return all;
 }
 
@@ -96,7 +97,8 @@
   endpoints_ = std::make_unique<soak_endpoints>(shape_, store_, seen_, later_, time_, random_());
   hosts_ = std::make_unique<soak_hosts>(shape_, store_.server().address().toString(), seen_, later_,
                                         time_, random_());
-  callers_ = std::make_unique<soak_callers>(shape_, *hosts_, *operator_, seen_, time_, random_());
+  callers_ = std::make_unique<soak_callers>(shape_, *hosts_, *endpoints_, *operator_, seen_, time_,
+                                            random_());
 }
 
 soak_world::~soak_world() = default;
@@ -152,6 +154,7 @@
   later_.run_due(time_.now());
   hosts_->look_after();
   endpoints_->replace_crashed();
+  endpoints_->count_builds();
   if (store_faults_ > 0)
     seen_.store_disturbed(time_.now());
   if (time_.now() < next_question_)
@@ -350,6 +353,15 @@
     endpoints_->crash_many();
 }
 
+void soak_world::mix_builds() {
+  if (!builds_mixed_)
+    operator_->publish_paid_but_first(plenty_tokens); // else most streams are refused
+  builds_mixed_ = true;
+  callers_->take_up_streams();
+  endpoints_->mix_builds();
+  hosts_->reset_callers_link();
+}
+
 void soak_world::limit_endpoint() {
   endpoints_->limit_one();
 }
--- a/tests/soak/seeds_test.cpp
+++ b/tests/soak/seeds_test.cpp
@@ -23,7 +23,8 @@
 // Accounts that are overwritten have a test of their own, below.
 TEST_CASE("promises are kept under random faults") {
   for (const int seed : {1, 2, 3, 1009, 40002, 50001})
-    CHECK(run_seed(seed, "--seconds 4 --without accounts,poison,endpoint_outage,limits,cut_off") ==
+    CHECK(run_seed(seed,
+                   "--seconds 4 --without accounts,poison,endpoint_outage,limits,cut_off,builds") ==
           0);
 }
 
@@ -37,12 +38,13 @@
 // An account is overwritten and the store forgets its history, then a budget is raised and all
 // hosts start again: the raise was written off together with the account, and the team refused.
 TEST_CASE("a team whose budget is raised before its account is written off is served") {
-  CHECK(run_seed(3, "--runs 1 --seconds 7 --without poison,endpoint_outage,limits,cut_off") == 0);
+  CHECK(run_seed(
+            3, "--runs 1 --seconds 7 --without poison,endpoint_outage,limits,cut_off,builds") == 0);
 }
 
 // A host is paused across its signal to stop, and said when it woke that it is ready.
 TEST_CASE("a host that wakes after its signal to stop does not say that it is ready") {
-  CHECK(run_seed(6106, "--seconds 8 --without poison,endpoint_outage,limits,cut_off") == 0);
+  CHECK(run_seed(6106, "--seconds 8 --without poison,endpoint_outage,limits,cut_off,builds") == 0);
 }
 
 // 5000: callers went on using connections that had been silenced, or that other programs had
@@ -50,7 +52,7 @@
 // account that was overwritten, as above.
 TEST_CASE("promises are kept by many hosts") {
   CHECK(run_seed(5000, "--hosts 40 --endpoints 60 --callers 50 --seconds 4 "
-                       "--without poison,endpoint_outage,limits,cut_off") == 0);
+                       "--without poison,endpoint_outage,limits,cut_off,builds") == 0);
 }
 
 TEST_CASE("promises are kept by many hosts whose accounts are their own") {
@@ -81,6 +83,15 @@
                        "cut_off,kill,stop,store_link,endpoint_restart,storm") == 0);
 }
 
+// Endpoints of two builds come and go, and callers take up streams that were broken off, at any
+// host, while others are killed, stopped, frozen and cut off from the store.
+TEST_CASE("streams that are taken up hold events of one build") {
+  CHECK(run_seed(3631, "--hosts 6 --endpoints 12 --seconds 12 --families builds") == 0);
+  CHECK(run_seed(3632,
+                 "--hosts 6 --endpoints 12 --seconds 10 --families "
+                 "builds,kill,stop,freeze,store_link,endpoint_restart,endpoint_retires") == 0);
+}
+
 // Hosts are replaced in series that overlap, settings and configurations change, endpoints leave,
 // and callers go on using their connections. None of that is a failure: what ran is answered whole.
 TEST_CASE("planned work loses no request") {
