Forwarding of streams of one build is accounted by itself

Cause: a stream whose build no host reaches was refused by six hosts in a row, after which nothing of its service was forwarded for up to half a second, although other hosts served the other builds. Change: results of forwarded streams that only one build may serve count for that build, not its service.

--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -232,12 +232,18 @@
   return may_forward() && (known == paths::none || known == paths::some);
 }
 
+// Hosts that cannot serve one build may serve the others.
+std::string request_run::forward_subject() const {
+  return build_ ? admitted_.service + "/" + std::to_string(*build_) : admitted_.service;
+}
+
 // The other host reserves the tokens and counts the sends, so that neither is counted twice. It
 // does not forward the request again.
 send_outcome request_run::forward() {
   if (reserved_ > 0)
     relay_.parts_.budgets.settle(admitted_.team->name.str(), std::exchange(reserved_, 0), 0);
   std::vector<std::string> tried;
+  const std::string subject = forward_subject();
   const data_residency residency = admitted_.residency();
   const auto allowed = [&](const forward_target& host) {
     return std::find(tried.begin(), tried.end(), host.host) == tried.end() &&
@@ -250,12 +256,12 @@
     if (now() >= admitted_.deadline)
       return send_outcome::timed_out;
     check_time_left();
-    const auto to = relay_.choose_host(admitted_.service, allowed);
+    const auto to = relay_.choose_host(subject, allowed);
     if (!to)
       break;
     tried.push_back(to->host);
     end = forward_to(*to);
-    relay_.note_forwarded(to->host, admitted_.service, result_of(end));
+    relay_.note_forwarded(to->host, subject, result_of(end));
     if (end != send_outcome::not_run && end != send_outcome::unreachable &&
         end != send_outcome::silent)
       break;
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -55,6 +55,8 @@
   [[nodiscard]] bool lacks_paths() const;
   /// \brief Forwards the request to other hosts, one after the other, until one accepts it.
   [[nodiscard]] send_outcome forward();
+  /// \returns the service, with the build where only one may serve the request
+  [[nodiscard]] std::string forward_subject() const;
   [[nodiscard]] send_outcome forward_to(const forward_target& to);
   [[nodiscard]] send_outcome exchange_with_host(const forward_target& to,
                                                 std::unique_ptr<connection> link);
--- a/tests/relay/stream_build_test.cpp
+++ b/tests/relay/stream_build_test.cpp
@@ -5,8 +5,10 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <chrono>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace sedgechute;
@@ -168,3 +170,29 @@
   CHECK(fleet.reached("next-1", any_request).empty());
   CHECK(fleet.reached("next-2", any_request).empty());
 }
+
+// Refusals of streams whose build no host could serve stopped the forwarding of all requests.
+TEST_CASE("streams of a build that no host serves leave the forwarding of others as it is") {
+  scripted_endpoint other_host{[](const scripted_endpoint::seen_request& request) {
+    if (taken_up(request))
+      return scripted_reply{"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", then::keep, ""};
+    return scripted_reply{stream_head(attempt_of(request)) + event_chunk(1) + "0\r\n\r\n",
+                          then::keep, ""};
+  }};
+  mixed_fleet fleet{1, [](const scripted_endpoint::seen_request& request) {
+                      scripted_reply reply = break_off(request);
+                      reply.after = then::crash;
+                      return reply;
+                    }};
+  fleet.host.relay().set_hosts({{"h1", other_host.address(), ""}});
+  const auto wait = [](int ms) { std::this_thread::sleep_for(std::chrono::milliseconds{ms}); };
+  CHECK_FALSE(ends_in_order(fleet.begin("id")));
+  wait(200); // until the endpoint refuses connections
+  for (int i = 0; i < 2 * streams; ++i) {
+    CHECK(status_of(fleet.resume("next-" + std::to_string(i), "id", "1")) == 503);
+    wait(40);
+  }
+  CHECK_FALSE(ends_in_order(fleet.begin("ends the other build")));
+  wait(200);
+  CHECK(ends_in_order(fleet.begin("new")));
+}
