A host that does not answer a forwarded request in time is not preferred

Cause: a forwarded request that timed out or stalled, or whose caller left, counted as served, so a host that is frozen or hangs was preferred for five seconds. Change: no answer in time counts like a broken connection; where the caller left or this host stopped, nothing is concluded.

--- a/src/relay/impl/forward_targets.cpp
+++ b/src/relay/impl/forward_targets.cpp
@@ -48,6 +48,8 @@
                                   forward_result result, time_ms now) {
   target_record& record = targets_[{host, service}];
   record.open -= std::min<std::size_t>(record.open, 1);
+  if (result == forward_result::abandoned)
+    return;
   service_record& of_service = services_[service];
   if (result == forward_result::served) {
     record.backoff = time_ms{};
--- a/src/relay/impl/forward_targets.hpp
+++ b/src/relay/impl/forward_targets.hpp
@@ -23,7 +23,8 @@
 enum class forward_result {
   served,      ///< the host handled the request
   refused,     ///< the host refused it without running it
-  unreachable, ///< the host was not reached, or the connection broke
+  unreachable, ///< the host was not reached, did not answer in time, or the connection broke
+  abandoned,   ///< nothing is known: the caller left or this host stopped before the answer
 };
 
 template <>
@@ -31,7 +32,8 @@
   static constexpr auto entries =
       enum_table<forward_result>({{forward_result::served, "served"},
                                   {forward_result::refused, "refused"},
-                                  {forward_result::unreachable, "unreachable"}});
+                                  {forward_result::unreachable, "unreachable"},
+                                  {forward_result::abandoned, "abandoned"}});
 };
 
 struct forward_target_options {
--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -7,8 +7,8 @@
 request_relay::request_relay(parts joined, const relay_options& options)
     : parts_{std::move(joined)}, options_{options},
       connections_{parts_.time}, stop_{options.stop, parts_.time}, retries_{options.retries} {
-  for (const auto result :
-       {forward_result::served, forward_result::refused, forward_result::unreachable})
+  for (const auto result : {forward_result::served, forward_result::refused,
+                            forward_result::unreachable, forward_result::abandoned})
     parts_.figures.add(metric::forwarded, {name_of(result)}, 0);
   for (const auto result : {resume_result::known, resume_result::sole_build, resume_result::unknown,
                             resume_result::gone})
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -25,13 +25,14 @@
   case send_outcome::unreachable:
   case send_outcome::silent:
   case send_outcome::failed:
-    return forward_result::unreachable;
-  case send_outcome::answered:
-  case send_outcome::own_error:
   case send_outcome::stalled:
   case send_outcome::timed_out:
+    return forward_result::unreachable;
   case send_outcome::caller_left:
   case send_outcome::host_stopped:
+    return forward_result::abandoned;
+  case send_outcome::answered:
+  case send_outcome::own_error:
     break;
   }
   return forward_result::served;
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -183,7 +183,7 @@
         counter,
         "sedgechute_forwarded_total",
         "Requests forwarded to another host because this one reached no endpoint. result: "
-        "served, refused, unreachable.",
+        "served, refused, unreachable, abandoned.",
         {"result"},
         entry},
     metric_family{metric::cut_off,
