--- a/src/gateway/impl/http_server.cpp
+++ b/src/gateway/impl/http_server.cpp
@@ -73,13 +73,14 @@
   /// What may follow an answer on its connection.
   enum class sequel { next_request, close, close_gently };
 
-  /// \returns whether another request may follow on the connection.
+  /// \returns whether another request may follow on the connection. While the server stops, the
+  /// wait for it ends at once; one that has begun to come is read, and refused.
   bool serve_one(caller_session& session) {
     const sequel then = exchange_messages(session);
     // Only now has the answer left: its stream is written out when the response ends.
     if (then == sequel::close_gently)
       session.close_gently(server_.options_.closing_timeout);
-    return then == sequel::next_request && !server_.stopping_;
+    return then == sequel::next_request;
   }
 
   sequel exchange_messages(caller_session& session) {
