--- a/bench/soak/soak_world.hpp
+++ b/bench/soak/soak_world.hpp
@@ -94,8 +94,8 @@
   std::vector<family> families_;
   std::uint64_t poisons_{0}; ///< contents that crash endpoints, so far
   bool builds_mixed_{false};
-  int store_faults_{0};      ///< that last
-  std::uint64_t pace_{};     ///< by which pauses between disruptions are longer than the shortest
+  int store_faults_{0};  ///< that last
+  std::uint64_t pace_{}; ///< by which pauses between disruptions are longer than the shortest
   time_ms next_disruption_;
   time_ms next_question_; ///< for the readiness of hosts that stop
   std::unique_ptr<soak_operator> operator_;
