Failing tests: answers are cut when their endpoints fall silent for a second

Suspected cause: stall_timeout ends a send before anything asks whether the request may run again; without a retry, another endpoint or room there the answer ends although its endpoint goes on a moment later.

--- /dev/null
+++ b/tests/relay/silent_endpoint_test.cpp
@@ -0,0 +1,156 @@
+// End-to-end tests with endpoints that fall silent in the middle of an answer and then go on.
+
+#include "relay_fixture.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace sedgechute;
+
+namespace {
+
+using then = scripted_reply::then;
+
+// Longer than a request of the fixture's routes waits for a silent endpoint before it looks for
+// another one, and shorter than its deadline.
+constexpr time_ms pause{900};
+constexpr time_ms longest_read{3000};
+
+scripted_endpoint::script pausing_streams(time_ms silence = pause) {
+  return [silence](const auto& request) {
+    return scripted_reply{stream_head(attempt_of(request)) + event_chunk(1), then::keep,
+                          event_chunk(2) + event_chunk(3) + "0\r\n\r\n", silence};
+  };
+}
+
+scripted_endpoint::script late_answers(time_ms silence = pause) {
+  return [silence](const auto& request) {
+    return scripted_reply{"", then::keep, whole_answer(attempt_of(request), "late"), silence};
+  };
+}
+
+scripted_endpoint::script refusals() {
+  return replies("HTTP/1.1 503 No\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", then::keep);
+}
+
+relay_options without_retries() {
+  relay_options options;
+  options.retries.ratio = 0;
+  options.retries.slack = 1; // less than one retry, as only a fraction of the budget is used
+  return options;
+}
+
+std::string stream_request(const std::string& attempt) {
+  return request_text("/stream/", attempt, "Model: m\r\nToken-Usage: 10,20\r\n", "POST", attempt);
+}
+
+/// \returns the answer to one request on a new connection
+std::string answer_to(const relay_fixture& host, const std::string& request) {
+  raw_caller caller{host.address()};
+  caller.send(request);
+  return caller.read_all(longest_read);
+}
+
+/// \returns the answers to one request each, sent at the same moment
+std::vector<std::string> answers_to(const relay_fixture& host,
+                                    const std::vector<std::string>& requests) {
+  std::vector<std::unique_ptr<raw_caller>> callers;
+  for (const std::string& request : requests) {
+    callers.push_back(std::make_unique<raw_caller>(host.address()));
+    callers.back()->send(request);
+  }
+  std::vector<std::string> answers;
+  answers.reserve(callers.size());
+  for (const auto& caller : callers)
+    answers.push_back(caller->read_all(longest_read));
+  return answers;
+}
+
+bool has_all_events_once(const std::string& answer) {
+  std::size_t last = 0;
+  for (int id = 1; id <= 3; ++id) {
+    const std::string event = "id: " + std::to_string(id) + "\n";
+    const std::size_t at = answer.find(event);
+    if (at == std::string::npos || at < last || answer.find(event, at + 1) != std::string::npos)
+      return false;
+    last = at;
+  }
+  return ends_in_order(answer);
+}
+
+} // namespace
+
+// A stream was cut after a second of silence although no retry was left to take it up elsewhere.
+TEST_CASE("a stream whose endpoint falls silent is not cut when no retry is left") {
+  scripted_endpoint silent{pausing_streams()};
+  scripted_endpoint other{pausing_streams()};
+  relay_fixture host{1000000, without_retries()};
+  host.add_endpoint("e1", silent.address());
+  host.add_endpoint("e2", other.address());
+  CHECK(has_all_events_once(answer_to(host, stream_request("a"))));
+  CHECK(silent.seen().size() + other.seen().size() == 1);
+}
+
+// A stream was cut after a second of silence although its service has no other endpoint.
+TEST_CASE("a stream whose endpoint falls silent is not cut when there is no other endpoint") {
+  scripted_endpoint silent{pausing_streams()};
+  relay_fixture host;
+  host.add_endpoint("e1", silent.address());
+  CHECK(has_all_events_once(answer_to(host, stream_request("a"))));
+  CHECK(silent.seen().size() == 1);
+}
+
+// A stream was cut after a second of silence because the other endpoint refused to take it up.
+TEST_CASE("a stream whose endpoint falls silent is not cut when the other endpoint refuses it") {
+  scripted_endpoint full{refusals()};
+  scripted_endpoint silent{pausing_streams()};
+  relay_fixture host;
+  host.add_endpoint("e1", silent.address());
+  raw_caller caller{host.address()};
+  caller.send(stream_request("a"));
+  REQUIRE(host.has_open(1));
+  while (silent.seen().empty())
+    std::this_thread::sleep_for(std::chrono::milliseconds{2});
+  host.add_endpoint("e2", full.address());
+  CHECK(has_all_events_once(caller.read_all(longest_read)));
+  CHECK(silent.seen().size() == 1);
+}
+
+// A safe request was refused with "may have run" after its endpoint had been silent for less than
+// a second, although no retry was left.
+TEST_CASE("a request whose endpoint falls silent is not refused when no retry is left") {
+  scripted_endpoint silent{late_answers()};
+  scripted_endpoint other{late_answers()};
+  relay_fixture host{1000000, without_retries()};
+  host.add_endpoint("e1", silent.address());
+  host.add_endpoint("e2", other.address());
+  const std::string answer = answer_to(host, request_text("/safe/x", "a"));
+  CHECK(status_of(answer) == 200);
+  CHECK(answer.ends_with("late"));
+  CHECK(silent.seen().size() + other.seen().size() == 1);
+}
+
+// Endpoints that all fell silent at once got each other's requests, and their answers were lost.
+TEST_CASE("no request is sent twice while all endpoints of its service are silent") {
+  constexpr std::size_t endpoints = 4;
+  std::vector<std::unique_ptr<scripted_endpoint>> silent;
+  relay_fixture host;
+  std::vector<std::string> requests;
+  for (std::size_t i = 0; i < endpoints; ++i) {
+    silent.push_back(std::make_unique<scripted_endpoint>(pausing_streams()));
+    host.add_endpoint("e" + std::to_string(i), silent.back()->address());
+    for (int j = 0; j < 2; ++j)
+      requests.push_back(stream_request("a" + std::to_string(i) + std::to_string(j)));
+  }
+  for (const std::string& answer : answers_to(host, requests))
+    CHECK(has_all_events_once(answer));
+  std::size_t runs = 0;
+  for (const auto& one : silent)
+    runs += one->seen().size();
+  CHECK(runs == requests.size());
+}
