An endpoint's silence no longer ends an answer

Callers saw streams that were reset, and 502, a second after their endpoint had fallen silent (LOST). Cause: a silence ended the send, with its connection, before anything asked whether the request may run elsewhere. Without a retry, another endpoint or room there, or where that one refused, died or was as silent, the answer ended, although its endpoint would have gone on. Change: a silent connection stays open. decide_on_silence, a pure function, says whether the request waits or is sent to another endpoint as well: only if it may run again, a retry and a place are left, and other endpoints of the service are heard, or nothing is known of them. The first endpoint that yields an event or the answer goes on; the other connection is reset. Until then tokens, slots and grants count for both. Wait for bytes is preceded by a look at the socket, so that a host that stood still reads first. Metrics sedgechute_silent_endpoints_total, sedgechute_silent_sends_total; log line endpoint_silent.

--- a/src/relay/impl/connection.cpp
+++ b/src/relay/impl/connection.cpp
@@ -48,6 +48,15 @@
   return ::poll(&fd, 1, 0) > 0 && left(fd.revents);
 }
 
+bool caller_watch::has_bytes(std::size_t alternative) noexcept {
+  int& descriptor = alternatives_[alternative];
+  char byte = 0;
+  const auto got = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR))
+    descriptor = -1;
+  return got > 0;
+}
+
 connection::connection(const Poco::Net::StreamSocket& socket, const clock& time)
     : socket_{socket}, descriptor_{socket.impl()->sockfd()}, time_{time} {}
 
@@ -75,26 +84,33 @@
 }
 
 io_status connection::wait(short events, time_ms deadline, caller_watch* watch) {
+  constexpr std::size_t own = 3;
+  std::vector<pollfd> fds(own + (watch != nullptr ? watch->alternatives().size() : 0));
   for (;;) {
-    const time_ms left = deadline - time_.now();
-    if (left <= time_ms{0})
-      return io_status::timed_out;
-    std::array<pollfd, 3> fds{};
+    const time_ms left = std::max(deadline - time_.now(), time_ms{0});
     fds[0] = {descriptor_, events, 0};
+    fds[1] = fds[2] = {-1, 0, 0};
     if (watch != nullptr) {
       fds[1] = {watch->descriptor(), watch->events(), 0};
       fds[2] = {watch->interrupt(), POLLIN, 0};
+      std::ranges::transform(watch->alternatives(), fds.begin() + own, [](int descriptor) {
+        return pollfd{descriptor, POLLIN, 0};
+      });
     }
-    const nfds_t watched = watch != nullptr ? fds.size() : 1;
-    const int ready = ::poll(fds.data(), watched, static_cast<int>(left.count()));
+    const int ready = ::poll(fds.data(), fds.size(), static_cast<int>(left.count()));
     if (ready < 0 && errno != EINTR)
       return io_status::reset;
+    if (ready == 0 && time_.now() >= deadline)
+      return io_status::timed_out;
     if (ready <= 0)
       continue;
     if (watch != nullptr && fds[1].revents != 0 && watch->left(fds[1].revents))
       return io_status::caller_left;
     if (fds[2].revents != 0)
       return io_status::interrupted;
+    for (std::size_t i = own; i < fds.size(); ++i)
+      if (fds[i].revents != 0 && watch->has_bytes(i - own))
+        return io_status::superseded;
     if (fds[0].revents != 0)
       return io_status::ok;
   }
@@ -189,6 +205,16 @@
   (void)::shutdown(descriptor_, SHUT_RD);
 }
 
+void connection::abort_now() noexcept {
+  abort();
+  descriptor_ = -1; // another connection may get the number
+  try {
+    socket_.close();
+  } catch (const Poco::Exception&) {
+    return; // the peer has closed it
+  }
+}
+
 connect_result connect_to(const std::string& address, time_ms timeout, const clock& time,
                           caller_watch* watch) {
   try {
--- a/src/relay/impl/connection.hpp
+++ b/src/relay/impl/connection.hpp
@@ -9,6 +9,8 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace sedgechute {
 
@@ -18,6 +20,7 @@
   reset,       ///< the connection failed
   timed_out,   ///< nothing happened before the deadline
   caller_left, ///< the watched caller closed its connection
+  superseded,  ///< another connection that serves the request has bytes to read
   interrupted, ///< the host is stopping
 };
 
@@ -28,11 +31,13 @@
                                                          {io_status::reset, "reset"},
                                                          {io_status::timed_out, "timed_out"},
                                                          {io_status::caller_left, "caller_left"},
+                                                         {io_status::superseded, "superseded"},
                                                          {io_status::interrupted, "interrupted"}});
 };
 
 /// \brief Detects, without consuming bytes, that a caller has closed its connection, and provides
-/// the descriptor by which the stop of the host interrupts waits.
+/// the descriptor by which the stop of the host interrupts waits. It also detects bytes on other
+/// connections that serve the same request.
 class caller_watch {
  public:
   /// \param descriptor  of the caller's connection; -1: no caller is watched
@@ -51,9 +56,17 @@
   /// \returns whether the caller has closed its connection; does not wait
   [[nodiscard]] bool has_left() noexcept;
 
+  /// \param descriptors  of the other connections whose bytes end waits
+  void set_alternatives(std::vector<int> descriptors) { alternatives_ = std::move(descriptors); }
+  [[nodiscard]] const std::vector<int>& alternatives() const noexcept { return alternatives_; }
+  /// \brief Ignores from now on an alternative that was closed without more bytes.
+  /// \returns whether it has bytes to read
+  [[nodiscard]] bool has_bytes(std::size_t alternative) noexcept;
+
  private:
   int descriptor_;
   int interrupt_;
+  std::vector<int> alternatives_; ///< -1: closed
   bool sent_ahead_{false};
 };
 
@@ -93,6 +106,8 @@
   void shutdown_write() noexcept;
   /// \brief Resets the connection, so that the peer cannot take a partial message for a whole one.
   void abort() noexcept;
+  /// \brief Resets the connection at once; nothing may be read or written any more.
+  void abort_now() noexcept;
 
   [[nodiscard]] int descriptor() const noexcept { return descriptor_; }
   [[nodiscard]] const clock& time() const noexcept { return time_; }
--- a/src/relay/impl/connection_source.hpp
+++ b/src/relay/impl/connection_source.hpp
@@ -14,9 +14,9 @@
 /// \brief Adapts a connection to `byte_source` and records how the last read ended.
 class connection_source final : public byte_source {
  public:
-  /// \param deadline  called before each wait; returns its deadline
-  connection_source(connection& from, std::function<time_ms()> deadline, caller_watch* watch)
-      : from_{from}, deadline_{std::move(deadline)}, watch_{watch} {}
+  /// \param fill  reads at least one more byte into the buffer of `from`
+  connection_source(connection& from, std::function<io_status()> fill)
+      : from_{from}, fill_{std::move(fill)} {}
 
   [[nodiscard]] int next_byte() override {
     char byte = 0;
@@ -25,7 +25,7 @@
 
   [[nodiscard]] std::size_t read_some(char* into, std::size_t most) override {
     if (from_.buffered().empty()) {
-      last_ = from_.fill(deadline_(), watch_);
+      last_ = fill_();
       if (last_ == io_status::ended)
         return 0;
       if (last_ == io_status::reset)
@@ -44,8 +44,7 @@
 
  private:
   connection& from_;
-  std::function<time_ms()> deadline_;
-  caller_watch* watch_;
+  std::function<io_status()> fill_;
   io_status last_{io_status::ok};
 };
 
--- a/src/relay/impl/content_guard.cpp
+++ b/src/relay/impl/content_guard.cpp
@@ -53,6 +53,7 @@
   case send_outcome::unreachable:
   case send_outcome::silent:
   case send_outcome::stalled:
+  case send_outcome::superseded:
   case send_outcome::timed_out:
   case send_outcome::caller_left:
   case send_outcome::host_stopped:
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -122,6 +122,7 @@
   made.hash = incarnation_of(entry.id, entry.started);
   made.affinity_hash = incarnation_of(entry.id, std::nullopt);
   made.entry = std::move(entry);
+  made.heard = std::make_shared<last_heard>();
   locate(made);
   expect_brittle(made);
   return made;
@@ -424,6 +425,7 @@
     at.limit.begin_trial();
   place.brittle = at.refusals_borne.holds();
   place.grant = random_();
+  place.heard = at.heard;
   place.data_centre = at.entry.data_centre;
   place.affinity = at.affinity_hash;
   at.open_ids.push_back({place.grant, now});
@@ -512,6 +514,7 @@
     if (outcome == send_outcome::unreachable)
       (void)note_refused(of, std::nullopt, now);
     return;
+  case send_outcome::superseded:
   case send_outcome::caller_left:
   case send_outcome::host_stopped:
     return; // not a result of the endpoint
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -10,6 +10,7 @@
 #include "relay/impl/endpoint_incarnation.hpp"
 #include "relay/impl/endpoint_limit.hpp"
 #include "relay/impl/evacuation.hpp"
+#include "relay/impl/last_heard.hpp"
 #include "relay/impl/path_evidence.hpp"
 #include "relay/impl/peer_load_table.hpp"
 #include "relay/impl/prefix_index.hpp"
@@ -17,9 +18,11 @@
 #include "relay/impl/request_terms.hpp"
 #include "relay/impl/room_grants.hpp"
 #include "relay/impl/send_outcome.hpp"
+#include "relay/impl/silence_rules.hpp"
 #include "relay/impl/wire_dialect.hpp"
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -67,10 +70,11 @@
   bool limit_trial{false}; ///< finds out whether the endpoint still names a limit
   bool brittle{false};     ///< needs a grant of the endpoint's arbiter
   grant_id grant{};        ///< id of the request in flight
-  data_centre_id data_centre;    ///< of the endpoint
-  endpoint_hash affinity{};      ///< of the endpoint's id alone
-  std::uint64_t prompt_tokens{}; ///< to be prefilled
-  std::size_t candidates{};      ///< endpoints that could have been chosen
+  std::shared_ptr<last_heard> heard; ///< of the endpoint
+  data_centre_id data_centre;        ///< of the endpoint
+  endpoint_hash affinity{};          ///< of the endpoint's id alone
+  std::uint64_t prompt_tokens{};     ///< to be prefilled
+  std::size_t candidates{};          ///< endpoints that could have been chosen
   // Inputs of the choice, for the log.
   std::uint64_t expected_open{};  ///< requests at the endpoint before this one
   std::uint64_t unread_before{};  ///< tokens of prompts that waited there before this one
@@ -201,6 +205,8 @@
   void end_grant(const ended_request& ended);
   /// \brief Takes, as the arbiter of an endpoint, what a host has in flight.
   void renew_grants(std::uint64_t host, endpoint_hash endpoint, const std::vector<grant_id>& open);
+  /// \returns what this host has heard of the endpoints of a service since a moment
+  [[nodiscard]] service_activity activity(const std::string& service, time_ms since) const;
   /// \brief Records that the endpoint is leaving, or that another one now has its address.
   void note_leaving(const placement& place);
   /// \brief Ends a placement and records the result of its send.
@@ -291,6 +297,7 @@
     bool brittle_news{false};                     ///< other hosts are to be told
     time_ms full_until;                           ///< its arbiter grants nothing before
     std::vector<open_id> open_ids;
+    std::shared_ptr<last_heard> heard;
     room_arbiter arbiter;  ///< used if this host arbitrates
     endpoint_use reported; ///< last usage reported to the other hosts
   };
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace sedgechute {
 
@@ -68,15 +69,52 @@
 send_outcome endpoint_exchange::run(std::string_view request_text) {
   const io_status status = link_.write_all(request_text, parts_.request.deadline, &parts_.watch);
   // An endpoint that refuses may close before it has read all; its refusal can still be read.
-  if (status == io_status::ok || status == io_status::reset)
-    return read_reply();
-  return end_of(status);
+  if (status != io_status::ok && status != io_status::reset)
+    return end_of(status);
+  last_heard_ = parts_.time.now();
+  next_check_ = parts_.on_silence ? last_heard_ + stall_after() : parts_.request.deadline;
+  return read_reply();
 }
 
-time_ms endpoint_exchange::reply_deadline() const {
+time_ms endpoint_exchange::stall_after() const {
   const send_progress so_far{.sends = sends_, .events = parts_.answer.events().events()};
-  const time_ms patience = stall_timeout(*parts_.request.on_route, so_far, bounds_.longest_silence);
-  return std::min(parts_.request.deadline, parts_.time.now() + patience);
+  return stall_timeout(*parts_.request.on_route, so_far, parts_.request.deadline - last_heard_);
+}
+
+void endpoint_exchange::note_heard() {
+  last_heard_ = parts_.time.now();
+  next_check_ = parts_.on_silence ? last_heard_ + stall_after() : parts_.request.deadline;
+  if (parts_.place.heard)
+    parts_.place.heard->note(last_heard_);
+}
+
+// The silence of an endpoint never ends the exchange by itself: the endpoint may go on, and whether
+// another one would answer sooner is known only once that one does.
+template <typename Read>
+io_status endpoint_exchange::read_patiently(const Read& read) {
+  for (;;) {
+    const io_status status = read(std::min(next_check_, parts_.request.deadline));
+    if (status == io_status::ok)
+      note_heard();
+    if (status != io_status::timed_out || parts_.time.now() >= parts_.request.deadline)
+      return status;
+    const auto pause = parts_.on_silence({last_heard_, stall_after()});
+    if (!pause)
+      return io_status::superseded;
+    next_check_ = parts_.time.now() + *pause;
+  }
+}
+
+io_status endpoint_exchange::fill() {
+  return read_patiently([this](time_ms until) { return link_.fill(until, &parts_.watch); });
+}
+
+void endpoint_exchange::begin_answer() {
+  if (std::exchange(answer_begun_, true))
+    return;
+  if (parts_.before_answer)
+    parts_.before_answer();
+  parts_.answer.take_head(reply_);
 }
 
 send_outcome endpoint_exchange::end_of(io_status status) const {
@@ -84,17 +122,17 @@
     return send_outcome::caller_left;
   if (status == io_status::interrupted)
     return send_outcome::host_stopped;
-  if (status != io_status::timed_out)
-    return send_outcome::failed;
-  return parts_.time.now() < parts_.request.deadline ? send_outcome::stalled
-                                                     : send_outcome::timed_out;
+  if (status == io_status::superseded)
+    return send_outcome::superseded;
+  return status == io_status::timed_out ? send_outcome::timed_out : send_outcome::failed;
 }
 
 io_status endpoint_exchange::read_final_head() {
   std::string text;
   do {
-    const io_status status =
-        link_.read_head(text, bounds_.max_reply_head, reply_deadline(), &parts_.watch);
+    const io_status status = read_patiently([&](time_ms until) {
+      return link_.read_head(text, bounds_.max_reply_head, until, &parts_.watch);
+    });
     if (status != io_status::ok)
       return status;
     const auto parsed = parse_response_head(text);
@@ -137,14 +175,12 @@
       parts_.request.on_route->kind == request_kind::stream && is_success(reply_.status);
   if (parts_.answer.stream_begun() && !events)
     return send_outcome::failed;
-  parts_.answer.take_head(reply_);
   return events ? take_stream() : take_answer();
 }
 
 void endpoint_exchange::note_prompt_read() {
-  if (prompt_read_)
+  if (std::exchange(parts_.prompt_read, true))
     return;
-  prompt_read_ = true;
   parts_.endpoints.note_prompt_read(parts_.place);
 }
 
@@ -159,11 +195,11 @@
 send_outcome endpoint_exchange::take_host_refusal() {
   if (is_success(reply_.status))
     return send_outcome::failed;
-  connection_source source{link_, [this] { return reply_deadline(); }, &parts_.watch};
+  connection_source source{link_, [this] { return fill(); }};
   body_decoder body{source, reply_framing(reply_)};
   std::string bytes;
   const bool whole = read_body(body, bytes) == body_state::whole;
-  parts_.answer.take_head(reply_);
+  begin_answer();
   parts_.answer.keep_body(whole ? std::move(bytes) : std::string{});
   if (promises_not_run(reply_.status))
     return send_outcome::not_run;
@@ -171,7 +207,7 @@
 }
 
 send_outcome endpoint_exchange::take_answer() {
-  connection_source source{link_, [this] { return reply_deadline(); }, &parts_.watch};
+  connection_source source{link_, [this] { return fill(); }};
   body_decoder body{source, reply_framing(reply_)};
   std::string bytes;
   const body_state end = read_body(body, bytes);
@@ -180,17 +216,21 @@
   note_prompt_read();
   reusable_ = is_reusable(reply_, link_);
   if (!is_success(reply_.status)) {
-    parts_.answer.keep_body(std::move(bytes));
+    if (!bounds_.beside) {
+      begin_answer();
+      parts_.answer.keep_body(std::move(bytes));
+    }
     return send_outcome::own_error;
   }
+  begin_answer();
   parts_.answer.note_ready();
   return parts_.answer.deliver(bytes) ? send_outcome::answered : send_outcome::caller_left;
 }
 
 send_outcome endpoint_exchange::take_stream() {
-  connection_source source{link_, [this] { return reply_deadline(); }, &parts_.watch};
+  connection_source source{link_, [this] { return fill(); }};
   body_decoder body{source, reply_framing(reply_)};
-  event_splitter& events = parts_.answer.events();
+  event_splitter events = parts_.answer.events();
   events.drop_unfinished();
   std::array<char, read_block> block; // NOLINT(cppcoreguidelines-pro-type-member-init)
   while (body.state() == body_state::open) {
@@ -199,8 +239,10 @@
     const std::string whole = events.take_whole();
     if (!whole.empty()) {
       note_prompt_read();
+      begin_answer();
       if (!parts_.answer.stream_begun() && parts_.before_first_event)
         parts_.before_first_event();
+      parts_.answer.events() = events;
     }
     if (!parts_.answer.forward_events(whole))
       return send_outcome::caller_left;
@@ -210,6 +252,7 @@
   if (body.state() != body_state::whole || events.inside_event())
     return send_outcome::failed;
   reusable_ = is_reusable(reply_, link_);
+  begin_answer();
   return parts_.answer.end_stream() ? send_outcome::answered : send_outcome::caller_left;
 }
 
--- a/src/relay/impl/endpoint_exchange.hpp
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -12,16 +12,23 @@
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace sedgechute {
 
 /// \brief Limits of an exchange with an endpoint or with another host.
 struct exchange_bounds {
-  time_ms longest_silence; ///< without a byte, when the request may not be run again
   std::size_t max_reply_head{};
   std::size_t max_buffered_body{}; ///< of an answer that is not a stream
   bool with_host{false};           ///< the other end is a host that passes on an endpoint's reply
+  bool beside{false};              ///< another exchange of the request waits for a silent endpoint
+};
+
+/// \brief A wait for an endpoint that has sent nothing since `since`.
+struct endpoint_silence {
+  time_ms since;
+  time_ms stall_after; ///< silence after which another endpoint is likely to be faster
 };
 
 /// \brief Sends one request on one connection to an endpoint and passes its reply to the caller.
@@ -35,7 +42,13 @@
     const placement& place;
     caller_watch& watch;
     caller_answer& answer;
+    bool& prompt_read;                          ///< set once the endpoint has begun to answer
     std::function<void()> before_first_event{}; ///< called before the caller receives it
+    /// Called before the caller receives anything of the reply.
+    std::function<void()> before_answer{};
+    /// Called while the endpoint is silent; empty: the exchange waits until the deadline.
+    /// Returns when to call it again; nothing: the request has ended otherwise.
+    std::function<std::optional<time_ms>(const endpoint_silence&)> on_silence{};
   };
 
   /// \param sends  number of sends of the request, including this one
@@ -45,8 +58,6 @@
   /// \param request_text  header and body
   [[nodiscard]] send_outcome run(std::string_view request_text);
 
-  /// \returns whether the endpoint has begun to answer
-  [[nodiscard]] bool prompt_read() const noexcept { return prompt_read_; }
   /// \returns whether the connection may carry another exchange
   [[nodiscard]] bool reusable() const noexcept { return reusable_; }
 
@@ -59,19 +70,28 @@
   [[nodiscard]] send_outcome take_stream();
   /// \brief Keeps a refusal by the other host for the caller.
   [[nodiscard]] send_outcome take_host_refusal();
+  /// \brief Makes the reply the answer to the caller.
+  void begin_answer();
+  /// \brief Calls `read` until it succeeds, fails or the deadline of the request passes.
+  /// \param read  receives the deadline of its wait
+  template <typename Read>
+  [[nodiscard]] io_status read_patiently(const Read& read);
+  [[nodiscard]] io_status fill();
   /// \returns the state of the body when it has ended or is too large
   [[nodiscard]] body_state read_body(body_decoder& body, std::string& bytes) const;
   void note_prompt_read();
-  /// \returns the deadline of the wait for the next bytes of the reply
-  [[nodiscard]] time_ms reply_deadline() const;
+  void note_heard();
+  [[nodiscard]] time_ms stall_after() const;
   [[nodiscard]] send_outcome end_of(io_status status) const;
 
   parts parts_;
   exchange_bounds bounds_;
   connection& link_;
   int sends_;
+  time_ms last_heard_;
+  time_ms next_check_; ///< of the silence of the endpoint
   response_head reply_;
-  bool prompt_read_{false};
+  bool answer_begun_{false};
   bool reusable_{false};
 };
 
--- a/src/relay/impl/http_frontend.cpp
+++ b/src/relay/impl/http_frontend.cpp
@@ -243,7 +243,7 @@
   if (framing.body != body_framing::none && request.head.fields.has("Expect") &&
       link.write_all("HTTP/1.1 100 Continue\r\n\r\n", until, &until_cut) != io_status::ok)
     throw error{error_kind::slow_caller, "body", "the caller does not read the interim response"};
-  connection_source source{link, [until] { return until; }, &until_cut};
+  connection_source source{link, [&] { return link.fill(until, &until_cut); }};
   body_decoder body{source, framing};
   std::array<char, read_block> block; // NOLINT(cppcoreguidelines-pro-type-member-init)
   while (body.state() == body_state::open) {
--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -13,6 +13,12 @@
   for (const auto result : {resume_result::known, resume_result::sole_build, resume_result::unknown,
                             resume_result::gone})
     parts_.figures.add(metric::stream_resumes, {name_of(result)}, 0);
+  for (const auto decision :
+       {silence_decision::runs_once, silence_decision::no_time, silence_decision::all_silent,
+        silence_decision::no_retry, silence_decision::no_endpoint, silence_decision::send_beside})
+    parts_.figures.add(metric::silent_endpoints, {name_of(decision)}, 0);
+  for (const std::string_view result : {"first", "second", "none"})
+    parts_.figures.add(metric::silent_sends, {result}, 0);
 }
 
 connection_action request_relay::serve(incoming_request& request) {
@@ -90,6 +96,12 @@
     parts_.pressure.note_request(turned_away);
 }
 
+bool request_relay::has_retry(const std::string& service) {
+  const std::size_t hosts = parts_.hosts();
+  const std::scoped_lock lock{mutex_};
+  return retries_.has_retry(service, hosts, parts_.time.now());
+}
+
 bool request_relay::may_retry(const std::string& service) {
   const std::size_t hosts = parts_.hosts();
   const std::scoped_lock lock{mutex_};
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -55,9 +55,6 @@
       pressure_retry;              ///< for `Retry-After` while this host's processor is overloaded
   time_ms stop_retry_after{50};    ///< `Retry-After` while this host stops; others have capacity
   time_ms budget_retry_after{100}; ///< `Retry-After` when other hosts hold the tokens
-  /// Maximum time without a byte from an endpoint whose request may not be run again. When the
-  /// endpoint or the network path is down, its connection fails much earlier.
-  time_ms longest_silence{60000};
   std::size_t max_reply_head{32768};
   std::size_t max_buffered_body{std::size_t{8} << 20U}; ///< of an answer that is not a stream
 };
@@ -127,6 +124,8 @@
   void note_forwarded(const std::string& host, const std::string& service, forward_result result);
   [[nodiscard]] error too_many_open() const;
   [[nodiscard]] static error processor_used_up(time_ms retry_after);
+  [[nodiscard]] bool has_retry(const std::string& service);
+  /// \brief Takes one retry from the budget of a service.
   [[nodiscard]] bool may_retry(const std::string& service);
   void note_first_send(const std::string& service);
   void note_length(const std::string& kind, time_ms length);
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -15,9 +15,6 @@
 constexpr int max_unreachable = 3;
 constexpr int max_unreachable_before_forward = 2;
 
-// Brittle endpoints whose arbiters are asked for room, per send.
-constexpr int max_room_asks = 6;
-
 // Callers may take a stream up after the deadline of the attempt that began it.
 constexpr time_ms record_kept_after_deadline{60000};
 
@@ -31,6 +28,7 @@
   case send_outcome::stalled:
   case send_outcome::timed_out:
     return forward_result::unreachable;
+  case send_outcome::superseded:
   case send_outcome::caller_left:
   case send_outcome::host_stopped:
     return forward_result::abandoned;
@@ -298,10 +296,10 @@
   const relay_options& options = relay_.options_;
   placement place; // its results are ignored, as the directory knows no such endpoint
   place.endpoint = endpoint_id{to.host};
+  bool prompt_read = false;
   endpoint_exchange one{
-      {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_},
-      {.longest_silence = options.longest_silence,
-       .max_reply_head = options.max_reply_head,
+      {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_, prompt_read},
+      {.max_reply_head = options.max_reply_head,
        .max_buffered_body = options.max_buffered_body,
        .with_host = true},
       *link,
@@ -357,145 +355,12 @@
           .cut = answer_.cut()};
 }
 
-std::optional<placement> request_run::choose_placement() {
-  if (answer_.stream_begun() && !build_)
-    return std::nullopt;
-  auto place = find_placement();
-  if (!place && sent_to_.empty() && !lacks_paths())
-    throw error{error_kind::no_capacity, admitted_.service, "no endpoint is ready or has room",
-                full_retry_after()};
-  return place;
-}
-
-std::optional<placement> request_run::find_placement() {
-  const auto& generation = admitted_.terms.generation;
-  placement_request request{admitted_.service,
-                            generation ? &*generation : nullptr,
-                            avoid_,
-                            admitted_.residency(),
-                            build_,
-                            refused_by_brittle_};
-  endpoint_directory& endpoints = relay_.parts_.endpoints;
-  for (int asks = 0; asks < max_room_asks; ++asks) {
-    auto place = endpoints.place(request);
-    if (!place || !place->brittle)
-      return place;
-    const auto refused = ask_for_room(*place);
-    if (!refused)
-      return place;
-    endpoints.cancel(*place, *refused);
-    request.avoid.push_back(place->incarnation);
-  }
-  return std::nullopt;
-}
-
-std::optional<time_ms> request_run::ask_for_room(const placement& place) {
-  const request_relay::parts& parts = relay_.parts_;
-  return parts.room.ask ? parts.room.ask(place)
-                        : parts.endpoints.arbitrate(parts.endpoints.ask_for(place, 0));
-}
-
-void request_run::end_grant(const placement& place, send_outcome end) {
-  const request_relay::parts& parts = relay_.parts_;
-  const bool refused = end == send_outcome::not_run;
-  if (!place.brittle && !parts.endpoints.is_brittle(place.endpoint))
-    return;
-  if (parts.room.end)
-    parts.room.end(place, refused);
-  else
-    parts.endpoints.end_grant({place.incarnation, place.grant, refused});
-}
-
 // Callers that were refused together come back at different times.
 time_ms request_run::full_retry_after() {
   const auto least = static_cast<double>(relay_.options_.full_retry_after.count());
   return time_ms{static_cast<std::int64_t>(least * (1 + relay_.draw()))};
 }
 
-send_outcome request_run::send_once(placement& place) {
-  const time_ms began = now();
-  bool prompt_read = false;
-  const send_outcome end = send_to(place, prompt_read);
-  relay_.parts_.endpoints.release(place, end, prompt_read);
-  end_grant(place, end);
-  record_send(records_, admitted_, {place, end, sent_to_.size(), began});
-  return end;
-}
-
-send_outcome request_run::send_to(placement& place, bool& prompt_read) {
-  connect_result reached = open_connection(place);
-  if (!reached.link)
-    return connect_failure(reached.status);
-  if (!relay_.stop_.taking()) { // the cut may have come during the connect
-    relay_.connections_.give_back(place.endpoint, place.local_incarnation, std::move(reached.link));
-    return send_outcome::host_stopped;
-  }
-  if (sent_to_.empty())
-    relay_.note_first_send(admitted_.service);
-  relay_.parts_.endpoints.note_sent(place);
-  sent_to_.push_back(place.endpoint);
-  avoid_.push_back(place.incarnation);
-  const bool may_have_run_before = may_have_run_;
-  may_have_run_ = true; // until the endpoint replies that it did not run the request
-  in_.preparing.end();
-  const content_run run{admitted_.content, place.endpoint, place.incarnation, now()};
-  const send_outcome end = exchange(place, std::move(reached.link), prompt_read);
-  relay_.parts_.contents.note_end(run, end, now());
-  if (end == send_outcome::not_run) {
-    may_have_run_ = may_have_run_before;
-    note_refused(place);
-  }
-  return end;
-}
-
-send_outcome request_run::connect_failure(io_status why) noexcept {
-  if (why == io_status::caller_left)
-    return send_outcome::caller_left;
-  if (why == io_status::interrupted)
-    return send_outcome::host_stopped;
-  ++unreachable_;
-  return why == io_status::timed_out ? send_outcome::silent : send_outcome::unreachable;
-}
-
-// The connect is interrupted at the cut. Otherwise a silent endpoint could hold the request beyond
-// the time that is left for the last answers before the exit.
-connect_result request_run::open_connection(placement& place) {
-  const time_ms max_idle =
-      runs_once(*admitted_.on_route) ? relay_.options_.max_idle_run_once : relay_.options_.max_idle;
-  auto idle = relay_.connections_.take(place.endpoint, place.local_incarnation, max_idle);
-  place.reused = idle != nullptr;
-  if (idle)
-    return {std::move(idle), io_status::ok};
-  return connect_to(place.address, relay_.options_.connect_timeout, relay_.parts_.time, &watch_);
-}
-
-void request_run::note_refused(const placement& place) {
-  if (!relay_.parts_.endpoints.is_brittle(place.endpoint))
-    return;
-  refused_by_brittle_ = true;
-  relay_.parts_.figures.add(metric::brittle_refusals, {});
-}
-
-send_outcome request_run::exchange(const placement& place, std::unique_ptr<connection> link,
-                                   bool& prompt_read) {
-  const request_relay::parts& parts = relay_.parts_;
-  const relay_options& options = relay_.options_;
-  endpoint_exchange one{
-      {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_,
-       [&] { note_begun(place); }},
-      {options.longest_silence, options.max_reply_head, options.max_buffered_body},
-      *link,
-      static_cast<int>(sent_to_.size())};
-  const send_outcome end = one.run(endpoint_request(
-      in_.head, in_.body, admitted_, place, answer_.events().last_id(), parts.dialect, now()));
-  prompt_read = one.prompt_read();
-  if (one.reusable())
-    relay_.connections_.give_back(place.endpoint, place.local_incarnation, std::move(link));
-  else
-    link->abort();
-  return end;
-}
-
 connection_action request_run::give_up(send_outcome end) {
   const run_end how = end_of_run(end, progress(), admitted_.service, full_retry_after());
   switch (how.answer) {
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -5,6 +5,7 @@
 #include "relay/impl/request_accounting.hpp"
 #include "relay/impl/request_relay.hpp"
 #include "relay/impl/send_rules.hpp"
+#include "relay/impl/silence_rules.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -14,6 +15,8 @@
 
 namespace sedgechute {
 
+struct endpoint_silence;
+
 /// \brief Handles one request: admits it, sends it as often as allowed and writes one answer.
 class request_run {
  public:
@@ -63,16 +66,46 @@
   [[nodiscard]] connection_action end_forwarded(send_outcome end);
   /// \throws error when this host has another configuration than the one that forwarded the request
   void check_version(const config_ptr& in_force) const;
+  /// \brief A send that has not ended, or one that another send has taken over.
+  struct open_send {
+    placement& place;
+    time_ms began;
+    connection* link{nullptr}; ///< null until it is connected
+    std::size_t number{};      ///< of the send; 0 when the endpoint was not reached
+    std::optional<content_run> run{};
+    bool prompt_read{false}; ///< the endpoint has begun to answer
+    bool ended{false};
+    std::optional<silence_decision> noted{}; ///< last decision on a silence of its endpoint
+  };
+
+  /// \returns how the request ended, if another send that was begun meanwhile has concluded it
   [[nodiscard]] send_outcome send_once(placement& place);
-  /// \param prompt_read  set to whether the endpoint has begun to answer
-  [[nodiscard]] send_outcome send_to(placement& place, bool& prompt_read);
-  [[nodiscard]] send_outcome exchange(const placement& place, std::unique_ptr<connection> link,
-                                      bool& prompt_read);
+  [[nodiscard]] send_outcome send_to(open_send& one);
+  [[nodiscard]] send_outcome exchange(open_send& one, std::unique_ptr<connection> link);
+  void end_send(open_send& one, send_outcome end);
+  /// \brief Lets bytes of the sends that wait for silent endpoints end the waits of the last one.
+  void watch_other_sends();
+  /// \brief Ends the sends that wait for silent endpoints, as the last one has yielded something.
+  void end_other_sends();
+  /// \returns whether other sends wait for silent endpoints
+  [[nodiscard]] bool is_beside() const noexcept;
+  /// \returns the time until it is to be called again; nothing when the request has concluded
+  [[nodiscard]] std::optional<time_ms> consider_silence(open_send& one,
+                                                        const endpoint_silence& silence);
+  /// \returns an endpoint for a second send, with a retry taken from the budget
+  /// \param decision  set to why there is none
+  [[nodiscard]] std::optional<placement> place_beside(const service_activity& others,
+                                                      silence_decision& decision);
+  /// \returns whether the first send goes on
+  [[nodiscard]] bool send_beside(open_send& one, placement& place);
+  void note_silence(open_send& one, silence_decision decision, time_ms silent_for,
+                    const service_activity& others);
   [[nodiscard]] connect_result open_connection(placement& place);
   /// \param why  the status of the failed connect
   [[nodiscard]] send_outcome connect_failure(io_status why) noexcept;
   /// \brief Chooses an endpoint, at a brittle one with its arbiter's grant.
-  [[nodiscard]] std::optional<placement> find_placement();
+  /// \param avoid  incarnations of endpoints that are not chosen
+  [[nodiscard]] std::optional<placement> find_placement(std::vector<endpoint_hash> avoid);
   /// \returns nothing when the arbiter of the endpoint grants the request
   [[nodiscard]] std::optional<time_ms> ask_for_room(const placement& place);
   void end_grant(const placement& place, send_outcome end);
@@ -103,6 +136,8 @@
   std::vector<endpoint_id> sent_to_;
   std::vector<endpoint_hash> avoid_; ///< incarnations that the request was sent to
   std::optional<build_hash> build_;  ///< of the stream, once it has begun
+  std::vector<open_send*> open_sends_;
+  std::optional<send_outcome> concluded_; ///< how a later send ended that took over from others
   int unreachable_{0};
   bool may_have_run_{false};
   bool refused_by_brittle_{false}; ///< no other brittle endpoint is to refuse it as well
--- a/src/relay/impl/retry_limiter.cpp
+++ b/src/relay/impl/retry_limiter.cpp
@@ -34,16 +34,19 @@
   ++current(services_[service], now).requests;
 }
 
-bool retry_limiter::take_retry(const std::string& service, std::size_t hosts, time_ms now) {
-  window& counts = services_[service];
-  const bucket total = sum(counts, now);
+bool retry_limiter::has_retry(const std::string& service, std::size_t hosts, time_ms now) {
+  const bucket total = sum(services_[service], now);
   const double part =
       static_cast<double>(bounds_.slack) / static_cast<double>(std::max<std::size_t>(hosts, 1));
   const double most =
       bounds_.used_fraction * (bounds_.ratio * static_cast<double>(total.requests) + part);
-  if (static_cast<double>(total.retries + 1) > most)
+  return static_cast<double>(total.retries + 1) <= most;
+}
+
+bool retry_limiter::take_retry(const std::string& service, std::size_t hosts, time_ms now) {
+  if (!has_retry(service, hosts, now))
     return false;
-  ++current(counts, now).retries;
+  ++current(services_[service], now).retries;
   return true;
 }
 
--- a/src/relay/impl/retry_limiter.hpp
+++ b/src/relay/impl/retry_limiter.hpp
@@ -27,6 +27,9 @@
   explicit retry_limiter(const retry_bounds& bounds) : bounds_{bounds} {}
 
   void note_request(const std::string& service, time_ms now);
+  /// \returns whether the budget of a service allows one more retry
+  /// \param hosts  number of hosts that share the slack
+  [[nodiscard]] bool has_retry(const std::string& service, std::size_t hosts, time_ms now);
   /// \brief Takes one retry from the budget of a service.
   /// \param hosts  number of hosts that share the slack
   /// \returns false when the budget is used up
--- a/src/relay/impl/send_outcome.hpp
+++ b/src/relay/impl/send_outcome.hpp
@@ -12,7 +12,8 @@
   silent,      ///< not sent: the connect timed out
   failed,      ///< may have run: the connection broke, or the reply was not for this request
   own_error,   ///< the endpoint answered with an error
-  stalled,     ///< no bytes for so long that another endpoint is likely to be faster
+  stalled,     ///< another endpoint went on with the answer after a silence of this one
+  superseded,  ///< an earlier send of the request went on while this one had yielded nothing
   timed_out,   ///< the deadline of the request passed
   caller_left,
   host_stopped, ///< may have run: the stop of this host ended the wait
@@ -28,6 +29,7 @@
                                 {send_outcome::failed, "failed"},
                                 {send_outcome::own_error, "own_error"},
                                 {send_outcome::stalled, "stalled"},
+                                {send_outcome::superseded, "superseded"},
                                 {send_outcome::timed_out, "timed_out"},
                                 {send_outcome::caller_left, "caller_left"},
                                 {send_outcome::host_stopped, "host_stopped"}});
--- a/src/relay/impl/send_rules.cpp
+++ b/src/relay/impl/send_rules.cpp
@@ -47,6 +47,7 @@
   };
   switch (end) {
   case send_outcome::answered:
+  case send_outcome::superseded:
   case send_outcome::caller_left:
   case send_outcome::timed_out:
   case send_outcome::host_stopped:
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -217,13 +217,27 @@
                   "Records of the builds that began streams, held for all hosts.",
                   {},
                   entry},
+    metric_family{metric::silent_endpoints,
+                  counter,
+                  "sedgechute_silent_endpoints_total",
+                  "Decisions on requests whose endpoints were silent for unusually long. decision: "
+                  "runs_once, no_time, all_silent, no_retry, no_endpoint, send_beside.",
+                  {"decision"},
+                  entry},
+    metric_family{metric::silent_sends,
+                  counter,
+                  "sedgechute_silent_sends_total",
+                  "Requests sent to a second endpoint beside a silent one, by which of them went "
+                  "on. result: first, second, none.",
+                  {"result"},
+                  entry},
 };
 
 constexpr bool in_order() {
   for (std::size_t i = 0; i < families.size(); ++i)
     if (static_cast<std::size_t>(families[i].id) != i)
       return false;
-  return families.size() == static_cast<std::size_t>(metric::stream_records) + 1;
+  return families.size() == static_cast<std::size_t>(metric::silent_sends) + 1;
 }
 static_assert(in_order(), "the table has one row for each metric, in the order of the enumeration");
 
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -56,6 +56,8 @@
   cut_off,
   stream_resumes,
   stream_records,
+  silent_endpoints,
+  silent_sends,
 };
 
 inline constexpr std::size_t most_labels = 3;
--- a/tests/relay/silent_endpoint_test.cpp
+++ b/tests/relay/silent_endpoint_test.cpp
@@ -154,3 +154,115 @@
     runs += one->seen().size();
   CHECK(runs == requests.size());
 }
+
+namespace {
+
+scripted_endpoint::script silent_streams() {
+  return [](const auto& request) {
+    return scripted_reply{stream_head(attempt_of(request)) + event_chunk(1), then::hang, ""};
+  };
+}
+
+/// Endpoints that go on with a stream behind its last event.
+scripted_endpoint::script resumed_streams() {
+  return [](const auto& request) {
+    const auto last = request.head.fields.number("Last-Event-Id").value_or(0);
+    std::string events;
+    for (int id = static_cast<int>(last) + 1; id <= 3; ++id)
+      events += event_chunk(id);
+    return scripted_reply{stream_head(attempt_of(request)) + events + "0\r\n\r\n", then::keep, ""};
+  };
+}
+
+/// One host with an endpoint that gets the first request and another that is added later.
+struct second_choice {
+  second_choice(const scripted_endpoint::script& first_script,
+                const scripted_endpoint::script& second_script)
+      : first{first_script}, second{second_script} {
+    host.add_endpoint("e1", first.address());
+  }
+
+  [[nodiscard]] std::string answer_to(const std::string& request) {
+    raw_caller caller{host.address()};
+    caller.send(request);
+    while (first.seen().empty())
+      std::this_thread::sleep_for(std::chrono::milliseconds{2});
+    host.add_endpoint("e2", second.address());
+    return caller.read_all(longest_read);
+  }
+
+  scripted_endpoint first;
+  scripted_endpoint second;
+  relay_fixture host;
+};
+
+} // namespace
+
+// Guards against streams that wait for an endpoint that is silent for good.
+TEST_CASE("a stream whose endpoint stays silent goes on at another one") {
+  second_choice fleet{silent_streams(), resumed_streams()};
+  CHECK(has_all_events_once(fleet.answer_to(stream_request("a"))));
+  CHECK(fleet.second.seen().size() == 1);
+  CHECK(fleet.first.saw_caller_leave(time_ms{1000}));
+}
+
+// Guards against events that a caller receives from both endpoints.
+TEST_CASE("a stream that another endpoint has taken up gets no event of the silent one") {
+  second_choice fleet{pausing_streams(), resumed_streams()};
+  CHECK(has_all_events_once(fleet.answer_to(stream_request("a"))));
+  CHECK(fleet.second.seen().size() == 1);
+}
+
+// Guards against streams that are lost because the second endpoint is silent as well.
+TEST_CASE("a stream goes on at its endpoint while another one has yielded nothing") {
+  second_choice fleet{pausing_streams(), replies("", then::hang)};
+  CHECK(has_all_events_once(fleet.answer_to(stream_request("a"))));
+  CHECK(fleet.second.seen().size() == 1);
+  CHECK(fleet.second.saw_caller_leave(time_ms{1000}));
+}
+
+// Guards against streams that are lost because the second endpoint dies.
+TEST_CASE("a stream goes on at its endpoint after another one has broken off") {
+  second_choice fleet{pausing_streams(), replies("", then::reset)};
+  CHECK(has_all_events_once(fleet.answer_to(stream_request("a"))));
+  CHECK(fleet.second.seen().size() == 1);
+}
+
+// Guards against a request that is lost with its silent endpoint while another one runs it.
+TEST_CASE("a request is answered by another endpoint while the silent one breaks off") {
+  second_choice fleet{[](const auto&) {
+                        std::this_thread::sleep_for(std::chrono::milliseconds{800});
+                        return scripted_reply{"", then::reset, ""};
+                      },
+                      [](const auto& request) {
+                        return scripted_reply{"", then::keep,
+                                              whole_answer(attempt_of(request), "second"),
+                                              time_ms{500}};
+                      }};
+  CHECK(fleet.answer_to(request_text("/safe/x", "a")).ends_with("second"));
+  CHECK(fleet.second.seen().size() == 1);
+}
+
+// Guards against answers that wait for an endpoint whose answer is lost.
+TEST_CASE("a request whose endpoint stays silent is answered by another one") {
+  second_choice fleet{replies("", then::hang), answers("second")};
+  CHECK(fleet.answer_to(request_text("/safe/x", "a")).ends_with("second"));
+  CHECK(fleet.first.saw_caller_leave(time_ms{1000}));
+}
+
+// Guards against an error of the second endpoint that takes the place of the first one's answer.
+TEST_CASE("a request whose endpoint falls silent is not answered with the error of another one") {
+  second_choice fleet{
+      late_answers(), [](const auto& request) {
+        return scripted_reply{whole_answer(attempt_of(request), "failed", 500), then::keep, ""};
+      }};
+  CHECK(fleet.answer_to(request_text("/safe/x", "a")).ends_with("late"));
+  CHECK(fleet.second.seen().size() == 1);
+}
+
+// Guards against a second run of what may run only once.
+TEST_CASE("a request that may run once waits for its silent endpoint alone") {
+  second_choice fleet{late_answers(), answers("second")};
+  CHECK(fleet.answer_to(request_text("/unsafe/x", "a", "", "POST", "b")).ends_with("late"));
+  CHECK(fleet.second.seen().empty());
+}
