Endpoints that were silent together go on together

Cause: as endpoints go on after a silence of all, the first that is heard spoke against the others, and their requests were sent on within the same moment; three silent endpoints of hundreds did not count as all. The test of it was at fault too: under load its endpoints, silent for 900 ms from each request's arrival, were not silent together, and they sent events again that the caller had. Change: after all_silent one more look (others_back); three silent endpoints stand for all that a host does not use.

--- a/src/relay/impl/silence_rules.hpp
+++ b/src/relay/impl/silence_rules.hpp
@@ -21,8 +21,9 @@
   time_ms stall_after; ///< silence after which another endpoint is likely to be faster
   time_ms time_left;   ///< until the deadline of the request
   bool may_run_again{};
-  bool retry_left{};   ///< of the service's retry budget
-  std::size_t heard{}; ///< see `service_activity`
+  bool all_were_silent{}; ///< the decision before was `all_silent`
+  bool retry_left{};      ///< of the service's retry budget
+  std::size_t heard{};    ///< see `service_activity`
   std::size_t unused{};
   std::size_t silent{}; ///< without the endpoint of this request
 };
@@ -34,6 +35,7 @@
   runs_once,   ///< wait: the request may not be sent again
   no_time,     ///< wait: its deadline has come
   all_silent,  ///< wait: the other endpoints are as silent
+  others_back, ///< wait: they were, and have just gone on
   no_retry,    ///< wait: the retry budget is used up
   no_endpoint, ///< wait: no other endpoint may take the request
   send_beside,
@@ -46,6 +48,7 @@
                                     {silence_decision::runs_once, "runs_once"},
                                     {silence_decision::no_time, "no_time"},
                                     {silence_decision::all_silent, "all_silent"},
+                                    {silence_decision::others_back, "others_back"},
                                     {silence_decision::no_retry, "no_retry"},
                                     {silence_decision::no_endpoint, "no_endpoint"},
                                     {silence_decision::send_beside, "send_beside"}});
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -221,7 +221,7 @@
                   counter,
                   "sedgechute_silent_endpoints_total",
                   "Decisions on requests whose endpoints were silent for unusually long. decision: "
-                  "runs_once, no_time, all_silent, no_retry, no_endpoint, send_beside.",
+                  "runs_once, no_time, all_silent, others_back, no_retry, no_endpoint, send_beside.",
                   {"decision"},
                   entry},
     metric_family{metric::silent_sends,
--- a/tests/relay/silence_rules_test.cpp
+++ b/tests/relay/silence_rules_test.cpp
@@ -35,8 +35,19 @@
   CHECK(decide([](silent_send& of) { of.heard = 1; }) == silence_decision::send_beside);
 }
 
+// Guards against retries spent as endpoints that were silent together go on one after the other.
+TEST_CASE("a request waits once more when others go on after all were silent") {
+  CHECK(decide([](silent_send& of) { of.all_were_silent = true; }) ==
+        silence_decision::others_back);
+}
+
 // Guards against waiting for one of two dark endpoints beside others that nobody has asked.
 TEST_CASE("few silent endpoints beside more unused ones do not count as all") {
+  CHECK(decide([](silent_send& of) {
+          of.heard = 0;
+          of.unused = 300;
+          of.silent = 3;
+        }) == silence_decision::all_silent);
   CHECK(decide([](silent_send& of) {
           of.heard = 0;
           of.unused = 3;
--- a/tests/relay/silent_endpoint_test.cpp
+++ b/tests/relay/silent_endpoint_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -49,6 +50,15 @@
   return request_text("/stream/", attempt, "Model: m\r\nToken-Usage: 10,20\r\n", "POST", attempt);
 }
 
+/// Endpoints that begin a stream and are then silent until one moment.
+scripted_endpoint::script silent_until(const steady_clock& time, time_ms moment) {
+  return [&time, moment](const auto& request) {
+    return scripted_reply{stream_head(attempt_of(request)) + event_chunk(1), then::keep,
+                          event_chunk(2) + event_chunk(3) + "0\r\n\r\n",
+                          std::max(moment - time.now(), time_ms{1})};
+  };
+}
+
 /// \returns the answer to one request on a new connection
 std::string answer_to(const relay_fixture& host, const std::string& request) {
   raw_caller caller{host.address()};
@@ -138,11 +148,13 @@
 // Endpoints that all fell silent at once got each other's requests, and their answers were lost.
 TEST_CASE("no request is sent twice while all endpoints of its service are silent") {
   constexpr std::size_t endpoints = 4;
+  const steady_clock time;
+  const time_ms moment = time.now() + time_ms{1100};
   std::vector<std::unique_ptr<scripted_endpoint>> silent;
   relay_fixture host;
   std::vector<std::string> requests;
   for (std::size_t i = 0; i < endpoints; ++i) {
-    silent.push_back(std::make_unique<scripted_endpoint>(pausing_streams()));
+    silent.push_back(std::make_unique<scripted_endpoint>(silent_until(time, moment)));
     host.add_endpoint("e" + std::to_string(i), silent.back()->address());
     for (int j = 0; j < 2; ++j)
       requests.push_back(stream_request("a" + std::to_string(i) + std::to_string(j)));
