--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -518,8 +518,9 @@
   case send_outcome::caller_left:
   case send_outcome::host_stopped:
     return; // not a result of the endpoint
-  case send_outcome::not_run:
-    break; // reachable, but full or leaving: no failure
+  case send_outcome::not_run: // reachable, but full or leaving: no failure
+  case send_outcome::stalled: // noted when it was found silent
+    break;
   case send_outcome::answered:
     note_result(of, true, now);
     break;
@@ -530,7 +531,6 @@
     note_result(of, false, now);
     break;
   case send_outcome::own_error:
-  case send_outcome::stalled:
   case send_outcome::timed_out:
     note_result(of, false, now);
     break;
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -205,6 +205,8 @@
   void end_grant(const ended_request& ended);
   /// \brief Takes, as the arbiter of an endpoint, what a host has in flight.
   void renew_grants(std::uint64_t host, endpoint_hash endpoint, const std::vector<grant_id>& open);
+  /// \brief Records that the endpoint has been silent for unusually long; once for each send.
+  void note_stalled(const placement& place);
   /// \returns what this host has heard of the endpoints of a service since a moment
   [[nodiscard]] service_activity activity(const std::string& service, time_ms since) const;
   /// \brief Records that the endpoint is leaving, or that another one now has its address.
--- a/src/relay/impl/endpoint_directory_activity.cpp
+++ b/src/relay/impl/endpoint_directory_activity.cpp
@@ -4,6 +4,12 @@
 
 namespace sedgechute {
 
+void endpoint_directory::note_stalled(const placement& place) {
+  const std::scoped_lock lock{mutex_};
+  if (state* const at = find_current(place.endpoint, place.local_incarnation))
+    note_result(*at, false, time_.now());
+}
+
 service_activity endpoint_directory::activity(const std::string& service, time_ms since) const {
   service_activity found;
   const std::scoped_lock lock{mutex_};
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -74,6 +74,7 @@
     std::size_t number{};      ///< of the send; 0 when the endpoint was not reached
     std::optional<content_run> run{};
     bool prompt_read{false}; ///< the endpoint has begun to answer
+    bool stalled{false};     ///< its endpoint was silent for long while others were not
     bool ended{false};
     std::optional<silence_decision> noted{}; ///< last decision on a silence of its endpoint
   };
--- a/src/relay/impl/request_run_sends.cpp
+++ b/src/relay/impl/request_run_sends.cpp
@@ -222,6 +222,8 @@
   if (decision == silence_decision::send_beside)
     place = place_beside(others, decision);
   note_silence(one, decision, silent_for, others);
+  if (is_fault_of_one(decision) && !std::exchange(one.stalled, true))
+    endpoints.note_stalled(one.place);
   if (place && !send_beside(one, *place))
     return std::nullopt;
   return decision == silence_decision::runs_once ? state.time_left : silence_check_interval();
--- a/src/relay/impl/silence_rules.cpp
+++ b/src/relay/impl/silence_rules.cpp
@@ -41,4 +41,9 @@
   return of.retry_left ? silence_decision::send_beside : silence_decision::no_retry;
 }
 
+bool is_fault_of_one(silence_decision decision) noexcept {
+  return decision == silence_decision::send_beside || decision == silence_decision::no_retry ||
+         decision == silence_decision::no_endpoint;
+}
+
 } // namespace sedgechute
--- a/src/relay/impl/silence_rules.hpp
+++ b/src/relay/impl/silence_rules.hpp
@@ -56,6 +56,9 @@
 
 [[nodiscard]] silence_decision decide_on_silence(const silent_send& of) noexcept;
 
+/// \returns whether the silence speaks against the endpoint, and not against its whole service
+[[nodiscard]] bool is_fault_of_one(silence_decision decision) noexcept;
+
 /// \returns how long ago an endpoint must have sent bytes not to count as silent
 [[nodiscard]] time_ms activity_window(time_ms silent_for) noexcept;
 
