--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -517,7 +517,7 @@
   case send_outcome::superseded:
   case send_outcome::caller_left:
   case send_outcome::host_stopped:
-    return; // not a result of the endpoint
+    return;                   // not a result of the endpoint
   case send_outcome::not_run: // reachable, but full or leaving: no failure
   case send_outcome::stalled: // noted when it was found silent
     break;
