--- a/src/relay/impl/connection.cpp
+++ b/src/relay/impl/connection.cpp
@@ -4,6 +4,7 @@
 
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -50,11 +51,10 @@
 
 bool caller_watch::has_bytes(std::size_t alternative) noexcept {
   int& descriptor = alternatives_[alternative];
-  char byte = 0;
-  const auto got = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR))
+  int bytes = 0; // asked for without a read, which would consume the error of a reset connection
+  if (::ioctl(descriptor, FIONREAD, &bytes) != 0 || bytes == 0)
     descriptor = -1;
-  return got > 0;
+  return bytes > 0;
 }
 
 connection::connection(const Poco::Net::StreamSocket& socket, const clock& time)
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -514,13 +514,13 @@
     if (outcome == send_outcome::unreachable)
       (void)note_refused(of, std::nullopt, now);
     return;
+  case send_outcome::stalled: // noted when it was found silent
   case send_outcome::superseded:
   case send_outcome::caller_left:
   case send_outcome::host_stopped:
-    return;                   // not a result of the endpoint
-  case send_outcome::not_run: // reachable, but full or leaving: no failure
-  case send_outcome::stalled: // noted when it was found silent
-    break;
+    return; // not a result of the endpoint
+  case send_outcome::not_run:
+    break; // reachable, but full or leaving: no failure
   case send_outcome::answered:
     note_result(of, true, now);
     break;
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -216,10 +216,8 @@
   note_prompt_read();
   reusable_ = is_reusable(reply_, link_);
   if (!is_success(reply_.status)) {
-    if (!bounds_.beside) {
-      begin_answer();
-      parts_.answer.keep_body(std::move(bytes));
-    }
+    parts_.answer.take_head(reply_);
+    parts_.answer.keep_body(std::move(bytes));
     return send_outcome::own_error;
   }
   begin_answer();
--- a/src/relay/impl/endpoint_exchange.hpp
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -22,7 +22,6 @@
   std::size_t max_reply_head{};
   std::size_t max_buffered_body{}; ///< of an answer that is not a stream
   bool with_host{false};           ///< the other end is a host that passes on an endpoint's reply
-  bool beside{false};              ///< another exchange of the request waits for a silent endpoint
 };
 
 /// \brief A wait for an endpoint that has sent nothing since `since`.
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -204,7 +204,7 @@
   do {
     if (watch_.has_left())
       return give_up(send_outcome::caller_left);
-    if (!may_have_run_) {
+    if (possible_runs_ == 0) {
       check_content();
       check_time_left(); // earlier refusals and failed connects have taken time
     } else if (relay_.parts_.contents.refusal(admitted_.content, now())) {
@@ -305,11 +305,11 @@
       *link,
       admitted_.on_route->max_attempts};
   in_.preparing.end();
-  may_have_run_ = true;
+  ++possible_runs_;
   const send_outcome end = one.run(forwarded_request(
       in_.head, in_.body, {admitted_.config->version, admitted_.deadline - now()}));
   if (end == send_outcome::not_run) {
-    may_have_run_ = false;
+    --possible_runs_;
     refused_by_host_ = true;
   } else if (end != send_outcome::answered && end != send_outcome::own_error) {
     link->abort();
@@ -320,7 +320,7 @@
 connection_action request_run::end_forwarded(send_outcome end) {
   if (end == send_outcome::answered)
     return note_answered();
-  if (refused_by_host_ && !may_have_run_ && end != send_outcome::caller_left &&
+  if (refused_by_host_ && possible_runs_ == 0 && end != send_outcome::caller_left &&
       end != send_outcome::host_stopped)
     return deliver_error("refused by another host");
   return give_up(end);
@@ -348,7 +348,7 @@
   return {.sends = static_cast<int>(sent_to_.size()),
           .unreachable = unreachable_,
           .max_unreachable = may_forward() ? max_unreachable_before_forward : max_unreachable,
-          .may_have_run = may_have_run_,
+          .may_have_run = possible_runs_ > 0,
           .events = answer_.events().events(),
           .stream_begun = answer_.stream_begun(),
           .caller_failed = answer_.caller_failed(),
@@ -375,6 +375,8 @@
   case final_answer::refusal:
     break;
   }
+  if (error_kept_ && end != send_outcome::host_stopped)
+    return deliver_error("endpoint_error");
   return refuse(*how.refusal);
 }
 
@@ -412,7 +414,7 @@
 }
 
 std::uint64_t request_run::used() const noexcept {
-  return tokens_used(admitted_, reserved_, may_have_run_, answer_.events().events());
+  return tokens_used(admitted_, reserved_, possible_runs_ > 0, answer_.events().events());
 }
 
 void request_run::log_end(int status, std::string_view reason) {
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -76,7 +76,8 @@
     bool prompt_read{false}; ///< the endpoint has begun to answer
     bool stalled{false};     ///< its endpoint was silent for long while others were not
     bool ended{false};
-    std::optional<silence_decision> noted{}; ///< last decision on a silence of its endpoint
+    time_ms silent_since{};                  ///< begin of the last silence of its endpoint
+    std::optional<silence_decision> noted{}; ///< last decision on that silence
   };
 
   /// \returns how the request ended, if another send that was begun meanwhile has concluded it
@@ -88,8 +89,6 @@
   void watch_other_sends();
   /// \brief Ends the sends that wait for silent endpoints, as the last one has yielded something.
   void end_other_sends();
-  /// \returns whether other sends wait for silent endpoints
-  [[nodiscard]] bool is_beside() const noexcept;
   /// \returns the time until it is to be called again; nothing when the request has concluded
   [[nodiscard]] std::optional<time_ms> consider_silence(open_send& one,
                                                         const endpoint_silence& silence);
@@ -140,7 +139,8 @@
   std::vector<open_send*> open_sends_;
   std::optional<send_outcome> concluded_; ///< how a later send ended that took over from others
   int unreachable_{0};
-  bool may_have_run_{false};
+  int possible_runs_{0};           ///< sends that were run, at least in part, or may have been
+  bool error_kept_{false};         ///< the answer holds the error of an endpoint
   bool refused_by_brittle_{false}; ///< no other brittle endpoint is to refuse it as well
   bool refused_by_host_{false};    ///< the answer holds the refusal of another host
   bool last_on_connection_{false}; ///< the caller should connect to another host
--- a/src/relay/impl/request_run_sends.cpp
+++ b/src/relay/impl/request_run_sends.cpp
@@ -13,11 +13,19 @@
 // Brittle endpoints whose arbiters are asked for room, per send.
 constexpr int max_room_asks = 6;
 
+/// \returns the number of incarnations that the request was not sent to
+std::size_t count_others(const std::vector<endpoint_hash>& incarnations,
+                         const std::vector<endpoint_hash>& sent_to) {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(incarnations, [&](endpoint_hash incarnation) {
+        return std::ranges::find(sent_to, incarnation) == sent_to.end();
+      }));
+}
+
 std::string_view went_on(send_outcome second, bool first_ended) noexcept {
   if (first_ended)
     return "second";
-  return second == send_outcome::caller_left || second == send_outcome::host_stopped ? "none"
-                                                                                     : "first";
+  return second == send_outcome::caller_left ? "none" : "first";
 }
 
 } // namespace
@@ -114,12 +122,6 @@
   watch_other_sends();
 }
 
-bool request_run::is_beside() const noexcept {
-  return std::ranges::any_of(open_sends_, [this](const open_send* one) {
-    return one != open_sends_.back() && !one->ended;
-  });
-}
-
 send_outcome request_run::send_to(open_send& one) {
   placement& place = one.place;
   connect_result reached = open_connection(place);
@@ -135,13 +137,12 @@
   sent_to_.push_back(place.endpoint);
   avoid_.push_back(place.incarnation);
   one.number = sent_to_.size();
-  const bool may_have_run_before = may_have_run_;
-  may_have_run_ = true; // until the endpoint replies that it did not run the request
+  ++possible_runs_; // until the endpoint replies that it did not run the request
   in_.preparing.end();
   one.run = content_run{admitted_.content, place.endpoint, place.incarnation, now()};
   const send_outcome end = exchange(one, std::move(reached.link));
   if (end == send_outcome::not_run) {
-    may_have_run_ = may_have_run_before;
+    --possible_runs_;
     note_refused(place);
   }
   return end;
@@ -186,9 +187,7 @@
       {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_,
        one.prompt_read, [&] { note_begun(place); }, [&] { end_other_sends(); },
        [&](const endpoint_silence& silence) { return consider_silence(one, silence); }},
-      {.max_reply_head = options.max_reply_head,
-       .max_buffered_body = options.max_buffered_body,
-       .beside = is_beside()},
+      {.max_reply_head = options.max_reply_head, .max_buffered_body = options.max_buffered_body},
       *link,
       static_cast<int>(sent_to_.size())};
   const send_outcome end = run.run(endpoint_request(
@@ -202,21 +201,22 @@
 
 std::optional<time_ms> request_run::consider_silence(open_send& one,
                                                      const endpoint_silence& silence) {
+  if (std::exchange(one.silent_since, silence.since) != silence.since)
+    one.noted.reset();
   const time_ms silent_for = now() - silence.since;
   endpoint_directory& endpoints = relay_.parts_.endpoints;
   const service_activity others =
       endpoints.activity(admitted_.service, now() - activity_window(silent_for));
-  const silent_send state{
-      .silent_for = silent_for,
-      .stall_after = silence.stall_after,
-      .time_left = admitted_.deadline - now(),
-      .may_run_again = may_run_again(*admitted_.on_route, static_cast<int>(sent_to_.size())),
-      .all_were_silent = one.noted == silence_decision::all_silent,
-      .retry_left = relay_.has_retry(admitted_.service),
-      .heard = others.heard,
-      .unused = others.unused,
-      .silent = others.silent.size() -
-                static_cast<std::size_t>(std::ranges::count(others.silent, one.place.incarnation))};
+  const silent_send state{.silent_for = silent_for,
+                          .stall_after = silence.stall_after,
+                          .time_left = admitted_.deadline - now(),
+                          .may_run_again =
+                              may_run_again(*admitted_.on_route, static_cast<int>(sent_to_.size())),
+                          .all_were_silent = one.noted == silence_decision::all_silent,
+                          .retry_left = relay_.has_retry(admitted_.service),
+                          .heard = others.heard,
+                          .unused = others.unused,
+                          .silent = count_others(others.silent, avoid_)};
   silence_decision decision = decide_on_silence(state);
   std::optional<placement> place;
   if (decision == silence_decision::send_beside)
@@ -233,7 +233,8 @@
 std::optional<placement> request_run::place_beside(const service_activity& others,
                                                    silence_decision& decision) {
   decision = silence_decision::no_endpoint;
-  if (relay_.parts_.contents.refusal(admitted_.content, now()) ||
+  if (!relay_.stop_.taking() || unreachable_ >= progress().max_unreachable ||
+      relay_.parts_.contents.refusal(admitted_.content, now()) ||
       (answer_.stream_begun() && !build_))
     return std::nullopt;
   std::vector<endpoint_hash> avoid = avoid_;
@@ -254,8 +255,8 @@
 bool request_run::send_beside(open_send& one, placement& place) {
   const send_outcome end = send_once(place);
   relay_.parts_.figures.add(metric::silent_sends, {went_on(end, one.ended)});
-  const bool concluded =
-      one.ended || end == send_outcome::caller_left || end == send_outcome::host_stopped;
+  const bool concluded = one.ended || end == send_outcome::caller_left;
+  error_kept_ = error_kept_ || end == send_outcome::own_error;
   if (concluded)
     concluded_ = end;
   return !concluded;
--- a/tests/relay/silent_endpoint_test.cpp
+++ b/tests/relay/silent_endpoint_test.cpp
@@ -220,7 +220,11 @@
 
 // Guards against events that a caller receives from both endpoints.
 TEST_CASE("a stream that another endpoint has taken up gets no event of the silent one") {
-  second_choice fleet{pausing_streams(), resumed_streams()};
+  second_choice fleet{pausing_streams(), [](const auto& request) {
+                        return scripted_reply{stream_head(attempt_of(request)) + event_chunk(2),
+                                              then::keep, event_chunk(3) + "0\r\n\r\n",
+                                              time_ms{700}};
+                      }};
   CHECK(has_all_events_once(fleet.answer_to(stream_request("a"))));
   CHECK(fleet.second.seen().size() == 1);
 }
