A silent endpoint that wakes up with a refusal does not end the second send

Cause: any byte of the silent endpoint ended the second send, also those of a refusal or an error, and the answer was lost with it. Change: the look at a silent connection whose reply has not begun reads the first digit of its status as well.

--- a/src/relay/impl/connection.cpp
+++ b/src/relay/impl/connection.cpp
@@ -28,6 +28,18 @@
 
 } // namespace
 
+namespace {
+
+/// \returns whether the unread bytes begin with a status line that is not a success
+bool begins_with_failure(int descriptor) noexcept {
+  constexpr std::string_view before_status = "HTTP/1.1 ";
+  std::array<char, before_status.size() + 1> begin{};
+  const auto got = ::recv(descriptor, begin.data(), begin.size(), MSG_PEEK | MSG_DONTWAIT);
+  return got == static_cast<ssize_t>(begin.size()) && begin.back() != '2';
+}
+
+} // namespace
+
 short caller_watch::events() const noexcept {
   return sent_ahead_ ? POLLRDHUP : POLLIN | POLLRDHUP;
 }
@@ -49,12 +61,14 @@
   return ::poll(&fd, 1, 0) > 0 && left(fd.revents);
 }
 
-bool caller_watch::has_bytes(std::size_t alternative) noexcept {
-  int& descriptor = alternatives_[alternative];
+bool caller_watch::goes_on(std::size_t alternative) noexcept {
+  int& descriptor = alternatives_[alternative].descriptor;
   int bytes = 0; // asked for without a read, which would consume the error of a reset connection
-  if (::ioctl(descriptor, FIONREAD, &bytes) != 0 || bytes == 0)
-    descriptor = -1;
-  return bytes > 0;
+  const bool readable = ::ioctl(descriptor, FIONREAD, &bytes) == 0 && bytes > 0;
+  if (readable && !(alternatives_[alternative].awaits_head && begins_with_failure(descriptor)))
+    return true;
+  descriptor = -1;
+  return false;
 }
 
 connection::connection(const Poco::Net::StreamSocket& socket, const clock& time)
@@ -93,9 +107,10 @@
     if (watch != nullptr) {
       fds[1] = {watch->descriptor(), watch->events(), 0};
       fds[2] = {watch->interrupt(), POLLIN, 0};
-      std::ranges::transform(watch->alternatives(), fds.begin() + own, [](int descriptor) {
-        return pollfd{descriptor, POLLIN, 0};
-      });
+      std::ranges::transform(watch->alternatives(), fds.begin() + own,
+                             [](const caller_watch::alternative& one) {
+                               return pollfd{one.descriptor, POLLIN, 0};
+                             });
     }
     const int ready = ::poll(fds.data(), fds.size(), static_cast<int>(left.count()));
     if (ready < 0 && errno != EINTR)
@@ -109,7 +124,7 @@
     if (fds[2].revents != 0)
       return io_status::interrupted;
     for (std::size_t i = own; i < fds.size(); ++i)
-      if (fds[i].revents != 0 && watch->has_bytes(i - own))
+      if (fds[i].revents != 0 && watch->goes_on(i - own))
         return io_status::superseded;
     if (fds[0].revents != 0)
       return io_status::ok;
--- a/src/relay/impl/connection.hpp
+++ b/src/relay/impl/connection.hpp
@@ -20,7 +20,7 @@
   reset,       ///< the connection failed
   timed_out,   ///< nothing happened before the deadline
   caller_left, ///< the watched caller closed its connection
-  superseded,  ///< another connection that serves the request has bytes to read
+  superseded,  ///< another connection that serves the request goes on with the answer
   interrupted, ///< the host is stopping
 };
 
@@ -56,17 +56,23 @@
   /// \returns whether the caller has closed its connection; does not wait
   [[nodiscard]] bool has_left() noexcept;
 
-  /// \param descriptors  of the other connections whose bytes end waits
-  void set_alternatives(std::vector<int> descriptors) { alternatives_ = std::move(descriptors); }
-  [[nodiscard]] const std::vector<int>& alternatives() const noexcept { return alternatives_; }
-  /// \brief Ignores from now on an alternative that was closed without more bytes.
-  /// \returns whether it has bytes to read
-  [[nodiscard]] bool has_bytes(std::size_t alternative) noexcept;
+  /// \brief Another connection that serves the request.
+  struct alternative {
+    int descriptor{-1};      ///< -1: ignored
+    bool awaits_head{false}; ///< nothing of the reply has been read
+  };
+  void set_alternatives(std::vector<alternative> all) { alternatives_ = std::move(all); }
+  [[nodiscard]] const std::vector<alternative>& alternatives() const noexcept {
+    return alternatives_;
+  }
+  /// \brief Ignores from now on an alternative that was closed, or whose reply is no success.
+  /// \returns whether it goes on with the answer
+  [[nodiscard]] bool goes_on(std::size_t alternative) noexcept;
 
  private:
   int descriptor_;
   int interrupt_;
-  std::vector<int> alternatives_; ///< -1: closed
+  std::vector<alternative> alternatives_;
   bool sent_ahead_{false};
 };
 
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -155,6 +155,7 @@
   const io_status status = read_final_head();
   if (status != io_status::ok)
     return end_of(status);
+  parts_.progress.head_read = true;
   const reply_terms terms = parts_.dialect.read_reply(reply_);
   if (bounds_.with_host && !terms.whole)
     return take_host_refusal();
@@ -179,7 +180,7 @@
 }
 
 void endpoint_exchange::note_prompt_read() {
-  if (std::exchange(parts_.prompt_read, true))
+  if (std::exchange(parts_.progress.prompt_read, true))
     return;
   parts_.endpoints.note_prompt_read(parts_.place);
 }
--- a/src/relay/impl/endpoint_exchange.hpp
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -30,6 +30,12 @@
   time_ms stall_after; ///< silence after which another endpoint is likely to be faster
 };
 
+/// \brief How far the reply of an endpoint has come.
+struct reply_progress {
+  bool head_read{false};
+  bool prompt_read{false}; ///< the endpoint has begun to answer
+};
+
 /// \brief Sends one request on one connection to an endpoint and passes its reply to the caller.
 class endpoint_exchange {
  public:
@@ -41,7 +47,7 @@
     const placement& place;
     caller_watch& watch;
     caller_answer& answer;
-    bool& prompt_read;                          ///< set once the endpoint has begun to answer
+    reply_progress& progress;
     std::function<void()> before_first_event{}; ///< called before the caller receives it
     /// Called before the caller receives anything of the reply.
     std::function<void()> before_answer{};
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -1,6 +1,5 @@
 #include "relay/impl/request_run.hpp"
 
-#include "relay/impl/endpoint_exchange.hpp"
 #include "relay/impl/forwarded_request.hpp"
 #include "relay/impl/request_content.hpp"
 
@@ -296,9 +295,9 @@
   const relay_options& options = relay_.options_;
   placement place; // its results are ignored, as the directory knows no such endpoint
   place.endpoint = endpoint_id{to.host};
-  bool prompt_read = false;
+  reply_progress progress;
   endpoint_exchange one{
-      {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_, prompt_read},
+      {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_, progress},
       {.max_reply_head = options.max_reply_head,
        .max_buffered_body = options.max_buffered_body,
        .with_host = true},
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -2,6 +2,7 @@
 
 #include "relay/impl/admitted_request.hpp"
 #include "relay/impl/caller_answer.hpp"
+#include "relay/impl/endpoint_exchange.hpp"
 #include "relay/impl/request_accounting.hpp"
 #include "relay/impl/request_relay.hpp"
 #include "relay/impl/send_rules.hpp"
@@ -15,8 +16,6 @@
 
 namespace sedgechute {
 
-struct endpoint_silence;
-
 /// \brief Handles one request: admits it, sends it as often as allowed and writes one answer.
 class request_run {
  public:
@@ -73,8 +72,8 @@
     connection* link{nullptr}; ///< null until it is connected
     std::size_t number{};      ///< of the send; 0 when the endpoint was not reached
     std::optional<content_run> run{};
-    bool prompt_read{false}; ///< the endpoint has begun to answer
-    bool stalled{false};     ///< its endpoint was silent for long while others were not
+    reply_progress progress{};
+    bool stalled{false}; ///< its endpoint was silent for long while others were not
     bool ended{false};
     time_ms silent_since{};                  ///< begin of the last silence of its endpoint
     std::optional<silence_decision> noted{}; ///< last decision on that silence
--- a/src/relay/impl/request_run_sends.cpp
+++ b/src/relay/impl/request_run_sends.cpp
@@ -1,6 +1,5 @@
 #include "relay/impl/request_run.hpp"
 
-#include "relay/impl/endpoint_exchange.hpp"
 #include "relay/impl/silence_rules.hpp"
 
 #include <algorithm>
@@ -98,17 +97,17 @@
     return;
   if (one.run)
     relay_.parts_.contents.note_end(*one.run, end, now());
-  relay_.parts_.endpoints.release(one.place, end, one.prompt_read);
+  relay_.parts_.endpoints.release(one.place, end, one.progress.prompt_read);
   end_grant(one.place, end);
   record_send(records_, admitted_, {one.place, end, one.number, one.began});
 }
 
 // Of the open sends, all but the last wait for endpoints that are silent.
 void request_run::watch_other_sends() {
-  std::vector<int> silent;
+  std::vector<caller_watch::alternative> silent;
   for (const open_send* one : open_sends_)
     if (one != open_sends_.back() && !one->ended)
-      silent.push_back(one->link->descriptor());
+      silent.push_back({one->link->descriptor(), !one->progress.head_read});
   watch_.set_alternatives(std::move(silent));
 }
 
@@ -184,8 +183,8 @@
   const placement& place = one.place;
   one.link = link.get();
   endpoint_exchange run{
-      {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_,
-       one.prompt_read, [&] { note_begun(place); }, [&] { end_other_sends(); },
+      {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_, one.progress,
+       [&] { note_begun(place); }, [&] { end_other_sends(); },
        [&](const endpoint_silence& silence) { return consider_silence(one, silence); }},
       {.max_reply_head = options.max_reply_head, .max_buffered_body = options.max_buffered_body},
       *link,
--- a/tests/relay/silent_endpoint_test.cpp
+++ b/tests/relay/silent_endpoint_test.cpp
@@ -340,6 +340,21 @@
   CHECK_FALSE(ends_in_order(answer));
 }
 
+// Guards against a request that is lost because its silent endpoint wakes up and refuses it.
+TEST_CASE("a request is answered by another endpoint although the silent one refuses it") {
+  second_choice fleet{
+      [](const auto&) {
+        return scripted_reply{"", then::keep,
+                              "HTTP/1.1 503 No\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                              time_ms{800}};
+      },
+      [](const auto& request) {
+        return scripted_reply{"", then::keep, whole_answer(attempt_of(request), "second"),
+                              time_ms{500}};
+      }};
+  CHECK(fleet.answer_to(request_text("/safe/x", "a")).ends_with("second"));
+}
+
 // Guards against a promise that nothing has run, made although the second endpoint may have run
 // the request.
 TEST_CASE("a request that its silent endpoint refuses may have run at the second one") {
