End-to-end tests of what happens while an endpoint is silent

Cases of "Silent endpoints" that had no test: endpoints of another build, limited or full; a configuration that changes time limits, idle limit or service; a listing that lapses; the stop of the host up to its cut; a caller that leaves; a forwarded request; three attempts; a second endpoint that takes over and breaks off; what is open and paid for afterwards.

The tests wait for what the host has decided (its counter of silences) and let endpoints go on by a flag, not by a pause. For this the fixture takes another configuration, serves other hosts and shows its metrics, and a scripted reply may wait for a condition. What both files need is now in pausing_endpoint; the tests that were there are unchanged.

Fails for a fault in the sources of: "a stream at a silent endpoint goes on after its host has ceased to take requests". Between end_taking and the cut a send beside ends as host_stopped, and takes the first send with it.

--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -8,45 +8,45 @@
 
 namespace {
 
-config_ptr test_config(std::uint64_t prepaid) {
+std::vector<std::unique_ptr<account_log>> one_log() {
+  std::vector<std::unique_ptr<account_log>> logs;
+  logs.push_back(std::make_unique<memory_account_log>());
+  return logs;
+}
+
+} // namespace
+
+config_ptr fixture_config(const fixture_terms& of) {
   auto config = std::make_shared<fleet_config>();
-  config->version = 3;
+  config->version = of.version;
   config->keys_required = true;
   config->limits.header_bytes = 4096;
   config->limits.body_bytes = 10000;
   config->limits.header_timeout = time_ms{300};
-  config->limits.idle_timeout = time_ms{700};
-  const auto add = [&](const std::string& prefix, request_kind kind, int attempts, bool resumable) {
+  config->limits.idle_timeout = of.idle_timeout;
+  const auto add = [&](const std::string& prefix, request_kind kind, bool resumable) {
     route made;
     made.name = prefix;
     made.host = "f.example";
     made.prefix = "/" + prefix + "/";
     made.kind = kind;
-    made.timeout = time_ms{2000};
+    made.timeout = of.timeout;
     made.latency_target = time_ms{150};
     made.longest_pause = time_ms{50};
-    made.max_attempts = attempts;
+    made.max_attempts = of.attempts;
     made.resumable = resumable;
-    made.services = {{"s", 1}};
+    made.services = {{of.service, 1}};
     config->add_route(made);
   };
-  add("safe", request_kind::safe, 2, false);
-  add("unsafe", request_kind::unsafe, 2, false);
-  add("stream", request_kind::stream, 2, true);
-  add("once", request_kind::stream, 2, false);
-  config->add_service({"s", 100, 8, 100000, 5});
-  config->add_team({team_id{"team-a"}, std::nullopt, prepaid}, {"key-a"});
+  add("safe", request_kind::safe, false);
+  add("unsafe", request_kind::unsafe, false);
+  add("stream", request_kind::stream, true);
+  add("once", request_kind::stream, false);
+  config->add_service({of.service, 100, 8, 100000, 5});
+  config->add_team({team_id{"team-a"}, std::nullopt, of.prepaid}, {"key-a"});
   return config;
 }
 
-std::vector<std::unique_ptr<account_log>> one_log() {
-  std::vector<std::unique_ptr<account_log>> logs;
-  logs.push_back(std::make_unique<memory_account_log>());
-  return logs;
-}
-
-} // namespace
-
 raw_caller::raw_caller(const std::string& address)
     : link_{connect_to(address, time_ms{1000}, time_).link} {}
 
@@ -67,8 +67,8 @@
     : log_{{.host = "relay-test", .file = "/dev/null"}}, figures_{"relay-test"},
       endpoints_{data_centre_id{"dc"}, choice_weights{}, time_}, contents_{content_guard_options{},
                                                                            log_},
-      config_{config ? std::move(config) : test_config(prepaid)}, socket_{Poco::Net::SocketAddress{
-                                                                      "127.0.0.1", 0}} {
+      config_{config ? std::move(config) : fixture_config({.prepaid = prepaid})},
+      socket_{Poco::Net::SocketAddress{"127.0.0.1", 0}} {
   endpoints_.on_loss([this](const endpoint_id& endpoint, endpoint_hash life, loss_source source) {
     contents_.note_lost(endpoint, life, source, time_.now());
   });
@@ -88,7 +88,7 @@
                            time_,
                            log_,
                            figures_,
-                           [this] { return config_; },
+                           [this] { return in_force(); },
                            [] { return std::size_t{1}; },
                            {.sheds = [this] { return busy_.load(); }},
                            {},
@@ -104,10 +104,35 @@
                                 },
                             .refresh_endpoints = [] { return true; }}},
       options);
-  frontend_ = std::make_unique<http_frontend>(
-      *relay_, dialect_, [this] { return config_->limits; }, http_frontend_options{}, socket_,
-      time_, log_);
-  frontend_->start();
+  frontend_ = make_frontend(socket_, false);
+}
+
+std::unique_ptr<http_frontend> relay_fixture::make_frontend(const Poco::Net::ServerSocket& socket,
+                                                            bool from_hosts) {
+  http_frontend_options options;
+  options.from_hosts = from_hosts;
+  auto made = std::make_unique<http_frontend>(
+      *relay_, dialect_, [this] { return in_force()->limits; }, options, socket, time_, log_);
+  made->start();
+  return made;
+}
+
+std::string relay_fixture::address_for_hosts() {
+  if (!host_frontend_) {
+    host_socket_ = Poco::Net::ServerSocket{Poco::Net::SocketAddress{"127.0.0.1", 0}};
+    host_frontend_ = make_frontend(host_socket_, true);
+  }
+  return host_socket_.address().toString();
+}
+
+void relay_fixture::set_config(config_ptr config) {
+  const std::scoped_lock lock{config_mutex_};
+  config_ = std::move(config);
+}
+
+config_ptr relay_fixture::in_force() const {
+  const std::scoped_lock lock{config_mutex_};
+  return config_;
 }
 
 void relay_fixture::add_endpoint(const std::string& id, const std::string& address,
@@ -132,10 +157,11 @@
 
 std::string request_text(const std::string& path, const std::string& attempt,
                          const std::string& more_fields, const std::string& method,
-                         const std::string& body) {
-  std::string text = method + " " + path +
-                     " HTTP/1.1\r\nHost: f.example\r\nAttempt-Id: " + attempt +
-                     "\r\nAuthorization: Token key-a\r\nDeadline-Ms: 1500\r\n" + more_fields;
+                         const std::string& body, time_ms deadline) {
+  std::string text =
+      method + " " + path + " HTTP/1.1\r\nHost: f.example\r\nAttempt-Id: " + attempt +
+      "\r\nAuthorization: Token key-a\r\nDeadline-Ms: " + std::to_string(deadline.count()) +
+      "\r\n" + more_fields;
   if (!body.empty())
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   return text + "\r\n" + body;
--- a/tests/relay/relay_fixture.hpp
+++ b/tests/relay/relay_fixture.hpp
@@ -56,6 +56,17 @@
   io_status last_{io_status::ok};
 };
 
+/// \brief Terms of a configuration with one service and a route of each kind.
+struct fixture_terms {
+  std::uint64_t prepaid{1000000}; ///< tokens of the only team
+  std::uint64_t version{3};
+  int attempts{2};
+  time_ms timeout{2000};
+  time_ms idle_timeout{700};
+  std::string service{"s"};
+};
+[[nodiscard]] config_ptr fixture_config(const fixture_terms& of);
+
 /// \brief One host with its HTTP frontend and the endpoints that a test adds.
 class relay_fixture {
  public:
@@ -74,11 +85,16 @@
                                  const std::string& more_fields = "",
                                  const std::string& method = "GET", const std::string& body = "");
   [[nodiscard]] std::string address() const { return socket_.address().toString(); }
+  /// \returns the address at which other hosts forward requests; opens it at the first call
+  [[nodiscard]] std::string address_for_hosts();
   [[nodiscard]] endpoint_directory& endpoints() noexcept { return endpoints_; }
   [[nodiscard]] content_guard& contents() noexcept { return contents_; }
   [[nodiscard]] budget_manager& budgets() noexcept { return *budgets_; }
   [[nodiscard]] http_frontend& frontend() noexcept { return *frontend_; }
   [[nodiscard]] request_relay& relay() noexcept { return *relay_; }
+  [[nodiscard]] metrics& figures() noexcept { return figures_; }
+  /// \brief Puts another configuration in force.
+  void set_config(config_ptr config);
   /// \brief Lets the relay refuse new requests as on a host with an overloaded processor.
   void set_busy(bool busy) noexcept { busy_ = busy; }
   /// \brief Waits until `requests` requests are being served.
@@ -86,6 +102,10 @@
   [[nodiscard]] bool has_open(std::size_t requests) const;
 
  private:
+  [[nodiscard]] config_ptr in_force() const;
+  [[nodiscard]] std::unique_ptr<http_frontend> make_frontend(const Poco::Net::ServerSocket& socket,
+                                                             bool from_hosts);
+
   steady_clock time_;
   structured_log log_;
   metrics figures_;
@@ -95,6 +115,7 @@
   content_guard contents_;
   std::mutex builds_mutex_;
   stream_build_table builds_;
+  mutable std::mutex config_mutex_;
   config_ptr config_;
   std::atomic<bool> busy_{false};
   boot_clock since_start_;
@@ -103,13 +124,16 @@
   std::unique_ptr<request_relay> relay_;
   Poco::Net::ServerSocket socket_;
   std::unique_ptr<http_frontend> frontend_;
+  Poco::Net::ServerSocket host_socket_;
+  std::unique_ptr<http_frontend> host_frontend_;
 };
 
 /// \returns the bytes of a request with the key of the only team
 [[nodiscard]] std::string request_text(const std::string& path, const std::string& attempt,
                                        const std::string& more_fields = "",
                                        const std::string& method = "GET",
-                                       const std::string& body = "");
+                                       const std::string& body = "",
+                                       time_ms deadline = time_ms{1500});
 
 /// \returns the status of an answer; 0 when it has no valid header
 [[nodiscard]] int status_of(const std::string& answer);
--- a/tests/relay/scripted_endpoint.cpp
+++ b/tests/relay/scripted_endpoint.cpp
@@ -81,8 +81,12 @@
   }
   const scripted_reply reply = answer_(request);
   (void)link.write_all(reply.bytes, time_.now() + longest_idle);
-  if (!reply.later.empty()) {
+  if (reply.may_go_on)
+    while (!reply.may_go_on() && !stopping_)
+      std::this_thread::sleep_for(std::chrono::milliseconds{2});
+  else if (!reply.later.empty())
     std::this_thread::sleep_for(std::chrono::milliseconds{reply.pause.count()});
+  if (!reply.later.empty()) {
     (void)link.write_all(reply.later, time_.now() + longest_idle);
   }
   if (reply.after == scripted_reply::then::hang) {
--- a/tests/relay/scripted_endpoint.hpp
+++ b/tests/relay/scripted_endpoint.hpp
@@ -20,6 +20,7 @@
   enum class then { keep, close, reset, hang, crash, leave } after{then::keep};
   std::string later; ///< sent after `pause`, before the action in `after`
   time_ms pause{60};
+  std::function<bool()> may_go_on{}; ///< replaces `pause`: waits until it returns true
 };
 
 /// \brief An endpoint on loopback with replies from a test's script. A new object at the same
--- a/tests/relay/silent_endpoint_test.cpp
+++ b/tests/relay/silent_endpoint_test.cpp
@@ -1,5 +1,6 @@
 // End-to-end tests with endpoints that fall silent in the middle of an answer and then go on.
 
+#include "pausing_endpoint.hpp"
 #include "relay_fixture.hpp"
 
 #include <doctest/doctest.h>
@@ -46,10 +47,6 @@
   return options;
 }
 
-std::string stream_request(const std::string& attempt) {
-  return request_text("/stream/", attempt, "Model: m\r\nToken-Usage: 10,20\r\n", "POST", attempt);
-}
-
 /// Endpoints that begin a stream and are then silent until one moment.
 scripted_endpoint::script silent_until(const steady_clock& time, time_ms moment) {
   return [&time, moment](const auto& request) {
@@ -81,18 +78,6 @@
   return answers;
 }
 
-bool has_all_events_once(const std::string& answer) {
-  std::size_t last = 0;
-  for (int id = 1; id <= 3; ++id) {
-    const std::string event = "id: " + std::to_string(id) + "\n";
-    const std::size_t at = answer.find(event);
-    if (at == std::string::npos || at < last || answer.find(event, at + 1) != std::string::npos)
-      return false;
-    last = at;
-  }
-  return ends_in_order(answer);
-}
-
 } // namespace
 
 // A stream was cut after a second of silence although no retry was left to take it up elsewhere.
@@ -169,23 +154,6 @@
 
 namespace {
 
-scripted_endpoint::script silent_streams() {
-  return [](const auto& request) {
-    return scripted_reply{stream_head(attempt_of(request)) + event_chunk(1), then::hang, ""};
-  };
-}
-
-/// Endpoints that go on with a stream behind its last event.
-scripted_endpoint::script resumed_streams() {
-  return [](const auto& request) {
-    const auto last = request.head.fields.number("Last-Event-Id").value_or(0);
-    std::string events;
-    for (int id = static_cast<int>(last) + 1; id <= 3; ++id)
-      events += event_chunk(id);
-    return scripted_reply{stream_head(attempt_of(request)) + events + "0\r\n\r\n", then::keep, ""};
-  };
-}
-
 /// One host with an endpoint that gets the first request and another that is added later.
 struct second_choice {
   second_choice(const scripted_endpoint::script& first_script,
