The soak sees answers that are given up at silent endpoints

Cause: endpoints of the soak paused for at most 400 ms in a stream, which is less than the wait after which a send was ended for its endpoint's silence.

Change: - Streams pause for up to 1,500 ms. How long a request holds a place at a brittle endpoint keeps its own constant (400 ms). Callers' patience (2,500 ms), the route's time-out (2,000 ms) and all bounds stay: a pause fits into them. An answer that a pause and a silence together make longer than the time-out may end then. With planned work streams pause for up to 500 ms, as there every answer must be whole. - Processes of endpoints end on a thread of their own: a longer pause would have held up the thread that begins disruptions and notes harm. - Family `silence`, drawn after the others: the endpoints of a service, six in ten of them or one send nothing for 1 to 2 s (planned: 1.0 to 1.1 s) and go on; in half of the cases a configuration or several are published at that moment. The links hold the answers up and count as sound. - Promise `silence`: a request in touch that ran at endpoints that were sound until the answer ended has a whole answer, unless its caller left, or the time-out or the caller's patience came. Up to `few` are passed over. Endpoints that are harmed while a request runs are noted for it.

--- a/bench/soak/fault_proxy.cpp
+++ b/bench/soak/fault_proxy.cpp
@@ -141,9 +141,10 @@
     if (now.silences != before.silences)
       return hold_up(from, to, ip, before.resets);
     const link_fault fault = fault_;
+    const bool answers = answers_pass(fault) && !holds_answers_;
     // A negative descriptor is passed over.
     std::array<pollfd, 2> fds{{{requests_pass(fault) ? from.impl()->sockfd() : -1, POLLIN, 0},
-                               {answers_pass(fault) ? to.impl()->sockfd() : -1, POLLIN, 0}}};
+                               {answers ? to.impl()->sockfd() : -1, POLLIN, 0}}};
     if (::poll(fds.data(), fds.size(), look_ms) <= 0)
       continue;
     if (fault == link_fault::delay)
--- a/bench/soak/fault_proxy.hpp
+++ b/bench/soak/fault_proxy.hpp
@@ -37,6 +37,9 @@
   [[nodiscard]] bool harmed() const noexcept {
     return fault_ != link_fault::none || holding_up_ > 0;
   }
+  /// \brief Holds up what the server sends, as where the server itself sends nothing for a while;
+  /// no harm of the link.
+  void hold_answers(bool holds) noexcept { holds_answers_ = holds; }
   /// \brief Refuses new connections, as where no process listens, or accepts them again.
   void refuse(bool refuses) noexcept { refuses_ = refuses; }
   /// \brief Resets every open connection.
@@ -82,6 +85,7 @@
   Poco::Net::ServerSocket socket_; ///< used by the acceptor alone
   std::string address_;
   std::atomic<link_fault> fault_{link_fault::none};
+  std::atomic<bool> holds_answers_{false};
   std::atomic<bool> refuses_{false};
   std::atomic<int> resets_{0};
   std::atomic<int> silences_{0};
--- a/bench/soak/observations.cpp
+++ b/bench/soak/observations.cpp
@@ -74,6 +74,11 @@
   seen_.brittle_falls.push_back(std::move(seen));
 }
 
+void recorder::note(endpoint_harm seen) {
+  const std::scoped_lock lock{mutex_};
+  seen_.endpoint_harms.push_back(std::move(seen));
+}
+
 void recorder::disturbed(std::size_t host, time_ms now) {
   const std::scoped_lock lock{mutex_};
   if (seen_.host_disturbed.size() <= host)
--- a/bench/soak/observations.hpp
+++ b/bench/soak/observations.hpp
@@ -127,6 +127,12 @@
   time_ms at;
 };
 
+/// \brief An endpoint or its link is harmed, or what harmed it changes: runs may end with it.
+struct endpoint_harm {
+  std::string endpoint; ///< id
+  time_ms at;
+};
+
 /// \brief The end of a brittle endpoint that had to refuse too many requests.
 struct brittle_fall {
   std::string endpoint;
@@ -152,6 +158,7 @@
   std::vector<readiness> ready;
   std::vector<disruption> disruptions;
   std::vector<brittle_fall> brittle_falls;
+  std::vector<endpoint_harm> endpoint_harms;
   std::vector<std::vector<time_ms>> host_disturbed; ///< by host: moments, ascending
   std::vector<time_ms> store_disturbed;             ///< moments, ascending
   std::vector<path_change> path_changes;            ///< in the order of time
@@ -172,6 +179,7 @@
   void note(readiness seen);
   void note(disruption seen);
   void note(brittle_fall seen);
+  void note(endpoint_harm seen);
   /// \brief A host's process or links are harmed now. Lasting harm is noted again and again.
   void disturbed(std::size_t host, time_ms now);
   void store_disturbed(time_ms now);
--- a/bench/soak/promises.cpp
+++ b/bench/soak/promises.cpp
@@ -17,7 +17,7 @@
       promise{"draining", check_draining}, promise{"stops", check_stops},
       promise{"crashes", check_crashes},   promise{"limits", check_limits},
       promise{"brittle", check_brittle},   promise{"cut_off", check_cut_off},
-      promise{"builds", check_builds}};
+      promise{"builds", check_builds},     promise{"silence", check_silence}};
   return all;
 }
 
--- a/bench/soak/promises.hpp
+++ b/bench/soak/promises.hpp
@@ -90,6 +90,9 @@
 // planned work, no request is lost at all.
 [[nodiscard]] std::vector<std::string> check_lost(const observations& seen,
                                                   const promised_bounds& bounds);
+// An answer that sound endpoints have begun does not end before its time because they are silent.
+[[nodiscard]] std::vector<std::string> check_silence(const observations& seen,
+                                                     const promised_bounds& bounds);
 // No team uses more than it has paid for, at any step.
 [[nodiscard]] std::vector<std::string> check_budgets(const observations& seen,
                                                      const promised_bounds& bounds);
--- a/bench/soak/request_promises.cpp
+++ b/bench/soak/request_promises.cpp
@@ -189,4 +189,58 @@
   return planned;
 }
 
+namespace {
+
+/// \returns whether a host may have lost paths to endpoints within the span, or in the time before
+/// it that bounds need
+bool may_lack_paths(const observations& seen, const promised_bounds& bounds, std::size_t host,
+                    time_ms from, time_ms until) {
+  bool lost = false;
+  for (const path_change& one : seen.path_changes) {
+    if (one.host != host || one.at > until)
+      continue;
+    if (one.at >= from - bounds.stable)
+      return true;
+    lost = one.lost;
+  }
+  return lost;
+}
+
+/// \returns whether every endpoint that ran the request was sound until its answer ended
+bool ran_soundly(const observations& seen, const std::vector<const arrival*>& arrivals,
+                 time_ms until) {
+  const auto harmed = [&](const arrival& run) {
+    return std::ranges::any_of(seen.endpoint_harms, [&](const endpoint_harm& one) {
+      return one.endpoint == run.endpoint && one.at >= run.at && one.at <= until;
+    });
+  };
+  return std::ranges::all_of(arrivals, [&](const arrival* one) {
+    return !one->ran || (one->sound && one->status == 200 && !harmed(*one));
+  });
+}
+
+} // namespace
+
+// Endpoints that are silent are sound: they go on, so only the time-out of the route or the end of
+// the caller's patience may end the wait for them.
+std::vector<std::string> check_silence(const observations& seen, const promised_bounds& bounds) {
+  const observation_index index{seen};
+  std::vector<std::string> found;
+  for (const outcome& got : seen.outcomes) {
+    const sent_request* const sent = index.sent(got.attempt);
+    const bool answered = succeeded(got.status) && got.whole;
+    const bool counts_as_lost = got.status == 0 && got.kept;
+    if (sent == nullptr || got.left || answered || counts_as_lost || !index.ran(got.attempt))
+      continue;
+    const time_ms span = got.at - sent->at;
+    if (span < std::min(sent->patience, bounds.route_timeout) &&
+        in_touch(seen, bounds, sent->host, sent->at, got.at) &&
+        !may_lack_paths(seen, bounds, sent->host, sent->at, got.at) &&
+        ran_soundly(seen, index.arrivals(got.attempt), got.at))
+      found.push_back(got.attempt + " ran at sound endpoints and ended after " + ms(span) +
+                      " with status " + std::to_string(got.status));
+  }
+  return if_many(std::move(found), bounds);
+}
+
 } // namespace sedgechute::soak
--- a/bench/soak/soak_endpoints.cpp
+++ b/bench/soak/soak_endpoints.cpp
@@ -14,8 +14,11 @@
 
 using then = scripted_reply::then;
 
-constexpr int first_events = 3;                 // sent before the pause
-constexpr std::uint64_t longest_pause_ms = 400; // in a stream; a longer one looks like a stall
+constexpr int first_events = 3;                  // sent before the pause
+constexpr std::uint64_t longest_pause_ms = 1500; // in a stream
+// With planned work every answer ends whole: a pause and a silence fit into the route's time-out.
+constexpr std::uint64_t longest_planned_pause_ms = 500;
+constexpr std::uint64_t longest_hold_ms = 400; // of a request's place at an endpoint
 constexpr time_ms first_start{1'790'000'000'000};
 constexpr std::uint64_t longest_restart_ms = 300;
 constexpr std::int64_t lease_ms = 3500; // the list drops a silent endpoint after so long
@@ -188,7 +191,14 @@
 
 void soak_endpoints::harm(endpoint& of) {
   constexpr std::int64_t shows_ms = 3000; // as long as a request can take
-  of.harmed_until = time_.now().count() + shows_ms;
+  const time_ms now = time_.now();
+  of.harmed_until = now.count() + shows_ms;
+  seen_.note(endpoint_harm{of.id, now});
+}
+
+// The program sends what it has begun before it ends.
+void soak_endpoints::end(endpoint& of) {
+  ending_.emplace_back([program = std::move(of.program)]() mutable { program.reset(); });
 }
 
 void soak_endpoints::crash(endpoint& of) {
@@ -196,7 +206,7 @@
   of.leaving = true; // also keeps planned work from it
   of.link->refuse(true);
   of.link->reset_connections();
-  of.program.reset();
+  end(of);
   const time_ms back =
       time_.now() +
       time_ms{static_cast<std::int64_t>(shortest_down_ms + random_.below(longest_down_ms))};
@@ -244,7 +254,7 @@
   harm(of);
   tell(of, "crashes");
   of.link->reset_connections();
-  of.program.reset();
+  end(of);
   const std::uint64_t down = random_.below(2) == 0 ? random_.below(longest_restart_ms) : 0;
   const bool listed = random_.below(3) != 0;
   later_.add(time_.now() + time_ms{static_cast<std::int64_t>(down)}, [this, &of, listed] {
@@ -265,14 +275,14 @@
     list(of, true);
   else
     unlist(of); // it says nothing, and serves for as long
-  const time_ms end =
+  const time_ms gone =
       time_.now() +
       time_ms{drain_ms + static_cast<std::int64_t>(500 + random_.below(longest_rest_ms))};
-  later_.add(end, [this, &of] {
+  later_.add(gone, [this, &of] {
     unlist(of);
-    of.program.reset();
+    end(of);
   });
-  later_.add(end + time_ms{reuse_after_ms}, [this, &of] {
+  later_.add(gone + time_ms{reuse_after_ms}, [this, &of] {
     of.leaving = false;
     become(of, service_for_new());
   });
@@ -322,6 +332,35 @@
   tell(of, "does " + std::to_string(static_cast<int>(of.does.load())));
 }
 
+// With a rest after each silence, in which requests are answered.
+void soak_endpoints::fall_silent() {
+  const bool planned = shape_.kind == soak_kind::planned_work;
+  constexpr std::int64_t shortest_ms = 1000;
+  const std::uint64_t longer_ms = planned ? 100 : 1000;
+  const std::int64_t shortest_rest_ms = planned ? 2000 : 500; // planned: one for each request
+  constexpr std::uint64_t longer_rest_ms = 1000;
+  constexpr std::uint64_t most_of_ten = 6;
+  if (time_.now() < next_silence_)
+    return;
+  const endpoint& first = any();
+  const std::uint64_t how = random_.below(3);
+  const time_ms end =
+      time_.now() + time_ms{shortest_ms + static_cast<std::int64_t>(random_.below(longer_ms))};
+  for (auto& one : all_) {
+    const bool chosen = how == 0 || (how == 1 && random_.below(10) < most_of_ten);
+    if (one.get() != &first && (!chosen || one->service != first.service))
+      continue;
+    tell(*one, "is silent for " + std::to_string((end - time_.now()).count()) + " ms");
+    one->link->hold_answers(true);
+    later_.add(end, [this, &of = *one] {
+      tell(of, "goes on");
+      of.link->hold_answers(false);
+    });
+  }
+  next_silence_ =
+      end + time_ms{shortest_rest_ms + static_cast<std::int64_t>(random_.below(longer_rest_ms))};
+}
+
 void soak_endpoints::limit_one() {
   constexpr std::int64_t shortest_ms = 5000;
   constexpr std::uint64_t longer_ms = 5000;
@@ -390,7 +429,7 @@
   const bool shrunk = brittle && now - brittle_from_ >= shrinks_after_ms;
   std::erase_if(on.busy_until, [&](std::int64_t until) { return until <= now; });
   if (!brittle || on.busy_until.size() < brittle_slots + (shrunk ? 0 : waiting)) {
-    const auto held_ms = static_cast<std::int64_t>(stable_hash(seen.attempt) % longest_pause_ms);
+    const auto held_ms = static_cast<std::int64_t>(stable_hash(seen.attempt) % longest_hold_ms);
     on.busy_until.push_back(now + held_ms);
     return room_check::taken;
   }
@@ -470,9 +509,10 @@
     one->limit = 0;
     one->names_nonsense = false;
     one->link->set(link_fault::none);
+    one->link->hold_answers(false);
     one->leaving = false;
     if (one->program && one->program->crashed())
-      one->program.reset();
+      end(*one);
     if (!one->program) {
       unlist(*one);
       become(*one, service_for_new());
@@ -497,6 +537,8 @@
   }
   seen.mark = "m" + std::to_string(++marks_);
   scripted_reply answer = reply(on, request, seen);
+  if (answer.after == then::crash)
+    seen_.note(endpoint_harm{on.id, seen.at});
   answer.bytes = marked(std::move(answer.bytes), seen.mark);
   if (seen.limit > 0)
     answer.bytes = with_limit(std::move(answer.bytes), std::to_string(seen.limit));
@@ -546,13 +588,15 @@
     return {answer + (does == mood::overflows ? answer : ""), then::keep, ""};
   }
   const int begin = static_cast<int>(request.head.fields.number("Last-Event-Id").value_or(0)) + 1;
+  const std::uint64_t longest =
+      shape_.kind == soak_kind::planned_work ? longest_planned_pause_ms : longest_pause_ms;
   const int pause = std::min(begin + first_events, events_of_a_stream);
   const std::string first = stream_head(attempt) + event_chunks(attempt, begin, pause, on.build);
   if (does == mood::overflows)
     return {first + "20\r\nid: 9", then::reset, ""};
   return {first, then::keep,
           event_chunks(attempt, pause + 1, events_of_a_stream, on.build) + "0\r\n\r\n",
-          time_ms{static_cast<std::int64_t>(stable_hash(attempt) % longest_pause_ms)}};
+          time_ms{static_cast<std::int64_t>(stable_hash(attempt) % longest)}};
 }
 
 } // namespace sedgechute::soak
--- a/bench/soak/soak_endpoints.hpp
+++ b/bench/soak/soak_endpoints.hpp
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace sedgechute::soak {
@@ -39,6 +40,9 @@
   void spoil_entry();
   /// \brief One answers wrongly from now on, or rightly again.
   void misbehave_one();
+  /// \brief The endpoints of one service, most of them or one endpoint send nothing for a second or
+  /// two, and go on. They take connections and requests all the while.
+  void fall_silent();
   /// \brief One names a limit for some time, or what is no limit.
   void limit_one();
   /// \brief The endpoints of one service say that they are brittle, for some time, and then hold
@@ -102,6 +106,8 @@
   void unlist(endpoint& of);
   void note_leaving(endpoint& of, bool leaves);
   void harm(endpoint& of);
+  /// \brief Ends the process of an endpoint without waiting for what it still sends.
+  void end(endpoint& of);
   void tell(const endpoint& of, const std::string& what);
 
   [[nodiscard]] scripted_reply take(endpoint& on, const scripted_endpoint::seen_request& request);
@@ -116,6 +122,7 @@
   random_source random_;
   int named_{0};
   std::atomic<std::uint64_t> marks_{0};
+  time_ms next_silence_{};
   bool mixed_{false}; ///< there are endpoints of several builds
   std::array<std::atomic<int>, 2> serving_{};
   std::mutex brittle_mutex_;
@@ -125,6 +132,7 @@
   std::size_t brittle_endpoints_{}; ///< as it began
   bool brittle_ends_{false};        ///< an end is planned
   std::vector<std::unique_ptr<endpoint>> all_;
+  std::vector<std::jthread> ending_; ///< wait for processes that end
 };
 
 } // namespace sedgechute::soak
--- a/bench/soak/soak_world.cpp
+++ b/bench/soak/soak_world.cpp
@@ -61,9 +61,10 @@
 
 const std::vector<soak_world::family>& soak_world::added_fault_families() {
   static const std::vector<family> all{
-      {"poison", &soak_world::send_poison},    {"endpoint_outage", &soak_world::crash_endpoints},
-      {"limits", &soak_world::limit_endpoint}, {"brittle", &soak_world::make_brittle},
-      {"cut_off", &soak_world::cut_off},       {"builds", &soak_world::mix_builds}};
+      {"poison", &soak_world::send_poison},       {"endpoint_outage", &soak_world::crash_endpoints},
+      {"limits", &soak_world::limit_endpoint},    {"brittle", &soak_world::make_brittle},
+      {"cut_off", &soak_world::cut_off},          {"builds", &soak_world::mix_builds},
+      {"silence", &soak_world::silence_endpoints}};
   return all;
 }
 
@@ -77,7 +78,8 @@
                                        {"endpoint_wavers", &soak_world::waver_endpoint},
                                        {"store_forgets", &soak_world::forget_history},
                                        {"pay", &soak_world::pay},
-                                       {"storm", &soak_world::storm}};
+                                       {"storm", &soak_world::storm},
+                                       {"silence", &soak_world::silence_endpoints}};
   return all;
 }
 
@@ -352,15 +354,32 @@
     endpoints_->crash_many();
 }
 
+// Else most streams are refused.
+void soak_world::pay_for_streams() {
+  if (!std::exchange(streams_paid_, true))
+    operator_->publish_paid_but_first(plenty_tokens);
+}
+
 void soak_world::mix_builds() {
-  if (!builds_mixed_)
-    operator_->publish_paid_but_first(plenty_tokens); // else most streams are refused
-  builds_mixed_ = true;
+  pay_for_streams();
   callers_->take_up_streams();
   endpoints_->mix_builds();
   hosts_->reset_callers_link();
 }
 
+void soak_world::silence_endpoints() {
+  pay_for_streams();
+  endpoints_->fall_silent();
+  switch (random_.below(4)) {
+  case 0:
+    return storm();
+  case 1:
+    return operator_->publish();
+  default:
+    return;
+  }
+}
+
 void soak_world::limit_endpoint() {
   endpoints_->limit_one();
 }
--- a/bench/soak/soak_world.hpp
+++ b/bench/soak/soak_world.hpp
@@ -81,6 +81,8 @@
   void send_poison();
   void crash_endpoints();
   void limit_endpoint();
+  void silence_endpoints();
+  void pay_for_streams();
   void make_brittle();
   void mix_builds();
   void pay();
@@ -94,7 +96,7 @@
   standin::topic_store store_;
   std::vector<family> families_;
   std::uint64_t poisons_{0}; ///< contents that crash endpoints, so far
-  bool builds_mixed_{false};
+  bool streams_paid_{false};
   int store_faults_{0};  ///< that last
   std::uint64_t pace_{}; ///< by which pauses between disruptions are longer than the shortest
   time_ms next_disruption_;
--- a/tests/soak/promises_test.cpp
+++ b/tests/soak/promises_test.cpp
@@ -486,6 +486,78 @@
   CHECK(run.broken().empty());
 }
 
+// Guards against answers that are given up because their endpoint is silent for a while.
+TEST_CASE("answers of sound endpoints that end before their time are found") {
+  const auto ended = [](call_kind kind, int status, bool whole, time_ms after) {
+    recorded run;
+    for (int i = 0; i < 4; ++i) {
+      run.sent(name("a", i), kind);
+      run.ran(name("a", i));
+      outcome& got = run.got(name("a", i), status, after);
+      got.whole = whole;
+      got.right = whole && status == 200;
+      got.mark = status == 200 ? got.mark : "";
+    }
+    return run;
+  };
+  constexpr time_ms early{1999};
+  CHECK(ended(call_kind::stream, 200, false, early).breaks() == 4);
+  CHECK(ended(call_kind::once, 200, false, early).breaks() == 4);
+  CHECK(ended(call_kind::safe, 502, true, early).breaks() == 4);
+  CHECK(ended(call_kind::unsafe, 504, true, early).breaks() == 4);
+  CHECK(ended(call_kind::stream, 0, false, early).breaks() == 4);
+  CHECK(ended(call_kind::stream, 200, true, early).broken().empty());
+  CHECK(ended(call_kind::stream, 200, false, time_ms{2000}).broken().empty());
+
+  recorded impatient = ended(call_kind::stream, 200, false, early);
+  impatient.seen.sent.back().patience = time_ms{1500};
+  impatient.seen.arrivals.back().deadline = time_ms{1500};
+  CHECK(impatient.broken().empty()); // three is not more than a few
+}
+
+TEST_CASE("answers that end for another reason than silence are no break") {
+  const auto cut = [] {
+    recorded run;
+    for (int i = 0; i < 4; ++i) {
+      run.sent(name("a", i), call_kind::stream);
+      run.ran(name("a", i), name("e", i));
+      run.got(name("a", i), 200, time_ms{1000}).whole = false;
+    }
+    return run;
+  };
+  const auto but_one = [&](auto change) {
+    recorded run = cut();
+    change(run);
+    return run.breaks();
+  };
+  CHECK(cut().breaks() == 4);
+  CHECK(but_one([](recorded& run) { run.seen.outcomes.back().left = true; }) == 0);
+  CHECK(but_one([](recorded& run) { run.seen.arrivals.back().sound = false; }) == 0);
+  CHECK(but_one([](recorded& run) {
+          run.seen.arrivals.back().ran = false; // refused
+          run.seen.outcomes.back() = {.attempt = "a3", .status = 502, .whole = true, .at = start};
+        }) == 0);
+  CHECK(but_one([](recorded& run) { run.disturb(start); }) == 0);
+  CHECK(but_one([](recorded& run) {
+          run.seen.endpoint_harms.push_back({"e3", start + time_ms{900}});
+        }) == 0);
+  CHECK(but_one([](recorded& run) {
+          run.seen.endpoint_harms.push_back({"e3", start + time_ms{1001}});
+          run.seen.endpoint_harms.push_back({"e4", start + time_ms{900}});
+        }) == 4);
+  CHECK(but_one([](recorded& run) {
+          run.seen.path_changes.push_back({0, true, start - time_ms{9000}});
+        }) == 0);
+  CHECK(but_one([](recorded& run) {
+          run.seen.path_changes = {{0, true, start - time_ms{9000}},
+                                   {0, false, start - time_ms{2999}}};
+        }) == 0);
+  CHECK(but_one([](recorded& run) {
+          run.seen.path_changes = {{0, true, start - time_ms{9000}},
+                                   {0, false, start - time_ms{3001}}};
+        }) == 4);
+}
+
 TEST_CASE("a stop that outlasts its grace, or ends in error, is found") {
   recorded run;
   run.seen.ends = {{0, 0, true}, {1, -1, true}, {2, 134, true}};
--- a/tests/soak/seeds_test.cpp
+++ b/tests/soak/seeds_test.cpp
@@ -23,8 +23,9 @@
 // Accounts that are overwritten have a test of their own, below.
 TEST_CASE("promises are kept under random faults") {
   for (const int seed : {1, 2, 3, 1009, 40002, 50001})
-    CHECK(run_seed(seed, "--seconds 4 --without "
-                         "accounts,poison,endpoint_outage,limits,brittle,cut_off,builds") == 0);
+    CHECK(run_seed(seed,
+                   "--seconds 4 --without "
+                   "accounts,poison,endpoint_outage,limits,brittle,cut_off,builds,silence") == 0);
 }
 
 // An account is overwritten, and all hosts start again before its owner has written it anew: none
@@ -37,17 +38,15 @@
 // An account is overwritten and the store forgets its history, then a budget is raised and all
 // hosts start again: the raise was written off together with the account, and the team refused.
 TEST_CASE("a team whose budget is raised before its account is written off is served") {
-  CHECK(
-      run_seed(
-          3,
-          "--runs 1 --seconds 7 --without poison,endpoint_outage,limits,brittle,cut_off,builds") ==
-      0);
+  CHECK(run_seed(3, "--runs 1 --seconds 7 --without "
+                    "poison,endpoint_outage,limits,brittle,cut_off,builds,silence") == 0);
 }
 
 // A host is paused across its signal to stop, and said when it woke that it is ready.
 TEST_CASE("a host that wakes after its signal to stop does not say that it is ready") {
-  CHECK(run_seed(6106,
-                 "--seconds 8 --without poison,endpoint_outage,limits,brittle,cut_off,builds") ==
+  CHECK(run_seed(
+            6106,
+            "--seconds 8 --without poison,endpoint_outage,limits,brittle,cut_off,builds,silence") ==
         0);
 }
 
@@ -55,8 +54,9 @@
 // inherited, and hosts were held to the time-out of what never reached them. Later it broke by an
 // account that was overwritten, as above.
 TEST_CASE("promises are kept by many hosts") {
-  CHECK(run_seed(5000, "--hosts 40 --endpoints 60 --callers 50 --seconds 4 "
-                       "--without poison,endpoint_outage,limits,brittle,cut_off,builds") == 0);
+  CHECK(run_seed(5000,
+                 "--hosts 40 --endpoints 60 --callers 50 --seconds 4 "
+                 "--without poison,endpoint_outage,limits,brittle,cut_off,builds,silence") == 0);
 }
 
 TEST_CASE("promises are kept by many hosts whose accounts are their own") {
@@ -105,9 +105,22 @@
                  "builds,kill,stop,freeze,store_link,endpoint_restart,endpoint_retires") == 0);
 }
 
+// Answers were given up when their endpoints sent nothing for a second, alone or all at once.
+TEST_CASE("answers of endpoints that fall silent are not cut") {
+  CHECK(run_seed(3641, "--hosts 4 --endpoints 10 --callers 20 --seconds 9 --families silence") ==
+        0);
+  CHECK(run_seed(3646, "--hosts 4 --endpoints 10 --callers 20 --seconds 9 --families "
+                       "silence,kill,stop,reload,storm,store_link") == 0);
+}
+
 // Hosts are replaced in series that overlap, settings and configurations change, endpoints leave,
 // and callers go on using their connections. None of that is a failure: what ran is answered whole.
 TEST_CASE("planned work loses no request") {
   for (const int seed : {2, 4})
-    CHECK(run_seed(seed, "--planned --seconds 6") == 0);
+    CHECK(run_seed(seed, "--planned --seconds 6 --without silence") == 0);
+}
+
+// The same beside endpoints that send nothing for a second: hosts that stop wait for them as well.
+TEST_CASE("planned work loses no request while endpoints are silent") {
+  CHECK(run_seed(3651, "--planned --endpoints 10 --seconds 6") == 0);
 }
