A silent endpoint that broke off beside a second send counts as broken off

Cause: a first endpoint that died while the second ran ended as stalled, so its death counted neither for its content nor for the endpoint.

--- a/src/relay/impl/connection.cpp
+++ b/src/relay/impl/connection.cpp
@@ -205,6 +205,12 @@
   return got < 0 && (errno == EAGAIN || errno == EINTR);
 }
 
+bool connection::closed_by_peer() noexcept {
+  char byte = 0;
+  const auto got = ::recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void connection::trim() noexcept {
   if (buffer_.empty())
     std::string{}.swap(buffer_);
--- a/src/relay/impl/connection.hpp
+++ b/src/relay/impl/connection.hpp
@@ -106,6 +106,9 @@
   /// \returns whether there are no unread bytes and the peer has not closed the connection
   [[nodiscard]] bool quiet() noexcept;
 
+  /// \returns whether the peer has closed the connection, or it failed, without unread bytes
+  [[nodiscard]] bool closed_by_peer() noexcept;
+
   /// \brief Frees the memory of the buffer if it is empty.
   void trim() noexcept;
   /// \brief Shuts down writing; bytes from the peer can still be read.
--- a/src/relay/impl/request_run_sends.cpp
+++ b/src/relay/impl/request_run_sends.cpp
@@ -115,8 +115,9 @@
   for (open_send* one : open_sends_) {
     if (one == open_sends_.back() || one->ended)
       continue;
+    const bool broke_off = one->link->closed_by_peer();
     one->link->abort_now();
-    end_send(*one, send_outcome::stalled);
+    end_send(*one, broke_off ? send_outcome::failed : send_outcome::stalled);
   }
   watch_other_sends();
 }
