Two faults of the soak itself: a resumed stream's key, a connection reset at once

Cause: a caller that takes up a stream uses its team's lasting key, but the request kept the versions that the broken stream's key held in. Change: a resumed stream may run in every version, so it must also never be denied. A connection whose peer is gone is dropped.

--- a/bench/soak/fault_proxy.cpp
+++ b/bench/soak/fault_proxy.cpp
@@ -117,7 +117,12 @@
 }
 
 void fault_proxy::pass(Poco::Net::StreamSocket from) {
-  const std::string ip = from.peerAddress().host().toString();
+  std::string ip;
+  try {
+    ip = from.peerAddress().host().toString();
+  } catch (const Poco::Exception&) {
+    return; // its caller has reset it already
+  }
   const fault_counts before = counts_for(ip);
   try {
     Poco::Net::StreamSocket to{Poco::Net::SocketAddress{target()}};
--- a/bench/soak/soak_callers.cpp
+++ b/bench/soak/soak_callers.cpp
@@ -277,6 +277,7 @@
   request.last_event = broken.last_event + got.events;
   request.build_serves = endpoints_.serving(*got.builds.begin()) >= 2;
   request.patience = resume_patience;
+  request.allowed = {}; // the key is the lasting one, also where the broken stream had another
   constexpr std::size_t prefix = 1; // team names are a letter and a number
   plan.text =
       request_text(request, lasting_key(std::stoull(broken.team.substr(prefix))), by.random);
