--- a/tests/relay/endpoint_directory_test.cpp
+++ b/tests/relay/endpoint_directory_test.cpp
@@ -2,7 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <set>
+#include <vector>
 
 using namespace sedgechute;
 
@@ -95,6 +97,24 @@
   CHECK(away->fetch_from == home->address);
 }
 
+// Guards against requests that go to an unreachable endpoint because an earlier one left it.
+TEST_CASE("a send that another endpoint takes over does not show that its endpoint is reachable") {
+  fixture at;
+  std::vector<placement> open;
+  for (int i = 0; i < 12; ++i)
+    open.push_back(*at.place());
+  const auto silent = open.front();
+  const auto later = std::find_if(open.begin() + 1, open.end(), [&](const placement& one) {
+    return one.endpoint == silent.endpoint;
+  });
+  REQUIRE(later != open.end());
+  at.directory.note_sent(open.front());
+  at.directory.release(*later, send_outcome::silent, false);
+  REQUIRE(at.directory.paths_to("engines") == endpoint_directory::paths::some);
+  at.directory.release(open.front(), send_outcome::stalled, false);
+  CHECK(at.directory.paths_to("engines") == endpoint_directory::paths::some);
+}
+
 TEST_CASE("a refused connection sends the next requests elsewhere until a probe succeeds") {
   fixture at;
   for (int i = 1; i < 6; ++i)
