--- a/src/relay/impl/admitted_request.hpp
+++ b/src/relay/impl/admitted_request.hpp
@@ -2,11 +2,13 @@
 
 #include "relay/impl/fleet_config.hpp"
 #include "relay/impl/message_head.hpp"
+#include "relay/impl/prompt_parts.hpp"
 #include "relay/impl/request_terms.hpp"
 #include "relay/impl/wire_dialect.hpp"
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace sedgechute {
 
@@ -18,8 +20,9 @@
   const route* on_route{nullptr};
   const team_terms* team{nullptr}; ///< null where no key is needed
   std::string service;
-  std::uint64_t content{0};      ///< see `content_of`
-  std::uint64_t event_tokens{1}; ///< maximum number of tokens in one event of the service
+  std::uint64_t content{0};            ///< see `content_of`
+  std::vector<part_fingerprint> parts; ///< see `shared_parts`
+  std::uint64_t event_tokens{1};       ///< maximum number of tokens in one event of the service
   time_ms deadline;
 
   [[nodiscard]] std::string_view team_name() const noexcept;
--- a/src/relay/impl/content_guard.cpp
+++ b/src/relay/impl/content_guard.cpp
@@ -20,9 +20,12 @@
 } // namespace
 
 content_guard::content_guard(const content_guard_options& options, structured_log& log)
-    : options_{options}, log_{log}, table_{options.policy}, evidence_{options.evidence} {}
+    : options_{options}, log_{log}, table_{options.policy}, parts_{options.parts},
+      evidence_{options.evidence} {}
 
-std::optional<content_refusal> content_guard::refusal(content_fingerprint content, time_ms now) {
+std::optional<content_refusal>
+content_guard::refusal(content_fingerprint content,
+                       [[maybe_unused]] std::span<const part_fingerprint> parts, time_ms now) {
   const std::scoped_lock lock{mutex_};
   const auto refusal = table_.refusal(content, now);
   if (refusal)
@@ -30,26 +33,41 @@
   return refusal;
 }
 
+void content_guard::note_answered(const broken_run& run, time_ms now) {
+  table_.note_survived(run.content, run.ran_for, true, now);
+  parts_.note_harmless(run.parts, now);
+}
+
+void content_guard::note_dead(const endpoint_id& endpoint, endpoint_hash incarnation,
+                              std::span<const broken_run> runs, time_ms now) {
+  std::vector<cut_run> contents;
+  std::vector<cut_parts> parts;
+  for (const broken_run& run : runs) {
+    contents.push_back(run);
+    if (run.written < options_.parts.harmless_after)
+      parts.push_back({run.parts, run.written});
+  }
+  table_.note_death(endpoint, incarnation, contents, now);
+  parts_.note_death(incarnation, parts, now);
+}
+
 void content_guard::note_end(const content_run& run, send_outcome outcome, time_ms now) {
   const std::scoped_lock lock{mutex_};
-  const time_ms ran_for = now - run.sent;
+  const broken_run ended{{run.content, now - run.sent}, run.parts, run.written};
+  if (run.written >= options_.parts.harmless_after)
+    parts_.note_harmless(run.parts, now);
   switch (outcome) {
   case send_outcome::answered:
-    table_.note_survived(run.content, ran_for, true, now);
+    note_answered(ended, now);
     evidence_.note_alive(run.endpoint, run.incarnation, run.sent);
     break;
   case send_outcome::own_error:
   case send_outcome::not_run:
     evidence_.note_alive(run.endpoint, run.incarnation, run.sent);
     break;
-  case send_outcome::failed: {
-    if (cut_off_)
-      return;
-    const cut_run cut{run.content, ran_for};
-    if (evidence_.note_cut(run.endpoint, run.incarnation, cut, now))
-      table_.note_death(run.endpoint, run.incarnation, std::span{&cut, 1}, now);
+  case send_outcome::failed:
+    note_broken(run, ended, now);
     break;
-  }
   case send_outcome::unreachable:
   case send_outcome::silent:
   case send_outcome::stalled:
@@ -57,16 +75,21 @@
   case send_outcome::timed_out:
   case send_outcome::caller_left:
   case send_outcome::host_stopped:
-    return;
+    break;
   }
   take_own_news(now);
 }
 
+void content_guard::note_broken(const content_run& run, const broken_run& ended, time_ms now) {
+  if (!cut_off_ && evidence_.note_cut(run.endpoint, run.incarnation, ended, now))
+    note_dead(run.endpoint, run.incarnation, std::span{&ended, 1}, now);
+}
+
 void content_guard::note_lost(const endpoint_id& endpoint, endpoint_hash incarnation,
                               loss_source source, time_ms now) {
   const std::scoped_lock lock{mutex_};
-  const std::vector<cut_run> runs = evidence_.note_lost(endpoint, incarnation, source, now);
-  table_.note_death(endpoint, incarnation, runs, now);
+  const std::vector<broken_run> runs = evidence_.note_lost(endpoint, incarnation, source, now);
+  note_dead(endpoint, incarnation, runs, now);
   take_own_news(now);
   if (!runs.empty())
     log_.write(severity::warning, "endpoint_lost", {.endpoint = endpoint.str()},
@@ -85,6 +108,7 @@
 void content_guard::expire(time_ms now) {
   const std::scoped_lock lock{mutex_};
   table_.expire(now);
+  parts_.expire(now);
   evidence_.expire(now);
   take_own_news(now);
 }
@@ -207,6 +231,41 @@
       std::ranges::count_if(records, [](const quarantine_record& one) { return !one.lifted; }));
 }
 
+part_news content_guard::take_part_news() {
+  const std::scoped_lock lock{mutex_};
+  return parts_.take_news();
+}
+
+part_news content_guard::part_snapshot(time_ms now) const {
+  const std::scoped_lock lock{mutex_};
+  return parts_.snapshot(now);
+}
+
+void content_guard::merge(const part_news& news, time_ms now) {
+  const std::scoped_lock lock{mutex_};
+  parts_.merge(news, now);
+}
+
+std::vector<part_record> content_guard::due_part_records(time_ms now) const {
+  const std::scoped_lock lock{mutex_};
+  return parts_.due_records(now);
+}
+
+void content_guard::merge_recorded(const std::vector<part_record>& recorded, time_ms now) {
+  const std::scoped_lock lock{mutex_};
+  parts_.merge_recorded(recorded, now);
+}
+
+void content_guard::note_recorded(const std::vector<part_record>& written) {
+  const std::scoped_lock lock{mutex_};
+  parts_.note_recorded(written);
+}
+
+std::size_t content_guard::quarantined_parts(time_ms now) const {
+  const std::scoped_lock lock{mutex_};
+  return parts_.quarantined(now).size();
+}
+
 void content_guard::log_verdict(const quarantine_record& record, std::string_view source) const {
   log_.write(severity::warning, record.lifted ? "quarantine_lifted" : "content_quarantined", {},
              {{log_field::content, content_text(record.content)},
--- a/src/relay/impl/content_guard.hpp
+++ b/src/relay/impl/content_guard.hpp
@@ -2,15 +2,19 @@
 
 #include "kernel/kernel.hpp"
 #include "relay/impl/crash_evidence.hpp"
+#include "relay/impl/part_quarantine.hpp"
+#include "relay/impl/prompt_parts.hpp"
 #include "relay/impl/send_outcome.hpp"
 #include "routing/impl/quarantine.hpp"
 #include "telemetry/telemetry.hpp"
 
 #include <cstddef>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace sedgechute {
 
@@ -18,6 +22,7 @@
   quarantine_policy policy{.endpoints_lost = 3,
                            .settling_time = time_ms{1500},
                            .first_quarantine_duration = time_ms{60000}};
+  part_policy parts;
   crash_evidence_options evidence;
   std::size_t max_outgoing{256};  ///< entries of each kind that wait to be sent to other hosts
   std::size_t recorded_deaths{2}; ///< deaths from which on the evidence on a content is recorded
@@ -33,6 +38,8 @@
   endpoint_id endpoint;
   endpoint_hash incarnation{};
   time_ms sent; ///< just before the first byte
+  std::vector<part_fingerprint> parts{};
+  time_ms written{}; ///< for how long the endpoint has written its answer
 };
 
 /// \brief Refuses requests that crash the endpoints that run them. It combines the evidence of this
@@ -42,7 +49,12 @@
   explicit content_guard(const content_guard_options& options, structured_log& log);
 
   /// \returns nothing when a request with the content may be sent
-  [[nodiscard]] std::optional<content_refusal> refusal(content_fingerprint content, time_ms now);
+  /// \param parts  of its prompt
+  [[nodiscard]] std::optional<content_refusal>
+  refusal(content_fingerprint content, std::span<const part_fingerprint> parts, time_ms now);
+  [[nodiscard]] std::optional<content_refusal> refusal(content_fingerprint content, time_ms now) {
+    return refusal(content, {}, now);
+  }
   /// \brief Records the end of a send.
   void note_end(const content_run& run, send_outcome outcome, time_ms now);
   /// \brief Records that an incarnation of an endpoint is dead.
@@ -68,7 +80,17 @@
   /// \brief Records that the log holds the result of `due_records`.
   void note_recorded(const quarantine_news& written, time_ms now);
 
+  /// \returns this host's own evidence on parts since the last call, for all other hosts
+  [[nodiscard]] part_news take_part_news();
+  [[nodiscard]] part_news part_snapshot(time_ms now) const;
+  void merge(const part_news& news, time_ms now);
+  /// \returns the records of parts that are due to be written
+  [[nodiscard]] std::vector<part_record> due_part_records(time_ms now) const;
+  void merge_recorded(const std::vector<part_record>& recorded, time_ms now);
+  void note_recorded(const std::vector<part_record>& written);
+
   [[nodiscard]] std::size_t quarantined(time_ms now) const;
+  [[nodiscard]] std::size_t quarantined_parts(time_ms now) const;
 
  private:
   /// What the log holds of one content.
@@ -77,6 +99,10 @@
     std::size_t deaths{};
   };
 
+  void note_answered(const broken_run& run, time_ms now);
+  void note_broken(const content_run& run, const broken_run& ended, time_ms now);
+  void note_dead(const endpoint_id& endpoint, endpoint_hash incarnation,
+                 std::span<const broken_run> runs, time_ms now);
   void take_own_news(time_ms now);
   void take_derived_news(time_ms now);
   /// \returns whether this host knows more of a content than the log
@@ -90,6 +116,7 @@
   structured_log& log_;
   mutable ordered_mutex mutex_{lock_rank::endpoints};
   quarantine_table table_;
+  part_quarantine parts_;
   crash_evidence evidence_;
   bool cut_off_{false};
   quarantine_news outgoing_;
--- a/src/relay/impl/crash_evidence.cpp
+++ b/src/relay/impl/crash_evidence.cpp
@@ -6,7 +6,7 @@
 namespace sedgechute {
 
 bool crash_evidence::note_cut(const endpoint_id& endpoint, endpoint_hash incarnation,
-                              const cut_run& run, time_ms now) {
+                              const broken_run& run, time_ms now) {
   const auto [at, first] = incarnations_.try_emplace(incarnation, incarnation_state{endpoint});
   if (at->second.lost)
     return true;
@@ -17,16 +17,16 @@
   return false;
 }
 
-std::vector<cut_run> crash_evidence::note_lost(const endpoint_id& endpoint,
-                                               endpoint_hash incarnation, loss_source source,
-                                               time_ms now) {
+std::vector<broken_run> crash_evidence::note_lost(const endpoint_id& endpoint,
+                                                  endpoint_hash incarnation, loss_source source,
+                                                  time_ms now) {
   const auto [at, first] = incarnations_.try_emplace(incarnation, incarnation_state{endpoint});
   incarnation_state& of = at->second;
   of.lost = true;
   of.lost_at = now;
   const time_ms window =
       source == loss_source::unlisted ? options_.list_proof_window : options_.proof_window;
-  std::vector<cut_run> runs;
+  std::vector<broken_run> runs;
   for (const cut& one : std::exchange(of.cuts, {})) {
     --cuts_;
     if (now - one.at <= window)
--- a/src/relay/impl/crash_evidence.hpp
+++ b/src/relay/impl/crash_evidence.hpp
@@ -2,6 +2,7 @@
 
 #include "kernel/kernel.hpp"
 #include "relay/impl/peer_load_table.hpp"
+#include "relay/impl/prompt_parts.hpp"
 #include "routing/impl/quarantine.hpp"
 
 #include <unordered_map>
@@ -25,6 +26,12 @@
                                                            {loss_source::unlisted, "unlisted"}});
 };
 
+/// \brief A run whose connection broke.
+struct broken_run : cut_run {
+  std::vector<part_fingerprint> parts{}; ///< of its prompt
+  time_ms written{};                     ///< for how long its answer had been written
+};
+
 struct crash_evidence_options {
   /// Maximum time between the end of a run and the proof that its endpoint died.
   time_ms proof_window{2000};
@@ -43,12 +50,12 @@
   /// \brief Records that the connection of a run broke.
   /// \returns whether the endpoint is known to be dead, so that the run counts at once
   [[nodiscard]] bool note_cut(const endpoint_id& endpoint, endpoint_hash incarnation,
-                              const cut_run& run, time_ms now);
+                              const broken_run& run, time_ms now);
   /// \brief Records that an endpoint is dead.
   /// \returns the runs that it cut off
-  [[nodiscard]] std::vector<cut_run> note_lost(const endpoint_id& endpoint,
-                                               endpoint_hash incarnation, loss_source source,
-                                               time_ms now);
+  [[nodiscard]] std::vector<broken_run> note_lost(const endpoint_id& endpoint,
+                                                  endpoint_hash incarnation, loss_source source,
+                                                  time_ms now);
   /// \brief Records that an endpoint answered a request that was sent at `sent`: it had not died
   /// before.
   void note_alive(const endpoint_id& endpoint, endpoint_hash incarnation, time_ms sent);
@@ -59,7 +66,7 @@
 
  private:
   struct cut {
-    cut_run run;
+    broken_run run;
     time_ms at;
   };
   struct incarnation_state {
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -13,6 +13,9 @@
 
 constexpr std::size_t read_block = 16 * 1024;
 
+// Longest pause between two reads of an answer that counts as time in which it was written.
+constexpr time_ms max_counted_pause{250};
+
 bool promises_not_run(int status) noexcept {
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
@@ -185,10 +188,23 @@
   parts_.endpoints.note_prompt_read(parts_.place);
 }
 
-body_state endpoint_exchange::read_body(body_decoder& body, std::string& bytes) const {
+// A host that was frozen reads late what was written before, so a pause counts in part only.
+void endpoint_exchange::note_written() {
+  reply_progress& progress = parts_.progress;
+  const time_ms now = parts_.time.now();
+  if (progress.last_written)
+    progress.written += std::min(now - *progress.last_written, max_counted_pause);
+  progress.last_written = now;
+}
+
+body_state endpoint_exchange::read_body(body_decoder& body, std::string& bytes) {
   std::array<char, read_block> block; // NOLINT(cppcoreguidelines-pro-type-member-init)
-  while (body.state() == body_state::open && bytes.size() <= bounds_.max_buffered_body)
-    bytes.append(block.data(), body.read(block.data(), block.size()));
+  while (body.state() == body_state::open && bytes.size() <= bounds_.max_buffered_body) {
+    const std::size_t got = body.read(block.data(), block.size());
+    bytes.append(block.data(), got);
+    if (got > 0)
+      note_written();
+  }
   return bytes.size() > bounds_.max_buffered_body ? body_state::open : body.state();
 }
 
@@ -235,7 +251,10 @@
   while (body.state() == body_state::open) {
     const std::size_t got = body.read(block.data(), block.size());
     events.feed({block.data(), got});
+    const std::uint64_t before = events.events();
     const std::string whole = events.take_whole();
+    if (events.events() > before)
+      note_written();
     if (!whole.empty()) {
       note_prompt_read();
       begin_answer();
--- a/src/relay/impl/endpoint_exchange.hpp
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -34,6 +34,8 @@
 struct reply_progress {
   bool head_read{false};
   bool prompt_read{false}; ///< the endpoint has begun to answer
+  time_ms written;         ///< for how long the endpoint has written the body
+  std::optional<time_ms> last_written{};
 };
 
 /// \brief Sends one request on one connection to an endpoint and passes its reply to the caller.
@@ -83,8 +85,10 @@
   [[nodiscard]] io_status read_patiently(const Read& read);
   [[nodiscard]] io_status fill();
   /// \returns the state of the body when it has ended or is too large
-  [[nodiscard]] body_state read_body(body_decoder& body, std::string& bytes) const;
+  [[nodiscard]] body_state read_body(body_decoder& body, std::string& bytes);
   void note_prompt_read();
+  /// \brief Records that the endpoint has written a part of its answer.
+  void note_written();
   void note_heard();
   [[nodiscard]] time_ms stall_after() const;
   [[nodiscard]] send_outcome end_of(io_status status) const;
--- /dev/null
+++ b/src/relay/impl/part_quarantine.cpp
@@ -0,0 +1,262 @@
+#include "relay/impl/part_quarantine.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace sedgechute {
+
+namespace {
+
+template <typename Row>
+void append_bounded(std::vector<Row>& to, Row row, std::size_t most) {
+  if (to.size() >= most)
+    to.erase(to.begin());
+  to.push_back(std::move(row));
+}
+
+bool includes(const auto& deaths, endpoint_hash incarnation) {
+  return std::ranges::any_of(deaths,
+                             [&](const auto& one) { return one.incarnation == incarnation; });
+}
+
+} // namespace
+
+double blame_weight(const part_policy& policy, time_ms written) noexcept {
+  if (written <= policy.full_blame)
+    return 1.0;
+  const auto beyond = static_cast<double>((written - policy.full_blame).count());
+  const double weight = std::exp2(-beyond / static_cast<double>(policy.blame_half_life.count()));
+  return weight < policy.least_blame ? 0.0 : weight;
+}
+
+bool part_quarantine::is_harmless(part_fingerprint part, time_ms now) const {
+  const auto found = harmless_.find(part);
+  return found != harmless_.end() && now - found->second.at < policy_.answer_lifetime;
+}
+
+void part_quarantine::make_room_for_suspect() {
+  suspects_.erase(std::ranges::min_element(suspects_, {}, [](const auto& one) {
+    return std::pair{one.second.size(), one.second.back().at};
+  }));
+}
+
+bool part_quarantine::add_death(part_fingerprint part, const death& added, time_ms now) {
+  if (now - added.at > policy_.evidence_lifetime || is_harmless(part, now))
+    return false;
+  if (suspects_.size() >= policy_.max_suspects && !suspects_.contains(part))
+    make_room_for_suspect();
+  death_list& deaths = suspects_[part];
+  const auto known = std::ranges::find(deaths, added.incarnation, &death::incarnation);
+  if (known != deaths.end()) {
+    known->weight = std::max(known->weight, added.weight);
+    return false;
+  }
+  if (deaths.size() >= policy_.max_deaths)
+    return false;
+  deaths.push_back(added);
+  return true;
+}
+
+void part_quarantine::note_death(endpoint_hash incarnation, std::span<const cut_parts> runs,
+                                 time_ms now) {
+  absl::flat_hash_map<part_fingerprint, double> weights;
+  for (const cut_parts& run : runs) {
+    const double weight = blame_weight(policy_, run.written);
+    if (weight == 0)
+      continue;
+    for (const part_fingerprint part : run.parts)
+      weights[part] = std::max(weights[part], weight);
+  }
+  part_death told{incarnation, {}, {}};
+  for (const auto& [part, weight] : weights)
+    if (add_death(part, {incarnation, weight, now, true}, now) &&
+        told.blamed.size() < policy_.max_blamed)
+      told.blamed.push_back({part, weight});
+  if (!told.blamed.empty())
+    append_bounded(news_.deaths, std::move(told), policy_.max_outgoing);
+}
+
+void part_quarantine::tell_harmless(part_fingerprint part, time_ms now) {
+  harmless_state& known = harmless_.at(part);
+  if (known.told != time_ms{} && now - known.told < policy_.answer_repeat)
+    return;
+  known.told = now;
+  append_bounded(news_.harmless, {part, now - known.at}, policy_.max_outgoing);
+}
+
+void part_quarantine::add_harmless(part_fingerprint part, time_ms at, time_ms now) {
+  if (now - at >= policy_.answer_lifetime)
+    return;
+  if (harmless_.size() >= policy_.max_harmless && !harmless_.contains(part))
+    harmless_.erase(
+        std::ranges::min_element(harmless_, {}, [](const auto& one) { return one.second.at; }));
+  harmless_state& known = harmless_[part];
+  known.at = std::max(known.at, at);
+  suspects_.erase(part);
+}
+
+void part_quarantine::note_harmless(std::span<const part_fingerprint> parts, time_ms now) {
+  for (const part_fingerprint part : parts) {
+    const bool suspected = suspects_.contains(part);
+    add_harmless(part, now, now);
+    if (suspected)
+      tell_harmless(part, now);
+  }
+}
+
+void part_quarantine::merge(const part_news& news, time_ms now) {
+  for (const harmless_part& one : news.harmless)
+    add_harmless(one.part, now - one.age, now);
+  for (const part_death& one : news.deaths)
+    for (const blamed_part& blamed : one.blamed) {
+      (void)add_death(blamed.part, {one.incarnation, blamed.weight, now - one.age}, now);
+      if (is_harmless(blamed.part, now))
+        tell_harmless(blamed.part, now);
+    }
+}
+
+part_news part_quarantine::take_news() {
+  return std::exchange(news_, {});
+}
+
+std::optional<time_ms> part_quarantine::sufficed_at(const death_list& deaths) const {
+  std::vector<const death*> by_time;
+  by_time.reserve(deaths.size());
+  for (const death& one : deaths)
+    by_time.push_back(&one);
+  std::ranges::sort(by_time, {}, [](const death* one) { return one->at; });
+  double sum = 0;
+  for (const death* one : by_time) {
+    sum += one->weight;
+    if (sum >= policy_.deaths)
+      return one->at;
+  }
+  return std::nullopt;
+}
+
+// Parts that were cut together each time cannot be told apart until one of them is answered in
+// another request.
+bool part_quarantine::has_other_explanation(part_fingerprint part, const death_list& deaths,
+                                            std::span<const part_fingerprint> parts) const {
+  return std::ranges::any_of(suspects_, [&](const auto& other) {
+    return other.first != part && other.second.size() >= deaths.size() &&
+           std::ranges::find(parts, other.first) == parts.end() &&
+           std::ranges::all_of(
+               deaths, [&](const death& one) { return includes(other.second, one.incarnation); });
+  });
+}
+
+std::optional<part_refusal> part_quarantine::refusal(std::span<const part_fingerprint> parts,
+                                                     time_ms now) const {
+  std::optional<part_refusal> refusal;
+  for (const part_fingerprint part : parts) {
+    const auto found = suspects_.find(part);
+    if (found == suspects_.end())
+      continue;
+    const auto sufficed = sufficed_at(found->second);
+    if (!sufficed || has_other_explanation(part, found->second, parts))
+      continue;
+    const time_ms settled = *sufficed + policy_.settling_time;
+    if (now < settled) {
+      refusal = part_refusal{part, false, settled - now};
+      continue;
+    }
+    const time_ms first = std::ranges::min_element(found->second, {}, &death::at)->at;
+    const time_ms until = first + policy_.evidence_lifetime;
+    return part_refusal{part, true, std::max(until - now, time_ms{1})};
+  }
+  return refusal;
+}
+
+std::vector<part_fingerprint> part_quarantine::quarantined(time_ms now) const {
+  std::vector<part_fingerprint> all;
+  for (const auto& [part, deaths] : suspects_)
+    if (const auto found = refusal(std::span{&part, 1}, now); found && found->quarantined)
+      all.push_back(part);
+  return all;
+}
+
+std::size_t part_quarantine::deaths_of(part_fingerprint part) const {
+  const auto found = suspects_.find(part);
+  return found == suspects_.end() ? 0 : found->second.size();
+}
+
+// A record of a part that is known to be harmless would mislead hosts that start later.
+std::vector<part_record> part_quarantine::due_records(time_ms now) const {
+  std::vector<part_record> due;
+  for (const auto& [part, count] : logged_)
+    if (count > 0 && is_harmless(part, now) && due.size() < policy_.max_due_records)
+      due.push_back({part, {}});
+  for (const auto& [part, deaths] : suspects_) {
+    const auto logged = logged_.find(part);
+    if (deaths.size() < policy_.recorded_deaths || due.size() >= policy_.max_due_records ||
+        (logged != logged_.end() && logged->second >= deaths.size()))
+      continue;
+    const bool may_write = std::ranges::any_of(
+        deaths, [&](const death& one) { return one.own || now - one.at >= policy_.record_after; });
+    if (!may_write)
+      continue;
+    part_record record{part, {}};
+    for (const death& one : deaths)
+      record.deaths.push_back({one.incarnation, one.weight, now - one.at});
+    due.push_back(std::move(record));
+  }
+  return due;
+}
+
+void part_quarantine::merge_recorded(std::span<const part_record> records, time_ms now) {
+  for (const part_record& record : records)
+    for (const recorded_part_death& one : record.deaths)
+      (void)add_death(record.part, {one.incarnation, one.weight, now - one.age}, now);
+  note_recorded(records);
+}
+
+void part_quarantine::note_recorded(std::span<const part_record> records) {
+  if (logged_.size() + records.size() > policy_.max_suspects)
+    logged_.clear(); // some are recorded once more
+  for (const part_record& record : records) {
+    if (record.deaths.empty())
+      logged_.erase(record.part);
+    else
+      logged_[record.part] = record.deaths.size();
+  }
+}
+
+part_news part_quarantine::snapshot(time_ms now) const {
+  std::vector<std::pair<part_fingerprint, const death_list*>> order;
+  for (const auto& [part, deaths] : suspects_)
+    order.emplace_back(part, &deaths);
+  std::ranges::sort(order, std::ranges::greater{}, [](const auto& one) {
+    return std::pair{one.second->size(), one.second->back().at};
+  });
+  if (order.size() > policy_.max_outgoing)
+    order.resize(policy_.max_outgoing);
+  part_news all;
+  for (const auto& [part, known] : harmless_)
+    if (known.told != time_ms{} && now - known.at < policy_.answer_lifetime)
+      append_bounded(all.harmless, {part, now - known.at}, policy_.max_outgoing);
+  absl::flat_hash_map<endpoint_hash, std::size_t> rows;
+  for (const auto& [part, deaths] : order)
+    for (const death& one : *deaths) {
+      const auto [at, added] = rows.try_emplace(one.incarnation, all.deaths.size());
+      if (added)
+        all.deaths.push_back({one.incarnation, now - one.at, {}});
+      std::vector<blamed_part>& blamed = all.deaths[at->second].blamed;
+      if (blamed.size() < policy_.max_blamed)
+        blamed.push_back({part, one.weight});
+    }
+  return all;
+}
+
+void part_quarantine::expire(time_ms now) {
+  absl::erase_if(harmless_,
+                 [&](const auto& one) { return now - one.second.at >= policy_.answer_lifetime; });
+  absl::erase_if(suspects_, [&](auto& one) {
+    std::erase_if(one.second,
+                  [&](const death& old) { return now - old.at > policy_.evidence_lifetime; });
+    return one.second.empty();
+  });
+}
+
+} // namespace sedgechute
--- a/src/relay/impl/peer_channel.hpp
+++ b/src/relay/impl/peer_channel.hpp
@@ -29,6 +29,7 @@
   stream_builds = 5,
   brittle_endpoints = 6,
   endpoint_room = 7,
+  prompt_parts = 8,
 };
 
 template <>
@@ -40,7 +41,8 @@
                                 {peer_message::endpoint_limits, "endpoint_limits"},
                                 {peer_message::stream_builds, "stream_builds"},
                                 {peer_message::brittle_endpoints, "brittle_endpoints"},
-                                {peer_message::endpoint_room, "endpoint_room"}});
+                                {peer_message::endpoint_room, "endpoint_room"},
+                                {peer_message::prompt_parts, "prompt_parts"}});
 };
 
 /// \brief Another entry host and the address at which it receives datagrams.
--- a/src/relay/impl/quarantine_exchange.hpp
+++ b/src/relay/impl/quarantine_exchange.hpp
@@ -6,7 +6,10 @@
 #include "relay/impl/peer_channel.hpp"
 #include "relay/impl/quarantine_log.hpp"
 
+#include <string>
+#include <string_view>
 #include <thread>
+#include <vector>
 
 namespace sedgechute {
 
@@ -36,6 +39,8 @@
 
  private:
   [[nodiscard]] bool take(std::string_view bytes);
+  [[nodiscard]] bool take_parts(std::string_view bytes);
+  void send_to_all(peer_message kind, const std::vector<std::string>& messages);
   void send_messages();
   void send_snapshot();
   void keep_records();
--- a/src/relay/impl/quarantine_log.hpp
+++ b/src/relay/impl/quarantine_log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay/impl/part_quarantine.hpp"
 #include "routing/impl/quarantine.hpp"
 #include "telemetry/telemetry.hpp"
 
@@ -10,15 +11,18 @@
 
 /// \brief What the log holds of contents.
 struct quarantine_page {
-  quarantine_news news;                   ///< verdicts and deaths, the newest of each content
-  std::vector<content_fingerprint> ended; ///< whose verdict and evidence have expired
-  std::vector<entry_fault> faults;        ///< entries that cannot be parsed
-  std::uint64_t end{};                    ///< offset after the last record read
-  bool history_lost{false};               ///< the requested records have been deleted
+  quarantine_news news;                      ///< verdicts and deaths, the newest of each content
+  std::vector<content_fingerprint> ended;    ///< whose verdict and evidence have expired
+  std::vector<part_record> parts;            ///< without deaths: the record was deleted
+  std::vector<part_fingerprint> ended_parts; ///< whose evidence has expired
+  std::vector<entry_fault> faults;           ///< entries that cannot be parsed
+  std::uint64_t end{};                       ///< offset after the last record read
+  bool history_lost{false};                  ///< the requested records have been deleted
 };
 
 /// \brief Port to the log that keeps evidence and verdicts while hosts come and go: the newest
-/// entry of each content, which holds all that its writer knew. Calls throw `log_unavailable`.
+/// entry of each content or part, which holds all that its writer knew. Calls throw
+/// `log_unavailable`.
 class quarantine_log {
  public:
   quarantine_log() = default;
@@ -28,8 +32,10 @@
 
   [[nodiscard]] virtual quarantine_page newest() = 0;
   [[nodiscard]] virtual quarantine_page read(std::uint64_t from) = 0;
-  virtual void append(const quarantine_news& news) = 0;
-  virtual void remove(const std::vector<content_fingerprint>& contents) = 0;
+  /// \brief Writes entries; that of a part without deaths is deleted.
+  virtual void append(const quarantine_news& news, const std::vector<part_record>& parts) = 0;
+  virtual void remove(const std::vector<content_fingerprint>& contents,
+                      const std::vector<part_fingerprint>& parts) = 0;
 };
 
 } // namespace sedgechute
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -65,6 +65,8 @@
       admitted_.deadline = std::min(admitted_.deadline, in_.received + in_.forwarded->time_left);
     in_.preparing.assign_team(admitted_.team_name());
     admitted_.content = content_of(in_.head, in_.body, admitted_.team_name());
+    if (admitted_.terms.generation)
+      admitted_.parts = shared_parts(*admitted_.terms.generation, admitted_.service);
     check_content();
     check_time_left();
     check_overload();
@@ -109,8 +111,12 @@
   throw request_relay::processor_used_up(relay_.options_.pressure_retry.soon);
 }
 
+std::optional<content_refusal> request_run::crash_refusal() const {
+  return relay_.parts_.contents.refusal(admitted_.content, admitted_.parts, now());
+}
+
 void request_run::check_content() const {
-  const auto refusal = relay_.parts_.contents.refusal(admitted_.content, now());
+  const auto refusal = crash_refusal();
   if (refusal)
     throw error{refusal->quarantined ? error_kind::quarantined : error_kind::no_capacity,
                 "content " + content_text(admitted_.content), "the endpoints that ran it crashed",
@@ -206,7 +212,7 @@
     if (possible_runs_ == 0) {
       check_content();
       check_time_left(); // earlier refusals and failed connects have taken time
-    } else if (relay_.parts_.contents.refusal(admitted_.content, now())) {
+    } else if (crash_refusal()) {
       break;
     }
     auto place = choose_placement();
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -32,6 +32,8 @@
   /// \throws error when this host will stop before the request is likely to end
   void check_time_left() const;
   void check_overload();
+  /// \returns nothing when the request may run
+  [[nodiscard]] std::optional<content_refusal> crash_refusal() const;
   /// \throws error when the content of the request may not run
   void check_content() const;
   /// \brief Finds the build at which a stream that the caller takes up may go on.
--- a/src/relay/impl/request_run_sends.cpp
+++ b/src/relay/impl/request_run_sends.cpp
@@ -95,8 +95,10 @@
 void request_run::end_send(open_send& one, send_outcome end) {
   if (std::exchange(one.ended, true))
     return;
-  if (one.run)
+  if (one.run) {
+    one.run->written = one.progress.written;
     relay_.parts_.contents.note_end(*one.run, end, now());
+  }
   relay_.parts_.endpoints.release(one.place, end, one.progress.prompt_read);
   end_grant(one.place, end);
   record_send(records_, admitted_, {one.place, end, one.number, one.began});
@@ -139,7 +141,8 @@
   one.number = sent_to_.size();
   ++possible_runs_; // until the endpoint replies that it did not run the request
   in_.preparing.end();
-  one.run = content_run{admitted_.content, place.endpoint, place.incarnation, now()};
+  one.run =
+      content_run{admitted_.content, place.endpoint, place.incarnation, now(), admitted_.parts};
   const send_outcome end = exchange(one, std::move(reached.link));
   if (end == send_outcome::not_run) {
     --possible_runs_;
@@ -233,8 +236,7 @@
 std::optional<placement> request_run::place_beside(const service_activity& others,
                                                    silence_decision& decision) {
   decision = silence_decision::no_endpoint;
-  if (!relay_.stop_.taking() || unreachable_ >= progress().max_unreachable ||
-      relay_.parts_.contents.refusal(admitted_.content, now()) ||
+  if (!relay_.stop_.taking() || unreachable_ >= progress().max_unreachable || crash_refusal() ||
       (answer_.stream_begun() && !build_))
     return std::nullopt;
   std::vector<endpoint_hash> avoid = avoid_;
