Requests with a part of prompts that crashes endpoints are refused

Callers saw endpoints end one after the other under requests that share one part of their prompts. The fingerprint is of the whole body, so requests that are never alike were never suspected.

A part is now a suspect of its own. A death blames the parts of the runs that it cut by how long each had written: in full up to 100 ms, not at all at 400 ms; a run that wrote for longer exonerates its parts, and one that wrote for 700 ms, or was answered, clears them everywhere. Five full deaths refuse requests with the part at once, and are a verdict after a second in which other answers may arrive. A part that was cut together with another each time convicts only requests that hold both.

--- a/src/relay/impl/content_guard.cpp
+++ b/src/relay/impl/content_guard.cpp
@@ -24,12 +24,16 @@
       evidence_{options.evidence} {}
 
 std::optional<content_refusal>
-content_guard::refusal(content_fingerprint content,
-                       [[maybe_unused]] std::span<const part_fingerprint> parts, time_ms now) {
+content_guard::refusal(content_fingerprint content, std::span<const part_fingerprint> parts,
+                       time_ms now) {
   const std::scoped_lock lock{mutex_};
-  const auto refusal = table_.refusal(content, now);
+  auto refusal = table_.refusal(content, now);
   if (refusal)
     take_own_news(now);
+  if (refusal && refusal->quarantined)
+    return refusal;
+  if (const auto of_part = parts_.refusal(parts, now))
+    refusal = content_refusal{of_part->quarantined, of_part->remaining, of_part->part};
   return refusal;
 }
 
@@ -80,6 +84,11 @@
   take_own_news(now);
 }
 
+void content_guard::note_long_answer(const content_run& run, time_ms now) {
+  const std::scoped_lock lock{mutex_};
+  parts_.note_harmless(run.parts, now);
+}
+
 void content_guard::note_broken(const content_run& run, const broken_run& ended, time_ms now) {
   if (!cut_off_ && evidence_.note_cut(run.endpoint, run.incarnation, ended, now))
     note_dead(run.endpoint, run.incarnation, std::span{&ended, 1}, now);
--- a/src/relay/impl/content_guard.hpp
+++ b/src/relay/impl/content_guard.hpp
@@ -57,6 +57,9 @@
   }
   /// \brief Records the end of a send.
   void note_end(const content_run& run, send_outcome outcome, time_ms now);
+  /// \brief Records that the answer of a run has been written for longer than
+  /// `part_policy::harmless_after`.
+  void note_long_answer(const content_run& run, time_ms now);
   /// \brief Records that an incarnation of an endpoint is dead.
   void note_lost(const endpoint_id& endpoint, endpoint_hash incarnation, loss_source source,
                  time_ms now);
@@ -89,6 +92,8 @@
   void merge_recorded(const std::vector<part_record>& recorded, time_ms now);
   void note_recorded(const std::vector<part_record>& written);
 
+  [[nodiscard]] const part_policy& policy() const noexcept { return options_.parts; }
+
   [[nodiscard]] std::size_t quarantined(time_ms now) const;
   [[nodiscard]] std::size_t quarantined_parts(time_ms now) const;
 
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -195,6 +195,8 @@
   if (progress.last_written)
     progress.written += std::min(now - *progress.last_written, max_counted_pause);
   progress.last_written = now;
+  if (parts_.on_written)
+    parts_.on_written();
 }
 
 body_state endpoint_exchange::read_body(body_decoder& body, std::string& bytes) {
--- a/src/relay/impl/endpoint_exchange.hpp
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -53,6 +53,8 @@
     std::function<void()> before_first_event{}; ///< called before the caller receives it
     /// Called before the caller receives anything of the reply.
     std::function<void()> before_answer{};
+    /// Called each time that a part of the answer has been read.
+    std::function<void()> on_written{};
     /// Called while the endpoint is silent; empty: the exchange waits until the deadline.
     /// Returns when to call it again; nothing: the request has ended otherwise.
     std::function<std::optional<time_ms>(const endpoint_silence&)> on_silence{};
--- a/src/relay/impl/part_codec.cpp
+++ b/src/relay/impl/part_codec.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
+#include <span>
 
 namespace sedgechute {
 
@@ -14,7 +14,7 @@
 constexpr std::size_t max_message_bytes = 1300;
 constexpr std::size_t max_blamed = 128;             // parts in one row
 constexpr std::uint32_t max_span_ms = 24 * 3600000; // longer ages are not valid
-constexpr double weight_unit = std::numeric_limits<std::uint8_t>::max();
+constexpr double weight_unit = 60; // of a weight of 1; the lowest weight is sent as 0
 constexpr std::endian order = std::endian::little;
 
 enum class row_type : std::uint8_t { harmless = 1, death = 2 };
@@ -43,7 +43,8 @@
   append_number<order>(bytes, static_cast<std::uint8_t>(count));
   for (const blamed_part& one : std::span{row.blamed}.first(count)) {
     append_number<order>(bytes, one.part);
-    const double weight = std::clamp(one.weight, 0.0, 1.0) * weight_unit;
+    const double weight =
+        (std::clamp(one.weight, most_exoneration, 1.0) - most_exoneration) * weight_unit;
     append_number<order>(bytes, static_cast<std::uint8_t>(std::lround(weight)));
   }
   return bytes;
@@ -79,7 +80,7 @@
   for (std::size_t i = 0; i < count; ++i) {
     const auto part = take_number<order, std::uint64_t>(bytes);
     const auto weight = take_number<order, std::uint8_t>(bytes);
-    row.blamed.push_back({part, weight / weight_unit});
+    row.blamed.push_back({part, weight / weight_unit + most_exoneration});
   }
   into.deaths.push_back(std::move(row));
   return true;
--- a/src/relay/impl/part_quarantine.cpp
+++ b/src/relay/impl/part_quarantine.cpp
@@ -1,7 +1,6 @@
 #include "relay/impl/part_quarantine.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace sedgechute {
@@ -15,19 +14,36 @@
   to.push_back(std::move(row));
 }
 
-bool includes(const auto& deaths, endpoint_hash incarnation) {
-  return std::ranges::any_of(deaths,
-                             [&](const auto& one) { return one.incarnation == incarnation; });
+/// \returns how far `at` is on the way from one time to another
+double share_of(time_ms at, time_ms from, time_ms to) noexcept {
+  return static_cast<double>((at - from).count()) / static_cast<double>((to - from).count());
+}
+
+double sum_of(const auto& deaths) {
+  double sum = 0;
+  for (const auto& one : deaths)
+    sum += one.weight;
+  return sum;
+}
+
+bool blames(const auto& deaths, endpoint_hash incarnation) {
+  return std::ranges::any_of(
+      deaths, [&](const auto& one) { return one.incarnation == incarnation && one.weight > 0; });
+}
+
+// Of several runs with a part on one endpoint, one that went on beyond the moment of a crash shows
+// that the part did not cause the death.
+double combined_weight(double a, double b) noexcept {
+  return a < 0 || b < 0 ? std::min(a, b) : std::max(a, b);
 }
 
 } // namespace
 
 double blame_weight(const part_policy& policy, time_ms written) noexcept {
-  if (written <= policy.full_blame)
-    return 1.0;
-  const auto beyond = static_cast<double>((written - policy.full_blame).count());
-  const double weight = std::exp2(-beyond / static_cast<double>(policy.blame_half_life.count()));
-  return weight < policy.least_blame ? 0.0 : weight;
+  if (written <= policy.no_blame)
+    return std::min(share_of(written, policy.no_blame, policy.full_blame), 1.0);
+  return std::max(most_exoneration * share_of(written, policy.no_blame, policy.harmless_after),
+                  most_exoneration);
 }
 
 bool part_quarantine::is_harmless(part_fingerprint part, time_ms now) const {
@@ -49,8 +65,8 @@
   death_list& deaths = suspects_[part];
   const auto known = std::ranges::find(deaths, added.incarnation, &death::incarnation);
   if (known != deaths.end()) {
-    known->weight = std::max(known->weight, added.weight);
-    return false;
+    return std::exchange(known->weight, combined_weight(known->weight, added.weight)) !=
+           known->weight;
   }
   if (deaths.size() >= policy_.max_deaths)
     return false;
@@ -63,10 +79,11 @@
   absl::flat_hash_map<part_fingerprint, double> weights;
   for (const cut_parts& run : runs) {
     const double weight = blame_weight(policy_, run.written);
-    if (weight == 0)
-      continue;
-    for (const part_fingerprint part : run.parts)
-      weights[part] = std::max(weights[part], weight);
+    for (const part_fingerprint part : run.parts) {
+      const auto [at, first] = weights.try_emplace(part, weight);
+      if (!first)
+        at->second = combined_weight(at->second, weight);
+    }
   }
   part_death told{incarnation, {}, {}};
   for (const auto& [part, weight] : weights)
@@ -78,7 +95,10 @@
 }
 
 void part_quarantine::tell_harmless(part_fingerprint part, time_ms now) {
-  harmless_state& known = harmless_.at(part);
+  const auto found = harmless_.find(part);
+  if (found == harmless_.end())
+    return;
+  harmless_state& known = found->second;
   if (known.told != time_ms{} && now - known.told < policy_.answer_repeat)
     return;
   known.told = now;
@@ -120,6 +140,21 @@
   return std::exchange(news_, {});
 }
 
+// A part that is in many requests is cut again and again by another one that crashes endpoints.
+part_quarantine::death_list part_quarantine::unexplained(part_fingerprint part) const {
+  death_list deaths = suspects_.at(part);
+  const double own = sum_of(deaths);
+  for (const auto& [other, theirs] : suspects_) {
+    const double sum = sum_of(theirs);
+    if (other == part || sum < policy_.deaths || sum < own + policy_.explaining_lead)
+      continue;
+    std::erase_if(deaths, [&, &list = theirs](const death& one) {
+      return one.weight > 0 && blames(list, one.incarnation);
+    });
+  }
+  return deaths;
+}
+
 std::optional<time_ms> part_quarantine::sufficed_at(const death_list& deaths) const {
   std::vector<const death*> by_time;
   by_time.reserve(deaths.size());
@@ -127,23 +162,30 @@
     by_time.push_back(&one);
   std::ranges::sort(by_time, {}, [](const death* one) { return one->at; });
   double sum = 0;
+  std::optional<time_ms> reached;
   for (const death* one : by_time) {
     sum += one->weight;
-    if (sum >= policy_.deaths)
-      return one->at;
+    if (sum < policy_.deaths)
+      reached.reset();
+    else if (!reached)
+      reached = one->at;
   }
-  return std::nullopt;
+  return reached;
 }
 
 // Parts that were cut together each time cannot be told apart until one of them is answered in
 // another request.
 bool part_quarantine::has_other_explanation(part_fingerprint part, const death_list& deaths,
                                             std::span<const part_fingerprint> parts) const {
+  const auto blames = [](const death_list& list, endpoint_hash incarnation) {
+    return std::ranges::any_of(
+        list, [&](const death& one) { return one.incarnation == incarnation && one.weight > 0; });
+  };
   return std::ranges::any_of(suspects_, [&](const auto& other) {
-    return other.first != part && other.second.size() >= deaths.size() &&
-           std::ranges::find(parts, other.first) == parts.end() &&
-           std::ranges::all_of(
-               deaths, [&](const death& one) { return includes(other.second, one.incarnation); });
+    return other.first != part && std::ranges::find(parts, other.first) == parts.end() &&
+           std::ranges::all_of(deaths, [&](const death& one) {
+             return one.weight <= 0 || blames(other.second, one.incarnation);
+           });
   });
 }
 
@@ -152,10 +194,11 @@
   std::optional<part_refusal> refusal;
   for (const part_fingerprint part : parts) {
     const auto found = suspects_.find(part);
-    if (found == suspects_.end())
+    if (found == suspects_.end() || sum_of(found->second) < policy_.deaths)
       continue;
-    const auto sufficed = sufficed_at(found->second);
-    if (!sufficed || has_other_explanation(part, found->second, parts))
+    const death_list deaths = unexplained(part);
+    const auto sufficed = sufficed_at(deaths);
+    if (!sufficed || has_other_explanation(part, deaths, parts))
       continue;
     const time_ms settled = *sufficed + policy_.settling_time;
     if (now < settled) {
--- a/src/relay/impl/part_quarantine.hpp
+++ b/src/relay/impl/part_quarantine.hpp
@@ -17,15 +17,17 @@
 /// \brief Thresholds and durations of the quarantine of prompt parts.
 struct part_policy {
   /// Sum of the weights of the deaths that quarantine a part; see `blame_weight`.
-  double deaths{4.5};
+  double deaths{5};
   /// Time written up to which a run is blamed in full for the death of its endpoint.
   time_ms full_blame{100};
-  time_ms blame_half_life{200}; ///< of the weight beyond it
-  double least_blame{0.1};      ///< a smaller weight is no evidence
+  time_ms no_blame{400}; ///< time written from which on a run is not blamed but exonerates
+  /// Difference of the sums of two parts from which on deaths that both ran in belong to the one
+  /// with the larger sum.
+  double explaining_lead{2};
   /// Time from the death that suffices to the verdict. Answers of other runs arrive in it.
   time_ms settling_time{1000};
   /// A run that has written for longer did not crash its endpoint, so its parts are harmless.
-  time_ms harmless_after{2000};
+  time_ms harmless_after{700};
   time_ms evidence_lifetime{3600000}; ///< age at which a death no longer counts
   time_ms answer_lifetime{600000};    ///< age at which an answer no longer shows a part harmless
   time_ms answer_repeat{500};         ///< between two messages that a part is harmless
@@ -48,7 +50,7 @@
 
 struct blamed_part {
   part_fingerprint part{};
-  double weight{}; ///< from 0 to 1
+  double weight{}; ///< see `blame_weight`
 };
 
 /// \brief The death of an endpoint and the parts of which a run may have caused it.
@@ -92,8 +94,10 @@
   time_ms remaining;
 };
 
+constexpr double most_exoneration = -3; ///< the lowest weight
+
 /// \returns how much a run that had written for `written` is to blame for the death of its
-/// endpoint, from 0 to 1
+/// endpoint, from 1 to `most_exoneration`; negative: it had gone on beyond the moment of a crash
 [[nodiscard]] double blame_weight(const part_policy& policy, time_ms written) noexcept;
 
 /// \brief Detects parts of prompts that crash the endpoints which begin to answer them, from the
@@ -149,7 +153,9 @@
   void add_harmless(part_fingerprint part, time_ms at, time_ms now);
   void tell_harmless(part_fingerprint part, time_ms now);
   void make_room_for_suspect();
-  /// \returns when the deaths of a part sufficed; nothing: they do not
+  /// \returns the deaths of a part without those that another part explains
+  [[nodiscard]] death_list unexplained(part_fingerprint part) const;
+  /// \returns when the deaths sufficed; nothing: they do not
   [[nodiscard]] std::optional<time_ms> sufficed_at(const death_list& deaths) const;
   /// \returns whether the deaths may be due to a part that is not in the request
   [[nodiscard]] bool has_other_explanation(part_fingerprint part, const death_list& deaths,
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -77,6 +77,7 @@
     reply_progress progress{};
     bool stalled{false}; ///< its endpoint was silent for long while others were not
     bool ended{false};
+    bool long_answer{false}; ///< its answer has shown that the parts of the prompt are harmless
     time_ms silent_since{};                  ///< begin of the last silence of its endpoint
     std::optional<silence_decision> noted{}; ///< last decision on that silence
   };
@@ -86,6 +87,7 @@
   [[nodiscard]] send_outcome send_to(open_send& one);
   [[nodiscard]] send_outcome exchange(open_send& one, std::unique_ptr<connection> link);
   void end_send(open_send& one, send_outcome end);
+  void note_written(open_send& one);
   /// \brief Lets bytes of the sends that wait for silent endpoints end the waits of the last one.
   void watch_other_sends();
   /// \brief Ends the sends that wait for silent endpoints, as the last one has yielded something.
--- a/src/relay/impl/request_run_sends.cpp
+++ b/src/relay/impl/request_run_sends.cpp
@@ -188,7 +188,7 @@
   one.link = link.get();
   endpoint_exchange run{
       {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_, one.progress,
-       [&] { note_begun(place); }, [&] { end_other_sends(); },
+       [&] { note_begun(place); }, [&] { end_other_sends(); }, [&] { note_written(one); },
        [&](const endpoint_silence& silence) { return consider_silence(one, silence); }},
       {.max_reply_head = options.max_reply_head, .max_buffered_body = options.max_buffered_body},
       *link,
@@ -202,6 +202,14 @@
   return end;
 }
 
+void request_run::note_written(open_send& one) {
+  if (one.run->parts.empty() || one.long_answer ||
+      one.progress.written < relay_.parts_.contents.policy().harmless_after)
+    return;
+  one.long_answer = true;
+  relay_.parts_.contents.note_long_answer(*one.run, now());
+}
+
 std::optional<time_ms> request_run::consider_silence(open_send& one,
                                                      const endpoint_silence& silence) {
   if (std::exchange(one.silent_since, silence.since) != silence.since)
--- a/src/routing/impl/quarantine.hpp
+++ b/src/routing/impl/quarantine.hpp
@@ -91,6 +91,7 @@
 struct content_refusal {
   bool quarantined{}; ///< false: the deaths of its endpoints have not settled yet
   time_ms remaining;
+  std::optional<std::uint64_t> part{}; ///< of the prompt that is the cause; nothing: the content
 };
 
 /// \brief A run that was on an endpoint when the endpoint died.
--- a/tests/relay/crashing_part_schedule_test.cpp
+++ b/tests/relay/crashing_part_schedule_test.cpp
@@ -44,6 +44,7 @@
   std::size_t requests_per_step{1}; ///< sound ones
   time_ms crash_delay{100};         ///< maximum time from the first byte to the crash
   time_ms longest_answer{3000};
+  time_ms longest_pause{1000}; ///< between two requests with a bad part
   bool bad_content{false};     ///< besides, one whole request crashes endpoints
   bool one_host_serves{false}; ///< all requests arrive at the first host
   bool disturbed{false};       ///< hosts are cut off and restart, messages are late and lost
@@ -180,7 +181,8 @@
     options.policy.first_quarantine_duration = time_ms{10000};
     if (fault_ == mutation::all_blamed) {
       options.parts.full_blame = time_ms{10000};
-      options.parts.harmless_after = time_ms{10000};
+      options.parts.no_blame = time_ms{20000};
+      options.parts.harmless_after = time_ms{30000};
     }
     if (fault_ == mutation::no_harmless)
       options.parts.answer_lifetime = time_ms{0};
@@ -288,6 +290,13 @@
           ++served_;
         }
       std::erase_if(endpoint.runs, [&](const endpoint_run& one) { return one.ends <= now_; });
+      for (const endpoint_run& one : endpoint.runs) {
+        content_guard& guard = *hosts_[one.host].guard;
+        const time_ms written = now_ - one.begins;
+        if (written >= guard.policy().harmless_after &&
+            written < guard.policy().harmless_after + step)
+          guard.note_long_answer(one.sent, now_);
+      }
     }
   }
 
@@ -322,7 +331,7 @@
   void send_requests() {
     for (std::size_t i = 0; i < causes_.size(); ++i)
       if (now_ >= causes_[i].next) {
-        causes_[i].next = now_ + time_ms{100} + draw_ms(900);
+        causes_[i].next = now_ + time_ms{100} + draw_ms(shape_.longest_pause - time_ms{100});
         send(bad_prompt(i));
       }
     for (std::size_t i = 0; i < shape_.requests_per_step; ++i)
@@ -558,6 +567,8 @@
 TEST_CASE("requests with a crashing part are held back with lost messages, cuts and restarts") {
   for (const std::size_t hosts : {1U, 2U, 9U, 30U})
     play({.hosts = hosts, .disturbed = true}, 1000 * hosts, seeds);
+  play({.hosts = 2, .longest_pause = time_ms{3000}, .disturbed = true, .length = time_ms{60000}},
+       1500, seeds);
 }
 
 TEST_CASE("requests with a crashing part are held back where one host has all the traffic") {
@@ -593,11 +604,14 @@
 }
 
 TEST_CASE("schedules find injected faults in the handling of crashing parts") {
-  CHECK(play({}, 1, seeds, mutation::news_not_sent).late_sends > sends_after_promise);
-  CHECK(play({.hosts = 2, .disturbed = true}, 1, 3 * seeds, mutation::no_records).late_sends >
-        sends_after_promise);
+  CHECK(play({.hosts = 30}, 1, seeds, mutation::news_not_sent).late_sends > sends_after_promise);
+  CHECK(
+      play(
+          {.hosts = 1, .longest_pause = time_ms{3000}, .disturbed = true, .length = time_ms{60000}},
+          1, seeds, mutation::no_records)
+          .late_sends > sends_after_promise);
   CHECK(play({.endpoints = 4, .outages = true}, 1, seeds, mutation::no_harmless).refused > 0);
-  CHECK(play({.bad_parts = 0, .second_parts = 10, .disturbed = true, .outages = true}, 1, 3 * seeds,
-             mutation::all_blamed)
+  CHECK(play({.hosts = 1, .endpoints = 4, .bad_parts = 0, .disturbed = true, .outages = true}, 1,
+             3 * seeds, mutation::all_blamed)
             .refused > 0);
 }
