--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -351,6 +351,8 @@
                       static_cast<double>(endpoints_.evacuated()));
          figures_.set(metric::quarantined, {},
                       static_cast<double>(contents_.quarantined(time_.now())));
+         figures_.set(metric::quarantined_parts, {},
+                      static_cast<double>(contents_.quarantined_parts(time_.now())));
          figures_.set(metric::limited_endpoints, {},
                       static_cast<double>(endpoints_.limits().size()));
          figures_.set(metric::brittle_endpoints, {},
--- a/src/relay/impl/content_guard.cpp
+++ b/src/relay/impl/content_guard.cpp
@@ -23,9 +23,9 @@
     : options_{options}, log_{log}, table_{options.policy}, parts_{options.parts},
       evidence_{options.evidence} {}
 
-std::optional<content_refusal>
-content_guard::refusal(content_fingerprint content, std::span<const part_fingerprint> parts,
-                       time_ms now) {
+std::optional<content_refusal> content_guard::refusal(content_fingerprint content,
+                                                      std::span<const part_fingerprint> parts,
+                                                      time_ms now) {
   const std::scoped_lock lock{mutex_};
   auto refusal = table_.refusal(content, now);
   if (refusal)
@@ -120,6 +120,7 @@
   parts_.expire(now);
   evidence_.expire(now);
   take_own_news(now);
+  log_part_verdicts(now);
 }
 
 quarantine_news content_guard::take_news() {
@@ -275,6 +276,21 @@
   return parts_.quarantined(now).size();
 }
 
+void content_guard::log_part_verdicts(time_ms now) {
+  std::vector<part_fingerprint> quarantined = parts_.quarantined(now);
+  std::ranges::sort(quarantined);
+  const auto log_new = [&](std::string_view event, const auto& parts, const auto& known) {
+    for (const part_fingerprint part : parts)
+      if (!std::ranges::binary_search(known, part))
+        log_.write(
+            severity::warning, event, {},
+            {{log_field::content, content_text(part)}, {log_field::count, parts_.deaths_of(part)}});
+  };
+  log_new("part_quarantined", quarantined, logged_part_verdicts_);
+  log_new("part_cleared", logged_part_verdicts_, quarantined);
+  logged_part_verdicts_ = std::move(quarantined);
+}
+
 void content_guard::log_verdict(const quarantine_record& record, std::string_view source) const {
   log_.write(severity::warning, record.lifted ? "quarantine_lifted" : "content_quarantined", {},
              {{log_field::content, content_text(record.content)},
--- a/src/relay/impl/content_guard.hpp
+++ b/src/relay/impl/content_guard.hpp
@@ -115,6 +115,7 @@
   /// \brief Has the contents that changed recorded at `due`, unless another host does it before.
   void note_changes(const quarantine_news& changes, time_ms now, time_ms due);
   void note_logged(const quarantine_news& logged, time_ms now);
+  void log_part_verdicts(time_ms now);
   void log_verdict(const quarantine_record& record, std::string_view source) const;
 
   content_guard_options options_;
@@ -124,6 +125,7 @@
   part_quarantine parts_;
   crash_evidence evidence_;
   bool cut_off_{false};
+  std::vector<part_fingerprint> logged_part_verdicts_; ///< sorted
   quarantine_news outgoing_;
   std::unordered_map<content_fingerprint, logged_content> logged_;
   std::unordered_map<content_fingerprint, time_ms> unrecorded_; ///< when each is due
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -119,8 +119,9 @@
   const auto refusal = crash_refusal();
   if (refusal)
     throw error{refusal->quarantined ? error_kind::quarantined : error_kind::no_capacity,
-                "content " + content_text(admitted_.content), "the endpoints that ran it crashed",
-                refusal->remaining};
+                refusal->part ? "part " + content_text(*refusal->part)
+                              : "content " + content_text(admitted_.content),
+                "the endpoints that ran it crashed", refusal->remaining};
 }
 
 // Requests keep arriving on persistent connections until the process exits.
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -78,7 +78,7 @@
     bool stalled{false}; ///< its endpoint was silent for long while others were not
     bool ended{false};
     bool long_answer{false}; ///< its answer has shown that the parts of the prompt are harmless
-    time_ms silent_since{};                  ///< begin of the last silence of its endpoint
+    time_ms silent_since{};  ///< begin of the last silence of its endpoint
     std::optional<silence_decision> noted{}; ///< last decision on that silence
   };
 
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -29,6 +29,7 @@
   endpoints,
   endpoint_restarts,
   quarantined,
+  quarantined_parts,
   orders,
   budget_refusals,
   tokens_written_off,
