An answer that ends with its connection proves no sound end

Callers saw a request end endpoint after endpoint while each of its answers counted as whole: an answer with neither a length nor chunks ends with its connection, and so does a crash. Such an answer now acquits only once its endpoint has answered a later request; if the endpoint is found dead, its run was cut off. The endpoint is probed for that.

--- a/src/relay/impl/content_guard.cpp
+++ b/src/relay/impl/content_guard.cpp
@@ -57,17 +57,21 @@
 
 void content_guard::note_end(const content_run& run, send_outcome outcome, time_ms now) {
   const std::scoped_lock lock{mutex_};
-  const broken_run ended{{run.content, now - run.sent}, run.parts, run.written};
+  const broken_run ended{
+      {run.content, now - run.sent}, run.parts, run.written, outcome == send_outcome::answered};
   if (run.written >= options_.parts.harmless_after)
     parts_.note_harmless(run.parts, now);
   switch (outcome) {
   case send_outcome::answered:
-    note_answered(ended, now);
-    evidence_.note_alive(run.endpoint, run.incarnation, run.sent);
+    if (!run.unframed)
+      note_answered(ended, now);
+    note_alive(run, now);
+    if (run.unframed)
+      note_broken(run, ended, now);
     break;
   case send_outcome::own_error:
   case send_outcome::not_run:
-    evidence_.note_alive(run.endpoint, run.incarnation, run.sent);
+    note_alive(run, now);
     break;
   case send_outcome::failed:
     note_broken(run, ended, now);
@@ -89,6 +93,11 @@
   parts_.note_harmless(run.parts, now);
 }
 
+void content_guard::note_alive(const content_run& run, time_ms now) {
+  for (const broken_run& whole : evidence_.note_alive(run.endpoint, run.incarnation, run.sent))
+    note_answered(whole, now);
+}
+
 void content_guard::note_broken(const content_run& run, const broken_run& ended, time_ms now) {
   if (!cut_off_ && evidence_.note_cut(run.endpoint, run.incarnation, ended, now))
     note_dead(run.endpoint, run.incarnation, std::span{&ended, 1}, now);
--- a/src/relay/impl/content_guard.hpp
+++ b/src/relay/impl/content_guard.hpp
@@ -39,7 +39,8 @@
   endpoint_hash incarnation{};
   time_ms sent; ///< just before the first byte
   std::vector<part_fingerprint> parts{};
-  time_ms written{}; ///< for how long the endpoint has written its answer
+  time_ms written{};    ///< for how long the endpoint has written its answer
+  bool unframed{false}; ///< the answer ends with its connection, as it also does in a crash
 };
 
 /// \brief Refuses requests that crash the endpoints that run them. It combines the evidence of this
@@ -105,6 +106,7 @@
   };
 
   void note_answered(const broken_run& run, time_ms now);
+  void note_alive(const content_run& run, time_ms now);
   void note_broken(const content_run& run, const broken_run& ended, time_ms now);
   void note_dead(const endpoint_id& endpoint, endpoint_hash incarnation,
                  std::span<const broken_run> runs, time_ms now);
--- a/src/relay/impl/crash_evidence.cpp
+++ b/src/relay/impl/crash_evidence.cpp
@@ -35,14 +35,19 @@
   return runs;
 }
 
-void crash_evidence::note_alive(const endpoint_id& endpoint, endpoint_hash incarnation,
-                                time_ms sent) {
+std::vector<broken_run> crash_evidence::note_alive(const endpoint_id& endpoint,
+                                                   endpoint_hash incarnation, time_ms sent) {
+  std::vector<broken_run> whole;
   const auto at = incarnations_.find(incarnation);
   if (at == incarnations_.end() || at->second.endpoint != endpoint)
-    return;
+    return whole;
+  for (const cut& one : at->second.cuts)
+    if (one.at < sent && one.run.answered)
+      whole.push_back(one.run);
   cuts_ -= std::erase_if(at->second.cuts, [&](const cut& one) { return one.at < sent; });
   if (at->second.lost && at->second.lost_at < sent)
     at->second.lost = false;
+  return whole;
 }
 
 void crash_evidence::forget_cuts() noexcept {
--- a/src/relay/impl/crash_evidence.hpp
+++ b/src/relay/impl/crash_evidence.hpp
@@ -26,10 +26,11 @@
                                                            {loss_source::unlisted, "unlisted"}});
 };
 
-/// \brief A run whose connection broke.
+/// \brief A run whose connection broke, or whose answer ended with its connection.
 struct broken_run : cut_run {
   std::vector<part_fingerprint> parts{}; ///< of its prompt
   time_ms written{};                     ///< for how long its answer had been written
+  bool answered{false};                  ///< its answer is whole if the endpoint has not crashed
 };
 
 struct crash_evidence_options {
@@ -58,7 +59,9 @@
                                                   time_ms now);
   /// \brief Records that an endpoint answered a request that was sent at `sent`: it had not died
   /// before.
-  void note_alive(const endpoint_id& endpoint, endpoint_hash incarnation, time_ms sent);
+  /// \returns the runs whose answers are whole, as that shows
+  std::vector<broken_run> note_alive(const endpoint_id& endpoint, endpoint_hash incarnation,
+                                     time_ms sent);
   /// \brief Drops the runs whose connections broke.
   void forget_cuts() noexcept;
   /// \brief Drops what is too old to count. Call it about once a second.
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -523,6 +523,8 @@
     break; // reachable, but full or leaving: no failure
   case send_outcome::answered:
     note_result(of, true, now);
+    if (place.unframed)
+      suspect_loss(of); // it may have crashed instead of ending the answer
     break;
   case send_outcome::failed:
     suspect_restart(of);
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -66,6 +66,7 @@
   std::string fetch_from;  ///< address of an endpoint that has cached parts of the prompt; or empty
   bool reused{false};      ///< sent on a connection that was open before
   bool sent{false};        ///< `note_sent` was called
+  bool unframed{false};    ///< the end of the connection ended the answer
   time_ms sent_at;         ///< when that was
   bool limit_trial{false}; ///< finds out whether the endpoint still names a limit
   bool brittle{false};     ///< needs a grant of the endpoint's arbiter
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -159,6 +159,7 @@
   if (status != io_status::ok)
     return end_of(status);
   parts_.progress.head_read = true;
+  parts_.progress.unframed = reply_framing(reply_).body == body_framing::until_close;
   const reply_terms terms = parts_.dialect.read_reply(reply_);
   if (bounds_.with_host && !terms.whole)
     return take_host_refusal();
--- a/src/relay/impl/endpoint_exchange.hpp
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -34,6 +34,7 @@
 struct reply_progress {
   bool head_read{false};
   bool prompt_read{false}; ///< the endpoint has begun to answer
+  bool unframed{false};    ///< only the end of the connection ends the body
   time_ms written;         ///< for how long the endpoint has written the body
   std::optional<time_ms> last_written{};
 };
--- a/src/relay/impl/request_run_sends.cpp
+++ b/src/relay/impl/request_run_sends.cpp
@@ -97,8 +97,10 @@
     return;
   if (one.run) {
     one.run->written = one.progress.written;
+    one.run->unframed = one.progress.unframed;
     relay_.parts_.contents.note_end(*one.run, end, now());
   }
+  one.place.unframed = one.progress.unframed;
   relay_.parts_.endpoints.release(one.place, end, one.progress.prompt_read);
   end_grant(one.place, end);
   record_send(records_, admitted_, {one.place, end, one.number, one.began});
--- a/tests/relay/crash_evidence_test.cpp
+++ b/tests/relay/crash_evidence_test.cpp
@@ -39,6 +39,18 @@
   CHECK(evidence.note_cut(endpoint, life, {content, 90_ms}, 11500_ms));
 }
 
+// Guards against a crash that looks like the end of an answer without a length.
+TEST_CASE("an answer that ended with its connection is whole once its endpoint answers again") {
+  crash_evidence evidence;
+  const broken_run unframed{{content, 90_ms}, {}, {}, true};
+  CHECK_FALSE(evidence.note_cut(endpoint, life, unframed, 10_s));
+  CHECK(evidence.note_alive(endpoint, life, 9_s).empty());
+  CHECK(evidence.note_alive(endpoint, life, 11_s).size() == 1);
+  CHECK(evidence.note_lost(endpoint, life, loss_source::refused, 12_s).empty());
+  CHECK_FALSE(evidence.note_cut(endpoint, life + 1, unframed, 20_s));
+  CHECK(evidence.note_lost(endpoint, life + 1, loss_source::refused, 21_s).size() == 1);
+}
+
 TEST_CASE("the list proves a death some seconds after the cut") {
   crash_evidence evidence;
   CHECK_FALSE(evidence.note_cut(endpoint, life, {content, 90_ms}, 10_s));
