Soak: requests with a part of their prompts that crashes endpoints

A family poison_parts: streams with bodies that never repeat and one part that ends whatever runs them; the promise crashes counts from the fifth end.

--- a/bench/soak/fleet_promises.cpp
+++ b/bench/soak/fleet_promises.cpp
@@ -198,9 +198,11 @@
       crashes[sent->poison].push_back(&one);
   std::vector<std::string> found;
   for (const auto& [number, all] : crashes) {
-    if (all.size() < bounds.crashes)
+    const std::size_t crashes =
+        index.sent(all.front()->attempt)->by_part ? bounds.part_crashes : bounds.crashes;
+    if (all.size() < crashes)
       continue;
-    const time_ms held_from = all[bounds.crashes - 1]->at + bounds.stable;
+    const time_ms held_from = all[crashes - 1]->at + bounds.stable;
     const auto late = std::count_if(all.begin(), all.end(), [&](const arrival* one) {
       const sent_request& sent = *index.sent(one->attempt);
       return one->at > held_from && in_touch(seen, bounds, sent.host, sent.at, one->at);
--- a/bench/soak/observations.hpp
+++ b/bench/soak/observations.hpp
@@ -45,6 +45,7 @@
   std::size_t host{};
   int life{};              ///< of the host's process
   std::uint64_t poison{0}; ///< number of the content that crashes endpoints; 0: harmless
+  bool by_part{false};     ///< a part of the prompt does, whatever else the request holds
   time_ms at;
   time_ms patience;        ///< what the caller said it would wait
   std::string origin;      ///< attempt that brought the first event; empty: a new request
--- a/bench/soak/promises.hpp
+++ b/bench/soak/promises.hpp
@@ -26,6 +26,7 @@
   std::uint64_t retry_slack{50};
   time_ms retry_window{10000};
   std::size_t crashes{3};      ///< after which a request must not reach further endpoints
+  std::size_t part_crashes{5}; ///< the same for requests with one part in their prompts
   std::size_t late_crashes{3}; ///< that are allowed later than `stable` after them
   time_ms limit_window{4000};
   double limit_overage{1.5};      ///< part of an endpoint's limit that it may get in that window
--- a/bench/soak/soak_callers.cpp
+++ b/bench/soak/soak_callers.cpp
@@ -51,7 +51,8 @@
        << "\r\nDeadline-Ms: " << of.patience.count() << "\r\n";
   if (traits.generated)
     text << "Model: m\r\nToken-Usage: " << prompt_tokens << "," << most_output_tokens
-         << "\r\nPrefix-Hash: p" << random.below(5) << ":200,own:100\r\n";
+         << "\r\nPrefix-Hash: p" << random.below(5) << ":200,"
+         << (of.by_part ? "bad" + std::to_string(of.poison) + ":50," : "") << "own:100\r\n";
   if (!of.origin.empty())
     text << "Last-Event-Id: " << of.last_event << "\r\nResumes: " << of.origin << "\r\n";
   if (random.below(4) == 0)
@@ -114,14 +115,23 @@
 }
 
 void soak_callers::send_poison(std::uint64_t number, time_ms until) {
-  threads_.emplace_back([this, number, until] { call_with_poison(number, until); });
+  threads_.emplace_back([this, number, until] {
+    caller by{mix_hash(seed_, number)};
+    const call_kind kind = by.random.below(2) == 0 ? call_kind::unsafe : call_kind::safe;
+    call_with_poison(by, {number, kind, false}, until);
+  });
 }
 
-// Each attempt is a new one for the host, with the same path, team and body.
-void soak_callers::call_with_poison(std::uint64_t number, time_ms until) {
-  caller by{mix_hash(seed_, number)};
-  const poison_content content{number,
-                               by.random.below(2) == 0 ? call_kind::unsafe : call_kind::safe};
+void soak_callers::send_poison_part(std::uint64_t number, time_ms until) {
+  threads_.emplace_back([this, number, until] {
+    caller by{mix_hash(seed_, number)};
+    call_with_poison(by, {number, call_kind::stream, true}, until);
+  });
+}
+
+// Each attempt is a new one for the host, with the same path and team, and the same body unless a
+// part of the prompt is the cause.
+void soak_callers::call_with_poison(caller& by, const poison_content& content, time_ms until) {
   while (!stopping_ && time_.now() < until) {
     call_plan plan = this->plan(by, content.kind);
     poison(plan, content, by);
@@ -134,7 +144,10 @@
   constexpr std::uint64_t team = 1;
   plan.request.poison = content.number;
   plan.request.team = team_name(team);
+  plan.request.by_part = content.by_part;
   plan.request.body = std::string{poison_body} + std::to_string(content.number);
+  if (content.by_part)
+    plan.request.body += " of " + plan.request.attempt;
   plan.text = request_text(plan.request, lasting_key(team), by.random);
 }
 
--- a/bench/soak/soak_callers.hpp
+++ b/bench/soak/soak_callers.hpp
@@ -32,6 +32,8 @@
   void take_up_streams() noexcept { resuming_ = true; }
   /// \brief A caller sends one content again and again that crashes the endpoints that run it.
   void send_poison(std::uint64_t number, time_ms until);
+  /// \brief A caller sends requests with one part in their prompts that crashes endpoints.
+  void send_poison_part(std::uint64_t number, time_ms until);
   void stop();
   /// \returns the part of ordinary requests that are served now, tried for `tries` of each kind
   [[nodiscard]] double served_now(int tries);
@@ -52,6 +54,7 @@
   struct poison_content {
     std::uint64_t number{};
     call_kind kind{};
+    bool by_part{}; ///< a part of the prompt is the cause, and no two requests are alike
   };
   /// What a caller is about to send.
   struct call_plan {
@@ -61,7 +64,7 @@
   };
 
   void call_forever(std::uint64_t seed);
-  void call_with_poison(std::uint64_t number, time_ms until);
+  void call_with_poison(caller& by, const poison_content& content, time_ms until);
   /// \param ordinary  kind of a request that every version allows and whose caller waits; none: any
   [[nodiscard]] call_plan plan(caller& by, std::optional<call_kind> ordinary);
   /// \returns the status of a whole answer, 0 without one
--- a/bench/soak/soak_world.cpp
+++ b/bench/soak/soak_world.cpp
@@ -60,11 +60,14 @@
 }
 
 const std::vector<soak_world::family>& soak_world::added_fault_families() {
-  static const std::vector<family> all{
-      {"poison", &soak_world::send_poison},       {"endpoint_outage", &soak_world::crash_endpoints},
-      {"limits", &soak_world::limit_endpoint},    {"brittle", &soak_world::make_brittle},
-      {"cut_off", &soak_world::cut_off},          {"builds", &soak_world::mix_builds},
-      {"silence", &soak_world::silence_endpoints}};
+  static const std::vector<family> all{{"poison", &soak_world::send_poison},
+                                       {"endpoint_outage", &soak_world::crash_endpoints},
+                                       {"limits", &soak_world::limit_endpoint},
+                                       {"brittle", &soak_world::make_brittle},
+                                       {"cut_off", &soak_world::cut_off},
+                                       {"builds", &soak_world::mix_builds},
+                                       {"silence", &soak_world::silence_endpoints},
+                                       {"poison_parts", &soak_world::send_poison_part}};
   return all;
 }
 
@@ -349,6 +352,13 @@
     callers_->send_poison(++poisons_, time_.now() + time_ms{span_ms});
 }
 
+void soak_world::send_poison_part() {
+  constexpr std::uint64_t most = 2;
+  constexpr std::int64_t span_ms = 12000;
+  if (poisons_ < most)
+    callers_->send_poison_part(++poisons_, time_.now() + time_ms{span_ms});
+}
+
 void soak_world::crash_endpoints() {
   if (random_.below(3) == 0)
     endpoints_->crash_many();
--- a/bench/soak/soak_world.hpp
+++ b/bench/soak/soak_world.hpp
@@ -79,6 +79,7 @@
   void spoil_entry();
   void spoil_account();
   void send_poison();
+  void send_poison_part();
   void crash_endpoints();
   void limit_endpoint();
   void silence_endpoints();
