Endpoints that ask for a pause in a refusal get no requests until its end

Callers were refused over and over by endpoints that had asked for rest, and the endpoints got as many requests as before: nobody read Retry-After of an endpoint's 503, and a refusal held for the one request that it refused.

It is asked as an endpoint is chosen and again just before the first byte; what is withheld then goes elsewhere without a counted attempt. After a pause two requests are in flight until the endpoint has begun to answer one. While all endpoints pause requests are refused at once, until the first end, spread.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -98,6 +98,7 @@
   figures_.add(metric::brittle_refusals, {}, 0);
   endpoints_.on_restart([this](const endpoint_restart& found) { note_restart(found); });
   endpoints_.on_limit([this](const rate_notice& notice) { note_limit(notice); });
+  endpoints_.on_pause([this](const pause_notice& notice) { note_pause(notice); });
   endpoints_.on_brittle([this](const rate_notice& notice) { note_brittle(notice); });
   endpoints_.on_cut([this] { note_cut(); });
   endpoints_.on_loss([this](const endpoint_id& endpoint, endpoint_hash life, loss_source source) {
@@ -324,6 +325,17 @@
   log_rate(log_, notice, {"endpoint_limited", "endpoint_limit_ended", "endpoint_limit_malformed"});
 }
 
+void entry_host::note_pause(const pause_notice& notice) {
+  if (notice.malformed) {
+    log_.write(severity::warning, "endpoint_pause_malformed", {.endpoint = notice.endpoint.str()},
+               {{log_field::reason, *notice.malformed}});
+    return;
+  }
+  figures_.add(metric::endpoint_pauses, {});
+  log_.write(severity::info, "endpoint_pauses", {.endpoint = notice.endpoint.str()},
+             {{log_field::duration_ms, notice.pause}});
+}
+
 void entry_host::note_brittle(const rate_notice& notice) {
   log_rate(log_, notice,
            {"endpoint_brittle", "endpoint_brittle_ended", "endpoint_brittle_malformed"});
@@ -353,6 +365,7 @@
                       static_cast<double>(contents_.quarantined(time_.now())));
          figures_.set(metric::quarantined_parts, {},
                       static_cast<double>(contents_.quarantined_parts(time_.now())));
+         figures_.set(metric::pausing_endpoints, {}, static_cast<double>(endpoints_.pausing()));
          figures_.set(metric::limited_endpoints, {},
                       static_cast<double>(endpoints_.limits().size()));
          figures_.set(metric::brittle_endpoints, {},
--- a/src/entry/impl/entry_host.hpp
+++ b/src/entry/impl/entry_host.hpp
@@ -40,6 +40,7 @@
   void take_hosts();
   void note_restart(const endpoint_restart& found);
   void note_limit(const rate_notice& notice);
+  void note_pause(const pause_notice& notice);
   void note_brittle(const rate_notice& notice);
   /// \brief Records that no endpoint is reached any more, or that one is again.
   void note_cut();
--- a/src/relay/impl/content_guard.cpp
+++ b/src/relay/impl/content_guard.cpp
@@ -78,6 +78,7 @@
     break;
   case send_outcome::unreachable:
   case send_outcome::silent:
+  case send_outcome::withheld:
   case send_outcome::stalled:
   case send_outcome::superseded:
   case send_outcome::timed_out:
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -322,6 +322,8 @@
   if (!allows(request.residency, of.region) || !cold_start_allows(of, now) ||
       limit_allows(of, now) == limit_permit::none)
     return false;
+  if (!of.pause.allows(now))
+    return false;
   if (of.refusals_borne.holds() && (request.refused_by_brittle || now < of.full_until))
     return false;
   return std::find(request.avoid.begin(), request.avoid.end(), of.hash) == request.avoid.end();
@@ -423,6 +425,9 @@
   place.limit_trial = limit_allows(at, now) == limit_permit::trial;
   if (place.limit_trial)
     at.limit.begin_trial();
+  place.pause_trial = at.pause.on_trial(now);
+  if (place.pause_trial)
+    at.pause.begin_trial();
   place.brittle = at.refusals_borne.holds();
   place.grant = random_();
   place.heard = at.heard;
@@ -441,18 +446,26 @@
   return place;
 }
 
-void endpoint_directory::note_sent(placement& place) {
-  place.sent = true;
-  place.sent_at = time_.now();
+bool endpoint_directory::note_sent(placement& place) {
   const std::scoped_lock lock{mutex_};
-  if (state* at = find_current(place.endpoint, place.local_incarnation))
-    at->sends.sent(place.sent_at);
+  const time_ms now = time_.now();
+  state* const at = find_current(place.endpoint, place.local_incarnation);
+  if (at != nullptr && at->pause.holds(now))
+    return false;
+  place.sent = true;
+  place.sent_at = now;
+  if (at != nullptr)
+    at->sends.sent(now);
+  return true;
 }
 
 void endpoint_directory::note_prompt_read(const placement& place) {
   const std::scoped_lock lock{mutex_};
-  if (state* at = find_current(place.endpoint, place.local_incarnation))
-    at->unread_tokens -= std::min(at->unread_tokens, place.prompt_tokens);
+  state* const at = find_current(place.endpoint, place.local_incarnation);
+  if (at == nullptr)
+    return;
+  at->unread_tokens -= std::min(at->unread_tokens, place.prompt_tokens);
+  at->pause.note_taken(place.sent_at);
 }
 
 void endpoint_directory::note_load(const placement& place, const load_report& load) {
@@ -502,6 +515,8 @@
     of.sends.cancel();
   if (place.limit_trial)
     of.limit.end_trial();
+  if (place.pause_trial)
+    of.pause.end_trial();
   if (!started)
     of.unread_tokens -= std::min(of.unread_tokens, place.prompt_tokens);
   const time_ms now = time_.now();
@@ -514,6 +529,7 @@
     if (outcome == send_outcome::unreachable)
       (void)note_refused(of, std::nullopt, now);
     return;
+  case send_outcome::withheld:
   case send_outcome::stalled: // noted when it was found silent
   case send_outcome::superseded:
   case send_outcome::caller_left:
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -9,6 +9,7 @@
 #include "relay/impl/endpoint_build.hpp"
 #include "relay/impl/endpoint_incarnation.hpp"
 #include "relay/impl/endpoint_limit.hpp"
+#include "relay/impl/endpoint_pause.hpp"
 #include "relay/impl/evacuation.hpp"
 #include "relay/impl/last_heard.hpp"
 #include "relay/impl/path_evidence.hpp"
@@ -69,6 +70,7 @@
   bool unframed{false};    ///< the end of the connection ended the answer
   time_ms sent_at;         ///< when that was
   bool limit_trial{false}; ///< finds out whether the endpoint still names a limit
+  bool pause_trial{false}; ///< one of the first sends after a pause
   bool brittle{false};     ///< needs a grant of the endpoint's arbiter
   grant_id grant{};        ///< id of the request in flight
   std::shared_ptr<last_heard> heard; ///< of the endpoint
@@ -109,6 +111,13 @@
   std::optional<std::string> malformed; ///< what the endpoint named instead of a usable rate
 };
 
+/// \brief A pause that an endpoint asks for, for the log.
+struct pause_notice {
+  endpoint_id endpoint;
+  time_ms pause;
+  std::optional<std::string> malformed; ///< what the endpoint named instead of a usable time
+};
+
 /// \brief The endpoints of all services with their load, failures and reachability. All state of an
 /// endpoint belongs to its incarnation: a restart discards it, and late results of an earlier
 /// incarnation are ignored. Thread-safe.
@@ -168,7 +177,8 @@
   /// \returns the cheapest endpoint for a request; nothing when there is no candidate
   [[nodiscard]] std::optional<placement> place(const placement_request& request);
   /// \brief Records that the request is being sent; to be called just before its first byte.
-  void note_sent(placement& place);
+  /// \returns false when it must not be sent, as the endpoint has asked for that meanwhile
+  bool note_sent(placement& place);
   /// \brief Records that the endpoint has read the prompt, as its first event or answer shows.
   void note_prompt_read(const placement& place);
   void note_load(const placement& place, const load_report& load);
@@ -206,6 +216,17 @@
   void end_grant(const ended_request& ended);
   /// \brief Takes, as the arbiter of an endpoint, what a host has in flight.
   void renew_grants(std::uint64_t host, endpoint_hash endpoint, const std::vector<grant_id>& open);
+  /// \brief Takes a pause that the endpoint asks for in a refusal.
+  void note_pause(const placement& place, const reply_terms& terms);
+  using pause_listener = std::function<void(const pause_notice&)>;
+  /// \brief Sets the listener for pauses that endpoints ask for; see `on_restart`.
+  void on_pause(pause_listener listener) { on_pause_ = std::move(listener); }
+  /// \returns when the first pause ends; nothing unless all endpoints of the service pause
+  /// \param build  the only one that counts; nothing: all
+  [[nodiscard]] std::optional<time_ms>
+  first_pause_end(const std::string& service, std::optional<build_hash> build = std::nullopt) const;
+  /// \returns the number of endpoints that pause
+  [[nodiscard]] std::size_t pausing() const;
   /// \brief Records that the endpoint has been silent for unusually long; once for each send.
   void note_stalled(const placement& place);
   /// \returns what this host has heard of the endpoints of a service since a moment
@@ -298,7 +319,9 @@
     time_ms brittle_since;
     std::optional<time_ms> brittle_named_here_at; ///< in an answer to this host
     bool brittle_news{false};                     ///< other hosts are to be told
-    time_ms full_until;                           ///< its arbiter grants nothing before
+    endpoint_pause pause;
+    bool malformed_pause{false}; ///< has been reported
+    time_ms full_until;          ///< its arbiter grants nothing before
     std::vector<open_id> open_ids;
     std::shared_ptr<last_heard> heard;
     room_arbiter arbiter;  ///< used if this host arbitrates
@@ -425,6 +448,7 @@
   rate_listener on_limit_;
   rate_listener on_brittle_;
   cut_listener on_cut_;
+  pause_listener on_pause_;
 };
 
 } // namespace sedgechute
--- a/src/relay/impl/endpoint_directory_probes.cpp
+++ b/src/relay/impl/endpoint_directory_probes.cpp
@@ -90,10 +90,13 @@
       reachability_.forget(id);
     else
       probes.push_back({id, at->second.entry.address, at->second.local_incarnation,
-                        at->second.start_queries_left > 0 && !at->second.evacuated, now});
+                        at->second.start_queries_left > 0 && !at->second.evacuated &&
+                            !at->second.pause.holds(now),
+                        now});
   }
   for (auto& [id, known] : endpoints_) {
-    const bool query = known.start_queries_left > 0 && known.next_start_query <= now;
+    const bool query = known.start_queries_left > 0 && known.next_start_query <= now &&
+                       !known.pause.holds(now); // a query is a request as well
     const bool check = known.checks_left > 0 && known.next_check <= now;
     if ((!query && !check) || known.evacuated || probes.size() >= max_probes)
       continue;
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -20,6 +20,7 @@
 forward_result result_of(send_outcome end) noexcept {
   switch (end) {
   case send_outcome::not_run:
+  case send_outcome::withheld:
     return forward_result::refused;
   case send_outcome::unreachable:
   case send_outcome::silent:
@@ -224,7 +225,7 @@
       return note_answered();
   } while (may_send_again(end));
   const bool not_sent = end == send_outcome::unreachable || end == send_outcome::silent ||
-                        end == send_outcome::not_run;
+                        end == send_outcome::not_run || end == send_outcome::withheld;
   if (not_sent && may_forward())
     return end_forwarded(forward());
   return give_up(end);
@@ -364,7 +365,10 @@
 // Callers that were refused together come back at different times.
 time_ms request_run::full_retry_after() {
   const auto least = static_cast<double>(relay_.options_.full_retry_after.count());
-  return time_ms{static_cast<std::int64_t>(least * (1 + relay_.draw()))};
+  const double spread = least * relay_.draw();
+  const auto pause_end = relay_.parts_.endpoints.first_pause_end(admitted_.service, build_);
+  const auto wait = pause_end ? static_cast<double>((*pause_end - now()).count()) : 0.0;
+  return time_ms{static_cast<std::int64_t>(std::max(wait, least) + spread)};
 }
 
 connection_action request_run::give_up(send_outcome end) {
--- a/src/relay/impl/request_run_sends.cpp
+++ b/src/relay/impl/request_run_sends.cpp
@@ -135,9 +135,12 @@
     relay_.connections_.give_back(place.endpoint, place.local_incarnation, std::move(reached.link));
     return send_outcome::host_stopped;
   }
+  if (!relay_.parts_.endpoints.note_sent(place)) {
+    relay_.connections_.give_back(place.endpoint, place.local_incarnation, std::move(reached.link));
+    return send_outcome::withheld;
+  }
   if (sent_to_.empty())
     relay_.note_first_send(admitted_.service);
-  relay_.parts_.endpoints.note_sent(place);
   sent_to_.push_back(place.endpoint);
   avoid_.push_back(place.incarnation);
   one.number = sent_to_.size();
--- a/src/relay/impl/send_outcome.hpp
+++ b/src/relay/impl/send_outcome.hpp
@@ -10,6 +10,7 @@
   not_run,     ///< the endpoint refused the request without running it
   unreachable, ///< not sent: the endpoint refused the connection
   silent,      ///< not sent: the connect timed out
+  withheld,    ///< not sent: meanwhile the endpoint asked for no more requests
   failed,      ///< may have run: the connection broke, or the reply was not for this request
   own_error,   ///< the endpoint answered with an error
   stalled,     ///< another endpoint went on with the answer after a silence of this one
@@ -26,6 +27,7 @@
                                 {send_outcome::not_run, "not_run"},
                                 {send_outcome::unreachable, "unreachable"},
                                 {send_outcome::silent, "silent"},
+                                {send_outcome::withheld, "withheld"},
                                 {send_outcome::failed, "failed"},
                                 {send_outcome::own_error, "own_error"},
                                 {send_outcome::stalled, "stalled"},
--- a/src/relay/impl/send_rules.cpp
+++ b/src/relay/impl/send_rules.cpp
@@ -55,6 +55,8 @@
   case send_outcome::unreachable:
   case send_outcome::silent:
     return so_far.unreachable < so_far.max_unreachable ? next_send::uncounted : next_send::none;
+  case send_outcome::withheld:
+    return next_send::uncounted;
   case send_outcome::not_run:
     return counted_if(false, false);
   case send_outcome::own_error:
--- a/src/relay/impl/wire_dialect.hpp
+++ b/src/relay/impl/wire_dialect.hpp
@@ -30,6 +30,9 @@
   /// it is not brittle.
   std::optional<double> refusals_borne;
   std::optional<std::string> malformed_refusals_borne;
+  /// For how long the endpoint wants no requests from this host; nothing: it does not say so.
+  std::optional<time_ms> pause;
+  std::optional<std::string> malformed_pause;
 };
 
 /// \brief Values added to a request to an endpoint.
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -18,6 +18,7 @@
 #include "relay/impl/endpoint_directory.hpp"
 #include "relay/impl/endpoint_incarnation.hpp"
 #include "relay/impl/endpoint_limit.hpp"
+#include "relay/impl/endpoint_pause.hpp"
 #include "relay/impl/endpoint_prober.hpp"
 #include "relay/impl/evacuation.hpp"
 #include "relay/impl/event_splitter.hpp"
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -30,6 +30,8 @@
   endpoint_restarts,
   quarantined,
   quarantined_parts,
+  endpoint_pauses,
+  pausing_endpoints,
   orders,
   budget_refusals,
   tokens_written_off,
