--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -233,6 +233,8 @@
   [[nodiscard]] service_activity activity(const std::string& service, time_ms since) const;
   /// \brief Records that the endpoint is leaving, or that another one now has its address.
   void note_leaving(const placement& place);
+  /// \brief Records that an answer of the endpoint says that it leaves. That is no loss.
+  void note_says_leaving(const placement& place);
   /// \brief Ends a placement and records the result of its send.
   /// \param started  whether `note_prompt_read` was called
   void release(const placement& place, send_outcome outcome, bool started);
--- a/src/relay/impl/endpoint_directory_pauses.cpp
+++ b/src/relay/impl/endpoint_directory_pauses.cpp
@@ -37,6 +37,8 @@
   return first;
 }
 
+void endpoint_directory::note_says_leaving([[maybe_unused]] const placement& place) {}
+
 std::size_t endpoint_directory::pausing() const {
   const std::scoped_lock lock{mutex_};
   const time_ms now = time_.now();
--- a/src/relay/impl/wire_dialect.hpp
+++ b/src/relay/impl/wire_dialect.hpp
@@ -20,6 +20,7 @@
 struct reply_terms {
   bool not_run{false};   ///< the endpoint did not run the request and never will
   bool misdirected{};    ///< another endpoint has the address now
+  bool leaving{false};   ///< the endpoint says that it leaves
   bool whole{false};     ///< has the field that marks an endpoint's answer
   std::string echoed_id; ///< id of the request that is answered; empty when absent
   std::optional<load_report> load;
