Endpoints that say that they leave get no more requests

Requests went on to an endpoint that had said in its answers that it leaves, until the list said so, and longer where the store was away: nobody read Server-Leaving.

From the first such answer on requests go elsewhere where there is another endpoint; where there is none it is used for the drain time of the settings, then requests are refused at once, also those placed before. The list cannot undo it, a new start does. It is no loss, so what is cut there convicts nothing.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -99,6 +99,10 @@
   endpoints_.on_restart([this](const endpoint_restart& found) { note_restart(found); });
   endpoints_.on_limit([this](const rate_notice& notice) { note_limit(notice); });
   endpoints_.on_pause([this](const pause_notice& notice) { note_pause(notice); });
+  endpoints_.on_says_leaving([this](const endpoint_id& endpoint) {
+    figures_.add(metric::endpoints_leaving, {});
+    log_.write(severity::info, "endpoint_says_leaving", {.endpoint = endpoint.str()}, {});
+  });
   endpoints_.on_brittle([this](const rate_notice& notice) { note_brittle(notice); });
   endpoints_.on_cut([this] { note_cut(); });
   endpoints_.on_loss([this](const endpoint_id& endpoint, endpoint_hash life, loss_source source) {
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -173,7 +173,7 @@
     const auto at = endpoints_.find(id);
     if (at == endpoints_.end())
       return;
-    if (!at->second.entry.draining && !at->second.leaving)
+    if (!at->second.entry.draining && !at->second.leaving && !at->second.said_leaving)
       lost = at->second.hash;
     note_build_ended(at->second.entry);
     endpoints_.erase(at);
@@ -340,8 +340,10 @@
     }
   };
   gather([](const state& of) { return is_usable(of); });
-  if (into.states.empty() && request.build)
-    gather([&](const state& of) { return is_last_resort(of, now); });
+  if (into.states.empty())
+    gather([&](const state& of) {
+      return (request.build || of.said_leaving) && is_last_resort(of, now);
+    });
   // The first of equal candidates is chosen. Without a random rotation all hosts would choose the
   // same one.
   if (!into.states.empty()) {
@@ -450,7 +452,7 @@
   const std::scoped_lock lock{mutex_};
   const time_ms now = time_.now();
   state* const at = find_current(place.endpoint, place.local_incarnation);
-  if (at != nullptr && at->pause.holds(now))
+  if (at != nullptr && !may_send(*at, now))
     return false;
   place.sent = true;
   place.sent_at = now;
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -235,6 +235,9 @@
   void note_leaving(const placement& place);
   /// \brief Records that an answer of the endpoint says that it leaves. That is no loss.
   void note_says_leaving(const placement& place);
+  using endpoint_listener = std::function<void(const endpoint_id&)>;
+  /// \brief Sets the listener for endpoints that say that they leave; see `on_restart`.
+  void on_says_leaving(endpoint_listener listener) { on_says_leaving_ = std::move(listener); }
   /// \brief Ends a placement and records the result of its send.
   /// \param started  whether `note_prompt_read` was called
   void release(const placement& place, send_outcome outcome, bool started);
@@ -310,6 +313,7 @@
     double failing{};
     time_ms failed_at;
     bool leaving{false};
+    std::optional<time_ms> said_leaving{}; ///< when one of its answers first said that it leaves
     bool evacuated{false};
     std::string_view region;  ///< empty when it is unknown
     time_ms cold_until;       ///< by its entries
@@ -396,13 +400,17 @@
   void note_result(state& of, bool good, time_ms now) const;
   void end_placement(state& of, const placement& place, send_outcome outcome, bool started);
   [[nodiscard]] static bool is_usable(const state& of) noexcept {
-    return !of.leaving && !of.entry.draining && !of.evacuated;
+    return !of.leaving && !of.said_leaving && !of.entry.draining && !of.evacuated;
   }
-  /// \returns whether an endpoint that leaves may still get requests
+  /// \returns whether an endpoint that leaves may still get requests of streams that are bound to
+  /// its build
   [[nodiscard]] bool is_last_resort(const state& of, time_ms now) const noexcept {
-    return of.entry.draining && !of.leaving && !of.evacuated && of.draining_since &&
-           now < *of.draining_since + drain_grace_;
+    const auto since = of.said_leaving ? of.said_leaving : of.draining_since;
+    return (of.entry.draining || of.said_leaving) && !of.leaving && !of.evacuated && since &&
+           now < *since + drain_grace_;
   }
+  /// \returns whether a request that was placed may be sent now
+  [[nodiscard]] bool may_send(const state& of, time_ms now) const noexcept;
   /// \returns whether the endpoint is known to be of the build
   [[nodiscard]] static bool is_of_build(const state& of, build_hash build) noexcept {
     return of.build == build && of.start_queries_left == 0;
@@ -451,6 +459,7 @@
   rate_listener on_brittle_;
   cut_listener on_cut_;
   pause_listener on_pause_;
+  endpoint_listener on_says_leaving_;
 };
 
 } // namespace sedgechute
--- a/src/relay/impl/endpoint_directory_pauses.cpp
+++ b/src/relay/impl/endpoint_directory_pauses.cpp
@@ -37,7 +37,22 @@
   return first;
 }
 
-void endpoint_directory::note_says_leaving([[maybe_unused]] const placement& place) {}
+void endpoint_directory::note_says_leaving(const placement& place) {
+  {
+    const std::scoped_lock lock{mutex_};
+    state* const at = find_current(place.endpoint, place.local_incarnation);
+    if (at == nullptr || at->said_leaving)
+      return;
+    at->said_leaving = time_.now();
+  }
+  if (on_says_leaving_)
+    on_says_leaving_(place.endpoint);
+}
+
+// Until the drain time has passed a request may still reach the endpoint.
+bool endpoint_directory::may_send(const state& of, time_ms now) const noexcept {
+  return !of.pause.holds(now) && (!of.said_leaving || now < *of.said_leaving + drain_grace_);
+}
 
 std::size_t endpoint_directory::pausing() const {
   const std::scoped_lock lock{mutex_};
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -172,6 +172,8 @@
   }
   if (terms.misdirected)
     parts_.endpoints.note_leaving(parts_.place);
+  else if (terms.leaving && of_this && (terms.whole || terms.not_run))
+    parts_.endpoints.note_says_leaving(parts_.place);
   if (may_ask_for_pause(terms, reply_.status, parts_.request.terms.id))
     parts_.endpoints.note_pause(parts_.place, terms);
   if (terms.not_run)
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -32,6 +32,7 @@
   quarantined_parts,
   endpoint_pauses,
   pausing_endpoints,
+  endpoints_leaving,
   orders,
   budget_refusals,
   tokens_written_off,
