--- a/bench/soak/fleet_promises.cpp
+++ b/bench/soak/fleet_promises.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <sstream>
+#include <tuple>
 
 namespace sedgechute::soak {
 
@@ -254,6 +255,67 @@
   return found;
 }
 
+namespace {
+
+/// \returns the arrivals at each endpoint from each life of a host, in the order of their times
+std::map<std::tuple<std::string, std::size_t, int>, std::vector<const arrival*>>
+arrivals_by_sender(const observations& seen) {
+  const observation_index index{seen};
+  std::map<std::tuple<std::string, std::size_t, int>, std::vector<const arrival*>> by_sender;
+  for (const arrival& one : seen.arrivals)
+    if (const sent_request* const sent = index.sent(one.attempt); sent != nullptr)
+      by_sender[{one.endpoint, sent->host, sent->life}].push_back(&one);
+  for (auto& [sender, all] : by_sender)
+    std::ranges::stable_sort(all, {}, [](const arrival* one) { return one->at; });
+  return by_sender;
+}
+
+} // namespace
+
+std::vector<std::string> check_pauses(const observations& seen, const promised_bounds& bounds) {
+  std::vector<std::string> found;
+  for (const auto& [sender, all] : arrivals_by_sender(seen)) {
+    const std::size_t host = std::get<std::size_t>(sender);
+    const auto broken = [&](const arrival* asked) {
+      const time_ms end = asked->at + asked->pause;
+      const auto count = std::ranges::count_if(all, [&](const arrival* one) {
+        return one->at > asked->at + bounds.pause_slack && one->at < end &&
+               in_touch(seen, bounds, host, asked->at, one->at);
+      });
+      return static_cast<std::size_t>(count) > bounds.pause_arrivals;
+    };
+    const auto first = std::ranges::find_if(
+        all, [&](const arrival* one) { return one->pause > time_ms{} && broken(one); });
+    if (first != all.end())
+      found.push_back(std::get<std::string>(sender) + " asked host " + std::to_string(host) +
+                      " for a pause at " + std::to_string((*first)->at.count()) +
+                      " and went on getting requests");
+  }
+  return found;
+}
+
+std::vector<std::string> check_leaving(const observations& seen, const promised_bounds& bounds) {
+  const observation_index index{seen};
+  std::vector<std::string> found;
+  for (const auto& [sender, all] : arrivals_by_sender(seen)) {
+    const std::size_t host = std::get<std::size_t>(sender);
+    const auto said = std::ranges::find_if(
+        all, [](const arrival* one) { return one->said_leaving && one->status != 0; });
+    if (said == all.end())
+      continue;
+    // The host has passed the answer on soon after the request arrived.
+    const time_ms from = (*said)->at + bounds.leaving_bound + bounds.answer_slack;
+    for (const arrival* one : all)
+      if (const sent_request& sent = *index.sent(one->attempt);
+          sent.at > from && in_touch(seen, bounds, host, (*said)->at, one->at)) {
+        found.push_back(one->attempt + " reached " + one->endpoint +
+                        ", which had told its host that it leaves");
+        break;
+      }
+  }
+  return found;
+}
+
 // An end counts if most of what the endpoint refused came from hosts in touch.
 std::vector<std::string> check_brittle(const observations& seen, const promised_bounds& bounds) {
   const observation_index index{seen};
--- a/bench/soak/observations.hpp
+++ b/bench/soak/observations.hpp
@@ -70,6 +70,8 @@
   int status{};                      ///< of that answer; 0: it gave none
   double limit{0};                   ///< that the endpoint named in its answer; 0: none
   std::optional<time_ms> limit_from; ///< when it first named the limit that it names now
+  time_ms pause;                     ///< that the endpoint asked for in its refusal; 0: none
+  bool said_leaving{false};          ///< its answer said that the endpoint leaves
   bool sound{true};                  ///< neither the endpoint nor its link was harmed
 };
 
--- a/bench/soak/promises.cpp
+++ b/bench/soak/promises.cpp
@@ -17,7 +17,8 @@
       promise{"draining", check_draining}, promise{"stops", check_stops},
       promise{"crashes", check_crashes},   promise{"limits", check_limits},
       promise{"brittle", check_brittle},   promise{"cut_off", check_cut_off},
-      promise{"builds", check_builds},     promise{"silence", check_silence}};
+      promise{"builds", check_builds},     promise{"silence", check_silence},
+      promise{"pauses", check_pauses},     promise{"leaving", check_leaving}};
   return all;
 }
 
--- a/bench/soak/promises.hpp
+++ b/bench/soak/promises.hpp
@@ -31,6 +31,9 @@
   time_ms limit_window{4000};
   double limit_overage{1.5};      ///< part of an endpoint's limit that it may get in that window
   double limit_slack{5};          ///< requests beyond it
+  time_ms pause_slack{500};       ///< within which requests on their way reach a pausing endpoint
+  std::size_t pause_arrivals{2};  ///< that are allowed after it
+  time_ms leaving_bound{2000};    ///< for requests after an endpoint has said that it leaves
   std::size_t brittle_falls{2};   ///< of the endpoints of a service, while they are brittle
   double brittle_falls_part{0.1}; ///< of their number, beyond that
   double served_part{2.0 / 3};    ///< of what other hosts serve, while a host reaches no endpoint
@@ -115,6 +118,12 @@
 // Brittle endpoints are not made to end by refusals.
 [[nodiscard]] std::vector<std::string> check_brittle(const observations& seen,
                                                      const promised_bounds& bounds);
+// A host sends nothing to an endpoint that has asked it for a pause, until its end.
+[[nodiscard]] std::vector<std::string> check_pauses(const observations& seen,
+                                                    const promised_bounds& bounds);
+// A host sends nothing to an endpoint for long after it has said that it leaves.
+[[nodiscard]] std::vector<std::string> check_leaving(const observations& seen,
+                                                     const promised_bounds& bounds);
 // Hosts that reach no endpoint serve about as much as others.
 [[nodiscard]] std::vector<std::string> check_cut_off(const observations& seen,
                                                      const promised_bounds& bounds);
--- a/bench/soak/soak_endpoints.cpp
+++ b/bench/soak/soak_endpoints.cpp
@@ -75,6 +75,11 @@
   return with_field(std::move(answer), "Server-Limit", limit);
 }
 
+std::string seconds_text(time_ms span) {
+  constexpr double ms_per_second = 1000;
+  return std::to_string(static_cast<double>(span.count()) / ms_per_second);
+}
+
 std::string field_of(const request_head& head, std::string_view name) {
   const std::string* found = head.fields.find(name);
   return found == nullptr ? "" : *found;
@@ -121,6 +126,8 @@
   of.id = "e" + std::to_string(named_++);
   of.limit = 0; // of the endpoint that was here before
   of.names_nonsense = false;
+  of.tired_until = 0;
+  of.says_leaving = false;
   of.service = service;
   of.build = mixed_ ? build_names.at(random_.below(build_names.size())) : build_names.front();
   start(of);
@@ -383,6 +390,32 @@
   });
 }
 
+void soak_endpoints::ask_hosts() {
+  constexpr std::int64_t shortest_ms = 3000;
+  constexpr std::uint64_t longer_ms = 4000;
+  constexpr std::int64_t shortest_pause_ms = 1000;
+  constexpr std::uint64_t longer_pause_ms = 2000;
+  endpoint& of = any();
+  const std::int64_t now = time_.now().count();
+  if (!of.program || of.leaving || of.says_leaving || of.tired_until > now)
+    return;
+  const auto span = shortest_ms + static_cast<std::int64_t>(random_.below(longer_ms));
+  if (random_.below(3) > 0 || !is_spare(of)) {
+    of.pause_ms = shortest_pause_ms + static_cast<std::int64_t>(random_.below(longer_pause_ms));
+    of.tired_until = now + span;
+    tell(of, "refuses all and asks for pauses of " + std::to_string(of.pause_ms) + " ms");
+    return;
+  }
+  of.says_leaving = true;
+  tell(of, "says in its answers that it leaves");
+  later_.add(time_.now() + time_ms{span}, [this, &of, id = of.id] {
+    if (of.id != id || !of.program || of.leaving)
+      return;
+    tell(of, "ends");
+    crash(of);
+  });
+}
+
 void soak_endpoints::make_brittle() {
   constexpr std::int64_t shortest_ms = 6000;
   constexpr std::uint64_t longer_ms = 4000;
@@ -544,6 +577,10 @@
     answer.bytes = with_limit(std::move(answer.bytes), std::to_string(seen.limit));
   else if (on.names_nonsense)
     answer.bytes = with_limit(std::move(answer.bytes), "-3");
+  if (on.says_leaving && !answer.bytes.empty()) {
+    seen.said_leaving = true;
+    answer.bytes = with_field(std::move(answer.bytes), "Server-Leaving", "1");
+  }
   if (const auto borne = refusals_borne_by(on))
     answer.bytes = with_field(std::move(answer.bytes), "Server-Brittle", std::to_string(*borne));
   // Before the first byte of the answer: whoever sees that it ran finds it noted.
@@ -561,6 +598,12 @@
   seen.status = 0;
   if (!expected.empty() && expected != on.id)
     return {refusal(421, false), then::keep, ""};
+  if (seen.at.count() < on.tired_until) {
+    seen.pause = time_ms{on.pause_ms.load()};
+    std::string refused = with_field(refusal(503, true), "Attempt-Id", attempt);
+    return {with_field(std::move(refused), "Retry-After", seconds_text(seen.pause)), then::keep,
+            ""};
+  }
   if (does == mood::full)
     return {refusal(503, true), then::keep, ""};
   switch (check_room(on, seen)) {
--- a/bench/soak/soak_endpoints.hpp
+++ b/bench/soak/soak_endpoints.hpp
@@ -45,6 +45,9 @@
   void fall_silent();
   /// \brief One names a limit for some time, or what is no limit.
   void limit_one();
+  /// \brief One refuses all requests for some time and asks for pauses, or says in its answers that
+  /// it leaves, before the list does, and ends later.
+  void ask_hosts();
   /// \brief The endpoints of one service say that they are brittle, for some time, and then hold
   /// fewer requests and end when they have to refuse too many.
   void make_brittle();
@@ -80,6 +83,9 @@
     std::atomic<double> limit{0};               ///< requests a second that it names; 0: none
     std::atomic<std::int64_t> limit_from{0};    ///< ms
     std::atomic<bool> names_nonsense{false};    ///< instead of a limit
+    std::atomic<std::int64_t> tired_until{0};   ///< ms; refuses all by then and asks for a pause
+    std::atomic<std::int64_t> pause_ms{0};      ///< that it asks for
+    std::atomic<bool> says_leaving{false};      ///< in all its answers
     std::vector<std::int64_t> busy_until;       ///< ms, of the requests that it holds
     std::vector<arrival> refused;               ///< within the last second
     bool leaving{false};
--- a/bench/soak/soak_world.cpp
+++ b/bench/soak/soak_world.cpp
@@ -67,7 +67,8 @@
                                        {"cut_off", &soak_world::cut_off},
                                        {"builds", &soak_world::mix_builds},
                                        {"silence", &soak_world::silence_endpoints},
-                                       {"poison_parts", &soak_world::send_poison_part}};
+                                       {"poison_parts", &soak_world::send_poison_part},
+                                       {"asking", &soak_world::ask_hosts}};
   return all;
 }
 
@@ -394,6 +395,10 @@
   endpoints_->limit_one();
 }
 
+void soak_world::ask_hosts() {
+  endpoints_->ask_hosts();
+}
+
 void soak_world::make_brittle() {
   endpoints_->make_brittle();
 }
--- a/bench/soak/soak_world.hpp
+++ b/bench/soak/soak_world.hpp
@@ -85,6 +85,7 @@
   void silence_endpoints();
   void pay_for_streams();
   void make_brittle();
+  void ask_hosts();
   void mix_builds();
   void pay();
   void storm();
--- a/tests/soak/promises_test.cpp
+++ b/tests/soak/promises_test.cpp
@@ -458,6 +458,34 @@
 }
 
 // Guards against hosts that refuse their callers while they reach no endpoint.
+TEST_CASE("an endpoint that goes on getting requests while it pauses is found") {
+  recorded day;
+  const auto arrive = [&](const std::string& attempt, time_ms after) -> arrival& {
+    day.sent(attempt, call_kind::safe, start + after);
+    arrival& one = day.ran(attempt);
+    one.ran = false;
+    return one;
+  };
+  arrive("a", time_ms{0}).pause = time_ms{3000};
+  for (const std::int64_t after : {100, 200, 300, 2000, 2100, 3100})
+    arrive("a" + std::to_string(after), time_ms{after});
+  CHECK(check_pauses(day.seen, promised_bounds{}).empty());
+  arrive("b", time_ms{2500});
+  CHECK(check_pauses(day.seen, promised_bounds{}).size() == 1);
+}
+
+TEST_CASE("requests that reach an endpoint long after it has said that it leaves are found") {
+  recorded day;
+  day.sent("a");
+  day.ran("a").said_leaving = true;
+  day.sent("b", call_kind::unsafe, start + time_ms{1900});
+  day.ran("b");
+  CHECK(check_leaving(day.seen, promised_bounds{}).empty());
+  day.sent("c", call_kind::unsafe, start + time_ms{2600});
+  day.ran("c");
+  CHECK(check_leaving(day.seen, promised_bounds{}).size() == 1);
+}
+
 TEST_CASE("a host that serves nothing while it is cut off from all endpoints is found") {
   constexpr int requests = 30;
   recorded run;
--- a/tests/soak/seeds_test.cpp
+++ b/tests/soak/seeds_test.cpp
@@ -23,12 +23,9 @@
 // Accounts that are overwritten have a test of their own, below.
 TEST_CASE("promises are kept under random faults") {
   for (const int seed : {1, 2, 3, 1009, 40002, 50001})
-    CHECK(
-        run_seed(
-            seed,
-            "--seconds 4 --without "
-            "accounts,poison,endpoint_outage,limits,brittle,cut_off,builds,silence,poison_parts") ==
-        0);
+    CHECK(run_seed(seed, "--seconds 4 --without "
+                         "accounts,poison,endpoint_outage,limits,brittle,cut_off,builds,silence,"
+                         "poison_parts,asking") == 0);
 }
 
 // An account is overwritten, and all hosts start again before its owner has written it anew: none
@@ -41,28 +38,32 @@
 // An account is overwritten and the store forgets its history, then a budget is raised and all
 // hosts start again: the raise was written off together with the account, and the team refused.
 TEST_CASE("a team whose budget is raised before its account is written off is served") {
-  CHECK(run_seed(3,
-                 "--runs 1 --seconds 7 --without "
-                 "poison,endpoint_outage,limits,brittle,cut_off,builds,silence,poison_parts") == 0);
+  CHECK(run_seed(
+            3,
+            "--runs 1 --seconds 7 --without "
+            "poison,endpoint_outage,limits,brittle,cut_off,builds,silence,poison_parts,asking") ==
+        0);
 }
 
 // A host is paused across its signal to stop, and said when it woke that it is ready.
 TEST_CASE("a host that wakes after its signal to stop does not say that it is ready") {
-  CHECK(run_seed(6106,
-                 "--seconds 8 --without "
-                 "poison,endpoint_outage,limits,brittle,cut_off,builds,silence,poison_parts") == 0);
+  CHECK(run_seed(
+            6106,
+            "--seconds 8 --without "
+            "poison,endpoint_outage,limits,brittle,cut_off,builds,silence,poison_parts,asking") ==
+        0);
 }
 
 // 5000: callers went on using connections that had been silenced, or that other programs had
 // inherited, and hosts were held to the time-out of what never reached them. Later it broke by an
 // account that was overwritten, as above.
 TEST_CASE("promises are kept by many hosts") {
-  CHECK(
-      run_seed(
-          5000,
-          "--hosts 40 --endpoints 60 --callers 50 --seconds 4 "
-          "--without poison,endpoint_outage,limits,brittle,cut_off,builds,silence,poison_parts") ==
-      0);
+  CHECK(run_seed(
+            5000,
+            "--hosts 40 --endpoints 60 --callers 50 --seconds 4 "
+            "--without "
+            "poison,endpoint_outage,limits,brittle,cut_off,builds,silence,poison_parts,asking") ==
+        0);
 }
 
 TEST_CASE("promises are kept by many hosts whose accounts are their own") {
@@ -94,6 +95,14 @@
                        "limits,kill,stop,store_link,endpoint_retires") == 0);
 }
 
+// Endpoints refuse requests and ask for pauses, or say in their answers that they leave, also
+// beside hosts that are killed, stopped and cut off from the store.
+TEST_CASE("endpoints that ask for a pause or say that they leave get no more requests") {
+  CHECK(run_seed(5201, "--hosts 4 --endpoints 8 --callers 30 --seconds 12 --families asking") == 0);
+  CHECK(run_seed(5202, "--hosts 4 --endpoints 8 --callers 30 --seconds 10 --families "
+                       "asking,kill,stop,store_link") == 0);
+}
+
 // The endpoints of a service bear few refusals and then hold fewer requests, also beside hosts that
 // are killed and replaced.
 TEST_CASE("brittle endpoints are not made to end by refusals") {
