--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -91,6 +91,10 @@
     parts_.place.heard->note(last_heard_);
 }
 
+bool late_reading::may_go_on(time_ms, time_ms, std::size_t) noexcept {
+  return true;
+}
+
 // The silence of an endpoint never ends the exchange by itself: the endpoint may go on, and whether
 // another one would answer sooner is known only once that one does.
 template <typename Read>
--- a/src/relay/impl/endpoint_exchange.hpp
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -21,9 +21,21 @@
 struct exchange_bounds {
   std::size_t max_reply_head{};
   std::size_t max_buffered_body{}; ///< of an answer that is not a stream
+  std::size_t max_event{};         ///< of a stream
+  std::size_t max_stream{};        ///< its body
   bool with_host{false};           ///< the other end is a host that passes on an endpoint's reply
 };
 
+/// \brief Bounds what is read of a reply after the deadline of its request. What has arrived by
+/// then is delivered, also late.
+struct late_reading {
+  std::size_t bytes_left{std::size_t{256} << 10U};
+
+  /// \param got  bytes that were read just now
+  /// \returns whether to go on reading
+  [[nodiscard]] bool may_go_on(time_ms now, time_ms deadline, std::size_t got) noexcept;
+};
+
 /// \brief A wait for an endpoint that has sent nothing since `since`.
 struct endpoint_silence {
   time_ms since;
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -57,6 +57,8 @@
   time_ms budget_retry_after{100}; ///< `Retry-After` when other hosts hold the tokens
   std::size_t max_reply_head{32768};
   std::size_t max_buffered_body{std::size_t{8} << 20U}; ///< of an answer that is not a stream
+  std::size_t max_event{std::size_t{1} << 20U};         ///< of a stream
+  std::size_t max_stream{std::size_t{64} << 20U};
 };
 
 /// \brief Serves requests: finds the route, reserves tokens, chooses endpoints, sends, retries
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -308,6 +308,8 @@
       {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_, progress},
       {.max_reply_head = options.max_reply_head,
        .max_buffered_body = options.max_buffered_body,
+       .max_event = options.max_event,
+       .max_stream = options.max_stream,
        .with_host = true},
       *link,
       admitted_.on_route->max_attempts};
--- a/src/relay/impl/request_run_sends.cpp
+++ b/src/relay/impl/request_run_sends.cpp
@@ -195,7 +195,10 @@
       {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_, one.progress,
        [&] { note_begun(place); }, [&] { end_other_sends(); }, [&] { note_written(one); },
        [&](const endpoint_silence& silence) { return consider_silence(one, silence); }},
-      {.max_reply_head = options.max_reply_head, .max_buffered_body = options.max_buffered_body},
+      {.max_reply_head = options.max_reply_head,
+       .max_buffered_body = options.max_buffered_body,
+       .max_event = options.max_event,
+       .max_stream = options.max_stream},
       *link,
       static_cast<int>(sent_to_.size())};
   const send_outcome end = run.run(endpoint_request(
