Replies without an end are given up at bounds in bytes and time

A flood of interim headers, one event or comments was read for as long as it came: only a pause looked at the deadline, the caller and the stop. Such a reply counts as failed and its connection is closed. Unfinished events are searched from their last line on.

--- a/src/relay/impl/connection.cpp
+++ b/src/relay/impl/connection.cpp
@@ -61,6 +61,13 @@
   return ::poll(&fd, 1, 0) > 0 && left(fd.revents);
 }
 
+io_status caller_watch::look() noexcept {
+  if (descriptor_ >= 0 && has_left())
+    return io_status::caller_left;
+  pollfd fd{interrupt_, POLLIN, 0};
+  return ::poll(&fd, 1, 0) > 0 && fd.revents != 0 ? io_status::interrupted : io_status::ok;
+}
+
 bool caller_watch::goes_on(std::size_t alternative) noexcept {
   int& descriptor = alternatives_[alternative].descriptor;
   int bytes = 0; // asked for without a read, which would consume the error of a reset connection
--- a/src/relay/impl/connection.hpp
+++ b/src/relay/impl/connection.hpp
@@ -56,6 +56,10 @@
   /// \returns whether the caller has closed its connection; does not wait
   [[nodiscard]] bool has_left() noexcept;
 
+  /// \brief Looks without waiting.
+  /// \returns `caller_left`, `interrupted`, or `ok`
+  [[nodiscard]] io_status look() noexcept;
+
   /// \brief Another connection that serves the request.
   struct alternative {
     int descriptor{-1};      ///< -1: ignored
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::size_t read_block = 16 * 1024;
 
+constexpr time_ms look_interval{20}; // between two looks at the caller while bytes keep coming
+
 // Longest pause between two reads of an answer that counts as time in which it was written.
 constexpr time_ms max_counted_pause{250};
 
@@ -91,8 +93,25 @@
     parts_.place.heard->note(last_heard_);
 }
 
-bool late_reading::may_go_on(time_ms, time_ms, std::size_t) noexcept {
-  return true;
+bool late_reading::may_go_on(time_ms now, time_ms deadline, std::size_t got) noexcept {
+  if (now < deadline)
+    return true;
+  const bool allowed = got <= bytes_left;
+  bytes_left -= std::min(got, bytes_left);
+  return allowed;
+}
+
+// Where bytes keep coming no wait notices that the caller has left, that the host stops, or that
+// the time is over.
+io_status endpoint_exchange::look_around() {
+  const std::size_t got = link_.buffered().size();
+  if (last_heard_ >= next_look_) {
+    next_look_ = last_heard_ + look_interval;
+    if (const io_status seen = parts_.watch.look(); seen != io_status::ok)
+      return seen;
+  }
+  return late_.may_go_on(last_heard_, parts_.request.deadline, got) ? io_status::ok
+                                                                    : io_status::timed_out;
 }
 
 // The silence of an endpoint never ends the exchange by itself: the endpoint may go on, and whether
@@ -101,8 +120,11 @@
 io_status endpoint_exchange::read_patiently(const Read& read) {
   for (;;) {
     const io_status status = read(std::min(next_check_, parts_.request.deadline));
-    if (status == io_status::ok)
+    if (status == io_status::ok) {
       note_heard();
+      if (const io_status looked = look_around(); looked != io_status::ok)
+        return looked;
+    }
     if (status != io_status::timed_out || parts_.time.now() >= parts_.request.deadline)
       return status;
     const auto pause = parts_.on_silence({last_heard_, stall_after()});
@@ -136,14 +158,16 @@
 
 io_status endpoint_exchange::read_final_head() {
   std::string text;
+  std::size_t read = 0;
   do {
     const io_status status = read_patiently([&](time_ms until) {
       return link_.read_head(text, bounds_.max_reply_head, until, &parts_.watch);
     });
     if (status != io_status::ok)
       return status;
+    read += text.size();
     const auto parsed = parse_response_head(text);
-    if (!parsed)
+    if (!parsed || read > bounds_.max_reply_head)
       return io_status::reset;
     reply_ = *parsed;
   } while (reply_.status < 200);
@@ -259,8 +283,12 @@
   event_splitter events = parts_.answer.events();
   events.drop_unfinished();
   std::array<char, read_block> block; // NOLINT(cppcoreguidelines-pro-type-member-init)
+  std::size_t size = 0;
   while (body.state() == body_state::open) {
     const std::size_t got = body.read(block.data(), block.size());
+    size += got;
+    if (size > bounds_.max_stream || events.unfinished_bytes() > bounds_.max_event)
+      return send_outcome::failed;
     events.feed({block.data(), got});
     const std::uint64_t before = events.events();
     const std::string whole = events.take_whole();
--- a/src/relay/impl/event_splitter.cpp
+++ b/src/relay/impl/event_splitter.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-/// \returns the length of the first complete event including its empty line; 0 if there is none
-std::size_t event_length(std::string_view text) noexcept {
-  std::size_t at = 0;
+/// \param at  begin of a line; set to that of the first one which is not complete
+/// \returns the end of the first empty line; 0 if there is none
+std::size_t event_end(std::string_view text, std::size_t& at) noexcept {
   while (at < text.size()) {
     const std::size_t end = text.find('\n', at);
     if (end == std::string_view::npos)
@@ -25,18 +25,17 @@
 
 } // namespace
 
+// Lines that were searched before are not searched again.
 std::string event_splitter::take_whole() {
   std::size_t whole = 0;
-  for (;;) {
-    const std::string_view rest = std::string_view{pending_}.substr(whole);
-    const std::size_t length = event_length(rest);
-    if (length == 0)
-      break;
-    note_event(rest.substr(0, length));
-    whole += length;
+  std::size_t at = searched_;
+  while (const std::size_t end = event_end(pending_, at)) {
+    note_event(std::string_view{pending_}.substr(whole, end - whole));
+    whole = end;
   }
   std::string taken = pending_.substr(0, whole);
   pending_.erase(0, whole);
+  searched_ = at - whole;
   return taken;
 }
 
--- a/src/relay/impl/event_splitter.hpp
+++ b/src/relay/impl/event_splitter.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -18,17 +19,22 @@
 
   /// \returns whether bytes of a partial event are buffered
   [[nodiscard]] bool inside_event() const noexcept { return !pending_.empty(); }
+  [[nodiscard]] std::size_t unfinished_bytes() const noexcept { return pending_.size(); }
   /// \returns the id of the last returned event that had one
   [[nodiscard]] std::optional<std::uint64_t> last_id() const noexcept { return last_id_; }
   /// \returns the number of events returned so far
   [[nodiscard]] std::uint64_t events() const noexcept { return events_; }
   /// \brief Discards the bytes of a partial event.
-  void drop_unfinished() noexcept { pending_.clear(); }
+  void drop_unfinished() noexcept {
+    pending_.clear();
+    searched_ = 0;
+  }
 
  private:
   void note_event(std::string_view event);
 
   std::string pending_;
+  std::size_t searched_{0}; ///< bytes of the partial event before its last line
   std::optional<std::uint64_t> last_id_;
   std::uint64_t events_{0};
 };
