--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -96,6 +96,8 @@
   budgets_ = std::make_unique<budget_manager>(
       owner, prepaid_options{}, account_logs(settings_.store), machine_time_, faults_, log);
   figures_.add(metric::brittle_refusals, {}, 0);
+  figures_.add(metric::endpoint_pauses, {}, 0);
+  figures_.add(metric::endpoints_leaving, {}, 0);
   endpoints_.on_restart([this](const endpoint_restart& found) { note_restart(found); });
   endpoints_.on_limit([this](const rate_notice& notice) { note_limit(notice); });
   endpoints_.on_pause([this](const pause_notice& notice) { note_pause(notice); });
