--- a/src/relay/impl/endpoint_directory_probes.cpp
+++ b/src/relay/impl/endpoint_directory_probes.cpp
@@ -128,7 +128,8 @@
     } else {
       reachability_.note_unreachable(of.endpoint, centre, silent, now);
       at->checks_left = 0;
-      if (!silent && note_refused(*at, of.began, now))
+      // An endpoint that has said that it leaves ends as it should.
+      if (!silent && note_refused(*at, of.began, now) && !at->said_leaving)
         lost = at->hash;
     }
     change = observe_paths(now);
