--- a/src/relay/impl/part_quarantine.cpp
+++ b/src/relay/impl/part_quarantine.cpp
@@ -57,6 +57,17 @@
   }));
 }
 
+// Drops the oldest quarter, so that the search is rare.
+void part_quarantine::make_room_for_harmless() {
+  std::vector<time_ms> times;
+  times.reserve(harmless_.size());
+  for (const auto& [part, known] : harmless_)
+    times.push_back(known.at);
+  const auto quarter = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 4);
+  std::ranges::nth_element(times, quarter);
+  absl::erase_if(harmless_, [&](const auto& one) { return one.second.at <= *quarter; });
+}
+
 bool part_quarantine::add_death(part_fingerprint part, const death& added, time_ms now) {
   if (now - added.at > policy_.evidence_lifetime || is_harmless(part, now))
     return false;
@@ -109,8 +120,7 @@
   if (now - at >= policy_.answer_lifetime)
     return;
   if (harmless_.size() >= policy_.max_harmless && !harmless_.contains(part))
-    harmless_.erase(
-        std::ranges::min_element(harmless_, {}, [](const auto& one) { return one.second.at; }));
+    make_room_for_harmless();
   harmless_state& known = harmless_[part];
   known.at = std::max(known.at, at);
   suspects_.erase(part);
--- a/src/relay/impl/part_quarantine.hpp
+++ b/src/relay/impl/part_quarantine.hpp
@@ -153,6 +153,7 @@
   void add_harmless(part_fingerprint part, time_ms at, time_ms now);
   void tell_harmless(part_fingerprint part, time_ms now);
   void make_room_for_suspect();
+  void make_room_for_harmless();
   /// \returns the deaths of a part without those that another part explains
   [[nodiscard]] death_list unexplained(part_fingerprint part) const;
   /// \returns when the deaths sufficed; nothing: they do not
--- a/tests/relay/part_quarantine_test.cpp
+++ b/tests/relay/part_quarantine_test.cpp
@@ -87,6 +87,17 @@
   CHECK(of.deaths_of(guilty) == 6);
 }
 
+TEST_CASE("the parts that were answered last are known where there are too many") {
+  part_policy policy;
+  policy.max_harmless = 100;
+  part_quarantine of{policy};
+  for (part_fingerprint part = 1; part <= 150; ++part)
+    of.note_harmless(std::vector{part}, time_ms{static_cast<std::int64_t>(part)});
+  CHECK_FALSE(of.is_harmless(1, 1_s));
+  for (part_fingerprint part = 101; part <= 150; ++part)
+    CHECK(of.is_harmless(part, 1_s));
+}
+
 TEST_CASE("a run that went on beyond the moment of a crash exonerates its part") {
   part_quarantine of;
   for (endpoint_hash i = 1; i <= 5; ++i)
