--- a/bench/soak/fleet_promises.cpp
+++ b/bench/soak/fleet_promises.cpp
@@ -276,7 +276,7 @@
   std::vector<std::string> found;
   for (const auto& [sender, all] : arrivals_by_sender(seen)) {
     const std::size_t host = std::get<std::size_t>(sender);
-    const auto broken = [&](const arrival* asked) {
+    const auto broken = [&, &all = all](const arrival* asked) {
       const time_ms end = asked->at + asked->pause;
       const auto count = std::ranges::count_if(all, [&](const arrival* one) {
         return one->at > asked->at + bounds.pause_slack && one->at < end &&
--- a/src/relay/impl/prompt_parts.cpp
+++ b/src/relay/impl/prompt_parts.cpp
@@ -26,8 +26,7 @@
   for (std::size_t i = 0; i + 1 < generation.parts.size(); ++i)
     parts.push_back(mix_hash(of_service, stable_hash(canonical_id(generation.parts[i].id))));
   std::ranges::sort(parts);
-  const auto repeated = std::ranges::unique(parts);
-  parts.erase(repeated.begin(), repeated.end());
+  parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
   return parts;
 }
 
