--- a/tests/relay/part_quarantine_test.cpp
+++ b/tests/relay/part_quarantine_test.cpp
@@ -98,6 +98,24 @@
     CHECK(of.is_harmless(part, 1_s));
 }
 
+TEST_CASE("a short whole answer clears the parts of its prompt") {
+  structured_log log{{.host = "part-quarantine-test", .file = "/dev/null"}};
+  content_guard guard{{}, log};
+  const endpoint_id sound{"sound"};
+  const auto end = [&](const endpoint_id& endpoint, endpoint_hash life, content_fingerprint content,
+                       const std::vector<part_fingerprint>& parts, send_outcome outcome) {
+    guard.note_end({content, endpoint, life, 10_s, parts}, outcome, 10100_ms);
+  };
+  end(sound, 99, 1, {first}, send_outcome::answered);
+  for (endpoint_hash i = 1; i <= 5; ++i) {
+    const endpoint_id endpoint{"e" + std::to_string(i)};
+    end(endpoint, i, 100 + i, {first, guilty}, send_outcome::failed);
+    guard.note_lost(endpoint, i, loss_source::refused, 10200_ms);
+  }
+  CHECK(guard.refusal(200, std::vector{other, guilty}, 12_s).has_value());
+  CHECK_FALSE(guard.refusal(201, std::vector{first, other}, 12_s).has_value());
+}
+
 TEST_CASE("a run that went on beyond the moment of a crash exonerates its part") {
   part_quarantine of;
   for (endpoint_hash i = 1; i <= 5; ++i)
