A weight in a message is at most that of a full death

A corrupt byte would have made 1.25 of it, and a record in the log that no host could parse. The new check fails without the bound by reading of the codec; it passes with it.

--- a/src/relay/impl/part_codec.cpp
+++ b/src/relay/impl/part_codec.cpp
@@ -80,7 +80,7 @@
   for (std::size_t i = 0; i < count; ++i) {
     const auto part = take_number<order, std::uint64_t>(bytes);
     const auto weight = take_number<order, std::uint8_t>(bytes);
-    row.blamed.push_back({part, weight / weight_unit + most_exoneration});
+    row.blamed.push_back({part, std::min(weight / weight_unit + most_exoneration, 1.0)});
   }
   into.deaths.push_back(std::move(row));
   return true;
--- a/tests/relay/part_quarantine_test.cpp
+++ b/tests/relay/part_quarantine_test.cpp
@@ -150,6 +150,9 @@
     const auto cut = decode_part_news(messages.front().substr(0, length));
     CHECK((!cut || cut->harmless.size() + cut->deaths.size() < 3));
   }
+  std::string heavy = encode_part_news({{{7, 4_s, {{guilty, 1.0}}}}, {}}, 1).front();
+  heavy.back() = '\xff';
+  CHECK(decode_part_news(heavy)->deaths.front().blamed.front().weight == 1);
   CHECK_FALSE(decode_part_news("\x02").has_value());
   CHECK_FALSE(decode_part_news("\x01\x09").has_value());
 }
