--- a/src/relay/impl/part_quarantine.cpp
+++ b/src/relay/impl/part_quarantine.cpp
@@ -76,8 +76,9 @@
   death_list& deaths = suspects_[part];
   const auto known = std::ranges::find(deaths, added.incarnation, &death::incarnation);
   if (known != deaths.end()) {
-    return std::exchange(known->weight, combined_weight(known->weight, added.weight)) !=
-           known->weight;
+    const double before = known->weight;
+    known->weight = combined_weight(before, added.weight);
+    return known->weight != before;
   }
   if (deaths.size() >= policy_.max_deaths)
     return false;
@@ -187,10 +188,6 @@
 // another request.
 bool part_quarantine::has_other_explanation(part_fingerprint part, const death_list& deaths,
                                             std::span<const part_fingerprint> parts) const {
-  const auto blames = [](const death_list& list, endpoint_hash incarnation) {
-    return std::ranges::any_of(
-        list, [&](const death& one) { return one.incarnation == incarnation && one.weight > 0; });
-  };
   return std::ranges::any_of(suspects_, [&](const auto& other) {
     return other.first != part && std::ranges::find(parts, other.first) == parts.end() &&
            std::ranges::all_of(deaths, [&](const death& one) {
--- a/tests/relay/part_quarantine_test.cpp
+++ b/tests/relay/part_quarantine_test.cpp
@@ -124,6 +124,18 @@
   CHECK_FALSE(refuses(of, {guilty}, 12_s));
 }
 
+TEST_CASE("other hosts are told when a later run exonerates a part") {
+  part_quarantine of;
+  crash(of, 1, {guilty}, 10_s);
+  CHECK(of.take_news().deaths.size() == 1);
+  crash(of, 1, {guilty}, 10_s);
+  CHECK(of.take_news().deaths.empty());
+  crash(of, 1, {guilty}, 10_s, 600_ms);
+  const part_news news = of.take_news();
+  REQUIRE(news.deaths.size() == 1);
+  CHECK(news.deaths.front().blamed.front().weight < 0);
+}
+
 TEST_CASE("deaths under a part that has crashed more endpoints do not count for others") {
   part_quarantine of;
   for (endpoint_hash i = 1; i <= 7; ++i)
