Names a newcomer expects: check_interruption, refuses_until

Cause: look_around, next_look_ and tired named what they do by figures. Change: renamed in the exchange, the soak's endpoints and a test; nothing else.

--- a/bench/soak/soak_endpoints.cpp
+++ b/bench/soak/soak_endpoints.cpp
@@ -126,7 +126,7 @@
   of.id = "e" + std::to_string(named_++);
   of.limit = 0; // of the endpoint that was here before
   of.names_nonsense = false;
-  of.tired_until = 0;
+  of.refuses_until = 0;
   of.says_leaving = false;
   of.service = service;
   of.build = mixed_ ? build_names.at(random_.below(build_names.size())) : build_names.front();
@@ -397,12 +397,12 @@
   constexpr std::uint64_t longer_pause_ms = 2000;
   endpoint& of = any();
   const std::int64_t now = time_.now().count();
-  if (!of.program || of.leaving || of.says_leaving || of.tired_until > now)
+  if (!of.program || of.leaving || of.says_leaving || of.refuses_until > now)
     return;
   const auto span = shortest_ms + static_cast<std::int64_t>(random_.below(longer_ms));
   if (random_.below(3) > 0 || !is_spare(of)) {
     of.pause_ms = shortest_pause_ms + static_cast<std::int64_t>(random_.below(longer_pause_ms));
-    of.tired_until = now + span;
+    of.refuses_until = now + span;
     tell(of, "refuses all and asks for pauses of " + std::to_string(of.pause_ms) + " ms");
     return;
   }
@@ -598,7 +598,7 @@
   seen.status = 0;
   if (!expected.empty() && expected != on.id)
     return {refusal(421, false), then::keep, ""};
-  if (seen.at.count() < on.tired_until) {
+  if (seen.at.count() < on.refuses_until) {
     seen.pause = time_ms{on.pause_ms.load()};
     std::string refused = with_field(refusal(503, true), "Attempt-Id", attempt);
     return {with_field(std::move(refused), "Retry-After", seconds_text(seen.pause)), then::keep,
--- a/bench/soak/soak_endpoints.hpp
+++ b/bench/soak/soak_endpoints.hpp
@@ -83,7 +83,7 @@
     std::atomic<double> limit{0};               ///< requests a second that it names; 0: none
     std::atomic<std::int64_t> limit_from{0};    ///< ms
     std::atomic<bool> names_nonsense{false};    ///< instead of a limit
-    std::atomic<std::int64_t> tired_until{0};   ///< ms; refuses all by then and asks for a pause
+    std::atomic<std::int64_t> refuses_until{0}; ///< ms; refuses all by then and asks for a pause
     std::atomic<std::int64_t> pause_ms{0};      ///< that it asks for
     std::atomic<bool> says_leaving{false};      ///< in all its answers
     std::vector<std::int64_t> busy_until;       ///< ms, of the requests that it holds
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::size_t read_block = 16 * 1024;
 
-constexpr time_ms look_interval{20}; // between two looks at the caller while bytes keep coming
+constexpr time_ms interruption_check_interval{20}; // while bytes keep coming
 
 // Longest pause between two reads of an answer that counts as time in which it was written.
 constexpr time_ms max_counted_pause{250};
@@ -103,10 +103,10 @@
 
 // Where bytes keep coming no wait notices that the caller has left, that the host stops, or that
 // the time is over.
-io_status endpoint_exchange::look_around() {
+io_status endpoint_exchange::check_interruption() {
   const std::size_t got = link_.buffered().size();
-  if (last_heard_ >= next_look_) {
-    next_look_ = last_heard_ + look_interval;
+  if (last_heard_ >= next_interruption_check_) {
+    next_interruption_check_ = last_heard_ + interruption_check_interval;
     if (const io_status seen = parts_.watch.look(); seen != io_status::ok)
       return seen;
   }
@@ -122,7 +122,7 @@
     const io_status status = read(std::min(next_check_, parts_.request.deadline));
     if (status == io_status::ok) {
       note_heard();
-      if (const io_status looked = look_around(); looked != io_status::ok)
+      if (const io_status looked = check_interruption(); looked != io_status::ok)
         return looked;
     }
     if (status != io_status::timed_out || parts_.time.now() >= parts_.request.deadline)
--- a/src/relay/impl/endpoint_exchange.hpp
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -99,7 +99,7 @@
   template <typename Read>
   [[nodiscard]] io_status read_patiently(const Read& read);
   /// \returns why to stop reading, `ok` to go on
-  [[nodiscard]] io_status look_around();
+  [[nodiscard]] io_status check_interruption();
   [[nodiscard]] io_status fill();
   /// \returns the state of the body when it has ended or is too large
   [[nodiscard]] body_state read_body(body_decoder& body, std::string& bytes);
@@ -116,7 +116,7 @@
   int sends_;
   time_ms last_heard_;
   time_ms next_check_; ///< of the silence of the endpoint
-  time_ms next_look_;  ///< at the caller
+  time_ms next_interruption_check_;
   late_reading late_;
   response_head reply_;
   bool answer_begun_{false};
--- a/tests/relay/resting_endpoint_test.cpp
+++ b/tests/relay/resting_endpoint_test.cpp
@@ -80,22 +80,22 @@
 
 // An endpoint that had asked for a pause got as many requests as any other.
 TEST_CASE("an endpoint that has asked for a pause gets no requests until its end") {
-  refusing_endpoint tired{"Retry-After: 1.5\r\n"};
+  refusing_endpoint pausing{"Retry-After: 1.5\r\n"};
   scripted_endpoint sound{answers("ok")};
   relay_fixture at;
-  at.add_endpoint("e1", tired.program.address());
+  at.add_endpoint("e1", pausing.program.address());
   at.add_endpoint("e2", sound.address());
   for (const std::string& answer : call_for(at, time_ms{2500}))
     CHECK(status_of(answer) == 200);
-  CHECK(tired.between(time_ms{0}, time_ms{10000}) > 0);
-  CHECK(tired.between(settling, time_ms{1500}) <= allowed);
+  CHECK(pausing.between(time_ms{0}, time_ms{10000}) > 0);
+  CHECK(pausing.between(settling, time_ms{1500}) <= allowed);
 }
 
 TEST_CASE("requests are refused at once while all endpoints pause, until the first one ends") {
-  refusing_endpoint tired{"Retry-After: 2.5\r\n"};
+  refusing_endpoint pausing{"Retry-After: 2.5\r\n"};
   refusing_endpoint other{"Retry-After: 1.8\r\n"};
   relay_fixture at;
-  at.add_endpoint("e1", tired.program.address());
+  at.add_endpoint("e1", pausing.program.address());
   at.add_endpoint("e2", other.program.address());
   (void)call_for(at, time_ms{100});
   const steady_clock time;
@@ -106,7 +106,7 @@
   CHECK(retry_after_of(answer) <= 2.9);
   CHECK(time.now() - began < time_ms{1000});
   (void)call_for(at, time_ms{1200});
-  CHECK(tired.between(settling, time_ms{2500}) <= allowed);
+  CHECK(pausing.between(settling, time_ms{2500}) <= allowed);
   CHECK(other.between(settling, time_ms{1800}) <= allowed);
 }
 
