--- a/tests/relay/crashing_part_schedule.hpp
+++ b/tests/relay/crashing_part_schedule.hpp
@@ -19,6 +19,8 @@
 inline constexpr time_ms stable{3000}; // undisturbed time after which a host must keep the promise
 inline constexpr std::size_t crashes_before_promise = 5;
 inline constexpr int sends_after_promise = 3;
+inline constexpr time_ms bad_from{4000}; ///< the earliest request that crashes its endpoint
+inline constexpr time_ms end_span{10000};
 
 /// Injected faults that the schedules must find.
 enum class mutation {
@@ -47,6 +49,10 @@
   bool one_host_serves{false}; ///< all requests arrive at the first host
   bool disturbed{false};       ///< hosts are cut off and restart, messages are late and lost
   bool outages{false};         ///< endpoints die together
+  /// Requests with a bad part begin with one first part. Sound requests begin with it only from the
+  /// time on at which the bad ones come.
+  bool new_first_part{false};
+  std::optional<time_ms> fixed_at{}; ///< from which on no request crashes an endpoint
   time_ms length{40000};
 };
 
@@ -127,7 +133,7 @@
     for (endpoint_state& endpoint : endpoints_)
       revive(endpoint);
     for (cause& one : causes_)
-      one.next = time_ms{4000} + draw_ms(3000);
+      one.next = bad_from + draw_ms(3000);
     if (of.bad_content)
       causes_.back().is_content = true;
   }
@@ -158,6 +164,8 @@
   [[nodiscard]] int refused() const noexcept { return refused_; }
   /// \returns sound requests that were refused until deaths have settled
   [[nodiscard]] int held() const noexcept { return held_; }
+  /// \returns refusals in the last ten seconds of requests with a part that crashed endpoints once
+  [[nodiscard]] int refused_at_end() const noexcept { return refused_at_end_; }
   [[nodiscard]] int served() const noexcept { return served_; }
 
  private:
@@ -273,8 +281,9 @@
                                           now_);
     std::erase_if(losses_, [&](const loss& one) { return one.at <= now_; });
     for (endpoint_state& endpoint : endpoints_) {
-      const auto crashing = std::ranges::find_if(
-          endpoint.runs, [&](const endpoint_run& one) { return one.bad && one.ends <= now_; });
+      const auto crashing = std::ranges::find_if(endpoint.runs, [&](const endpoint_run& one) {
+        return one.bad && !fixed() && one.ends <= now_;
+      });
       if (crashing != endpoint.runs.end()) {
         causes_[*crashing->bad].crashes.push_back(now_);
         crash(endpoint);
@@ -307,10 +316,17 @@
     return nullptr;
   }
 
+  [[nodiscard]] bool fixed() const { return shape_.fixed_at && now_ >= *shape_.fixed_at; }
+
+  [[nodiscard]] part_fingerprint draw_first_part() {
+    const bool unused = shape_.new_first_part && now_ < bad_from;
+    const std::uint64_t unused_parts = unused ? 1 : 0;
+    return first_part + unused_parts + random_.below(shape_.first_parts - unused_parts);
+  }
+
   [[nodiscard]] prompt sound_prompt() {
     return {++contents_,
-            {first_part + random_.below(shape_.first_parts),
-             second_part + random_.below(shape_.second_parts)},
+            {draw_first_part(), second_part + random_.below(shape_.second_parts)},
             std::nullopt};
   }
 
@@ -322,6 +338,8 @@
       made.parts = {first_part, second_part - 1};
     } else {
       made.parts[shape_.place == guilty::first ? 0 : 1] = bad_part + index;
+      if (shape_.new_first_part)
+        made.parts[0] = first_part;
     }
     return made;
   }
@@ -349,6 +367,8 @@
       return;
     const auto refusal = hosts_[host].guard->refusal(what.content, what.parts, now_);
     if (refusal) {
+      if (what.bad && now_ >= shape_.length - end_span)
+        ++refused_at_end_;
       if (!what.bad)
         ++(refusal->quarantined ? refused_ : held_);
       return;
@@ -509,6 +529,7 @@
   content_fingerprint contents_{100000};
   int refused_{0};
   int held_{0};
+  int refused_at_end_{0};
   int served_{0};
 };
 
