A refused part is tried by one request at a time

Cause: a part of prompts that has a verdict runs nowhere, so nothing can show for an hour that the verdict is wrong or that its cause is gone. Change: when the deaths have settled, one request that holds no other suspect is sent once; an answer clears the part, another death makes the verdict, and so do two seconds without a trial. A trial that fails is followed by one a minute after the deaths sufficed, then after twenty minutes. Of many hosts a share that grows may begin it, and says so to the others. Metric sedgechute_part_trials_total, log line part_tried.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -96,6 +96,7 @@
   budgets_ = std::make_unique<budget_manager>(
       owner, prepaid_options{}, account_logs(settings_.store), machine_time_, faults_, log);
   figures_.add(metric::brittle_refusals, {}, 0);
+  figures_.add(metric::part_trials, {}, 0);
   figures_.add(metric::endpoint_pauses, {}, 0);
   figures_.add(metric::endpoints_leaving, {}, 0);
   endpoints_.on_restart([this](const endpoint_restart& found) { note_restart(found); });
@@ -300,6 +301,7 @@
   }
   relay_->set_hosts(std::move(targets));
   endpoints_.set_hosts(peers_->self().name, others);
+  contents_.set_hosts(peers_->self().name, others.size() + 1);
   stream_builds_->update_hosts();
   rooms_->update_hosts();
 }
--- a/src/relay/impl/content_guard.cpp
+++ b/src/relay/impl/content_guard.cpp
@@ -37,6 +37,20 @@
   return refusal;
 }
 
+bool content_guard::begin_trial(content_fingerprint content,
+                                std::span<const part_fingerprint> parts, time_ms now) {
+  const std::scoped_lock lock{mutex_};
+  const auto part = table_.refusal(content, now) ? std::nullopt : parts_.begin_trial(parts, now);
+  if (part)
+    log_.write(severity::info, "part_tried", {}, {{log_field::content, content_text(*part)}});
+  return part.has_value();
+}
+
+void content_guard::set_hosts(const std::string& self, std::size_t hosts) {
+  const std::scoped_lock lock{mutex_};
+  parts_.set_hosts(stable_hash(self), hosts);
+}
+
 void content_guard::note_answered(const broken_run& run, time_ms now) {
   table_.note_survived(run.content, run.ran_for, true, now);
   parts_.note_harmless(run.parts, now);
--- a/src/relay/impl/content_guard.hpp
+++ b/src/relay/impl/content_guard.hpp
@@ -56,6 +56,13 @@
   [[nodiscard]] std::optional<content_refusal> refusal(content_fingerprint content, time_ms now) {
     return refusal(content, {}, now);
   }
+  /// \brief Lets one request that is refused for a part find out whether the part still crashes
+  /// endpoints.
+  /// \returns whether the request may be sent, once
+  [[nodiscard]] bool begin_trial(content_fingerprint content,
+                                 std::span<const part_fingerprint> parts, time_ms now);
+  /// \brief Sets which host of how many this one is.
+  void set_hosts(const std::string& self, std::size_t hosts);
   /// \brief Records the end of a send.
   void note_end(const content_run& run, send_outcome outcome, time_ms now);
   /// \brief Records that the answer of a run has been written for longer than
--- a/src/relay/impl/part_codec.cpp
+++ b/src/relay/impl/part_codec.cpp
@@ -17,9 +17,9 @@
 constexpr double weight_unit = 60; // of a weight of 1; the lowest weight is sent as 0
 constexpr std::endian order = std::endian::little;
 
-enum class row_type : std::uint8_t { harmless = 1, death = 2 };
+enum class row_type : std::uint8_t { harmless = 1, death = 2, trial = 3 };
 
-constexpr std::size_t harmless_bytes = 8 + 4;
+constexpr std::size_t part_bytes = 8 + 4;
 constexpr std::size_t death_bytes = 8 + 4 + 1;
 constexpr std::size_t blamed_bytes = 8 + 1;
 
@@ -28,13 +28,21 @@
   append_number<order>(bytes, static_cast<std::uint32_t>(ms));
 }
 
-std::string encode(const harmless_part& row) {
-  std::string bytes(1, static_cast<char>(row_type::harmless));
-  append_number<order>(bytes, row.part);
-  append_span(bytes, row.age);
+std::string encode(row_type type, part_fingerprint part, time_ms age) {
+  std::string bytes(1, static_cast<char>(type));
+  append_number<order>(bytes, part);
+  append_span(bytes, age);
   return bytes;
 }
 
+std::string encode(const harmless_part& row) {
+  return encode(row_type::harmless, row.part, row.age);
+}
+
+std::string encode(const part_trial& row) {
+  return encode(row_type::trial, row.part, row.age);
+}
+
 std::string encode(const part_death& row) {
   std::string bytes(1, static_cast<char>(row_type::death));
   append_number<order>(bytes, row.incarnation);
@@ -57,13 +65,14 @@
   return time_ms{ms};
 }
 
-bool take_harmless(std::string_view& bytes, part_news& into) {
-  if (bytes.size() < harmless_bytes)
+template <typename Row>
+bool take_part(std::string_view& bytes, std::vector<Row>& into) {
+  if (bytes.size() < part_bytes)
     return false;
   const auto part = take_number<order, std::uint64_t>(bytes);
   const auto age = take_span(bytes);
   if (age)
-    into.harmless.push_back({part, *age});
+    into.push_back({part, *age});
   return age.has_value();
 }
 
@@ -90,9 +99,11 @@
   const auto type = static_cast<row_type>(take_number<order, std::uint8_t>(bytes));
   switch (type) {
   case row_type::harmless:
-    return take_harmless(bytes, into);
+    return take_part(bytes, into.harmless);
   case row_type::death:
     return take_death(bytes, into);
+  case row_type::trial:
+    return take_part(bytes, into.trials);
   }
   return false;
 }
@@ -112,6 +123,7 @@
       messages.back() += bytes;
     }
   };
+  add(news.trials);
   add(news.harmless);
   add(news.deaths);
   return messages;
--- a/src/relay/impl/part_quarantine.cpp
+++ b/src/relay/impl/part_quarantine.cpp
@@ -1,6 +1,7 @@
 #include "relay/impl/part_quarantine.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace sedgechute {
@@ -19,6 +20,12 @@
   return static_cast<double>((at - from).count()) / static_cast<double>((to - from).count());
 }
 
+/// \returns a number from 0 to 1, 1 not included
+double unit_interval(std::uint64_t hash) noexcept {
+  constexpr int mantissa_bits = 53;
+  return std::ldexp(static_cast<double>(hash >> (64 - mantissa_bits)), -mantissa_bits);
+}
+
 double sum_of(const auto& deaths) {
   double sum = 0;
   for (const auto& one : deaths)
@@ -136,7 +143,16 @@
   }
 }
 
+void part_quarantine::note_trial(part_fingerprint part, time_ms at) {
+  if (trials_.size() >= policy_.max_suspects && !trials_.contains(part))
+    return;
+  const auto [found, added] = trials_.try_emplace(part, at);
+  found->second = std::max(found->second, at);
+}
+
 void part_quarantine::merge(const part_news& news, time_ms now) {
+  for (const part_trial& one : news.trials)
+    note_trial(one.part, now - one.age);
   for (const harmless_part& one : news.harmless)
     add_harmless(one.part, now - one.age, now);
   for (const part_death& one : news.deaths)
@@ -152,12 +168,19 @@
 }
 
 // A part that is in many requests is cut again and again by another one that crashes endpoints.
+// Deaths of the other one alone, as in its trials, tell nothing about this one.
 part_quarantine::death_list part_quarantine::unexplained(part_fingerprint part) const {
-  death_list deaths = suspects_.at(part);
-  const double own = sum_of(deaths);
+  const death_list& all = suspects_.at(part);
+  death_list deaths = all;
+  const double own = sum_of(all);
+  const time_ms last = std::ranges::max_element(all, {}, &death::at)->at;
   for (const auto& [other, theirs] : suspects_) {
-    const double sum = sum_of(theirs);
-    if (other == part || sum < policy_.deaths || sum < own + policy_.explaining_lead)
+    if (other == part || static_cast<double>(theirs.size()) < policy_.deaths)
+      continue; // no weight is above 1
+    double sum = 0;
+    for (const death& one : theirs)
+      sum += one.at <= last || blames(all, one.incarnation) ? one.weight : 0;
+    if (sum < policy_.deaths || sum < own + policy_.explaining_lead)
       continue;
     std::erase_if(deaths, [&, &list = theirs](const death& one) {
       return one.weight > 0 && blames(list, one.incarnation);
@@ -196,29 +219,99 @@
   });
 }
 
+std::optional<time_ms>
+part_quarantine::suspected_since(part_fingerprint part,
+                                 std::span<const part_fingerprint> parts) const {
+  const auto found = suspects_.find(part);
+  if (found == suspects_.end() || sum_of(found->second) < policy_.deaths)
+    return std::nullopt;
+  const death_list deaths = unexplained(part);
+  const auto sufficed = sufficed_at(deaths);
+  if (!sufficed || has_other_explanation(part, deaths, parts))
+    return std::nullopt;
+  return sufficed;
+}
+
+// Runs that were sent before the deaths sufficed have ended when they have settled.
+bool part_quarantine::has_failed_trial(part_fingerprint part, time_ms suspected) const {
+  return std::ranges::any_of(suspects_.at(part), [&](const death& one) {
+    return one.weight >= policy_.failing_weight && one.at > suspected + policy_.settling_time;
+  });
+}
+
 std::optional<part_refusal> part_quarantine::refusal(std::span<const part_fingerprint> parts,
                                                      time_ms now) const {
   std::optional<part_refusal> refusal;
   for (const part_fingerprint part : parts) {
-    const auto found = suspects_.find(part);
-    if (found == suspects_.end() || sum_of(found->second) < policy_.deaths)
-      continue;
-    const death_list deaths = unexplained(part);
-    const auto sufficed = sufficed_at(deaths);
-    if (!sufficed || has_other_explanation(part, deaths, parts))
+    const auto suspected = suspected_since(part, parts);
+    if (!suspected)
       continue;
-    const time_ms settled = *sufficed + policy_.settling_time;
-    if (now < settled) {
-      refusal = part_refusal{part, false, settled - now};
+    const time_ms verdict = *suspected + policy_.settling_time + policy_.first_trial_window;
+    if (now < verdict && !has_failed_trial(part, *suspected)) {
+      refusal = part_refusal{part, false, verdict - now};
       continue;
     }
-    const time_ms first = std::ranges::min_element(found->second, {}, &death::at)->at;
+    const time_ms first = std::ranges::min_element(suspects_.at(part), {}, &death::at)->at;
     const time_ms until = first + policy_.evidence_lifetime;
     return part_refusal{part, true, std::max(until - now, time_ms{1})};
   }
   return refusal;
 }
 
+// The first trial begins when the deaths have settled, the others at times that grow. One at which
+// an endpoint died has failed.
+time_ms part_quarantine::trial_due(part_fingerprint part, time_ms suspected) const {
+  time_ms last_death;
+  for (const death& one : suspects_.at(part))
+    if (one.weight >= policy_.failing_weight)
+      last_death = std::max(last_death, one.at);
+  time_ms wait = policy_.settling_time;
+  if (last_death > suspected + wait)
+    wait = policy_.second_trial_after;
+  while (last_death > suspected + wait && wait < policy_.evidence_lifetime)
+    wait = time_ms{wait.count() * policy_.trial_growth};
+  return wait;
+}
+
+// Few requests, or many, may have the part, and arrive at any host. With a share of hosts that
+// grows, the first trial begins in time, and few others beside it before its result is known.
+bool part_quarantine::may_try(part_fingerprint part, time_ms suspected, time_ms now) const {
+  const auto last_trial = trials_.find(part);
+  if (last_trial != trials_.end() && now - last_trial->second < policy_.trial_repeat)
+    return false;
+  const time_ms wait = trial_due(part, suspected);
+  const time_ms waited = now - suspected - wait;
+  if (waited < time_ms{})
+    return false;
+  const double waits = static_cast<double>(waited.count()) / static_cast<double>(wait.count());
+  const double share = std::exp2(policy_.trial_doublings * waits) / static_cast<double>(hosts_);
+  return unit_interval(mix_hash(part, self_)) < share;
+}
+
+// Other suspects in the request would make the result ambiguous.
+std::optional<part_fingerprint>
+part_quarantine::begin_trial(std::span<const part_fingerprint> parts, time_ms now) {
+  std::optional<part_fingerprint> tried;
+  for (const part_fingerprint part : parts) {
+    if (!suspects_.contains(part))
+      continue;
+    const auto suspected = suspected_since(part, parts);
+    if (tried || !suspected || !may_try(part, *suspected, now))
+      return std::nullopt;
+    tried = part;
+  }
+  if (!tried)
+    return std::nullopt;
+  note_trial(*tried, now);
+  append_bounded(news_.trials, {*tried, time_ms{}}, policy_.max_outgoing);
+  return tried;
+}
+
+void part_quarantine::set_hosts(std::uint64_t self, std::size_t hosts) noexcept {
+  self_ = self;
+  hosts_ = hosts;
+}
+
 std::vector<part_fingerprint> part_quarantine::quarantined(time_ms now) const {
   std::vector<part_fingerprint> all;
   for (const auto& [part, deaths] : suspects_)
@@ -302,6 +395,8 @@
 void part_quarantine::expire(time_ms now) {
   absl::erase_if(harmless_,
                  [&](const auto& one) { return now - one.second.at >= policy_.answer_lifetime; });
+  absl::erase_if(trials_,
+                 [&](const auto& one) { return now - one.second >= policy_.trial_repeat; });
   absl::erase_if(suspects_, [&](auto& one) {
     std::erase_if(one.second,
                   [&](const death& old) { return now - old.at > policy_.evidence_lifetime; });
--- a/src/relay/impl/part_quarantine.hpp
+++ b/src/relay/impl/part_quarantine.hpp
@@ -24,8 +24,16 @@
   /// Difference of the sums of two parts from which on deaths that both ran in belong to the one
   /// with the larger sum.
   double explaining_lead{2};
-  /// Time from the death that suffices to the verdict. Answers of other runs arrive in it.
+  /// Time from the death that suffices to the first trial. Answers of other runs arrive in it.
   time_ms settling_time{1000};
+  time_ms first_trial_window{2000};  ///< from then on to the verdict
+  double failing_weight{0.25}; ///< from which on the death of its endpoint fails a trial
+  time_ms second_trial_after{60000}; ///< from the death that suffices, where the first has failed
+  /// How many times longer than the time before it a part waits for each later trial.
+  std::int64_t trial_growth{20};
+  /// Within the wait before a trial, the share of hosts that may begin it doubles so many times.
+  double trial_doublings{4};
+  time_ms trial_repeat{5000}; ///< between two trials of a part, of which the result may be unknown
   /// A run that has written for longer did not crash its endpoint, so its parts are harmless.
   time_ms harmless_after{700};
   time_ms evidence_lifetime{3600000}; ///< age at which a death no longer counts
@@ -66,12 +74,21 @@
   time_ms age;
 };
 
+/// \brief A host has begun to try a part that is refused.
+struct part_trial {
+  part_fingerprint part{};
+  time_ms age;
+};
+
 /// \brief Evidence for the other hosts. Times are durations because clocks differ.
 struct part_news {
   std::vector<part_death> deaths;
   std::vector<harmless_part> harmless;
+  std::vector<part_trial> trials{};
 
-  [[nodiscard]] bool empty() const noexcept { return deaths.empty() && harmless.empty(); }
+  [[nodiscard]] bool empty() const noexcept {
+    return deaths.empty() && harmless.empty() && trials.empty();
+  }
 };
 
 /// \brief One death in the record of a part.
@@ -90,7 +107,7 @@
 /// \brief Why and for how long a request may not run.
 struct part_refusal {
   part_fingerprint part{};
-  bool quarantined{}; ///< false: the deaths of its endpoints have not settled yet
+  bool quarantined{}; ///< false: there is no verdict yet
   time_ms remaining;
 };
 
@@ -127,6 +144,12 @@
   /// \returns nothing when a request with these parts may run
   [[nodiscard]] std::optional<part_refusal> refusal(std::span<const part_fingerprint> parts,
                                                     time_ms now) const;
+  /// \brief Lets one refused request find out whether its part still crashes endpoints.
+  /// \returns the part that it tries; nothing: the request may not be sent
+  [[nodiscard]] std::optional<part_fingerprint> begin_trial(std::span<const part_fingerprint> parts,
+                                                            time_ms now);
+  /// \brief Sets which host of how many this one is. One of them is to begin a trial.
+  void set_hosts(std::uint64_t self, std::size_t hosts) noexcept;
   [[nodiscard]] bool is_harmless(part_fingerprint part, time_ms now) const;
   /// \returns the deaths that are known of a part
   [[nodiscard]] std::size_t deaths_of(part_fingerprint part) const;
@@ -150,6 +173,7 @@
 
   /// \returns whether the evidence is new
   bool add_death(part_fingerprint part, const death& added, time_ms now);
+  void note_trial(part_fingerprint part, time_ms at);
   void add_harmless(part_fingerprint part, time_ms at, time_ms now);
   void tell_harmless(part_fingerprint part, time_ms now);
   void make_room_for_suspect();
@@ -158,6 +182,14 @@
   [[nodiscard]] death_list unexplained(part_fingerprint part) const;
   /// \returns when the deaths sufficed; nothing: they do not
   [[nodiscard]] std::optional<time_ms> sufficed_at(const death_list& deaths) const;
+  /// \returns when the deaths of a part in a request sufficed; nothing: it may run
+  [[nodiscard]] std::optional<time_ms>
+  suspected_since(part_fingerprint part, std::span<const part_fingerprint> parts) const;
+  /// \returns whether an endpoint died under a part after the deaths had settled
+  [[nodiscard]] bool has_failed_trial(part_fingerprint part, time_ms suspected) const;
+  /// \returns time from `suspected` to the next trial
+  [[nodiscard]] time_ms trial_due(part_fingerprint part, time_ms suspected) const;
+  [[nodiscard]] bool may_try(part_fingerprint part, time_ms suspected, time_ms now) const;
   /// \returns whether the deaths may be due to a part that is not in the request
   [[nodiscard]] bool has_other_explanation(part_fingerprint part, const death_list& deaths,
                                            std::span<const part_fingerprint> parts) const;
@@ -166,6 +198,9 @@
   absl::flat_hash_map<part_fingerprint, death_list> suspects_;
   absl::flat_hash_map<part_fingerprint, harmless_state> harmless_;
   absl::flat_hash_map<part_fingerprint, std::size_t> logged_; ///< deaths in the log
+  absl::flat_hash_map<part_fingerprint, time_ms> trials_;     ///< when the last one began
+  std::uint64_t self_{0};
+  std::size_t hosts_{1};
   part_news news_;
 };
 
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -112,11 +112,25 @@
   throw request_relay::processor_used_up(relay_.options_.pressure_retry.soon);
 }
 
-std::optional<content_refusal> request_run::crash_refusal() const {
-  return relay_.parts_.contents.refusal(admitted_.content, admitted_.parts, now());
+std::optional<content_refusal> request_run::crash_refusal() {
+  const auto refusal = relay_.parts_.contents.refusal(admitted_.content, admitted_.parts, now());
+  if (refusal && refusal->part && begins_trial())
+    return std::nullopt;
+  return refusal;
+}
+
+bool request_run::begins_trial() {
+  if (possible_runs_ > 0)
+    return false;
+  if (!on_trial_) {
+    on_trial_ = relay_.parts_.contents.begin_trial(admitted_.content, admitted_.parts, now());
+    if (on_trial_)
+      relay_.parts_.figures.add(metric::part_trials, {});
+  }
+  return on_trial_;
 }
 
-void request_run::check_content() const {
+void request_run::check_content() {
   const auto refusal = crash_refusal();
   if (refusal)
     throw error{refusal->quarantined ? error_kind::quarantined : error_kind::no_capacity,
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -33,9 +33,11 @@
   void check_time_left() const;
   void check_overload();
   /// \returns nothing when the request may run
-  [[nodiscard]] std::optional<content_refusal> crash_refusal() const;
+  [[nodiscard]] std::optional<content_refusal> crash_refusal();
+  /// \returns whether the request, which is refused for a part of its prompt, tries that part
+  [[nodiscard]] bool begins_trial();
   /// \throws error when the content of the request may not run
-  void check_content() const;
+  void check_content();
   /// \brief Finds the build at which a stream that the caller takes up may go on.
   /// \throws error `build_gone` when there is none, or when it is not known which one it is
   void find_build();
@@ -136,6 +138,7 @@
   request_records records_;
   admitted_request admitted_;
   std::uint64_t reserved_{0};
+  bool on_trial_{false}; ///< is sent once though a part of its prompt is refused
   std::vector<endpoint_id> sent_to_;
   std::vector<endpoint_hash> avoid_; ///< incarnations that the request was sent to
   std::optional<build_hash> build_;  ///< of the stream, once it has begun
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -84,6 +84,13 @@
                   "Parts of prompts in quarantine because they ended endpoints.",
                   {},
                   entry},
+    metric_family{
+        metric::part_trials,
+        counter,
+        "sedgechute_part_trials_total",
+        "Requests that were sent to find out whether a part of prompts still ends endpoints.",
+        {},
+        entry},
     metric_family{metric::endpoint_pauses,
                   counter,
                   "sedgechute_endpoint_pauses_total",
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -30,6 +30,7 @@
   endpoint_restarts,
   quarantined,
   quarantined_parts,
+  part_trials,
   endpoint_pauses,
   pausing_endpoints,
   endpoints_leaving,
