A host reads the records of the quarantine before it writes any

Cause: the newest record of a content or part replaces the one before. A host that had just started, or whose log had been away since, wrote the deaths that it had learnt itself before it read those on record, and the fleet's evidence was lost with the next restart. Change: the log is read first.

--- a/src/relay/impl/quarantine_exchange.cpp
+++ b/src/relay/impl/quarantine_exchange.cpp
@@ -94,17 +94,18 @@
   }
 }
 
+// A record replaces the one before it, so the first read comes before the first write.
 void quarantine_exchange::keep_records() {
   time_ms next_read = time_.now();
   time_ms pause{};
   while (pauses_.pause(pause)) {
     pause = write_check_interval;
     try {
+      if (time_.now() >= next_read) {
+        read_records();
+        next_read = time_.now() + options_.read_interval;
+      }
       write_records();
-      if (time_.now() < next_read)
-        continue;
-      read_records();
-      next_read = time_.now() + options_.read_interval;
     } catch (const error&) {
       pause = options_.retry_pause; // the log is away; other hosts are told by datagrams
     }
