Failing: a soak does not touch a folder that another one uses

It is a fault of the soak. Change: a test that holds the folder; the tests use a folder of their own process. Result: the test fails.

--- a/tests/soak/seeds_test.cpp
+++ b/tests/soak/seeds_test.cpp
@@ -4,20 +4,42 @@
 #include <doctest/doctest.h>
 
 #include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
 #include <string>
+#include <sys/file.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 namespace {
 
+// Tests of several builds may run at once.
+std::string folder() {
+  return "/tmp/sedgechute-soak-ci-" + std::to_string(::getpid());
+}
+
 int run_seed(int seed, const std::string& flags) {
   const std::string command = std::string{SEDGECHUTE_PROGRAMS} + "/sedgechute-soak " + flags +
-                              " --seed " + std::to_string(seed) +
-                              " --folder /tmp/sedgechute-soak-ci";
+                              " --seed " + std::to_string(seed) + " --folder " + folder();
   return std::system(
       command.c_str()); // NOLINT(cert-env33-c,concurrency-mt-unsafe): our own program
 }
 
 } // namespace
 
+// Guards against two runs with one folder: the second removed the settings and logs of the first,
+// whose next host to start ended at once.
+TEST_CASE("a soak does not touch a folder that another one uses") {
+  const std::string used = folder() + "/77";
+  std::filesystem::create_directories(used);
+  const int lock = ::open((used + ".lock").c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600);
+  REQUIRE(::flock(lock, LOCK_EX | LOCK_NB) == 0);
+  CHECK(WEXITSTATUS(run_seed(77, "--seconds 1")) == 2);
+  CHECK(std::filesystem::exists(used));
+  ::close(lock);
+  std::filesystem::remove_all(folder());
+}
+
 // 2: a settings file was spoiled before the host that it belongs to had read it, which the soak
 // did. 1009: a host was given a port for its callers that its own link to the store already had.
 // Accounts that are overwritten have a test of their own, below.
