--- a/bench/soak/main.cpp
+++ b/bench/soak/main.cpp
@@ -6,11 +6,16 @@
 #include <absl/flags/usage.h>
 
 #include <atomic>
+#include <cerrno>
 #include <csignal>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <sys/file.h>
 #include <sys/resource.h>
+#include <system_error>
+#include <unistd.h>
 
 // NOLINTBEGIN(readability-identifier-naming): Abseil names the variables behind flags
 ABSL_FLAG(std::uint64_t, seed, 0, "first seed; 0 draws one");
@@ -67,6 +72,28 @@
   return false;
 }
 
+/// Holds a folder, so that no other run removes its files. It is released with the process.
+class folder_lock {
+ public:
+  /// \throws std::system_error when another run holds the folder
+  explicit folder_lock(const std::string& folder) {
+    const std::string name = folder + ".lock";
+    file_ = ::open(name.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600);
+    if (file_ >= 0 && ::flock(file_, LOCK_EX | LOCK_NB) == 0)
+      return;
+    const std::error_code why{errno, std::generic_category()};
+    if (file_ >= 0)
+      ::close(file_);
+    throw std::system_error{why, folder + " is in use by another run"};
+  }
+  folder_lock(const folder_lock&) = delete;
+  folder_lock& operator=(const folder_lock&) = delete;
+  ~folder_lock() { ::close(file_); }
+
+ private:
+  int file_;
+};
+
 // Hosts end with the soak also when it is told to end.
 std::atomic<bool> ending{false}; // NOLINT(cppcoreguidelines-avoid-non-const-global-variables)
 
@@ -98,6 +125,8 @@
 /// \returns whether every promise was kept
 bool run_seed(std::uint64_t seed, const std::string& programs) {
   const soak_shape shape = shape_of(seed, programs);
+  std::filesystem::create_directories(absl::GetFlag(FLAGS_folder));
+  const folder_lock lock{shape.folder};
   std::filesystem::remove_all(shape.folder);
   std::filesystem::create_directories(shape.folder);
   soak_world world{shape, seed};
@@ -138,8 +167,13 @@
   if (!fits_descriptors(shape_of(seed, programs)))
     return 2;
   int failed = 0;
-  for (int i = 0; i < runs && !ending; ++i)
-    failed += run_seed(seed + static_cast<std::uint64_t>(i), programs) ? 0 : 1;
+  try {
+    for (int i = 0; i < runs && !ending; ++i)
+      failed += run_seed(seed + static_cast<std::uint64_t>(i), programs) ? 0 : 1;
+  } catch (const std::system_error& failure) {
+    std::cerr << "sedgechute-soak: " << failure.what() << '\n';
+    return 2;
+  }
   std::cout << R"({"first_seed":)" << seed << R"(,"passed":)" << runs - failed << R"(,"failed":)"
             << failed << "}" << std::endl;
   return failed == 0 ? 0 : 1;
