--- a/src/relay/impl/part_quarantine.hpp
+++ b/src/relay/impl/part_quarantine.hpp
@@ -27,7 +27,7 @@
   /// Time from the death that suffices to the first trial. Answers of other runs arrive in it.
   time_ms settling_time{1000};
   time_ms first_trial_window{2000};  ///< from then on to the verdict
-  double failing_weight{0.25}; ///< from which on the death of its endpoint fails a trial
+  double failing_weight{0.25};       ///< from which on the death of its endpoint fails a trial
   time_ms second_trial_after{60000}; ///< from the death that suffices, where the first has failed
   /// How many times longer than the time before it a part waits for each later trial.
   std::int64_t trial_growth{20};
