A test of a whole host whose endpoints are repaired

Cause: trials were tested in models; nothing showed that a host sends one. Change: five endpoints crash under a part, then none; the request with the part is served again and one trial is counted.

--- a/tests/relay/crashing_part_test.cpp
+++ b/tests/relay/crashing_part_test.cpp
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <memory>
 #include <string>
@@ -83,6 +84,31 @@
   CHECK(fleet.call("aa01:40,dd03:30") == 200);
 }
 
+// Guards against a verdict that nobody finds to be wrong, or to hold no longer.
+TEST_CASE("requests with a part that no longer crashes endpoints are served again after a trial") {
+  std::atomic<bool> repaired{false};
+  scripted_fleet fleet{[&](const scripted_endpoint::seen_request& request) {
+    if (!repaired)
+      return crash_on_part(request);
+    return scripted_reply{whole_answer(attempt_of(request), "ok"), then::keep, ""};
+  }};
+  CHECK(fleet.call("aa01:40,cc02:30") == 200);
+  for (int i = 0; i < endpoints_to_lose; ++i) {
+    (void)fleet.call("aa01:40,bad7:30");
+    pause_between_calls();
+  }
+  repaired = true;
+  REQUIRE(fleet.crashed() == endpoints_to_lose);
+  int status = 0;
+  for (int i = 0; i < 40 && status != 200; ++i) {
+    pause_between_calls();
+    status = fleet.call("aa01:40,bad7:30");
+  }
+  CHECK(status == 200);
+  CHECK(fleet.host.figures().counter_at(metric::part_trials, {}).Value() == 1);
+  CHECK(fleet.call("aa01:40,bad7:30") == 200);
+}
+
 // An answer without a length ends with its connection, and so does one that a crash cuts short.
 TEST_CASE("a request whose unframed answers end with their endpoints is held back") {
   const auto crash_after_answer = [](const scripted_endpoint::seen_request& request) {
