--- a/tests/relay/leaving_answer_test.cpp
+++ b/tests/relay/leaving_answer_test.cpp
@@ -112,6 +112,29 @@
   CHECK(lost == 1);
 }
 
+TEST_CASE("an endpoint that has said that it leaves is not lost when it refuses connections") {
+  for (const bool says_so : {false, true}) {
+    CAPTURE(says_so);
+    manual_clock time;
+    endpoint_directory directory{data_centre_id{"dc"}, choice_weights{}, time};
+    int lost = 0;
+    directory.on_loss([&](const auto&...) { ++lost; });
+    for (const char* id : {"e1", "e2", "e3"})
+      directory.put({endpoint_id{id}, "s", std::string{id} + ":1", data_centre_id{"dc"}, 8});
+    const auto place = directory.place({"s"});
+    REQUIRE(place);
+    if (says_so)
+      directory.note_says_leaving(*place);
+    directory.release(*place, send_outcome::failed, false);
+    for (int round = 0; round < 40; ++round) {
+      time.advance(100_ms);
+      for (const endpoint_directory::probe& probe : directory.due_probes())
+        directory.note_probe(probe, probe.endpoint != place->endpoint, false);
+    }
+    CHECK((lost > 0) == !says_so);
+  }
+}
+
 TEST_CASE("only the value 1 says that an endpoint leaves") {
   CHECK(terms_of("Server-Leaving: 1\r\n").leaving);
   CHECK(terms_of("Server-Leaving: 1\r\nServer-Leaving: 1\r\n").leaving);
