--- a/src/relay/impl/part_quarantine.cpp
+++ b/src/relay/impl/part_quarantine.cpp
@@ -232,7 +232,8 @@
   return sufficed;
 }
 
-// Runs that were sent before the deaths sufficed have ended when they have settled.
+// After the settling time no run is left that was sent before the part was refused, so a later
+// death is that of a trial.
 bool part_quarantine::has_failed_trial(part_fingerprint part, time_ms suspected) const {
   return std::ranges::any_of(suspects_.at(part), [&](const death& one) {
     return one.weight >= policy_.failing_weight && one.at > suspected + policy_.settling_time;
@@ -258,9 +259,9 @@
   return refusal;
 }
 
-// The first trial begins when the deaths have settled, the others at times that grow. One at which
-// an endpoint died has failed.
-time_ms part_quarantine::trial_due(part_fingerprint part, time_ms suspected) const {
+// A part that crashes endpoints must not cost many, so each trial that fails makes the next wait
+// longer.
+time_ms part_quarantine::trial_wait(part_fingerprint part, time_ms suspected) const {
   time_ms last_death;
   for (const death& one : suspects_.at(part))
     if (one.weight >= policy_.failing_weight)
@@ -273,18 +274,18 @@
   return wait;
 }
 
-// Few requests, or many, may have the part, and arrive at any host. With a share of hosts that
-// grows, the first trial begins in time, and few others beside it before its result is known.
+// It is unknown how many requests have the part and at which hosts they arrive. As the share of
+// hosts grows, one of them begins in time, and few begin beside it before its result is known.
 bool part_quarantine::may_try(part_fingerprint part, time_ms suspected, time_ms now) const {
   const auto last_trial = trials_.find(part);
   if (last_trial != trials_.end() && now - last_trial->second < policy_.trial_repeat)
     return false;
-  const time_ms wait = trial_due(part, suspected);
+  const time_ms wait = trial_wait(part, suspected);
   const time_ms waited = now - suspected - wait;
   if (waited < time_ms{})
     return false;
-  const double waits = static_cast<double>(waited.count()) / static_cast<double>(wait.count());
-  const double share = std::exp2(policy_.trial_doublings * waits) / static_cast<double>(hosts_);
+  const double elapsed = static_cast<double>(waited.count()) / static_cast<double>(wait.count());
+  const double share = std::exp2(policy_.trial_doublings * elapsed) / static_cast<double>(hosts_);
   return unit_interval(mix_hash(part, self_)) < share;
 }
 
--- a/src/relay/impl/part_quarantine.hpp
+++ b/src/relay/impl/part_quarantine.hpp
@@ -26,14 +26,18 @@
   double explaining_lead{2};
   /// Time from the death that suffices to the first trial. Answers of other runs arrive in it.
   time_ms settling_time{1000};
-  time_ms first_trial_window{2000};  ///< from then on to the verdict
-  double failing_weight{0.25};       ///< from which on the death of its endpoint fails a trial
-  time_ms second_trial_after{60000}; ///< from the death that suffices, where the first has failed
-  /// How many times longer than the time before it a part waits for each later trial.
-  std::int64_t trial_growth{20};
-  /// Within the wait before a trial, the share of hosts that may begin it doubles so many times.
+  time_ms first_trial_window{2000}; ///< time from the first trial to the verdict
+  /// Weight of a death from which on a trial has failed. A trial that had written for longer may
+  /// have been cut by another request.
+  double failing_weight{0.25};
+  /// Time from the death that suffices to the second trial, after the first has failed.
+  time_ms second_trial_after{60000};
+  std::int64_t trial_growth{20}; ///< factor of this time for each trial that has failed since
+  /// How often the share of hosts that may begin a trial doubles in the time that it was waited
+  /// for.
   double trial_doublings{4};
-  time_ms trial_repeat{5000}; ///< between two trials of a part, of which the result may be unknown
+  /// Time between two trials of a part. It is longer than the death of an endpoint goes unnoticed.
+  time_ms trial_repeat{5000};
   /// A run that has written for longer did not crash its endpoint, so its parts are harmless.
   time_ms harmless_after{700};
   time_ms evidence_lifetime{3600000}; ///< age at which a death no longer counts
@@ -188,7 +192,7 @@
   /// \returns whether an endpoint died under a part after the deaths had settled
   [[nodiscard]] bool has_failed_trial(part_fingerprint part, time_ms suspected) const;
   /// \returns time from `suspected` to the next trial
-  [[nodiscard]] time_ms trial_due(part_fingerprint part, time_ms suspected) const;
+  [[nodiscard]] time_ms trial_wait(part_fingerprint part, time_ms suspected) const;
   [[nodiscard]] bool may_try(part_fingerprint part, time_ms suspected, time_ms now) const;
   /// \returns whether the deaths may be due to a part that is not in the request
   [[nodiscard]] bool has_other_explanation(part_fingerprint part, const death_list& deaths,
