Count what had reached a replica in review case 4, and end hosts at a signal

Cause: the check of case 4 counted small requests only, once a replica had read them whole, and held in some runs in which the host was killed; a script that was ended left its hosts running. Change: counts each request on a kept connection whose header had reached a replica; the scripts end their hosts at SIGTERM, SIGINT and SIGHUP.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -63,9 +63,12 @@
     store = Store()
     passed, answered, uploads = set(), {}, []
 
+    def arrive(fields):
+        passed.add(fields["attempt-id"])
+        record.line("replica: %s arrives" % fields["attempt-id"])
+
     def serve(connection, request):
         attempt = request["fields"]["attempt-id"]
-        passed.add(attempt)
         record.line("replica: runs %s (%d bytes)" % (attempt, len(request["body"])))
         time.sleep(UPLOAD_WORK_S if len(request["body"]) > 100_000 else WORK_S)
         connection.sendall(whole_answer("i", attempt, b"done"))
@@ -73,7 +76,7 @@
 
     replicas = []
     for i, zone in enumerate(("hf-a", "kop-b", "rvk-c")):
-        replicas.append(Replica(store, "orders", "i-%d" % i, 64, serve, zone))
+        replicas.append(Replica(store, "orders", "i-%d" % i, 64, serve, zone, arrive))
     store.put("keyed.op", "config", configuration(
         1, [{"Name": "order-confirm", "Hostname": "ficu95.example", "PathPrefix": "/orders/",
              "Type": "unsafe", "TimeoutMs": 8000, "LatencyTargetMs": 300, "Priority": 2,
@@ -87,6 +90,7 @@
     time.sleep(7)
     platform = Platform(hosts, record)
     ended = threading.Event()
+    everybody = threading.Barrier(UPLOADS)
 
     def confirm(index):
         client, number = Client(hosts[0].callers), 0
@@ -102,7 +106,10 @@
     def upload(index):
         attempt = "u%04d" % index
         client = Client(hosts[0].callers)
+        client.ask("POST", "/orders/2f", "k%04d" % index, 8000, body=b"order")
+        everybody.wait()
         status, _, _ = client.ask("POST", "/orders/2f", attempt, 8000, body=b"x" * BODY_BYTES)
+        answered[attempt] = status
         uploads.append(status)
         record.line("client: %s (%d bytes) is answered %s" % (attempt, BODY_BYTES, status))
         client.close()
@@ -125,7 +132,7 @@
     platform.ended = True
     platform.thread.join()
     lost = [attempt for attempt, status in answered.items() if status is None and attempt in passed]
-    result = ("%d small requests, %d passed on and ended without an answer; uploads answered %s; at "
+    result = ("%d requests, %d passed on and ended without an answer; uploads answered %s; at "
               "most %.0f MB of %d, %d kills" % (
                   len(answered), len(lost), {s: uploads.count(s) for s in set(uploads)},
                   platform.highest, MEMORY_MB, platform.kills))
--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -64,9 +64,11 @@
     """Accepts connections and hands each request to `serve(connection, request)`, which returns
     whether the connection is kept. Registers itself in the store as a replica does."""
 
-    def __init__(self, store, service, identity, slots, serve, zone="hf-a"):
+    def __init__(self, store, service, identity, slots, serve, zone="hf-a",
+                 on_head=None):
         self.store, self.service, self.identity, self.slots = store, service, identity, slots
         self.serve, self.zone = serve, zone
+        self.on_head = on_head  # is called when the header of a request has arrived
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
         self.state = "ready"
@@ -100,6 +102,8 @@
                 head = read_head(file)
                 if head is None:
                     return
+                if self.on_head is not None:
+                    self.on_head(head[1])
                 body = file.read(int(head[1].get("content-length", "0")))
                 request = {"line": head[0], "fields": head[1], "body": body}
                 if head[1].get("expected-instance", self.identity) != self.identity:
@@ -260,6 +264,12 @@
     record.line("trouble " + ("on" if trouble() else "off"))
     code = 2
     hosts = []
+
+    def interrupt(number, _):
+        raise RuntimeError("signal %d" % number)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, interrupt)
     with tempfile.TemporaryDirectory(prefix="review-") as folder:
         try:
             code = case(folder, record, hosts)
