Failing: a load report with a fourth figure is dropped whole

Endpoints of some services add a fourth figure to Instance-Load. read_load takes all that follows the second comma for the number of slots, so such a report is no report, and hosts place requests by their own counts and those of their peers.

The test fails: no report is read from any of the nine texts with more than three figures.

--- a/tests/platform/header_dialect_test.cpp
+++ b/tests/platform/header_dialect_test.cpp
@@ -173,3 +173,27 @@
   CHECK(dialect.refusal_status(error_kind::quarantined) == 503);
   CHECK(dialect.refusal_status(error_kind::budget_exhausted) == 402);
 }
+
+// Guards against reports that are dropped whole because an endpoint sends more than three figures:
+// hosts then place requests by what they have sent themselves.
+TEST_CASE("a load report with further figures still counts") {
+  const auto read = [](const std::string& text) {
+    response_head head;
+    head.status = 200;
+    head.fields.add("Instance-Load", text);
+    return dialect.read_reply(head);
+  };
+  for (const char* text : {"3,1,8", "3,1,8,250", "3,1,8,250,7", "3,1,8,,", "3,1,8,0", "3,1,8,-5",
+                           "3,1,8,99999999999999999999", "3,1,8,busy", "3,1,8,nan", "3,1,8,1e3"}) {
+    CAPTURE(text);
+    const reply_terms terms = read(text);
+    REQUIRE(terms.load.has_value());
+    CHECK(terms.load->running == 3);
+    CHECK(terms.load->waiting == 1);
+    CHECK(terms.load->slots == 8);
+  }
+  for (const char* text : {"", "3", "3,1", "3,1,", "3,,8", "-3,1,8", "x,1,8,100"}) {
+    CAPTURE(text);
+    CHECK_FALSE(read(text).load.has_value());
+  }
+}
