Read load reports with four and more figures

Cause: read_load took all that follows the second comma for the number of slots, so a report with a fourth figure was no report. The first three figures now count whatever follows; the fourth is kept as work_time_percent where it is a decimal number above 0 and up to 10,000. A report with a figure that cannot be used is logged once for each start of the endpoint (endpoint_load_malformed).

Nothing decides by the fourth figure yet.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -102,6 +102,10 @@
   endpoints_.on_restart([this](const endpoint_restart& found) { note_restart(found); });
   endpoints_.on_limit([this](const rate_notice& notice) { note_limit(notice); });
   endpoints_.on_pause([this](const pause_notice& notice) { note_pause(notice); });
+  endpoints_.on_malformed_load([this](const endpoint_id& endpoint, const std::string& report) {
+    log_.write(severity::warning, "endpoint_load_malformed", {.endpoint = endpoint.str()},
+               {{log_field::reason, report}});
+  });
   endpoints_.on_says_leaving([this](const endpoint_id& endpoint) {
     figures_.add(metric::endpoints_leaving, {});
     log_.write(severity::info, "endpoint_says_leaving", {.endpoint = endpoint.str()}, {});
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -480,6 +480,17 @@
   at->sent_since_load = 0;
 }
 
+void endpoint_directory::note_malformed_load(const placement& place, const std::string& report) {
+  {
+    const std::scoped_lock lock{mutex_};
+    state* const at = find_current(place.endpoint, place.local_incarnation);
+    if (at == nullptr || std::exchange(at->malformed_load, true))
+      return;
+  }
+  if (on_malformed_load_)
+    on_malformed_load_(place.endpoint, report);
+}
+
 void endpoint_directory::note_leaving(const placement& place) {
   {
     const std::scoped_lock lock{mutex_};
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -182,6 +182,11 @@
   /// \brief Records that the endpoint has read the prompt, as its first event or answer shows.
   void note_prompt_read(const placement& place);
   void note_load(const placement& place, const load_report& load);
+  /// \brief Takes a load report with a figure that cannot be used.
+  void note_malformed_load(const placement& place, const std::string& report);
+  using malformed_listener = std::function<void(const endpoint_id&, const std::string& report)>;
+  /// \brief Sets the listener for the first such report of an incarnation; see `on_restart`.
+  void on_malformed_load(malformed_listener listener) { on_malformed_load_ = std::move(listener); }
   /// \brief Records the limit that an answer of the endpoint names, or that it names none.
   void note_limit(const placement& place, const reply_terms& terms);
   /// \returns the limits that answers have named since the last call, and those that have ended
@@ -309,6 +314,7 @@
     std::uint64_t unread_tokens{};
     std::optional<load_report> load;
     time_ms load_at;
+    bool malformed_load{false}; ///< has been reported
     std::uint64_t sent_since_load{};
     double failing{};
     time_ms failed_at;
@@ -459,6 +465,7 @@
   rate_listener on_brittle_;
   cut_listener on_cut_;
   pause_listener on_pause_;
+  malformed_listener on_malformed_load_;
   endpoint_listener on_says_leaving_;
 };
 
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -193,6 +193,8 @@
     return take_host_refusal();
   if (terms.load)
     parts_.endpoints.note_load(parts_.place, *terms.load);
+  if (terms.malformed_load)
+    parts_.endpoints.note_malformed_load(parts_.place, *terms.malformed_load);
   const bool of_this = terms.echoed_id.empty() || terms.echoed_id == parts_.request.terms.id;
   if (of_this && !terms.misdirected) {
     parts_.endpoints.note_limit(parts_.place, terms);
--- a/src/relay/impl/wire_dialect.hpp
+++ b/src/relay/impl/wire_dialect.hpp
@@ -14,6 +14,9 @@
   std::uint64_t running{};
   std::uint64_t waiting{};
   std::uint64_t slots{};
+  /// Time that work takes on the endpoint's machine, in percent of the usual time; nothing:
+  /// unknown.
+  std::optional<double> work_time_percent{};
 };
 
 /// \brief Values from the header of an endpoint's reply.
@@ -24,6 +27,7 @@
   bool whole{false};     ///< has the field that marks an endpoint's answer
   std::string echoed_id; ///< id of the request that is answered; empty when absent
   std::optional<load_report> load;
+  std::optional<std::string> malformed_load; ///< report with a figure that cannot be used
   /// Requests per second that the endpoint takes from all hosts together; nothing: it names none.
   std::optional<double> limit;
   std::optional<std::string> malformed_limit; ///< what it named instead of a usable limit
--- a/tests/platform/header_dialect_test.cpp
+++ b/tests/platform/header_dialect_test.cpp
@@ -192,8 +192,20 @@
     CHECK(terms.load->waiting == 1);
     CHECK(terms.load->slots == 8);
   }
+  CHECK(read("3,1,8,250").load->work_time_percent == 250);
+  CHECK(read("3,1,8,87.5,7").load->work_time_percent == 87.5);
+  CHECK_FALSE(read("3,1,8,250,7").malformed_load.has_value());
+  CHECK_FALSE(read("3,1,8").malformed_load.has_value());
+  CHECK_FALSE(read("3,1,8").load->work_time_percent.has_value());
+  for (const char* text : {"3,1,8,,", "3,1,8,0", "3,1,8,-5", "3,1,8,99999999999999999999",
+                           "3,1,8,busy", "3,1,8,nan", "3,1,8,1e3"}) {
+    CAPTURE(text);
+    CHECK_FALSE(read(text).load->work_time_percent.has_value());
+    CHECK(read(text).malformed_load == text);
+  }
   for (const char* text : {"", "3", "3,1", "3,1,", "3,,8", "-3,1,8", "x,1,8,100"}) {
     CAPTURE(text);
     CHECK_FALSE(read(text).load.has_value());
+    CHECK(read(text).malformed_load == text);
   }
 }
--- a/tests/relay/endpoint_directory_test.cpp
+++ b/tests/relay/endpoint_directory_test.cpp
@@ -161,3 +161,17 @@
   }
   CHECK(lost == 0);
 }
+
+// Guards against a log line for each answer of an endpoint whose figures cannot be used.
+TEST_CASE("a load report that cannot be used is reported once for each start of the endpoint") {
+  fixture at;
+  std::vector<std::string> reported;
+  at.directory.on_malformed_load([&](const endpoint_id& id, const std::string& report) {
+    reported.push_back(id.str() + ' ' + report);
+  });
+  const auto place = at.place();
+  REQUIRE(place.has_value());
+  for (int i = 0; i < 3; ++i)
+    at.directory.note_malformed_load(*place, "3,1,8,busy");
+  CHECK(reported == std::vector<std::string>{place->endpoint.str() + " 3,1,8,busy"});
+}
