Count what a reply proves only for the request whose id it bears

A late refusal of an earlier request on a kept connection was taken for the reply to the request that had just been sent: one that ran was answered as not run. Only the load report of such a reply counts now. A reply without an id counts on a connection that has carried nothing else; no other request is sent on that connection, and requests without an id get one of their own.

--- a/src/relay/impl/connection.cpp
+++ b/src/relay/impl/connection.cpp
@@ -169,6 +169,7 @@
 }
 
 io_status connection::write_all(std::string_view bytes, time_ms deadline, caller_watch* watch) {
+  used_ = true;
   while (!bytes.empty()) {
     const auto sent = ::send(descriptor_, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
     if (sent > 0) {
--- a/src/relay/impl/connection.hpp
+++ b/src/relay/impl/connection.hpp
@@ -113,6 +113,9 @@
   /// \returns whether the peer has closed the connection, or it failed, without unread bytes
   [[nodiscard]] bool closed_by_peer() noexcept;
 
+  /// \returns whether anything has been written
+  [[nodiscard]] bool used() const noexcept { return used_; }
+
   /// \brief Frees the memory of the buffer if it is empty.
   void trim() noexcept;
   /// \brief Shuts down writing; bytes from the peer can still be read.
@@ -133,6 +136,7 @@
   const clock& time_;
   std::string buffer_;
   std::size_t consumed_{0};
+  bool used_{false};
 };
 
 struct connect_result {
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -26,13 +26,6 @@
   return status >= 200 && status < 300;
 }
 
-bool is_reusable(const response_head& reply, connection& link) {
-  const std::string* field = reply.fields.find("Connection");
-  const bool closes = field != nullptr && equal_without_case(*field, "close");
-  return reply_framing(reply).body != body_framing::until_close && !closes && !reply.old_version &&
-         link.quiet();
-}
-
 } // namespace
 
 std::string endpoint_request(const request_head& head, const std::string& body,
@@ -72,6 +65,7 @@
     : parts_{joined}, bounds_{bounds}, link_{link}, sends_{sends} {}
 
 send_outcome endpoint_exchange::run(std::string_view request_text) {
+  link_used_ = link_.used();
   const io_status status = link_.write_all(request_text, parts_.request.deadline, &parts_.watch);
   // An endpoint that refuses may close before it has read all; its refusal can still be read.
   if (status != io_status::ok && status != io_status::reset)
@@ -174,14 +168,37 @@
   return io_status::ok;
 }
 
+// An endpoint may send a second reply to an earlier request, late, where the reply to the next one
+// on the connection is expected. A reply without an id comes from an endpoint that echoes none or
+// from another program at the address. It can be told from replies to other requests only on a
+// connection that has carried no other.
+bool endpoint_exchange::is_reply(const reply_terms& terms) const {
+  return terms.echoed_id.empty() ? !link_used_ : terms.echoed_id == parts_.request.terms.id;
+}
+
 // Without the field that marks an endpoint's answer, the reply may come from another program at
 // the address. A status of refusal without the field that promises that nothing ran leaves open
 // whether the request has run.
 bool endpoint_exchange::is_answer(const reply_terms& terms) const {
-  const bool of_this = terms.echoed_id.empty() || terms.echoed_id == parts_.request.terms.id;
-  return of_this && terms.whole && !promises_not_run(reply_.status);
+  return terms.whole && !promises_not_run(reply_.status);
 }
 
+void endpoint_exchange::note_terms(const reply_terms& terms) {
+  endpoint_directory& endpoints = parts_.endpoints;
+  if (terms.misdirected) {
+    endpoints.note_leaving(parts_.place);
+  } else {
+    endpoints.note_limit(parts_.place, terms);
+    endpoints.note_brittle(parts_.place, terms);
+    if (terms.leaving && (terms.whole || terms.not_run))
+      endpoints.note_says_leaving(parts_.place);
+  }
+  if (may_ask_for_pause(terms, reply_.status, parts_.request.terms.id))
+    endpoints.note_pause(parts_.place, terms);
+}
+
+// The load is the endpoint's, whichever request the reply belongs to. Nothing else counts in a
+// reply to another request, and this one may have run.
 send_outcome endpoint_exchange::read_reply() {
   const io_status status = read_final_head();
   if (status != io_status::ok)
@@ -189,23 +206,16 @@
   parts_.progress.head_read = true;
   parts_.progress.unframed = reply_framing(reply_).body == body_framing::until_close;
   const reply_terms terms = parts_.dialect.read_reply(reply_);
-  if (bounds_.with_host && !terms.whole)
-    return take_host_refusal();
   if (terms.load)
     parts_.endpoints.note_load(parts_.place, *terms.load);
   if (terms.malformed_load)
     parts_.endpoints.note_malformed_load(parts_.place, *terms.malformed_load);
-  const bool of_this = terms.echoed_id.empty() || terms.echoed_id == parts_.request.terms.id;
-  if (of_this && !terms.misdirected) {
-    parts_.endpoints.note_limit(parts_.place, terms);
-    parts_.endpoints.note_brittle(parts_.place, terms);
-  }
-  if (terms.misdirected)
-    parts_.endpoints.note_leaving(parts_.place);
-  else if (terms.leaving && of_this && (terms.whole || terms.not_run))
-    parts_.endpoints.note_says_leaving(parts_.place);
-  if (may_ask_for_pause(terms, reply_.status, parts_.request.terms.id))
-    parts_.endpoints.note_pause(parts_.place, terms);
+  if (!is_reply(terms))
+    return send_outcome::failed;
+  names_request_ = !terms.echoed_id.empty();
+  if (bounds_.with_host && !terms.whole)
+    return take_host_refusal();
+  note_terms(terms);
   if (terms.not_run)
     return send_outcome::not_run;
   if (!is_answer(terms))
@@ -217,6 +227,14 @@
   return events ? take_stream() : take_answer();
 }
 
+// After a reply without an id, a reply to the next request could not be told from a second one.
+bool endpoint_exchange::may_reuse() {
+  const std::string* field = reply_.fields.find("Connection");
+  const bool closes = field != nullptr && equal_without_case(*field, "close");
+  return names_request_ && reply_framing(reply_).body != body_framing::until_close && !closes &&
+         !reply_.old_version && link_.quiet();
+}
+
 void endpoint_exchange::note_prompt_read() {
   if (std::exchange(parts_.progress.prompt_read, true))
     return;
@@ -268,7 +286,7 @@
   if (end != body_state::whole)
     return end == body_state::slow ? end_of(source.last()) : send_outcome::failed;
   note_prompt_read();
-  reusable_ = is_reusable(reply_, link_);
+  reusable_ = may_reuse();
   if (!is_success(reply_.status)) {
     parts_.answer.take_head(reply_);
     parts_.answer.keep_body(std::move(bytes));
@@ -310,7 +328,7 @@
     return end_of(source.last());
   if (body.state() != body_state::whole || events.inside_event())
     return send_outcome::failed;
-  reusable_ = is_reusable(reply_, link_);
+  reusable_ = may_reuse();
   begin_answer();
   return parts_.answer.end_stream() ? send_outcome::answered : send_outcome::caller_left;
 }
--- a/src/relay/impl/endpoint_exchange.hpp
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -86,8 +86,12 @@
  private:
   [[nodiscard]] send_outcome read_reply();
   [[nodiscard]] io_status read_final_head();
-  /// \returns whether the header belongs to an endpoint's answer to this request
+  /// \returns whether the header belongs to a reply to this request
+  [[nodiscard]] bool is_reply(const reply_terms& terms) const;
+  /// \returns whether a reply to this request is an endpoint's answer
   [[nodiscard]] bool is_answer(const reply_terms& terms) const;
+  /// \brief Takes what the endpoint says of itself in a reply to this request.
+  void note_terms(const reply_terms& terms);
   [[nodiscard]] send_outcome take_answer();
   [[nodiscard]] send_outcome take_stream();
   /// \brief Keeps a refusal by the other host for the caller.
@@ -103,6 +107,7 @@
   [[nodiscard]] io_status fill();
   /// \returns the state of the body when it has ended or is too large
   [[nodiscard]] body_state read_body(body_decoder& body, std::string& bytes);
+  [[nodiscard]] bool may_reuse();
   void note_prompt_read();
   /// \brief Records that the endpoint has written a part of its answer.
   void note_written();
@@ -119,6 +124,8 @@
   time_ms next_interruption_check_;
   late_reading late_;
   response_head reply_;
+  bool link_used_{false}; ///< the connection has carried another request
+  bool names_request_{false}; ///< the reply bears the id of this request
   bool answer_begun_{false};
   bool reusable_{false};
 };
--- a/src/relay/impl/request_run_sends.cpp
+++ b/src/relay/impl/request_run_sends.cpp
@@ -172,7 +172,10 @@
 connect_result request_run::open_connection(placement& place) {
   const time_ms max_idle =
       runs_once(*admitted_.on_route) ? relay_.options_.max_idle_run_once : relay_.options_.max_idle;
-  auto idle = relay_.connections_.take(place.endpoint, place.local_incarnation, max_idle);
+  // Only a connection that carries no other request tells whose reply without an id it is.
+  auto idle = admitted_.terms.id.empty() ? nullptr
+                                         : relay_.connections_.take(
+                                               place.endpoint, place.local_incarnation, max_idle);
   place.reused = idle != nullptr;
   if (idle)
     return {std::move(idle), io_status::ok};
