Leave a silent endpoint 300 ms after its request was sent to another one

Both worked on the request for as long as the second one needed to its first event; 400 ms are allowed while the host reaches the first. As the answer of the first is given up, the second send begins later where no other endpoint is heard (1.7 s of silence, at most half of the time to the deadline), and 300 ms after endpoints that were silent as well have gone on.

--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "relay/impl/connection_source.hpp"
 #include "relay/impl/send_rules.hpp"
+#include "relay/impl/silence_rules.hpp"
 
 #include <algorithm>
 #include <array>
@@ -66,6 +67,8 @@
 
 send_outcome endpoint_exchange::run(std::string_view request_text) {
   link_used_ = link_.used();
+  if (parts_.end_overlap)
+    overlap_end_ = parts_.time.now() + max_overlap();
   const io_status status = link_.write_all(request_text, parts_.request.deadline, &parts_.watch);
   // An endpoint that refuses may close before it has read all; its refusal can still be read.
   if (status != io_status::ok && status != io_status::reset)
@@ -108,12 +111,25 @@
                                                                     : io_status::timed_out;
 }
 
-// The silence of an endpoint never ends the exchange by itself: the endpoint may go on, and whether
-// another one would answer sooner is known only once that one does.
+time_ms endpoint_exchange::next_wake_up() const noexcept {
+  const time_ms next = std::min(next_check_, parts_.request.deadline);
+  return overlap_end_ ? std::min(next, *overlap_end_) : next;
+}
+
+void endpoint_exchange::end_overlap() {
+  if (!overlap_end_ || parts_.time.now() < *overlap_end_)
+    return;
+  overlap_end_.reset();
+  parts_.end_overlap();
+}
+
+// The silence of an endpoint does not end the exchange by itself: the endpoint may go on.
 template <typename Read>
 io_status endpoint_exchange::read_patiently(const Read& read) {
   for (;;) {
-    const io_status status = read(std::min(next_check_, parts_.request.deadline));
+    const io_status status = read(next_wake_up());
+    if (status == io_status::ok || status == io_status::timed_out)
+      end_overlap();
     if (status == io_status::ok) {
       note_heard();
       if (const io_status looked = check_interruption(); looked != io_status::ok)
@@ -121,6 +137,8 @@
     }
     if (status != io_status::timed_out || parts_.time.now() >= parts_.request.deadline)
       return status;
+    if (parts_.time.now() < next_check_)
+      continue;
     const auto pause = parts_.on_silence({last_heard_, stall_after()});
     if (!pause)
       return io_status::superseded;
--- a/src/relay/impl/endpoint_exchange.hpp
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -71,6 +71,9 @@
     /// Called while the endpoint is silent; empty: the exchange waits until the deadline.
     /// Returns when to call it again; nothing: the request has ended otherwise.
     std::function<std::optional<time_ms>(const endpoint_silence&)> on_silence{};
+    /// Called once, `max_overlap` after the request was sent, unless the answer has begun: closes
+    /// the connections of earlier sends, whose endpoints would work on the request as well.
+    std::function<void()> end_overlap{};
   };
 
   /// \param sends  number of sends of the request, including this one
@@ -102,6 +105,8 @@
   /// \param read  receives the deadline of its wait
   template <typename Read>
   [[nodiscard]] io_status read_patiently(const Read& read);
+  [[nodiscard]] time_ms next_wake_up() const noexcept;
+  void end_overlap();
   /// \returns why to stop reading, `ok` to go on
   [[nodiscard]] io_status check_interruption();
   [[nodiscard]] io_status fill();
@@ -122,9 +127,10 @@
   time_ms last_heard_;
   time_ms next_check_; ///< of the silence of the endpoint
   time_ms next_interruption_check_;
+  std::optional<time_ms> overlap_end_;
   late_reading late_;
   response_head reply_;
-  bool link_used_{false}; ///< the connection has carried another request
+  bool link_used_{false};     ///< the connection has carried another request
   bool names_request_{false}; ///< the reply bears the id of this request
   bool answer_begun_{false};
   bool reusable_{false};
--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -15,8 +15,8 @@
     parts_.figures.add(metric::stream_resumes, {name_of(result)}, 0);
   for (const auto decision :
        {silence_decision::runs_once, silence_decision::no_time, silence_decision::all_silent,
-        silence_decision::others_back, silence_decision::no_retry, silence_decision::no_endpoint,
-        silence_decision::send_beside})
+        silence_decision::others_back, silence_decision::none_heard, silence_decision::no_retry,
+        silence_decision::no_endpoint, silence_decision::send_beside})
     parts_.figures.add(metric::silent_endpoints, {name_of(decision)}, 0);
   for (const std::string_view result : {"first", "second", "none"})
     parts_.figures.add(metric::silent_sends, {result}, 0);
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -82,6 +82,7 @@
     bool long_answer{false}; ///< its answer has shown that the parts of the prompt are harmless
     time_ms silent_since{};  ///< begin of the last silence of its endpoint
     std::optional<silence_decision> noted{}; ///< last decision on that silence
+    std::optional<time_ms> others_back{};    ///< since when others go on that were silent as well
   };
 
   /// \returns how the request ended, if another send that was begun meanwhile has concluded it
@@ -92,7 +93,8 @@
   void note_written(open_send& one);
   /// \brief Lets bytes of the sends that wait for silent endpoints end the waits of the last one.
   void watch_other_sends();
-  /// \brief Ends the sends that wait for silent endpoints, as the last one has yielded something.
+  /// \brief Ends the sends that wait for silent endpoints, as the last one has yielded something or
+  /// has run beside them for as long as two may.
   void end_other_sends();
   /// \returns the time until it is to be called again; nothing when the request has concluded
   [[nodiscard]] std::optional<time_ms> consider_silence(open_send& one,
@@ -103,6 +105,8 @@
                                                       silence_decision& decision);
   /// \returns whether the first send goes on
   [[nodiscard]] bool send_beside(open_send& one, placement& place);
+  /// \returns whether others that were silent as well went on only a moment ago
+  [[nodiscard]] bool others_just_back(const open_send& one) const noexcept;
   void note_silence(open_send& one, silence_decision decision, time_ms silent_for,
                     const service_activity& others);
   [[nodiscard]] connect_result open_connection(placement& place);
--- a/src/relay/impl/request_run_sends.cpp
+++ b/src/relay/impl/request_run_sends.cpp
@@ -173,9 +173,9 @@
   const time_ms max_idle =
       runs_once(*admitted_.on_route) ? relay_.options_.max_idle_run_once : relay_.options_.max_idle;
   // Only a connection that carries no other request tells whose reply without an id it is.
-  auto idle = admitted_.terms.id.empty() ? nullptr
-                                         : relay_.connections_.take(
-                                               place.endpoint, place.local_incarnation, max_idle);
+  auto idle = admitted_.terms.id.empty()
+                  ? nullptr
+                  : relay_.connections_.take(place.endpoint, place.local_incarnation, max_idle);
   place.reused = idle != nullptr;
   if (idle)
     return {std::move(idle), io_status::ok};
@@ -197,7 +197,9 @@
   endpoint_exchange run{
       {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_, one.progress,
        [&] { note_begun(place); }, [&] { end_other_sends(); }, [&] { note_written(one); },
-       [&](const endpoint_silence& silence) { return consider_silence(one, silence); }},
+       [&](const endpoint_silence& silence) { return consider_silence(one, silence); },
+       open_sends_.size() > 1 ? std::function<void()>{[&] { end_other_sends(); }}
+                              : std::function<void()>{}},
       {.max_reply_head = options.max_reply_head,
        .max_buffered_body = options.max_buffered_body,
        .max_event = options.max_event,
@@ -223,18 +225,21 @@
 
 std::optional<time_ms> request_run::consider_silence(open_send& one,
                                                      const endpoint_silence& silence) {
-  if (std::exchange(one.silent_since, silence.since) != silence.since)
+  if (std::exchange(one.silent_since, silence.since) != silence.since) {
     one.noted.reset();
+    one.others_back.reset();
+  }
   const time_ms silent_for = now() - silence.since;
   endpoint_directory& endpoints = relay_.parts_.endpoints;
   const service_activity others =
       endpoints.activity(admitted_.service, now() - activity_window(silent_for));
   const silent_send state{.silent_for = silent_for,
                           .stall_after = silence.stall_after,
+                          .unheard_after = unheard_timeout(admitted_.deadline - silence.since),
                           .time_left = admitted_.deadline - now(),
                           .may_run_again =
                               may_run_again(*admitted_.on_route, static_cast<int>(sent_to_.size())),
-                          .all_were_silent = one.noted == silence_decision::all_silent,
+                          .all_were_silent = others_just_back(one),
                           .retry_left = relay_.has_retry(admitted_.service),
                           .heard = others.heard,
                           .unused = others.unused,
@@ -243,6 +248,10 @@
   std::optional<placement> place;
   if (decision == silence_decision::send_beside)
     place = place_beside(others, decision);
+  if (decision == silence_decision::all_silent)
+    one.others_back.reset();
+  else if (decision == silence_decision::others_back && !one.others_back)
+    one.others_back = now();
   note_silence(one, decision, silent_for, others);
   if (is_fault_of_one(decision) && !std::exchange(one.stalled, true))
     endpoints.note_stalled(one.place);
@@ -251,6 +260,12 @@
   return decision == silence_decision::runs_once ? state.time_left : silence_check_interval();
 }
 
+bool request_run::others_just_back(const open_send& one) const noexcept {
+  return one.noted == silence_decision::all_silent ||
+         (one.noted == silence_decision::others_back && one.others_back &&
+          now() - *one.others_back < others_back_wait());
+}
+
 // The retry is taken last, as it cannot be given back.
 std::optional<placement> request_run::place_beside(const service_activity& others,
                                                    silence_decision& decision) {
--- a/src/relay/impl/send_outcome.hpp
+++ b/src/relay/impl/send_outcome.hpp
@@ -13,7 +13,7 @@
   withheld,    ///< not sent: meanwhile the endpoint asked for no more requests
   failed,      ///< may have run: the connection broke, or the reply was not for this request
   own_error,   ///< the endpoint answered with an error
-  stalled,     ///< another endpoint went on with the answer after a silence of this one
+  stalled,     ///< given up for another endpoint after a silence of this one
   superseded,  ///< an earlier send of the request went on while this one had yielded nothing
   timed_out,   ///< the deadline of the request passed
   caller_left,
--- a/src/relay/impl/silence_rules.hpp
+++ b/src/relay/impl/silence_rules.hpp
@@ -19,9 +19,11 @@
 struct silent_send {
   time_ms silent_for;
   time_ms stall_after; ///< silence after which another endpoint is likely to be faster
-  time_ms time_left;   ///< until the deadline of the request
+  /// Silence after which the request is sent to another endpoint though none has been heard.
+  time_ms unheard_after{};
+  time_ms time_left; ///< until the deadline of the request
   bool may_run_again{};
-  bool all_were_silent{}; ///< the decision before was `all_silent`
+  bool all_were_silent{}; ///< until a moment ago the decision was `all_silent`
   bool retry_left{};      ///< of the service's retry budget
   std::size_t heard{};    ///< see `service_activity`
   std::size_t unused{};
@@ -29,13 +31,14 @@
 };
 
 /// \brief Whether to wait for a silent endpoint alone, or to send the request to another one as
-/// well. The first connection stays open in either case.
+/// well. The first connection then stays open for `max_overlap`.
 enum class silence_decision {
   too_short,   ///< wait: the silence is not unusual
   runs_once,   ///< wait: the request may not be sent again
   no_time,     ///< wait: its deadline has come
   all_silent,  ///< wait: the other endpoints are as silent
   others_back, ///< wait: they were, and have just gone on
+  none_heard,  ///< wait: nothing shows that another endpoint would answer
   no_retry,    ///< wait: the retry budget is used up
   no_endpoint, ///< wait: no other endpoint may take the request
   send_beside,
@@ -49,6 +52,7 @@
                                     {silence_decision::no_time, "no_time"},
                                     {silence_decision::all_silent, "all_silent"},
                                     {silence_decision::others_back, "others_back"},
+                                    {silence_decision::none_heard, "none_heard"},
                                     {silence_decision::no_retry, "no_retry"},
                                     {silence_decision::no_endpoint, "no_endpoint"},
                                     {silence_decision::send_beside, "send_beside"}});
@@ -59,6 +63,18 @@
 /// \returns whether the silence speaks against the endpoint, and not against its whole service
 [[nodiscard]] bool is_fault_of_one(silence_decision decision) noexcept;
 
+/// \param patience  time from the begin of the silence until the deadline of the request
+/// \returns the silence after which a request is sent to another endpoint though none has been
+/// heard
+[[nodiscard]] time_ms unheard_timeout(time_ms patience) noexcept;
+
+/// \returns for how long two endpoints may work on a request, from the send to the second one
+[[nodiscard]] time_ms max_overlap() noexcept;
+
+/// \returns for how long a request waits for its endpoint after others that were silent as well
+/// have gone on
+[[nodiscard]] time_ms others_back_wait() noexcept;
+
 /// \returns how long ago an endpoint must have sent bytes not to count as silent
 [[nodiscard]] time_ms activity_window(time_ms silent_for) noexcept;
 
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -248,14 +248,14 @@
                   "Records of the builds that began streams, held for all hosts.",
                   {},
                   entry},
-    metric_family{
-        metric::silent_endpoints,
-        counter,
-        "sedgechute_silent_endpoints_total",
-        "Decisions on requests whose endpoints were silent for unusually long. decision: "
-        "runs_once, no_time, all_silent, others_back, no_retry, no_endpoint, send_beside.",
-        {"decision"},
-        entry},
+    metric_family{metric::silent_endpoints,
+                  counter,
+                  "sedgechute_silent_endpoints_total",
+                  "Decisions on requests whose endpoints were silent for unusually long. decision: "
+                  "runs_once, no_time, all_silent, others_back, none_heard, no_retry, no_endpoint, "
+                  "send_beside.",
+                  {"decision"},
+                  entry},
     metric_family{metric::silent_sends,
                   counter,
                   "sedgechute_silent_sends_total",
--- a/tests/relay/silence_rules_test.cpp
+++ b/tests/relay/silence_rules_test.cpp
@@ -56,6 +56,33 @@
         silence_decision::send_beside);
 }
 
+// Guards against answers that are lost, as the first connection is closed soon after a second send
+// to an endpoint that is as silent.
+TEST_CASE("a request waits for longer while no other endpoint is heard") {
+  const auto unheard = [](silent_send& of) {
+    of.heard = of.silent = 0;
+    of.unheard_after = time_ms{1001};
+  };
+  CHECK(decide(unheard) == silence_decision::none_heard);
+  CHECK(is_fault_of_one(silence_decision::none_heard));
+  CHECK(decide([&](silent_send& of) {
+          unheard(of);
+          of.silent_for = of.unheard_after;
+        }) == silence_decision::send_beside);
+  CHECK(decide([&](silent_send& of) {
+          unheard(of);
+          of.heard = 1;
+        }) == silence_decision::send_beside);
+}
+
+// Endpoints are silent for 1 to 2 s; two may work on a request for 400 ms.
+TEST_CASE(
+    "an endpoint of a patient caller has 2 s to go on, and half of a short patience is left") {
+  CHECK(unheard_timeout(time_ms{12000}) + max_overlap() >= time_ms{2000});
+  CHECK(unheard_timeout(time_ms{1500}) == time_ms{750});
+  CHECK(max_overlap() < time_ms{400});
+}
+
 TEST_CASE("a request waits for its silent endpoint if it may not or cannot be sent again") {
   CHECK(decide([](silent_send& of) { of.silent_for = time_ms{999}; }) ==
         silence_decision::too_short);
