Take a stream for as old as its record could be before its service's only build counts

A caller that tries several times in a row takes up streams that are older than one timeout of their route.

--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -14,9 +14,6 @@
 constexpr int max_unreachable = 3;
 constexpr int max_unreachable_before_forward = 2;
 
-// Callers may take a stream up after the deadline of the attempt that began it.
-constexpr time_ms record_kept_after_deadline{60000};
-
 forward_result result_of(send_outcome end) noexcept {
   switch (end) {
   case send_outcome::not_run:
@@ -215,7 +212,7 @@
     return;
   relay_.parts_.builds.record({stream_key_of(admitted_.team_name(), stream_origin()),
                                {stream_build::state::known, *build_},
-                               admitted_.deadline - now() + record_kept_after_deadline});
+                               admitted_.deadline - now() + taken_up_after_deadline});
 }
 
 // The request may have waited to be read or for tokens. On an overloaded host callers give up
--- a/src/relay/impl/stream_origin.cpp
+++ b/src/relay/impl/stream_origin.cpp
@@ -16,13 +16,15 @@
   return made;
 }
 
-// The route's timeout is the longest time that its callers are kept waiting. A caller that waits
-// for longer may have begun the stream at any time.
+// The route's timeout is the longest time that one attempt is kept waiting. A caller may try
+// several times in a row, each time with all of it, so the attempt that began the stream may have
+// ended for as long as its record would be kept. A caller that waits for longer than the route may
+// have begun the stream at any time.
 std::optional<time_ms> max_stream_age(const route& on, std::optional<time_ms> patience) noexcept {
   constexpr time_ms margin{1000}; // for the way between a caller and its host
   if (!patience || *patience > on.timeout)
     return std::nullopt;
-  return on.timeout + margin;
+  return on.timeout + taken_up_after_deadline + margin;
 }
 
 } // namespace sedgechute
--- a/src/relay/impl/stream_origin.hpp
+++ b/src/relay/impl/stream_origin.hpp
@@ -39,6 +39,10 @@
               const std::function<std::optional<build_hash>()>& sole_build,
               const std::function<bool(build_hash)>& serves);
 
+/// \brief Time after the deadline of the attempt that began a stream, or last went on with it,
+/// during which callers may take it up.
+constexpr time_ms taken_up_after_deadline{60000};
+
 /// \param patience  how long the caller that takes the stream up still waits
 /// \returns how long ago the stream can have begun at most; nothing when that is not known
 [[nodiscard]] std::optional<time_ms> max_stream_age(const route& on,
