--- a/src/relay/impl/endpoint_exchange.hpp
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -71,6 +71,9 @@
     /// Called while the endpoint is silent; empty: the exchange waits until the deadline.
     /// Returns when to call it again; nothing: the request has ended otherwise.
     std::function<std::optional<time_ms>(const endpoint_silence&)> on_silence{};
+    /// Called once, `max_overlap` after the request was sent, unless the answer has begun: closes
+    /// the connections of earlier sends, whose endpoints would work on the request as well.
+    std::function<void()> end_overlap{};
   };
 
   /// \param sends  number of sends of the request, including this one
@@ -86,8 +89,12 @@
  private:
   [[nodiscard]] send_outcome read_reply();
   [[nodiscard]] io_status read_final_head();
-  /// \returns whether the header belongs to an endpoint's answer to this request
+  /// \returns whether the header belongs to a reply to this request
+  [[nodiscard]] bool is_reply(const reply_terms& terms) const;
+  /// \returns whether a reply to this request is an endpoint's answer
   [[nodiscard]] bool is_answer(const reply_terms& terms) const;
+  /// \brief Takes what the endpoint says of itself in a reply to this request.
+  void note_terms(const reply_terms& terms);
   [[nodiscard]] send_outcome take_answer();
   [[nodiscard]] send_outcome take_stream();
   /// \brief Keeps a refusal by the other host for the caller.
@@ -98,11 +105,14 @@
   /// \param read  receives the deadline of its wait
   template <typename Read>
   [[nodiscard]] io_status read_patiently(const Read& read);
+  [[nodiscard]] time_ms next_wake_up() const noexcept;
+  void end_overlap();
   /// \returns why to stop reading, `ok` to go on
   [[nodiscard]] io_status check_interruption();
   [[nodiscard]] io_status fill();
   /// \returns the state of the body when it has ended or is too large
   [[nodiscard]] body_state read_body(body_decoder& body, std::string& bytes);
+  [[nodiscard]] bool may_reuse();
   void note_prompt_read();
   /// \brief Records that the endpoint has written a part of its answer.
   void note_written();
@@ -117,8 +127,11 @@
   time_ms last_heard_;
   time_ms next_check_; ///< of the silence of the endpoint
   time_ms next_interruption_check_;
+  std::optional<time_ms> overlap_end_;
   late_reading late_;
   response_head reply_;
+  bool link_used_{false};     ///< the connection has carried another request
+  bool names_request_{false}; ///< the reply bears the id of this request
   bool answer_begun_{false};
   bool reusable_{false};
 };
