Bound the age of a stream by the longest time that its team's callers wait

The hole that is left in the former rule is a route whose timeout is below the time that its callers wait, or was lowered since: hosts now keep the longest Deadline-Ms of each team and route, and take a stream for as old.

--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -114,6 +114,18 @@
   retries_.note_request(service, parts_.time.now());
 }
 
+void request_relay::note_patience(const std::string& route, std::string_view team,
+                                  time_ms patience) {
+  const std::scoped_lock lock{mutex_};
+  patience_.note(route, team, patience);
+}
+
+std::optional<time_ms> request_relay::longest_patience(const std::string& route,
+                                                       std::string_view team) const {
+  const std::scoped_lock lock{mutex_};
+  return patience_.longest(route, team);
+}
+
 void request_relay::note_length(const std::string& kind, time_ms length) {
   const std::scoped_lock lock{mutex_};
   lengths_.note(kind, length);
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -130,6 +130,9 @@
   /// \brief Takes one retry from the budget of a service.
   [[nodiscard]] bool may_retry(const std::string& service);
   void note_first_send(const std::string& service);
+  void note_patience(const std::string& route, std::string_view team, time_ms patience);
+  [[nodiscard]] std::optional<time_ms> longest_patience(const std::string& route,
+                                                        std::string_view team) const;
   void note_length(const std::string& kind, time_ms length);
   /// \param most  time until the deadline of the request
   [[nodiscard]] run_forecast forecast(const std::string& kind, time_ms most) const;
@@ -142,6 +145,7 @@
   retry_limiter retries_;
   forward_targets hosts_;
   run_durations lengths_;
+  caller_patience patience_;
   random_source random_{random_source::from_system()};
   std::atomic<std::size_t> open_{0};
   std::atomic<std::size_t> forwarded_open_{0};
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -62,6 +62,9 @@
     if (in_.forwarded)
       admitted_.deadline = std::min(admitted_.deadline, in_.received + in_.forwarded->time_left);
     in_.preparing.assign_team(admitted_.team_name());
+    if (admitted_.terms.patience && !admitted_.terms.last_event)
+      relay_.note_patience(admitted_.on_route->name, admitted_.team_name(),
+                           *admitted_.terms.patience);
     admitted_.content = content_of(in_.head, in_.body, admitted_.team_name());
     if (admitted_.terms.generation)
       admitted_.parts = shared_parts(*admitted_.terms.generation, admitted_.service);
@@ -176,7 +179,9 @@
 // An endpoint of another build may have registered since the list was last read.
 std::optional<build_hash> request_run::find_sole_build() const {
   const request_relay::parts& parts = relay_.parts_;
-  const auto age = max_stream_age(*admitted_.on_route, admitted_.terms.patience);
+  const auto age =
+      max_stream_age(*admitted_.on_route, admitted_.terms.patience,
+                     relay_.longest_patience(admitted_.on_route->name, admitted_.team_name()));
   if (!age || admitted_.on_route->services.size() != 1)
     return std::nullopt;
   const time_ms since = in_.received - *age;
--- a/src/relay/impl/stream_origin.hpp
+++ b/src/relay/impl/stream_origin.hpp
@@ -4,7 +4,10 @@
 #include "relay/impl/stream_builds.hpp"
 
 #include <functional>
+#include <map>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace sedgechute {
 
@@ -43,10 +46,30 @@
 /// during which callers may take it up.
 constexpr time_ms taken_up_after_deadline{60000};
 
+/// \brief The longest times that callers have said they wait for an answer. Not thread-safe.
+class caller_patience {
+ public:
+  /// \brief Takes the time that a caller waits for a request, from its first attempt on.
+  void note(const std::string& route, std::string_view team, time_ms patience);
+  /// \returns the longest time of the team's callers on the route, or of all callers while the team
+  /// has sent nothing there; nothing before the first request
+  [[nodiscard]] std::optional<time_ms> longest(const std::string& route,
+                                               std::string_view team) const;
+
+ private:
+  struct route_patience {
+    time_ms of_all;
+    std::map<std::string, time_ms, std::less<>> of_team;
+  };
+  std::map<std::string, route_patience> routes_;
+};
+
 /// \param patience  how long the caller that takes the stream up still waits
+/// \param longest   see `caller_patience`
 /// \returns how long ago the stream can have begun at most; nothing when that is not known
 [[nodiscard]] std::optional<time_ms> max_stream_age(const route& on,
-                                                    std::optional<time_ms> patience) noexcept;
+                                                    std::optional<time_ms> patience,
+                                                    std::optional<time_ms> longest) noexcept;
 
 /// \brief Access to the records of streams and to the endpoint list.
 struct stream_build_port {
