--- a/tests/relay/stream_build_after_loss_test.cpp
+++ b/tests/relay/stream_build_after_loss_test.cpp
@@ -81,8 +81,8 @@
     on.timeout = time_ms{*rc::gen::element<std::int64_t>(1500, 2000, 12000)};
     // At once, after several seconds, or several times, for a minute after the route's timeout.
     const time_ms last_try = on.timeout + time_ms{60000};
-    const auto patience = *rc::gen::element<std::optional<time_ms>>(on.timeout, on.timeout / 2,
-                                                                    on.timeout * 2, std::nullopt);
+    const auto patience = *rc::gen::element<std::optional<time_ms>>(
+        on.timeout, time_ms{on.timeout.count() / 2}, time_ms{on.timeout.count() * 2}, std::nullopt);
     const int steps = *rc::gen::element(1, 5, 20, 100);
     const int late_read = *rc::gen::inRange(0, steps + 1);
     for (int step = 0; step <= steps; ++step) {
