--- a/tests/relay/stream_build_after_loss_test.cpp
+++ b/tests/relay/stream_build_after_loss_test.cpp
@@ -81,7 +81,7 @@
     route on;
     on.timeout = time_ms{*rc::gen::element<std::int64_t>(1500, 2000, 12000)};
     // The caller began before the hosts started, and tries until its time is over.
-    const time_ms waits = on.timeout * *rc::gen::element(1, 2, 5, 30);
+    const time_ms waits = time_ms{on.timeout.count() * *rc::gen::element(1, 2, 5, 30)};
     caller_patience callers;
     if (*rc::gen::arbitrary<bool>())
       callers.note("r", "team", waits);
@@ -95,8 +95,8 @@
       const time_ms left = waits - fleet.time.now();
       // The caller's host, and one that it forwards the request to.
       for (const endpoint_directory* host : {&fleet.a, &fleet.b})
-        for (const auto patience :
-             {std::optional{left}, std::optional{left / 2}, std::optional<time_ms>{}})
+        for (const auto patience : {std::optional{left}, std::optional{time_ms{left.count() / 2}},
+                                    std::optional<time_ms>{}})
           RC_ASSERT(!build_for(*host, on, callers, patience, fleet.time.now()));
       fleet.time.advance(time_ms{waits.count() / steps});
     }
