--- /dev/null
+++ b/src/admission/impl/return_schedule.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "kernel/kernel.hpp"
+
+namespace sedgechute {
+
+/// \brief One refusal whose caller is to be told when to return.
+struct refused_call {
+  time_ms earliest;          ///< until capacity is expected at the soonest
+  time_ms longest;           ///< of use to the caller, whose own time is limited
+  double served_per_second;  ///< requests that are served
+  double drawn;              ///< uniform random number in [0, 1) for the jitter
+};
+
+/// \brief Computes `Retry-After` so that callers return in the order in which they were refused, as
+/// fast as requests are served. Not thread-safe.
+class return_schedule {
+ public:
+  /// \returns the time until the caller of a refused request should return
+  [[nodiscard]] time_ms next(const refused_call& call, time_ms now) noexcept;
+
+ private:
+  double last_{0}; ///< last return that was scheduled, in ms
+};
+
+} // namespace sedgechute
