--- a/tests/relay/fleet_config_test.cpp
+++ b/tests/relay/fleet_config_test.cpp
@@ -38,3 +38,34 @@
   CHECK(config.find_team("k3") == nullptr);
   CHECK(config.find_team("") == nullptr);
 }
+
+// Only where priorities differ may they decide which requests are refused.
+TEST_CASE("priorities differ where two requests may have different ones") {
+  const auto made = [](std::vector<int> routes, std::vector<std::optional<int>> teams,
+                       bool open = false) {
+    fleet_config config;
+    config.keys_required = true;
+    for (const int priority : routes) {
+      route one = route_of("a.example", "/" + std::to_string(priority) + "/", "r");
+      one.priority = priority;
+      config.add_route(one);
+    }
+    if (open) {
+      route one = route_of("a.example", "/open/", "open");
+      one.open_to_all = true;
+      config.add_route(one);
+    }
+    int number = 0;
+    for (const auto& priority : teams)
+      config.add_team({team_id{"t" + std::to_string(++number)}, priority, 1}, {});
+    return config.priorities_differ();
+  };
+  CHECK_FALSE(made({}, {}));
+  CHECK_FALSE(made({0, 0}, {std::nullopt, 0}));
+  CHECK(made({0, 1}, {std::nullopt}));
+  CHECK_FALSE(made({0, 1}, {2, 2}));
+  CHECK(made({0, 1}, {2, 3}));
+  CHECK(made({1}, {std::nullopt, 2}));
+  CHECK(made({1}, {1}, true));
+  CHECK_FALSE(made({0}, {0}, true));
+}
--- a/tests/relay/relay_fixture.hpp
+++ b/tests/relay/relay_fixture.hpp
@@ -97,6 +97,9 @@
   void set_config(config_ptr config);
   /// \brief Lets the relay refuse new requests as on a host with an overloaded processor.
   void set_busy(bool busy) noexcept { busy_ = busy; }
+  /// \brief Sets the fraction of new requests that the host's load requires to be refused. With
+  /// routes of one priority it has no effect.
+  void set_refused_fraction(double fraction) noexcept { refused_fraction_ = fraction; }
   /// \brief Waits until `requests` requests are being served.
   /// \returns false when that is not so within three seconds
   [[nodiscard]] bool has_open(std::size_t requests) const;
@@ -118,6 +121,7 @@
   mutable std::mutex config_mutex_;
   config_ptr config_;
   std::atomic<bool> busy_{false};
+  std::atomic<double> refused_fraction_{0};
   boot_clock since_start_;
   fleet_clock machine_time_{since_start_};
   std::unique_ptr<budget_manager> budgets_;
