--- a/src/admission/impl/return_schedule.cpp
+++ b/src/admission/impl/return_schedule.cpp
@@ -29,8 +29,7 @@
     return time_ms{static_cast<std::int64_t>(longest)};
   last_ = turn;
   const double jitter = std::clamp(call.drawn, 0.0, 1.0) * spacing / 2;
-  return time_ms{
-      static_cast<std::int64_t>(std::ceil(std::min(turn - now_ms + jitter, longest)))};
+  return time_ms{static_cast<std::int64_t>(std::ceil(std::min(turn - now_ms + jitter, longest)))};
 }
 
 } // namespace sedgechute
--- a/src/admission/impl/return_schedule.hpp
+++ b/src/admission/impl/return_schedule.hpp
@@ -6,10 +6,10 @@
 
 /// \brief One refusal whose caller is to be told when to return.
 struct refused_call {
-  time_ms earliest;          ///< until capacity is expected at the soonest
-  time_ms longest;           ///< of use to the caller, whose own time is limited
-  double served_per_second;  ///< requests that are served
-  double drawn;              ///< uniform random number in [0, 1) for the jitter
+  time_ms earliest;         ///< until capacity is expected at the soonest
+  time_ms longest;          ///< of use to the caller, whose own time is limited
+  double served_per_second; ///< requests that are served
+  double drawn;             ///< uniform random number in [0, 1) for the jitter
 };
 
 /// \brief Computes `Retry-After` so that callers return in the order in which they were refused, as
--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -167,6 +167,7 @@
           [this] { return fleet_->config(); }, [this] { return peers_->peers().size() + 1; },
           host_pressure{
               .sheds = [this] { return processor_->sheds(); },
+              .refused_fraction = [this] { return processor_->refused_fraction(); },
               .busy_for = [this] { return processor_->busy_for(); },
               .note_request = [this](bool turned_away) { processor_->note_request(turned_away); }},
           region_of(settings_.data_centre),
--- a/src/relay/impl/fleet_config.cpp
+++ b/src/relay/impl/fleet_config.cpp
@@ -17,7 +17,21 @@
 
 } // namespace
 
+void fleet_config::priority_range::add(int priority) noexcept {
+  highest = empty ? priority : std::min(highest, priority);
+  lowest = empty ? priority : std::max(lowest, priority);
+  empty = false;
+}
+
+void fleet_config::priority_range::add(const priority_range& other) noexcept {
+  if (other.empty)
+    return;
+  add(other.highest);
+  add(other.lowest);
+}
+
 void fleet_config::add_route(route added) {
+  (added.open_to_all ? open_routes_ : keyed_routes_).add(added.priority);
   std::vector<route>& of_host = routes_[host_key(added.host)];
   const auto shorter = [&](const route& other) {
     return other.prefix.size() < added.prefix.size();
@@ -34,6 +48,10 @@
 
 void fleet_config::add_team(const team_terms& team, const std::vector<std::string>& keys) {
   teams_.insert_or_assign(team.name.str(), team);
+  if (team.priority)
+    teams_own_.add(*team.priority);
+  else
+    team_without_own_ = true;
   for (const std::string& key : keys)
     team_of_key_.insert_or_assign(key, team.name.str());
 }
@@ -55,6 +73,19 @@
   return at == teams_.end() ? nullptr : &at->second;
 }
 
+bool fleet_config::priorities_differ() const noexcept {
+  priority_range all = open_routes_;
+  if (!keys_required || team_without_own_ || teams_.empty())
+    all.add(keyed_routes_);
+  if (keys_required && !keyed_routes_.empty)
+    all.add(teams_own_);
+  return !all.empty && all.highest != all.lowest;
+}
+
+int priority_of(const route& on, const team_terms* team) noexcept {
+  return team != nullptr ? team->priority.value_or(on.priority) : on.priority;
+}
+
 const service_traits* fleet_config::find_service(const std::string& name) const {
   const auto at = services_.find(name);
   return at == services_.end() ? nullptr : &at->second;
--- a/src/relay/impl/fleet_config.hpp
+++ b/src/relay/impl/fleet_config.hpp
@@ -98,15 +98,34 @@
   }
   [[nodiscard]] const std::map<std::string, team_terms>& teams() const noexcept { return teams_; }
   [[nodiscard]] std::size_t route_count() const noexcept { return route_count_; }
+  /// \returns whether requests may have different priorities
+  [[nodiscard]] bool priorities_differ() const noexcept;
 
  private:
+  struct priority_range {
+    int highest{};
+    int lowest{};
+    bool empty{true};
+
+    void add(int priority) noexcept;
+    void add(const priority_range& other) noexcept;
+  };
+
   std::unordered_map<std::string, std::vector<route>> routes_; ///< by host, longest prefix first
   std::unordered_map<std::string, service_traits> services_;
   std::map<std::string, team_terms> teams_;
   std::unordered_map<std::string, std::string> team_of_key_;
   std::size_t route_count_{0};
+  priority_range open_routes_; ///< routes that need no key
+  priority_range keyed_routes_;
+  priority_range teams_own_; ///< teams that override the route's priority
+  bool team_without_own_{false};
 };
 
+/// \returns the priority of the requests of a team on a route
+/// \param team  null where no key is needed
+[[nodiscard]] int priority_of(const route& on, const team_terms* team) noexcept;
+
 using config_ptr = std::shared_ptr<const fleet_config>;
 
 } // namespace sedgechute
--- a/src/relay/impl/host_pressure.hpp
+++ b/src/relay/impl/host_pressure.hpp
@@ -11,6 +11,7 @@
 /// means no load.
 struct host_pressure {
   std::function<bool()> sheds; ///< returns whether the next new request is to be refused
+  std::function<double()> refused_fraction{}; ///< of new requests; `sheds` draws by the same one
   /// Returns how long the balancer has been told to send callers to other hosts; nothing if it has
   /// not.
   std::function<std::optional<time_ms>()> busy_for;
--- a/src/relay/impl/http_frontend.cpp
+++ b/src/relay/impl/http_frontend.cpp
@@ -31,13 +31,13 @@
 /// A connection with a request that a thread is to serve.
 struct http_frontend::job {
   job(http_frontend& of, std::unique_ptr<caller_connection> from, preparing_requests::guard counted,
-      bool let_in)
-      : caller{std::move(from)}, preparing{std::move(counted)}, screened{let_in},
+      load_check done)
+      : caller{std::move(from)}, preparing{std::move(counted)}, checked{done},
         unanswered{of.unanswered_}, busy{of.busy_} {}
 
   std::unique_ptr<caller_connection> caller;
   preparing_requests::guard preparing;
-  bool screened;
+  load_check checked; ///< of the first request
   in_flight_count unanswered;
   in_flight_count busy;
 };
@@ -87,7 +87,7 @@
   bool screened = false;
   while (!screened && !relay_.stop().begun() && !caller->overdue) {
     if (!caller->arriving)
-      caller->shed = relay_.sheds();
+      caller->shed = relay_.may_shed();
     screened = !caller->shed && relay_.has_capacity();
     if (screened)
       break;
@@ -109,9 +109,10 @@
   caller->arriving = false;
   caller->overdue = false;
   relay_.note_request(false);
+  const load_check done{.screened = screened, .counted = guard.begun()};
   if (!guard.begun())
     guard = relay_.preparing().begin({});
-  run(std::make_shared<job>(*this, std::move(caller), std::move(guard), screened));
+  run(std::make_shared<job>(*this, std::move(caller), std::move(guard), done));
 }
 
 http_frontend::screen_result http_frontend::screen(caller_connection& caller,
@@ -176,7 +177,7 @@
     }
     do {
       const connection_action then =
-          answer_one(caller, std::move(work.preparing), std::exchange(work.screened, false));
+          answer_one(caller, std::move(work.preparing), std::exchange(work.checked, {}));
       if (then == connection_action::abort) {
         caller.link.abort();
         return;
@@ -197,7 +198,7 @@
 // At the cut of a stop a request that is still arriving is refused, so that its caller gets an
 // answer before the process exits.
 connection_action http_frontend::answer_one(caller_connection& caller,
-                                            preparing_requests::guard guard, bool screened) {
+                                            preparing_requests::guard guard, load_check checked) {
   const caller_limits limits = this->limits();
   const time_ms received = time_.now();
   const time_ms idle = received - caller.since;
@@ -220,7 +221,7 @@
     const message_framing framing = check_request_header(
         text, {max_header_fields + (options_.from_hosts ? 1 : 0), limits.header_bytes});
     incoming_request request{parse_request_head(text), {},   received, link,
-                             caller.requests,          idle, screened, std::move(guard)};
+                             caller.requests,          idle, checked,  std::move(guard)};
     if (options_.from_hosts)
       request.forwarded = take_forwarded_terms(request.head.fields);
     read_body(link, framing, limits, request, until_cut);
--- a/src/relay/impl/http_frontend.hpp
+++ b/src/relay/impl/http_frontend.hpp
@@ -54,7 +54,7 @@
   /// \brief Serves the requests that have arrived on a connection and returns it to the poll.
   void serve(job& work);
   [[nodiscard]] connection_action answer_one(caller_connection& caller,
-                                             preparing_requests::guard guard, bool screened);
+                                             preparing_requests::guard guard, load_check checked);
   void read_body(connection& link, const message_framing& framing, const caller_limits& limits,
                  incoming_request& request, caller_watch& until_cut) const;
 
--- a/src/relay/impl/processor_monitor.cpp
+++ b/src/relay/impl/processor_monitor.cpp
@@ -38,6 +38,11 @@
   return shedding_.refused_fraction() > 0 && random_.unit() < shedding_.refused_fraction();
 }
 
+double processor_monitor::refused_fraction() const {
+  const std::scoped_lock lock{mutex_};
+  return shedding_.refused_fraction();
+}
+
 bool processor_monitor::busy() const {
   const std::scoped_lock lock{mutex_};
   return shedding_.busy();
--- a/src/relay/impl/processor_monitor.hpp
+++ b/src/relay/impl/processor_monitor.hpp
@@ -31,6 +31,8 @@
 
   /// \returns whether the next new request is to be refused; random, by the refused fraction
   [[nodiscard]] bool sheds();
+  /// \returns the fraction of new requests that are to be refused
+  [[nodiscard]] double refused_fraction() const;
   /// \returns whether the balancer should send callers to other hosts
   [[nodiscard]] bool busy() const;
   /// \returns how long the host has been busy; nothing when it is not
--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -5,8 +5,9 @@
 namespace sedgechute {
 
 request_relay::request_relay(parts joined, const relay_options& options)
-    : parts_{std::move(joined)}, options_{options},
-      connections_{parts_.time}, stop_{options.stop, parts_.time}, retries_{options.retries} {
+    : parts_{std::move(joined)}, options_{options}, connections_{parts_.time}, stop_{options.stop,
+                                                                                     parts_.time},
+      retries_{options.retries}, admission_{parts_.pressure, options.pressure_retry, parts_.time} {
   for (const auto result : {forward_result::served, forward_result::refused,
                             forward_result::unreachable, forward_result::abandoned})
     parts_.figures.add(metric::forwarded, {name_of(result)}, 0);
@@ -38,22 +39,47 @@
     return {};
   }
   const std::string_view team = admitted.team_name();
-  if (!shed && !full() && !exceeds_share(preparing_.load(team), options_.max_preparing))
+  const auto cause = screen_cause(admitted, shed);
+  if (!cause) {
+    if (!shed)
+      admission_.note_accepted(admitted);
     return {.guard = preparing_.begin(team)};
+  }
   constexpr std::string_view status = "503";
   parts_.figures.add(metric::requests, {team, admitted.on_route->name, status});
-  const auto busy_for = parts_.pressure.busy_for ? parts_.pressure.busy_for() : std::nullopt;
-  const bool ends = shed || busy_for;
-  const error reason =
-      full() && !ends
-          ? too_many_open()
-          : processor_used_up(retry_after_pressure(admitted.deadline - parts_.time.now(), busy_for,
-                                                   draw(), options_.pressure_retry));
+  note_refused(admitted, *cause);
+  const bool ends =
+      *cause == refusal_cause::overload || (parts_.pressure.busy_for && parts_.pressure.busy_for());
+  const error reason = full() && !ends
+                           ? too_many_open()
+                           : processor_used_up(admission_.retry_after(admitted, draw()));
   return {.taken = false,
           .refusal = refusal_text(parts_.dialect, reason, admitted.terms.id, ends),
           .ends_connection = ends};
 }
 
+std::optional<refusal_cause> request_relay::screen_cause(const admitted_request& request,
+                                                         bool shed) {
+  if (shed && admission_.sheds(request))
+    return refusal_cause::overload;
+  if (full())
+    return refusal_cause::open_requests;
+  if (exceeds_share(preparing_.load(request.team_name()), options_.max_preparing))
+    return refusal_cause::preparing;
+  return std::nullopt;
+}
+
+void request_relay::note_refused(const admitted_request& request, refusal_cause cause) {
+  parts_.figures.add(metric::load_refusals,
+                     {name_of(cause), request.on_route->name, request.team_name()});
+  if (const auto count = admission_.note_refused())
+    parts_.log.write(severity::warning, "load_refused", {request.terms.id, request.team_name()},
+                     {{log_field::path, request.on_route->name},
+                      {log_field::kind, name_of(cause)},
+                      {log_field::count, *count},
+                      {log_field::rate, std::to_string(admission_.refused_fraction())}});
+}
+
 error request_relay::too_many_open() const {
   return {error_kind::no_capacity, "host",
           std::to_string(options_.max_open) + " requests are already open on this host",
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -11,6 +11,7 @@
 #include "relay/impl/incoming_request.hpp"
 #include "relay/impl/planned_stop.hpp"
 #include "relay/impl/preparing_requests.hpp"
+#include "relay/impl/request_admission.hpp"
 #include "relay/impl/retry_limiter.hpp"
 #include "relay/impl/room_exchange.hpp"
 #include "relay/impl/stream_origin.hpp"
@@ -85,8 +86,9 @@
 
   [[nodiscard]] connection_action serve(incoming_request& request);
 
-  /// \returns whether the next new request is to be refused because the processor is overloaded
-  [[nodiscard]] bool sheds() const { return parts_.pressure.sheds && parts_.pressure.sheds(); }
+  /// \returns whether the next new request may have to be refused because the processor is
+  /// overloaded; `screen` decides
+  [[nodiscard]] bool may_shed() const { return admission_.may_shed(parts_.config()); }
   /// \brief Counts a request that arrived.
   void note_request(bool turned_away) const;
   /// \returns whether the maximum number of requests is open
@@ -105,7 +107,7 @@
     preparing_requests::guard guard{}; ///< counts an accepted request as in preparation
   };
   /// \brief Decides by its header whether a request is accepted on a host under load.
-  /// \param shed  refuse it, whichever team it belongs to, as the processor is overloaded
+  /// \param shed  `may_shed` was true for it
   [[nodiscard]] screening screen(const request_head& head, bool shed);
 
   /// \returns the number of requests that are being served
@@ -119,6 +121,10 @@
  private:
   friend class request_run;
 
+  /// \returns why a request is refused by its header; nothing when it is accepted
+  [[nodiscard]] std::optional<refusal_cause> screen_cause(const admitted_request& request,
+                                                          bool shed);
+  void note_refused(const admitted_request& request, refusal_cause cause);
   [[nodiscard]] double draw();
   [[nodiscard]] bool has_other_hosts() const;
   [[nodiscard]] std::optional<forward_target>
@@ -146,6 +152,7 @@
   std::atomic<std::size_t> open_{0};
   std::atomic<std::size_t> forwarded_open_{0};
   preparing_requests preparing_;
+  request_admission admission_;
 };
 
 /// \returns a refusal by this host as a complete HTTP response
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -106,10 +106,20 @@
 // Refuses early, before the request costs more. Once the balancer has seen that the host is busy,
 // it sends the caller's next connection to another one.
 void request_run::check_overload() {
-  if (in_.screened || !relay_.sheds())
+  request_admission& admission = relay_.admission_;
+  if (in_.checked.counted)
+    return;
+  if (in_.checked.screened || !relay_.may_shed()) {
+    admission.note_accepted(admitted_);
+    return;
+  }
+  if (!admission.sheds(admitted_))
     return;
   last_on_connection_ = true;
-  throw request_relay::processor_used_up(relay_.options_.pressure_retry.soon);
+  relay_.note_refused(admitted_, refusal_cause::overload);
+  throw request_relay::processor_used_up(admission.is_selective(admitted_.config)
+                                             ? admission.retry_after(admitted_, relay_.draw())
+                                             : relay_.options_.pressure_retry.soon);
 }
 
 std::optional<content_refusal> request_run::crash_refusal() {
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -50,6 +50,7 @@
 #include "relay/impl/quarantine_exchange.hpp"
 #include "relay/impl/quarantine_log.hpp"
 #include "relay/impl/reachability_tracker.hpp"
+#include "relay/impl/request_admission.hpp"
 #include "relay/impl/request_content.hpp"
 #include "relay/impl/request_preview.hpp"
 #include "relay/impl/request_relay.hpp"
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -263,13 +263,21 @@
                   "on. result: first, second, none.",
                   {"result"},
                   entry},
+    metric_family{metric::load_refusals,
+                  counter,
+                  "sedgechute_load_refusals_total",
+                  "Requests that this host refused because of load, by route and team. reason: "
+                  "overload (of its processor), open_requests, preparing (the team's share of the "
+                  "requests in preparation is used up).",
+                  {"reason", "class", "team"},
+                  entry},
 };
 
 constexpr bool in_order() {
   for (std::size_t i = 0; i < families.size(); ++i)
     if (static_cast<std::size_t>(families[i].id) != i)
       return false;
-  return families.size() == static_cast<std::size_t>(metric::silent_sends) + 1;
+  return families.size() == static_cast<std::size_t>(metric::load_refusals) + 1;
 }
 static_assert(in_order(), "the table has one row for each metric, in the order of the enumeration");
 
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -63,6 +63,7 @@
   stream_records,
   silent_endpoints,
   silent_sends,
+  load_refusals,
 };
 
 inline constexpr std::size_t most_labels = 3;
