--- a/src/prepaid/impl/budget_manager.cpp
+++ b/src/prepaid/impl/budget_manager.cpp
@@ -49,6 +49,7 @@
 bool budget_manager::finish(time_ms most) noexcept {
   std::unique_lock lock{mutex_};
   stopping_ = true;
+  return_unused_loans(lock);
   wake_.notify_all();
   return synced_.wait_for(lock, to_chrono(most), [this] { return ended_; }) &&
          final_sync_succeeded_;
@@ -119,83 +120,137 @@
 }
 
 // Ungranted tokens come from the log. Tokens that other hosts hold are borrowed, also when the log
-// is unavailable or has none left to grant. A host that does not hold a team's tokens asks the
-// holders first: a loan takes some milliseconds and no log record.
+// is unavailable or has none left to grant. `plan_funding` says which comes first.
 reserve_outcome budget_manager::reserve_from_all_sources(const token_demand& demand,
                                                          std::unique_lock<ordered_mutex>& lock) {
-  const partition_budgets& budgets = partition_of(demand.team).budgets;
-  reserve_outcome outcome = reserve_outcome::short_here;
-  if (!budgets.holds(demand.team))
-    outcome = reserve_by_loan(demand, lock);
-  if (outcome == reserve_outcome::short_here)
-    outcome = reserve_by_log(demand, lock);
-  if (outcome == reserve_outcome::short_here && budgets.holds(demand.team))
-    outcome = reserve_by_loan(demand, lock);
+  partition& part = partition_of(demand.team);
+  const time_ms began = time_.now();
+  unfunded_request request{.now = began,
+                           .began = began,
+                           .max_wait = demand.max_wait == time_ms{} ? options_.max_log_wait
+                                                                    : demand.max_wait,
+                           .max_promise_wait = demand.max_promise_wait,
+                           .last_loan = {},
+                           .covered_after = {}};
+  bool waiting = false;
+  reserve_outcome outcome = try_reserve(demand, waiting);
+  while (outcome == reserve_outcome::short_here && part.loaded) {
+    if (!waiting)
+      part.budgets.begin_borrowing(demand.team, demand.tokens);
+    waiting = true;
+    inspect(demand, request);
+    const funding_plan plan = plan_funding(request);
+    if (plan.step == funding_step::refuse)
+      break;
+    if (plan.step == funding_step::borrow) {
+      borrow(demand, plan.until, lock);
+      ++request.loans;
+      request.last_loan = time_.now();
+    } else {
+      request.syncs += plan.step == funding_step::sync ? 1 : 0;
+      wait_for_tokens(demand, plan, lock);
+    }
+    outcome = try_reserve(demand, waiting);
+  }
+  if (waiting)
+    part.budgets.end_borrowing(demand.team, demand.tokens);
   return outcome;
 }
 
-reserve_outcome budget_manager::reserve_by_loan(const token_demand& demand,
-                                                std::unique_lock<ordered_mutex>& lock) {
-  partition& part = partition_of(demand.team);
-  if (!part.loaded)
-    return reserve_outcome::short_here;
-  const std::uint64_t shortfall = part.budgets.shortfall(demand.team, demand.tokens, time_.now());
-  if (borrow_ && shortfall > 0 && prepaid_.contains(demand.team)) {
-    const std::vector<token_holder> holders = part.budgets.holders(demand.team);
-    part.budgets.begin_borrowing(demand.team, demand.tokens);
-    lock.unlock();
-    (void)borrow_({demand.team, shortfall, demand.request}, holders);
-    lock.lock();
-    part.budgets.end_borrowing(demand.team, demand.tokens);
-  }
+// Borrowed tokens belong to the requests that wait for them: a request that has just arrived takes
+// only what these leave.
+reserve_outcome budget_manager::try_reserve(const token_demand& demand, bool waiting) {
   const auto paid = prepaid_.find(demand.team);
   if (paid == prepaid_.end())
     return reserve_outcome::reserved;
-  return part.budgets.reserve(demand.team, paid->second, demand.tokens, time_.now());
+  partition_budgets& budgets = partition_of(demand.team).budgets;
+  const time_ms now = time_.now();
+  if (!waiting && !budgets.holds(demand.team) &&
+      budgets.shortfall(demand.team, demand.tokens, now) > 0)
+    return reserve_outcome::short_here;
+  return budgets.reserve(demand.team, paid->second, demand.tokens, now);
+}
+
+void budget_manager::inspect(const token_demand& demand, unfunded_request& request) const {
+  const partition& part = partition_of(demand.team);
+  const auto paid = prepaid_.find(demand.team);
+  request.now = time_.now();
+  request.holds = part.budgets.holds(demand.team);
+  request.can_borrow = borrow_ && (!stopping_ || request.loans == 0);
+  request.loan_under_way = !stopping_ && loan_under_way(part, demand.team);
+  request.log_helps = log_is_responsive() && paid != prepaid_.end() &&
+                      part.budgets.grantable(demand.team, paid->second, demand.tokens);
+  request.covered_after = stopping_
+                              ? std::nullopt
+                              : part.budgets.covered_after(demand.team, demand.tokens, request.now);
 }
 
-reserve_outcome budget_manager::reserve_by_log(const token_demand& demand,
-                                               std::unique_lock<ordered_mutex>& lock) {
+bool budget_manager::loan_under_way(const partition& part, const std::string& team) const {
+  const auto expected = part.expected.find(team);
+  return expected != part.expected.end() && expected->second > 0 &&
+         expected->second >= part.budgets.unfunded(team, time_.now());
+}
+
+void budget_manager::borrow(const token_demand& demand, time_ms until,
+                            std::unique_lock<ordered_mutex>& lock) {
   partition& part = partition_of(demand.team);
-  const time_ms began = time_.now();
-  for (int syncs = 0;;) {
-    const auto paid = prepaid_.find(demand.team);
-    if (paid == prepaid_.end())
-      return reserve_outcome::reserved;
-    const reserve_outcome outcome =
-        part.budgets.reserve(demand.team, paid->second, demand.tokens, time_.now());
-    if (!part.loaded)
-      return reserve_outcome::short_here;
-    if (outcome != reserve_outcome::short_here)
-      return outcome;
-    const time_ms now = time_.now();
-    const bool log_may_help =
-        log_is_responsive() && part.budgets.grantable(demand.team, paid->second, demand.tokens);
-    const auto covered =
-        stopping_ ? std::nullopt : part.budgets.covered_after(demand.team, demand.tokens, now);
-    const auto wait = plan_token_wait({.now = now,
-                                       .began = began,
-                                       .syncs = log_may_help ? syncs : max_syncs,
-                                       .covered_after = covered,
-                                       .max_promise_wait = demand.max_promise_wait},
-                                      options_.max_log_wait);
-    if (!wait)
-      return outcome;
-    if (wait->for_log) {
-      ++syncs;
-      part.budgets.begin_waiting(demand.team, demand.tokens);
-      request_sync(part);
-    }
-    const std::uint64_t seen = part.sync_count;
-    synced_.wait_for(lock, to_chrono(wait->until - time_.now()),
-                     [&] { return (wait->for_log && part.sync_count != seen) || stopping_; });
-    if (wait->for_log)
-      part.budgets.end_waiting(demand.team, demand.tokens);
+  const time_ms now = time_.now();
+  std::uint64_t& expected = part.expected[demand.team];
+  const std::uint64_t lacking = part.budgets.unfunded(demand.team, now);
+  const std::uint64_t needed = lacking > expected ? lacking - expected : 0;
+  if (needed == 0)
+    return;
+  const std::uint64_t ahead = stopping_ ? 0 : part.budgets.loan_ahead(demand.team, now);
+  expected += needed + ahead;
+  const std::vector<token_holder> holders = part.budgets.holders(demand.team);
+  lock.unlock();
+  const std::uint64_t lent = borrow_({.team = demand.team,
+                                      .tokens = needed,
+                                      .request = demand.request,
+                                      .max_wait = std::max(until - now, time_ms{1}),
+                                      .ahead = ahead},
+                                     holders);
+  lock.lock();
+  const std::uint64_t missing = needed + ahead > lent ? needed + ahead - lent : 0;
+  expected -= std::min(expected, missing);
+  synced_.notify_all();
+}
+
+void budget_manager::wait_for_tokens(const token_demand& demand, const funding_plan& plan,
+                                     std::unique_lock<ordered_mutex>& lock) {
+  partition& part = partition_of(demand.team);
+  const bool for_log = plan.step == funding_step::sync;
+  if (for_log) {
+    part.budgets.begin_waiting(demand.team, demand.tokens);
+    request_sync(part);
   }
+  const std::uint64_t seen = part.sync_count;
+  synced_.wait_for(lock, to_chrono(std::max(plan.until - time_.now(), time_ms{})), [&] {
+    return stopping_ || (for_log && part.sync_count != seen) ||
+           (plan.step == funding_step::join && !loan_under_way(part, demand.team)) ||
+           part.budgets.slack(demand.team, time_.now()) >= demand.tokens;
+  });
+  if (for_log)
+    part.budgets.end_waiting(demand.team, demand.tokens);
 }
 
-// Borrowed tokens that a request did not use are returned at once. Kept for the next request of the
-// team they would be unavailable to all other hosts, and lost if this host lost power.
+void budget_manager::return_unused_loans(std::unique_lock<ordered_mutex>& lock) {
+  std::vector<std::string> idle;
+  for (const auto& part : partitions_)
+    for (std::string& team : stopping_ ? part->budgets.release_all_loans()
+                                       : part->budgets.release_kept_loans(time_.now()))
+      idle.push_back(std::move(team));
+  if (idle.empty() || !return_idle_)
+    return;
+  lock.unlock();
+  for (const std::string& team : idle)
+    return_idle_(team);
+  lock.lock();
+}
+
+// Borrowed tokens that a request did not use are returned at once, except those for the next second
+// of the team's requests here: kept longer they would be unavailable to all other hosts, and lost
+// if this host lost power.
 void budget_manager::settle(const std::string& team, std::uint64_t bound, std::uint64_t used) {
   bool idle = false;
   {
@@ -208,12 +263,13 @@
     return_idle_(team);
 }
 
-std::uint64_t budget_manager::lend(const std::string& team, std::uint64_t tokens) {
+std::uint64_t budget_manager::lend(const std::string& team, std::uint64_t tokens,
+                                   const std::string& borrower) {
   const std::scoped_lock lock{mutex_};
   if (stopping_)
     return 0;
   partition& part = partition_of(team);
-  const std::uint64_t given = part.budgets.lend(team, tokens, time_.now());
+  const std::uint64_t given = part.budgets.lend(team, tokens, time_.now(), borrower);
   if (given < tokens && reachable_ && part.budgets.has_unpromised_demand(team)) {
     part.due = std::min(part.due, part.synced_at + options_.min_unpromised_interval);
     wake_.notify_all();
@@ -223,7 +279,11 @@
 
 void budget_manager::receive(const std::string& team, std::uint64_t tokens) {
   const std::scoped_lock lock{mutex_};
-  partition_of(team).budgets.receive(team, tokens);
+  partition& part = partition_of(team);
+  part.budgets.receive(team, tokens);
+  std::uint64_t& expected = part.expected[team];
+  expected -= std::min(expected, tokens);
+  synced_.notify_all();
 }
 
 std::uint64_t budget_manager::idle_loans(const std::string& team) const {
--- a/src/prepaid/impl/budget_manager.hpp
+++ b/src/prepaid/impl/budget_manager.hpp
@@ -3,6 +3,7 @@
 #include "kernel/kernel.hpp"
 #include "prepaid/impl/account_log.hpp"
 #include "prepaid/impl/fleet_clock.hpp"
+#include "prepaid/impl/funding.hpp"
 #include "prepaid/impl/partition_budgets.hpp"
 #include "telemetry/telemetry.hpp"
 
@@ -32,6 +33,9 @@
   std::string request; ///< request id for log lines; may be empty
   /// Longest wait until this host's promise covers the request while the log does not answer.
   time_ms max_promise_wait{};
+  /// Longest wait for loans and the log together; zero: `prepaid_options::max_log_wait`.
+  time_ms max_wait{};
+  std::uint64_t ahead{}; ///< tokens to borrow besides, for requests of the next half second
 };
 
 /// \brief Reserves tokens of team budgets for requests. A background thread synchronizes this
@@ -88,7 +92,8 @@
 
   /// \brief Lends tokens to another host.
   /// \returns the number of tokens lent, at most `tokens`
-  [[nodiscard]] std::uint64_t lend(const std::string& team, std::uint64_t tokens);
+  [[nodiscard]] std::uint64_t lend(const std::string& team, std::uint64_t tokens,
+                                   const std::string& borrower = {});
   /// \brief Credits tokens that another host lent.
   void receive(const std::string& team, std::uint64_t tokens);
   /// \returns borrowed tokens that no request uses or waits for
@@ -122,6 +127,7 @@
     time_ms due;                 ///< time of the next periodic synchronization
     time_ms synced_at;           ///< end of the last synchronization
     std::uint64_t sync_count{0}; ///< completed synchronizations
+    std::map<std::string, std::uint64_t> expected{}; ///< tokens of loans under way, by team
   };
 
   [[nodiscard]] partition& partition_of(const std::string& team) const;
@@ -135,10 +141,17 @@
   [[nodiscard]] bool log_is_responsive() const;
   [[nodiscard]] reserve_outcome reserve_from_all_sources(const token_demand& demand,
                                                          std::unique_lock<ordered_mutex>& lock);
-  [[nodiscard]] reserve_outcome reserve_by_loan(const token_demand& demand,
-                                                std::unique_lock<ordered_mutex>& lock);
-  [[nodiscard]] reserve_outcome reserve_by_log(const token_demand& demand,
-                                               std::unique_lock<ordered_mutex>& lock);
+  /// \param waiting  the request is among those that wait for loans
+  [[nodiscard]] reserve_outcome try_reserve(const token_demand& demand, bool waiting);
+  /// \brief Updates what can be done for a request now.
+  void inspect(const token_demand& demand, unfunded_request& request) const;
+  [[nodiscard]] bool loan_under_way(const partition& part, const std::string& team) const;
+  /// \brief Borrows what the waiting requests of the team lack and no loan under way covers.
+  void borrow(const token_demand& demand, time_ms until, std::unique_lock<ordered_mutex>& lock);
+  void wait_for_tokens(const token_demand& demand, const funding_plan& plan,
+                       std::unique_lock<ordered_mutex>& lock);
+  /// \brief Returns loans that were kept for teams that send no more requests.
+  void return_unused_loans(std::unique_lock<ordered_mutex>& lock);
   void run();
   void run_sync(partition& part, std::unique_lock<ordered_mutex>& lock);
   /// \returns whether the log answered
--- a/src/prepaid/impl/budget_sync.cpp
+++ b/src/prepaid/impl/budget_sync.cpp
@@ -19,6 +19,9 @@
 // Delay between attempts to reach a log that does not answer.
 constexpr time_ms log_retry_delay{250};
 
+// Loans that are kept for a team whose callers have moved on are of use elsewhere.
+constexpr time_ms kept_loans_check_interval{500};
+
 std::chrono::milliseconds to_chrono(time_ms span) {
   return std::chrono::milliseconds{span.count()};
 }
@@ -51,7 +54,8 @@
   const auto earliest =
       std::min_element(partitions_.begin(), partitions_.end(),
                        [](const auto& a, const auto& b) { return a->due < b->due; });
-  const time_ms pause = std::max((*earliest)->due - time_.now(), time_ms{1});
+  const time_ms pause =
+      std::clamp((*earliest)->due - time_.now(), time_ms{1}, kept_loans_check_interval);
   wake_.wait_for(lock, to_chrono(pause)); // notified when a partition becomes due earlier
 }
 
@@ -62,6 +66,8 @@
       run_sync(*part, lock);
     else
       wait_until_due(lock);
+    if (!stopping_)
+      return_unused_loans(lock);
   }
   lock.unlock();
   bool answered = true;
--- /dev/null
+++ b/src/prepaid/impl/funding.cpp
@@ -0,0 +1,51 @@
+#include "prepaid/impl/funding.hpp"
+
+#include "prepaid/impl/token_wait.hpp"
+
+#include <algorithm>
+
+namespace sedgechute {
+
+namespace {
+
+// A holder that could not lend at once writes a record within 100 ms, so it is not worth asking
+// again at once.
+constexpr time_ms loan_pause{40};
+
+// Part of its wait after which a request turns to the other source: from loans to the log at a host
+// that holds no tokens of the team, and the other way round at one that does.
+constexpr std::int64_t switch_numerator = 3;
+constexpr std::int64_t switch_denominator = 5;
+
+} // namespace
+
+// A loan takes a few milliseconds and no record, and a record by a host without tokens makes the
+// appends of the holders fail. So such a host borrows first, and again after a pause.
+funding_plan plan_funding(const unfunded_request& request) noexcept {
+  const time_ms deadline = request.began + request.max_wait;
+  const time_ms first_ends =
+      request.began + time_ms{request.max_wait.count() * switch_numerator / switch_denominator};
+  if (request.now < deadline) {
+    const bool log_first = request.holds && request.syncs < max_syncs && request.now < first_ends;
+    const bool loan_first = !request.holds && request.now < first_ends;
+    const time_ms sync_until = std::min(deadline, request.now + normal_sync_duration);
+    if (request.log_helps && log_first)
+      return {funding_step::sync, sync_until};
+    if (request.can_borrow && (loan_first || !request.log_helps || request.loans == 0)) {
+      if (request.loan_under_way)
+        return {funding_step::join, std::min(deadline, request.now + loan_pause)};
+      const time_ms again = request.last_loan + loan_pause;
+      if (request.loans == 0 || request.now >= again)
+        return {funding_step::borrow, loan_first ? first_ends : deadline};
+      return {funding_step::pause, std::min(again, deadline)};
+    }
+    if (request.log_helps)
+      return {funding_step::sync, sync_until};
+  }
+  if (request.covered_after &&
+      request.now + *request.covered_after <= request.began + request.max_promise_wait)
+    return {funding_step::promise, request.now + std::max(*request.covered_after, time_ms{1})};
+  return {};
+}
+
+} // namespace sedgechute
--- a/src/prepaid/impl/partition_budgets.cpp
+++ b/src/prepaid/impl/partition_budgets.cpp
@@ -1,5 +1,6 @@
 #include "prepaid/impl/partition_budgets.hpp"
 
+#include "prepaid/impl/loan_policy.hpp"
 #include "prepaid/impl/promise_policy.hpp"
 
 #include <algorithm>
@@ -56,7 +57,7 @@
     state.previous_incarnation = record.value;
     write_off_previous_incarnation(state);
   } else if (record.host == host_) {
-    state.unpromised_demand = 0;
+    state.unpromised.clear();
     if (was_unreadable) // written by `write_off_unreadable`
       state.written_off = record.value.used;
   }
@@ -254,6 +255,7 @@
 reserve_outcome partition_budgets::reserve(const std::string& team, std::uint64_t prepaid,
                                            std::uint64_t bound, time_ms now) {
   team_state& state = teams_[team];
+  state.prepaid = prepaid;
   if (own_slack(state, now) + unused_loans(state) >= bound) {
     state.reserved += bound;
     return reserve_outcome::reserved;
@@ -272,20 +274,37 @@
   wanted = saturating_sub(wanted, bound);
 }
 
-std::uint64_t partition_budgets::lend(const std::string& team, std::uint64_t tokens, time_ms now) {
+std::uint64_t partition_budgets::lend(const std::string& team, std::uint64_t tokens, time_ms now,
+                                      const std::string& borrower) {
   team_state& state = teams_[team];
   const std::uint64_t given = std::min(tokens, own_slack(state, now));
   state.lent += given;
   const std::uint64_t not_promised = std::min(tokens - given, own_unused(state));
   state.lent_since_update += static_cast<double>(given);
   state.unpromised_since_update += static_cast<double>(not_promised);
-  state.unpromised_demand = std::max(state.unpromised_demand, not_promised);
+  state.asked_for.note(tokens, now);
+  if (not_promised > 0)
+    state.unpromised[borrower] = not_promised;
+  else
+    state.unpromised.erase(borrower);
   return given;
 }
 
+// Tokens that are promised and not used are lost when this host is killed, so the sum is bounded by
+// what was asked for in the last second. One request is no rate, and is covered as a whole.
+std::uint64_t partition_budgets::unpromised_demand(const team_state& state, time_ms now) {
+  std::uint64_t sum = 0;
+  std::uint64_t largest = 0;
+  for (const auto& [host, tokens] : state.unpromised) {
+    sum += tokens;
+    largest = std::max(largest, tokens);
+  }
+  return std::max(largest, std::min(sum, static_cast<std::uint64_t>(state.asked_for.rate(now))));
+}
+
 bool partition_budgets::has_unpromised_demand(const std::string& team) const {
   const team_state* state = find(team);
-  return state != nullptr && state->unpromised_demand > 0;
+  return state != nullptr && !state->unpromised.empty();
 }
 
 void partition_budgets::receive(const std::string& team, std::uint64_t tokens) {
@@ -302,9 +321,46 @@
 }
 
 std::uint64_t partition_budgets::idle_loans(const std::string& team) const {
+  const team_state* state = find(team);
+  return state == nullptr
+             ? 0
+             : saturating_sub(unused_loans(*state), state->borrowing + state->wanted + state->kept);
+}
+
+std::vector<std::string> partition_budgets::release_kept_loans(time_ms now) {
+  std::vector<std::string> idle;
+  for (auto& [team, state] : teams_) {
+    if (state.kept == 0 || !state.demand.idle(now))
+      continue;
+    state.kept = 0;
+    if (idle_loans(team) > 0)
+      idle.push_back(team);
+  }
+  return idle;
+}
+
+std::vector<std::string> partition_budgets::release_all_loans() {
+  keeps_loans_ = false;
+  std::vector<std::string> idle;
+  for (auto& [team, state] : teams_) {
+    state.kept = 0;
+    if (idle_loans(team) > 0)
+      idle.push_back(team);
+  }
+  return idle;
+}
+
+std::uint64_t partition_budgets::unfunded(const std::string& team, time_ms now) const {
+  const team_state* state = find(team);
+  return state == nullptr
+             ? 0
+             : saturating_sub(state->borrowing, own_slack(*state, now) + unused_loans(*state));
+}
+
+std::uint64_t partition_budgets::loan_ahead(const std::string& team, time_ms now) const {
   const team_state* state = find(team);
   return state == nullptr ? 0
-                          : saturating_sub(unused_loans(*state), state->borrowing + state->wanted);
+                          : tokens_for(state->demand.rate(now), loan_ahead_window, state->prepaid);
 }
 
 std::uint64_t partition_budgets::give_back(const std::string& team, std::uint64_t tokens) {
@@ -347,6 +403,9 @@
   if (state.rate_updated_at == time_ms{})
     state.rate_updated_at = now;
   ++state.requests;
+  state.demand.note(bound, now);
+  if (keeps_loans_)
+    state.kept = tokens_for(state.demand.rate(now), loan_kept_window, state.prepaid);
 }
 
 void partition_budgets::settle(const std::string& team, std::uint64_t bound, std::uint64_t used) {
@@ -465,7 +524,10 @@
        .unpromised_rate = state.unpromised_rate,
        .remaining_fraction = pool.remaining_fraction},
       options_);
-  next.burst = of.burst + state.wanted + state.unpromised_demand;
+  const std::uint64_t ahead =
+      state.wanted > 0 ? tokens_for(state.demand.rate(now.boot), loan_ahead_window, state.prepaid)
+                       : 0;
+  next.burst = of.burst + state.wanted + ahead + unpromised_demand(state, now.boot);
   next.pace = of.pace;
   next.outage_pace = of.outage_pace;
   next.outage_after = of.outage_after;
@@ -521,12 +583,13 @@
   return std::nullopt;
 }
 
-bool partition_budgets::should_write(const team_state& state, const account& next) const {
+bool partition_budgets::should_write(const team_state& state, const account& next,
+                                     double remaining_fraction) const {
   const auto at = state.accounts.find(host_);
   if (at == state.accounts.end())
     return next.granted > 0;
   const account& known = at->second.value;
-  if (known.granted != next.granted || state.wanted > 0 || state.unpromised_demand > 0 ||
+  if (known.granted != next.granted || state.wanted > 0 || !state.unpromised.empty() ||
       state.overwritten.contains(host_))
     return true;
   // A new incarnation without usable tokens promises nothing, as the last record already says.
@@ -534,7 +597,14 @@
     return next.slack() > 0;
   const bool changed = known.used != next.used || known.rate != next.rate ||
                        known.burst != next.burst || known.pace != next.pace || next.outage_pace > 0;
-  return changed && next.written.boot - known.written.boot >= options_.min_refresh_interval;
+  const time_ms age = next.written.boot - known.written.boot;
+  const std::uint64_t left = saturating_sub(max_used(known, age), next.used);
+  const bool low = left < std::min(next.burst, next.slack()) / 2;
+  const auto longer =
+      static_cast<double>((options_.max_refresh_interval - options_.min_refresh_interval).count());
+  const time_ms rest{
+      static_cast<std::int64_t>(low ? 0 : longer * remaining_fraction * remaining_fraction)};
+  return changed && age >= options_.min_refresh_interval + rest;
 }
 
 std::vector<account_record>
@@ -553,7 +623,7 @@
     const budget_summary pool = summarize(state, paid, now.boot);
     account next = next_account(team, state, leaving ? nullptr : &pool);
     promise(next, state, pool, now);
-    if (!should_write(state, next))
+    if (!should_write(state, next, pool.remaining_fraction))
       continue;
     state.unacknowledged.push_back(next);
     records.push_back({team, host_, next, budget_to_record(state, paid)});
--- a/src/prepaid/impl/partition_budgets.hpp
+++ b/src/prepaid/impl/partition_budgets.hpp
@@ -2,6 +2,7 @@
 
 #include "prepaid/impl/account.hpp"
 #include "prepaid/impl/prepaid_options.hpp"
+#include "prepaid/impl/recent_demand.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -118,9 +119,11 @@
   void settle(const std::string& team, std::uint64_t bound, std::uint64_t used);
 
   /// \brief Lends tokens to another host; they count as used here.
+  /// \param borrower  the other host: what it asks for replaces what it asked for before
   /// \returns the number of tokens lent: all, or as many as this host's promise allows. What it
   /// holds beyond the promise is requested from its next record.
-  [[nodiscard]] std::uint64_t lend(const std::string& team, std::uint64_t tokens, time_ms now);
+  [[nodiscard]] std::uint64_t lend(const std::string& team, std::uint64_t tokens, time_ms now,
+                                   const std::string& borrower = {});
   /// \returns whether other hosts asked for more of a team's tokens than this host's promise
   /// allows, and its next record can promise some
   [[nodiscard]] bool has_unpromised_demand(const std::string& team) const;
@@ -130,8 +133,18 @@
   /// it.
   void begin_borrowing(const std::string& team, std::uint64_t bound);
   void end_borrowing(const std::string& team, std::uint64_t bound);
-  /// \returns borrowed tokens that no request uses or waits for
+  /// \returns borrowed tokens that no request uses or waits for, without those kept for the
+  /// requests of the next second
   [[nodiscard]] std::uint64_t idle_loans(const std::string& team) const;
+  /// \returns the teams that have idle loans because they sent no request in the last second
+  [[nodiscard]] std::vector<std::string> release_kept_loans(time_ms now);
+  /// \brief Keeps no loans from now on.
+  /// \returns the teams that have idle loans
+  [[nodiscard]] std::vector<std::string> release_all_loans();
+  /// \returns tokens that requests lack which wait for loans
+  [[nodiscard]] std::uint64_t unfunded(const std::string& team, time_ms now) const;
+  /// \returns tokens to borrow besides those that requests lack
+  [[nodiscard]] std::uint64_t loan_ahead(const std::string& team, time_ms now) const;
   /// \brief Debits borrowed tokens that are to be returned; they are not used from now on.
   /// \returns the number debited, at most the idle ones
   [[nodiscard]] std::uint64_t give_back(const std::string& team, std::uint64_t tokens);
@@ -180,11 +193,15 @@
     std::uint64_t written_off{};    ///< tokens that earlier incarnations may have used
     std::uint64_t settled{};        ///< tokens used by this incarnation
     std::uint64_t reserved{};
-    std::uint64_t lent{};                ///< to other hosts, by this incarnation
-    std::uint64_t received{};            ///< from other hosts, by this incarnation
-    std::uint64_t borrowing{};           ///< bounds of requests that wait for loans
-    std::uint64_t wanted{};              ///< by reservations that wait for the log
-    std::uint64_t unpromised_demand{};   ///< largest loan request beyond the promise
+    std::uint64_t lent{};                            ///< to other hosts, by this incarnation
+    std::uint64_t received{};                        ///< from other hosts, by this incarnation
+    std::uint64_t borrowing{};                       ///< bounds of requests that wait for loans
+    std::uint64_t wanted{};                          ///< by reservations that wait for the log
+    std::map<std::string, std::uint64_t> unpromised; ///< loan requests beyond the promise, by host
+    recent_demand asked_for;                         ///< tokens that other hosts asked for
+    recent_demand demand;                ///< tokens that requests at this host asked for
+    std::uint64_t prepaid{};             ///< as of the last reservation
+    std::uint64_t kept{};                ///< borrowed tokens that are kept for the next requests
     std::vector<account> unacknowledged; ///< appended, but not known whether they are in the log
     double rate{};                       ///< tokens a second
     double lent_rate{};                  ///< part of `rate` that was lent
@@ -197,6 +214,8 @@
   };
   struct budget_summary;
 
+  /// \returns tokens that the next record promises to hosts that wait for them
+  [[nodiscard]] static std::uint64_t unpromised_demand(const team_state& state, time_ms now);
   void write_off_previous_incarnation(team_state& state) const;
   [[nodiscard]] const team_state* find(const std::string& team) const;
   [[nodiscard]] account own_account(const team_state& state) const;
@@ -234,8 +253,10 @@
                                                                    const team_state& state,
                                                                    std::uint64_t prepaid,
                                                                    const clock_reading& now) const;
+  /// \param remaining_fraction  unused part of the budget
   /// \returns whether a record would be new to other hosts or to a later incarnation
-  [[nodiscard]] bool should_write(const team_state& state, const account& next) const;
+  [[nodiscard]] bool should_write(const team_state& state, const account& next,
+                                  double remaining_fraction) const;
 
   std::string host_;
   std::uint64_t incarnation_;
@@ -244,6 +265,7 @@
   holder_predicate holds_;
   std::unordered_map<std::string, team_state> teams_;
   std::uint64_t end_{0};
+  bool keeps_loans_{true};
   double mean_request_{0}; ///< tokens
 };
 
--- a/src/prepaid/impl/prepaid_options.hpp
+++ b/src/prepaid/impl/prepaid_options.hpp
@@ -68,6 +68,9 @@
   time_ms full_use_within{8000};
   /// Least time between a record and one that only renews the promise.
   time_ms min_refresh_interval{300};
+  /// The same while nothing of a budget is used and more than half of the promised burst is left;
+  /// in between when a part of the budget is used, since a kill near its end must lose little.
+  time_ms max_refresh_interval{1000};
   /// Interval between reports of use when no tokens are needed. Each report is a write call.
   time_ms report_interval{500};
   /// Added to that interval for each holder beyond the first, which bounds the write rate of the
--- a/src/prepaid/impl/token_loans.cpp
+++ b/src/prepaid/impl/token_loans.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 namespace sedgechute {
@@ -25,69 +26,105 @@
 std::uint64_t token_loans::borrow(const token_demand& demand,
                                   const std::vector<token_holder>& from) {
   const time_ms began = time_.now();
-  const time_ms until = began + options_.borrow_timeout;
-  std::uint64_t got = 0;
-  std::size_t asked = 0;
-  for (const token_holder& holder : order(from)) {
-    if (got >= demand.tokens || asked == options_.max_hosts_asked || time_.now() >= until)
+  const time_ms longest = demand.max_wait == time_ms{} ? options_.borrow_timeout : demand.max_wait;
+  loan_round round{
+      order(from),
+      demand.tokens,
+      demand.ahead,
+      began + longest,
+      {.answer_timeout = options_.answer_timeout, .max_hosts_asked = options_.max_hosts_asked}};
+  std::vector<std::uint64_t> numbers;
+  std::size_t unsent = 0;
+  for (;;) {
+    std::unique_lock lock{mutex_};
+    const round_progress seen = progress_of(numbers);
+    const loan_round::action next = round.next(seen.lent, seen.answers + unsent, time_.now());
+    if (next.kind == loan_round::action_kind::end)
       break;
-    ++asked;
-    got += ask(holder.host, demand.team, demand.tokens - got, until).value_or(0);
+    if (next.kind == loan_round::action_kind::wait) {
+      const time_ms pause = std::max(next.until - time_.now(), time_ms{});
+      answered_.wait_for(lock, std::chrono::milliseconds{pause.count()},
+                         [&] { return progress_of(numbers).answers > seen.answers; });
+      continue;
+    }
+    lock.unlock();
+    if (const auto number = ask(next.host, demand.team, next.tokens))
+      numbers.push_back(*number);
+    else
+      ++unsent;
   }
-  if (asked > 0)
+  const std::uint64_t got = end_round(numbers);
+  if (round.asked() > 0)
     log_.write(severity::info, "tokens_borrowed", {.request = demand.request, .team = demand.team},
-               {{log_field::tokens, demand.tokens},
+               {{log_field::tokens, demand.tokens + demand.ahead},
                 {log_field::granted, got},
-                {log_field::count, asked},
+                {log_field::count, round.asked()},
                 {log_field::duration_ms, time_.now() - began}});
   return got;
 }
 
+token_loans::round_progress
+token_loans::progress_of(const std::vector<std::uint64_t>& numbers) const {
+  round_progress seen;
+  for (const std::uint64_t number : numbers) {
+    const auto at = open_.find(number);
+    if (at != open_.end() && !at->second.given)
+      continue;
+    ++seen.answers; // a request that was forgotten gets no answer
+    seen.lent += at == open_.end() ? 0 : *at->second.given;
+  }
+  return seen;
+}
+
+std::uint64_t token_loans::end_round(const std::vector<std::uint64_t>& numbers) {
+  const std::scoped_lock lock{mutex_};
+  const std::uint64_t lent = progress_of(numbers).lent;
+  for (const std::uint64_t number : numbers) {
+    const auto at = open_.find(number);
+    if (at == open_.end())
+      continue;
+    if (at->second.given) {
+      open_.erase(at);
+      continue;
+    }
+    silent_.note_silence(at->second.host, time_.now());
+    at->second.awaited = false;
+  }
+  return lent;
+}
+
 std::vector<token_holder> token_loans::order(const std::vector<token_holder>& holders) {
   std::vector<token_holder> may_answer;
   random_source random{0};
   {
     const std::scoped_lock lock{mutex_};
     random = random_source{random_()};
-    for (const token_holder& holder : holders) {
-      const auto silent = unresponsive_until_.find(holder.host);
-      if (silent == unresponsive_until_.end() || time_.now() >= silent->second)
-        may_answer.push_back(holder);
-    }
+    std::copy_if(
+        holders.begin(), holders.end(), std::back_inserter(may_answer),
+        [&](const token_holder& holder) { return silent_.may_answer(holder.host, time_.now()); });
   }
   return borrowing_order(std::move(may_answer), is_near_, random);
 }
 
 std::optional<std::uint64_t> token_loans::ask(const std::string& host, const std::string& team,
-                                              std::uint64_t tokens, time_ms until) {
+                                              std::uint64_t tokens) {
   std::uint64_t number = 0;
   {
     const std::scoped_lock lock{mutex_};
     number = ++last_request_number_;
     loan_request& asked = open_[number];
+    asked.host = host;
     asked.team = team;
     asked.asked = tokens;
     while (open_.size() > options_.max_open_requests)
       open_.erase(open_.begin());
   }
-  if (!send_(host, encode_loan({loan_step::asked, number, tokens, self_, team})))
+  if (!send_(host, encode_loan({loan_step::asked, number, tokens, self_, team}))) {
+    const std::scoped_lock lock{mutex_};
+    open_.erase(number);
     return std::nullopt;
-  std::unique_lock lock{mutex_};
-  const time_ms wait = std::min(options_.answer_timeout, until - time_.now());
-  answered_.wait_for(lock, std::chrono::milliseconds{std::max<std::int64_t>(wait.count(), 0)}, [&] {
-    const auto at = open_.find(number);
-    return at == open_.end() || at->second.given;
-  });
-  const auto at = open_.find(number);
-  if (at == open_.end() || !at->second.given) {
-    unresponsive_until_[host] = time_.now() + options_.unresponsive_backoff;
-    if (at != open_.end())
-      at->second.awaited = false;
-    return std::nullopt; // the request stays open for a late answer
   }
-  const std::uint64_t given = *at->second.given;
-  open_.erase(at);
-  return given;
+  return number;
 }
 
 bool token_loans::handle(std::string_view bytes) {
@@ -115,7 +152,8 @@
     const std::scoped_lock lock{mutex_};
     before = lent_.given(loan);
   }
-  const std::uint64_t given = before ? *before : manager_.lend(asked.team, asked.tokens);
+  const std::uint64_t given =
+      before ? *before : manager_.lend(asked.team, asked.tokens, asked.host);
   if (!before && given > 0) {
     const std::scoped_lock lock{mutex_};
     lent_.note(loan, given);
@@ -139,7 +177,7 @@
     if (given.tokens > at->second.asked)
       return false;
     at->second.taken = true;
-    unresponsive_until_.erase(given.host);
+    silent_.note_answer(given.host);
     if (given.tokens > 0)
       borrowed_.note(given.team, {given.host, given.number, given.tokens});
   }
--- a/src/prepaid/impl/token_loans.hpp
+++ b/src/prepaid/impl/token_loans.hpp
@@ -5,6 +5,7 @@
 #include "prepaid/impl/holder_selection.hpp"
 #include "prepaid/impl/loan_ledger.hpp"
 #include "prepaid/impl/loan_message.hpp"
+#include "prepaid/impl/loan_policy.hpp"
 #include "telemetry/telemetry.hpp"
 
 #include <condition_variable>
@@ -17,16 +18,14 @@
 namespace sedgechute {
 
 struct loan_options {
-  /// Longest wait for one host's answer: a round trip between data centres takes 3 ms, and a host
-  /// with a quarter of a core may be busy with other work for twenty.
+  /// Wait for one host's answer before the next is asked too: a round trip between data centres
+  /// takes 3 ms, and a host with a quarter of a core may be busy with other work for twenty.
   time_ms answer_timeout{30};
-  /// Longest wait of one request for tokens of other hosts.
+  /// Longest wait for tokens of other hosts, unless the request says otherwise.
   time_ms borrow_timeout{90};
   /// Most hosts that one request asks. Each holds a part of the team's tokens, and a large request
   /// may need those of several.
   std::size_t max_hosts_asked{6};
-  /// A host that did not answer is not asked again for this time, since it may be cut off.
-  time_ms unresponsive_backoff{1000};
   /// Unanswered requests that are remembered, so that late answers still credit tokens.
   std::size_t max_open_requests{256};
   /// Loans that a lender remembers and may get back. The longest request takes fifteen seconds, and
@@ -53,7 +52,8 @@
   token_loans& operator=(const token_loans&) = delete;
   ~token_loans() = default;
 
-  /// \brief Asks hosts in turn until they have lent the tokens that a request needs.
+  /// \brief Asks hosts in turn until they have lent the tokens that requests need, and asks for
+  /// those of the next requests besides.
   /// \returns the number of tokens lent
   std::uint64_t borrow(const token_demand& demand, const std::vector<token_holder>& from);
 
@@ -66,6 +66,7 @@
 
  private:
   struct loan_request {
+    std::string host;
     std::string team;
     std::uint64_t asked{};              ///< tokens
     bool awaited{true};                 ///< a request waits for the answer
@@ -74,9 +75,17 @@
   };
 
   [[nodiscard]] std::vector<token_holder> order(const std::vector<token_holder>& holders);
-  /// \returns nothing when the host did not answer in time
+  /// \returns the number of the request; nothing if the host is unknown
   [[nodiscard]] std::optional<std::uint64_t> ask(const std::string& host, const std::string& team,
-                                                 std::uint64_t tokens, time_ms until);
+                                                 std::uint64_t tokens);
+  struct round_progress {
+    std::uint64_t lent{};
+    std::size_t answers{};
+  };
+  /// \returns what the answers to the given requests lent; `mutex_` is locked
+  [[nodiscard]] round_progress progress_of(const std::vector<std::uint64_t>& numbers) const;
+  /// \brief Ends the requests of a round. Those without an answer stay open for a late one.
+  [[nodiscard]] std::uint64_t end_round(const std::vector<std::uint64_t>& numbers);
   void lend(const loan_message& asked);
   /// \returns false if no host that was asked can have sent this answer
   [[nodiscard]] bool receive(const loan_message& given);
@@ -93,7 +102,7 @@
   ordered_mutex mutex_{lock_rank::outbox};
   std::condition_variable_any answered_;
   std::map<std::uint64_t, loan_request> open_; ///< by number, oldest first
-  std::map<std::string, time_ms> unresponsive_until_;
+  silent_hosts silent_;
   lent_ledger lent_;
   borrowed_ledger borrowed_;
   random_source random_;
--- a/src/relay/impl/request_accounting.cpp
+++ b/src/relay/impl/request_accounting.cpp
@@ -18,6 +18,12 @@
   return std::max(std::min(covered_here.value_or(elsewhere), elsewhere), min_retry_after);
 }
 
+// Three quarters of the target are left for the endpoint.
+time_ms longest_token_wait(time_ms latency_target) noexcept {
+  constexpr std::int64_t part = 4;
+  return std::max(time_ms{latency_target.count() / part}, time_ms{1});
+}
+
 double seconds(time_ms span) noexcept {
   constexpr double ms_per_second = 1000;
   return static_cast<double>(span.count()) / ms_per_second;
@@ -35,7 +41,8 @@
                             .tokens = bound,
                             .request = request.terms.id,
                             .max_promise_wait =
-                                time_ms{request.on_route->latency_target.count() / 2}};
+                                time_ms{request.on_route->latency_target.count() / 2},
+                            .max_wait = longest_token_wait(request.on_route->latency_target)};
   switch (budgets.reserve(demand)) {
   case reserve_outcome::reserved:
     return bound;
--- a/tests/prepaid/loan_load_model.hpp
+++ b/tests/prepaid/loan_load_model.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "log_model.hpp"
-#include "prepaid/impl/token_wait.hpp"
+#include "prepaid/impl/funding.hpp"
+#include "prepaid/impl/loan_policy.hpp"
 
 #include <deque>
 #include <functional>
@@ -44,6 +45,7 @@
         at(time_ms{static_cast<std::int64_t>(random_.below(200))},
            [this, i, part] { begin_sync(i, part); });
     at(time_ms{1000}, [this] { arrive(); });
+    at(time_ms{1000}, [this] { release(); });
   }
 
   [[nodiscard]] loan_load_result run() {
@@ -66,8 +68,8 @@
   static constexpr double most_requests = 743;
   static constexpr std::uint64_t least_tokens = 300;
   static constexpr std::uint64_t token_range = 2400;
-  static constexpr double budget_seconds = 300;       ///< of a team's demand
-  static constexpr time_ms longest_promise_wait{500}; ///< half of the latency target
+  static constexpr double budget_seconds = 300; ///< of a team's demand
+  static constexpr time_ms longest_wait{250};   ///< a quarter of the latency target
   static constexpr std::uint64_t longest_delay = 200;
   static constexpr std::int64_t log_call = 4;
 
@@ -93,6 +95,8 @@
     std::string team;
     std::function<void(std::uint64_t)> answered; ///< empty once the request gave up
   };
+  struct request;
+  using request_ptr = std::shared_ptr<request>;
   struct host_state {
     std::string name;
     int centre{};
@@ -100,24 +104,30 @@
     lent_ledger lent{2048};
     borrowed_ledger borrowed{64};
     std::map<std::uint64_t, ask_state> asks;
-    std::map<std::string, time_ms> silent_until;
-    std::vector<std::function<void()>> waiting; ///< looked at after each synchronization
+    silent_hosts silent;
+    std::vector<request_ptr> waiting;
+    std::map<std::string, std::uint64_t> expected; ///< tokens of loans under way, by team
   };
   struct request {
     std::size_t host{};
     std::string team;
     std::uint64_t bound{};
-    time_ms began;
-    int syncs{0};
-    std::uint64_t needed{};
-    std::uint64_t got{};
-    std::size_t asked{0};
-    time_ms loan_until;
-    std::vector<token_holder> order;
+    unfunded_request state;
+    bool waiting{false}; ///< is among those that wait for loans
+    bool ended{false};
+    std::uint64_t seen{}; ///< synchronizations when its wait for the next one began
+    funding_plan plan;
     std::uint64_t waits{0}; ///< number of the current wait; earlier ones have ended
-    bool tried_loan{false};
   };
-  using request_ptr = std::shared_ptr<request>;
+  struct round_state {
+    loan_round round;
+    std::uint64_t expected{};
+    std::uint64_t lent{0};
+    std::size_t answers{0};
+    bool ended{false};
+    std::uint64_t timer{0};
+    std::map<std::string, std::uint64_t> asked; ///< number of the question, by host
+  };
 
   static double weight_of(int team) { return 1.0 / (1 + team); }
   static std::string team_name(int team) { return "team-" + std::to_string(team); }
@@ -220,10 +230,7 @@
             ? options.report_interval + options.interval_per_holder * (holders - 1)
             : options.idle_interval;
     set_due(host, part, now_ + interval);
-    std::vector<std::function<void()>> woken;
-    woken.swap(hosts_[host].waiting);
-    for (const auto& one : woken)
-      one();
+    wake(host);
     if (state.requested)
       begin_sync(host, part);
   }
@@ -251,7 +258,8 @@
     const loan_key key{message.host, message.team, message.number};
     switch (message.step) {
     case loan_step::asked: {
-      const std::uint64_t given = part.budgets->lend(message.team, message.tokens, now_);
+      const std::uint64_t given =
+          part.budgets->lend(message.team, message.tokens, now_, message.host);
       if (given > 0)
         here.lent.note(key, given);
       if (given < message.tokens && part.budgets->has_unpromised_demand(message.team)) {
@@ -267,14 +275,17 @@
         return;
       const auto answered = ask->second.answered;
       here.asks.erase(ask);
-      here.silent_until.erase(message.host);
+      here.silent.note_answer(message.host);
       if (message.tokens > 0)
         here.borrowed.note(message.team, {message.host, message.number, message.tokens});
       part.budgets->receive(message.team, message.tokens);
-      if (answered)
+      if (answered) {
+        std::uint64_t& expected = here.expected[message.team];
+        expected -= std::min(expected, message.tokens);
         answered(message.tokens);
-      else
-        give_back(host, message.team);
+      }
+      wake(host);
+      give_back(host, message.team);
       return;
     }
     case loan_step::returned:
@@ -292,6 +303,14 @@
     }
   }
 
+  void release() {
+    for (std::size_t host = 0; host < hosts_.size(); ++host)
+      for (const part_state& part : hosts_[host].parts)
+        for (const std::string& team : part.budgets->release_kept_loans(now_))
+          give_back(host, team);
+    after(100, [this] { release(); });
+  }
+
   // Callers.
   void arrive() {
     if (now_ >= load_.length)
@@ -310,21 +329,28 @@
     one->host = host;
     one->team = team_name(team);
     one->bound = least_tokens + random_.below(token_range);
-    one->began = now_;
+    one->state = {.now = now_,
+                  .began = now_,
+                  .max_wait = longest_wait,
+                  .max_promise_wait = longest_wait,
+                  .last_loan = {},
+                  .covered_after = {}};
     ++result_.requests;
     arrivals_ += 1000 / rate();
     at(time_ms{1000 + static_cast<std::int64_t>(arrivals_)}, [this] { arrive(); });
     part_of(host, one->team).budgets->note_request(one->team, one->bound, now_);
-    begin(one);
+    step(one);
   }
   void end(const request_ptr& one, reserve_outcome outcome) {
-    result_.longest_wait = std::max(result_.longest_wait, now_ - one->began);
-    if (outcome == reserve_outcome::exhausted)
-      ++result_.exhausted;
-    if (outcome == reserve_outcome::short_here)
-      ++result_.refused;
+    partition_budgets& budgets = *part_of(one->host, one->team).budgets;
+    one->ended = true;
+    if (one->waiting)
+      budgets.end_borrowing(one->team, one->bound);
+    result_.longest_wait = std::max(result_.longest_wait, now_ - one->state.began);
+    result_.exhausted += outcome == reserve_outcome::exhausted ? 1 : 0;
+    result_.refused += outcome == reserve_outcome::short_here ? 1 : 0;
     if (outcome == reserve_outcome::reserved) {
-      result_.waited += now_ > one->began ? 1 : 0;
+      result_.waited += now_ > one->state.began ? 1 : 0;
       const std::uint64_t used = one->bound * (30 + random_.below(71)) / 100;
       spent_[one->team] += used;
       after(500 + static_cast<std::int64_t>(random_.below(2500)), [this, one, used] {
@@ -334,111 +360,139 @@
     }
     give_back(one->host, one->team);
   }
-  reserve_outcome reserve(const request& one) {
-    return part_of(one.host, one.team)
-        .budgets->reserve(one.team, paid_.at(one.team), one.bound, now_);
-  }
 
-  // As `budget_manager::reserve_from_all_sources`.
-  void begin(const request_ptr& one) {
-    if (!part_of(one->host, one->team).budgets->holds(one->team))
+  // As `budget_manager::reserve`.
+  void step(const request_ptr& one) {
+    part_state& part = part_of(one->host, one->team);
+    partition_budgets& budgets = *part.budgets;
+    unfunded_request& state = one->state;
+    state.now = now_;
+    state.holds = budgets.holds(one->team);
+    if (one->waiting || state.holds || budgets.shortfall(one->team, one->bound, now_) == 0) {
+      const reserve_outcome outcome =
+          budgets.reserve(one->team, paid_.at(one->team), one->bound, now_);
+      if (outcome != reserve_outcome::short_here)
+        return end(one, outcome);
+    }
+    if (!part.loaded)
+      return end(one, reserve_outcome::short_here);
+    if (!one->waiting)
+      budgets.begin_borrowing(one->team, one->bound);
+    one->waiting = true;
+    state.can_borrow = load_.hosts > 1;
+    state.loan_under_way = loan_under_way(*one);
+    state.log_helps = budgets.grantable(one->team, paid_.at(one->team), one->bound);
+    state.covered_after = budgets.covered_after(one->team, one->bound, now_);
+    one->plan = plan_funding(state);
+    one->seen = part.sync_count;
+    const std::uint64_t number = ++one->waits;
+    switch (one->plan.step) {
+    case funding_step::refuse:
+      return end(one, reserve_outcome::short_here);
+    case funding_step::borrow:
       return borrow(one);
-    by_log(one);
+    case funding_step::sync:
+      ++state.syncs;
+      budgets.begin_waiting(one->team, one->bound);
+      request_sync(one->host, account_partition(one->team, partitions));
+      break;
+    default:
+      break;
+    }
+    hosts_[one->host].waiting.push_back(one);
+    at(one->plan.until, [this, one, number] {
+      if (!one->ended && one->waits == number)
+        resume(one);
+    });
   }
-  void borrow(const request_ptr& one) {
-    one->tried_loan = true;
-    partition_budgets& budgets = *part_of(one->host, one->team).budgets;
-    one->needed =
-        part_of(one->host, one->team).loaded ? budgets.shortfall(one->team, one->bound, now_) : 0;
-    one->loan_until = now_ + time_ms{90};
-    for (token_holder& holder : budgets.holders(one->team)) {
-      const auto silent = hosts_[one->host].silent_until.find(holder.host);
-      if (silent == hosts_[one->host].silent_until.end() || now_ >= silent->second)
-        one->order.push_back(std::move(holder));
+  void resume(const request_ptr& one) {
+    if (one->plan.step == funding_step::sync)
+      part_of(one->host, one->team).budgets->end_waiting(one->team, one->bound);
+    ++one->waits;
+    std::erase(hosts_[one->host].waiting, one);
+    step(one);
+  }
+  /// Tokens have arrived, or a synchronization or a loan has ended.
+  void wake(std::size_t host) {
+    const std::vector<request_ptr> waiting = hosts_[host].waiting;
+    for (const request_ptr& one : waiting) {
+      const part_state& part = part_of(host, one->team);
+      const auto& plan = one->plan;
+      const bool over = part.budgets->slack(one->team, now_) >= one->bound ||
+                        (plan.step == funding_step::sync && part.sync_count != one->seen) ||
+                        (plan.step == funding_step::join && !loan_under_way(*one));
+      if (over && !one->ended &&
+          std::count(hosts_[host].waiting.begin(), hosts_[host].waiting.end(), one) > 0)
+        resume(one);
     }
-    const int centre = hosts_[one->host].centre;
-    one->order = borrowing_order(
-        std::move(one->order),
+  }
+  [[nodiscard]] bool loan_under_way(const request& one) {
+    const std::uint64_t expected = hosts_[one.host].expected[one.team];
+    return expected > 0 &&
+           expected >= part_of(one.host, one.team).budgets->unfunded(one.team, now_);
+  }
+
+  void borrow(const request_ptr& one) {
+    host_state& here = hosts_[one->host];
+    const partition_budgets& budgets = *part_of(one->host, one->team).budgets;
+    const std::uint64_t lacking = budgets.unfunded(one->team, now_);
+    std::uint64_t& expected = here.expected[one->team];
+    const std::uint64_t needed = lacking > expected ? lacking - expected : 0;
+    const std::uint64_t ahead = budgets.loan_ahead(one->team, now_);
+    std::vector<token_holder> holders = budgets.holders(one->team);
+    std::erase_if(holders, [&](const token_holder& holder) {
+      return !here.silent.may_answer(holder.host, now_);
+    });
+    auto order = borrowing_order(
+        std::move(holders),
         [&](const std::string& host) {
-          return hosts_[static_cast<std::size_t>(std::stoi(host.substr(1)))].centre == centre;
+          return hosts_[static_cast<std::size_t>(std::stoi(host.substr(1)))].centre == here.centre;
         },
         random_);
-    budgets.begin_borrowing(one->team, one->bound);
-    ask_next(one);
+    expected += needed + ahead;
+    advance(one,
+            std::make_shared<round_state>(round_state{
+                loan_round{std::move(order), needed, ahead, one->plan.until, {}}, needed + ahead}));
   }
-  void ask_next(const request_ptr& one) {
-    if (one->got >= one->needed || one->asked == std::min<std::size_t>(6, one->order.size()) ||
-        now_ >= one->loan_until) {
-      part_of(one->host, one->team).budgets->end_borrowing(one->team, one->bound);
-      const reserve_outcome outcome = reserve(*one);
-      if (outcome != reserve_outcome::short_here ||
-          part_of(one->host, one->team).budgets->holds(one->team))
-        return end(one, outcome);
-      return by_log(one);
-    }
-    const std::string to = one->order[one->asked++].host;
-    const std::uint64_t number = ++last_ask_;
+  void advance(const request_ptr& one, const std::shared_ptr<round_state>& round) {
+    if (round->ended)
+      return;
     host_state& here = hosts_[one->host];
-    here.asks[number] = {one->team, [this, one](std::uint64_t tokens) {
-                           one->got += tokens;
-                           ask_next(one);
-                         }};
-    send(to, {loan_step::asked, number, one->needed - one->got, here.name, one->team});
-    at(std::min(now_ + time_ms{30}, one->loan_until), [this, one, number, to] {
-      host_state& here = hosts_[one->host];
-      const auto ask = here.asks.find(number);
-      if (ask == here.asks.end() || !ask->second.answered)
-        return;
-      ask->second.answered = nullptr;
-      here.silent_until[to] = now_ + time_ms{1000};
-      ask_next(one);
-    });
-  }
-  void by_log(const request_ptr& one, time_ms began = time_ms{-1}) {
-    if (began < time_ms{})
-      began = now_;
-    part_state& part = part_of(one->host, one->team);
-    const reserve_outcome outcome = reserve(*one);
-    if (outcome != reserve_outcome::short_here)
-      return end(one, outcome);
-    const bool grantable = part.budgets->grantable(one->team, paid_.at(one->team), one->bound);
-    const auto wait =
-        plan_token_wait({.now = now_,
-                         .began = began,
-                         .syncs = grantable && part.loaded ? one->syncs : max_syncs,
-                         .covered_after = part.budgets->covered_after(one->team, one->bound, now_),
-                         .max_promise_wait = longest_promise_wait},
-                        prepaid_options{}.max_log_wait);
-    if (!wait)
-      return part.budgets->holds(one->team) && !one->tried_loan
-                 ? borrow(one)
-                 : end(one, reserve_outcome::short_here);
-    if (wait->for_log) {
-      ++one->syncs;
-      part.budgets->begin_waiting(one->team, one->bound);
-      request_sync(one->host, account_partition(one->team, partitions));
+    const loan_round::action next = round->round.next(round->lent, round->answers, now_);
+    switch (next.kind) {
+    case loan_round::action_kind::ask: {
+      const std::uint64_t number = ++last_ask_;
+      here.asks[number] = {one->team, [this, one, round, host = next.host](std::uint64_t tokens) {
+                             round->asked.erase(host);
+                             round->lent += tokens;
+                             ++round->answers;
+                             advance(one, round);
+                           }};
+      round->asked[next.host] = number;
+      send(next.host, {loan_step::asked, number, next.tokens, here.name, one->team});
+      return advance(one, round);
     }
-    const std::uint64_t number = ++one->waits;
-    const std::uint64_t seen = part.sync_count;
-    const bool for_log = wait->for_log;
-    std::function<void(bool)> wake = [this, one, number, seen, for_log, began](bool timed) {
-      part_state& part = part_of(one->host, one->team);
-      if (one->waits != number)
-        return;
-      if (!timed && (!for_log || part.sync_count == seen))
-        return wait_again(one->host, wakes_[one.get()]);
-      ++one->waits;
-      wakes_.erase(one.get());
-      if (for_log)
-        part.budgets->end_waiting(one->team, one->bound);
-      by_log(one, began);
-    };
-    wakes_[one.get()] = wake;
-    wait_again(one->host, wake);
-    at(wait->until, [wake] { wake(true); });
-  }
-  void wait_again(std::size_t host, const std::function<void(bool)>& wake) {
-    hosts_[host].waiting.push_back([wake] { wake(false); });
+    case loan_round::action_kind::wait:
+      at(next.until, [this, one, round, number = ++round->timer] {
+        if (round->timer == number)
+          advance(one, round);
+      });
+      return;
+    case loan_round::action_kind::end:
+      break;
+    }
+    round->ended = true;
+    for (const auto& [host, number] : round->asked) {
+      here.silent.note_silence(host, now_);
+      here.asks[number].answered = nullptr;
+    }
+    std::uint64_t& expected = here.expected[one->team];
+    const std::uint64_t missing = round->expected > round->lent ? round->expected - round->lent : 0;
+    expected -= std::min(expected, missing);
+    one->state.last_loan = now_;
+    ++one->state.loans;
+    step(one);
+    wake(one->host);
   }
 
   loan_load load_;
@@ -453,7 +507,6 @@
   log_model logs_[partitions];
   std::map<std::string, std::uint64_t> paid_;
   std::map<std::string, std::uint64_t> spent_;
-  std::map<const request*, std::function<void(bool)>> wakes_;
   loan_load_result result_;
 };
 
