Place requests by estimated waits where endpoints report their work time

The estimate is learnt from the answers of each endpoint and service; hosts that see the same figures choose at random among the cheapest endpoints.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -384,6 +384,8 @@
                       static_cast<double>(endpoints_.brittle_endpoints().size()));
          figures_.set(metric::stream_records, {}, static_cast<double>(stream_builds_->records()));
          figures_.set(metric::cut_off, {}, endpoints_.cut_off() ? 1 : 0);
+         for (const auto& [service, spread] : endpoints_.speed_spreads())
+           figures_.set(metric::endpoint_speed_spread, {service}, spread);
          figures_.set(metric::cold_endpoints, {}, static_cast<double>(endpoints_.cold()));
          return status_answer{200, figures_.text()};
        }},
--- a/src/relay/impl/choose_replica.cpp
+++ b/src/relay/impl/choose_replica.cpp
@@ -35,6 +35,51 @@
   return candidate.home ? cost : cost + missing * weights.away_token_ms;
 }
 
+// An idle endpoint needs some milliseconds, too. Without them the speeds of idle endpoints would
+// make no difference until answers are known.
+wait_weights initial_wait_weights(const choice_weights& weights) noexcept {
+  constexpr double base_ms = 5;
+  return {base_ms, weights.wait_for_each_running_ms, weights.wait_beyond_slots_ms,
+          1 / weights.tokens_read_a_ms};
+}
+
+other_costs other_costs_of(const replica_candidate& candidate, std::uint64_t prompt_tokens,
+                           const choice_weights& weights) noexcept {
+  other_costs costs;
+  if (prompt_tokens > 0) {
+    const auto missing = static_cast<double>(candidate.missing_tokens);
+    const auto fetchable = static_cast<double>(candidate.fetchable_tokens);
+    costs.prefix =
+        fetchable * weights.fetched_token_ms + (missing - fetchable) * weights.reread_token_ms;
+    if (!candidate.home)
+      costs.prefix += missing * weights.away_token_ms;
+  }
+  costs.all = costs.prefix + candidate.failing * weights.failing_ms;
+  if (candidate.other_centre)
+    costs.all += weights.other_centre_ms;
+  return costs;
+}
+
+wait_terms wait_terms_of(const replica_candidate& candidate, std::uint64_t own_tokens,
+                         const host_counts& hosts, const choice_weights& weights) noexcept {
+  open_knowledge known{.open_here = candidate.open_here,
+                       .open_elsewhere = candidate.open_elsewhere,
+                       .reported = {},
+                       .report_age = candidate.load_age,
+                       .sent_since_report = candidate.sent_since_load};
+  if (candidate.load && candidate.load_age <= weights.max_load_age)
+    known.reported = candidate.load->running + candidate.load->waiting;
+  auto unread =
+      static_cast<double>(candidate.unread_tokens_here + candidate.unread_tokens_elsewhere) *
+      hosts.hidden_factor();
+  if (own_tokens > 0 && known.reported)
+    unread = std::max(unread, static_cast<double>(candidate.load->waiting) *
+                                  weights.waiting_prompt_tokens);
+  return {.open = estimate_open(known, hosts),
+          .slots = static_cast<double>(candidate.slots),
+          .tokens = unread + static_cast<double>(own_tokens)};
+}
+
 std::optional<std::size_t> choose_replica(std::span<const replica_candidate> from,
                                           std::uint64_t prompt_tokens,
                                           const choice_weights& weights) {
--- a/src/relay/impl/choose_replica.hpp
+++ b/src/relay/impl/choose_replica.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kernel/kernel.hpp"
+#include "placement/placement.hpp"
 #include "relay/impl/wire_dialect.hpp"
 
 #include <cstdint>
@@ -62,6 +63,25 @@
 [[nodiscard]] double placement_cost(const replica_candidate& candidate, std::uint64_t prompt_tokens,
                                     const choice_weights& weights) noexcept;
 
+/// \returns the weights of a service of which no answers are known yet
+[[nodiscard]] wait_weights initial_wait_weights(const choice_weights& weights) noexcept;
+
+/// \brief The costs of a candidate beside its load, in milliseconds.
+struct other_costs {
+  double prefix{}; ///< of the shared prefix that it has not cached
+  double all{};    ///< that, its failures and the way to it
+};
+
+[[nodiscard]] other_costs other_costs_of(const replica_candidate& candidate,
+                                         std::uint64_t prompt_tokens,
+                                         const choice_weights& weights) noexcept;
+
+/// \returns the load that a request of a service with estimated waits meets at the candidate
+/// \param own_tokens  prompt tokens of the request that no endpoint has cached
+[[nodiscard]] wait_terms wait_terms_of(const replica_candidate& candidate, std::uint64_t own_tokens,
+                                       const host_counts& hosts,
+                                       const choice_weights& weights) noexcept;
+
 /// \returns the index of the cheapest candidate; nothing when there is none
 [[nodiscard]] std::optional<std::size_t> choose_replica(std::span<const replica_candidate> from,
                                                         std::uint64_t prompt_tokens,
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -267,6 +267,7 @@
   for (const std::string& other : others)
     hashes.push_back(stable_hash(other));
   const std::scoped_lock lock{mutex_};
+  hosts_ = hashes.size() + 1;
   cold_start_.set_hosts(stable_hash(self), std::move(hashes), time_.now());
 }
 
@@ -397,6 +398,19 @@
   compare_prefixes(among, now);
   const std::uint64_t prompt =
       request.generation != nullptr ? request.generation->prompt_tokens : 0;
+  if (const auto estimated = service_times_.find(request.service);
+      estimated != service_times_.end()) {
+    const auto choice = choose_by_estimate(among, prompt, estimated->second, now);
+    if (!choice)
+      return std::nullopt;
+    placement place = take_place(among, choice->chosen, prompt, now);
+    place.estimated_wait_ms = choice->wait_ms;
+    place.off_cheapest = choice->off_cheapest;
+    open_id& request_there = among.states[choice->chosen]->open_ids.back();
+    request_there.met = choice->met;
+    request_there.work_time = choice->work_time;
+    return place;
+  }
   const auto chosen = choose_replica(among.candidates, prompt, weights_);
   if (!chosen)
     return std::nullopt;
@@ -435,7 +449,7 @@
   place.heard = at.heard;
   place.data_centre = at.entry.data_centre;
   place.affinity = at.affinity_hash;
-  at.open_ids.push_back({place.grant, now});
+  at.open_ids.push_back({.id = place.grant, .placed = now, .answered = {}});
   ++at.open;
   ++at.sent_since_load;
   at.sends.assign();
@@ -468,6 +482,7 @@
     return;
   at->unread_tokens -= std::min(at->unread_tokens, place.prompt_tokens);
   at->pause.note_taken(place.sent_at);
+  note_answered(*at, place.grant, time_.now());
 }
 
 void endpoint_directory::note_load(const placement& place, const load_report& load) {
@@ -478,6 +493,10 @@
   at->load = load;
   at->load_at = time_.now();
   at->sent_since_load = 0;
+  if (!load.work_time_percent)
+    return;
+  at->work_time.note(*load.work_time_percent, at->load_at);
+  service_times_.try_emplace(at->entry.service, initial_wait_weights(weights_));
 }
 
 void endpoint_directory::note_malformed_load(const placement& place, const std::string& report) {
@@ -523,6 +542,10 @@
 void endpoint_directory::end_placement(state& of, const placement& place, send_outcome outcome,
                                        bool started) {
   of.open -= std::min<std::uint64_t>(of.open, 1);
+  if (outcome == send_outcome::answered)
+    for (const open_id& one : of.open_ids)
+      if (one.id == place.grant)
+        learn_speed(of, place, one, time_.now());
   std::erase_if(of.open_ids, [&](const open_id& one) { return one.id == place.grant; });
   if (!place.sent)
     of.sends.cancel();
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kernel/kernel.hpp"
+#include "placement/placement.hpp"
 #include "relay/impl/announced_rate.hpp"
 #include "relay/impl/choose_replica.hpp"
 #include "relay/impl/cold_start.hpp"
@@ -83,6 +84,9 @@
   std::uint64_t unread_before{};  ///< tokens of prompts that waited there before this one
   std::uint64_t missing_tokens{}; ///< tokens of the shared prefix that it has not cached
   time_ms load_age;               ///< age of the endpoint's load report; -1: there is none
+  /// Expected wait that decided, in milliseconds; nothing: the service has no such estimates.
+  std::optional<double> estimated_wait_ms{};
+  bool off_cheapest{false}; ///< another endpoint had a lower cost
 };
 
 /// \brief Asks the arbiter of a brittle endpoint for room for one request.
@@ -269,6 +273,10 @@
   /// \brief Applies a report of another host.
   void take_report(const use_report& report);
 
+  /// \returns the ratio of the slowest to the fastest endpoint, as learnt from their answers, by
+  /// service; only services whose endpoints report their work time
+  [[nodiscard]] std::vector<std::pair<std::string, double>> speed_spreads() const;
+
   /// \returns the number of endpoints of a service that are neither draining nor leaving
   [[nodiscard]] std::size_t ready(const std::string& service) const;
   [[nodiscard]] std::size_t size() const;
@@ -296,6 +304,9 @@
   struct open_id {
     grant_id id{};
     time_ms placed;
+    std::optional<wait_terms> met{}; ///< load when it was placed; if waits are estimated
+    double work_time{1};             ///< estimate when it was placed
+    std::optional<time_ms> answered; ///< its first event or its whole answer
   };
   struct state {
     endpoint_entry entry;
@@ -338,6 +349,8 @@
     std::shared_ptr<last_heard> heard;
     room_arbiter arbiter;  ///< used if this host arbitrates
     endpoint_use reported; ///< last usage reported to the other hosts
+    work_time_estimate work_time;
+    endpoint_speed speed;
   };
 
   /// The candidates of one placement and the prefixes of its prompt.
@@ -349,6 +362,15 @@
     std::size_t prefix_holder{}; ///< index of the candidate with the longest cached prefix
   };
 
+  /// A placement of a service whose endpoints report their work time.
+  struct estimated_choice {
+    std::size_t chosen{};
+    bool off_cheapest{false};
+    wait_terms met;
+    double work_time{1};
+    double wait_ms{};
+  };
+
   /// \returns the state of an endpoint; null when it is gone or `local_incarnation` is not the
   /// current one
   [[nodiscard]] state* find_current(const endpoint_id& id, std::uint64_t local_incarnation);
@@ -397,6 +419,16 @@
   void notify_cut(cut_detector::change change) const;
   void gather_candidates(const placement_request& request, candidate_set& into, time_ms now);
   void compare_prefixes(candidate_set& among, time_ms now) const;
+  [[nodiscard]] wait_terms terms_of(const candidate_set& among, std::size_t index,
+                                    std::uint64_t prompt_tokens, const host_counts& hosts) const;
+  /// \returns nothing when there is no candidate
+  [[nodiscard]] std::optional<estimated_choice> choose_by_estimate(const candidate_set& among,
+                                                                   std::uint64_t prompt_tokens,
+                                                                   const service_times& service,
+                                                                   time_ms now);
+  static void note_answered(state& of, grant_id id, time_ms now) noexcept;
+  /// \brief Learns from an answer how fast the endpoint is.
+  void learn_speed(state& of, const placement& place, const open_id& request, time_ms now);
   [[nodiscard]] placement take_place(const candidate_set& among, std::size_t chosen,
                                      std::uint64_t prompt_tokens, time_ms now);
   /// \returns whether a request may be sent to an endpoint, if it is usable at all
@@ -457,6 +489,9 @@
   /// When builds were last listed that may be listed no more, by service.
   std::unordered_map<std::string, std::unordered_map<build_hash, time_ms>> earlier_builds_;
   random_source random_;
+  std::size_t hosts_{1}; ///< this one included
+  /// Services whose endpoints have reported their work time.
+  std::unordered_map<std::string, service_times> service_times_;
   std::vector<prefix_location> own_prefix_locations_; ///< not reported to the other hosts yet
   std::uint64_t last_local_incarnation_{0};           ///< number of the last one assigned
   restart_listener on_restart_;
--- a/src/relay/impl/request_accounting.cpp
+++ b/src/relay/impl/request_accounting.cpp
@@ -61,6 +61,8 @@
                  const send_record& sent) {
   const placement& place = sent.place;
   into.figures.add(metric::attempts, {request.service});
+  if (place.off_cheapest)
+    into.figures.add(metric::placements_off_cheapest, {request.service});
   into.log.write(severity::info, "send_ended",
                  {request.terms.id, request.team_name(), place.endpoint.str()},
                  {{log_field::content, content_text(request.content)},
@@ -72,6 +74,8 @@
                   {log_field::age_ms, place.load_age},
                   {log_field::unread_tokens, place.unread_before},
                   {log_field::missing_tokens, place.missing_tokens},
+                  {log_field::estimate_ms,
+                   static_cast<std::int64_t>(place.estimated_wait_ms.value_or(-1))},
                   {log_field::peer, place.fetch_from},
                   {log_field::duration_ms, into.time.now() - sent.began}});
 }
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -56,6 +56,8 @@
   cold_endpoints,
   limited_endpoints,
   brittle_endpoints,
+  endpoint_speed_spread,
+  placements_off_cheapest,
   brittle_refusals,
   forwarded,
   cut_off,
