--- a/src/placement/impl/choose_among.cpp
+++ b/src/placement/impl/choose_among.cpp
@@ -6,17 +6,39 @@
 
 namespace {
 
-// Options are alike whose cost exceeds the least one by no more than this part of it. With many
-// hosts it is wider, as more requests go over before the figures show them.
-constexpr double alike_part = 0.3;
-constexpr double hosts_of_full_part = 16;
+constexpr double least_step = 0.001; ///< of a cost, in milliseconds
 
-constexpr double least_free = 0.25; ///< keeps full endpoints in the choice when all are full
+double step_of(const choice_option& one) noexcept {
+  return std::max(one.step, least_step);
+}
+
+// The cost that the cheapest options have once the requests have gone to them. Each pass drops the
+// options above the level of the one before, so few passes are needed.
+double level_of(std::span<const choice_option> options, const choice_option& cheapest,
+                double requests) noexcept {
+  constexpr int most_passes = 8;
+  double level = 0;
+  for (int pass = 0; pass < most_passes; ++pass) {
+    double requests_per_ms = 0;
+    double sum = requests;
+    for (const choice_option& one : options) {
+      if (one.fixed > cheapest.fixed || (pass > 0 && one.cost >= level))
+        continue;
+      requests_per_ms += 1 / step_of(one);
+      sum += one.cost / step_of(one);
+    }
+    const double next = sum / requests_per_ms;
+    if (pass > 0 && next >= level)
+      break;
+    level = next;
+  }
+  return level;
+}
 
 } // namespace
 
-std::optional<option_choice> choose_among(std::span<const choice_option> options,
-                                          std::size_t hosts, random_source& random) {
+std::optional<option_choice> choose_among(std::span<const choice_option> options, double unseen,
+                                          random_source& random) {
   if (options.empty())
     return std::nullopt;
   option_choice made;
@@ -24,24 +46,18 @@
     if (options[i].cost < options[made.cheapest].cost)
       made.cheapest = i;
   made.chosen = made.cheapest;
-  if (hosts <= 1)
+  if (unseen <= 0)
     return made;
-  const choice_option& least = options[made.cheapest];
-  const double part =
-      alike_part * std::min(1.0, static_cast<double>(hosts - 1) / hosts_of_full_part);
-  const double margin = std::max(0.0, least.cost - least.fixed) * part;
-  // The nearer the cost is to the margin, the less the option counts, so that none comes in or
-  // drops out at once.
+  const choice_option& cheapest = options[made.cheapest];
+  const double level = level_of(options, cheapest, unseen);
   double sum = 0;
   for (std::size_t i = 0; i < options.size(); ++i) {
     const choice_option& one = options[i];
-    const double above = one.cost - least.cost;
-    if (i != made.cheapest && (above >= margin || one.fixed > least.fixed))
+    if (one.cost >= level || one.fixed > cheapest.fixed)
       continue;
-    const double weight =
-        std::max(one.free, least_free) * (margin > 0 ? 1 - above / margin : 1);
-    sum += weight;
-    if (random.unit() * sum < weight)
+    const double free = (level - one.cost) / step_of(one);
+    sum += free;
+    if (random.unit() * sum < free)
       made.chosen = i;
   }
   return made;
--- a/src/placement/impl/open_estimate.hpp
+++ b/src/placement/impl/load_estimate.hpp
@@ -7,15 +7,6 @@
 
 namespace sedgechute {
 
-/// \brief What a host knows of the requests at an endpoint.
-struct open_knowledge {
-  std::uint64_t open_here{};             ///< requests of this host
-  std::uint64_t open_elsewhere{};        ///< requests of the hosts that report to it
-  std::optional<std::uint64_t> reported; ///< running and waiting, as the endpoint reported
-  time_ms report_age;
-  std::uint64_t sent_since_report{}; ///< by this host
-};
-
 /// \brief How many hosts use the endpoints, and how many of them this host hears of.
 struct host_counts {
   std::size_t all{1};   ///< this one included
@@ -28,8 +19,15 @@
   }
 };
 
-/// \returns an estimate of the requests that run or wait at an endpoint; never less than what is
-/// known to be open there
-[[nodiscard]] double estimate_open(const open_knowledge& known, const host_counts& hosts) noexcept;
+/// \brief What a host knows of the load at an endpoint: requests, or prompt tokens.
+struct known_load {
+  double here{};                  ///< of this host
+  double elsewhere{};             ///< of the hosts that report to it
+  std::optional<double> hidden{}; ///< of all others; nothing: the endpoint has reported nothing
+  double sent_since_report{};     ///< by this host, also what has ended
+};
+
+/// \returns an estimate of the load at an endpoint; never less than what is known to be there
+[[nodiscard]] double estimate_load(const known_load& known, const host_counts& hosts) noexcept;
 
 } // namespace sedgechute
--- a/src/placement/impl/service_times.cpp
+++ b/src/placement/impl/service_times.cpp
@@ -46,6 +46,7 @@
   mean_factor_ += (factor - mean_factor_) * mean_step;
   const double expected = std::max(weights_.wait_ms(load), shortest_ms);
   double took = std::max(took_ms * mean_factor_ / factor, shortest_ms);
+  mean_wait_ += (took - mean_wait_) * (mean_wait_ == 0 ? 1 : mean_step);
   if (load.fill() > nearly_full_fill && load.beyond() <= 1)
     nearly_full_ += (std::clamp(took / expected, 1.0, 4.0) - nearly_full_) * mean_step;
   if (took > outlier_multiple * expected)
@@ -77,4 +78,17 @@
   weights_ = {x[0], x[1], x[2], x[3]};
 }
 
+void service_times::note_request(double tokens) noexcept {
+  requests_ = std::min(requests_ + 1, 200U);
+  mean_tokens_ += (tokens - mean_tokens_) / requests_;
+}
+
+// Requests in free slots make nobody wait as yet, but they bring the endpoint nearer to the point
+// at which they do.
+double service_times::step_ms(const wait_terms& load) const noexcept {
+  const double step = weights_.for_open + weights_.for_beyond * std::min(1.0, load.fill()) +
+                      weights_.for_token * mean_tokens_;
+  return std::max(step, mean_wait_ / std::max(load.slots, 1.0));
+}
+
 } // namespace sedgechute
--- a/src/placement/impl/service_times.hpp
+++ b/src/placement/impl/service_times.hpp
@@ -20,7 +20,17 @@
   void note(const wait_terms& terms, double took_ms, double factor) noexcept;
   [[nodiscard]] const wait_weights& weights() const noexcept { return weights_; }
 
-  /// \returns this factor for endpoints of which it is not known
+  /// \brief Records the prompt tokens that an endpoint had to read for a request.
+  void note_request(double tokens) noexcept;
+  /// \returns the mean of these
+  [[nodiscard]] double mean_tokens() const noexcept { return mean_tokens_; }
+  /// \returns the mean wait at the usual work time, in milliseconds
+  [[nodiscard]] double mean_wait_ms() const noexcept { return mean_wait_; }
+
+  /// \returns what one more request adds to the wait of the next, in milliseconds
+  [[nodiscard]] double step_ms(const wait_terms& load) const noexcept;
+
+  /// \returns by what factor nearly full endpoints take longer, for those of which it is not known
   [[nodiscard]] double nearly_full_factor() const noexcept { return nearly_full_; }
 
  private:
@@ -36,6 +46,9 @@
   vector results_{};                     ///< weighted sums of terms times duration
   unsigned unsolved_{};                  ///< answers since the last solution
   double nearly_full_{1};
+  double mean_tokens_{};
+  double mean_wait_{};
+  unsigned requests_{};
   double mean_factor_{1}; ///< of the endpoints that answered
 };
 
--- a/src/placement/impl/work_time_estimate.hpp
+++ b/src/placement/impl/work_time_estimate.hpp
@@ -15,6 +15,7 @@
   /// \returns the time that work takes now, as a multiple of the usual time
   /// \param unknown  the result while the endpoint has reported nothing
   [[nodiscard]] double at(time_ms now, double unknown = 1) const noexcept;
+  [[nodiscard]] bool noted() const noexcept { return noted_.has_value(); }
   /// \returns the mean of what it has reported; 1 when that is nothing
   [[nodiscard]] double mean() const noexcept { return mean_; }
 
--- a/src/placement/placement.hpp
+++ b/src/placement/placement.hpp
@@ -8,7 +8,9 @@
 
 #include "placement/impl/choose_among.hpp"
 #include "placement/impl/endpoint_speed.hpp"
-#include "placement/impl/open_estimate.hpp"
+#include "placement/impl/hidden_load.hpp"
+#include "placement/impl/load_estimate.hpp"
+#include "placement/impl/request_rate.hpp"
 #include "placement/impl/service_times.hpp"
 #include "placement/impl/wait_terms.hpp"
 #include "placement/impl/work_time_estimate.hpp"
--- a/src/relay/impl/choose_replica.cpp
+++ b/src/relay/impl/choose_replica.cpp
@@ -60,26 +60,6 @@
   return costs;
 }
 
-wait_terms wait_terms_of(const replica_candidate& candidate, std::uint64_t own_tokens,
-                         const host_counts& hosts, const choice_weights& weights) noexcept {
-  open_knowledge known{.open_here = candidate.open_here,
-                       .open_elsewhere = candidate.open_elsewhere,
-                       .reported = {},
-                       .report_age = candidate.load_age,
-                       .sent_since_report = candidate.sent_since_load};
-  if (candidate.load && candidate.load_age <= weights.max_load_age)
-    known.reported = candidate.load->running + candidate.load->waiting;
-  auto unread =
-      static_cast<double>(candidate.unread_tokens_here + candidate.unread_tokens_elsewhere) *
-      hosts.hidden_factor();
-  if (own_tokens > 0 && known.reported)
-    unread = std::max(unread, static_cast<double>(candidate.load->waiting) *
-                                  weights.waiting_prompt_tokens);
-  return {.open = estimate_open(known, hosts),
-          .slots = static_cast<double>(candidate.slots),
-          .tokens = unread + static_cast<double>(own_tokens)};
-}
-
 std::optional<std::size_t> choose_replica(std::span<const replica_candidate> from,
                                           std::uint64_t prompt_tokens,
                                           const choice_weights& weights) {
--- a/src/relay/impl/choose_replica.hpp
+++ b/src/relay/impl/choose_replica.hpp
@@ -76,12 +76,6 @@
                                          std::uint64_t prompt_tokens,
                                          const choice_weights& weights) noexcept;
 
-/// \returns the load that a request of a service with estimated waits meets at the candidate
-/// \param own_tokens  prompt tokens of the request that no endpoint has cached
-[[nodiscard]] wait_terms wait_terms_of(const replica_candidate& candidate, std::uint64_t own_tokens,
-                                       const host_counts& hosts,
-                                       const choice_weights& weights) noexcept;
-
 /// \returns the index of the cheapest candidate; nothing when there is none
 [[nodiscard]] std::optional<std::size_t> choose_replica(std::span<const replica_candidate> from,
                                                         std::uint64_t prompt_tokens,
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -26,6 +26,10 @@
 // More than one, as a reply may be lost; bounded, as some endpoints never report a start time.
 constexpr int max_start_queries = 3;
 
+// A change that is lost would mislead the other hosts until the next full report. Where waits are
+// estimated, the reports after it repeat it.
+constexpr int use_reports_per_change = 3;
+
 double decayed(double failing, time_ms span) noexcept {
   return failing * std::exp2(-static_cast<double>(span.count()) / failure_half_life_ms);
 }
@@ -268,6 +272,7 @@
     hashes.push_back(stable_hash(other));
   const std::scoped_lock lock{mutex_};
   hosts_ = hashes.size() + 1;
+  self_hash_ = stable_hash(self);
   cold_start_.set_hosts(stable_hash(self), std::move(hashes), time_.now());
 }
 
@@ -398,8 +403,8 @@
   compare_prefixes(among, now);
   const std::uint64_t prompt =
       request.generation != nullptr ? request.generation->prompt_tokens : 0;
-  if (const auto estimated = service_times_.find(request.service);
-      estimated != service_times_.end()) {
+  if (const auto estimated = services_.find(request.service);
+      estimated != services_.end()) {
     const auto choice = choose_by_estimate(among, prompt, estimated->second, now);
     if (!choice)
       return std::nullopt;
@@ -496,7 +501,10 @@
   if (!load.work_time_percent)
     return;
   at->work_time.note(*load.work_time_percent, at->load_at);
-  service_times_.try_emplace(at->entry.service, initial_wait_weights(weights_));
+  const auto [service, first] = services_.try_emplace(
+      at->entry.service,
+      estimated_service{service_times{initial_wait_weights(weights_)}, request_rate{}});
+  note_hidden_load(*at, service->second.times);
 }
 
 void endpoint_directory::note_malformed_load(const placement& place, const std::string& report) {
@@ -612,7 +620,11 @@
   for (auto& [id, known] : endpoints_) {
     const endpoint_use use{static_cast<std::uint32_t>(known.open),
                            static_cast<std::uint32_t>(known.unread_tokens)};
-    const bool unchanged = changed_only ? use == known.reported : use == endpoint_use{};
+    bool unchanged = changed_only ? use == known.reported : use == endpoint_use{};
+    if (changed_only && known.work_time.noted()) {
+      known.use_repeats = unchanged ? known.use_repeats - 1 : use_reports_per_change;
+      unchanged = known.use_repeats <= 0;
+    }
     known.reported = use;
     if (!unchanged)
       entries.push_back({known.hash, use});
--- a/src/relay/impl/endpoint_directory.hpp
+++ b/src/relay/impl/endpoint_directory.hpp
@@ -351,6 +351,9 @@
     endpoint_use reported; ///< last usage reported to the other hosts
     work_time_estimate work_time;
     endpoint_speed speed;
+    hidden_load hidden_open;
+    hidden_load hidden_tokens;
+    int use_repeats{}; ///< reports in which its use is still to be repeated
   };
 
   /// The candidates of one placement and the prefixes of its prompt.
@@ -362,6 +365,12 @@
     std::size_t prefix_holder{}; ///< index of the candidate with the longest cached prefix
   };
 
+  /// A service whose endpoints report their work time.
+  struct estimated_service {
+    service_times times;
+    request_rate placed;
+  };
+
   /// A placement of a service whose endpoints report their work time.
   struct estimated_choice {
     std::size_t chosen{};
@@ -419,13 +428,19 @@
   void notify_cut(cut_detector::change change) const;
   void gather_candidates(const placement_request& request, candidate_set& into, time_ms now);
   void compare_prefixes(candidate_set& among, time_ms now) const;
-  [[nodiscard]] wait_terms terms_of(const candidate_set& among, std::size_t index,
-                                    std::uint64_t prompt_tokens, const host_counts& hosts) const;
+  [[nodiscard]] static wait_terms terms_of(const candidate_set& among, std::size_t index,
+                                           std::uint64_t prompt_tokens, const host_counts& hosts,
+                                           time_ms now);
+  /// \brief Takes what a load report tells of the endpoint's machine and of hosts that do not
+  /// report to this one.
+  void note_hidden_load(state& of, service_times& service) const;
   /// \returns nothing when there is no candidate
   [[nodiscard]] std::optional<estimated_choice> choose_by_estimate(const candidate_set& among,
                                                                    std::uint64_t prompt_tokens,
-                                                                   const service_times& service,
+                                                                   estimated_service& service,
                                                                    time_ms now);
+  /// \returns a number in [0, 1) that differs between hosts and endpoints
+  [[nodiscard]] double distance_to(const state& of) const noexcept;
   static void note_answered(state& of, grant_id id, time_ms now) noexcept;
   /// \brief Learns from an answer how fast the endpoint is.
   void learn_speed(state& of, const placement& place, const open_id& request, time_ms now);
@@ -490,8 +505,9 @@
   std::unordered_map<std::string, std::unordered_map<build_hash, time_ms>> earlier_builds_;
   random_source random_;
   std::size_t hosts_{1}; ///< this one included
+  std::uint64_t self_hash_{};
   /// Services whose endpoints have reported their work time.
-  std::unordered_map<std::string, service_times> service_times_;
+  std::unordered_map<std::string, estimated_service> services_;
   std::vector<prefix_location> own_prefix_locations_; ///< not reported to the other hosts yet
   std::uint64_t last_local_incarnation_{0};           ///< number of the last one assigned
   restart_listener on_restart_;
