--- a/src/placement/impl/choose_among.hpp
+++ b/src/placement/impl/choose_among.hpp
@@ -26,7 +26,7 @@
 /// above that of the cheapest are not chosen.
 /// \param unseen  requests that other hosts send by the same figures; 0: the cheapest is chosen
 /// \returns nothing when there is no option
-[[nodiscard]] std::optional<option_choice>
-choose_among(std::span<const choice_option> options, double unseen, random_source& random);
+[[nodiscard]] std::optional<option_choice> choose_among(std::span<const choice_option> options,
+                                                        double unseen, random_source& random);
 
 } // namespace sedgechute
--- a/src/placement/impl/load_estimate.hpp
+++ b/src/placement/impl/load_estimate.hpp
@@ -14,8 +14,7 @@
 
   /// \returns by how much the use that is known must be multiplied to get that of all hosts
   [[nodiscard]] double hidden_factor() const noexcept {
-    return heard == 0 || heard >= all ? 1.0
-                                      : static_cast<double>(all) / static_cast<double>(heard);
+    return heard == 0 || heard >= all ? 1.0 : static_cast<double>(all) / static_cast<double>(heard);
   }
 };
 
--- a/src/placement/impl/wait_terms.hpp
+++ b/src/placement/impl/wait_terms.hpp
@@ -9,9 +9,7 @@
   double tokens{}; ///< prompt tokens to be read until its first event, its own included
 
   /// \returns the requests beyond the slots, with this one
-  [[nodiscard]] double beyond() const noexcept {
-    return open + 1 > slots ? open + 1 - slots : 0;
-  }
+  [[nodiscard]] double beyond() const noexcept { return open + 1 > slots ? open + 1 - slots : 0; }
   /// \returns the part of the slots in use, with this request
   [[nodiscard]] double fill() const noexcept { return (open + 1) / slots; }
 };
--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -403,8 +403,7 @@
   compare_prefixes(among, now);
   const std::uint64_t prompt =
       request.generation != nullptr ? request.generation->prompt_tokens : 0;
-  if (const auto estimated = services_.find(request.service);
-      estimated != services_.end()) {
+  if (const auto estimated = services_.find(request.service); estimated != services_.end()) {
     const auto choice = choose_by_estimate(among, prompt, estimated->second, now);
     if (!choice)
       return std::nullopt;
--- a/src/relay/impl/endpoint_directory_speeds.cpp
+++ b/src/relay/impl/endpoint_directory_speeds.cpp
@@ -35,8 +35,8 @@
 } // namespace
 
 wait_terms endpoint_directory::terms_of(const candidate_set& among, std::size_t index,
-                                        std::uint64_t prompt_tokens,
-                                        const host_counts& hosts, time_ms now) {
+                                        std::uint64_t prompt_tokens, const host_counts& hosts,
+                                        time_ms now) {
   const state& of = *among.states[index];
   const replica_candidate& candidate = among.candidates[index];
   const auto sent = static_cast<double>(candidate.sent_since_load);
--- a/src/relay/impl/request_accounting.cpp
+++ b/src/relay/impl/request_accounting.cpp
@@ -63,21 +63,20 @@
   into.figures.add(metric::attempts, {request.service});
   if (place.off_cheapest)
     into.figures.add(metric::placements_off_cheapest, {request.service});
-  into.log.write(severity::info, "send_ended",
-                 {request.terms.id, request.team_name(), place.endpoint.str()},
-                 {{log_field::content, content_text(request.content)},
-                  {log_field::attempt, sent.number},
-                  {log_field::kind, name_of(sent.end)},
-                  {log_field::address, place.address},
-                  {log_field::count, place.candidates},
-                  {log_field::open, place.expected_open},
-                  {log_field::age_ms, place.load_age},
-                  {log_field::unread_tokens, place.unread_before},
-                  {log_field::missing_tokens, place.missing_tokens},
-                  {log_field::estimate_ms,
-                   static_cast<std::int64_t>(place.estimated_wait_ms.value_or(-1))},
-                  {log_field::peer, place.fetch_from},
-                  {log_field::duration_ms, into.time.now() - sent.began}});
+  into.log.write(
+      severity::info, "send_ended", {request.terms.id, request.team_name(), place.endpoint.str()},
+      {{log_field::content, content_text(request.content)},
+       {log_field::attempt, sent.number},
+       {log_field::kind, name_of(sent.end)},
+       {log_field::address, place.address},
+       {log_field::count, place.candidates},
+       {log_field::open, place.expected_open},
+       {log_field::age_ms, place.load_age},
+       {log_field::unread_tokens, place.unread_before},
+       {log_field::missing_tokens, place.missing_tokens},
+       {log_field::estimate_ms, static_cast<std::int64_t>(place.estimated_wait_ms.value_or(-1))},
+       {log_field::peer, place.fetch_from},
+       {log_field::duration_ms, into.time.now() - sent.began}});
 }
 
 void record_end(const request_records& into, const admitted_request& request,
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -215,13 +215,14 @@
                   "Endpoints that fall over when they refuse too many requests in a second.",
                   {},
                   entry},
-    metric_family{metric::endpoint_speed_spread,
-                  gauge,
-                  "sedgechute_endpoint_speed_spread",
-                  "Ratio of the slowest to the fastest endpoint, as learnt from their answers; only "
-                  "services whose endpoints report their work time.",
-                  {"pool"},
-                  entry},
+    metric_family{
+        metric::endpoint_speed_spread,
+        gauge,
+        "sedgechute_endpoint_speed_spread",
+        "Ratio of the slowest to the fastest endpoint, as learnt from their answers; only "
+        "services whose endpoints report their work time.",
+        {"pool"},
+        entry},
     metric_family{metric::placements_off_cheapest,
                   counter,
                   "sedgechute_placements_off_cheapest_total",
--- a/tests/placement/activation_test.cpp
+++ b/tests/placement/activation_test.cpp
@@ -71,8 +71,7 @@
   fill(directory);
   for (std::size_t i = 0; i < endpoints; ++i)
     directory.note_load(handle(i), {i, 0, 8, 100.0});
-  const generation_terms terms{
-      "m", 6000, 100, {{"system", 500}, {"subject", 4500}, {"own", 1000}}};
+  const generation_terms terms{"m", 6000, 100, {{"system", 500}, {"subject", 4500}, {"own", 1000}}};
   const auto first = directory.place({"engines", &terms, {}});
   REQUIRE(first.has_value());
   CHECK(first->estimated_wait_ms.has_value());
--- a/tests/placement/uneven_fleet.hpp
+++ b/tests/placement/uneven_fleet.hpp
@@ -17,10 +17,10 @@
   std::size_t hosts{1};
   std::size_t endpoints{60};
   std::size_t slots{64};
-  bool engines{true};  ///< prompts are read one after the other, then the answer keeps a slot
-  double use{0.7};     ///< part of the capacity
+  bool engines{true}; ///< prompts are read one after the other, then the answer keeps a slot
+  double use{0.7};    ///< part of the capacity
   double tokens_a_ms{57};
-  double work_ms{300}; ///< that an answer keeps a slot
+  double work_ms{300};          ///< that an answer keeps a slot
   std::optional<double> liar{}; ///< percent that the first endpoint always reports; it is slow
   std::uint64_t seed{1};
 };
@@ -53,7 +53,8 @@
     run one;
     one.start = std::max(now, *std::min_element(free_.begin(), free_.end()));
     double factor = noise_then / speed_;
-    if (slow_when_full_ && static_cast<double>(open(now)) > 0.85 * static_cast<double>(free_.size()))
+    if (slow_when_full_ &&
+        static_cast<double>(open(now)) > 0.85 * static_cast<double>(free_.size()))
       factor *= 1.5;
     if (shape_.engines) {
       const double step = 3.8 + 0.1 * static_cast<double>(open(now));
@@ -75,12 +76,12 @@
     return one;
   }
   [[nodiscard]] std::size_t open(double now) const {
-    return static_cast<std::size_t>(std::count_if(
-        runs_.begin(), runs_.end(), [&](const run& one) { return one.done > now; }));
+    return static_cast<std::size_t>(
+        std::count_if(runs_.begin(), runs_.end(), [&](const run& one) { return one.done > now; }));
   }
   [[nodiscard]] load_report report(double now, std::optional<double> says) const {
-    const auto waiting = static_cast<std::uint64_t>(std::count_if(
-        runs_.begin(), runs_.end(), [&](const run& one) { return one.start > now; }));
+    const auto waiting = static_cast<std::uint64_t>(
+        std::count_if(runs_.begin(), runs_.end(), [&](const run& one) { return one.start > now; }));
     return {open(now) - waiting, waiting, free_.size(), says ? *says : noise(now) * 100};
   }
 
@@ -107,9 +108,9 @@
   fleet_result play(bool oracle) {
     if (!oracle)
       make_hosts();
-    const double per_request = shape_.engines
-                                   ? (mean_tokens / shape_.tokens_a_ms + 3.8) * 1.05 / 1.1
-                                   : shape_.work_ms * 1.05 / 1.1 / static_cast<double>(shape_.slots);
+    const double per_request =
+        shape_.engines ? (mean_tokens / shape_.tokens_a_ms + 3.8) * 1.05 / 1.1
+                       : shape_.work_ms * 1.05 / 1.1 / static_cast<double>(shape_.slots);
     const double gap = per_request / static_cast<double>(shape_.endpoints) / shape_.use;
     double next = 0;
     while (next < end_ms) {
@@ -165,8 +166,8 @@
     return host % 4 == endpoint % 4 ? 0.5 : 4.5;
   }
   [[nodiscard]] load_report report(std::size_t endpoint, double at) const {
-    return endpoints_[endpoint].report(
-        at, endpoint == 0 && shape_.liar ? shape_.liar : std::nullopt);
+    return endpoints_[endpoint].report(at,
+                                       endpoint == 0 && shape_.liar ? shape_.liar : std::nullopt);
   }
   // A report of each endpoint is at most 1.5 s old.
   void refresh(std::size_t host, std::size_t endpoint, double at) {
@@ -184,15 +185,16 @@
       return other != host && (shape_.hosts <= 16 || other % 4 == host % 4);
     };
     events_.push({at, [this, host, at, next_whole, heard_by] {
-      const bool whole = at >= next_whole;
-      use_report told{host + 1, ++numbers_, whole, hosts_[host]->own_use(!whole), {}};
-      std::size_t recipients = 0;
-      for (std::size_t other = 0; other < shape_.hosts; ++other)
-        if (heard_by(other) && ++recipients > 0 && host_random_.unit() > 0.25)
-          hosts_[other]->take_report(told);
-      const time_ms pause = report_spacing({.min_interval = time_ms{20}}, recipients);
-      tell_peers(host, at + static_cast<double>(pause.count()), whole ? at + 1000 : next_whole);
-    }});
+                    const bool whole = at >= next_whole;
+                    use_report told{host + 1, ++numbers_, whole, hosts_[host]->own_use(!whole), {}};
+                    std::size_t recipients = 0;
+                    for (std::size_t other = 0; other < shape_.hosts; ++other)
+                      if (heard_by(other) && ++recipients > 0 && host_random_.unit() > 0.25)
+                        hosts_[other]->take_report(told);
+                    const time_ms pause = report_spacing({.min_interval = time_ms{20}}, recipients);
+                    tell_peers(host, at + static_cast<double>(pause.count()),
+                               whole ? at + 1000 : next_whole);
+                  }});
   }
   void run_until(double until) {
     while (!events_.empty() && events_.top().at <= until) {
--- a/tests/placement/wait_estimates_test.cpp
+++ b/tests/placement/wait_estimates_test.cpp
@@ -80,7 +80,8 @@
   const host_counts some{.all = 80, .heard = 20};
   CHECK(estimate_load({.here = 1, .elsewhere = 2}, some) == 12);
   CHECK(estimate_load({.here = 4, .elsewhere = 6, .hidden = 0}, {.all = 16, .heard = 16}) == 10);
-  CHECK(estimate_load({.here = 1, .elsewhere = 1, .hidden = 9, .sent_since_report = 2}, some) == 17);
+  CHECK(estimate_load({.here = 1, .elsewhere = 1, .hidden = 9, .sent_since_report = 2}, some) ==
+        17);
   hidden_load hidden;
   CHECK_FALSE(hidden.at(time_ms{0}).has_value());
   for (int i = 0; i < 40; ++i)
@@ -92,9 +93,8 @@
 // Guards against herding, and against leaving the cheapest endpoint without need.
 TEST_CASE("many hosts spread over the cheapest, by free capacity; one host takes the cheapest") {
   random_source random{5};
-  const std::array<choice_option, 4> options{
-      choice_option{20, 1, 0}, choice_option{21, 2, 0}, choice_option{20.5, 1, 10},
-      choice_option{40, 1, 0}};
+  const std::array<choice_option, 4> options{choice_option{20, 1, 0}, choice_option{21, 2, 0},
+                                             choice_option{20.5, 1, 10}, choice_option{40, 1, 0}};
   std::array<int, 4> chosen{};
   for (int i = 0; i < 1000; ++i) {
     CHECK(choose_among(options, 0, random)->chosen == 0);
