--- a/src/relay/impl/endpoint_directory.cpp
+++ b/src/relay/impl/endpoint_directory.cpp
@@ -26,6 +26,10 @@
 // More than one, as a reply may be lost; bounded, as some endpoints never report a start time.
 constexpr int max_start_queries = 3;
 
+// A change that is lost would mislead the other hosts until the next full report. Where waits are
+// estimated, the reports after it repeat it.
+constexpr int use_reports_per_change = 3;
+
 double decayed(double failing, time_ms span) noexcept {
   return failing * std::exp2(-static_cast<double>(span.count()) / failure_half_life_ms);
 }
@@ -267,6 +271,8 @@
   for (const std::string& other : others)
     hashes.push_back(stable_hash(other));
   const std::scoped_lock lock{mutex_};
+  hosts_ = hashes.size() + 1;
+  self_hash_ = stable_hash(self);
   cold_start_.set_hosts(stable_hash(self), std::move(hashes), time_.now());
 }
 
@@ -397,6 +403,18 @@
   compare_prefixes(among, now);
   const std::uint64_t prompt =
       request.generation != nullptr ? request.generation->prompt_tokens : 0;
+  if (const auto estimated = services_.find(request.service); estimated != services_.end()) {
+    const auto choice = choose_by_estimate(among, prompt, estimated->second, now);
+    if (!choice)
+      return std::nullopt;
+    placement place = take_place(among, choice->chosen, prompt, now);
+    place.estimated_wait_ms = choice->wait_ms;
+    place.off_cheapest = choice->off_cheapest;
+    open_id& request_there = among.states[choice->chosen]->open_ids.back();
+    request_there.met = choice->met;
+    request_there.work_time = choice->work_time;
+    return place;
+  }
   const auto chosen = choose_replica(among.candidates, prompt, weights_);
   if (!chosen)
     return std::nullopt;
@@ -435,7 +453,7 @@
   place.heard = at.heard;
   place.data_centre = at.entry.data_centre;
   place.affinity = at.affinity_hash;
-  at.open_ids.push_back({place.grant, now});
+  at.open_ids.push_back({.id = place.grant, .placed = now, .answered = {}});
   ++at.open;
   ++at.sent_since_load;
   at.sends.assign();
@@ -468,6 +486,7 @@
     return;
   at->unread_tokens -= std::min(at->unread_tokens, place.prompt_tokens);
   at->pause.note_taken(place.sent_at);
+  note_answered(*at, place.grant, time_.now());
 }
 
 void endpoint_directory::note_load(const placement& place, const load_report& load) {
@@ -478,6 +497,13 @@
   at->load = load;
   at->load_at = time_.now();
   at->sent_since_load = 0;
+  if (!load.work_time_percent)
+    return;
+  at->work_time.note(*load.work_time_percent, at->load_at);
+  const auto [service, first] = services_.try_emplace(
+      at->entry.service,
+      estimated_service{service_times{initial_wait_weights(weights_)}, request_rate{}});
+  note_hidden_load(*at, service->second.times);
 }
 
 void endpoint_directory::note_malformed_load(const placement& place, const std::string& report) {
@@ -523,6 +549,10 @@
 void endpoint_directory::end_placement(state& of, const placement& place, send_outcome outcome,
                                        bool started) {
   of.open -= std::min<std::uint64_t>(of.open, 1);
+  if (outcome == send_outcome::answered)
+    for (const open_id& one : of.open_ids)
+      if (one.id == place.grant)
+        learn_speed(of, place, one, time_.now());
   std::erase_if(of.open_ids, [&](const open_id& one) { return one.id == place.grant; });
   if (!place.sent)
     of.sends.cancel();
@@ -589,7 +619,11 @@
   for (auto& [id, known] : endpoints_) {
     const endpoint_use use{static_cast<std::uint32_t>(known.open),
                            static_cast<std::uint32_t>(known.unread_tokens)};
-    const bool unchanged = changed_only ? use == known.reported : use == endpoint_use{};
+    bool unchanged = changed_only ? use == known.reported : use == endpoint_use{};
+    if (changed_only && known.work_time.noted()) {
+      known.use_repeats = unchanged ? known.use_repeats - 1 : use_reports_per_change;
+      unchanged = known.use_repeats <= 0;
+    }
     known.reported = use;
     if (!unchanged)
       entries.push_back({known.hash, use});
