Export the metrics of load and placement from the start

The test that every listed metric is exported failed in the first whole run of the merged tests: the counters of refusals under load and of placements off the cheapest endpoint had no series before the first such event. They begin at 0 now. The spread of speeds exists for services whose endpoints report their work time, so the endpoint of the test does.

--- a/src/relay/impl/request_accounting.cpp
+++ b/src/relay/impl/request_accounting.cpp
@@ -68,8 +68,7 @@
                  const send_record& sent) {
   const placement& place = sent.place;
   into.figures.add(metric::attempts, {request.service});
-  if (place.off_cheapest)
-    into.figures.add(metric::placements_off_cheapest, {request.service});
+  into.figures.add(metric::placements_off_cheapest, {request.service}, place.off_cheapest ? 1 : 0);
   into.log.write(
       severity::info, "send_ended", {request.terms.id, request.team_name(), place.endpoint.str()},
       {{log_field::content, content_text(request.content)},
--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -19,6 +19,9 @@
         silence_decision::others_back, silence_decision::none_heard, silence_decision::no_retry,
         silence_decision::no_endpoint, silence_decision::send_beside})
     parts_.figures.add(metric::silent_endpoints, {name_of(decision)}, 0);
+  for (const auto cause :
+       {refusal_cause::overload, refusal_cause::open_requests, refusal_cause::preparing})
+    parts_.figures.add(metric::load_refusals, {name_of(cause), "", ""}, 0);
   for (const std::string_view result : {"first", "second", "none"})
     parts_.figures.add(metric::silent_sends, {result}, 0);
 }
--- a/tests/entry/metrics_test.cpp
+++ b/tests/entry/metrics_test.cpp
@@ -32,7 +32,9 @@
     const std::string attempt = *request.head.fields.find("Attempt-Id");
     if (request.head.target.find("/once/") != std::string::npos)
       return {stream_head(attempt) + event_chunk(1) + "0\r\n\r\n", scripted_reply::then::keep, ""};
-    return {whole_answer(attempt, "ok"), scripted_reply::then::keep, ""};
+    std::string reply = whole_answer(attempt, "ok");
+    reply.insert(reply.find("\r\n") + 2, "Instance-Load: 1,0,8,100\r\n");
+    return {reply, scripted_reply::then::keep, ""};
   }};
   entry_program host{R"("grace_s":4)"};
   host.add_endpoint("e1", endpoint.address(), 1690000000000);
