--- a/src/placement/impl/work_time_estimate.cpp
+++ b/src/placement/impl/work_time_estimate.cpp
@@ -22,12 +22,12 @@
 // Figures within one lifetime show the same state of the machine: together they count as one.
 void work_time_estimate::note(double percent, time_ms now) noexcept {
   last_ = std::clamp(percent / 100, least_factor, most_factor);
-  const double news =
+  const double counted =
       noted_ ? std::min(1.0, static_cast<double>((now - *noted_).count()) / figure_lifetime_ms)
              : 1.0;
   noted_ = now;
-  weight_ = std::min(weight_ + news, most_weight);
-  mean_ += (last_ - mean_) * news / weight_;
+  weight_ = std::min(weight_ + counted, most_weight);
+  mean_ += (last_ - mean_) * counted / weight_;
 }
 
 double work_time_estimate::at(time_ms now, double unknown) const noexcept {
--- a/tests/placement/uneven_fleet.hpp
+++ b/tests/placement/uneven_fleet.hpp
@@ -184,17 +184,18 @@
     const auto heard_by = [this, host](std::size_t other) {
       return other != host && (shape_.hosts <= 16 || other % 4 == host % 4);
     };
-    events_.push({at, [this, host, at, next_whole, heard_by] {
-                    const bool whole = at >= next_whole;
-                    use_report told{host + 1, ++numbers_, whole, hosts_[host]->own_use(!whole), {}};
-                    std::size_t recipients = 0;
-                    for (std::size_t other = 0; other < shape_.hosts; ++other)
-                      if (heard_by(other) && ++recipients > 0 && host_random_.unit() > 0.25)
-                        hosts_[other]->take_report(told);
-                    const time_ms pause = report_spacing({.min_interval = time_ms{20}}, recipients);
-                    tell_peers(host, at + static_cast<double>(pause.count()),
-                               whole ? at + 1000 : next_whole);
-                  }});
+    events_.push(
+        {at, [this, host, at, next_whole, heard_by] {
+           const bool whole = at >= next_whole;
+           use_report report{host + 1, ++numbers_, whole, hosts_[host]->own_use(!whole), {}};
+           std::size_t recipients = 0;
+           for (std::size_t other = 0; other < shape_.hosts; ++other)
+             if (heard_by(other) && ++recipients > 0 && host_random_.unit() > 0.25)
+               hosts_[other]->take_report(report);
+           const time_ms pause = report_spacing({.min_interval = time_ms{20}}, recipients);
+           tell_peers(host, at + static_cast<double>(pause.count()),
+                      whole ? at + 1000 : next_whole);
+         }});
   }
   void run_until(double until) {
     while (!events_.empty() && events_.top().at <= until) {
