--- a/tests/relay/fleet_config_test.cpp
+++ b/tests/relay/fleet_config_test.cpp
@@ -41,7 +41,7 @@
 
 // Only where priorities differ may they decide which requests are refused.
 TEST_CASE("priorities differ where two requests may have different ones") {
-  const auto made = [](std::vector<int> routes, std::vector<std::optional<int>> teams,
+  const auto made = [](const std::vector<int>& routes, const std::vector<std::optional<int>>& teams,
                        bool open = false) {
     fleet_config config;
     config.keys_required = true;
