Soak endpoints echo the id of the request in refusals

Cause: since what a reply proves counts only for the request whose id it bears, a refusal without an id on a kept connection leaves the request as one that may have run, and a brittle endpoint's arbiter did not hear of it.

--- a/bench/soak/soak_endpoints.cpp
+++ b/bench/soak/soak_endpoints.cpp
@@ -40,9 +40,10 @@
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-std::string refusal(int status, bool says_so) {
+// Refusals echo the id as answers do: without it they could belong to an earlier request.
+std::string refusal(int status, bool says_so, const std::string& attempt) {
   return "HTTP/1.1 " + std::to_string(status) + " No\r\n" + (says_so ? "Not-Executed: 1\r\n" : "") +
-         "Content-Length: 0\r\n\r\n";
+         (attempt.empty() ? "" : "Attempt-Id: " + attempt + "\r\n") + "Content-Length: 0\r\n\r\n";
 }
 
 std::string event_chunks(const std::string& attempt, int from, int to, const std::string& build) {
@@ -597,18 +598,18 @@
   const std::string expected = field_of(request.head, "Expected-Instance");
   seen.status = 0;
   if (!expected.empty() && expected != on.id)
-    return {refusal(421, false), then::keep, ""};
+    return {refusal(421, false, attempt), then::keep, ""};
   if (seen.at.count() < on.refuses_until) {
     seen.pause = time_ms{on.pause_ms.load()};
-    std::string refused = with_field(refusal(503, true), "Attempt-Id", attempt);
+    std::string refused = refusal(503, true, attempt);
     return {with_field(std::move(refused), "Retry-After", seconds_text(seen.pause)), then::keep,
             ""};
   }
   if (does == mood::full)
-    return {refusal(503, true), then::keep, ""};
+    return {refusal(503, true, attempt), then::keep, ""};
   switch (check_room(on, seen)) {
   case room_check::refused:
-    return {refusal(503, true), then::keep, ""};
+    return {refusal(503, true, attempt), then::keep, ""};
   case room_check::fell:
     return {"", then::crash, ""};
   case room_check::taken:
