--- a/tests/prepaid/loan_load_model.hpp
+++ b/tests/prepaid/loan_load_model.hpp
@@ -15,7 +15,7 @@
 struct loan_load_result {
   int requests{0};
   int refused{0};          ///< for want of tokens at the host, while the team has them
-  int exhausted{0};        ///< told that the team's budget is used up
+  int exhausted{0};        ///< refused since the budget of the team is used up
   int waited{0};           ///< served after a wait
   int messages{0};         ///< about loans, of all kinds
   int records{0};          ///< accounts appended to the log
