Hold tokens where a team's requests arrive, and read the log until holders are known

Hosts that start together read the log before the holders have written, and again only after 5 s. Such hosts now read every second until the log has shown the holders. A busy host holds tokens of its own (holder_policy), and borrowers prefer holders that renew their promises.

--- a/src/prepaid/impl/budget_manager.cpp
+++ b/src/prepaid/impl/budget_manager.cpp
@@ -103,8 +103,12 @@
   bool idle = false;
   {
     std::unique_lock lock{mutex_};
-    partition_budgets& budgets = partition_of(demand.team).budgets;
+    partition& part = partition_of(demand.team);
+    partition_budgets& budgets = part.budgets;
     budgets.note_request(demand.team, demand.tokens, time_.now());
+    if (reachable_ && prepaid_.contains(demand.team) &&
+        budgets.begins_to_hold(demand.team, time_.now()))
+      request_sync(part);
     outcome = reserve_from_all_sources(demand, lock);
     idle = budgets.idle_loans(demand.team) > 0;
   }
--- a/src/prepaid/impl/budget_manager.hpp
+++ b/src/prepaid/impl/budget_manager.hpp
@@ -132,7 +132,7 @@
 
   [[nodiscard]] partition& partition_of(const std::string& team) const;
   [[nodiscard]] std::map<std::string, std::uint64_t> prepaid_of(const partition& part) const;
-  [[nodiscard]] time_ms sync_interval(const partition& part) const;
+  [[nodiscard]] time_ms sync_interval(partition& part) const;
   void request_sync(partition& part);
   /// \returns the partition to synchronize now, or null
   [[nodiscard]] partition* due_partition() const;
--- a/src/prepaid/impl/budget_sync.cpp
+++ b/src/prepaid/impl/budget_sync.cpp
@@ -19,6 +19,10 @@
 // Delay between attempts to reach a log that does not answer.
 constexpr time_ms log_retry_delay{250};
 
+// 300 hosts with four partitions read 1,200 times a second at this interval; the store answers
+// 6,000 reads.
+constexpr time_ms unsettled_interval{1000};
+
 // Loans that are kept for a team whose callers have moved on are of use elsewhere.
 constexpr time_ms kept_loans_check_interval{500};
 
@@ -29,10 +33,13 @@
 } // namespace
 
 // A host that holds no tokens of a partition has nothing to report and reads it at the idle
-// interval.
-time_ms budget_manager::sync_interval(const partition& part) const {
+// interval. Hosts that start together read it before the holders have written: until it has shown
+// them all it is read more often, or a host that is cut off from it afterwards knows no lender.
+time_ms budget_manager::sync_interval(partition& part) const {
+  const bool expects_holders = part.budgets.expects_holders(prepaid_of(part));
   if (!part.budgets.holds_tokens())
-    return options_.idle_interval;
+    return expects_holders ? std::min(unsettled_interval, options_.idle_interval)
+                           : options_.idle_interval;
   const std::size_t holders = part.budgets.holding_hosts(time_.now());
   return options_.report_interval +
          options_.interval_per_holder * static_cast<std::int64_t>(holders - 1);
--- a/src/prepaid/impl/holder_selection.cpp
+++ b/src/prepaid/impl/holder_selection.cpp
@@ -10,6 +10,10 @@
 // A round trip within a data centre takes a tenth of one between data centres.
 constexpr double near_weight = 4;
 
+// A holder that does not renew its promise has little left to lend. It may also be one that nobody
+// asked, so it is not passed over.
+constexpr double not_renewing_weight = 0.25;
+
 std::uint64_t weight_of(std::size_t partition, const std::string& host) {
   return mix_hash(stable_hash(std::to_string(partition)), stable_hash(host));
 }
@@ -47,8 +51,9 @@
   std::vector<drawn> draws;
   draws.reserve(holders.size());
   for (token_holder& holder : holders) {
-    const double weight =
-        static_cast<double>(holder.slack) * (is_near(holder.host) ? near_weight : 1);
+    const double weight = static_cast<double>(holder.slack) *
+                          (is_near(holder.host) ? near_weight : 1) *
+                          (holder.renews ? 1 : not_renewing_weight);
     draws.push_back({-std::log(1 - random.unit()) / std::max(weight, 1.0), std::move(holder)});
   }
   std::sort(draws.begin(), draws.end(),
--- a/src/prepaid/impl/partition_budgets.cpp
+++ b/src/prepaid/impl/partition_budgets.cpp
@@ -18,6 +18,12 @@
 // defined before the first request.
 constexpr double min_rate = 1;
 
+// A host in reach of the log renews its promise about once a second.
+constexpr time_ms renewal_timeout{2500};
+
+// Each check that finds enough demand costs a read of the log.
+constexpr time_ms holder_check_interval{500};
+
 std::uint64_t saturating_sub(std::uint64_t a, std::uint64_t b) noexcept {
   return a > b ? a - b : 0;
 }
@@ -50,8 +56,11 @@
     return advance(end);
   }
   // A record that another host restored does not show that its owner is still there.
-  if (known == state.accounts.end() || known->second.value != record.value)
+  if (known == state.accounts.end() || known->second.value != record.value) {
     state.accounts[record.host] = {record.value, now};
+    wrote_at_[record.host] = now;
+    last_record_at_ = now;
+  }
   const bool was_unreadable = state.unreadable.erase(record.host) > 0;
   if (record.host == host_ && record.value.incarnation != incarnation_) {
     state.previous_incarnation = record.value;
@@ -386,12 +395,27 @@
       bound, saturating_sub(own_slack(*state, now) + unused_loans(*state), state->borrowing));
 }
 
+bool partition_budgets::expects_holders(const std::map<std::string, std::uint64_t>& prepaid) {
+  std::size_t accounts = 0;
+  bool none = false;
+  for (const auto& [team, paid] : prepaid) {
+    const team_state* state = find(team);
+    const std::size_t of_team = state == nullptr ? 0 : state->accounts.size();
+    accounts += of_team;
+    none = none || (of_team == 0 && paid > 0);
+  }
+  const bool added = accounts > accounts_seen_;
+  accounts_seen_ = accounts;
+  return none || added;
+}
+
 std::vector<token_holder> partition_budgets::holders(const std::string& team) const {
   std::vector<token_holder> all;
   if (const team_state* state = find(team))
     for (const auto& [host, kept] : state->accounts)
       if (host != host_ && kept.value.slack() > 0)
-        all.push_back({host, kept.value.slack()});
+        all.push_back(
+            {host, kept.value.slack(), last_record_at_ - wrote_at_.at(host) <= renewal_timeout});
   return all;
 }
 
@@ -442,6 +466,45 @@
   state.rate_updated_at = now;
 }
 
+bool partition_budgets::holds(const std::string& team) const {
+  const team_state* state = find(team);
+  return !holds_ || holds_(team) || (state != nullptr && state->busy.holds);
+}
+
+holder_demand partition_budgets::demand_of(const team_state& state, time_ms now) const {
+  holder_demand demand{.own_rate = state.demand.rate(now), .mean_request = mean_request_};
+  for (const auto& [host, kept] : state.accounts) {
+    if (host == host_ || kept.value.slack() == 0 || now - kept.written > options_.host_timeout)
+      continue;
+    ++demand.holders;
+    demand.fleet_rate += static_cast<double>(kept.value.rate);
+  }
+  return demand;
+}
+
+bool partition_budgets::begins_to_hold(const std::string& team, time_ms now) {
+  team_state& state = teams_[team];
+  if (holds(team) || now - state.holder_checked_at < holder_check_interval)
+    return false;
+  const holder_demand demand = demand_of(state, now);
+  const holder_status next = next_status(state.busy, demand, now);
+  if (next.holds)
+    state.holder_checked_at = now;
+  else
+    state.busy = next;
+  return next.holds;
+}
+
+// The number of holders is that in the log at the offset of the append, so hosts that decide at the
+// same time do not exceed its bound.
+void partition_budgets::update_status(const std::string& team, team_state& state,
+                                      time_ms now) const {
+  if (!holds_ || holds_(team))
+    state.busy = {};
+  else
+    state.busy = next_status(state.busy, demand_of(state, now), now);
+}
+
 partition_budgets::budget_summary
 partition_budgets::summarize(const team_state& state, std::uint64_t prepaid, time_ms now) const {
   budget_summary pool;
@@ -620,6 +683,8 @@
     }
     for (account_record& restored : restored_accounts(team, state))
       records.push_back(std::move(restored));
+    if (!leaving)
+      update_status(team, state, now.boot);
     const budget_summary pool = summarize(state, paid, now.boot);
     account next = next_account(team, state, leaving ? nullptr : &pool);
     promise(next, state, pool, now);
--- a/src/prepaid/impl/partition_budgets.hpp
+++ b/src/prepaid/impl/partition_budgets.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "prepaid/impl/account.hpp"
+#include "prepaid/impl/holder_policy.hpp"
 #include "prepaid/impl/prepaid_options.hpp"
 #include "prepaid/impl/recent_demand.hpp"
 
@@ -33,6 +34,7 @@
 struct token_holder {
   std::string host;
   std::uint64_t slack{};
+  bool renews{true}; ///< it wrote a record about as lately as other hosts
 };
 
 /// \brief Tokens counted as used by an earlier incarnation of this host, although it may not have
@@ -61,7 +63,12 @@
   /// \brief Sets the teams whose tokens this host holds. Of other teams it is granted only what its
   /// requests use.
   void set_holder_predicate(holder_predicate holds) { holds_ = std::move(holds); }
-  [[nodiscard]] bool holds(const std::string& team) const { return !holds_ || holds_(team); }
+  /// \returns whether this host holds tokens of a team: because of its name, or because many of
+  /// the team's requests arrive here
+  [[nodiscard]] bool holds(const std::string& team) const;
+  /// \returns whether the next record should come soon because this host's requests for a team
+  /// have become so many that it holds tokens from now on; at most once in `holder_check_interval`
+  [[nodiscard]] bool begins_to_hold(const std::string& team, time_ms now);
   /// \returns whether this host has unused grants
   [[nodiscard]] bool holds_tokens() const;
   /// \returns whether requests or other hosts rely on this host's next record
@@ -154,6 +161,9 @@
   /// wait for loans
   [[nodiscard]] std::uint64_t shortfall(const std::string& team, std::uint64_t bound,
                                         time_ms now) const;
+  /// \returns whether the log may soon show more holders than this host knows: accounts were added
+  /// since the last call, or a team has none
+  [[nodiscard]] bool expects_holders(const std::map<std::string, std::uint64_t>& prepaid);
   /// \returns the other hosts that hold tokens of a team
   [[nodiscard]] std::vector<token_holder> holders(const std::string& team) const;
 
@@ -199,6 +209,8 @@
     std::uint64_t wanted{};                          ///< by reservations that wait for the log
     std::map<std::string, std::uint64_t> unpromised; ///< loan requests beyond the promise, by host
     recent_demand asked_for;                         ///< tokens that other hosts asked for
+    holder_status busy;
+    time_ms holder_checked_at;
     recent_demand demand;                ///< tokens that requests at this host asked for
     std::uint64_t prepaid{};             ///< as of the last reservation
     std::uint64_t kept{};                ///< borrowed tokens that are kept for the next requests
@@ -231,6 +243,8 @@
   /// \returns the tokens granted to all hosts, as far as their accounts are known
   [[nodiscard]] static std::uint64_t total_granted(const team_state& state) noexcept;
   void update_rate(team_state& state, time_ms now) const;
+  [[nodiscard]] holder_demand demand_of(const team_state& state, time_ms now) const;
+  void update_status(const std::string& team, team_state& state, time_ms now) const;
   [[nodiscard]] budget_summary summarize(const team_state& state, std::uint64_t prepaid,
                                          time_ms now) const;
   /// \returns slack that this host should have; for a team that it does not hold, only what
@@ -265,6 +279,9 @@
   holder_predicate holds_;
   std::unordered_map<std::string, team_state> teams_;
   std::uint64_t end_{0};
+  std::map<std::string, time_ms> wrote_at_; ///< arrival of the last record, by host
+  time_ms last_record_at_;                  ///< arrival of the last record of any host
+  std::size_t accounts_seen_{0};            ///< by `expects_holders`
   bool keeps_loans_{true};
   double mean_request_{0}; ///< tokens
 };
--- a/tests/prepaid/loan_load_model.hpp
+++ b/tests/prepaid/loan_load_model.hpp
@@ -29,6 +29,12 @@
   double lost{0.05}; ///< part of the messages between hosts
   double late{0.1};  ///< part of the messages that take up to `longest_delay`
   std::uint64_t seed{1};
+  /// One in so many hosts, of those that hold tokens by name and of the others, is turned away
+  /// by the store for good from `away_from` on; 0: none.
+  int away_every{0};
+  double budget_seconds{300}; ///< of a team's demand
+  bool callers_move{true};    ///< half of the callers are at other hosts every second
+  time_ms away_from{2500};
 };
 
 /// \brief Hosts, their log and the messages between them in virtual time. Half of the callers are
@@ -68,10 +74,11 @@
   static constexpr double most_requests = 743;
   static constexpr std::uint64_t least_tokens = 300;
   static constexpr std::uint64_t token_range = 2400;
-  static constexpr double budget_seconds = 300; ///< of a team's demand
-  static constexpr time_ms longest_wait{250};   ///< a quarter of the latency target
+  static constexpr time_ms longest_wait{250}; ///< a quarter of the latency target
   static constexpr std::uint64_t longest_delay = 200;
   static constexpr std::int64_t log_call = 4;
+  static constexpr time_ms store_retry{250};
+  static constexpr time_ms unsettled_interval{1000};
 
   struct event {
     time_ms when;
@@ -107,6 +114,7 @@
     silent_hosts silent;
     std::vector<request_ptr> waiting;
     std::map<std::string, std::uint64_t> expected; ///< tokens of loans under way, by team
+    bool loses_store{false};
   };
   struct request {
     std::size_t host{};
@@ -145,6 +153,7 @@
     host_state host;
     host.name = "h" + std::to_string(number);
     host.centre = number % centres;
+    bool holder = false;
     std::vector<std::string> centre;
     for (int i = number % centres; i < load_.hosts; i += centres)
       centre.push_back("h" + std::to_string(i));
@@ -154,8 +163,10 @@
           std::make_unique<partition_budgets>(host.name, 1, clock_reading{}, prepaid_options{});
       const bool holds = holds_tokens_of(part, host.name, centre);
       state.budgets->set_holder_predicate([holds](const std::string&) { return holds; });
+      holder = holder || holds;
       host.parts.push_back(std::move(state));
     }
+    host.loses_store = load_.away_every > 0 && seen_[holder ? 1 : 0]++ % load_.away_every == 0;
     hosts_.push_back(std::move(host));
     if (number > 0)
       return;
@@ -164,8 +175,8 @@
                                 ? most_requests
                                 : requests_per_host * load_.hosts;
       const double mean = least_tokens + token_range / 2.0;
-      paid_[team_name(i)] =
-          static_cast<std::uint64_t>(tokens * mean * budget_seconds * weight_of(i) / total_weight_);
+      paid_[team_name(i)] = static_cast<std::uint64_t>(tokens * mean * load_.budget_seconds *
+                                                       weight_of(i) / total_weight_);
     }
   }
 
@@ -194,9 +205,21 @@
     state.tries = 0;
     try_sync(host, part);
   }
+  [[nodiscard]] bool reaches_store(std::size_t host) const {
+    return !hosts_[host].loses_store || now_ < load_.away_from;
+  }
+  void fail_sync(std::size_t host, std::size_t part) {
+    part_state& state = hosts_[host].parts[part];
+    state.syncing = false;
+    ++state.sync_count;
+    set_due(host, part, now_ + store_retry);
+    wake(host);
+  }
   void try_sync(std::size_t host, std::size_t part) {
     after(log_call, [this, host, part] {
       part_state& state = hosts_[host].parts[part];
+      if (!reaches_store(host))
+        return fail_sync(host, part);
       logs_[part].read_into(*state.budgets, now_);
       state.loaded = true;
       const auto records = state.budgets->plan(paid_of(part), {now_, now_}, false);
@@ -205,6 +228,8 @@
         return end_sync(host, part);
       after(log_call, [this, host, part, records, end] {
         part_state& state = hosts_[host].parts[part];
+        if (!reaches_store(host))
+          return fail_sync(host, part);
         if (logs_[part].append_at(end, records)) {
           result_.records += static_cast<int>(records.size());
           logs_[part].read_into(*state.budgets, now_);
@@ -225,10 +250,12 @@
     ++state.sync_count;
     state.synced_at = now_;
     const auto holders = static_cast<std::int64_t>(state.budgets->holding_hosts(now_));
+    const time_ms unheld =
+        state.budgets->expects_holders(paid_of(part)) ? unsettled_interval : options.idle_interval;
     const time_ms interval =
         state.budgets->holds_tokens()
             ? options.report_interval + options.interval_per_holder * (holders - 1)
-            : options.idle_interval;
+            : unheld;
     set_due(host, part, now_ + interval);
     wake(host);
     if (state.requested)
@@ -262,7 +289,8 @@
           part.budgets->lend(message.team, message.tokens, now_, message.host);
       if (given > 0)
         here.lent.note(key, given);
-      if (given < message.tokens && part.budgets->has_unpromised_demand(message.team)) {
+      if (given < message.tokens && reaches_store(host) &&
+          part.budgets->has_unpromised_demand(message.team)) {
         const time_ms due = part.synced_at + prepaid_options{}.min_unpromised_interval;
         if (due < part.due)
           set_due(host, account_partition(message.team, partitions), due);
@@ -318,7 +346,7 @@
     const auto hosts = static_cast<std::uint64_t>(load_.hosts);
     std::uint64_t host = random_.below(hosts);
     if (random_.below(2) == 0) // half of the callers
-      host = (static_cast<std::uint64_t>(now_.count() / 1000) * 7919 +
+      host = (static_cast<std::uint64_t>(load_.callers_move ? now_.count() / 1000 : 1) * 7919 +
               random_.below(1 + hosts / 20) * 31) %
              hosts;
     double drawn = random_.unit() * total_weight_;
@@ -338,7 +366,10 @@
     ++result_.requests;
     arrivals_ += 1000 / rate();
     at(time_ms{1000 + static_cast<std::int64_t>(arrivals_)}, [this] { arrive(); });
-    part_of(host, one->team).budgets->note_request(one->team, one->bound, now_);
+    partition_budgets& budgets = *part_of(host, one->team).budgets;
+    budgets.note_request(one->team, one->bound, now_);
+    if (reaches_store(host) && budgets.begins_to_hold(one->team, now_))
+      request_sync(host, account_partition(one->team, partitions));
     step(one);
   }
   void end(const request_ptr& one, reserve_outcome outcome) {
@@ -381,7 +412,8 @@
     one->waiting = true;
     state.can_borrow = load_.hosts > 1;
     state.loan_under_way = loan_under_way(*one);
-    state.log_helps = budgets.grantable(one->team, paid_.at(one->team), one->bound);
+    state.log_helps =
+        reaches_store(one->host) && budgets.grantable(one->team, paid_.at(one->team), one->bound);
     state.covered_after = budgets.covered_after(one->team, one->bound, now_);
     one->plan = plan_funding(state);
     one->seen = part.sync_count;
@@ -499,6 +531,7 @@
   random_source random_;
   time_ms now_;
   double total_weight_{0};
+  int seen_[2]{};      ///< hosts so far that hold no tokens, and that hold some
   double arrivals_{0}; ///< time of the next arrival after the first second
   std::uint64_t last_event_{0};
   std::uint64_t last_ask_{0};
