Draft: leave teams that a host holds out of the search for holders

Hosts of a small fleet hold all teams, and read the log each second for teams of which others had no account: records at 9 hosts rose from 1,576 to 3,793.

--- a/src/prepaid/impl/partition_budgets.cpp
+++ b/src/prepaid/impl/partition_budgets.cpp
@@ -399,6 +399,8 @@
   std::size_t accounts = 0;
   bool none = false;
   for (const auto& [team, paid] : prepaid) {
+    if (holds(team))
+      continue;
     const team_state* state = find(team);
     const std::size_t of_team = state == nullptr ? 0 : state->accounts.size();
     accounts += of_team;
