Crash stand-ins before their caller learns of it

Cause: a stand-in closed the connection of the crashing request first and all others afterwards. A caller that saw the end and connected again at once lost that connection too ("No message received"), so the test of a crashing engine failed when the machine was busy. Change: the crash closes all connections, then the call is abandoned.

--- a/src/standin/impl/engine_calls.cpp
+++ b/src/standin/impl/engine_calls.cpp
@@ -109,8 +109,10 @@
       lose_everything();
       ++crashes_;
     }
-    call.abandon();
+    // A caller that sees the end of its connection may connect again at once; the crash must not
+    // close that connection as well.
     server_.crash();
+    call.abandon();
     return;
   }
   prompt asked = read_prompt(*call.json_body());
--- a/src/standin/impl/plain_service.cpp
+++ b/src/standin/impl/plain_service.cpp
@@ -65,8 +65,10 @@
   if (!active.crash_on.empty() && (call.path().find(active.crash_on) != std::string::npos ||
                                    call.body().find(active.crash_on) != std::string::npos)) {
     ++crashes_;
-    call.abandon();
+    // A caller that sees the end of its connection may connect again at once; the crash must not
+    // close that connection as well.
     server_.crash();
+    call.abandon();
     return;
   }
   {
