Halve the system calls of stream events, and group events on a busy processor

Cause: on hosts with 0.12 of a core the processor refuses most; each event of a stream cost a wake-up and six system calls. Change: a socket that a read has emptied is polled before it is read again, and a poll that has just looked at the caller and the stop is not repeated; all whole events that have been read leave in one write. While threads wake up late, event_grouping lets the events of a stream collect after each write, for at most a quarter of event_latency_ms (new setting, from EventLatencyMs) and of the route's longest pause.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -155,6 +155,7 @@
   options.retries.slack = settings_.retry_slack;
   options.retries.window = settings_.retry_window;
   options.stop = settings_.stop;
+  options.event_latency = settings_.event_latency;
   options.max_open = max_open_requests(settings_.processor_share);
   options.max_forwarded = options.max_open / forwarded_divisor;
   options.max_preparing = max_preparing(settings_.processor_share);
@@ -168,6 +169,7 @@
           host_pressure{
               .sheds = [this] { return processor_->sheds(); },
               .refused_fraction = [this] { return processor_->refused_fraction(); },
+              .grouping = [this] { return processor_->grouping(); },
               .busy_for = [this] { return processor_->busy_for(); },
               .note_request = [this](bool turned_away) { processor_->note_request(turned_away); }},
           region_of(settings_.data_centre),
--- a/src/entry/impl/entry_settings.cpp
+++ b/src/entry/impl/entry_settings.cpp
@@ -156,6 +156,7 @@
   read.config_bound = reader.milliseconds("config_bound_ms", read.config_bound);
   read.drain_bound = reader.milliseconds("drain_bound_ms", read.drain_bound);
   read.processor_share = reader.number("processor_share", read.processor_share);
+  read.event_latency = reader.milliseconds("event_latency_ms", read.event_latency);
   read.cold_start.overage = reader.number("cold_overage", read.cold_start.overage);
   read.cold_start.tolerance = reader.number("cold_tolerance", read.cold_start.tolerance);
   read.regions = reader.texts("regions");
--- a/src/entry/impl/entry_settings.hpp
+++ b/src/entry/impl/entry_settings.hpp
@@ -25,6 +25,7 @@
   time_ms config_bound{2000}; ///< a change is to be in force here so long after its publication
   time_ms drain_bound{2000};  ///< an endpoint that leaves still serves for so long after saying so
   double processor_share{1};  ///< of a core, that this host may use
+  time_ms event_latency{0};   ///< bound on the delay of a stream's events; 0: none
   region_map regions;         ///< of the data centres
   cold_start_bounds cold_start; ///< on requests to endpoints that have just started
 };
--- a/src/entry/impl/entry_settings_table.cpp
+++ b/src/entry/impl/entry_settings_table.cpp
@@ -42,6 +42,7 @@
 // A bound shorter than a slow reply of the store cannot be kept.
 constexpr number_bounds read_bounds{100, 86'400'000}; // milliseconds
 constexpr number_bounds share_bounds{0.001, 1024};    // of a core
+constexpr number_bounds event_bounds_ms{0, 60'000};
 constexpr number_bounds cold_bounds{0, 1e6};
 
 std::vector<entry_setting> make_table() {
@@ -78,6 +79,10 @@
       number("processor_share",
              "Of a core, that this host may use; bounds the requests open at once",
              usual.processor_share, "cores", share_bounds),
+      number("event_latency_ms",
+             "Within it the events of streams are to reach callers; a host with a busy processor "
+             "forwards them in groups, within a quarter of it; 0: never",
+             static_cast<double>(usual.event_latency.count()), "ms", event_bounds_ms),
       number("cold_overage",
              "Factor of the rate that a cold endpoint sustains, for all hosts together",
              usual.cold_start.overage, "", cold_bounds),
--- a/src/relay/impl/caller_answer.cpp
+++ b/src/relay/impl/caller_answer.cpp
@@ -63,13 +63,16 @@
   return write(to_text(head));
 }
 
-bool caller_answer::forward_events(const std::string& events) {
+bool caller_answer::forward_events(const event_groups& events) {
   if (events.empty())
     return true;
   note_ready();
   if (!stream_begun_ && !begin_stream())
     return false;
-  return write(chunk_of(events));
+  std::string chunks;
+  for (const std::string& group : events)
+    chunks += chunk_of(group);
+  return write(chunks);
 }
 
 bool caller_answer::end_stream() {
--- a/src/relay/impl/caller_answer.hpp
+++ b/src/relay/impl/caller_answer.hpp
@@ -8,9 +8,13 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace sedgechute {
 
+/// \brief Whole events; each group is sent as one chunk.
+using event_groups = std::vector<std::string>;
+
 /// \brief Writes the answer to one caller and records what has been sent. A stream may be put
 /// together from several runs; the caller sees one header and each event once.
 class caller_answer {
@@ -29,7 +33,7 @@
   // the host interrupted the write.
   [[nodiscard]] bool deliver(const std::string& body);
   [[nodiscard]] bool deliver_kept() { return deliver(kept_body_); }
-  [[nodiscard]] bool forward_events(const std::string& events);
+  [[nodiscard]] bool forward_events(const event_groups& events);
   [[nodiscard]] bool end_stream();
   [[nodiscard]] bool write(std::string_view bytes);
 
--- a/src/relay/impl/caller_poll.cpp
+++ b/src/relay/impl/caller_poll.cpp
@@ -159,6 +159,7 @@
 }
 
 void caller_poll::take_bytes(std::unique_ptr<caller_connection> caller) {
+  caller->link.note_readable();
   switch (caller->link.fill(time_.now())) {
   case io_status::ok:
     on_ready_(std::move(caller));
--- a/src/relay/impl/connection.cpp
+++ b/src/relay/impl/connection.cpp
@@ -62,10 +62,12 @@
 }
 
 io_status caller_watch::look() noexcept {
-  if (descriptor_ >= 0 && has_left())
+  std::array<pollfd, 2> fds{pollfd{descriptor_, events(), 0}, pollfd{interrupt_, POLLIN, 0}};
+  if (::poll(fds.data(), fds.size(), 0) <= 0)
+    return io_status::ok;
+  if (fds[0].revents != 0 && left(fds[0].revents))
     return io_status::caller_left;
-  pollfd fd{interrupt_, POLLIN, 0};
-  return ::poll(&fd, 1, 0) > 0 && fd.revents != 0 ? io_status::interrupted : io_status::ok;
+  return fds[1].revents != 0 ? io_status::interrupted : io_status::ok;
 }
 
 bool caller_watch::goes_on(std::size_t alternative) noexcept {
@@ -151,23 +153,35 @@
   }
 }
 
+// A read that did not fill its block has emptied the socket, so the next one begins with a poll:
+// for a stream that brings one event at a time that saves a call per event.
 io_status connection::fill(time_ms deadline, caller_watch* watch) {
   std::array<char, read_block_bytes> block; // NOLINT(cppcoreguidelines-pro-type-member-init)
+  watch_polled_ = false;
   for (;;) {
+    if (std::exchange(drained_, false)) {
+      if (const io_status waited = wait(POLLIN, deadline, watch); waited != io_status::ok)
+        return waited;
+      watch_polled_ = watch != nullptr;
+    }
     const auto got = ::recv(descriptor_, block.data(), block.size(), MSG_DONTWAIT);
     if (got > 0) {
       buffer_.append(block.data(), static_cast<std::size_t>(got));
+      drained_ = static_cast<std::size_t>(got) < block.size();
       return io_status::ok;
     }
     if (got == 0)
       return io_status::ended;
     if (errno != EAGAIN && errno != EINTR)
       return io_status::reset;
-    if (const io_status waited = wait(POLLIN, deadline, watch); waited != io_status::ok)
-      return waited;
+    drained_ = true;
   }
 }
 
+io_status connection::rest(time_ms until, caller_watch& watch) {
+  return wait(0, until, &watch);
+}
+
 io_status connection::write_all(std::string_view bytes, time_ms deadline, caller_watch* watch) {
   used_ = true;
   while (!bytes.empty()) {
@@ -237,6 +251,7 @@
 void connection::abort_now() noexcept {
   abort();
   descriptor_ = -1; // another connection may get the number
+  drained_ = false; // a poll would ignore the closed descriptor
   try {
     socket_.close();
   } catch (const Poco::Exception&) {
--- a/src/relay/impl/connection.hpp
+++ b/src/relay/impl/connection.hpp
@@ -98,6 +98,13 @@
 
   /// \brief Reads at least one more byte into the buffer.
   [[nodiscard]] io_status fill(time_ms deadline, caller_watch* watch = nullptr);
+  /// \brief Makes the next `fill` read before it polls: a poll elsewhere has seen bytes.
+  void note_readable() noexcept { drained_ = false; }
+  /// \returns whether the last `fill` has polled its watch
+  [[nodiscard]] bool watch_polled() const noexcept { return watch_polled_; }
+  /// \brief Waits without reading while bytes collect.
+  /// \returns `timed_out` at `until`; `ok` when the connection has failed before
+  [[nodiscard]] io_status rest(time_ms until, caller_watch& watch);
   [[nodiscard]] io_status write_all(std::string_view bytes, time_ms deadline,
                                     caller_watch* watch = nullptr);
 
@@ -137,6 +144,8 @@
   std::string buffer_;
   std::size_t consumed_{0};
   bool used_{false};
+  bool drained_{false};      ///< the last read has emptied the socket
+  bool watch_polled_{false}; ///< by the last `fill`
 };
 
 struct connect_result {
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -102,7 +102,9 @@
 // the time is over.
 io_status endpoint_exchange::check_interruption() {
   const std::size_t got = link_.buffered().size();
-  if (last_heard_ >= next_interruption_check_) {
+  if (link_.watch_polled()) {
+    next_interruption_check_ = last_heard_ + interruption_check_interval;
+  } else if (last_heard_ >= next_interruption_check_) {
     next_interruption_check_ = last_heard_ + interruption_check_interval;
     if (const io_status seen = parts_.watch.look(); seen != io_status::ok)
       return seen;
@@ -315,36 +317,63 @@
   return parts_.answer.deliver(bytes) ? send_outcome::answered : send_outcome::caller_left;
 }
 
+// The bytes collect in the socket. A caller that leaves and a stop end the rest.
+io_status endpoint_exchange::collect_events() {
+  const time_ms rest = parts_.event_rest ? parts_.event_rest() : time_ms{};
+  if (rest <= time_ms{} || !link_.buffered().empty())
+    return io_status::ok;
+  ++rests_;
+  const time_ms until = std::min(parts_.time.now() + rest, next_wake_up());
+  const io_status status = link_.rest(until, parts_.watch);
+  next_interruption_check_ = parts_.time.now() + interruption_check_interval;
+  return status == io_status::timed_out ? io_status::ok : status;
+}
+
+io_status endpoint_exchange::forward(event_groups& whole, const event_splitter& events) {
+  if (whole.empty())
+    return io_status::ok;
+  note_prompt_read();
+  begin_answer();
+  if (!parts_.answer.stream_begun() && parts_.before_first_event)
+    parts_.before_first_event();
+  parts_.answer.events() = events;
+  if (!parts_.answer.forward_events(std::exchange(whole, {})))
+    return io_status::caller_left;
+  return io_status::ok;
+}
+
+// All whole events that have been read are forwarded before the next read, which may wait.
 send_outcome endpoint_exchange::take_stream() {
-  connection_source source{link_, [this] { return fill(); }};
-  body_decoder body{source, reply_framing(reply_)};
   event_splitter events = parts_.answer.events();
   events.drop_unfinished();
+  event_groups whole;
+  connection_source source{link_, [&] {
+                             const bool forwards = !whole.empty();
+                             io_status status = forward(whole, events);
+                             if (forwards && status == io_status::ok)
+                               status = collect_events();
+                             return status == io_status::ok ? fill() : status;
+                           }};
+  body_decoder body{source, reply_framing(reply_)};
   std::array<char, read_block> block; // NOLINT(cppcoreguidelines-pro-type-member-init)
   std::size_t size = 0;
-  while (body.state() == body_state::open) {
+  bool within_bounds = true;
+  while (within_bounds && body.state() == body_state::open) {
     const std::size_t got = body.read(block.data(), block.size());
     size += got;
-    if (size > bounds_.max_stream || events.unfinished_bytes() > bounds_.max_event)
-      return send_outcome::failed;
+    within_bounds = size <= bounds_.max_stream && events.unfinished_bytes() <= bounds_.max_event;
     events.feed({block.data(), got});
     const std::uint64_t before = events.events();
-    const std::string whole = events.take_whole();
+    if (std::string read = events.take_whole(); !read.empty())
+      whole.push_back(std::move(read));
     if (events.events() > before)
       note_written();
-    if (!whole.empty()) {
-      note_prompt_read();
-      begin_answer();
-      if (!parts_.answer.stream_begun() && parts_.before_first_event)
-        parts_.before_first_event();
-      parts_.answer.events() = events;
-    }
-    if (!parts_.answer.forward_events(whole))
-      return send_outcome::caller_left;
   }
-  if (body.state() == body_state::slow)
+  if (within_bounds && body.state() == body_state::slow)
     return end_of(source.last());
-  if (body.state() != body_state::whole || events.inside_event())
+  if (const io_status forwarded = forward(whole, events); forwarded != io_status::ok)
+    return end_of(forwarded);
+  if (!within_bounds || body.state() != body_state::whole || events.inside_event())
     return send_outcome::failed;
   reusable_ = may_reuse();
   begin_answer();
--- a/src/relay/impl/endpoint_exchange.hpp
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -68,6 +68,8 @@
     std::function<void()> before_answer{};
     /// Called each time that a part of the answer has been read.
     std::function<void()> on_written{};
+    /// Returns for how long the next events of a stream are collected; empty: they never are.
+    std::function<time_ms()> event_rest{};
     /// Called while the endpoint is silent; empty: the exchange waits until the deadline.
     /// Returns when to call it again; nothing: the request has ended otherwise.
     std::function<std::optional<time_ms>(const endpoint_silence&)> on_silence{};
@@ -85,6 +87,8 @@
 
   /// \returns whether the connection may carry another exchange
   [[nodiscard]] bool reusable() const noexcept { return reusable_; }
+  /// \returns how often events were collected before they were forwarded
+  [[nodiscard]] std::size_t rests() const noexcept { return rests_; }
 
  private:
   [[nodiscard]] send_outcome read_reply();
@@ -110,6 +114,13 @@
   /// \returns why to stop reading, `ok` to go on
   [[nodiscard]] io_status check_interruption();
   [[nodiscard]] io_status fill();
+  /// \brief Sends the caller the whole events that have been read.
+  /// \param events  the position in the stream behind them
+  /// \returns `ok` or `caller_left`
+  [[nodiscard]] io_status forward(event_groups& whole, const event_splitter& events);
+  /// \brief Lets the next events of a stream collect, if the host's load requires it.
+  /// \returns why to stop, `ok` to go on
+  [[nodiscard]] io_status collect_events();
   /// \returns the state of the body when it has ended or is too large
   [[nodiscard]] body_state read_body(body_decoder& body, std::string& bytes);
   [[nodiscard]] bool may_reuse();
@@ -134,6 +145,7 @@
   bool names_request_{false}; ///< the reply bears the id of this request
   bool answer_begun_{false};
   bool reusable_{false};
+  std::size_t rests_{0};
 };
 
 /// \returns the bytes of the request for the endpoint of `place`
--- a/src/relay/impl/host_pressure.hpp
+++ b/src/relay/impl/host_pressure.hpp
@@ -12,6 +12,7 @@
 struct host_pressure {
   std::function<bool()> sheds; ///< returns whether the next new request is to be refused
   std::function<double()> refused_fraction{}; ///< of new requests; `sheds` draws by the same one
+  std::function<double()> grouping{};         ///< of the events of streams, from 0 (none) to 1
   /// Returns how long the balancer has been told to send callers to other hosts; nothing if it has
   /// not.
   std::function<std::optional<time_ms>()> busy_for;
--- a/src/relay/impl/load_shedding.hpp
+++ b/src/relay/impl/load_shedding.hpp
@@ -40,6 +40,8 @@
   /// \brief Records the number of requests since the last call, and how many of them were refused
   /// because too many were being prepared.
   void note_requests(std::size_t turned_away, std::size_t all, time_ms since) noexcept;
+  /// \returns the mean wake-up delay relative to its target
+  [[nodiscard]] double delay_ratio() const noexcept { return lateness_ms_ / options_.target_ms; }
   /// \returns the fraction of new requests to be refused
   [[nodiscard]] double refused_fraction() const noexcept { return refused_; }
   /// \returns whether the balancer should send callers to other hosts
--- a/src/relay/impl/processor_monitor.cpp
+++ b/src/relay/impl/processor_monitor.cpp
@@ -43,6 +43,11 @@
   return shedding_.refused_fraction();
 }
 
+double processor_monitor::grouping() const {
+  const std::scoped_lock lock{mutex_};
+  return grouping_.level();
+}
+
 bool processor_monitor::busy() const {
   const std::scoped_lock lock{mutex_};
   return shedding_.busy();
@@ -75,6 +80,7 @@
 void processor_monitor::note(time_ms lateness, time_ms since) {
   const bool before = shedding_.busy();
   shedding_.note_wake_up(open_() < min_open_ ? time_ms{} : lateness, since);
+  grouping_.note_delay(shedding_.delay_ratio(), since);
   const std::size_t turned_away =
       turned_away_.exchange(0); // read first, so it is at most the total
   shedding_.note_requests(turned_away, requests_.exchange(0), since);
--- a/src/relay/impl/processor_monitor.hpp
+++ b/src/relay/impl/processor_monitor.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/admission.hpp"
 #include "kernel/kernel.hpp"
 #include "relay/impl/load_shedding.hpp"
 #include "telemetry/telemetry.hpp"
@@ -33,6 +34,8 @@
   [[nodiscard]] bool sheds();
   /// \returns the fraction of new requests that are to be refused
   [[nodiscard]] double refused_fraction() const;
+  /// \returns how much the events of streams are grouped, from 0 to 1
+  [[nodiscard]] double grouping() const;
   /// \returns whether the balancer should send callers to other hosts
   [[nodiscard]] bool busy() const;
   /// \returns how long the host has been busy; nothing when it is not
@@ -52,6 +55,7 @@
   mutable ordered_mutex mutex_{lock_rank::outbox};
   std::condition_variable_any wake_;
   load_shedding shedding_;
+  event_grouping grouping_;
   random_source random_;
   std::optional<time_ms> busy_since_;
   std::atomic<std::size_t> requests_{0}; ///< since the last wake-up
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -56,6 +56,7 @@
       pressure_retry;              ///< for `Retry-After` while this host's processor is overloaded
   time_ms stop_retry_after{50};    ///< `Retry-After` while this host stops; others have capacity
   time_ms budget_retry_after{100}; ///< `Retry-After` when other hosts hold the tokens
+  time_ms event_latency{0}; ///< bound on the delay of a stream's events; 0: not grouped under load
   std::size_t max_reply_head{32768};
   std::size_t max_buffered_body{std::size_t{8} << 20U}; ///< of an answer that is not a stream
   std::size_t max_event{std::size_t{1} << 20U};         ///< of a stream
@@ -139,6 +140,8 @@
   void note_patience(const std::string& route, std::string_view team, time_ms patience);
   [[nodiscard]] std::optional<time_ms> longest_patience(const std::string& route,
                                                         std::string_view team) const;
+  /// \returns for how long a stream's next events are collected before they are forwarded
+  [[nodiscard]] time_ms event_rest(const route& on) const;
   void note_length(const std::string& kind, time_ms length);
   /// \param most  time until the deadline of the request
   [[nodiscard]] run_forecast forecast(const std::string& kind, time_ms most) const;
--- a/src/relay/impl/request_run_sends.cpp
+++ b/src/relay/impl/request_run_sends.cpp
@@ -197,6 +197,7 @@
   endpoint_exchange run{
       {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_, one.progress,
        [&] { note_begun(place); }, [&] { end_other_sends(); }, [&] { note_written(one); },
+       [&] { return relay_.event_rest(*admitted_.on_route); },
        [&](const endpoint_silence& silence) { return consider_silence(one, silence); },
        open_sends_.size() > 1 ? std::function<void()>{[&] { end_other_sends(); }}
                               : std::function<void()>{}},
@@ -208,6 +209,8 @@
       static_cast<int>(sent_to_.size())};
   const send_outcome end = run.run(endpoint_request(
       in_.head, in_.body, admitted_, place, answer_.events().last_id(), parts.dialect, now()));
+  if (run.rests() > 0)
+    parts.figures.add(metric::event_rests, {}, static_cast<double>(run.rests()));
   if (run.reusable())
     relay_.connections_.give_back(place.endpoint, place.local_incarnation, std::move(link));
   else
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -278,6 +278,13 @@
                   "on. result: first, second, none.",
                   {"result"},
                   entry},
+    metric_family{metric::event_rests,
+                  counter,
+                  "sedgechute_event_rests_total",
+                  "Waits of a busy host's streams for further events, which are then forwarded "
+                  "together.",
+                  {},
+                  entry},
     metric_family{metric::load_refusals,
                   counter,
                   "sedgechute_load_refusals_total",
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -65,6 +65,7 @@
   stream_records,
   silent_endpoints,
   silent_sends,
+  event_rests,
   load_refusals,
 };
 
--- a/tests/entry/entry_settings_test.cpp
+++ b/tests/entry/entry_settings_test.cpp
@@ -241,6 +241,14 @@
   CHECK(with.regions == region_map{{"dc", "r"}, {"dc-2", "r"}});
 }
 
+// Guards against streams that are held back where no bound says for how long they may be.
+TEST_CASE("the bound on the delay of events is read, and is 0 where it is missing") {
+  CHECK(parse_entry_settings("file", good).settings.event_latency == time_ms{0});
+  std::string text = good;
+  text.insert(1, R"("event_latency_ms":120,)");
+  CHECK(parse_entry_settings("file", text).settings.event_latency == time_ms{120});
+}
+
 TEST_CASE("regions of another type are reported with file and setting") {
   for (const char* regions : {"[]", "7", R"({"dc":1})", R"({"dc":""})", R"({"dc":{}})"}) {
     std::string text = good;
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -91,7 +91,8 @@
                            [this] { return in_force(); },
                            [] { return std::size_t{1}; },
                            {.sheds = [this] { return busy_.load(); },
-                            .refused_fraction = [this] { return refused_fraction_.load(); }},
+                            .refused_fraction = [this] { return refused_fraction_.load(); },
+                            .grouping = [this] { return grouping_.load(); }},
                            {},
                            {.record =
                                 [this](const stream_record& begun) {
--- a/tests/relay/relay_fixture.hpp
+++ b/tests/relay/relay_fixture.hpp
@@ -100,6 +100,8 @@
   /// \brief Sets the fraction of new requests that the host's load requires to be refused. With
   /// routes of one priority it has no effect.
   void set_refused_fraction(double fraction) noexcept { refused_fraction_ = fraction; }
+  /// \brief Sets how much the events of streams are grouped, from 0 to 1.
+  void set_grouping(double level) noexcept { grouping_ = level; }
   /// \brief Waits until `requests` requests are being served.
   /// \returns false when that is not so within three seconds
   [[nodiscard]] bool has_open(std::size_t requests) const;
@@ -122,6 +124,7 @@
   config_ptr config_;
   std::atomic<bool> busy_{false};
   std::atomic<double> refused_fraction_{0};
+  std::atomic<double> grouping_{0};
   boot_clock since_start_;
   fleet_clock machine_time_{since_start_};
   std::unique_ptr<budget_manager> budgets_;
