--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -159,6 +159,7 @@
   options.max_open = max_open_requests(settings_.processor_share);
   options.max_forwarded = options.max_open / forwarded_divisor;
   options.max_preparing = max_preparing(settings_.processor_share);
+  options.memory = divide_memory(settings_.memory_mb);
   processor_ = std::make_unique<processor_monitor>(
       shedding_options{}, [this] { return relay_->open(); }, options.max_open / busy_divisor, time,
       log);
@@ -387,6 +388,10 @@
                       static_cast<double>(endpoints_.brittle_endpoints().size()));
          figures_.set(metric::stream_records, {}, static_cast<double>(stream_builds_->records()));
          figures_.set(metric::cut_off, {}, endpoints_.cut_off() ? 1 : 0);
+         figures_.set(metric::held_bytes, {"bodies"},
+                      static_cast<double>(relay_->memory().held(held_message::body)));
+         figures_.set(metric::held_bytes, {"answers"},
+                      static_cast<double>(relay_->memory().held(held_message::answer)));
          for (const auto& [service, spread] : endpoints_.speed_spreads())
            figures_.set(metric::endpoint_speed_spread, {service}, spread);
          figures_.set(metric::cold_endpoints, {}, static_cast<double>(endpoints_.cold()));
--- a/src/entry/impl/entry_settings.cpp
+++ b/src/entry/impl/entry_settings.cpp
@@ -51,6 +51,11 @@
     return given;
   }
 
+  [[nodiscard]] bool has(std::string_view name) const {
+    const json_node* at = node_.find(name);
+    return at != nullptr && at->type != json_type::null;
+  }
+
   [[nodiscard]] double number(std::string_view name, double otherwise) const {
     const number_bounds& bounds = entry_setting_named(name).bounds;
     const json_node* at = node_.find(name);
@@ -157,6 +162,8 @@
   read.drain_bound = reader.milliseconds("drain_bound_ms", read.drain_bound);
   read.processor_share = reader.number("processor_share", read.processor_share);
   read.event_latency = reader.milliseconds("event_latency_ms", read.event_latency);
+  if (reader.has("memory_mb"))
+    read.memory_mb = reader.number("memory_mb", 0);
   read.cold_start.overage = reader.number("cold_overage", read.cold_start.overage);
   read.cold_start.tolerance = reader.number("cold_tolerance", read.cold_start.tolerance);
   read.regions = reader.texts("regions");
--- a/src/entry/impl/entry_settings.hpp
+++ b/src/entry/impl/entry_settings.hpp
@@ -5,6 +5,7 @@
 #include "routing/impl/stop_policy.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,7 @@
   time_ms drain_bound{2000};  ///< an endpoint that leaves still serves for so long after saying so
   double processor_share{1};  ///< of a core, that this host may use
   time_ms event_latency{0};   ///< bound on the delay of a stream's events; 0: none
+  std::optional<double> memory_mb; ///< of this host's machine; nothing: unbounded
   region_map regions;         ///< of the data centres
   cold_start_bounds cold_start; ///< on requests to endpoints that have just started
 };
--- a/src/entry/impl/entry_settings_table.cpp
+++ b/src/entry/impl/entry_settings_table.cpp
@@ -43,6 +43,7 @@
 constexpr number_bounds read_bounds{100, 86'400'000}; // milliseconds
 constexpr number_bounds share_bounds{0.001, 1024};    // of a core
 constexpr number_bounds event_bounds_ms{0, 60'000};
+constexpr number_bounds memory_bounds{16, 16'777'216}; // megabytes; a host starts with 11
 constexpr number_bounds cold_bounds{0, 1e6};
 
 std::vector<entry_setting> make_table() {
@@ -83,6 +84,13 @@
              "Within it the events of streams are to reach callers; a host with a busy processor "
              "forwards them in groups, within a quarter of it; 0: never",
              static_cast<double>(usual.event_latency.count()), "ms", event_bounds_ms),
+      {{"memory_mb",
+        "Of this host's machine; bounds the bodies and unread answers held at once. Absent: "
+        "unbounded",
+        false,
+        "null",
+        {"number", "MB", text_of(memory_bounds.least) + " to " + text_of(memory_bounds.most), {}}},
+       memory_bounds},
       number("cold_overage",
              "Factor of the rate that a cold endpoint sustains, for all hosts together",
              usual.cold_start.overage, "", cold_bounds),
--- a/src/relay/impl/caller_answer.cpp
+++ b/src/relay/impl/caller_answer.cpp
@@ -42,9 +42,9 @@
   return head;
 }
 
-bool caller_answer::write(std::string_view bytes) {
+bool caller_answer::write(std::string_view bytes, std::string_view more) {
   const time_ms until = caller_.time().now() + max_caller_write;
-  const io_status status = caller_.write_all(bytes, until, &stop_watch_);
+  const io_status status = caller_.write_all(bytes, more, until, &stop_watch_);
   cut_ = status == io_status::interrupted;
   caller_failed_ = status != io_status::ok;
   return !caller_failed_;
@@ -53,7 +53,7 @@
 bool caller_answer::deliver(const std::string& body) {
   response_head head = answer_head();
   head.fields.set("Content-Length", std::to_string(body.size()));
-  return write(to_text(head) + body);
+  return write(to_text(head), body);
 }
 
 bool caller_answer::begin_stream() {
--- a/src/relay/impl/caller_answer.hpp
+++ b/src/relay/impl/caller_answer.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/admission.hpp"
 #include "relay/impl/connection.hpp"
 #include "relay/impl/event_splitter.hpp"
 #include "relay/impl/message_head.hpp"
@@ -27,7 +28,11 @@
   void take_head(const response_head& head);
   /// \brief Stores the body of an endpoint's error, for `deliver_kept` if no other endpoint
   /// answers.
-  void keep_body(std::string body) { kept_body_ = std::move(body); }
+  /// \param held  counts its bytes
+  void keep_body(std::string body, held_bytes::guard held) {
+    kept_body_ = std::move(body);
+    kept_held_ = std::move(held);
+  }
 
   // These return false when the connection failed, the caller did not read in time, or the stop of
   // the host interrupted the write.
@@ -35,7 +40,7 @@
   [[nodiscard]] bool deliver_kept() { return deliver(kept_body_); }
   [[nodiscard]] bool forward_events(const event_groups& events);
   [[nodiscard]] bool end_stream();
-  [[nodiscard]] bool write(std::string_view bytes);
+  [[nodiscard]] bool write(std::string_view bytes, std::string_view more = {});
 
   [[nodiscard]] event_splitter& events() noexcept { return events_; }
   [[nodiscard]] const event_splitter& events() const noexcept { return events_; }
@@ -60,6 +65,7 @@
   caller_watch stop_watch_;
   response_head head_;
   std::string kept_body_;
+  held_bytes::guard kept_held_;
   event_splitter events_;
   bool stream_begun_{false};
   bool caller_failed_{false};
--- a/src/relay/impl/caller_poll.cpp
+++ b/src/relay/impl/caller_poll.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::size_t max_events = 64;
 constexpr int accepted_at_once = 64; // so that a burst of connects does not delay other events
+constexpr int reads_at_once = 16;    // the same, for a caller that sends a refused body
 constexpr time_ms scan_interval{1000};
 constexpr time_ms closing_scan_interval{100}; // while connections are being closed
 
@@ -178,11 +179,15 @@
 // Closing a socket with unread bytes resets the connection, and the caller could lose the answer.
 void caller_poll::drain(std::unique_ptr<caller_connection> caller) {
   io_status status = io_status::ok;
-  while (status == io_status::ok) {
+  for (int i = 0; status == io_status::ok && i < reads_at_once; ++i) {
     status = caller->link.fill(time_.now());
-    caller->link.consume(caller->link.buffered().size());
+    const std::size_t got = caller->link.buffered().size();
+    caller->link.consume(got);
+    if (got > 0 && caller->unread > 0)
+      caller->since = time_.now();
+    caller->unread -= std::min(got, caller->unread);
   }
-  if (status == io_status::timed_out)
+  if (status == io_status::ok || status == io_status::timed_out)
     park(std::move(caller));
 }
 
@@ -197,6 +202,9 @@
   caller->closing = &closing_;
   ++closing_;
   caller->since = time_.now();
+  caller->drained_by = caller->since + options_.drain_timeout;
+  caller->link.consume(caller->link.buffered().size());
+  caller->link.trim();
   caller->link.shutdown_write();
   park(std::move(caller));
 }
@@ -219,6 +227,13 @@
     callers_.erase(descriptor);
 }
 
+bool caller_poll::closes_late(const caller_connection& caller, time_ms now) const noexcept {
+  const time_ms waited = now - caller.since;
+  if (caller.unread > 0)
+    return waited >= options_.unread_timeout || now >= caller.drained_by;
+  return waited >= options_.closing_timeout;
+}
+
 void caller_poll::close_waiting(bool served_only) {
   const std::scoped_lock lock{mutex_};
   served_closed_ = true;
@@ -238,7 +253,7 @@
     for (auto at = callers_.begin(); at != callers_.end();) {
       caller_connection& caller = *at->second;
       const time_ms waited = now - caller.since;
-      const bool late = caller.closing != nullptr ? waited >= options_.closing_timeout
+      const bool late = caller.closing != nullptr ? closes_late(caller, now)
                         : caller.arriving         ? waited >= options_.arriving_timeout
                                                   : waited >= idle;
       if (late)
--- a/src/relay/impl/caller_poll.hpp
+++ b/src/relay/impl/caller_poll.hpp
@@ -31,6 +31,8 @@
   bool overdue{false};     ///< the rest did not arrive within `arriving_timeout`
   bool shed{false};        ///< the arriving request is to be refused
   bool registered{false};  ///< its descriptor has been added to the epoll set
+  std::size_t unread{0};   ///< while closing: bytes that a refused body may still have
+  time_ms drained_by{};    ///< while closing with such bytes: when to close at the latest
   std::atomic<std::size_t>& count;
   std::atomic<std::size_t>* closing{nullptr}; ///< counter of closing connections; null before
 };
@@ -38,6 +40,8 @@
 struct caller_poll_options {
   std::size_t max_connections{3000};
   time_ms closing_timeout{300};  ///< for the caller to read the last answer and close
+  time_ms unread_timeout{2000};  ///< while closing: for more bytes of a refused body
+  time_ms drain_timeout{10000};  ///< for all of them
   time_ms arriving_timeout{500}; ///< for the rest of a request; then a thread takes over the wait
 };
 
@@ -62,7 +66,7 @@
   /// \brief Waits for the next request on a connection, or for the rest of a partly read one.
   void wait_for_request(std::unique_ptr<caller_connection> caller);
   /// \brief Shuts down writing; closes the connection when the caller does, or after
-  /// `closing_timeout`.
+  /// `closing_timeout`. The rest of a refused body (`unread`) is read and dropped before.
   void close_gracefully(std::unique_ptr<caller_connection> caller);
 
   [[nodiscard]] std::size_t connections() const noexcept { return connections_; }
@@ -84,6 +88,8 @@
   /// \param served_only  keeps connections that have not had a request yet
   void close_waiting(bool served_only);
   void close_overdue();
+  /// \returns whether a connection that is being closed has waited long enough for its caller
+  [[nodiscard]] bool closes_late(const caller_connection& caller, time_ms now) const noexcept;
   void add(int descriptor) noexcept;
 
   Poco::Net::ServerSocket socket_;
--- a/src/relay/impl/connection.cpp
+++ b/src/relay/impl/connection.cpp
@@ -6,6 +6,7 @@
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 
 #include <algorithm>
 #include <array>
@@ -182,12 +183,34 @@
   return wait(0, until, &watch);
 }
 
+namespace {
+
+/// \returns the number of bytes sent; -1 with `errno` when there are none
+ssize_t send_both(int descriptor, std::string_view first, std::string_view second) noexcept {
+  // `sendmsg` takes pointers to non-const bytes, and only reads them.
+  std::array<iovec, 2> parts{{{const_cast<char*>(first.data()), first.size()}, // NOLINT
+                              {const_cast<char*>(second.data()), second.size()}}}; // NOLINT
+  msghdr message{};
+  message.msg_iov = parts.data();
+  message.msg_iovlen = parts.size();
+  return ::sendmsg(descriptor, &message, MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
+} // namespace
+
 io_status connection::write_all(std::string_view bytes, time_ms deadline, caller_watch* watch) {
+  return write_all(bytes, {}, deadline, watch);
+}
+
+io_status connection::write_all(std::string_view head, std::string_view body, time_ms deadline,
+                                caller_watch* watch) {
   used_ = true;
-  while (!bytes.empty()) {
-    const auto sent = ::send(descriptor_, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  while (!head.empty() || !body.empty()) {
+    const auto sent = send_both(descriptor_, head, body);
     if (sent > 0) {
-      bytes.remove_prefix(static_cast<std::size_t>(sent));
+      const std::size_t of_head = std::min(static_cast<std::size_t>(sent), head.size());
+      head.remove_prefix(of_head);
+      body.remove_prefix(static_cast<std::size_t>(sent) - of_head);
       continue;
     }
     if (sent < 0 && errno != EAGAIN && errno != EINTR)
--- a/src/relay/impl/connection.hpp
+++ b/src/relay/impl/connection.hpp
@@ -107,6 +107,9 @@
   [[nodiscard]] io_status rest(time_ms until, caller_watch& watch);
   [[nodiscard]] io_status write_all(std::string_view bytes, time_ms deadline,
                                     caller_watch* watch = nullptr);
+  /// \brief Writes a message without joining its header and body in memory.
+  [[nodiscard]] io_status write_all(std::string_view head, std::string_view body, time_ms deadline,
+                                    caller_watch* watch = nullptr);
 
   /// \brief Reads a header up to and including the empty line that ends it.
   /// \param most  maximum size of the header in bytes
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
+#include <thread>
 #include <utility>
 
 namespace sedgechute {
@@ -16,6 +18,8 @@
 
 constexpr time_ms interruption_check_interval{20}; // while bytes keep coming
 
+constexpr time_ms memory_check_interval{10}; // while the answers take up their memory
+
 // Longest pause between two reads of an answer that counts as time in which it was written.
 constexpr time_ms max_counted_pause{250};
 
@@ -23,21 +27,28 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+std::size_t size_of(const event_groups& groups) noexcept {
+  std::size_t bytes = 0;
+  for (const std::string& one : groups)
+    bytes += one.size();
+  return bytes;
+}
+
 bool is_success(int status) noexcept {
   return status >= 200 && status < 300;
 }
 
 } // namespace
 
-std::string endpoint_request(const request_head& head, const std::string& body,
+std::string endpoint_request(const request_head& head, std::size_t body_bytes,
                              const admitted_request& as, const placement& place,
                              std::optional<std::uint64_t> resume_behind,
                              const wire_dialect& dialect, time_ms now) {
   request_head sent = head;
   sent.fields.remove_hop_by_hop();
   sent.fields.remove("Content-Length");
-  if (!body.empty() || sent.method != "GET")
-    sent.fields.set("Content-Length", std::to_string(body.size()));
+  if (body_bytes > 0 || sent.method != "GET")
+    sent.fields.set("Content-Length", std::to_string(body_bytes));
   endpoint_send send;
   send.endpoint = place.endpoint.str();
   send.team = as.team_name();
@@ -47,7 +58,7 @@
   if (as.terms.generation)
     send.urgency = urgency_of(*as.on_route);
   dialect.to_endpoint(sent.fields, send);
-  return to_text(sent) + body;
+  return to_text(sent);
 }
 
 message_framing reply_framing(const response_head& reply) {
@@ -63,13 +74,16 @@
 
 endpoint_exchange::endpoint_exchange(const parts& joined, const exchange_bounds& bounds,
                                      connection& link, int sends)
-    : parts_{joined}, bounds_{bounds}, link_{link}, sends_{sends} {}
+    : parts_{joined}, bounds_{bounds}, link_{link}, sends_{sends} {
+  if (bounds_.memory != nullptr)
+    held_ = bounds_.memory->begin(held_message::answer);
+}
 
-send_outcome endpoint_exchange::run(std::string_view request_text) {
+send_outcome endpoint_exchange::run(std::string_view head, std::string_view body) {
   link_used_ = link_.used();
   if (parts_.end_overlap)
     overlap_end_ = parts_.time.now() + max_overlap();
-  const io_status status = link_.write_all(request_text, parts_.request.deadline, &parts_.watch);
+  const io_status status = link_.write_all(head, body, parts_.request.deadline, &parts_.watch);
   // An endpoint that refuses may close before it has read all; its refusal can still be read.
   if (status != io_status::ok && status != io_status::reset)
     return end_of(status);
@@ -152,6 +166,25 @@
   return read_patiently([this](time_ms until) { return link_.fill(until, &parts_.watch); });
 }
 
+// The endpoint is not silent meanwhile: nobody reads what it sends.
+io_status endpoint_exchange::hold(std::size_t bytes) {
+  bool waited = false;
+  while (!held_.resize(bytes)) {
+    waited = true;
+    if (const io_status seen = parts_.watch.look(); seen != io_status::ok)
+      return stopped_ = seen;
+    if (parts_.time.now() >= parts_.request.deadline)
+      return stopped_ = io_status::timed_out;
+    end_overlap();
+    std::this_thread::sleep_for(std::chrono::milliseconds{memory_check_interval.count()});
+  }
+  if (waited) {
+    last_heard_ = parts_.time.now();
+    next_check_ = parts_.on_silence ? last_heard_ + stall_after() : parts_.request.deadline;
+  }
+  return io_status::ok;
+}
+
 void endpoint_exchange::begin_answer() {
   if (std::exchange(answer_begun_, true))
     return;
@@ -279,6 +312,8 @@
     bytes.append(block.data(), got);
     if (got > 0)
       note_written();
+    if (hold(bytes.size()) != io_status::ok)
+      return body_state::slow;
   }
   return bytes.size() > bounds_.max_buffered_body ? body_state::open : body.state();
 }
@@ -292,7 +327,7 @@
   std::string bytes;
   const bool whole = read_body(body, bytes) == body_state::whole;
   begin_answer();
-  parts_.answer.keep_body(whole ? std::move(bytes) : std::string{});
+  parts_.answer.keep_body(whole ? std::move(bytes) : std::string{}, std::move(held_));
   if (promises_not_run(reply_.status))
     return send_outcome::not_run;
   return whole ? send_outcome::own_error : send_outcome::failed;
@@ -304,12 +339,12 @@
   std::string bytes;
   const body_state end = read_body(body, bytes);
   if (end != body_state::whole)
-    return end == body_state::slow ? end_of(source.last()) : send_outcome::failed;
+    return end == body_state::slow ? end_of(stopped_ == io_status::ok ? source.last() : stopped_) : send_outcome::failed;
   note_prompt_read();
   reusable_ = may_reuse();
   if (!is_success(reply_.status)) {
     parts_.answer.take_head(reply_);
-    parts_.answer.keep_body(std::move(bytes));
+    parts_.answer.keep_body(std::move(bytes), std::move(held_));
     return send_outcome::own_error;
   }
   begin_answer();
@@ -339,6 +374,7 @@
   parts_.answer.events() = events;
   if (!parts_.answer.forward_events(std::exchange(whole, {})))
     return io_status::caller_left;
+  (void)held_.resize(events.unfinished_bytes());
   return io_status::ok;
 }
 
@@ -368,6 +404,13 @@
       whole.push_back(std::move(read));
     if (events.events() > before)
       note_written();
+    if (within_bounds && !held_.resize(size_of(whole) + events.unfinished_bytes())) {
+      io_status held = forward(whole, events); // frees what waiting would keep
+      if (held == io_status::ok)
+        held = hold(events.unfinished_bytes());
+      if (held != io_status::ok)
+        return end_of(held);
+    }
   }
   if (within_bounds && body.state() == body_state::slow)
     return end_of(source.last());
--- a/src/relay/impl/endpoint_exchange.hpp
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/admission.hpp"
 #include "gateway/impl/body_decoder.hpp"
 #include "gateway/impl/request_header.hpp"
 #include "relay/impl/admitted_request.hpp"
@@ -24,6 +25,7 @@
   std::size_t max_event{};         ///< of a stream
   std::size_t max_stream{};        ///< its body
   bool with_host{false};           ///< the other end is a host that passes on an endpoint's reply
+  held_bytes* memory{nullptr};     ///< counts what is buffered of the answer; null: nothing does
 };
 
 /// \brief Bounds what is read of a reply after the deadline of its request. What has arrived by
@@ -82,8 +84,8 @@
   endpoint_exchange(const parts& joined, const exchange_bounds& bounds, connection& link,
                     int sends);
 
-  /// \param request_text  header and body
-  [[nodiscard]] send_outcome run(std::string_view request_text);
+  /// \param head  header of the request
+  [[nodiscard]] send_outcome run(std::string_view head, std::string_view body);
 
   /// \returns whether the connection may carry another exchange
   [[nodiscard]] bool reusable() const noexcept { return reusable_; }
@@ -121,6 +123,10 @@
   /// \brief Lets the next events of a stream collect, if the host's load requires it.
   /// \returns why to stop, `ok` to go on
   [[nodiscard]] io_status collect_events();
+  /// \brief Counts the bytes that are buffered of the answer. While the limit does not allow them,
+  /// nothing is read from the endpoint.
+  /// \returns why not to read on; `timed_out`: the deadline of the request has passed
+  [[nodiscard]] io_status hold(std::size_t bytes);
   /// \returns the state of the body when it has ended or is too large
   [[nodiscard]] body_state read_body(body_decoder& body, std::string& bytes);
   [[nodiscard]] bool may_reuse();
@@ -140,7 +146,9 @@
   time_ms next_interruption_check_;
   std::optional<time_ms> overlap_end_;
   late_reading late_;
+  io_status stopped_{io_status::ok}; ///< why reading has stopped short of the memory
   response_head reply_;
+  held_bytes::guard held_;    ///< of the answer, while it is read and written
   bool link_used_{false};     ///< the connection has carried another request
   bool names_request_{false}; ///< the reply bears the id of this request
   bool answer_begun_{false};
@@ -148,9 +156,9 @@
   std::size_t rests_{0};
 };
 
-/// \returns the bytes of the request for the endpoint of `place`
+/// \returns the header of the request for the endpoint of `place`
 /// \param resume_behind  last event that the caller has received
-[[nodiscard]] std::string endpoint_request(const request_head& head, const std::string& body,
+[[nodiscard]] std::string endpoint_request(const request_head& head, std::size_t body_bytes,
                                            const admitted_request& as, const placement& place,
                                            std::optional<std::uint64_t> resume_behind,
                                            const wire_dialect& dialect, time_ms now);
--- a/src/relay/impl/forwarded_request.cpp
+++ b/src/relay/impl/forwarded_request.cpp
@@ -12,16 +12,16 @@
 
 } // namespace
 
-std::string forwarded_request(const request_head& head, const std::string& body,
+std::string forwarded_request(const request_head& head, std::size_t body_bytes,
                               const forwarded_terms& terms) {
   request_head sent = head;
   sent.fields.remove_hop_by_hop();
   sent.fields.remove("Content-Length");
-  if (!body.empty() || sent.method != "GET")
-    sent.fields.set("Content-Length", std::to_string(body.size()));
+  if (body_bytes > 0 || sent.method != "GET")
+    sent.fields.set("Content-Length", std::to_string(body_bytes));
   sent.fields.set(terms_field, std::to_string(terms.version) + separator +
                                    std::to_string(terms.time_left.count()));
-  return to_text(sent) + body;
+  return to_text(sent);
 }
 
 forwarded_terms take_forwarded_terms(header_fields& fields) {
--- a/src/relay/impl/forwarded_request.hpp
+++ b/src/relay/impl/forwarded_request.hpp
@@ -3,6 +3,7 @@
 #include "kernel/kernel.hpp"
 #include "relay/impl/message_head.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -14,8 +15,8 @@
   time_ms time_left;       ///< until its deadline
 };
 
-/// \returns the bytes of a request for another host
-[[nodiscard]] std::string forwarded_request(const request_head& head, const std::string& body,
+/// \returns the header of a request for another host
+[[nodiscard]] std::string forwarded_request(const request_head& head, std::size_t body_bytes,
                                             const forwarded_terms& terms);
 
 /// \brief Removes the terms from the header of a forwarded request.
--- a/src/relay/impl/http_frontend.cpp
+++ b/src/relay/impl/http_frontend.cpp
@@ -47,6 +47,7 @@
   arrives, ///< the request is incomplete
   refused, ///< the refusal has been written
   ends,    ///< the connection must be closed
+  drains,  ///< the same, after the rest of the refused body has been read
 };
 
 http_frontend::http_frontend(request_relay& relay, const wire_dialect& dialect,
@@ -104,6 +105,9 @@
       return;
     case screen_result::ends:
       return; // closed with `caller`
+    case screen_result::drains:
+      poll_.close_gracefully(std::move(caller));
+      return;
     }
   }
   caller->arriving = false;
@@ -118,8 +122,13 @@
 http_frontend::screen_result http_frontend::screen(caller_connection& caller,
                                                    preparing_requests::guard& guard) {
   const caller_limits limits = this->limits();
-  request_preview seen =
-      preview_request(caller.link.buffered(), limits.header_bytes, limits.body_bytes);
+  const std::size_t max_waited =
+      relay_.memory().limits().bounded() ? small_message_bytes : limits.body_bytes;
+  const auto preview = [&] {
+    return preview_request(caller.link.buffered(), limits.header_bytes, limits.body_bytes,
+                           max_waited);
+  };
+  request_preview seen = preview();
   while (seen.state == preview_state::arriving) {
     const io_status status = caller.link.fill(time_.now());
     caller.arriving = status == io_status::timed_out;
@@ -127,20 +136,25 @@
       return screen_result::arrives;
     if (status != io_status::ok)
       return screen_result::ends;
-    seen = preview_request(caller.link.buffered(), limits.header_bytes, limits.body_bytes);
+    seen = preview();
   }
   caller.arriving = false;
   if (seen.state == preview_state::other)
     return screen_result::serve;
-  request_relay::screening decision = relay_.screen(seen.head, caller.shed);
+  const bool large = seen.state == preview_state::large;
+  request_relay::screening decision = relay_.screen(seen.head, caller.shed, large);
   guard = std::move(decision.guard);
   if (decision.taken)
     return screen_result::serve;
   ++caller.requests;
   note_refused();
-  caller.link.consume(seen.bytes);
+  if (large)
+    caller.unread = seen.bytes - caller.link.buffered().size();
+  caller.link.consume(large ? caller.link.buffered().size() : seen.bytes);
   relay_.note_request(true);
   const bool written = caller.link.write_all(decision.refusal, time_.now()) == io_status::ok;
+  if (written && large)
+    return screen_result::drains;
   return written && !decision.ends_connection ? screen_result::refused : screen_result::ends;
 }
 
@@ -224,7 +238,11 @@
                              caller.requests,          idle, checked,  std::move(guard)};
     if (options_.from_hosts)
       request.forwarded = take_forwarded_terms(request.head.fields);
-    read_body(link, framing, limits, request, until_cut);
+    if (!read_body(link, framing, limits, request, until_cut)) {
+      const std::uint64_t size =
+          framing.body == body_framing::stated ? framing.bytes : limits.body_bytes;
+      return refuse_for_memory(caller, request.head, size);
+    }
     return relay_.serve(request);
   } catch (const error& reason) {
     log_.write(severity::info, "request_unreadable", {},
@@ -235,12 +253,28 @@
   return connection_action::close;
 }
 
-void http_frontend::read_body(connection& link, const message_framing& framing,
+connection_action http_frontend::refuse_for_memory(caller_connection& caller,
+                                                   const request_head& head, std::uint64_t most) {
+  const std::size_t buffered = caller.link.buffered().size();
+  caller.unread = most > buffered ? static_cast<std::size_t>(most) - buffered : 0;
+  (void)caller.link.write_all(relay_.refuse_for_memory(head),
+                              time_.now() + options_.connections.closing_timeout);
+  return connection_action::close;
+}
+
+bool http_frontend::read_body(connection& link, const message_framing& framing,
                               const caller_limits& limits, incoming_request& request,
                               caller_watch& until_cut) const {
   const time_ms until = time_.now() + options_.body_timeout;
   if (framing.body == body_framing::stated && framing.bytes > limits.body_bytes)
     throw error{error_kind::payload_too_large, "body", "is larger than allowed"};
+  request.held = relay_.memory().begin(held_message::body);
+  if (framing.body == body_framing::stated) {
+    const auto size = static_cast<std::size_t>(framing.bytes);
+    if (!request.held.resize(size))
+      return false;
+    request.body.reserve(size);
+  }
   if (framing.body != body_framing::none && request.head.fields.has("Expect") &&
       link.write_all("HTTP/1.1 100 Continue\r\n\r\n", until, &until_cut) != io_status::ok)
     throw error{error_kind::slow_caller, "body", "the caller does not read the interim response"};
@@ -251,6 +285,8 @@
     request.body.append(block.data(), body.read(block.data(), block.size()));
     if (request.body.size() > limits.body_bytes)
       throw error{error_kind::payload_too_large, "body", "is larger than allowed"};
+    if (framing.body == body_framing::chunked && !request.held.resize(request.body.size()))
+      return false;
   }
   if (body.state() == body_state::slow && source.last() == io_status::interrupted)
     throw error{error_kind::stopping, "body", "was incomplete when the host's grace period ended"};
@@ -258,6 +294,7 @@
     throw error{error_kind::slow_caller, "body", "did not arrive in time"};
   if (body.state() != body_state::whole)
     throw error{error_kind::malformed_request, "body", "is incomplete"};
+  return true;
 }
 
 } // namespace sedgechute
--- a/src/relay/impl/http_frontend.hpp
+++ b/src/relay/impl/http_frontend.hpp
@@ -55,8 +55,14 @@
   void serve(job& work);
   [[nodiscard]] connection_action answer_one(caller_connection& caller,
                                              preparing_requests::guard guard, load_check checked);
-  void read_body(connection& link, const message_framing& framing, const caller_limits& limits,
-                 incoming_request& request, caller_watch& until_cut) const;
+  /// \returns false when there is not enough memory for the body
+  [[nodiscard]] bool read_body(connection& link, const message_framing& framing,
+                               const caller_limits& limits, incoming_request& request,
+                               caller_watch& until_cut) const;
+  /// \brief Refuses a request whose body has not been read, at least not all of it.
+  /// \param most  maximum size of the rest of the body, including what is buffered
+  [[nodiscard]] connection_action refuse_for_memory(caller_connection& caller,
+                                                    const request_head& head, std::uint64_t most);
 
   request_relay& relay_;
   const wire_dialect& dialect_;
--- a/src/relay/impl/incoming_request.hpp
+++ b/src/relay/impl/incoming_request.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/admission.hpp"
 #include "relay/impl/connection.hpp"
 #include "relay/impl/forwarded_request.hpp"
 #include "relay/impl/message_head.hpp"
@@ -28,6 +29,7 @@
   load_check checked{};
   preparing_requests::guard preparing{};      ///< counts it until the first send
   std::optional<forwarded_terms> forwarded{}; ///< set when another host forwarded it
+  held_bytes::guard held{};                   ///< counts the bytes of the body
 };
 
 } // namespace sedgechute
--- a/src/relay/impl/request_preview.cpp
+++ b/src/relay/impl/request_preview.cpp
@@ -12,7 +12,7 @@
 } // namespace
 
 request_preview preview_request(std::string_view bytes, std::size_t max_header,
-                                std::size_t max_body) {
+                                std::size_t max_body, std::size_t max_waited) {
   request_preview seen;
   const std::size_t end = bytes.find(end_mark);
   if (end == std::string_view::npos) {
@@ -31,7 +31,9 @@
     if (seen.head.fields.has("Expect"))
       return seen;
     seen.bytes = header.size() + static_cast<std::size_t>(framing.bytes);
-    seen.state = bytes.size() < seen.bytes ? preview_state::arriving : preview_state::whole;
+    const preview_state incomplete =
+        framing.bytes > max_waited ? preview_state::large : preview_state::arriving;
+    seen.state = bytes.size() < seen.bytes ? incomplete : preview_state::whole;
   } catch (const error&) {
     seen.state = preview_state::other; // the thread that reads the request refuses it
   }
--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -7,7 +7,8 @@
 request_relay::request_relay(parts joined, const relay_options& options)
     : parts_{std::move(joined)}, options_{options}, connections_{parts_.time}, stop_{options.stop,
                                                                                      parts_.time},
-      retries_{options.retries}, admission_{parts_.pressure, options.pressure_retry, parts_.time} {
+      retries_{options.retries}, admission_{parts_.pressure, options.pressure_retry, parts_.time},
+      memory_{options.memory} {
   for (const auto result : {forward_result::served, forward_result::refused,
                             forward_result::unreachable, forward_result::abandoned})
     parts_.figures.add(metric::forwarded, {name_of(result)}, 0);
@@ -20,8 +21,8 @@
         silence_decision::no_endpoint, silence_decision::send_beside})
     parts_.figures.add(metric::silent_endpoints, {name_of(decision)}, 0);
   parts_.figures.add(metric::event_rests, {}, 0);
-  for (const auto cause :
-       {refusal_cause::overload, refusal_cause::open_requests, refusal_cause::preparing})
+  for (const auto cause : {refusal_cause::overload, refusal_cause::open_requests,
+                           refusal_cause::preparing, refusal_cause::memory})
     parts_.figures.add(metric::load_refusals, {name_of(cause), "", ""}, 0);
   for (const std::string_view result : {"first", "second", "none"})
     parts_.figures.add(metric::silent_sends, {result}, 0);
@@ -35,7 +36,8 @@
 // A refusal by the header alone saves the thread, the reservation of tokens and the log line, which
 // cost many times more. Requests that `admit` rejects are accepted here: a thread answers them with
 // the proper error.
-request_relay::screening request_relay::screen(const request_head& head, bool shed) {
+request_relay::screening request_relay::screen(const request_head& head, bool shed,
+                                                bool last_on_connection) {
   admitted_request admitted;
   try {
     admit(head, parts_.time.now(), parts_.dialect, parts_.config(), admitted);
@@ -53,7 +55,8 @@
   parts_.figures.add(metric::requests, {team, admitted.on_route->name, status});
   note_refused(admitted, *cause);
   const bool ends =
-      *cause == refusal_cause::overload || (parts_.pressure.busy_for && parts_.pressure.busy_for());
+      last_on_connection || *cause == refusal_cause::overload ||
+      (parts_.pressure.busy_for && parts_.pressure.busy_for());
   const error reason = full() && !ends
                            ? too_many_open()
                            : processor_used_up(admission_.retry_after(admitted, draw()));
@@ -62,6 +65,23 @@
           .ends_connection = ends};
 }
 
+// Callers that were refused together come back at different times.
+std::string request_relay::refuse_for_memory(const request_head& head) {
+  const auto least = static_cast<double>(options_.overload_retry_after.count());
+  const error reason{error_kind::no_capacity, "host",
+                     "the bodies of open requests take up the memory of this host",
+                     time_ms{static_cast<std::int64_t>(least * (1 + draw()))}};
+  admitted_request admitted;
+  try {
+    admit(head, parts_.time.now(), parts_.dialect, parts_.config(), admitted);
+  } catch (const error& other) {
+    return refusal_text(parts_.dialect, other, admitted.terms.id, true);
+  }
+  parts_.figures.add(metric::requests, {admitted.team_name(), admitted.on_route->name, "503"});
+  note_refused(admitted, refusal_cause::memory);
+  return refusal_text(parts_.dialect, reason, admitted.terms.id, true);
+}
+
 std::optional<refusal_cause> request_relay::screen_cause(const admitted_request& request,
                                                          bool shed) {
   if (shed && admission_.sheds(request))
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/admission.hpp"
 #include "prepaid/prepaid.hpp"
 #include "relay/impl/connection.hpp"
 #include "relay/impl/connection_pool.hpp"
@@ -61,6 +62,7 @@
   std::size_t max_buffered_body{std::size_t{8} << 20U}; ///< of an answer that is not a stream
   std::size_t max_event{std::size_t{1} << 20U};         ///< of a stream
   std::size_t max_stream{std::size_t{64} << 20U};
+  memory_division memory{}; ///< of the bytes of requests and answers
 };
 
 /// \brief Serves requests: finds the route, reserves tokens, chooses endpoints, sends, retries
@@ -109,7 +111,14 @@
   };
   /// \brief Decides by its header whether a request is accepted on a host under load.
   /// \param shed  `may_shed` was true for it
-  [[nodiscard]] screening screen(const request_head& head, bool shed);
+  /// \param last_on_connection  a refusal ends the connection, as the body has not been read
+  [[nodiscard]] screening screen(const request_head& head, bool shed, bool last_on_connection);
+
+  /// \brief Records the refusal of a request whose body does not fit into the memory.
+  /// \returns the complete response
+  [[nodiscard]] std::string refuse_for_memory(const request_head& head);
+  [[nodiscard]] held_bytes& memory() noexcept { return memory_; }
+  [[nodiscard]] const held_bytes& memory() const noexcept { return memory_; }
 
   /// \returns the number of requests that are being served
   [[nodiscard]] std::size_t open() const noexcept { return open_; }
@@ -160,6 +169,7 @@
   std::atomic<std::size_t> forwarded_open_{0};
   preparing_requests preparing_;
   request_admission admission_;
+  held_bytes memory_;
 };
 
 /// \returns a refusal by this host as a complete HTTP response
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -336,13 +336,16 @@
        .max_buffered_body = options.max_buffered_body,
        .max_event = options.max_event,
        .max_stream = options.max_stream,
-       .with_host = true},
+       .with_host = true,
+       .memory = &relay_.memory_},
       *link,
       admitted_.on_route->max_attempts};
   in_.preparing.end();
   ++possible_runs_;
-  const send_outcome end = one.run(forwarded_request(
-      in_.head, in_.body, {admitted_.config->version, admitted_.deadline - now()}));
+  const send_outcome end =
+      one.run(forwarded_request(in_.head, in_.body.size(),
+                                {admitted_.config->version, admitted_.deadline - now()}),
+              in_.body);
   if (end == send_outcome::not_run) {
     --possible_runs_;
     refused_by_host_ = true;
--- a/src/relay/impl/request_run_sends.cpp
+++ b/src/relay/impl/request_run_sends.cpp
@@ -204,11 +204,14 @@
       {.max_reply_head = options.max_reply_head,
        .max_buffered_body = options.max_buffered_body,
        .max_event = options.max_event,
-       .max_stream = options.max_stream},
+       .max_stream = options.max_stream,
+       .memory = &relay_.memory_},
       *link,
       static_cast<int>(sent_to_.size())};
-  const send_outcome end = run.run(endpoint_request(
-      in_.head, in_.body, admitted_, place, answer_.events().last_id(), parts.dialect, now()));
+  const send_outcome end =
+      run.run(endpoint_request(in_.head, in_.body.size(), admitted_, place,
+                               answer_.events().last_id(), parts.dialect, now()),
+              in_.body);
   if (run.rests() > 0)
     parts.figures.add(metric::event_rests, {}, static_cast<double>(run.rests()));
   if (run.reusable())
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -290,16 +290,23 @@
                   "sedgechute_load_refusals_total",
                   "Requests that this host refused because of load, by route and team. reason: "
                   "overload (of its processor), open_requests, preparing (the team's share of the "
-                  "requests in preparation is used up).",
+                  "requests in preparation is used up), memory (of the bodies of open requests).",
                   {"reason", "class", "team"},
                   entry},
+    metric_family{metric::held_bytes,
+                  gauge,
+                  "sedgechute_held_bytes",
+                  "Bytes of messages that this host holds. kind: bodies (of open requests), "
+                  "answers (that callers have not read).",
+                  {"kind"},
+                  entry},
 };
 
 constexpr bool in_order() {
   for (std::size_t i = 0; i < families.size(); ++i)
     if (static_cast<std::size_t>(families[i].id) != i)
       return false;
-  return families.size() == static_cast<std::size_t>(metric::load_refusals) + 1;
+  return families.size() == static_cast<std::size_t>(metric::held_bytes) + 1;
 }
 static_assert(in_order(), "the table has one row for each metric, in the order of the enumeration");
 
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -67,6 +67,7 @@
   silent_sends,
   event_rests,
   load_refusals,
+  held_bytes,
 };
 
 inline constexpr std::size_t most_labels = 3;
