--- a/src/admission/impl/held_bytes.hpp
+++ b/src/admission/impl/held_bytes.hpp
@@ -29,6 +29,8 @@
     /// \brief Changes the size of the message.
     /// \returns false when the limit does not allow it; the former size then still counts
     [[nodiscard]] bool resize(std::size_t bytes) noexcept;
+    /// \returns whether it counts a message
+    [[nodiscard]] bool counts() const noexcept { return in_ != nullptr; }
     void release() noexcept;
 
    private:
--- a/src/entry/impl/entry_settings.hpp
+++ b/src/entry/impl/entry_settings.hpp
@@ -28,8 +28,8 @@
   double processor_share{1};  ///< of a core, that this host may use
   time_ms event_latency{0};   ///< bound on the delay of a stream's events; 0: none
   std::optional<double> memory_mb; ///< of this host's machine; nothing: unbounded
-  region_map regions;         ///< of the data centres
-  cold_start_bounds cold_start; ///< on requests to endpoints that have just started
+  region_map regions;              ///< of the data centres
+  cold_start_bounds cold_start;    ///< on requests to endpoints that have just started
 };
 
 /// \returns the name under which the host keeps accounts and is known to others: with its address
--- a/src/relay/impl/caller_poll.cpp
+++ b/src/relay/impl/caller_poll.cpp
@@ -192,8 +192,10 @@
 }
 
 void caller_poll::wait_for_request(std::unique_ptr<caller_connection> caller) {
-  if (!caller->arriving)
+  if (!caller->arriving) {
     caller->since = time_.now();
+    caller->held = {};
+  }
   caller->link.trim();
   park(std::move(caller));
 }
@@ -202,6 +204,7 @@
   caller->closing = &closing_;
   ++closing_;
   caller->since = time_.now();
+  caller->held = {};
   caller->drained_by = caller->since + options_.drain_timeout;
   caller->link.consume(caller->link.buffered().size());
   caller->link.trim();
--- a/src/relay/impl/caller_poll.hpp
+++ b/src/relay/impl/caller_poll.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/admission.hpp"
 #include "relay/impl/connection.hpp"
 #include "relay/impl/planned_stop.hpp"
 #include "telemetry/telemetry.hpp"
@@ -25,14 +26,15 @@
 
   Poco::Net::StreamSocket socket;
   connection link;
-  std::size_t requests{0}; ///< received on this connection
-  time_ms since;           ///< when the current wait began
-  bool arriving{false};    ///< part of a request has been read
-  bool overdue{false};     ///< the rest did not arrive within `arriving_timeout`
-  bool shed{false};        ///< the arriving request is to be refused
-  bool registered{false};  ///< its descriptor has been added to the epoll set
-  std::size_t unread{0};   ///< while closing: bytes that a refused body may still have
-  time_ms drained_by{};    ///< while closing with such bytes: when to close at the latest
+  std::size_t requests{0};  ///< received on this connection
+  time_ms since;            ///< when the current wait began
+  bool arriving{false};     ///< part of a request has been read
+  bool overdue{false};      ///< the rest did not arrive within `arriving_timeout`
+  bool shed{false};         ///< the arriving request is to be refused
+  bool registered{false};   ///< its descriptor has been added to the epoll set
+  held_bytes::guard held{}; ///< counts the body of the arriving request
+  std::size_t unread{0};    ///< while closing: bytes that a refused body may still have
+  time_ms drained_by{};     ///< while closing with such bytes: when to close at the latest
   std::atomic<std::size_t>& count;
   std::atomic<std::size_t>* closing{nullptr}; ///< counter of closing connections; null before
 };
--- a/src/relay/impl/connection.cpp
+++ b/src/relay/impl/connection.cpp
@@ -188,7 +188,7 @@
 /// \returns the number of bytes sent; -1 with `errno` when there are none
 ssize_t send_both(int descriptor, std::string_view first, std::string_view second) noexcept {
   // `sendmsg` takes pointers to non-const bytes, and only reads them.
-  std::array<iovec, 2> parts{{{const_cast<char*>(first.data()), first.size()}, // NOLINT
+  std::array<iovec, 2> parts{{{const_cast<char*>(first.data()), first.size()},     // NOLINT
                               {const_cast<char*>(second.data()), second.size()}}}; // NOLINT
   msghdr message{};
   message.msg_iov = parts.data();
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -339,7 +339,8 @@
   std::string bytes;
   const body_state end = read_body(body, bytes);
   if (end != body_state::whole)
-    return end == body_state::slow ? end_of(stopped_ == io_status::ok ? source.last() : stopped_) : send_outcome::failed;
+    return end == body_state::slow ? end_of(stopped_ == io_status::ok ? source.last() : stopped_)
+                                   : send_outcome::failed;
   note_prompt_read();
   reusable_ = may_reuse();
   if (!is_success(reply_.status)) {
--- a/src/relay/impl/http_frontend.cpp
+++ b/src/relay/impl/http_frontend.cpp
@@ -12,6 +12,10 @@
 
 constexpr std::size_t read_block = 16 * 1024;
 
+// On a host with a memory limit, larger bodies are read by a thread into a buffer of their size:
+// the growing buffer of a connection takes up to three times as much.
+constexpr std::size_t max_waited_body = 128 * 1024;
+
 constexpr std::size_t forwarded_field_bytes = 128; // of the field that hosts add
 
 // Counts a request until its destruction.
@@ -123,13 +127,20 @@
                                                    preparing_requests::guard& guard) {
   const caller_limits limits = this->limits();
   const std::size_t max_waited =
-      relay_.memory().limits().bounded() ? small_message_bytes : limits.body_bytes;
+      relay_.memory().limits().bounded() ? max_waited_body : limits.body_bytes;
   const auto preview = [&] {
     return preview_request(caller.link.buffered(), limits.header_bytes, limits.body_bytes,
                            max_waited);
   };
   request_preview seen = preview();
   while (seen.state == preview_state::arriving) {
+    if (seen.body_bytes > 0 && !caller.held.counts()) {
+      caller.held = relay_.memory().begin(held_message::body);
+      if (!caller.held.resize(seen.body_bytes)) {
+        seen.state = preview_state::large; // a thread tries again, and refuses it
+        break;
+      }
+    }
     const io_status status = caller.link.fill(time_.now());
     caller.arriving = status == io_status::timed_out;
     if (caller.arriving)
@@ -148,6 +159,7 @@
     return screen_result::serve;
   ++caller.requests;
   note_refused();
+  caller.held = {};
   if (large)
     caller.unread = seen.bytes - caller.link.buffered().size();
   caller.link.consume(large ? caller.link.buffered().size() : seen.bytes);
@@ -238,6 +250,8 @@
                              caller.requests,          idle, checked,  std::move(guard)};
     if (options_.from_hosts)
       request.forwarded = take_forwarded_terms(request.head.fields);
+    request.held =
+        caller.held.counts() ? std::move(caller.held) : relay_.memory().begin(held_message::body);
     if (!read_body(link, framing, limits, request, until_cut)) {
       const std::uint64_t size =
           framing.body == body_framing::stated ? framing.bytes : limits.body_bytes;
@@ -268,7 +282,6 @@
   const time_ms until = time_.now() + options_.body_timeout;
   if (framing.body == body_framing::stated && framing.bytes > limits.body_bytes)
     throw error{error_kind::payload_too_large, "body", "is larger than allowed"};
-  request.held = relay_.memory().begin(held_message::body);
   if (framing.body == body_framing::stated) {
     const auto size = static_cast<std::size_t>(framing.bytes);
     if (!request.held.resize(size))
@@ -294,6 +307,7 @@
     throw error{error_kind::slow_caller, "body", "did not arrive in time"};
   if (body.state() != body_state::whole)
     throw error{error_kind::malformed_request, "body", "is incomplete"};
+  link.trim(); // the buffer of a body that was waited for is as large as the body
   return true;
 }
 
--- a/src/relay/impl/request_preview.cpp
+++ b/src/relay/impl/request_preview.cpp
@@ -30,7 +30,8 @@
     seen.head = parse_request_head(header);
     if (seen.head.fields.has("Expect"))
       return seen;
-    seen.bytes = header.size() + static_cast<std::size_t>(framing.bytes);
+    seen.body_bytes = static_cast<std::size_t>(framing.bytes);
+    seen.bytes = header.size() + seen.body_bytes;
     const preview_state incomplete =
         framing.bytes > max_waited ? preview_state::large : preview_state::arriving;
     seen.state = bytes.size() < seen.bytes ? incomplete : preview_state::whole;
--- a/src/relay/impl/request_preview.hpp
+++ b/src/relay/impl/request_preview.hpp
@@ -20,8 +20,9 @@
 /// \brief The first request in a connection's buffer.
 struct request_preview {
   preview_state state{preview_state::arriving};
-  request_head head;   ///< only when the request is whole or large
-  std::size_t bytes{}; ///< size of header and body; only when the request is whole or large
+  request_head head;        ///< only when the request is whole or large
+  std::size_t bytes{};      ///< size of header and body; only when the request is whole or large
+  std::size_t body_bytes{}; ///< stated size of the body; 0 until the header is whole
 };
 
 /// \brief Examines the first request in `bytes` without consuming it.
--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -5,10 +5,9 @@
 namespace sedgechute {
 
 request_relay::request_relay(parts joined, const relay_options& options)
-    : parts_{std::move(joined)}, options_{options}, connections_{parts_.time}, stop_{options.stop,
-                                                                                     parts_.time},
-      retries_{options.retries}, admission_{parts_.pressure, options.pressure_retry, parts_.time},
-      memory_{options.memory} {
+    : parts_{std::move(joined)}, options_{options},
+      connections_{parts_.time}, stop_{options.stop, parts_.time}, retries_{options.retries},
+      admission_{parts_.pressure, options.pressure_retry, parts_.time}, memory_{options.memory} {
   for (const auto result : {forward_result::served, forward_result::refused,
                             forward_result::unreachable, forward_result::abandoned})
     parts_.figures.add(metric::forwarded, {name_of(result)}, 0);
@@ -37,7 +36,7 @@
 // cost many times more. Requests that `admit` rejects are accepted here: a thread answers them with
 // the proper error.
 request_relay::screening request_relay::screen(const request_head& head, bool shed,
-                                                bool last_on_connection) {
+                                               bool last_on_connection) {
   admitted_request admitted;
   try {
     admit(head, parts_.time.now(), parts_.dialect, parts_.config(), admitted);
@@ -54,9 +53,8 @@
   constexpr std::string_view status = "503";
   parts_.figures.add(metric::requests, {team, admitted.on_route->name, status});
   note_refused(admitted, *cause);
-  const bool ends =
-      last_on_connection || *cause == refusal_cause::overload ||
-      (parts_.pressure.busy_for && parts_.pressure.busy_for());
+  const bool ends = last_on_connection || *cause == refusal_cause::overload ||
+                    (parts_.pressure.busy_for && parts_.pressure.busy_for());
   const error reason = full() && !ends
                            ? too_many_open()
                            : processor_used_up(admission_.retry_after(admitted, draw()));
--- a/tests/admission/held_bytes_test.cpp
+++ b/tests/admission/held_bytes_test.cpp
@@ -40,6 +40,15 @@
   CHECK_FALSE(divide_memory(std::nullopt).bounded());
 }
 
+// A limit below the usual demand of a small machine would reject its everyday requests.
+TEST_CASE("600 open requests with bodies of 75 kB fit into a machine of 88 MB") {
+  held_bytes held{divide_memory(88)};
+  std::vector<held_bytes::guard> open;
+  for (int i = 0; i < 600; ++i)
+    open.push_back(body_of(held, 75'000, true));
+  CHECK(held.held(held_message::body) == 600 * 75'000);
+}
+
 // Many large bodies at once must not take the place of small requests.
 TEST_CASE("beyond the limit of bodies only small ones are accepted, within the reserve") {
   held_bytes held{small_limits};
--- a/tests/entry/entry_settings_test.cpp
+++ b/tests/entry/entry_settings_test.cpp
@@ -29,6 +29,7 @@
   CHECK(reading.settings.config_bound == time_ms{2000});
   CHECK(reading.settings.drain_bound == time_ms{2000});
   CHECK(reading.settings.processor_share == 1);
+  CHECK_FALSE(reading.settings.memory_mb);
   REQUIRE(reading.unknown.size() == 1);
   CHECK(reading.unknown.front() == "new");
 }
@@ -164,7 +165,7 @@
   const settings_reading reading = check_entry_settings(
       "file", R"({"host":7,"data_centre":"","callers":"10.0.0.1","peers":"h.example:1",
        "status":"127.0.0.1:3","grace_s":"8","retry_ratio":-1,"retry_ratio":2,"retry_window_s":0,
-       "processor_share":1e300,"a/b":1})");
+       "processor_share":1e300,"memory_mb":0,"a/b":1})");
   const std::vector<std::pair<std::string, std::string>> expected{
       {"file /retry_ratio", "stands there twice"},
       {"file /host", "is no text"},
@@ -175,7 +176,8 @@
       {"file /grace_s", "is not a number"},
       {"file /retry_ratio", "is -1, not within 0 and 100"},
       {"file /retry_window_s", "must be above 0"},
-      {"file /processor_share", "is 1e+300, not within 0.001 and 1024"}};
+      {"file /processor_share", "is 1e+300, not within 0.001 and 1024"},
+      {"file /memory_mb", "is 0, not within 16 and 16777216"}};
   REQUIRE(reading.faults.size() == expected.size());
   for (std::size_t i = 0; i < expected.size(); ++i) {
     CHECK(reading.faults[i].where == expected[i].first);
