--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -2,9 +2,9 @@
 
 /// \file
 /// \brief Admission control: which of the requests that compete for too little capacity are served,
-/// when the callers of the others are told to return, how an overloaded host saves processor time on
-/// the streams that it serves, and how many bytes of messages a host holds. Pure: no threads, no I/O,
-/// virtual time.
+/// when the callers of the others are told to return, how an overloaded host saves processor time
+/// on the streams that it serves, and how many bytes of messages a host holds. Pure: no threads, no
+/// I/O, virtual time.
 
 #include "admission/impl/capacity_shares.hpp"
 #include "admission/impl/event_grouping.hpp"
