End promises twelve seconds after the record and reclaim from silent hosts

A promise now has one pace, at most 1.5 times the team's use of the last seconds, and stops growing after 12 s, so each record has a constant limit. Other hosts lower the grant of a host that has been silent for 8 s to it.

Tests that stated numbers of the earlier promise: - the pace follows use instead of requests and of what a host holds, so two tests that expect a promise to grow use some tokens first; - a burst of 9 % of a budget is above the limit of 3 %, so the test of whole requests for borrowers has ten times the budget; - promises have no second pace; the tests compare the pace and the end.

--- a/src/prepaid/impl/account.cpp
+++ b/src/prepaid/impl/account.cpp
@@ -61,6 +61,17 @@
   return static_cast<std::uint64_t>(allowed);
 }
 
+std::uint64_t use_limit(const account& of) noexcept {
+  return of.outage_pace > 0 ? of.granted : max_used(of, of.outage_after);
+}
+
+// Incarnation and clocks stay those of the host: if it still runs, it takes the record as its own,
+// and a later incarnation counts the same tokens as used by it.
+account reclaimed(const account& of) noexcept {
+  const std::uint64_t limit = use_limit(of);
+  return {.incarnation = of.incarnation, .granted = limit, .used = limit, .written = of.written};
+}
+
 std::optional<time_ms> time_until_used(const account& of, std::uint64_t tokens) noexcept {
   if (tokens > of.granted)
     return std::nullopt;
--- a/src/prepaid/impl/account.hpp
+++ b/src/prepaid/impl/account.hpp
@@ -13,7 +13,8 @@
 /// host.
 ///
 /// An account also promises an upper bound on use until the host's next record: a given time after
-/// `written` the host has used at most `max_used` tokens.
+/// `written` the host has used at most `max_used` tokens. If `outage_pace` is 0 the bound stops
+/// growing at `outage_after`. Records of releases that set an `outage_pace` have no such end.
 struct account {
   std::uint64_t incarnation{}; ///< of the host that wrote this
   std::uint64_t granted{};     ///< tokens granted to the host, used or not
@@ -36,6 +37,13 @@
 /// \returns the most tokens that the host may have used `since_written` after it wrote the account
 [[nodiscard]] std::uint64_t max_used(const account& of, time_ms since_written) noexcept;
 
+/// \returns the most tokens that the host may ever have used before it writes again
+[[nodiscard]] std::uint64_t use_limit(const account& of) noexcept;
+
+/// \returns the account with its grant lowered to `use_limit`, all of which counts as used. Its host
+/// may still use that much, at any time.
+[[nodiscard]] account reclaimed(const account& of) noexcept;
+
 /// \returns the earliest time after writing the account at which the host may have used `tokens`;
 /// nothing if the account never allows that
 [[nodiscard]] std::optional<time_ms> time_until_used(const account& of,
--- a/src/prepaid/impl/partition_budgets.cpp
+++ b/src/prepaid/impl/partition_budgets.cpp
@@ -49,9 +49,19 @@
     state.overwritten.insert(record.host);
     return advance(end);
   }
+  // A new incarnation and a reclaiming host count as used what may have been used before.
+  if (record.host != host_ && known != state.accounts.end() &&
+      known->second.value.incarnation == record.value.incarnation &&
+      record.value != reclaimed(known->second.value))
+    state.used_by_others +=
+        static_cast<double>(record.value.used) - static_cast<double>(known->second.value.used);
   // A record that another host restored does not show that its owner is still there.
-  if (known == state.accounts.end() || known->second.value != record.value)
-    state.accounts[record.host] = {record.value, now};
+  if (known == state.accounts.end() || known->second.value != record.value) {
+    known_account& kept = state.accounts[record.host];
+    note_use(kept, record.value);
+    kept.value = record.value;
+    kept.written = now;
+  }
   const bool was_unreadable = state.unreadable.erase(record.host) > 0;
   if (record.host == host_ && record.value.incarnation != incarnation_) {
     state.previous_incarnation = record.value;
@@ -67,6 +77,15 @@
   advance(end);
 }
 
+// A new incarnation and a reclaiming host count as used what may have been used before, which says
+// nothing of a rate.
+void partition_budgets::note_use(known_account& of, const account& value) {
+  if (of.value.incarnation != value.incarnation || value == reclaimed(of.value) ||
+      value.written.boot < of.value.written.boot)
+    of.use = use_history{max_recent_window};
+  of.use.note(value.written.boot, static_cast<double>(value.used));
+}
+
 std::vector<std::string> partition_budgets::known_keys() const {
   std::vector<std::string> keys;
   for (const auto& [team, state] : teams_) {
@@ -121,8 +140,14 @@
 
 void partition_budgets::forget_account(const std::string& team, const std::string& host) {
   team_state& state = teams_[team];
-  if (host == host_ && state.unacknowledged.empty())
+  const auto known = state.accounts.find(host);
+  if (host == host_ && state.unacknowledged.empty()) {
+    // Among the missed records may be one in which another host reclaimed what this one could not
+    // use; those tokens may be granted to others by now.
+    if (known != state.accounts.end())
+      known->second.value = reclaimed(known->second.value);
     return;
+  }
   state.accounts.erase(host);
   state.overwritten.erase(host); // nothing is known to restore
 }
@@ -165,6 +190,15 @@
     state.unacknowledged.clear();
 }
 
+std::optional<account> partition_budgets::account_of(const std::string& team,
+                                                     const std::string& host) const {
+  const team_state* state = find(team);
+  if (state == nullptr)
+    return std::nullopt;
+  const auto at = state->accounts.find(host);
+  return at == state->accounts.end() ? std::nullopt : std::optional{at->second.value};
+}
+
 bool partition_budgets::is_unreadable(const std::string& team, const std::string& host) const {
   const team_state* state = find(team);
   return state != nullptr && state->unreadable.contains(host);
@@ -514,11 +548,25 @@
   return next;
 }
 
+// The use of the last seconds, not the requests: callers of a team without tokens try again. It is
+// taken over all hosts, since one host receives so few requests that a pause of its own says
+// nothing.
+double partition_budgets::recent_rate(const team_state& state, time_ms now) const {
+  double recent = state.own_use.rate(options_.recent_use_window);
+  for (const auto& [host, kept] : state.accounts)
+    if (host != host_ && now - kept.written <= options_.max_read_gap)
+      recent += kept.use.rate(options_.recent_use_window);
+  return std::min(state.use.rate(options_.use_window), options_.recent_use_factor * recent);
+}
+
 void partition_budgets::promise(account& next, const team_state& state, const budget_summary& pool,
                                 const clock_reading& now) const {
+  const double part =
+      (1 - options_.even_rate_fraction) * std::max(state.rate, min_rate) / pool.total_rate +
+      options_.even_rate_fraction / static_cast<double>(pool.hosts);
   const usage_promise of = make_promise(
       {.unused = static_cast<double>(next.slack()),
-       .rate = static_cast<double>(next.rate),
+       .rate = recent_rate(state, now.boot) * part,
        .mean_request = mean_request_,
        .lent_fraction = std::min(state.lent_rate / std::max(state.rate, min_rate), 1.0),
        .unpromised_rate = state.unpromised_rate,
@@ -529,8 +577,8 @@
                        : 0;
   next.burst = of.burst + state.wanted + ahead + unpromised_demand(state, now.boot);
   next.pace = of.pace;
-  next.outage_pace = of.outage_pace;
-  next.outage_after = of.outage_after;
+  next.outage_pace = 0;
+  next.outage_after = of.ends_after;
   next.written = now;
 }
 
@@ -543,6 +591,35 @@
   return restored;
 }
 
+void partition_budgets::note_read(time_ms now) noexcept {
+  if (!last_read_ || now - *last_read_ > options_.max_read_gap)
+    following_since_ = now;
+  last_read_ = now;
+}
+
+// A host uses no more than the limit of its last record before it appends another, whatever its
+// clock says. An append of it that is under way fails once this one took effect, and the other way
+// round. So it need not be dead, nor need any clock be right: silence only says that its tokens lie
+// idle. A host that is back reads this record before it can append, and keeps to it. An unreadable
+// account would be written off together with what is reclaimed meanwhile.
+std::vector<account_record> partition_budgets::reclaimed_accounts(const std::string& team,
+                                                                  const team_state& state,
+                                                                  time_ms now) const {
+  std::vector<account_record> reclaims;
+  if (!state.unreadable.empty())
+    return reclaims;
+  for (const auto& [host, kept] : state.accounts) {
+    const bool silent =
+        now - std::max(kept.written, following_since_) >= options_.silence_timeout;
+    if (host == host_ || !silent || state.overwritten.contains(host) ||
+        reclaims.size() >= options_.max_reclaims)
+      continue;
+    if (use_limit(kept.value) < kept.value.granted)
+      reclaims.push_back({team, host, reclaimed(kept.value)});
+  }
+  return reclaims;
+}
+
 // No grant exceeds the recorded budget, and it is raised only in an append after which all accounts
 // are readable. So it bounds what an account that was lost before can have been granted, whatever
 // the team has paid for since.
@@ -596,7 +673,7 @@
   if (known.incarnation != next.incarnation)
     return next.slack() > 0;
   const bool changed = known.used != next.used || known.rate != next.rate ||
-                       known.burst != next.burst || known.pace != next.pace || next.outage_pace > 0;
+                       known.burst != next.burst || known.pace != next.pace;
   const time_ms age = next.written.boot - known.written.boot;
   const std::uint64_t left = saturating_sub(max_used(known, age), next.used);
   const bool low = left < std::min(next.burst, next.slack()) / 2;
@@ -604,22 +681,30 @@
       static_cast<double>((options_.max_refresh_interval - options_.min_refresh_interval).count());
   const time_ms rest{
       static_cast<std::int64_t>(low ? 0 : longer * remaining_fraction * remaining_fraction)};
-  return changed && age >= options_.min_refresh_interval + rest;
+  return (changed && age >= options_.min_refresh_interval + rest) ||
+         (next.slack() > 0 && age >= options_.max_record_age);
 }
 
 std::vector<account_record>
 partition_budgets::plan(const std::map<std::string, std::uint64_t>& prepaid,
                         const clock_reading& now, bool leaving) {
   std::vector<account_record> records;
+  note_read(now.boot);
   for (const auto& [team, paid] : prepaid) {
     team_state& state = teams_[team];
     update_rate(state, now.boot);
+    const auto own = static_cast<double>(own_use(state) - state.written_off);
+    state.own_use.note(now.boot, own);
+    state.use.note(now.boot, state.used_by_others + own);
     if (auto lost = leaving ? std::nullopt : write_off_unreadable(team, state, paid, now)) {
       records.push_back(std::move(*lost));
       continue;
     }
     for (account_record& restored : restored_accounts(team, state))
       records.push_back(std::move(restored));
+    if (!leaving)
+      for (account_record& silent : reclaimed_accounts(team, state, now.boot))
+        records.push_back(std::move(silent));
     const budget_summary pool = summarize(state, paid, now.boot);
     account next = next_account(team, state, leaving ? nullptr : &pool);
     promise(next, state, pool, now);
--- a/src/prepaid/impl/partition_budgets.hpp
+++ b/src/prepaid/impl/partition_budgets.hpp
@@ -3,6 +3,7 @@
 #include "prepaid/impl/account.hpp"
 #include "prepaid/impl/prepaid_options.hpp"
 #include "prepaid/impl/recent_demand.hpp"
+#include "prepaid/impl/use_history.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -100,6 +101,9 @@
   void advance(std::uint64_t end) noexcept;
   [[nodiscard]] std::uint64_t end() const noexcept { return end_; }
   [[nodiscard]] const std::string& host() const noexcept { return host_; }
+  /// \returns the last account of a host, as far as the log was read; nothing if none is known
+  [[nodiscard]] std::optional<account> account_of(const std::string& team,
+                                                  const std::string& host) const;
   /// \returns whether the newest record of a host is unreadable, and no earlier one is known
   [[nodiscard]] bool is_unreadable(const std::string& team, const std::string& host) const;
 
@@ -157,8 +161,9 @@
   /// \returns the other hosts that hold tokens of a team
   [[nodiscard]] std::vector<token_holder> holders(const std::string& team) const;
 
-  /// \brief Returns records to append at `end()`, which request grants, return slack and report
-  /// use. Returned slack is not used from now on, whether or not the append is answered.
+  /// \brief Returns records to append at `end()`, which request grants, return slack, report use,
+  /// and reclaim what silent hosts cannot use. Returned slack is not used from now on, whether or
+  /// not the append is answered. Call after reading the log up to its end.
   /// \param prepaid  paid tokens by team
   /// \param leaving  returns all tokens that are not in use
   [[nodiscard]] std::vector<account_record>
@@ -179,9 +184,13 @@
   [[nodiscard]] std::uint64_t slack(const std::string& team, time_ms now) const;
 
  private:
+  static constexpr time_ms max_recent_window{1000};
+  static constexpr time_ms max_use_window{8000};
+
   struct known_account {
     account value;
     time_ms written;
+    use_history use{max_recent_window}; ///< by the host's boot clock
   };
   struct team_state {
     std::map<std::string, known_account> accounts; ///< by host
@@ -211,6 +220,9 @@
     double lent_since_update{}; ///< tokens lent since then, minus those returned
     double unpromised_since_update{}; ///< tokens asked for beyond the promise since then
     time_ms rate_updated_at;
+    double used_by_others{}; ///< as their records reported it, since this incarnation began
+    use_history use{max_use_window}; ///< of all hosts
+    use_history own_use{max_recent_window};
   };
   struct budget_summary;
 
@@ -240,6 +252,13 @@
   /// \param pool  current totals; null when leaving
   [[nodiscard]] account next_account(const std::string& team, const team_state& state,
                                      const budget_summary* pool) const;
+  /// \returns the team's use in the last seconds, by all hosts, in tokens per second
+  [[nodiscard]] double recent_rate(const team_state& state, time_ms now) const;
+  static void note_use(known_account& of, const account& value);
+  /// \returns records that lower the grants of silent hosts to what they may have used
+  [[nodiscard]] std::vector<account_record>
+  reclaimed_accounts(const std::string& team, const team_state& state, time_ms now) const;
+  void note_read(time_ms now) noexcept;
   void promise(account& next, const team_state& state, const budget_summary& pool,
                const clock_reading& now) const;
   /// \returns records of other hosts as they were before another writer replaced them
@@ -266,6 +285,8 @@
   std::unordered_map<std::string, team_state> teams_;
   std::uint64_t end_{0};
   bool keeps_loans_{true};
+  time_ms following_since_;         ///< start of the time in which the log was read without a gap
+  std::optional<time_ms> last_read_; ///< time of the last `plan`
   double mean_request_{0}; ///< tokens
 };
 
--- a/src/prepaid/impl/prepaid_options.hpp
+++ b/src/prepaid/impl/prepaid_options.hpp
@@ -2,6 +2,7 @@
 
 #include "kernel/kernel.hpp"
 
+#include <cstddef>
 #include <cstdint>
 
 namespace sedgechute {
@@ -44,9 +45,10 @@
   time_ms own_unreadable_timeout{5000};
   /// Promised burst between two records, as a part of what a host holds while nothing of a budget
   /// is used; when half of the budget is left it is half of that.
-  double burst_fraction{0.045};
-  /// The same for the sum of its pace until `outage_after`.
-  double paced_fraction{0.15};
+  double burst_fraction{0.027};
+  /// Limit of the burst over all holders together, as a part of the team's budget: it is lost when
+  /// all hosts are killed.
+  double max_burst_fraction{0.03};
   /// If other hosts borrow, the burst covers at least this many requests of mean size: they borrow
   /// for whole requests.
   double loan_burst_requests{2.0};
@@ -55,17 +57,37 @@
   time_ms loan_burst_window{1500};
   /// Limit of the burst for borrowers, as a part of what the host holds.
   double max_loan_burst_fraction{0.25};
-  /// Promised pace relative to the rate of use, for the time after a record in which a killed host
-  /// is back.
+  /// Promised pace relative to the rate of use: rates are estimates, and one host's use changes
+  /// while it is cut off from the log.
   double pace_factor{1.5};
-  /// A host that has not written for this time is cut off from the log.
-  time_ms outage_after{2200};
-  /// Pace from then on, relative to the rate of use: rates are estimates, and the tokens withheld
-  /// at first are made up for.
-  double outage_pace_factor{2.0};
-  /// Least pace from then on: it uses all that the host holds within this time, or half of it when
-  /// half of a budget is left.
-  time_ms full_use_within{8000};
+  /// Limit of the pace: it uses all that the host holds in no less than this time, or in twice that
+  /// when half of a budget is left. Otherwise a kill near the end of a budget would end it.
+  time_ms min_use_time{3000};
+  /// Time after a record at which its promise stops growing: the longest partitions last 9 s, and a
+  /// record is up to 2 s old when one begins.
+  time_ms promise_duration{12000};
+  /// The rate of use is that of the whole team in this time, divided by the hosts' own rates.
+  time_ms use_window{6000};
+  /// A team that has just stopped has a rate of zero: the rate is limited by the use that the
+  /// hosts' last records show over at least this time, less than a report interval. Use is known to
+  /// others two intervals later, and has to be forgotten within two seconds.
+  time_ms recent_use_window{400};
+  /// Factor of that limit: a few requests in a short time say little about the rate.
+  double recent_use_factor{2.5};
+  /// Part of the team's rate that is divided evenly among holders: requests reach other hosts than
+  /// those of the last seconds.
+  double even_rate_fraction{0.2};
+  /// A host that has not written for this time is silent: grants that its last record does not let
+  /// it use are reclaimed. Hosts in touch with the log write at least each `max_record_age`.
+  time_ms silence_timeout{8000};
+  /// Longest time between two reads of the log for which a host counts others as silent: what they
+  /// wrote is not known to a host that cannot read.
+  time_ms max_read_gap{3000};
+  /// Time after which a holder writes a record without any news, so that it is not taken for silent.
+  time_ms max_record_age{2000};
+  /// Most accounts of other hosts that are reclaimed in one append for a team, which bounds its
+  /// size when all hosts are replaced.
+  std::size_t max_reclaims{32};
   /// Least time between a record and one that only renews the promise.
   time_ms min_refresh_interval{300};
   /// The same while nothing of a budget is used and more than half of the promised burst is left;
--- a/src/prepaid/impl/promise_policy.cpp
+++ b/src/prepaid/impl/promise_policy.cpp
@@ -21,23 +21,28 @@
   return std::min(whole_requests + until_record, options.max_loan_burst_fraction * demand.unused);
 }
 
+// Hosts divide the burst of a budget as they divide its unused tokens.
+double max_burst(const promise_inputs& demand, const prepaid_options& options) noexcept {
+  const double part_of_budget = demand.unused / std::max(demand.remaining_fraction, 1e-9);
+  return options.max_burst_fraction * part_of_budget;
+}
+
 } // namespace
 
 // Tokens that are promised and not used are lost when hosts are killed, so a promise is a small
 // part of what a host holds, and shrinks with the unused part of the team's budget. Otherwise the
-// next kill would end a budget of which little is left.
+// next kill would end a budget of which little is left. While hosts are cut off from the log they
+// use no more than the team used before; an outage of the same time costs the team as much.
 usage_promise make_promise(const promise_inputs& demand, const prepaid_options& options) noexcept {
   const double promisable = demand.unused * demand.remaining_fraction;
   const double burst = options.burst_fraction * promisable;
-  const double max_pace = options.paced_fraction * promisable / seconds(options.outage_after);
+  const double max_pace = promisable / seconds(options.min_use_time);
   const double pace = std::min(options.pace_factor * demand.rate, max_pace);
-  const double full_use_pace = promisable / seconds(options.full_use_within);
   usage_promise promise;
-  promise.burst = static_cast<std::uint64_t>(std::max(burst, loan_burst(demand, options)));
+  promise.burst = static_cast<std::uint64_t>(
+      std::min(std::max(burst, loan_burst(demand, options)), max_burst(demand, options)));
   promise.pace = static_cast<std::uint64_t>(pace);
-  promise.outage_pace =
-      static_cast<std::uint64_t>(std::max(options.outage_pace_factor * demand.rate, full_use_pace));
-  promise.outage_after = options.outage_after;
+  promise.ends_after = options.promise_duration;
   return promise;
 }
 
--- a/src/prepaid/impl/promise_policy.hpp
+++ b/src/prepaid/impl/promise_policy.hpp
@@ -9,7 +9,7 @@
 /// \brief Inputs of the promise in a host's record of a team.
 struct promise_inputs {
   double unused{};          ///< tokens that the host holds and has not used
-  double rate{};            ///< recent use, in tokens per second
+  double rate{};            ///< this host's part of the team's recent use, in tokens per second
   double mean_request{};    ///< tokens
   double lent_fraction{};   ///< part of `rate` that was lent to other hosts
   double unpromised_rate{}; ///< tokens per second that others asked for, held here but not promised
@@ -19,15 +19,14 @@
 /// \brief Upper bound on a host's use until its next record, beyond the use that the record
 /// reports.
 struct usage_promise {
-  std::uint64_t burst{};       ///< tokens that may be used at once
-  std::uint64_t pace{};        ///< tokens per second until `outage_after`
-  std::uint64_t outage_pace{}; ///< tokens per second after that
-  time_ms outage_after{};
+  std::uint64_t burst{}; ///< tokens that may be used at once
+  std::uint64_t pace{};  ///< tokens per second until `ends_after`
+  time_ms ends_after{};  ///< time after the record
 };
 
 /// \returns the promise of a record. Tokens that are promised and not used are lost to the team
-/// when the host is killed; tokens that are not promised cannot be used while the host is cut off
-/// from the log.
+/// when the host is killed or lost; tokens that are not promised cannot be used while the host is
+/// cut off from the log.
 [[nodiscard]] usage_promise make_promise(const promise_inputs& demand,
                                          const prepaid_options& options) noexcept;
 
--- a/tests/prepaid/budget_manager_test.cpp
+++ b/tests/prepaid/budget_manager_test.cpp
@@ -309,6 +309,11 @@
   manager_fixture host{shared, "desk-10", 1};
   for (int i = 0; i < 100 && host.manager.totals()["team-a"].slack == 0; ++i)
     std::this_thread::sleep_for(std::chrono::milliseconds{10});
+  // A promise grows by what the team used of late.
+  for (int i = 0; i < 100 && !host.manager.covered_after("team-a", 60000); ++i) {
+    (void)host.manager.reserve("team-a", 500);
+    std::this_thread::sleep_for(std::chrono::milliseconds{10});
+  }
   shared.unavailable = true;
   for (int i = 0; i < 500 && host.manager.log_reachable(); ++i) {
     (void)host.manager.reserve("team-a", 60000);
