--- a/src/prepaid/impl/partition_budgets.cpp
+++ b/src/prepaid/impl/partition_budgets.cpp
@@ -539,8 +539,10 @@
   const std::uint64_t goal = target_slack(team, state, *pool);
   const std::uint64_t slack = saturating_sub(next.granted, use);
   const bool low = static_cast<double>(slack) < options_.low_watermark * static_cast<double>(goal);
-  const bool high =
-      static_cast<double>(slack) > options_.high_watermark * static_cast<double>(goal);
+  const bool scarce = static_cast<double>(pool->free) <
+                      options_.scarce_fraction * static_cast<double>(pool->unused);
+  const double watermark = scarce ? options_.scarce_high_watermark : options_.high_watermark;
+  const bool high = static_cast<double>(slack) > watermark * static_cast<double>(goal);
   if (low)
     next.granted += std::min(saturating_sub(goal, slack), pool->free);
   if (high)
--- a/src/prepaid/impl/prepaid_options.hpp
+++ b/src/prepaid/impl/prepaid_options.hpp
@@ -35,6 +35,10 @@
   /// returned.
   double low_watermark{0.7};
   double high_watermark{1.4};
+  /// The second part where less than `scarce_fraction` of the unused tokens is free: a host that
+  /// has just started finds none, and could serve nothing while it is cut off.
+  double scarce_high_watermark{1.05};
+  double scarce_fraction{0.04};
   /// Time constant of a host's rate of use.
   time_ms rate_time_constant{6000};
   /// A host that has not written its account for this time counts as gone. Hosts that are cut off
--- a/tests/prepaid/unreadable_account_test.cpp
+++ b/tests/prepaid/unreadable_account_test.cpp
@@ -65,7 +65,6 @@
   log_model log;
   partition_budgets owner = book_of("h1", 1);
   grant(owner, log, 8000, time_ms{1000});
-  const std::uint64_t held = owner.granted(team);
   partition_budgets started = book_of("h2", 2);
   started.note_unreadable(team, "h1", time_ms{1050});
   started.advance(log.end());
@@ -78,6 +77,8 @@
   CHECK(started.reserve(team, paid, 100, time_ms{1100}) == reserve_outcome::reserved);
   owner.note_unreadable(team, "h1", time_ms{1150});
   REQUIRE(report(owner, log, time_ms{1200}));
+  const std::uint64_t held = owner.granted(team);
+  REQUIRE(held >= 8000);
   for (const account_record& record : log.records)
     started.apply(record, log.end(), time_ms{1200});
   CHECK(started.granted(team) == held);
