--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -95,6 +95,12 @@
   const host_identity owner{identity, incarnation, machine_time_.reading()};
   budgets_ = std::make_unique<budget_manager>(
       owner, prepaid_options{}, account_logs(settings_.store), machine_time_, faults_, log);
+  figures_.add(metric::reclaimed_grants, {}, 0);
+  figures_.add(metric::reclaimed_tokens, {}, 0);
+  budgets_->set_reclaim_function([this](std::uint64_t tokens) {
+    figures_.add(metric::reclaimed_grants);
+    figures_.add(metric::reclaimed_tokens, {}, static_cast<double>(tokens));
+  });
   figures_.add(metric::brittle_refusals, {}, 0);
   figures_.add(metric::part_trials, {}, 0);
   figures_.add(metric::endpoint_pauses, {}, 0);
--- a/src/prepaid/impl/budget_manager.hpp
+++ b/src/prepaid/impl/budget_manager.hpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace sedgechute {
@@ -61,6 +62,11 @@
     borrow_ = std::move(borrow);
     return_idle_ = std::move(return_idle);
   }
+  /// \brief Sets what to call when this host has reclaimed tokens of a silent host. Call before
+  /// `start`.
+  void set_reclaim_function(std::function<void(std::uint64_t tokens)> reclaimed) {
+    reclaimed_ = std::move(reclaimed);
+  }
   /// \brief Sets the teams whose tokens this host holds; all teams by default. Call before `start`.
   void set_holder_predicate(const partition_budgets::holder_predicate& holds);
 
@@ -175,6 +181,7 @@
   void restate_start(partition& part);
   void log_write_offs(const partition& part);
   void apply_own_record(partition& part, const account_record& record, std::uint64_t end);
+  void note_reclaim(const account_record& record, std::uint64_t before, std::uint64_t end);
   void set_log_reachable(bool reachable, const char* reason);
 
   prepaid_options options_;
@@ -188,6 +195,7 @@
   std::map<std::string, std::uint64_t> prepaid_;
   borrow_function borrow_;
   return_function return_idle_;
+  std::function<void(std::uint64_t tokens)> reclaimed_;
   random_source random_;
   std::optional<time_ms> sync_began_; ///< start of the synchronization in progress
   bool reachable_{false};
--- a/src/prepaid/impl/budget_sync.cpp
+++ b/src/prepaid/impl/budget_sync.cpp
@@ -285,6 +285,7 @@
                                       std::uint64_t end) {
   const std::uint64_t recorded = part.budgets.recorded_budget(record.team).value_or(0);
   const bool written_off = part.budgets.is_unreadable(record.team, record.host);
+  const auto before = part.budgets.account_of(record.team, record.host);
   part.budgets.apply(record, end, time_.now());
   const auto paid = prepaid_.find(record.team);
   const std::uint64_t prepaid = paid == prepaid_.end() ? 0 : paid->second;
@@ -296,6 +297,8 @@
                 {log_field::recorded, recorded},
                 {log_field::tokens, prepaid},
                 {log_field::offset, end}});
+  else if (record.host != part.budgets.host() && before && before->granted > record.value.granted)
+    note_reclaim(record, before->granted, end);
   else if (record.host != part.budgets.host())
     log_.write(severity::info, "overwritten_account_restored", {.team = record.team},
                {{log_field::entry, record.host},
@@ -313,6 +316,19 @@
               {log_field::offset, end}});
 }
 
+void budget_manager::note_reclaim(const account_record& record, std::uint64_t before,
+                                  std::uint64_t end) {
+  const std::uint64_t freed = before - record.value.granted;
+  log_.write(severity::info, "silent_account_reclaimed", {.team = record.team},
+             {{log_field::entry, record.host},
+              {log_field::granted, before},
+              {log_field::used, record.value.used},
+              {log_field::tokens, freed},
+              {log_field::offset, end}});
+  if (reclaimed_)
+    reclaimed_(freed);
+}
+
 void budget_manager::set_log_reachable(bool reachable, const char* reason) {
   const std::scoped_lock lock{mutex_};
   if (reachable == reachable_)
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -52,6 +52,8 @@
   peer_messages_refused,
   credential_reloads,
   unusable_entries,
+  reclaimed_grants,
+  reclaimed_tokens,
   evacuated_data_centres,
   cold_endpoints,
   limited_endpoints,
--- a/tests/prepaid/account_test.cpp
+++ b/tests/prepaid/account_test.cpp
@@ -84,3 +84,32 @@
   CHECK(account{.incarnation = 1, .granted = 100, .used = 130}.slack() == 0);
   CHECK(account{.incarnation = 1, .granted = 130, .used = 100}.slack() == 30);
 }
+
+TEST_CASE("a promise without a second pace stops growing at its end") {
+  const account promised{.incarnation = 1,
+                         .granted = 1000,
+                         .used = 100,
+                         .burst = 20,
+                         .pace = 10,
+                         .outage_after = time_ms{12000}};
+  CHECK(use_limit(promised) == 240);
+  CHECK(max_used(promised, time_ms{12000}) == 240);
+  CHECK(max_used(promised, time_ms{1000000000}) == 240);
+  CHECK(reclaimed(promised).granted == 240);
+  CHECK(max_used(reclaimed(promised), time_ms{0}) == 240);
+}
+
+// Its host may use all that it was granted: lowering the grant would give those tokens away twice.
+TEST_CASE("a record of an earlier release is not reclaimed") {
+  const account endless{.incarnation = 1,
+                        .granted = 1000,
+                        .used = 100,
+                        .burst = 20,
+                        .pace = 10,
+                        .outage_pace = 1,
+                        .outage_after = time_ms{2200}};
+  CHECK(use_limit(endless) == 1000);
+  const auto older = decode_account("team-a\nhost-1", "1 200 3 4");
+  REQUIRE(older);
+  CHECK(use_limit(older->value) == 200);
+}
