--- a/src/prepaid/impl/account.hpp
+++ b/src/prepaid/impl/account.hpp
@@ -40,8 +40,8 @@
 /// \returns the most tokens that the host may ever have used before it writes again
 [[nodiscard]] std::uint64_t use_limit(const account& of) noexcept;
 
-/// \returns the account with its grant lowered to `use_limit`, all of which counts as used. Its host
-/// may still use that much, at any time.
+/// \returns the account with its grant lowered to `use_limit`, all of which counts as used. Its
+/// host may still use that much, at any time.
 [[nodiscard]] account reclaimed(const account& of) noexcept;
 
 /// \returns the earliest time after writing the account at which the host may have used `tokens`;
--- a/src/prepaid/impl/partition_budgets.cpp
+++ b/src/prepaid/impl/partition_budgets.cpp
@@ -611,8 +611,7 @@
   if (!state.unreadable.empty())
     return reclaims;
   for (const auto& [host, kept] : state.accounts) {
-    const bool silent =
-        now - std::max(kept.written, following_since_) >= options_.silence_timeout;
+    const bool silent = now - std::max(kept.written, following_since_) >= options_.silence_timeout;
     if (host == host_ || !silent || state.overwritten.contains(host) ||
         reclaims.size() >= options_.max_reclaims)
       continue;
--- a/src/prepaid/impl/partition_budgets.hpp
+++ b/src/prepaid/impl/partition_budgets.hpp
@@ -220,7 +220,7 @@
     double lent_since_update{}; ///< tokens lent since then, minus those returned
     double unpromised_since_update{}; ///< tokens asked for beyond the promise since then
     time_ms rate_updated_at;
-    double used_by_others{}; ///< as their records reported it, since this incarnation began
+    double used_by_others{};         ///< as their records reported it, since this incarnation began
     use_history use{max_use_window}; ///< of all hosts
     use_history own_use{max_recent_window};
   };
@@ -285,9 +285,9 @@
   std::unordered_map<std::string, team_state> teams_;
   std::uint64_t end_{0};
   bool keeps_loans_{true};
-  time_ms following_since_;         ///< start of the time in which the log was read without a gap
+  time_ms following_since_;          ///< start of the time in which the log was read without a gap
   std::optional<time_ms> last_read_; ///< time of the last `plan`
-  double mean_request_{0}; ///< tokens
+  double mean_request_{0};           ///< tokens
 };
 
 } // namespace sedgechute
--- a/src/prepaid/impl/prepaid_options.hpp
+++ b/src/prepaid/impl/prepaid_options.hpp
@@ -87,7 +87,8 @@
   /// Longest time between two reads of the log for which a host counts others as silent: what they
   /// wrote is not known to a host that cannot read.
   time_ms max_read_gap{3000};
-  /// Time after which a holder writes a record without any news, so that it is not taken for silent.
+  /// Time after which a holder writes a record without any news, so that it is not taken for
+  /// silent.
   time_ms max_record_age{2000};
   /// Most accounts of other hosts that are reclaimed in one append for a team, which bounds its
   /// size when all hosts are replaced.
--- a/tests/prepaid/outage_and_partition_test.cpp
+++ b/tests/prepaid/outage_and_partition_test.cpp
@@ -1,6 +1,6 @@
-// One load, two faults: an outage of all hosts must cost a team little, and a partition of all hosts
-// from each other and from the log must leave it served. A promise that is good for only one of them
-// is easily made.
+// One load, two faults: an outage of all hosts must cost a team little, and a partition of all
+// hosts from each other and from the log must leave it served. A promise that is good for only one
+// of them is easily made.
 
 #include "log_model.hpp"
 
@@ -66,9 +66,8 @@
   [[nodiscard]] clock_reading reading() const { return {now_, now_ + time_ms{1000000000}}; }
 
   void start(std::size_t host) {
-    budgets_[host] = std::make_unique<partition_budgets>("h" + std::to_string(host),
-                                                         ++incarnations_, reading(),
-                                                         prepaid_options{});
+    budgets_[host] = std::make_unique<partition_budgets>(
+        "h" + std::to_string(host), ++incarnations_, reading(), prepaid_options{});
   }
 
   void report(std::size_t host) {
--- a/tests/prepaid/promise_policy_test.cpp
+++ b/tests/prepaid/promise_policy_test.cpp
@@ -148,7 +148,7 @@
 TEST_CASE("hosts that are cut off refuse less than with promises of half their rates") {
   prepaid_options half;
   half.pace_factor = 0.5;
-  
+
   CHECK(refused_during_outage({}) * 3 <= refused_during_outage(half) * 2);
 }
 
--- a/tests/prepaid/reclaim_schedule_test.cpp
+++ b/tests/prepaid/reclaim_schedule_test.cpp
@@ -1,7 +1,7 @@
-// Random schedules of hosts that are cut off, freeze in the middle of a send, are killed and return,
-// stop, or are lost for good, while others reclaim what they cannot use. Invariants: the tokens given
-// to callers never exceed the tokens paid for, and 12 s after the last loss no lost host keeps more
-// than its last record lets it use.
+// Random schedules of hosts that are cut off, freeze in the middle of a send, are killed and
+// return, stop, or are lost for good, while others reclaim what they cannot use. Invariants: the
+// tokens given to callers never exceed the tokens paid for, and 12 s after the last loss no lost
+// host keeps more than its last record lets it use.
 
 #include "log_model.hpp"
 
@@ -310,8 +310,8 @@
 
   void drain(machine& of) {
     for (std::uint64_t bound = 256; bound > 0; bound /= 2)
-      while (spent_ <= paid && of.budgets->reserve(team, paid, bound, boot(of)) ==
-                                   reserve_outcome::reserved) {
+      while (spent_ <= paid &&
+             of.budgets->reserve(team, paid, bound, boot(of)) == reserve_outcome::reserved) {
         of.budgets->settle(team, bound, bound);
         spent_ += bound;
         used_by_[of.name] += bound;
--- a/tests/prepaid/reclaim_test.cpp
+++ b/tests/prepaid/reclaim_test.cpp
@@ -65,7 +65,8 @@
   CHECK(log.records.back().value.used == 10);
 }
 
-// All hosts were cut off from the log; the others have not written since, but may do so at any time.
+// All hosts were cut off from the log; the others have not written since, but may do so at any
+// time.
 TEST_CASE("a host that is back from a partition reclaims nothing at once") {
   log_model log;
   partition_budgets first{"h1", 1, {}, {}};
@@ -79,7 +80,8 @@
   CHECK(second.account_of(team, "h1")->granted < granted);
 }
 
-// The record in which its grant was reclaimed was overwritten and forgotten before the host read it.
+// The record in which its grant was reclaimed was overwritten and forgotten before the host read
+// it.
 TEST_CASE("a host that missed records of its own account keeps to what nobody can have reclaimed") {
   log_model log;
   partition_budgets host{"h1", 1, {}, {}};
