Draft: promise 1.5 times the rate without a limit by the grant

Here it follows the rate alone, and a record with a pace is renewed without the longer wait. Schedules of overspending were not run.

--- a/src/prepaid/impl/partition_budgets.cpp
+++ b/src/prepaid/impl/partition_budgets.cpp
@@ -677,7 +677,8 @@
                        known.burst != next.burst || known.pace != next.pace;
   const time_ms age = next.written.boot - known.written.boot;
   const std::uint64_t left = saturating_sub(max_used(known, age), next.used);
-  const bool low = left < std::min(next.burst, next.slack()) / 2;
+  // Other hosts take a team for idle only after two records without use.
+  const bool low = known.pace > 0 || left < std::min(next.burst, next.slack()) / 2;
   const auto longer =
       static_cast<double>((options_.max_refresh_interval - options_.min_refresh_interval).count());
   const time_ms rest{
--- a/src/prepaid/impl/prepaid_options.hpp
+++ b/src/prepaid/impl/prepaid_options.hpp
@@ -64,9 +64,6 @@
   /// Promised pace relative to the rate of use: rates are estimates, and one host's use changes
   /// while it is cut off from the log.
   double pace_factor{1.5};
-  /// Limit of the pace: it uses all that the host holds in no less than this time, or in twice that
-  /// when half of a budget is left. Otherwise a kill near the end of a budget would end it.
-  time_ms min_use_time{3000};
   /// Time after a record at which its promise stops growing: the longest partitions last 9 s, and a
   /// record is up to 2 s old when one begins.
   time_ms promise_duration{12000};
--- a/src/prepaid/impl/promise_policy.cpp
+++ b/src/prepaid/impl/promise_policy.cpp
@@ -29,15 +29,16 @@
 
 } // namespace
 
-// Tokens that are promised and not used are lost when hosts are killed, so a promise is a small
+// Tokens that are promised and not used are lost when hosts are killed, so the burst is a small
 // part of what a host holds, and shrinks with the unused part of the team's budget. Otherwise the
-// next kill would end a budget of which little is left. While hosts are cut off from the log they
-// use no more than the team used before; an outage of the same time costs the team as much.
+// next kill would end a budget of which little is left. The pace does not shrink: a host that holds
+// the use of one second would refuse most requests while it is cut off. While hosts are cut off
+// from the log they use no more than the team used before; an outage of the same time costs the
+// team as much.
 usage_promise make_promise(const promise_inputs& demand, const prepaid_options& options) noexcept {
   const double promisable = demand.unused * demand.remaining_fraction;
   const double burst = options.burst_fraction * promisable;
-  const double max_pace = promisable / seconds(options.min_use_time);
-  const double pace = std::min(options.pace_factor * demand.rate, max_pace);
+  const double pace = options.pace_factor * demand.rate;
   usage_promise promise;
   promise.burst = static_cast<std::uint64_t>(
       std::min(std::max(burst, loan_burst(demand, options)), max_burst(demand, options)));
