--- a/tests/prepaid/outage_and_partition_test.cpp
+++ b/tests/prepaid/outage_and_partition_test.cpp
@@ -22,11 +22,12 @@
 
 enum class load { steady, bursty, idle };
 
-/// Nine holders that serve one team, 20,000 tokens per second, each request of 200 tokens.
+/// Nine holders that serve one team, each request of 200 tokens: 20,000 tokens per second, or 5,000
+/// where a part of the budget is used from the start.
 class fleet {
  public:
   fleet(std::uint64_t seed, load of, double used)
-      : random_{seed}, rate_{used > 0 ? 5000 : 20000}, load_{of} {
+      : random_{seed}, rate_{used > 0 ? 5000U : 20000U}, load_{of} {
     const auto spent = static_cast<std::uint64_t>(used * paid);
     if (spent > 0)
       log_.records.push_back({team, "spent", {.granted = spent, .used = spent}});
--- a/tests/prepaid/promise_policy_test.cpp
+++ b/tests/prepaid/promise_policy_test.cpp
@@ -182,7 +182,7 @@
 
 // A pace that shrank with the budget refused most requests of hosts that were cut off with little
 // of it, and a burst in proportion to the unused part a tenth of them.
-TEST_CASE("a burst covers requests however little is left, and the pace follows use") {
+TEST_CASE("a burst covers requests and the pace follows use however little is left") {
   const prepaid_options options;
   promise_inputs demand{.budget = 100000,
                         .unused = 100000,
