Complete the queue of requests that compete for the places of a service

Cause: the draft let requests wait wherever any priorities of the configuration differ, up to their deadline, and sent all that had seen no free place for a quarter of the latency target at once, so the order of arrival at the endpoints decided again. Change: a queue exists only for services whose own routes and teams have different priorities. A wait ends when the route's latency target can no longer be met. Without a free place for long, one request goes on in the queue's order.

--- a/src/admission/impl/admission_queue.cpp
+++ b/src/admission/impl/admission_queue.cpp
@@ -131,8 +131,7 @@
     if (one.request.flow.priority != *from)
       continue;
     const std::size_t waits = count(one.request.flow);
-    if (waits < most ||
-        (waits == most && found && order_of(one) < order_of(entries_[*found])))
+    if (waits < most || (waits == most && found && order_of(one) < order_of(entries_[*found])))
       continue;
     most = waits;
     found = i;
--- a/src/admission/impl/place_gate.cpp
+++ b/src/admission/impl/place_gate.cpp
@@ -55,15 +55,17 @@
        queue_.next(capacity.free - std::min(capacity.free, placing_), now))
     end(ticket, wait_end::granted, ended);
   // If the places are never seen free because hosts misjudge each other's requests, the queues of
-  // all hosts would stand still while the endpoints' own queues run empty.
-  std::vector<queue_ticket> unseen;
-  for (const admission_queue::waiting& one : queue_.entries())
-    if (now - std::max(one.request.arrival, free_seen_) >= unseen_after_.at(one.ticket))
-      unseen.push_back(one.ticket);
-  for (const queue_ticket ticket : unseen) {
-    queue_.leave(ticket, now);
+  // all hosts would stand still while the endpoints' own queues run empty. One request shows
+  // whether they do, as its answer carries a new report; with all of them at once, the order of
+  // arrival at the endpoints would decide.
+  const bool unseen = std::ranges::any_of(queue_.entries(), [&](const auto& one) {
+    return now - std::max(one.request.arrival, free_seen_) >= unseen_after_.at(one.ticket);
+  });
+  if (!unseen)
+    return ended;
+  free_seen_ = now;
+  for (const queue_ticket ticket : queue_.next(1, now))
     end(ticket, wait_end::unseen, ended);
-  }
   return ended;
 }
 
--- a/src/admission/impl/place_gate.hpp
+++ b/src/admission/impl/place_gate.hpp
@@ -69,7 +69,8 @@
   explicit place_gate(const place_gate_options& options = {})
       : options_{options}, queue_{options.queue} {}
 
-  /// \param unseen_after  time without any free place after which it goes on nevertheless
+  /// \param unseen_after  time without any free place after which the next request goes on
+  ///   nevertheless
   [[nodiscard]] entered enter(const queued_request& request, time_ms unseen_after,
                               const service_capacity& capacity, time_ms now);
   /// \returns the requests whose wait ends
@@ -91,7 +92,7 @@
   admission_queue queue_;
   std::unordered_map<queue_ticket, time_ms> unseen_after_; ///< of those that wait
   std::size_t placing_{0};                                 ///< went on and are not placed yet
-  time_ms free_seen_;
+  time_ms free_seen_;                                      ///< or since then taken to be misjudged
 };
 
 } // namespace sedgechute
--- a/src/relay/impl/fleet_config.cpp
+++ b/src/relay/impl/fleet_config.cpp
@@ -30,8 +30,14 @@
   add(other.lowest);
 }
 
+void fleet_config::route_priorities::add(const route& added) noexcept {
+  (added.open_to_all ? open : keyed).add(added.priority);
+}
+
 void fleet_config::add_route(route added) {
-  (added.open_to_all ? open_routes_ : keyed_routes_).add(added.priority);
+  all_routes_.add(added);
+  for (const weighted_service& one : added.services)
+    routes_of_service_[one.service].add(added);
   std::vector<route>& of_host = routes_[host_key(added.host)];
   const auto shorter = [&](const route& other) {
     return other.prefix.size() < added.prefix.size();
@@ -73,15 +79,24 @@
   return at == teams_.end() ? nullptr : &at->second;
 }
 
-bool fleet_config::priorities_differ() const noexcept {
-  priority_range all = open_routes_;
+bool fleet_config::differ(const route_priorities& routes) const noexcept {
+  priority_range all = routes.open;
   if (!keys_required || team_without_own_ || teams_.empty())
-    all.add(keyed_routes_);
-  if (keys_required && !keyed_routes_.empty)
+    all.add(routes.keyed);
+  if (keys_required && !routes.keyed.empty)
     all.add(teams_own_);
   return !all.empty && all.highest != all.lowest;
 }
 
+bool fleet_config::priorities_differ() const noexcept {
+  return differ(all_routes_);
+}
+
+bool fleet_config::priorities_differ(const std::string& service) const {
+  const auto routes = routes_of_service_.find(service);
+  return routes != routes_of_service_.end() && differ(routes->second);
+}
+
 int priority_of(const route& on, const team_terms* team) noexcept {
   return team != nullptr ? team->priority.value_or(on.priority) : on.priority;
 }
--- a/src/relay/impl/fleet_config.hpp
+++ b/src/relay/impl/fleet_config.hpp
@@ -100,6 +100,8 @@
   [[nodiscard]] std::size_t route_count() const noexcept { return route_count_; }
   /// \returns whether requests may have different priorities
   [[nodiscard]] bool priorities_differ() const noexcept;
+  /// \returns whether requests of the routes of a service may have different priorities
+  [[nodiscard]] bool priorities_differ(const std::string& service) const;
 
  private:
   struct priority_range {
@@ -110,14 +112,22 @@
     void add(int priority) noexcept;
     void add(const priority_range& other) noexcept;
   };
+  struct route_priorities {
+    priority_range open; ///< routes that need no key
+    priority_range keyed;
+
+    void add(const route& added) noexcept;
+  };
+
+  [[nodiscard]] bool differ(const route_priorities& routes) const noexcept;
 
   std::unordered_map<std::string, std::vector<route>> routes_; ///< by host, longest prefix first
   std::unordered_map<std::string, service_traits> services_;
   std::map<std::string, team_terms> teams_;
   std::unordered_map<std::string, std::string> team_of_key_;
   std::size_t route_count_{0};
-  priority_range open_routes_; ///< routes that need no key
-  priority_range keyed_routes_;
+  route_priorities all_routes_;
+  std::unordered_map<std::string, route_priorities> routes_of_service_;
   priority_range teams_own_; ///< teams that override the route's priority
   bool team_without_own_{false};
 };
--- a/src/relay/impl/place_waits.cpp
+++ b/src/relay/impl/place_waits.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-// Each waiting request looks for its caller, the stop and free places by itself, as reports of other
-// hosts wake nobody. All of them together wake up 500 times a second at most, which costs a hundredth
-// of a core.
+// Each waiting request looks for its caller, the stop and free places by itself, as reports of
+// other hosts wake nobody. All of them together wake up 500 times a second at most, which costs a
+// hundredth of a core.
 constexpr std::size_t look_ms_per_waiting = 2;
 constexpr std::size_t min_look_ms = 4;
 constexpr std::size_t max_look_ms = 50;
@@ -102,6 +102,20 @@
   runs_.note(route, length);
 }
 
+void place_waits::note_begin(const std::string& route, time_ms length) {
+  const std::scoped_lock lock{mutex_};
+  begins_.note(route, length);
+}
+
+time_ms place_waits::begin_time(const std::string& route) const {
+  {
+    const std::scoped_lock lock{mutex_};
+    if (const auto begin = begins_.within(route, usual_percent))
+      return *begin;
+  }
+  return run_time(route);
+}
+
 time_ms place_waits::run_time(const std::string& route) const {
   const std::scoped_lock lock{mutex_};
   return runs_.within(route, usual_percent).value_or(time_ms{0});
--- a/src/relay/impl/place_waits.hpp
+++ b/src/relay/impl/place_waits.hpp
@@ -57,8 +57,12 @@
 
   /// \brief Records the time from sending a request until its whole answer.
   void note_run(const std::string& route, time_ms length);
-  /// \returns the usual such time; 0 while it is unknown
+  /// \brief Records the time from sending a request until the first event of its stream.
+  void note_begin(const std::string& route, time_ms length);
+  /// \returns the usual time until the whole answer; 0 while it is unknown
   [[nodiscard]] time_ms run_time(const std::string& route) const;
+  /// \returns the usual time until the first event, or the whole answer where there are no events
+  [[nodiscard]] time_ms begin_time(const std::string& route) const;
   /// \returns the `Retry-After` of a refused request, from the rate at which requests go on
   [[nodiscard]] time_ms retry_after(const std::string& service, time_ms earliest, time_ms longest,
                                     double drawn);
@@ -84,6 +88,7 @@
   mutable ordered_mutex mutex_{lock_rank::queues};
   std::unordered_map<std::string, service_state> services_;
   run_durations runs_;
+  run_durations begins_;                ///< of streams
   std::atomic<std::size_t> waiting_{0}; ///< of all services
 };
 
--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -5,10 +5,11 @@
 namespace sedgechute {
 
 request_relay::request_relay(parts joined, const relay_options& options)
-    : parts_{std::move(joined)}, options_{options}, connections_{parts_.time}, stop_{options.stop,
-                                                                                     parts_.time},
-      retries_{options.retries}, admission_{parts_.pressure, options.pressure_retry, parts_.time},
-      places_{parts_.endpoints, parts_.figures, parts_.time} {
+    : parts_{std::move(joined)}, options_{options},
+      connections_{parts_.time}, stop_{options.stop, parts_.time}, retries_{options.retries},
+      admission_{parts_.pressure, options.pressure_retry, parts_.time}, places_{parts_.endpoints,
+                                                                                parts_.figures,
+                                                                                parts_.time} {
   for (const auto result : {forward_result::served, forward_result::refused,
                             forward_result::unreachable, forward_result::abandoned})
     parts_.figures.add(metric::forwarded, {name_of(result)}, 0);
@@ -20,10 +21,9 @@
         silence_decision::others_back, silence_decision::none_heard, silence_decision::no_retry,
         silence_decision::no_endpoint, silence_decision::send_beside})
     parts_.figures.add(metric::silent_endpoints, {name_of(decision)}, 0);
-  for (const auto cause :
-       {refusal_cause::overload, refusal_cause::open_requests, refusal_cause::preparing,
-        refusal_cause::late, refusal_cause::queue_full, refusal_cause::yielded,
-        refusal_cause::stopping})
+  for (const auto cause : {refusal_cause::overload, refusal_cause::open_requests,
+                           refusal_cause::preparing, refusal_cause::late, refusal_cause::queue_full,
+                           refusal_cause::yielded, refusal_cause::stopping})
     parts_.figures.add(metric::load_refusals, {name_of(cause), "", ""}, 0);
   for (const std::string_view result : {"first", "second", "none"})
     parts_.figures.add(metric::silent_sends, {result}, 0);
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -81,6 +81,7 @@
       return end_forwarded(forward());
     reserved_ =
         reserve_tokens(relay_.parts_.budgets, admitted_, relay_.options_.budget_retry_after);
+    competes_ = has_rivals();
     return run_sends();
   } catch (const error& reason) {
     return refuse(reason);
@@ -221,6 +222,8 @@
 // stopped.
 void request_run::note_begun(const placement& place) {
   relay_.places_.note_change(admitted_.service); // the header told the endpoint's load
+  if (competes_)
+    relay_.places_.note_begin(admitted_.on_route->name, now() - place.sent_at);
   if (!build_)
     build_ = place.build;
   const bool origin_known = !admitted_.terms.last_event || admitted_.terms.resumes;
@@ -254,9 +257,8 @@
     if (!place)
       break;
     const time_ms began = now();
-    const bool waits = may_wait();
     end = send_once(*place);
-    if (waits && end == send_outcome::answered)
+    if (competes_ && end == send_outcome::answered)
       relay_.places_.note_run(admitted_.on_route->name, now() - began);
     if (end == send_outcome::answered)
       return note_answered();
--- a/src/relay/impl/request_run.hpp
+++ b/src/relay/impl/request_run.hpp
@@ -51,8 +51,12 @@
   void note_begun(const placement& place);
   [[nodiscard]] connection_action run_sends();
   [[nodiscard]] bool may_send_again(send_outcome end);
+  /// \returns whether requests of different priorities compete for the places of its service
+  [[nodiscard]] bool has_rivals() const;
   /// \returns whether the request may wait for a free place
-  [[nodiscard]] bool may_wait() const noexcept;
+  [[nodiscard]] bool may_wait() const noexcept { return competes_ && possible_runs_ == 0; }
+  /// \returns what orders the request among those that wait for a place
+  [[nodiscard]] queued_request queue_entry() const;
   /// \brief Waits for a free place, if the request may.
   /// \throws error when it is refused
   [[nodiscard]] place_waits::outcome await_place();
@@ -148,6 +152,7 @@
   request_records records_;
   admitted_request admitted_;
   std::uint64_t reserved_{0};
+  bool competes_{false}; ///< may wait for a place, and its durations are recorded
   bool on_trial_{false}; ///< is sent once though a part of its prompt is refused
   std::vector<endpoint_id> sent_to_;
   std::vector<endpoint_hash> avoid_; ///< incarnations that the request was sent to
--- a/src/relay/impl/request_run_waits.cpp
+++ b/src/relay/impl/request_run_waits.cpp
@@ -31,8 +31,25 @@
 
 } // namespace
 
-bool request_run::may_wait() const noexcept {
-  return possible_runs_ == 0 && admitted_.config->priorities_differ();
+// A stream that goes on at one build may do so at an endpoint that leaves, whose places do not
+// count.
+bool request_run::has_rivals() const {
+  return !build_ && admitted_.config->priorities_differ(admitted_.service);
+}
+
+// A place in the queue is worth nothing to a request that would begin to be answered later than its
+// route's latency target, or end later than its deadline.
+queued_request request_run::queue_entry() const {
+  const route& on = *admitted_.on_route;
+  const time_ms run = relay_.places_.run_time(on.name);
+  queued_request entry{.flow = flow_of(admitted_),
+                       .arrival = now(),
+                       .deadline = admitted_.deadline,
+                       .service_time = run};
+  if (on.latency_target > time_ms{})
+    entry.deadline = std::min(entry.deadline, in_.received + on.latency_target + run -
+                                                  relay_.places_.begin_time(on.name));
+  return entry;
 }
 
 place_waits::outcome request_run::await_place() {
@@ -41,10 +58,7 @@
   const route& on = *admitted_.on_route;
   place_waits::outcome waited =
       relay_.places_.wait({.service = admitted_.service,
-                           .request = {.flow = flow_of(admitted_),
-                                       .arrival = now(),
-                                       .deadline = admitted_.deadline,
-                                       .service_time = relay_.places_.run_time(on.name)},
+                           .request = queue_entry(),
                            .unseen_after = time_ms{on.latency_target.count() / unseen_divisor},
                            .on_wait = [&] { in_.preparing.end(); }},
                           watch_, relay_.stop_);
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -284,7 +284,7 @@
                   "Requests that this host refused because of load, by route and team. reason: "
                   "overload (of its processor), open_requests, preparing (the team's share of the "
                   "requests in preparation is used up), late (no place at an endpoint in time), "
-                  "queue_full, yielded (its place in the queue), stopping (it waited).",
+                  "queue_full, yielded (its place in the queue), stopping (it would have to wait).",
                   {"reason", "class", "team"},
                   entry},
     metric_family{metric::waiting_for_place,
--- a/tests/relay/fleet_config_test.cpp
+++ b/tests/relay/fleet_config_test.cpp
@@ -69,3 +69,20 @@
   CHECK(made({1}, {1}, true));
   CHECK_FALSE(made({0}, {0}, true));
 }
+
+// Guards against a queue for a service of one priority because routes of another have others.
+TEST_CASE("the priorities of a service are those of its own routes") {
+  fleet_config config;
+  const auto add = [&](const std::string& service, int priority) {
+    route one = route_of("a.example", "/" + service + std::to_string(priority) + "/", "r");
+    one.services = {{service, 1}};
+    one.priority = priority;
+    config.add_route(one);
+  };
+  for (const int priority : {0, 1})
+    add("mixed", priority);
+  add("plain", 2);
+  CHECK(config.priorities_differ("mixed"));
+  CHECK_FALSE(config.priorities_differ("plain"));
+  CHECK_FALSE(config.priorities_differ("unknown"));
+}
