Draft: returning requests go before new ones of their team

A request with less time than its caller's usual one is taken for a returning one and may overdraw its flow's share. No test was run.

--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -7,4 +7,5 @@
 #include "admission/impl/capacity_shares.hpp"
 #include "admission/impl/request_flow.hpp"
 #include "admission/impl/return_schedule.hpp"
+#include "admission/impl/returning_request.hpp"
 #include "admission/impl/selective_shedding.hpp"
--- a/src/admission/impl/return_schedule.hpp
+++ b/src/admission/impl/return_schedule.hpp
@@ -2,13 +2,15 @@
 
 #include "kernel/kernel.hpp"
 
+#include <optional>
+
 namespace sedgechute {
 
 /// \brief One refusal whose caller is to be told when to return.
 struct refused_call {
   time_ms earliest;         ///< until capacity is expected at the soonest
   time_ms longest;          ///< of use to the caller, whose own time is limited
-  double served_per_second; ///< requests that are served
+  double served_per_second{}; ///< returning requests that can be served
   double drawn;             ///< uniform random number in [0, 1) for the jitter
 };
 
@@ -16,7 +18,11 @@
 /// fast as requests are served. Not thread-safe.
 class return_schedule {
  public:
-  /// \returns the time until the caller of a refused request should return
+  /// \returns the time until the caller's turn; nothing when the caller cannot wait that long, and
+  /// it takes no turn
+  [[nodiscard]] std::optional<time_ms> turn(const refused_call& call, time_ms now) noexcept;
+  /// \returns the time until the caller of a refused request should return: its turn, or else the
+  /// longest time that it can wait
   [[nodiscard]] time_ms next(const refused_call& call, time_ms now) noexcept;
 
  private:
--- a/src/admission/impl/selective_shedding.cpp
+++ b/src/admission/impl/selective_shedding.cpp
@@ -10,6 +10,17 @@
 namespace {
 
 constexpr double ms_per_second = 1000;
+// Part of a flow's share for which callers are told to return. They come to other hosts than the
+// one that refused them and at random, so a host gets more of them at times than it can serve.
+constexpr double returns_part = 0.8;
+// Callers that cannot wait for a turn within the share of their flow, because the higher priorities
+// leave it little, return in the second half of the time that they can wait, when the load may have
+// fallen, for this part of the host's capacity: the usual load needs the rest.
+constexpr double late_part = 0.5;
+// Returning requests that a flow is served ahead of its share, in seconds of the share; new requests
+// are refused for them afterwards. Random arrivals would exceed the share at any moment.
+constexpr double ahead_seconds = 0.5;
+constexpr double least_ahead = 2; // requests; for flows with few of them
 
 /// \returns a number in [0, 1)
 double unit_of(std::uint64_t mark) noexcept {
@@ -25,7 +36,8 @@
                   static_cast<double>(options_.memory.count()));
 }
 
-selective_shedding::flow_state& selective_shedding::count(const request_flow& of, time_ms now) {
+selective_shedding::flow_state& selective_shedding::find_or_add(const request_flow& of,
+                                                                time_ms now) {
   auto at = std::ranges::find(flows_, of, &flow_state::flow);
   if (at == flows_.end()) {
     if (flows_.size() >= options_.max_flows)
@@ -35,38 +47,44 @@
     at = std::prev(flows_.end());
     changed_ = true;
   }
-  at->recent = at->recent * kept(now - at->counted) + 1;
-  at->counted = now;
   return *at;
 }
 
-void selective_shedding::count_served(time_ms now) noexcept {
-  served_ = served_ * kept(now - served_at_) + 1;
-  served_at_ = now;
+selective_shedding::flow_state& selective_shedding::count(const request_flow& of, time_ms now) {
+  flow_state& flow = find_or_add(of, now);
+  flow.recent = flow.recent * kept(now - flow.counted) + 1;
+  flow.counted = now;
+  return flow;
+}
+
+double selective_shedding::share_per_second(const flow_state& of, time_ms now) const noexcept {
+  return of.served_part * of.recent * kept(now - of.counted) * ms_per_second /
+         static_cast<double>(options_.memory.count());
 }
 
 void selective_shedding::note(const request_flow& of, time_ms now) {
   count(of, now);
-  count_served(now);
 }
 
 // Each flow has a credit that grows by the part of its requests that is to be served. Unlike a draw
-// for each request, that serves the part exactly, whatever few requests a flow has.
+// for each request, that serves the part exactly, whatever few requests a flow has. Returning
+// requests may overdraw the credit, so new ones are refused in their place.
 bool selective_shedding::refuses(const request_flow& of, std::uint64_t mark, double fraction,
-                                 time_ms now) {
+                                 time_ms now, bool returning) {
   flow_state& flow = count(of, now);
   if (fraction <= 0) {
-    count_served(now);
+    flow.credit = std::max(flow.credit, -1.0);
     return false;
   }
   if (changed_ || fraction != fraction_ || now - recomputed_ >= options_.recompute_interval)
     recompute(fraction, now);
   flow.credit += flow.served_part;
-  const bool served = flow.served_part >= 1 || flow.credit > unit_of(mark);
+  const double ahead = std::max(least_ahead, share_per_second(flow, now) * ahead_seconds);
+  const double least_credit = returning ? -ahead : 0;
+  const bool served = flow.served_part >= 1 || flow.credit > least_credit + unit_of(mark);
   if (!served)
     return true;
-  flow.credit = std::clamp(flow.credit - 1, -1.0, 1.0);
-  count_served(now);
+  flow.credit = std::clamp(flow.credit - 1, -ahead - 1, 1.0);
   return false;
 }
 
@@ -78,7 +96,8 @@
     demands.push_back({one.flow.priority, one.recent * kept(now - one.counted)});
     total += demands.back().demand;
   }
-  const std::vector<double> shares = share_capacity(demands, total * (1 - fraction));
+  capacity_ = total * (1 - fraction);
+  const std::vector<double> shares = share_capacity(demands, capacity_);
   for (std::size_t i = 0; i < flows_.size(); ++i)
     flows_[i].served_part =
         demands[i].demand > 0 ? std::min(shares[i] / demands[i].demand, 1.0) : 1.0;
@@ -87,9 +106,15 @@
   changed_ = false;
 }
 
-double selective_shedding::served_per_second(time_ms now) const noexcept {
-  return served_ * kept(now - served_at_) * ms_per_second /
-         static_cast<double>(options_.memory.count());
+time_ms selective_shedding::return_after(const request_flow& of, refused_call call, time_ms now) {
+  flow_state& flow = find_or_add(of, now);
+  call.served_per_second = share_per_second(flow, now) * returns_part;
+  if (const auto turn = flow.returns.turn(call, now))
+    return *turn;
+  call.earliest = std::max(call.earliest, time_ms{call.longest.count() / 2});
+  call.served_per_second =
+      capacity_ * late_part * ms_per_second / static_cast<double>(options_.memory.count());
+  return late_returns_.next(call, now);
 }
 
 } // namespace sedgechute
--- a/src/admission/impl/selective_shedding.hpp
+++ b/src/admission/impl/selective_shedding.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/impl/request_flow.hpp"
+#include "admission/impl/return_schedule.hpp"
 #include "kernel/kernel.hpp"
 
 #include <cstddef>
@@ -18,7 +19,8 @@
 };
 
 /// \brief Decides which new requests an overloaded host refuses: those of lower priorities and of
-/// teams above their share first, but none of them wholly. Not thread-safe.
+/// teams above their share first, but none of them wholly. Within the share of a flow, requests that
+/// return after a refusal are served before new ones. Not thread-safe.
 class selective_shedding {
  public:
   explicit selective_shedding(const selective_shedding_options& options = {}) : options_{options} {}
@@ -29,10 +31,14 @@
   /// \param mark      hash of the attempt, so that requests that alternate do not keep step with
   ///   the decisions
   /// \param fraction  of all new requests that is to be refused
+  /// \param returning  the request was refused before; changes only which requests of the flow are
+  ///   served, not how many
   [[nodiscard]] bool refuses(const request_flow& of, std::uint64_t mark, double fraction,
-                             time_ms now);
-  /// \returns the requests that were served recently, per second
-  [[nodiscard]] double served_per_second(time_ms now) const noexcept;
+                             time_ms now, bool returning = false);
+  /// \brief Computes `Retry-After` for a refused request, so that the callers of a flow return more
+  /// slowly than the flow's share serves them, or as late as they can.
+  /// \param call  `served_per_second` is set here
+  [[nodiscard]] time_ms return_after(const request_flow& of, refused_call call, time_ms now);
   [[nodiscard]] std::size_t flows() const noexcept { return flows_.size(); }
 
  private:
@@ -42,18 +48,20 @@
     time_ms counted;  ///< when the count was last updated
     double served_part{1};
     double credit{0.5}; ///< requests that it may have served and has not
+    return_schedule returns;
   };
 
   [[nodiscard]] double kept(time_ms span) const noexcept;
+  flow_state& find_or_add(const request_flow& of, time_ms now);
   flow_state& count(const request_flow& of, time_ms now);
-  void count_served(time_ms now) noexcept;
+  [[nodiscard]] double share_per_second(const flow_state& of, time_ms now) const noexcept;
   void recompute(double fraction, time_ms now);
 
   selective_shedding_options options_;
   std::vector<flow_state> flows_;
-  double served_{0}; ///< decaying count
-  time_ms served_at_;
-  double fraction_{0}; ///< that the shares were computed for
+  return_schedule late_returns_; ///< of callers that cannot wait for a turn within their flow's share
+  double capacity_{0};           ///< requests that can be served, in counts like those of the flows
+  double fraction_{0};           ///< that the shares were computed for
   time_ms recomputed_;
   bool changed_{true}; ///< a flow was added since then
 };
--- a/src/relay/impl/admitted_request.hpp
+++ b/src/relay/impl/admitted_request.hpp
@@ -24,6 +24,7 @@
   std::vector<part_fingerprint> parts; ///< see `shared_parts`
   std::uint64_t event_tokens{1};       ///< maximum number of tokens in one event of the service
   time_ms deadline;
+  bool returning{false}; ///< was refused before; set only where priorities differ
 
   [[nodiscard]] std::string_view team_name() const noexcept;
   [[nodiscard]] data_residency residency() const noexcept;
--- a/src/relay/impl/request_admission.cpp
+++ b/src/relay/impl/request_admission.cpp
@@ -31,7 +31,7 @@
   const request_flow flow = flow_of(request);
   const std::uint64_t mark = stable_hash(request.terms.id);
   const std::scoped_lock lock{mutex_};
-  return shedding_.refuses(flow, mark, *fraction, time_.now());
+  return shedding_.refuses(flow, mark, *fraction, time_.now(), request.returning);
 }
 
 void request_admission::note_accepted(const admitted_request& request) {
@@ -63,12 +63,13 @@
   const time_ms left = request.deadline - now;
   if (!is_selective(request.config))
     return retry_after_pressure(left, busy_for, drawn, hints_);
+  const request_flow flow = flow_of(request);
   const std::scoped_lock lock{mutex_};
-  return returns_.next({.earliest = retry_after_pressure(left, busy_for, 0, hints_),
-                        .longest = time_ms{left.count() / hints_.usable_divisor},
-                        .served_per_second = shedding_.served_per_second(now),
-                        .drawn = drawn},
-                       now);
+  return shedding_.return_after(flow,
+                                {.earliest = retry_after_pressure(left, busy_for, 0, hints_),
+                                 .longest = time_ms{left.count() / hints_.usable_divisor},
+                                 .drawn = drawn},
+                                now);
 }
 
 } // namespace sedgechute
--- a/src/relay/impl/request_admission.hpp
+++ b/src/relay/impl/request_admission.hpp
@@ -47,7 +47,6 @@
   const clock& time_;
   mutable ordered_mutex mutex_{lock_rank::queues};
   selective_shedding shedding_;
-  return_schedule returns_;
   std::uint64_t refused_{0};         ///< since the last log line
   std::optional<time_ms> logged_at_; ///< when that was written
 };
--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -41,6 +41,8 @@
   } catch (const error&) {
     return {};
   }
+  if (admission_.is_selective(admitted.config))
+    note_patience(admitted);
   const std::string_view team = admitted.team_name();
   const auto cause = screen_cause(admitted, shed);
   if (!cause) {
@@ -143,10 +145,18 @@
   retries_.note_request(service, parts_.time.now());
 }
 
-void request_relay::note_patience(const std::string& route, std::string_view team,
-                                  time_ms patience) {
+// A stream that is resumed says nothing of how long callers wait from their first attempt on.
+void request_relay::note_patience(admitted_request& request) {
+  const std::optional<time_ms> patience = request.terms.patience;
+  if (!patience)
+    return;
+  const std::string& route = request.on_route->name;
+  const std::string_view team = request.team_name();
   const std::scoped_lock lock{mutex_};
-  patience_.note(route, team, patience);
+  if (request.config->priorities_differ())
+    request.returning = is_returning(patience, patience_.longest(route, team));
+  if (!request.terms.last_event)
+    patience_.note(route, team, *patience);
 }
 
 std::optional<time_ms> request_relay::longest_patience(const std::string& route,
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -54,7 +54,7 @@
   time_ms overload_retry_after{400}; ///< `Retry-After` beyond that; another host may have capacity
   retry_hint_options
       pressure_retry;              ///< for `Retry-After` while this host's processor is overloaded
-  time_ms stop_retry_after{50};    ///< `Retry-After` while this host stops; others have capacity
+  time_ms stop_retry_after{shortest_retry_after}; ///< `Retry-After` while this host stops; others have capacity
   time_ms budget_retry_after{100}; ///< `Retry-After` when other hosts hold the tokens
   std::size_t max_reply_head{32768};
   std::size_t max_buffered_body{std::size_t{8} << 20U}; ///< of an answer that is not a stream
@@ -136,7 +136,9 @@
   /// \brief Takes one retry from the budget of a service.
   [[nodiscard]] bool may_retry(const std::string& service);
   void note_first_send(const std::string& service);
-  void note_patience(const std::string& route, std::string_view team, time_ms patience);
+  /// \brief Notes how long the caller waits, and where priorities differ whether the request
+  /// returns after a refusal.
+  void note_patience(admitted_request& request);
   [[nodiscard]] std::optional<time_ms> longest_patience(const std::string& route,
                                                         std::string_view team) const;
   void note_length(const std::string& kind, time_ms length);
--- a/src/relay/impl/request_run.cpp
+++ b/src/relay/impl/request_run.cpp
@@ -62,9 +62,7 @@
     if (in_.forwarded)
       admitted_.deadline = std::min(admitted_.deadline, in_.received + in_.forwarded->time_left);
     in_.preparing.assign_team(admitted_.team_name());
-    if (admitted_.terms.patience && !admitted_.terms.last_event)
-      relay_.note_patience(admitted_.on_route->name, admitted_.team_name(),
-                           *admitted_.terms.patience);
+    relay_.note_patience(admitted_);
     admitted_.content = content_of(in_.head, in_.body, admitted_.team_name());
     if (admitted_.terms.generation)
       admitted_.parts = shared_parts(*admitted_.terms.generation, admitted_.service);
