Read the log where no lender is known, and fit loans into short waits

A host that knows no lender, or whose loan failed on an old view, reads the log first. Pauses and answer timeouts are a part of the wait, and leave the log its share. Questions without an answer are repeated under their number; a lender answers them as before, also with 0 and after the loan was returned.

--- a/src/prepaid/impl/budget_manager.cpp
+++ b/src/prepaid/impl/budget_manager.cpp
@@ -149,6 +149,10 @@
     } else {
       request.syncs += plan.step == funding_step::sync ? 1 : 0;
       wait_for_tokens(demand, plan, lock);
+      if (plan.step == funding_step::read) {
+        ++request.reads;
+        request.loans = 0;
+      }
     }
     outcome = try_reserve(demand, waiting);
   }
@@ -178,7 +182,10 @@
   request.holds = part.budgets.holds(demand.team);
   request.can_borrow = borrow_ && (!stopping_ || request.loans == 0);
   request.loan_under_way = !stopping_ && loan_under_way(part, demand.team);
-  request.log_helps = log_is_responsive() && paid != prepaid_.end() &&
+  request.knows_lender = !part.budgets.holders(demand.team).empty();
+  request.view_age = request.now - part.synced_at;
+  request.log_answers = log_is_responsive();
+  request.log_helps = request.log_answers && paid != prepaid_.end() &&
                       part.budgets.grantable(demand.team, paid->second, demand.tokens);
   request.covered_after = stopping_
                               ? std::nullopt
@@ -219,18 +226,19 @@
 void budget_manager::wait_for_tokens(const token_demand& demand, const funding_plan& plan,
                                      std::unique_lock<ordered_mutex>& lock) {
   partition& part = partition_of(demand.team);
-  const bool for_log = plan.step == funding_step::sync;
-  if (for_log) {
+  const bool for_grant = plan.step == funding_step::sync;
+  const bool for_log = for_grant || plan.step == funding_step::read;
+  if (for_grant)
     part.budgets.begin_waiting(demand.team, demand.tokens);
+  if (for_log)
     request_sync(part);
-  }
   const std::uint64_t seen = part.sync_count;
   synced_.wait_for(lock, to_chrono(std::max(plan.until - time_.now(), time_ms{})), [&] {
     return stopping_ || (for_log && part.sync_count != seen) ||
            (plan.step == funding_step::join && !loan_under_way(part, demand.team)) ||
            part.budgets.slack(demand.team, time_.now()) >= demand.tokens;
   });
-  if (for_log)
+  if (for_grant)
     part.budgets.end_waiting(demand.team, demand.tokens);
 }
 
--- a/src/prepaid/impl/funding.hpp
+++ b/src/prepaid/impl/funding.hpp
@@ -15,9 +15,13 @@
   time_ms max_promise_wait; ///< while the log does not answer
   bool holds{true};         ///< whether this host holds tokens of the team
   bool can_borrow{false};
+  bool knows_lender{true};    ///< another host holds tokens of the team, as far as the log was read
   bool loan_under_way{false}; ///< loans that others wait for will cover it too
-  int loans{0};               ///< rounds of questions that it sent or joined
+  int loans{0};               ///< rounds of questions that it sent since the last read
   time_ms last_loan;          ///< end of the last of them
+  bool log_answers{false};    ///< lately
+  time_ms view_age;           ///< time since the log was read
+  int reads{0};               ///< reads of the log that it waited for
   bool log_helps{false};      ///< the log answers, and its next record can cover the request
   int syncs{0};               ///< synchronizations that it waited for
   std::optional<time_ms> covered_after; ///< time until this host's promise covers it, if ever
@@ -26,6 +30,7 @@
 enum class funding_step {
   borrow,  ///< ask other hosts
   join,    ///< wait for the loan under way
+  read,    ///< wait for the next read of the log, which may name a lender
   sync,    ///< wait for the next synchronization with the log
   pause,   ///< wait until `until`, or until tokens arrive
   promise, ///< wait for this host's promise to grow
--- a/src/prepaid/impl/loan_ledger.cpp
+++ b/src/prepaid/impl/loan_ledger.cpp
@@ -19,15 +19,16 @@
 }
 
 // A return message may arrive twice or late, and a duplicate must credit nothing: the borrower
-// debited the tokens once. So the first message closes the loan, even if it returns a part. A later
-// incarnation of this host knows no loan of this one: it counts as used whatever this one may have
-// lent.
+// debited the tokens once. So the first message closes the loan, even if it returns a part. The
+// loan stays known, so that a repeated question that arrives late is not taken for a new one. A
+// later incarnation of this host knows no loan of this one: it counts as used whatever this one may
+// have lent.
 std::uint64_t lent_ledger::close(const loan_key& loan, std::uint64_t returned) {
   const auto at = open_.find(loan);
   if (at == open_.end())
     return 0;
   const std::uint64_t credited = std::min(at->second, returned);
-  open_.erase(at);
+  at->second = 0;
   return credited;
 }
 
--- a/src/prepaid/impl/loan_policy.hpp
+++ b/src/prepaid/impl/loan_policy.hpp
@@ -42,6 +42,10 @@
 struct loan_round_options {
   /// After this time without an answer the next host is asked too.
   time_ms answer_timeout{30};
+  /// It is shorter if the wait leaves no time for this many questions.
+  std::int64_t questions_in_wait{5};
+  /// The least one; a round trip within a data centre takes a few milliseconds.
+  time_ms least_answer_timeout{8};
   std::size_t max_hosts_asked{6};
 };
 
@@ -50,7 +54,7 @@
 class loan_round {
  public:
   enum class action_kind {
-    ask,  ///< ask `host` for `tokens`
+    ask,  ///< ask `host` for `tokens`; repeat a question that it has not answered
     wait, ///< for an answer, until `until`
     end,
   };
@@ -73,12 +77,15 @@
   [[nodiscard]] std::size_t asked() const noexcept { return asked_; }
 
  private:
+  [[nodiscard]] time_ms answer_timeout() const;
+
   std::vector<token_holder> order_;
   std::uint64_t needed_;
   std::uint64_t ahead_;
   time_ms until_;
   loan_round_options options_;
   std::size_t asked_{0};
+  time_ms first_asked_at_;
   time_ms last_asked_at_;
 };
 
--- a/src/prepaid/impl/token_loans.cpp
+++ b/src/prepaid/impl/token_loans.cpp
@@ -47,8 +47,11 @@
                          [&] { return progress_of(numbers).answers > seen.answers; });
       continue;
     }
+    const auto repeated = unanswered(numbers, next.host);
     lock.unlock();
-    if (const auto number = ask(next.host, demand.team, next.tokens))
+    if (repeated)
+      send_(next.host, encode_loan(*repeated));
+    else if (const auto number = ask(next.host, demand.team, next.tokens))
       numbers.push_back(*number);
     else
       ++unsent;
@@ -76,6 +79,17 @@
   return seen;
 }
 
+// The lender answers a repeated question as it answered the first, so nothing is lent twice.
+std::optional<loan_message> token_loans::unanswered(const std::vector<std::uint64_t>& numbers,
+                                                    const std::string& host) const {
+  for (const std::uint64_t number : numbers) {
+    const auto at = open_.find(number);
+    if (at != open_.end() && !at->second.given && at->second.host == host)
+      return loan_message{loan_step::asked, number, at->second.asked, self_, at->second.team};
+  }
+  return std::nullopt;
+}
+
 std::uint64_t token_loans::end_round(const std::vector<std::uint64_t>& numbers) {
   const std::scoped_lock lock{mutex_};
   const std::uint64_t lent = progress_of(numbers).lent;
@@ -144,7 +158,8 @@
   return true;
 }
 
-// A duplicate request gets the same answer: the borrower would not use a second loan.
+// A duplicate request gets the same answer, also if that is 0: the borrower takes only the first
+// answer, and would not use a second loan.
 void token_loans::lend(const loan_message& asked) {
   const loan_key loan{asked.host, asked.team, asked.number};
   std::optional<std::uint64_t> before;
@@ -154,7 +169,7 @@
   }
   const std::uint64_t given =
       before ? *before : manager_.lend(asked.team, asked.tokens, asked.host);
-  if (!before && given > 0) {
+  if (!before) {
     const std::scoped_lock lock{mutex_};
     lent_.note(loan, given);
   }
--- a/src/prepaid/impl/token_loans.hpp
+++ b/src/prepaid/impl/token_loans.hpp
@@ -76,6 +76,9 @@
 
   [[nodiscard]] std::vector<token_holder> order(const std::vector<token_holder>& holders);
   /// \returns the number of the request; nothing if the host is unknown
+  /// \returns the open question of a round to a host, if any
+  [[nodiscard]] std::optional<loan_message> unanswered(const std::vector<std::uint64_t>& numbers,
+                                                       const std::string& host) const;
   [[nodiscard]] std::optional<std::uint64_t> ask(const std::string& host, const std::string& team,
                                                  std::uint64_t tokens);
   struct round_progress {
--- a/tests/prepaid/loan_load_model.hpp
+++ b/tests/prepaid/loan_load_model.hpp
@@ -4,6 +4,8 @@
 #include "prepaid/impl/funding.hpp"
 #include "prepaid/impl/loan_policy.hpp"
 
+#include <algorithm>
+#include <cmath>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -23,12 +25,24 @@
   std::uint64_t overspent{0};
 };
 
+/// \brief Requests of one size.
+struct request_class {
+  double part{};          ///< of all requests
+  std::uint64_t input{};  ///< tokens, all of them used
+  std::uint64_t output{}; ///< most tokens; a request uses a part of them
+};
+
 struct loan_load {
   int hosts{81};
   time_ms length{6000};
   double lost{0.05}; ///< part of the messages between hosts
   double late{0.1};  ///< part of the messages that take up to `longest_delay`
   std::uint64_t seed{1};
+  std::vector<request_class> sizes{}; ///< empty: 300 to 2,700 tokens, of which a part is used
+  double budget_seconds{300};         ///< of a team's demand
+  double mean_processor_wait{0};      ///< ms, of each message and log call
+  time_ms longest_wait{250};          ///< a quarter of the latency target
+  bool one_sync_at_a_time{false};     ///< as the one thread of `budget_manager`
 };
 
 /// \brief Hosts, their log and the messages between them in virtual time. Half of the callers are
@@ -68,8 +82,6 @@
   static constexpr double most_requests = 743;
   static constexpr std::uint64_t least_tokens = 300;
   static constexpr std::uint64_t token_range = 2400;
-  static constexpr double budget_seconds = 300; ///< of a team's demand
-  static constexpr time_ms longest_wait{250};   ///< a quarter of the latency target
   static constexpr std::uint64_t longest_delay = 200;
   static constexpr std::int64_t log_call = 4;
 
@@ -100,6 +112,7 @@
   struct host_state {
     std::string name;
     int centre{};
+    bool syncing{false}; ///< any partition
     std::vector<part_state> parts;
     lent_ledger lent{2048};
     borrowed_ledger borrowed{64};
@@ -112,6 +125,7 @@
     std::size_t host{};
     std::string team;
     std::uint64_t bound{};
+    std::uint64_t input{0}; ///< used in any case
     unfunded_request state;
     bool waiting{false}; ///< is among those that wait for loans
     bool ended{false};
@@ -126,7 +140,7 @@
     std::size_t answers{0};
     bool ended{false};
     std::uint64_t timer{0};
-    std::map<std::string, std::uint64_t> asked; ///< number of the question, by host
+    std::vector<loan_message> questions; ///< unanswered; `host` is the one that was asked
   };
 
   static double weight_of(int team) { return 1.0 / (1 + team); }
@@ -135,9 +149,34 @@
     return std::min(most_requests, requests_per_host * load_.hosts);
   }
 
+  [[nodiscard]] double mean_request() const {
+    double mean = load_.sizes.empty() ? least_tokens + token_range / 2.0 : 0;
+    for (const request_class& of : load_.sizes)
+      mean += of.part * static_cast<double>(of.input + of.output);
+    return mean;
+  }
+  void draw_size(request& one) {
+    if (load_.sizes.empty()) {
+      one.bound = least_tokens + random_.below(token_range);
+      return;
+    }
+    double drawn = random_.unit();
+    auto of = load_.sizes.begin();
+    while (std::next(of) != load_.sizes.end() && drawn > of->part)
+      drawn -= (of++)->part;
+    one.input = of->input;
+    one.bound = of->input + of->output;
+  }
+
   void at(time_ms when, std::function<void()> run) {
     events_.push({when, ++last_event_, std::move(run)});
   }
+  /// \returns a wait for processor time
+  std::int64_t processor_wait() {
+    if (load_.mean_processor_wait == 0)
+      return 0;
+    return static_cast<std::int64_t>(-std::log(1 - random_.unit()) * load_.mean_processor_wait);
+  }
   void after(std::int64_t ms, std::function<void()> run) { at(now_ + time_ms{ms}, std::move(run)); }
 
   void add_host(int number) {
@@ -163,9 +202,8 @@
       const double tokens = most_requests < requests_per_host * load_.hosts
                                 ? most_requests
                                 : requests_per_host * load_.hosts;
-      const double mean = least_tokens + token_range / 2.0;
-      paid_[team_name(i)] =
-          static_cast<std::uint64_t>(tokens * mean * budget_seconds * weight_of(i) / total_weight_);
+      paid_[team_name(i)] = static_cast<std::uint64_t>(
+          tokens * mean_request() * load_.budget_seconds * weight_of(i) / total_weight_);
     }
   }
 
@@ -189,13 +227,18 @@
     part_state& state = hosts_[host].parts[part];
     if (state.syncing)
       return;
+    if (load_.one_sync_at_a_time && hosts_[host].syncing) {
+      state.requested = true;
+      return;
+    }
+    hosts_[host].syncing = true;
     state.syncing = true;
     state.requested = false;
     state.tries = 0;
     try_sync(host, part);
   }
   void try_sync(std::size_t host, std::size_t part) {
-    after(log_call, [this, host, part] {
+    after(log_call + processor_wait(), [this, host, part] {
       part_state& state = hosts_[host].parts[part];
       logs_[part].read_into(*state.budgets, now_);
       state.loaded = true;
@@ -203,7 +246,7 @@
       const std::uint64_t end = state.budgets->end();
       if (records.empty())
         return end_sync(host, part);
-      after(log_call, [this, host, part, records, end] {
+      after(log_call + processor_wait(), [this, host, part, records, end] {
         part_state& state = hosts_[host].parts[part];
         if (logs_[part].append_at(end, records)) {
           result_.records += static_cast<int>(records.size());
@@ -222,6 +265,7 @@
     part_state& state = hosts_[host].parts[part];
     const prepaid_options options;
     state.syncing = false;
+    hosts_[host].syncing = false;
     ++state.sync_count;
     state.synced_at = now_;
     const auto holders = static_cast<std::int64_t>(state.budgets->holding_hosts(now_));
@@ -231,8 +275,9 @@
             : options.idle_interval;
     set_due(host, part, now_ + interval);
     wake(host);
-    if (state.requested)
-      begin_sync(host, part);
+    for (std::size_t i = 1; i <= partitions; ++i) // in turn
+      if (hosts_[host].parts[(part + i) % partitions].requested)
+        begin_sync(host, (part + i) % partitions);
   }
   void set_due(std::size_t host, std::size_t part, time_ms due) {
     hosts_[host].parts[part].due = due;
@@ -249,7 +294,7 @@
       return;
     const auto number = static_cast<std::size_t>(std::stoi(to.substr(1)));
     const std::uint64_t longest = random_.unit() < load_.late ? longest_delay : 10;
-    after(static_cast<std::int64_t>(1 + random_.below(longest)),
+    after(static_cast<std::int64_t>(1 + random_.below(longest)) + processor_wait(),
           [this, number, message] { handle(number, message); });
   }
   void handle(std::size_t host, const loan_message& message) {
@@ -258,9 +303,10 @@
     const loan_key key{message.host, message.team, message.number};
     switch (message.step) {
     case loan_step::asked: {
+      const auto before = here.lent.given(key);
       const std::uint64_t given =
-          part.budgets->lend(message.team, message.tokens, now_, message.host);
-      if (given > 0)
+          before ? *before : part.budgets->lend(message.team, message.tokens, now_, message.host);
+      if (!before)
         here.lent.note(key, given);
       if (given < message.tokens && part.budgets->has_unpromised_demand(message.team)) {
         const time_ms due = part.synced_at + prepaid_options{}.min_unpromised_interval;
@@ -328,11 +374,11 @@
     auto one = std::make_shared<request>();
     one->host = host;
     one->team = team_name(team);
-    one->bound = least_tokens + random_.below(token_range);
+    draw_size(*one);
     one->state = {.now = now_,
                   .began = now_,
-                  .max_wait = longest_wait,
-                  .max_promise_wait = longest_wait,
+                  .max_wait = load_.longest_wait,
+                  .max_promise_wait = load_.longest_wait,
                   .last_loan = {},
                   .covered_after = {}};
     ++result_.requests;
@@ -351,7 +397,8 @@
     result_.refused += outcome == reserve_outcome::short_here ? 1 : 0;
     if (outcome == reserve_outcome::reserved) {
       result_.waited += now_ > one->state.began ? 1 : 0;
-      const std::uint64_t used = one->bound * (30 + random_.below(71)) / 100;
+      const std::uint64_t used =
+          one->input + (one->bound - one->input) * (30 + random_.below(71)) / 100;
       spent_[one->team] += used;
       after(500 + static_cast<std::int64_t>(random_.below(2500)), [this, one, used] {
         part_of(one->host, one->team).budgets->settle(one->team, one->bound, used);
@@ -381,6 +428,9 @@
     one->waiting = true;
     state.can_borrow = load_.hosts > 1;
     state.loan_under_way = loan_under_way(*one);
+    state.knows_lender = !budgets.holders(one->team).empty();
+    state.view_age = now_ - part.synced_at;
+    state.log_answers = true;
     state.log_helps = budgets.grantable(one->team, paid_.at(one->team), one->bound);
     state.covered_after = budgets.covered_after(one->team, one->bound, now_);
     one->plan = plan_funding(state);
@@ -396,6 +446,11 @@
       budgets.begin_waiting(one->team, one->bound);
       request_sync(one->host, account_partition(one->team, partitions));
       break;
+    case funding_step::read:
+      ++state.reads;
+      state.loans = 0;
+      request_sync(one->host, account_partition(one->team, partitions));
+      break;
     default:
       break;
     }
@@ -419,7 +474,8 @@
       const part_state& part = part_of(host, one->team);
       const auto& plan = one->plan;
       const bool over = part.budgets->slack(one->team, now_) >= one->bound ||
-                        (plan.step == funding_step::sync && part.sync_count != one->seen) ||
+                        ((plan.step == funding_step::sync || plan.step == funding_step::read) &&
+                         part.sync_count != one->seen) ||
                         (plan.step == funding_step::join && !loan_under_way(*one));
       if (over && !one->ended &&
           std::count(hosts_[host].waiting.begin(), hosts_[host].waiting.end(), one) > 0)
@@ -461,14 +517,24 @@
     const loan_round::action next = round->round.next(round->lent, round->answers, now_);
     switch (next.kind) {
     case loan_round::action_kind::ask: {
+      const auto open = std::find_if(round->questions.begin(), round->questions.end(),
+                                     [&](const loan_message& of) { return of.host == next.host; });
+      if (open != round->questions.end()) { // repeated
+        loan_message same = *open;
+        same.host = here.name;
+        send(next.host, same);
+        return advance(one, round);
+      }
       const std::uint64_t number = ++last_ask_;
-      here.asks[number] = {one->team, [this, one, round, host = next.host](std::uint64_t tokens) {
-                             round->asked.erase(host);
+      here.asks[number] = {one->team, [this, one, round, number](std::uint64_t tokens) {
+                             std::erase_if(round->questions, [number](const loan_message& of) {
+                               return of.number == number;
+                             });
                              round->lent += tokens;
                              ++round->answers;
                              advance(one, round);
                            }};
-      round->asked[next.host] = number;
+      round->questions.push_back({loan_step::asked, number, next.tokens, next.host, one->team});
       send(next.host, {loan_step::asked, number, next.tokens, here.name, one->team});
       return advance(one, round);
     }
@@ -482,9 +548,9 @@
       break;
     }
     round->ended = true;
-    for (const auto& [host, number] : round->asked) {
-      here.silent.note_silence(host, now_);
-      here.asks[number].answered = nullptr;
+    for (const loan_message& open : round->questions) {
+      here.silent.note_silence(open.host, now_);
+      here.asks[open.number].answered = nullptr;
     }
     std::uint64_t& expected = here.expected[one->team];
     const std::uint64_t missing = round->expected > round->lent ? round->expected - round->lent : 0;
--- a/tests/prepaid/token_wait_test.cpp
+++ b/tests/prepaid/token_wait_test.cpp
@@ -2,6 +2,9 @@
 
 #include "prepaid/impl/token_wait.hpp"
 
+#include "prepaid/impl/funding.hpp"
+#include "prepaid/impl/loan_policy.hpp"
+
 #include <doctest/doctest.h>
 
 using namespace sedgechute;
@@ -65,3 +68,37 @@
   CHECK(wait->for_log);
   CHECK(wait->until == now + time_ms{40});
 }
+
+// Guards against pauses between loans that leave the log no time of a short wait.
+TEST_CASE("a request at a host that knows no lender reads the log, then asks for a grant") {
+  unfunded_request request{.now = time_ms{1000},
+                           .began = time_ms{1000},
+                           .max_wait = time_ms{75},
+                           .holds = false,
+                           .can_borrow = true,
+                           .knows_lender = false,
+                           .log_answers = true,
+                           .log_helps = true};
+  CHECK(plan_funding(request).step == funding_step::read);
+  request.reads = 1;
+  CHECK(plan_funding(request).step == funding_step::sync);
+  request.knows_lender = true;
+  CHECK(plan_funding(request).step == funding_step::borrow);
+  CHECK(plan_funding(request).until == time_ms{1045});
+  request.loans = 1;
+  request.now = request.last_loan = time_ms{1044};
+  CHECK(plan_funding(request).until == time_ms{1045});
+  request.view_age = time_ms{1000};
+  request.reads = 0;
+  CHECK(plan_funding(request).step == funding_step::read);
+}
+
+// Guards against short waits that end after two lost messages.
+TEST_CASE("a round with a short wait asks each host sooner, and those without an answer again") {
+  loan_round round{{{"a", 1}, {"b", 1}}, 10, 0, time_ms{1075}, {}};
+  std::vector<std::string> asked;
+  for (time_ms now{1000}; now < time_ms{1075}; now += time_ms{1})
+    if (const auto next = round.next(0, 0, now); next.kind == loan_round::action_kind::ask)
+      asked.push_back(next.host);
+  CHECK(asked == std::vector<std::string>{"a", "b", "a", "b", "a"});
+}
