--- a/tests/prepaid/token_loans_test.cpp
+++ b/tests/prepaid/token_loans_test.cpp
@@ -280,3 +280,14 @@
   CHECK(hosts.taker().manager.idle_loans(team) == 0); // no request waits for them any more
   CHECK(hosts.lent() == 0);
 }
+
+// Guards against tokens that are lent to nobody: the question of a loan that was returned may
+// arrive once more, and its borrower no longer waits for an answer.
+TEST_CASE("a repeated question about a returned loan is answered with 0") {
+  lent_ledger lent{8};
+  const loan_key loan{"host-1", team, 1};
+  lent.note(loan, 5);
+  CHECK(lent.close(loan, 5) == 5);
+  CHECK(lent.given(loan) == 0);
+  CHECK(lent.close(loan, 5) == 0);
+}
