--- a/tests/admission/event_grouping_test.cpp
+++ b/tests/admission/event_grouping_test.cpp
@@ -70,7 +70,7 @@
 } // namespace
 
 // Guards against a host that refuses requests while its streams wake it up once per event.
-TEST_CASE("at 1.5 times its load a processor keeps up by grouping events, within their bound") {
+TEST_CASE("at 1.5 times its load a processor keeps up by grouping events within their bound") {
   CHECK(play(1.5, {time_ms{0}, time_ms{300}}).delay_ms > target_ms);
   const result grouped = play(1.5, usual);
   CHECK(grouped.delay_ms <= target_ms);
