Call the wait for further events a delay

Cause: "rest" also means what is left over, and the metric of event rests did not say what waits. Change: event_delay, wait_without_reading, delayed_reads and sedgechute_delayed_event_reads_total; behaviour is the same.

--- a/src/admission/impl/event_grouping.cpp
+++ b/src/admission/impl/event_grouping.cpp
@@ -26,7 +26,7 @@
       std::clamp(level_ + (excess > 0 ? options_.rise : options_.fall) * excess * span, 0.0, 1.0);
 }
 
-time_ms event_rest(double level, const event_bounds& bounds) noexcept {
+time_ms event_delay(double level, const event_bounds& bounds) noexcept {
   time_ms bound = std::max(bounds.latency, time_ms{});
   if (bounds.longest_pause > time_ms{})
     bound = std::min(bound, bounds.longest_pause);
--- a/src/admission/impl/event_grouping.hpp
+++ b/src/admission/impl/event_grouping.hpp
@@ -39,6 +39,6 @@
 /// \param level  see `event_grouping`
 /// \returns for how long the next events of a stream are collected before they are forwarded
 ///   together
-[[nodiscard]] time_ms event_rest(double level, const event_bounds& bounds) noexcept;
+[[nodiscard]] time_ms event_delay(double level, const event_bounds& bounds) noexcept;
 
 } // namespace sedgechute
--- a/src/relay/impl/connection.cpp
+++ b/src/relay/impl/connection.cpp
@@ -179,7 +179,7 @@
   }
 }
 
-io_status connection::rest(time_ms until, caller_watch& watch) {
+io_status connection::wait_without_reading(time_ms until, caller_watch& watch) {
   return wait(0, until, &watch);
 }
 
--- a/src/relay/impl/connection.hpp
+++ b/src/relay/impl/connection.hpp
@@ -104,7 +104,7 @@
   [[nodiscard]] bool watch_polled() const noexcept { return watch_polled_; }
   /// \brief Waits without reading while bytes collect.
   /// \returns `timed_out` at `until`; `ok` when the connection has failed before
-  [[nodiscard]] io_status rest(time_ms until, caller_watch& watch);
+  [[nodiscard]] io_status wait_without_reading(time_ms until, caller_watch& watch);
   [[nodiscard]] io_status write_all(std::string_view bytes, time_ms deadline,
                                     caller_watch* watch = nullptr);
   /// \brief Writes a message without joining its header and body in memory.
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -353,14 +353,14 @@
   return parts_.answer.deliver(bytes) ? send_outcome::answered : send_outcome::caller_left;
 }
 
-// The bytes collect in the socket. A caller that leaves and a stop end the rest.
+// The bytes collect in the socket. A caller that leaves and a stop end the wait.
 io_status endpoint_exchange::collect_events() {
-  const time_ms rest = parts_.event_rest ? parts_.event_rest() : time_ms{};
-  if (rest <= time_ms{} || !link_.buffered().empty())
+  const time_ms delay = parts_.event_delay ? parts_.event_delay() : time_ms{};
+  if (delay <= time_ms{} || !link_.buffered().empty())
     return io_status::ok;
-  ++rests_;
-  const time_ms until = std::min(parts_.time.now() + rest, next_wake_up());
-  const io_status status = link_.rest(until, parts_.watch);
+  ++delayed_reads_;
+  const time_ms until = std::min(parts_.time.now() + delay, next_wake_up());
+  const io_status status = link_.wait_without_reading(until, parts_.watch);
   next_interruption_check_ = parts_.time.now() + interruption_check_interval;
   return status == io_status::timed_out ? io_status::ok : status;
 }
--- a/src/relay/impl/endpoint_exchange.hpp
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -71,7 +71,7 @@
     /// Called each time that a part of the answer has been read.
     std::function<void()> on_written{};
     /// Returns for how long the next events of a stream are collected; empty: they never are.
-    std::function<time_ms()> event_rest{};
+    std::function<time_ms()> event_delay{};
     /// Called while the endpoint is silent; empty: the exchange waits until the deadline.
     /// Returns when to call it again; nothing: the request has ended otherwise.
     std::function<std::optional<time_ms>(const endpoint_silence&)> on_silence{};
@@ -90,7 +90,7 @@
   /// \returns whether the connection may carry another exchange
   [[nodiscard]] bool reusable() const noexcept { return reusable_; }
   /// \returns how often events were collected before they were forwarded
-  [[nodiscard]] std::size_t rests() const noexcept { return rests_; }
+  [[nodiscard]] std::size_t delayed_reads() const noexcept { return delayed_reads_; }
 
  private:
   [[nodiscard]] send_outcome read_reply();
@@ -153,7 +153,7 @@
   bool names_request_{false}; ///< the reply bears the id of this request
   bool answer_begun_{false};
   bool reusable_{false};
-  std::size_t rests_{0};
+  std::size_t delayed_reads_{0};
 };
 
 /// \returns the header of the request for the endpoint of `place`
--- a/src/relay/impl/request_relay.cpp
+++ b/src/relay/impl/request_relay.cpp
@@ -19,7 +19,7 @@
         silence_decision::others_back, silence_decision::none_heard, silence_decision::no_retry,
         silence_decision::no_endpoint, silence_decision::send_beside})
     parts_.figures.add(metric::silent_endpoints, {name_of(decision)}, 0);
-  parts_.figures.add(metric::event_rests, {}, 0);
+  parts_.figures.add(metric::delayed_event_reads, {}, 0);
   for (const auto cause : {refusal_cause::overload, refusal_cause::open_requests,
                            refusal_cause::preparing, refusal_cause::memory})
     parts_.figures.add(metric::load_refusals, {name_of(cause), "", ""}, 0);
@@ -174,9 +174,9 @@
   return patience_.longest(route, team);
 }
 
-time_ms request_relay::event_rest(const route& on) const {
+time_ms request_relay::event_delay(const route& on) const {
   const auto& grouping = parts_.pressure.grouping;
-  return grouping ? sedgechute::event_rest(grouping(), {options_.event_latency, on.longest_pause})
+  return grouping ? sedgechute::event_delay(grouping(), {options_.event_latency, on.longest_pause})
                   : time_ms{};
 }
 
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -150,7 +150,7 @@
   [[nodiscard]] std::optional<time_ms> longest_patience(const std::string& route,
                                                         std::string_view team) const;
   /// \returns for how long a stream's next events are collected before they are forwarded
-  [[nodiscard]] time_ms event_rest(const route& on) const;
+  [[nodiscard]] time_ms event_delay(const route& on) const;
   void note_length(const std::string& kind, time_ms length);
   /// \param most  time until the deadline of the request
   [[nodiscard]] run_forecast forecast(const std::string& kind, time_ms most) const;
--- a/src/relay/impl/request_run_sends.cpp
+++ b/src/relay/impl/request_run_sends.cpp
@@ -197,7 +197,7 @@
   endpoint_exchange run{
       {parts.dialect, parts.endpoints, parts.time, admitted_, place, watch_, answer_, one.progress,
        [&] { note_begun(place); }, [&] { end_other_sends(); }, [&] { note_written(one); },
-       [&] { return relay_.event_rest(*admitted_.on_route); },
+       [&] { return relay_.event_delay(*admitted_.on_route); },
        [&](const endpoint_silence& silence) { return consider_silence(one, silence); },
        open_sends_.size() > 1 ? std::function<void()>{[&] { end_other_sends(); }}
                               : std::function<void()>{}},
@@ -212,8 +212,8 @@
       run.run(endpoint_request(in_.head, in_.body.size(), admitted_, place,
                                answer_.events().last_id(), parts.dialect, now()),
               in_.body);
-  if (run.rests() > 0)
-    parts.figures.add(metric::event_rests, {}, static_cast<double>(run.rests()));
+  if (run.delayed_reads() > 0)
+    parts.figures.add(metric::delayed_event_reads, {}, static_cast<double>(run.delayed_reads()));
   if (run.reusable())
     relay_.connections_.give_back(place.endpoint, place.local_incarnation, std::move(link));
   else
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -278,9 +278,9 @@
                   "on. result: first, second, none.",
                   {"result"},
                   entry},
-    metric_family{metric::event_rests,
+    metric_family{metric::delayed_event_reads,
                   counter,
-                  "sedgechute_event_rests_total",
+                  "sedgechute_delayed_event_reads_total",
                   "Waits of a busy host's streams for further events, which are then forwarded "
                   "together.",
                   {},
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -65,7 +65,7 @@
   stream_records,
   silent_endpoints,
   silent_sends,
-  event_rests,
+  delayed_event_reads,
   load_refusals,
   held_bytes,
 };
--- a/tests/admission/event_grouping_test.cpp
+++ b/tests/admission/event_grouping_test.cpp
@@ -31,7 +31,7 @@
   struct stream {
     std::int64_t first_event{0}; ///< of those that wait
     int events{0};
-    std::int64_t rests_until{0};
+    std::int64_t waits_until{0};
     bool queued{false};
   };
   std::vector<stream> all(streams);
@@ -46,7 +46,7 @@
       stream& one = all[i];
       if ((now + static_cast<std::int64_t>(i)) % event_interval == 0 && ++one.events == 1)
         one.first_event = now;
-      if (one.events == 0 || one.queued || now < one.rests_until)
+      if (one.events == 0 || one.queued || now < one.waits_until)
         continue;
       got.held = std::max(got.held, time_ms{now - one.first_event});
       one.queued = true;
@@ -56,7 +56,7 @@
          queue.pop_front()) {
       stream& one = all[queue.front()];
       spare_ms -= wake_up_ms * (0.9 + 0.1 * one.events);
-      one = {.rests_until = now + event_rest(grouping.level(), bounds).count()};
+      one = {.waits_until = now + event_delay(grouping.level(), bounds).count()};
     }
     const double waits = std::min(static_cast<double>(queue.size()) * wake_up_ms, 20.0);
     delay += (waits - delay) * (1 - std::exp(-1 / smoothing_ms));
@@ -79,14 +79,14 @@
 
 // Guards against streams that are delayed although the processor has time for each event.
 TEST_CASE("a host that is not busy forwards each event at once") {
-  CHECK(event_rest(0, usual) == time_ms{0});
+  CHECK(event_delay(0, usual) == time_ms{0});
   CHECK(play(0.3, usual).held == time_ms{0});
 }
 
 // Guards against events that come after the bound of the deployment or the pause of their route.
 TEST_CASE("events are held back for at most a quarter of each bound") {
-  CHECK(event_rest(1, usual) == time_ms{50});
-  CHECK(event_rest(1, {time_ms{400}, time_ms{80}}) == time_ms{20});
-  CHECK(event_rest(1, {time_ms{400}, time_ms{0}}) == time_ms{100});
-  CHECK(event_rest(1, {time_ms{0}, time_ms{300}}) == time_ms{0});
+  CHECK(event_delay(1, usual) == time_ms{50});
+  CHECK(event_delay(1, {time_ms{400}, time_ms{80}}) == time_ms{20});
+  CHECK(event_delay(1, {time_ms{400}, time_ms{0}}) == time_ms{100});
+  CHECK(event_delay(1, {time_ms{0}, time_ms{300}}) == time_ms{0});
 }
--- a/tests/relay/grouped_events_test.cpp
+++ b/tests/relay/grouped_events_test.cpp
@@ -10,10 +10,10 @@
 
 using then = scripted_reply::then;
 
-relay_options holding_back_for(time_ms rest) {
+relay_options holding_back_for(time_ms delay) {
   constexpr int quarters = 4;
   relay_options options;
-  options.event_latency = time_ms{rest.count() * quarters};
+  options.event_latency = time_ms{delay.count() * quarters};
   return options;
 }
 
@@ -52,6 +52,6 @@
   CHECK(ends_in_order(answer));
   CHECK(answer.find(event_chunk(2) + event_chunk(3)) != std::string::npos);
   REQUIRE(at.has_open(0)); // the figure is added behind the answer
-  CHECK(at.figures().text().find("sedgechute_event_rests_total{host=\"relay-test\"} 1") !=
+  CHECK(at.figures().text().find("sedgechute_delayed_event_reads_total{host=\"relay-test\"} 1") !=
         std::string::npos);
 }
