Promise next to nothing to a team that has stopped sending requests

Callers saw: all hosts were killed and back after 5 s, two seconds after a team's last request; from 65 % of its budget on each of its requests was refused with 402.

Cause: from 2.2 s after a record on a promise grew by an eighth of all that the host held for each second, so that hosts serve while they are cut off from the log. It did so as well for a team without requests, and a start counts the whole promise as used.

Change: a host expects requests while its pause is not longer than the last pauses and the rate of the team suggest, and shows it by the pace in its record. Where no host expects any, the team is promised a burst of 1 % and no pace. The change is written with the next synchronization. New metrics: sedgechute_idle_teams, sedgechute_promised_tokens; also on /budgets.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -361,10 +361,22 @@
   std::ostringstream text;
   for (const auto& [team, figures] : budgets_->totals())
     text << team << " prepaid " << figures.prepaid << " granted " << figures.granted << " used "
-         << figures.used << " here " << figures.slack << '\n';
+         << figures.used << " here " << figures.slack << " promised " << figures.promised
+         << (figures.active ? " active" : " idle") << '\n';
   return text.str();
 }
 
+void entry_host::export_promises() {
+  double idle = 0;
+  double promised = 0;
+  for (const auto& [team, figures] : budgets_->totals()) {
+    idle += figures.active ? 0 : 1;
+    promised += static_cast<double>(figures.promised);
+  }
+  figures_.set(metric::idle_teams, {}, idle);
+  figures_.set(metric::promised_tokens, {}, promised);
+}
+
 status_server::pages entry_host::pages() {
   return {
       {"/readyz",
@@ -392,6 +404,7 @@
                       static_cast<double>(relay_->memory().held(held_message::body)));
          figures_.set(metric::held_bytes, {"answers"},
                       static_cast<double>(relay_->memory().held(held_message::answer)));
+         export_promises();
          for (const auto& [service, spread] : endpoints_.speed_spreads())
            figures_.set(metric::endpoint_speed_spread, {service}, spread);
          figures_.set(metric::cold_endpoints, {}, static_cast<double>(endpoints_.cold()));
--- a/src/entry/impl/entry_host.hpp
+++ b/src/entry/impl/entry_host.hpp
@@ -33,6 +33,7 @@
   [[nodiscard]] std::string not_ready_reason() const;
   [[nodiscard]] status_server::pages pages();
   [[nodiscard]] std::string budget_page() const;
+  void export_promises();
   void serve_until_end(planned_stop& stop) const;
   void wait_until(const std::function<bool()>& done, time_ms most) const;
   void take_config(const config_ptr& config);
--- a/src/prepaid/impl/budget_manager.cpp
+++ b/src/prepaid/impl/budget_manager.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// Operators watch what a kill of this host loses; hosts are mostly back sooner.
+constexpr time_ms promise_window{10000};
+
 std::chrono::milliseconds to_chrono(time_ms span) {
   return std::chrono::milliseconds{span.count()};
 }
@@ -315,10 +318,16 @@
 std::map<std::string, budget_manager::team_totals> budget_manager::totals() const {
   const std::scoped_lock lock{mutex_};
   std::map<std::string, team_totals> all;
+  const time_ms now = time_.now();
   for (const auto& [team, paid] : prepaid_) {
     const partition_budgets& budgets = partition_of(team).budgets;
-    all[team] = {paid, budgets.granted(team), budgets.used(team), budgets.slack(team, time_.now()),
-                 budgets.lent(team)};
+    all[team] = {.prepaid = paid,
+                 .granted = budgets.granted(team),
+                 .used = budgets.used(team),
+                 .slack = budgets.slack(team, now),
+                 .lent = budgets.lent(team),
+                 .promised = budgets.promised(team, promise_window),
+                 .active = budgets.active(team, now)};
   }
   return all;
 }
--- a/src/prepaid/impl/budget_manager.hpp
+++ b/src/prepaid/impl/budget_manager.hpp
@@ -111,10 +111,12 @@
 
   struct team_totals {
     std::uint64_t prepaid{};
-    std::uint64_t granted{}; ///< to all hosts
-    std::uint64_t used{};    ///< by all hosts, as reported
-    std::uint64_t slack{};   ///< that this host may use now
-    std::uint64_t lent{};    ///< by this host, and not returned
+    std::uint64_t granted{};  ///< to all hosts
+    std::uint64_t used{};     ///< by all hosts, as reported
+    std::uint64_t slack{};    ///< that this host may use now
+    std::uint64_t lent{};     ///< by this host, and not returned
+    std::uint64_t promised{}; ///< that this host may use within ten seconds of its last record
+    bool active{false};       ///< requests are expected, here or at another host
   };
   [[nodiscard]] std::map<std::string, team_totals> totals() const;
 
--- a/src/prepaid/impl/partition_budgets.cpp
+++ b/src/prepaid/impl/partition_budgets.cpp
@@ -280,6 +280,7 @@
     state.rate_updated_at = now;
   ++state.requests;
   state.demand.note(bound, now);
+  state.pauses.note(now);
   if (keeps_loans_)
     state.kept = tokens_for(state.demand.rate(now), loan_kept_window, state.prepaid);
 }
@@ -390,15 +391,51 @@
   return next;
 }
 
-void partition_budgets::promise(account& next, const team_state& state, const budget_summary& pool,
-                                const clock_reading& now) const {
+bool partition_budgets::is_active_here(const team_state& state, time_ms now) const {
+  double rate = state.rate;
+  for (const auto& [host, kept] : state.accounts)
+    if (host != host_ && now - kept.written <= options_.activity_timeout)
+      rate += static_cast<double>(kept.value.rate);
+  return state.pauses.active(now, mean_request_ > 0 ? rate / mean_request_ : 0);
+}
+
+// Callers move between hosts, so a host without requests promises as much as others while one of
+// them has some.
+bool partition_budgets::is_active(const team_state& state, time_ms now) const {
+  return is_active_here(state, now) ||
+         std::any_of(state.accounts.begin(), state.accounts.end(), [&](const auto& known) {
+           const auto& [host, kept] = known;
+           return host != host_ && kept.value.pace >= least_active_pace &&
+                  now - kept.written <= options_.activity_timeout;
+         });
+}
+
+bool partition_budgets::active(const std::string& team, time_ms now) const {
+  const team_state* state = find(team);
+  return state != nullptr && is_active(*state, now);
+}
+
+std::uint64_t partition_budgets::promised(const std::string& team, time_ms within) const {
+  const team_state* state = find(team);
+  if (state == nullptr)
+    return 0;
+  const auto at = state->accounts.find(host_);
+  if (at == state->accounts.end() || at->second.value.incarnation != incarnation_)
+    return 0;
+  return saturating_sub(max_used(at->second.value, within), at->second.value.used);
+}
+
+void partition_budgets::promise(const std::string& team, account& next, const team_state& state,
+                                const budget_summary& pool, const clock_reading& now) const {
   const usage_promise of = make_promise(
       {.unused = static_cast<double>(next.slack()),
        .rate = static_cast<double>(next.rate),
        .mean_request = mean_request_,
        .lent_fraction = std::min(state.lent_rate / std::max(state.rate, min_rate), 1.0),
        .unpromised_rate = state.unpromised_rate,
-       .remaining_fraction = pool.remaining_fraction},
+       .remaining_fraction = pool.remaining_fraction,
+       .host_active = holds(team) && is_active_here(state, now.boot),
+       .team_active = is_active(state, now.boot)},
       options_);
   const std::uint64_t ahead =
       state.wanted > 0 ? tokens_for(state.demand.rate(now.boot), loan_ahead_window, state.prepaid)
@@ -472,14 +509,17 @@
   if (known.incarnation != next.incarnation)
     return next.slack() > 0;
   const bool changed = known.used != next.used || known.rate != next.rate ||
-                       known.burst != next.burst || known.pace != next.pace || next.outage_pace > 0;
+                       known.burst != next.burst || known.pace != next.pace || next.slack() > 0;
   const time_ms age = next.written.boot - known.written.boot;
   const std::uint64_t left = saturating_sub(max_used(known, age), next.used);
   const bool low = left < std::min(next.burst, next.slack()) / 2;
+  const bool activity_changed =
+      (known.pace == 0) != (next.pace == 0) || (known.outage_pace == 0) != (next.outage_pace == 0);
   const auto longer =
       static_cast<double>((options_.max_refresh_interval - options_.min_refresh_interval).count());
+  const bool prompt = low || activity_changed;
   const time_ms rest{
-      static_cast<std::int64_t>(low ? 0 : longer * remaining_fraction * remaining_fraction)};
+      static_cast<std::int64_t>(prompt ? 0 : longer * remaining_fraction * remaining_fraction)};
   return changed && age >= options_.min_refresh_interval + rest;
 }
 
@@ -490,6 +530,8 @@
   for (const auto& [team, paid] : prepaid) {
     team_state& state = teams_[team];
     update_rate(state, now.boot);
+    if (state.accounts.empty()) // a new team: its first requests are to be expected
+      state.pauses.note(now.boot);
     if (auto lost = leaving ? std::nullopt : write_off_unreadable(team, state, paid, now)) {
       records.push_back(std::move(*lost));
       continue;
@@ -498,7 +540,7 @@
       records.push_back(std::move(restored));
     const budget_summary pool = summarize(state, paid, now.boot);
     account next = next_account(team, state, leaving ? nullptr : &pool);
-    promise(next, state, pool, now);
+    promise(team, next, state, pool, now);
     if (!should_write(state, next, pool.remaining_fraction))
       continue;
     state.unacknowledged.push_back(next);
--- a/src/prepaid/impl/partition_budgets.hpp
+++ b/src/prepaid/impl/partition_budgets.hpp
@@ -3,6 +3,7 @@
 #include "prepaid/impl/account.hpp"
 #include "prepaid/impl/prepaid_options.hpp"
 #include "prepaid/impl/recent_demand.hpp"
+#include "prepaid/impl/request_pauses.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -62,6 +63,10 @@
   /// requests use.
   void set_holder_predicate(holder_predicate holds) { holds_ = std::move(holds); }
   [[nodiscard]] bool holds(const std::string& team) const { return !holds_ || holds_(team); }
+  /// \returns whether this host or, by their records, another one expects requests of a team
+  [[nodiscard]] bool active(const std::string& team, time_ms now) const;
+  /// \returns tokens beyond the reported use that this host's last record allows within a time
+  [[nodiscard]] std::uint64_t promised(const std::string& team, time_ms within) const;
   /// \returns whether this host has unused grants
   [[nodiscard]] bool holds_tokens() const;
   /// \returns whether requests or other hosts rely on this host's next record
@@ -199,9 +204,10 @@
     std::uint64_t wanted{};                          ///< by reservations that wait for the log
     std::map<std::string, std::uint64_t> unpromised; ///< loan requests beyond the promise, by host
     recent_demand asked_for;                         ///< tokens that other hosts asked for
-    recent_demand demand;                ///< tokens that requests at this host asked for
-    std::uint64_t prepaid{};             ///< as of the last reservation
-    std::uint64_t kept{};                ///< borrowed tokens that are kept for the next requests
+    recent_demand demand;    ///< tokens that requests at this host asked for
+    request_pauses pauses;   ///< between requests at this host, and those of other hosts for loans
+    std::uint64_t prepaid{}; ///< as of the last reservation
+    std::uint64_t kept{};    ///< borrowed tokens that are kept for the next requests
     std::vector<account> unacknowledged; ///< appended, but not known whether they are in the log
     double rate{};                       ///< tokens a second
     double lent_rate{};                  ///< part of `rate` that was lent
@@ -216,6 +222,9 @@
 
   /// \returns tokens that the next record promises to hosts that wait for them
   [[nodiscard]] static std::uint64_t unpromised_demand(const team_state& state, time_ms now);
+  /// \returns whether this host expects requests of a team, or of hosts that borrow for them
+  [[nodiscard]] bool is_active_here(const team_state& state, time_ms now) const;
+  [[nodiscard]] bool is_active(const team_state& state, time_ms now) const;
   void write_off_previous_incarnation(team_state& state) const;
   [[nodiscard]] const team_state* find(const std::string& team) const;
   [[nodiscard]] account own_account(const team_state& state) const;
@@ -240,8 +249,8 @@
   /// \param pool  current totals; null when leaving
   [[nodiscard]] account next_account(const std::string& team, const team_state& state,
                                      const budget_summary* pool) const;
-  void promise(account& next, const team_state& state, const budget_summary& pool,
-               const clock_reading& now) const;
+  void promise(const std::string& team, account& next, const team_state& state,
+               const budget_summary& pool, const clock_reading& now) const;
   /// \returns records of other hosts as they were before another writer replaced them
   [[nodiscard]] std::vector<account_record> restored_accounts(const std::string& team,
                                                               const team_state& state) const;
--- a/src/prepaid/impl/partition_budgets_loans.cpp
+++ b/src/prepaid/impl/partition_budgets_loans.cpp
@@ -17,6 +17,7 @@
   state.lent_since_update += static_cast<double>(given);
   state.unpromised_since_update += static_cast<double>(not_promised);
   state.asked_for.note(tokens, now);
+  state.pauses.note(now);
   if (not_promised > 0)
     state.unpromised[borrower] = not_promised;
   else
--- a/src/prepaid/impl/prepaid_options.hpp
+++ b/src/prepaid/impl/prepaid_options.hpp
@@ -47,6 +47,11 @@
   double burst_fraction{0.045};
   /// The same for the sum of its pace until `outage_after`.
   double paced_fraction{0.15};
+  /// Promised burst of a team that sends no requests, as a part of the same. It has no pace.
+  double idle_burst_fraction{0.01};
+  /// Time after which a record no longer shows that its host expects requests. Active hosts write
+  /// several times as often.
+  time_ms activity_timeout{5000};
   /// If other hosts borrow, the burst covers at least this many requests of mean size: they borrow
   /// for whole requests.
   double loan_burst_requests{2.0};
--- a/src/prepaid/impl/promise_policy.hpp
+++ b/src/prepaid/impl/promise_policy.hpp
@@ -14,6 +14,8 @@
   double lent_fraction{};   ///< part of `rate` that was lent to other hosts
   double unpromised_rate{}; ///< tokens per second that others asked for, held here but not promised
   double remaining_fraction{1}; ///< part of the team's budget that no host has used
+  bool host_active{true};       ///< further requests are to be expected at this host
+  bool team_active{true};       ///< the same, at any host
 };
 
 /// \brief Upper bound on a host's use until its next record, beyond the use that the record
@@ -25,6 +27,10 @@
   time_ms outage_after{};
 };
 
+/// \brief Least pace of a host at which further requests are to be expected: other hosts see from
+/// it that the team is active.
+inline constexpr std::uint64_t least_active_pace = 1;
+
 /// \returns the promise of a record. Tokens that are promised and not used are lost to the team
 /// when the host is killed; tokens that are not promised cannot be used while the host is cut off
 /// from the log.
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -300,13 +300,27 @@
                   "answers (that callers have not read).",
                   {"kind"},
                   entry},
+    metric_family{metric::idle_teams,
+                  gauge,
+                  "sedgechute_idle_teams",
+                  "Teams with a budget that have stopped sending requests to all hosts, as far as "
+                  "this host knows: little of their tokens is promised.",
+                  {},
+                  entry},
+    metric_family{metric::promised_tokens,
+                  gauge,
+                  "sedgechute_promised_tokens",
+                  "Tokens of all teams that this host may use within ten seconds of its last "
+                  "records. They are lost if it is killed and is away for so long.",
+                  {},
+                  entry},
 };
 
 constexpr bool in_order() {
   for (std::size_t i = 0; i < families.size(); ++i)
     if (static_cast<std::size_t>(families[i].id) != i)
       return false;
-  return families.size() == static_cast<std::size_t>(metric::held_bytes) + 1;
+  return families.size() == static_cast<std::size_t>(metric::promised_tokens) + 1;
 }
 static_assert(in_order(), "the table has one row for each metric, in the order of the enumeration");
 
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -68,6 +68,8 @@
   delayed_event_reads,
   load_refusals,
   held_bytes,
+  idle_teams,
+  promised_tokens,
 };
 
 inline constexpr std::size_t most_labels = 3;
