Count an idle team by the share of its use at the hosts that expect requests

Cause: the longest pause allowed was eight mean pauses of the team, by rates that follow a fall late; after a busy phase a team of few requests counted as idle between them. That bound was there for a host that gets few requests of a busy team, which expects more for seconds after the last one.

Change: such hosts are weighed by their rates instead. A team is active while the hosts that expect requests had a tenth of its use; rates fall alike at all hosts. A host remembers sixteen pauses.

--- a/src/prepaid/impl/partition_budgets.cpp
+++ b/src/prepaid/impl/partition_budgets.cpp
@@ -391,23 +391,26 @@
   return next;
 }
 
-bool partition_budgets::is_active_here(const team_state& state, time_ms now) const {
-  double rate = state.rate;
-  for (const auto& [host, kept] : state.accounts)
-    if (host != host_ && now - kept.written <= options_.activity_timeout)
-      rate += static_cast<double>(kept.value.rate);
-  return state.pauses.active(now, mean_request_ > 0 ? rate / mean_request_ : 0);
-}
-
-// Callers move between hosts, so a host without requests promises as much as others while one of
-// them has some.
+// Callers move between hosts, so a host without requests promises as much as others while some of
+// them have requests. A host that gets few of a busy team's requests cannot tell for seconds that
+// there are no more, so hosts count by their rates.
 bool partition_budgets::is_active(const team_state& state, time_ms now) const {
-  return is_active_here(state, now) ||
-         std::any_of(state.accounts.begin(), state.accounts.end(), [&](const auto& known) {
-           const auto& [host, kept] = known;
-           return host != host_ && kept.value.pace >= least_active_pace &&
-                  now - kept.written <= options_.activity_timeout;
-         });
+  const bool active_here = state.pauses.active(now);
+  const bool promise_used_up = state.wanted > 0 || !state.unpromised.empty();
+  if (active_here && (promise_used_up || state.rate < min_rate))
+    return true;
+  double all = state.rate;
+  double active = active_here ? state.rate : 0;
+  bool others_active = false;
+  for (const auto& [host, kept] : state.accounts) {
+    if (host == host_ || now - kept.written > options_.activity_timeout)
+      continue;
+    const bool active_there = kept.value.pace >= least_active_pace;
+    others_active = others_active || active_there;
+    all += static_cast<double>(kept.value.rate);
+    active += active_there ? static_cast<double>(kept.value.rate) : 0;
+  }
+  return (active_here || others_active) && active >= options_.min_active_part * all;
 }
 
 bool partition_budgets::active(const std::string& team, time_ms now) const {
@@ -434,7 +437,7 @@
        .lent_fraction = std::min(state.lent_rate / std::max(state.rate, min_rate), 1.0),
        .unpromised_rate = state.unpromised_rate,
        .remaining_fraction = pool.remaining_fraction,
-       .host_active = holds(team) && is_active_here(state, now.boot),
+       .host_active = holds(team) && state.pauses.active(now.boot),
        .team_active = is_active(state, now.boot)},
       options_);
   const std::uint64_t ahead =
--- a/src/prepaid/impl/partition_budgets.hpp
+++ b/src/prepaid/impl/partition_budgets.hpp
@@ -222,8 +222,6 @@
 
   /// \returns tokens that the next record promises to hosts that wait for them
   [[nodiscard]] static std::uint64_t unpromised_demand(const team_state& state, time_ms now);
-  /// \returns whether this host expects requests of a team, or of hosts that borrow for them
-  [[nodiscard]] bool is_active_here(const team_state& state, time_ms now) const;
   [[nodiscard]] bool is_active(const team_state& state, time_ms now) const;
   void write_off_previous_incarnation(team_state& state) const;
   [[nodiscard]] const team_state* find(const std::string& team) const;
--- a/src/prepaid/impl/prepaid_options.hpp
+++ b/src/prepaid/impl/prepaid_options.hpp
@@ -52,6 +52,8 @@
   /// Time after which a record no longer shows that its host expects requests. Active hosts write
   /// several times as often.
   time_ms activity_timeout{5000};
+  /// A team is idle while the hosts that expect requests had less than this part of its use.
+  double min_active_part{0.1};
   /// If other hosts borrow, the burst covers at least this many requests of mean size: they borrow
   /// for whole requests.
   double loan_burst_requests{2.0};
--- a/src/prepaid/impl/request_pauses.cpp
+++ b/src/prepaid/impl/request_pauses.cpp
@@ -10,14 +10,9 @@
 constexpr time_ms least_idle_pause{300};
 
 // Of requests that arrive at random, fewer than one pause in a hundred is longer than twice the
-// longest of eight others.
+// longest of sixteen others.
 constexpr std::int64_t pause_margin = 2;
 
-// The same for the pauses of a team as a whole, in mean pauses. Its requests may come in groups.
-constexpr double team_pause_margin = 8;
-
-constexpr double least_rate = 1e-3; // requests per second
-
 } // namespace
 
 void request_pauses::note(time_ms now) noexcept {
@@ -29,16 +24,11 @@
   last_ = now;
 }
 
-// A host of a large fleet gets few requests of a busy team: its own pauses alone would count the
-// team as active for seconds after its last request.
-bool request_pauses::active(time_ms now, double team_rate) const noexcept {
+bool request_pauses::active(time_ms now) const noexcept {
   if (!known_)
     return false;
-  constexpr double ms_per_second = 1000;
-  const time_ms usual = *std::max_element(pauses_.begin(), pauses_.end()) * pause_margin;
-  const double of_team = team_pause_margin * ms_per_second / std::max(team_rate, least_rate);
-  const time_ms limit = std::min(usual, time_ms{static_cast<std::int64_t>(of_team)});
-  return now - last_ <= std::max(limit, least_idle_pause);
+  const time_ms longest = *std::max_element(pauses_.begin(), pauses_.end());
+  return now - last_ <= std::max(longest * pause_margin, least_idle_pause);
 }
 
 } // namespace sedgechute
--- a/src/prepaid/impl/request_pauses.hpp
+++ b/src/prepaid/impl/request_pauses.hpp
@@ -12,13 +12,12 @@
 class request_pauses {
  public:
   void note(time_ms now) noexcept;
-  /// \param team_rate  requests of the team per second at all hosts, or 0 if not known
-  /// \returns whether the pause since the last request is no longer than those before, and the rate
-  /// of the team, suggest; false before the first request
-  [[nodiscard]] bool active(time_ms now, double team_rate) const noexcept;
+  /// \returns whether the pause since the last request is no longer than those before it suggest;
+  /// false before the first request
+  [[nodiscard]] bool active(time_ms now) const noexcept;
 
  private:
-  static constexpr std::size_t remembered = 8;
+  static constexpr std::size_t remembered = 16;
   static constexpr time_ms longest_pause{5000};
 
   static constexpr std::array<time_ms, remembered> unknown_pauses() noexcept {
