Bound the bodies of a host whose settings name no memory

Cause: without memory_mb in the settings nothing was limited. The deploy template names it, settings written by hand do not.

Change: without the setting a host counts on 88 MB, and more than the machine has counts as what it has. The default is in the table of settings. New metric sedgechute_held_bytes_limit.

--- a/src/admission/impl/memory_division.cpp
+++ b/src/admission/impl/memory_division.cpp
@@ -26,6 +26,12 @@
 
 } // namespace
 
+// The kernel tells the memory of the whole machine, of which a process may be allowed only a small
+// part, so it bounds the setting and does not replace it.
+double usable_memory(std::optional<double> setting_mb, double machine_mb) noexcept {
+  return std::min(setting_mb.value_or(default_memory_mb), machine_mb);
+}
+
 memory_division divide_memory(std::optional<double> memory_mb) noexcept {
   if (!memory_mb)
     return {};
--- a/src/admission/impl/memory_division.hpp
+++ b/src/admission/impl/memory_division.hpp
@@ -20,6 +20,14 @@
   [[nodiscard]] bool bounded() const noexcept { return bodies != unbounded; }
 };
 
+/// Memory that a host without a setting counts on, in MB.
+constexpr double default_memory_mb = 88;
+
+/// \param setting_mb  memory by the settings; nothing where they name none
+/// \param machine_mb  memory of the machine, as its kernel tells it
+/// \returns the memory that a host divides, in MB: never more than the machine has
+[[nodiscard]] double usable_memory(std::optional<double> setting_mb, double machine_mb) noexcept;
+
 /// \brief Divides the memory of the machine.
 /// \param memory_mb  nothing: unbounded
 [[nodiscard]] memory_division divide_memory(std::optional<double> memory_mb) noexcept;
--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -2,8 +2,11 @@
 
 #include <Poco/Net/SocketAddress.h>
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <sstream>
 #include <thread>
 
@@ -40,6 +43,16 @@
                   static_cast<std::size_t>(open_requests_per_core * processor_share));
 }
 
+/// \returns the memory of the machine in MB, or infinity where the kernel does not tell
+double machine_memory_mb() {
+  constexpr double bytes_per_mb = 1024.0 * 1024.0;
+  const long pages = ::sysconf(_SC_PHYS_PAGES);
+  const long page_bytes = ::sysconf(_SC_PAGESIZE);
+  if (pages <= 0 || page_bytes <= 0)
+    return std::numeric_limits<double>::infinity();
+  return static_cast<double>(pages) * static_cast<double>(page_bytes) / bytes_per_mb;
+}
+
 void sleep_for(time_ms span) {
   std::this_thread::sleep_for(std::chrono::milliseconds{span.count()});
 }
@@ -159,7 +172,7 @@
   options.max_open = max_open_requests(settings_.processor_share);
   options.max_forwarded = options.max_open / forwarded_divisor;
   options.max_preparing = max_preparing(settings_.processor_share);
-  options.memory = divide_memory(settings_.memory_mb);
+  options.memory = divide_memory(usable_memory(settings_.memory_mb, machine_memory_mb()));
   processor_ = std::make_unique<processor_monitor>(
       shedding_options{}, [this] { return relay_->open(); }, options.max_open / busy_divisor, time,
       log);
@@ -404,6 +417,10 @@
                       static_cast<double>(relay_->memory().held(held_message::body)));
          figures_.set(metric::held_bytes, {"answers"},
                       static_cast<double>(relay_->memory().held(held_message::answer)));
+         figures_.set(metric::held_bytes_limit, {"bodies"},
+                      static_cast<double>(relay_->memory().limits().bodies));
+         figures_.set(metric::held_bytes_limit, {"answers"},
+                      static_cast<double>(relay_->memory().limits().answers));
          export_promises();
          for (const auto& [service, spread] : endpoints_.speed_spreads())
            figures_.set(metric::endpoint_speed_spread, {service}, spread);
--- a/src/entry/impl/entry_settings_table.cpp
+++ b/src/entry/impl/entry_settings_table.cpp
@@ -85,10 +85,10 @@
              "forwards them in groups, within a quarter of it; 0: never",
              static_cast<double>(usual.event_latency.count()), "ms", event_bounds_ms),
       {{"memory_mb",
-        "Of this host's machine; bounds the bodies and unread answers held at once. Absent: "
-        "unbounded",
+        "Of this host's machine; bounds the bodies and unread answers held at once. More than the "
+        "machine has counts as what it has",
         false,
-        "null",
+        text_of(default_memory_mb),
         {"number", "MB", text_of(memory_bounds.least) + " to " + text_of(memory_bounds.most), {}}},
        memory_bounds},
       number("cold_overage",
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -314,13 +314,21 @@
                   "records. They are lost if it is killed and is away for so long.",
                   {},
                   entry},
+    metric_family{metric::held_bytes_limit,
+                  gauge,
+                  "sedgechute_held_bytes_limit",
+                  "Limit of the bytes of messages that this host holds. kind: bodies (of open "
+                  "requests, small ones beyond it within a reserve), answers (that callers have "
+                  "not read).",
+                  {"kind"},
+                  entry},
 };
 
 constexpr bool in_order() {
   for (std::size_t i = 0; i < families.size(); ++i)
     if (static_cast<std::size_t>(families[i].id) != i)
       return false;
-  return families.size() == static_cast<std::size_t>(metric::promised_tokens) + 1;
+  return families.size() == static_cast<std::size_t>(metric::held_bytes_limit) + 1;
 }
 static_assert(in_order(), "the table has one row for each metric, in the order of the enumeration");
 
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -70,6 +70,7 @@
   held_bytes,
   idle_teams,
   promised_tokens,
+  held_bytes_limit,
 };
 
 inline constexpr std::size_t most_labels = 3;
--- a/tests/admission/held_bytes_test.cpp
+++ b/tests/admission/held_bytes_test.cpp
@@ -40,6 +40,15 @@
   CHECK_FALSE(divide_memory(std::nullopt).bounded());
 }
 
+// An operator's settings may name no memory, or more than there is.
+TEST_CASE("the memory that a host divides is bounded whatever its settings say") {
+  CHECK(usable_memory(std::nullopt, 24000) == default_memory_mb);
+  CHECK(usable_memory(110, 24000) == 110);
+  CHECK(usable_memory(512, 256) == 256);
+  CHECK(usable_memory(std::nullopt, 64) == 64);
+  CHECK(divide_memory(usable_memory(std::nullopt, 24000)).bounded());
+}
+
 // A limit below the usual demand of a small machine would reject its everyday requests.
 TEST_CASE("600 open requests with bodies of 75 kB fit into a machine of 88 MB") {
   held_bytes held{divide_memory(88)};
