--- a/tests/entry/entry_program.cpp
+++ b/tests/entry/entry_program.cpp
@@ -75,15 +75,12 @@
        << R"(","status":")" << status_ << R"(","store":")" << store_.server().address().toString()
        << R"(","retry_ratio":0.2,"retry_slack":50,"retry_window_s":10,)" << settings << "}";
   file.close();
-  const std::string printed = folder_ + "/output";
   if (reader == log_reader::never_reads) {
-    REQUIRE(::mkfifo(printed.c_str(), S_IRUSR | S_IWUSR) == 0);
-    unread_ = ::open(printed.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+    REQUIRE(::mkfifo(printed().c_str(), S_IRUSR | S_IWUSR) == 0);
+    unread_ = ::open(printed().c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
     REQUIRE(::fcntl(unread_, F_SETPIPE_SZ, smallest_pipe) > 0);
   }
-  program_ = std::make_unique<fleet_test::process>(
-      std::string{SEDGECHUTE_PROGRAMS} + "/sedgechute-entry",
-      std::vector<std::string>{"--settings", folder_ + "/settings.json"}, printed);
+  start();
 }
 
 entry_program::~entry_program() {
@@ -140,8 +137,24 @@
   REQUIRE(::mkfifo(file.c_str(), S_IRUSR | S_IWUSR) == 0); // without a writer an open waits
 }
 
+void entry_program::restart() {
+  program_.reset();
+  ++starts_;
+  start();
+}
+
+void entry_program::start() {
+  program_ = std::make_unique<fleet_test::process>(
+      std::string{SEDGECHUTE_PROGRAMS} + "/sedgechute-entry",
+      std::vector<std::string>{"--settings", folder_ + "/settings.json"}, printed());
+}
+
+std::string entry_program::printed() const {
+  return folder_ + "/output" + (starts_ > 0 ? std::to_string(starts_) : std::string{});
+}
+
 std::string entry_program::output() const {
-  std::ifstream file{folder_ + "/output"};
+  std::ifstream file{printed()};
   std::ostringstream text;
   text << file.rdbuf();
   return text.str();
--- a/tests/entry/entry_program.hpp
+++ b/tests/entry/entry_program.hpp
@@ -46,6 +46,10 @@
   [[nodiscard]] std::pair<int, std::string> ask(const std::string& route,
                                                 const std::string& attempt) const;
   void signal(int number) const { program_->signal(number); }
+  /// \brief Kills the process and starts it again with the same settings; it prints to a new file.
+  void restart();
+  /// \returns whether it runs
+  [[nodiscard]] bool runs() const { return !program_->ended(); }
   /// \returns its exit code; -1 when it does not end in time
   [[nodiscard]] int wait(time_ms most) { return program_->wait(static_cast<int>(most.count())); }
   [[nodiscard]] const std::string& callers() const noexcept { return callers_; }
@@ -58,12 +62,17 @@
   [[nodiscard]] std::string output() const;
 
  private:
+  void start();
+  /// \returns the file that it prints to
+  [[nodiscard]] std::string printed() const;
+
   std::string folder_;
   std::string callers_;
   std::string peers_;
   std::string status_;
   standin::topic_store store_;
   int unread_{-1}; ///< reading end of a pipe that nobody empties
+  int starts_{0};
   std::unique_ptr<fleet_test::process> program_;
 };
 
