Fail answers whose length or coding cannot be read

Callers saw: an endpoint sent "Content-Length:" without a number, 4x, or two lengths and closed the connection; they got a 200 with the bytes until the close, framed as whole. An endpoint that closed after its header got the caller a 200 with no body.

Cause: reply_framing took a length that it cannot read for no length at all, and an answer without a length ends with its connection.

Change: such a header has no framing, and the send has failed. A promise that nothing has run still counts. An answer that only the close ends must have a byte, a stream an event: that is what proves that the endpoint began its body.

Not tested: codings that are listed over several lines of a forwarded answer, and the clients that read headers with a library.

--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -61,15 +61,28 @@
   return to_text(sent);
 }
 
-message_framing reply_framing(const response_head& reply) {
-  const std::string* coding = reply.fields.find("Transfer-Encoding");
-  if (coding != nullptr && equal_without_case(*coding, "chunked"))
-    return {body_framing::chunked, 0};
-  if (const auto length = reply.fields.number("Content-Length"))
-    return {body_framing::stated, *length};
+// A length that is malformed, or contradicts another one, is not a missing length: a body that the
+// end of the connection cuts off would pass for a whole one.
+std::optional<message_framing> reply_framing(const response_head& reply) {
+  if (const std::string* coding = reply.fields.find("Transfer-Encoding")) {
+    if (reply.fields.count("Transfer-Encoding") > 1 || !equal_without_case(*coding, "chunked"))
+      return std::nullopt;
+    return message_framing{body_framing::chunked, 0};
+  }
+  if (reply.fields.has("Content-Length")) {
+    const auto length = reply.fields.number("Content-Length");
+    const std::string& first = *reply.fields.find("Content-Length");
+    const bool same = std::all_of(
+        reply.fields.all().begin(), reply.fields.all().end(), [&](const header_field& field) {
+          return !equal_without_case(field.name, "Content-Length") || field.value == first;
+        });
+    if (!length || !same)
+      return std::nullopt;
+    return message_framing{body_framing::stated, *length};
+  }
   if (reply.status == 204 || reply.status == 304)
-    return {body_framing::none, 0};
-  return {body_framing::until_close, 0};
+    return message_framing{body_framing::none, 0};
+  return message_framing{body_framing::until_close, 0};
 }
 
 endpoint_exchange::endpoint_exchange(const parts& joined, const exchange_bounds& bounds,
@@ -257,7 +270,9 @@
   if (status != io_status::ok)
     return end_of(status);
   parts_.progress.head_read = true;
-  parts_.progress.unframed = reply_framing(reply_).body == body_framing::until_close;
+  const auto framing = reply_framing(reply_);
+  framing_ = framing.value_or(message_framing{body_framing::until_close, 0});
+  parts_.progress.unframed = framing_.body == body_framing::until_close;
   const reply_terms terms = parts_.dialect.read_reply(reply_);
   if (terms.load)
     parts_.endpoints.note_load(parts_.place, *terms.load);
@@ -266,12 +281,12 @@
   if (!is_reply(terms))
     return send_outcome::failed;
   names_request_ = !terms.echoed_id.empty();
-  if (bounds_.with_host && !terms.whole)
+  if (framing && bounds_.with_host && !terms.whole)
     return take_host_refusal();
   note_terms(terms);
   if (terms.not_run)
     return send_outcome::not_run;
-  if (!is_answer(terms))
+  if (!framing || !is_answer(terms))
     return send_outcome::failed;
   const bool events =
       parts_.request.on_route->kind == request_kind::stream && is_success(reply_.status);
@@ -284,10 +299,15 @@
 bool endpoint_exchange::may_reuse() {
   const std::string* field = reply_.fields.find("Connection");
   const bool closes = field != nullptr && equal_without_case(*field, "close");
-  return names_request_ && reply_framing(reply_).body != body_framing::until_close && !closes &&
+  return names_request_ && framing_.body != body_framing::until_close && !closes &&
          !reply_.old_version && link_.quiet();
 }
 
+// An endpoint that stops after the header closes the connection as one does after an empty answer.
+bool endpoint_exchange::is_unproven(bool has_content) const noexcept {
+  return framing_.body == body_framing::until_close && !has_content;
+}
+
 void endpoint_exchange::note_prompt_read() {
   if (std::exchange(parts_.progress.prompt_read, true))
     return;
@@ -323,7 +343,7 @@
   if (is_success(reply_.status))
     return send_outcome::failed;
   connection_source source{link_, [this] { return fill(); }};
-  body_decoder body{source, reply_framing(reply_)};
+  body_decoder body{source, framing_};
   std::string bytes;
   const bool whole = read_body(body, bytes) == body_state::whole;
   begin_answer();
@@ -335,9 +355,11 @@
 
 send_outcome endpoint_exchange::take_answer() {
   connection_source source{link_, [this] { return fill(); }};
-  body_decoder body{source, reply_framing(reply_)};
+  body_decoder body{source, framing_};
   std::string bytes;
   const body_state end = read_body(body, bytes);
+  if (end == body_state::whole && is_unproven(!bytes.empty()))
+    return send_outcome::failed;
   if (end != body_state::whole)
     return end == body_state::slow ? end_of(stopped_ == io_status::ok ? source.last() : stopped_)
                                    : send_outcome::failed;
@@ -383,6 +405,7 @@
 send_outcome endpoint_exchange::take_stream() {
   event_splitter events = parts_.answer.events();
   events.drop_unfinished();
+  const std::uint64_t known_events = events.events();
   event_groups whole;
   connection_source source{link_, [&] {
                              const bool forwards = !whole.empty();
@@ -391,7 +414,7 @@
                                status = collect_events();
                              return status == io_status::ok ? fill() : status;
                            }};
-  body_decoder body{source, reply_framing(reply_)};
+  body_decoder body{source, framing_};
   std::array<char, read_block> block; // NOLINT(cppcoreguidelines-pro-type-member-init)
   std::size_t size = 0;
   bool within_bounds = true;
@@ -417,7 +440,8 @@
     return end_of(source.last());
   if (const io_status forwarded = forward(whole, events); forwarded != io_status::ok)
     return end_of(forwarded);
-  if (!within_bounds || body.state() != body_state::whole || events.inside_event())
+  if (!within_bounds || body.state() != body_state::whole || events.inside_event() ||
+      is_unproven(events.events() > known_events))
     return send_outcome::failed;
   reusable_ = may_reuse();
   begin_answer();
--- a/src/relay/impl/endpoint_exchange.hpp
+++ b/src/relay/impl/endpoint_exchange.hpp
@@ -130,6 +130,9 @@
   /// \returns the state of the body when it has ended or is too large
   [[nodiscard]] body_state read_body(body_decoder& body, std::string& bytes);
   [[nodiscard]] bool may_reuse();
+  /// \returns whether nothing shows that the endpoint has sent a whole answer
+  /// \param has_content  a byte of the body, or an event
+  [[nodiscard]] bool is_unproven(bool has_content) const noexcept;
   void note_prompt_read();
   /// \brief Records that the endpoint has written a part of its answer.
   void note_written();
@@ -148,6 +151,7 @@
   late_reading late_;
   io_status stopped_{io_status::ok}; ///< why reading has stopped short of the memory
   response_head reply_;
+  message_framing framing_{body_framing::until_close, 0}; ///< of the reply
   held_bytes::guard held_;    ///< of the answer, while it is read and written
   bool link_used_{false};     ///< the connection has carried another request
   bool names_request_{false}; ///< the reply bears the id of this request
@@ -163,7 +167,8 @@
                                            std::optional<std::uint64_t> resume_behind,
                                            const wire_dialect& dialect, time_ms now);
 
-/// \returns how the end of the reply's body is determined
-[[nodiscard]] message_framing reply_framing(const response_head& reply);
+/// \returns how the end of the reply's body is determined; nothing when the header contradicts
+/// itself, or its length or coding cannot be read
+[[nodiscard]] std::optional<message_framing> reply_framing(const response_head& reply);
 
 } // namespace sedgechute
--- a/src/relay/impl/message_head.cpp
+++ b/src/relay/impl/message_head.cpp
@@ -77,6 +77,13 @@
   return nullptr;
 }
 
+std::size_t header_fields::count(std::string_view name) const noexcept {
+  return static_cast<std::size_t>(
+      std::count_if(fields_.begin(), fields_.end(), [&](const header_field& field) {
+        return equal_without_case(field.name, name);
+      }));
+}
+
 std::optional<std::uint64_t> header_fields::number(std::string_view name) const noexcept {
   const std::string* value = find(name);
   return value == nullptr ? std::nullopt : parse_number(*value);
--- a/src/relay/impl/message_head.hpp
+++ b/src/relay/impl/message_head.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -19,6 +20,8 @@
   /// \returns the value of the first field `name`, or null
   [[nodiscard]] const std::string* find(std::string_view name) const noexcept;
   [[nodiscard]] bool has(std::string_view name) const noexcept { return find(name) != nullptr; }
+  /// \returns the number of fields `name`
+  [[nodiscard]] std::size_t count(std::string_view name) const noexcept;
   /// \returns the value as an unsigned integer; nothing when absent or not a number
   [[nodiscard]] std::optional<std::uint64_t> number(std::string_view name) const noexcept;
 
