--- a/src/prepaid/impl/partition_budgets.hpp
+++ b/src/prepaid/impl/partition_budgets.hpp
@@ -247,8 +247,9 @@
   /// \param pool  current totals; null when leaving
   [[nodiscard]] account next_account(const std::string& team, const team_state& state,
                                      const budget_summary* pool) const;
+  /// \param remaining_fraction  unused part of the budget
   void promise(const std::string& team, account& next, const team_state& state,
-               const budget_summary& pool, const clock_reading& now) const;
+               double remaining_fraction, const clock_reading& now) const;
   /// \returns records of other hosts as they were before another writer replaced them
   [[nodiscard]] std::vector<account_record> restored_accounts(const std::string& team,
                                                               const team_state& state) const;
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -358,7 +358,7 @@
   body_decoder body{source, framing_};
   std::string bytes;
   const body_state end = read_body(body, bytes);
-  if (end == body_state::whole && is_unproven(!bytes.empty()))
+  if (end == body_state::whole && is_success(reply_.status) && is_unproven(!bytes.empty()))
     return send_outcome::failed;
   if (end != body_state::whole)
     return end == body_state::slow ? end_of(stopped_ == io_status::ok ? source.last() : stopped_)
--- a/tests/relay/unreadable_framing_test.cpp
+++ b/tests/relay/unreadable_framing_test.cpp
@@ -77,6 +77,13 @@
   CHECK(ends_in_order(answer_to("/stream/", head_with("") + event_text(1))));
 }
 
+// An endpoint's own failure needs no body to be passed on.
+TEST_CASE("a failure without a length and without a byte is the endpoint's own") {
+  std::string head = head_with("");
+  head.replace(head.find("200 OK"), 6, "500 No");
+  CHECK(status_of(answer_to("/unsafe/", head)) == 500);
+}
+
 TEST_CASE("a length that is stated twice in the same way counts once") {
   const std::string twice = "Content-Length: 4\r\nContent-Length: 4\r\n";
   const std::string answer = answer_to("/safe/", head_with(twice) + "done");
