Test crowds of clients that stop short, against both programs

Callers' crowds of unfinished requests ended a process: it ran out of memory, and ordinary callers were refused beside them.

One kind of crowd a test, run against sedgechute-entry (64 MB, 80 open requests) and sedgechuted (100 connections, 110 MB): large bodies whole or in pieces, large and one-byte chunks, a few chunks and then silence, headers, callers that wait for 100 Continue, all kinds mixed, and the port for other hosts. Memory is the highest sum at one moment of resident pages and of bytes received and not read (/proc/net/tcp). The host is suspended while the crowd sends, so that the kernel's part does not depend on the speed of the machine. No times, no shares of served requests.

--- a/tests/entry/entry_program.hpp
+++ b/tests/entry/entry_program.hpp
@@ -48,6 +48,7 @@
   void signal(int number) const { program_->signal(number); }
   /// \brief Kills the process and starts it again with the same settings; it prints to a new file.
   void restart();
+  [[nodiscard]] pid_t id() const noexcept { return program_->id(); }
   /// \returns whether it runs
   [[nodiscard]] bool runs() const { return !program_->ended(); }
   /// \returns its exit code; -1 when it does not end in time
--- a/tests/fleet/process.hpp
+++ b/tests/fleet/process.hpp
@@ -24,6 +24,7 @@
   [[nodiscard]] std::optional<int> ended();
   /// \brief Ends it as a crash would.
   void crash();
+  [[nodiscard]] pid_t id() const noexcept { return pid_; }
 
  private:
   pid_t pid_{-1};
--- a/tests/fleet/running_fleet.cpp
+++ b/tests/fleet/running_fleet.cpp
@@ -191,8 +191,9 @@
               at(cut ? free_port() : log_port_) + R"(","host_list":")" +
               at(host.data_centre == "two" ? other_list_port_ : list_port_) + R"(","weights":")" +
               at(weights_port_) + R"("},"stop":{"notice_ms":)" +
-              std::to_string(shape.stop_notice_ms) +
-              R"(},"operators":[{"name":"op","right":"publish","key":)" + hashed(operator_secret) +
+              std::to_string(shape.stop_notice_ms) + "}" +
+              (shape.host_limits.empty() ? "" : R"(,"limits":)" + shape.host_limits) +
+              R"(,"operators":[{"name":"op","right":"publish","key":)" + hashed(operator_secret) +
               "}]" + (shape.tls ? tls_of(authority, host.name) : "") + "}");
   }
 }
@@ -205,6 +206,15 @@
                                 folder_ / (name + ".log"));
 }
 
+std::string running_fleet::callers(int number) const {
+  return at(addresses_.at(static_cast<std::size_t>(number)).callers);
+}
+
+std::string running_fleet::chat_head_lines() const {
+  return "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + team_key_ +
+         "\r\nContent-Type: application/json\r\n";
+}
+
 void running_fleet::restart(int number) {
   start_host(number);
 }
--- a/tests/fleet/running_fleet.hpp
+++ b/tests/fleet/running_fleet.hpp
@@ -30,6 +30,7 @@
   bool partitioned{false};
   /// TLS between hosts, for callers, and with client certificates for operators.
   bool tls{false};
+  std::string host_limits{}; ///< the hosts' settings `limits`, as a JSON object; empty: defaults
 };
 
 /// \brief Stand-ins and hosts in processes, with one team's contract in force.
@@ -44,6 +45,10 @@
   [[nodiscard]] std::uint16_t peer_port(int number) const {
     return addresses_.at(static_cast<std::size_t>(number)).peers;
   }
+  /// \returns `IP:port` on which its callers connect
+  [[nodiscard]] std::string callers(int number) const;
+  /// \returns a header of a chat request of the team, without the fields on its body
+  [[nodiscard]] std::string chat_head_lines() const;
   /// \brief Starts a host again, as a new incarnation at the same addresses.
   void restart(int number);
 
--- a/tests/relay/elastic_pool_test.cpp
+++ b/tests/relay/elastic_pool_test.cpp
@@ -86,3 +86,21 @@
   pool.stop();
   CHECK_FALSE(pool.run([] {}));
 }
+
+// A full pool must not count ended threads as running: with none left its tasks would wait for
+// good.
+TEST_CASE("a pool whose threads have all ended starts new ones") {
+  constexpr int threads = 2;
+  gate held;
+  elastic_pool pool{{.max_threads = threads, .idle_timeout = time_ms{20}}};
+  for (int i = 0; i < threads; ++i)
+    CHECK(pool.run([&] { held.pass(); }));
+  held.wait_for(threads);
+  held.open();
+  std::this_thread::sleep_for(std::chrono::milliseconds{300});
+  std::atomic<int> ran{0};
+  CHECK(pool.run([&] { ++ran; }));
+  for (int i = 0; i < 400 && ran < 1; ++i)
+    std::this_thread::sleep_for(std::chrono::milliseconds{5});
+  CHECK(ran == 1);
+}
