Start new threads in a pool whose threads have all ended

After a crowd of more clients than threads had left, the host served nobody any more: connections were accepted and stayed in CLOSE_WAIT, no thread ran, and /readyz answered 200.

Cause: the pool joined ended threads only where it might grow, and whether it might grow counted them. After all of max_threads had run at once and then ended as idle, none was left and none was ever started. A failure to start the first thread left its task in the queue for good likewise.

Change: ended threads are joined before the size of the pool decides, and a task for which there is no thread at all is rejected.

Evidence: "a pool whose threads have all ended starts new ones" failed before and passes; the test of the whole host after 1,000 clients had failed in one of two runs before.

--- a/src/relay/impl/elastic_pool.cpp
+++ b/src/relay/impl/elastic_pool.cpp
@@ -11,6 +11,7 @@
   const std::scoped_lock lock{mutex_};
   if (stopping_)
     return false;
+  join_ended();
   const bool may_grow = workers_.size() < options_.max_threads;
   if (!may_grow && tasks_.size() >= idle_ + options_.max_queued)
     return false;
@@ -19,13 +20,16 @@
     wake_.notify_one();
     return true;
   }
-  join_ended();
   auto& added = *workers_.emplace_back(std::make_unique<worker>());
   try {
     added.thread.setStackSize(options_.stack_bytes);
     added.thread.startFunc([this, &added] { serve(added); });
   } catch (const Poco::Exception&) {
     workers_.pop_back(); // no thread could be started: the task waits for a running one
+    if (workers_.empty()) {
+      tasks_.pop_back();
+      return false;
+    }
   }
   return true;
 }
@@ -48,14 +52,16 @@
     lock.lock();
   }
   self.ended = true;
+  ++ended_;
 }
 
 // An ended thread has set `ended` as its last step under the lock, so joining it does not block.
 void elastic_pool::join_ended() noexcept {
-  for (auto at = workers_.begin(); at != workers_.end();) {
+  for (auto at = workers_.begin(); ended_ > 0 && at != workers_.end();) {
     if ((*at)->ended) {
       (*at)->thread.join();
       at = workers_.erase(at);
+      --ended_;
     } else {
       ++at;
     }
--- a/src/relay/impl/elastic_pool.hpp
+++ b/src/relay/impl/elastic_pool.hpp
@@ -32,7 +32,7 @@
   /// \brief Drops queued tasks and waits for running ones.
   ~elastic_pool() { stop(); }
 
-  /// \returns false when the queue is full or the pool is stopping
+  /// \returns false when the queue is full, no thread can be started, or the pool is stopping
   [[nodiscard]] bool run(task work);
   void stop() noexcept;
 
@@ -51,6 +51,7 @@
   std::deque<task> tasks_;
   std::list<std::unique_ptr<worker>> workers_;
   std::size_t idle_{0};
+  std::size_t ended_{0}; ///< workers that have ended and not been joined
   bool stopping_{false};
 };
 
