--- a/src/admission/impl/held_bytes.hpp
+++ b/src/admission/impl/held_bytes.hpp
@@ -2,6 +2,7 @@
 
 #include "admission/impl/memory_division.hpp"
 
+#include <array>
 #include <atomic>
 #include <cstddef>
 
@@ -9,8 +10,9 @@
 
 /// \brief Kind of a message that a host holds.
 enum class held_message {
-  body,   ///< of a request
-  answer, ///< that its caller has not read
+  body,       ///< of a request
+  answer,     ///< that its caller has not read
+  connection, ///< of a caller: what arrives on it, beside bodies
 };
 
 /// \brief Counts the bytes of the messages that a host holds, against their limits. Thread-safe.
@@ -53,17 +55,18 @@
  private:
   /// \returns how many bytes all messages of a kind may have once one of them has `bytes`
   [[nodiscard]] std::size_t limit(held_message kind, std::size_t bytes) const noexcept;
+  /// \returns bytes of connections beyond their part of the memory
+  [[nodiscard]] std::size_t connections_excess() const noexcept;
   [[nodiscard]] bool grow(held_message kind, std::size_t from, std::size_t to) noexcept;
   [[nodiscard]] std::atomic<std::size_t>& counter(held_message kind) noexcept {
-    return kind == held_message::body ? bodies_ : answers_;
+    return counters_[static_cast<std::size_t>(kind)];
   }
   [[nodiscard]] const std::atomic<std::size_t>& counter(held_message kind) const noexcept {
-    return kind == held_message::body ? bodies_ : answers_;
+    return counters_[static_cast<std::size_t>(kind)];
   }
 
   memory_division limits_;
-  std::atomic<std::size_t> bodies_{0};
-  std::atomic<std::size_t> answers_{0};
+  std::array<std::atomic<std::size_t>, 3> counters_{}; ///< by kind
   std::atomic<bool> exceeded_{false};
 };
 
--- a/src/admission/impl/memory_division.cpp
+++ b/src/admission/impl/memory_division.cpp
@@ -11,8 +11,9 @@
 // A host uses 11 MB without load and some 13 MB more under load, for stacks of threads, connections
 // and queued log lines. The longest answer, which may exceed the limit of the answers, has 8 MB.
 constexpr double kept_mb = 32;
-constexpr double max_kept_part = 0.5;  // of the memory of a very small machine
-constexpr double min_kept_part = 0.25; // for the allocator and the buffers of connections
+constexpr double max_kept_part = 0.5;     // of the memory of a very small machine
+constexpr double min_kept_part = 0.25;    // for the allocator and the buffers of connections
+constexpr double connections_part = 0.25; // of what is kept
 
 // On a machine of 88 MB the bodies get 44 MB: 600 open requests with bodies of 75 kB need 43.
 // Answers need least, as small ones are not limited and others only wait.
@@ -40,7 +41,8 @@
   const double rest = *memory_mb - kept;
   return {.bodies = bytes_of(rest * bodies_part),
           .answers = bytes_of(rest * answers_part),
-          .reserve = bytes_of(rest * reserve_part)};
+          .reserve = bytes_of(rest * reserve_part),
+          .connections = bytes_of(kept * connections_part)};
 }
 
 } // namespace sedgechute
--- a/src/admission/impl/memory_division.hpp
+++ b/src/admission/impl/memory_division.hpp
@@ -16,6 +16,9 @@
   std::size_t bodies{unbounded};  ///< of requests
   std::size_t answers{unbounded}; ///< that callers have not read
   std::size_t reserve{0};         ///< for small bodies, beyond `bodies`
+  /// Of callers: their buffers, in the process and in the kernel. What exceeds it is taken from
+  /// `bodies`.
+  std::size_t connections{unbounded};
 
   [[nodiscard]] bool bounded() const noexcept { return bodies != unbounded; }
 };
--- a/tests/admission/held_bytes_test.cpp
+++ b/tests/admission/held_bytes_test.cpp
@@ -126,3 +126,31 @@
   CHECK_FALSE(exceeded);
   CHECK(held.held(held_message::body) == 0);
 }
+
+// A crowd of connections and of bodies must not take the memory twice.
+TEST_CASE(
+    "connections beyond their part take from the part of the bodies, and the other way round") {
+  constexpr memory_division limits{
+      .bodies = 4 * mb, .answers = mb, .reserve = 0, .connections = mb};
+  held_bytes held{limits};
+  held_bytes::guard connections = held.begin(held_message::connection);
+  CHECK(connections.resize(2 * mb));
+  held_bytes::guard body = body_of(held, 3 * mb, true);
+  CHECK_FALSE(body.resize(3 * mb + 1));
+  CHECK_FALSE(connections.resize(2 * mb + 1));
+  body.release();
+  CHECK(connections.resize(4 * mb)); // a quarter of the bodies' part is always theirs
+  CHECK_FALSE(connections.resize(4 * mb + 1));
+  CHECK(body_of(held, mb, true).counts());
+}
+
+// Usual callers must not meet the bound: their connections fit into the part that is kept.
+TEST_CASE("600 callers with bodies of 75 kB and 3000 idle ones fit into a machine of 88 MB") {
+  constexpr std::size_t usual = 12 * 1024 + 1536;
+  held_bytes held{divide_memory(88)};
+  held_bytes::guard connections = held.begin(held_message::connection);
+  CHECK(connections.resize(600 * usual));
+  held_bytes::guard bodies = body_of(held, 600 * 75'000, true);
+  bodies.release();
+  CHECK(connections.resize(1024 * usual + 1976 * (6 * 1024 + 1536)));
+}
