Receive requests without a thread, bounded together with their connections

Callers' crowds of unfinished requests took 153 MB on a machine of 64 (156 MB at the port for other hosts), 116 of them received by the kernel and not read; 400 clients with small chunks held 386 threads and all open requests, and none of 20 ordinary requests was answered beside them.

Causes: no socket bounded what the kernel holds; each unfinished request held a thread, in calm from its first byte, and a chunked one always; chunks counted after they had been appended, headers and connections not at all; nothing told who sends from who had stopped.

Change: the polling thread takes what arrives and decodes it, and only a whole request gets a thread. Headers, bodies, growing buffers and connections with their receive buffers count in one account. Where there is no room, the connection that has been silent longest for stall_ms gives way, unfinished requests first. The listening socket's receive buffer bounds also what has not been accepted; an admitted body of 64 KB or more gets a larger one until it is whole. New settings: max_connections, stall_ms, chunk_framing, receive_buffer_kb; metrics: held bytes of connections, yielded connections, refusals of unfinished requests.

request_preview is gone with its test: arriving_request_test checks the same of its successor (whole with the last byte, malformed and ambiguous framing refused, bytes of the next request left), and instead of "a large body is not waited for" that each body counts before it is read.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -57,9 +57,12 @@
   std::this_thread::sleep_for(std::chrono::milliseconds{span.count()});
 }
 
-Poco::Net::ServerSocket listen_on(const std::string& address) {
+// The receive buffer is inherited by connections, also by those that have not been accepted.
+/// \param receive_bytes  that the kernel may hold of each connection
+Poco::Net::ServerSocket listen_on(const std::string& address, std::size_t receive_bytes) {
   Poco::Net::ServerSocket socket;
-  socket.bind(Poco::Net::SocketAddress{address}, true, false); // exclusively
+  socket.bind(Poco::Net::SocketAddress{address}, true, false);      // exclusively
+  socket.setReceiveBufferSize(static_cast<int>(receive_bytes / 2)); // the kernel doubles it
   socket.listen(listen_backlog);
   return socket;
 }
@@ -112,6 +115,7 @@
   figures_.add(metric::part_trials, {}, 0);
   figures_.add(metric::endpoint_pauses, {}, 0);
   figures_.add(metric::endpoints_leaving, {}, 0);
+  figures_.add(metric::yielded_connections, {}, 0);
   endpoints_.on_restart([this](const endpoint_restart& found) { note_restart(found); });
   endpoints_.on_limit([this](const rate_notice& notice) { note_limit(notice); });
   endpoints_.on_pause([this](const pause_notice& notice) { note_pause(notice); });
@@ -200,7 +204,8 @@
 entry_host::~entry_host() = default;
 
 void entry_host::start() {
-  status_ = std::make_unique<status_server>(pages(), listen_on(settings_.status));
+  status_ = std::make_unique<status_server>(
+      pages(), listen_on(settings_.status, settings_.receive.usual_bytes));
   status_->start();
   budgets_->start();
   fleet_->start();
@@ -227,9 +232,14 @@
     const config_ptr config = fleet_->config();
     return config ? config->limits : caller_limits{};
   };
-  return std::make_unique<http_frontend>(*relay_, dialect_, limits,
-                                         http_frontend_options{.from_hosts = from_hosts},
-                                         listen_on(address), time_, log_);
+  http_frontend_options options{.from_hosts = from_hosts};
+  options.connections.max_connections = settings_.max_connections;
+  options.connections.stall = settings_.stall;
+  options.connections.receive = settings_.receive;
+  options.framing_per_byte = settings_.framing_per_byte;
+  return std::make_unique<http_frontend>(*relay_, dialect_, limits, options,
+                                         listen_on(address, settings_.receive.usual_bytes), time_,
+                                         log_);
 }
 
 std::size_t entry_host::unanswered() const noexcept {
@@ -421,6 +431,10 @@
                       static_cast<double>(relay_->memory().limits().bodies));
          figures_.set(metric::held_bytes_limit, {"answers"},
                       static_cast<double>(relay_->memory().limits().answers));
+         figures_.set(metric::held_bytes, {"connections"},
+                      static_cast<double>(relay_->memory().held(held_message::connection)));
+         figures_.set(metric::held_bytes_limit, {"connections"},
+                      static_cast<double>(relay_->memory().limits().connections));
          export_promises();
          for (const auto& [service, spread] : endpoints_.speed_spreads())
            figures_.set(metric::endpoint_speed_spread, {service}, spread);
--- a/src/entry/impl/entry_settings.cpp
+++ b/src/entry/impl/entry_settings.cpp
@@ -142,6 +142,8 @@
   return stop;
 }
 
+constexpr std::size_t kb = 1024; // bytes
+
 entry_settings read_all(const settings_reader& reader) {
   entry_settings read;
   read.host = reader.name("host");
@@ -164,6 +166,15 @@
   read.event_latency = reader.milliseconds("event_latency_ms", read.event_latency);
   if (reader.has("memory_mb"))
     read.memory_mb = reader.number("memory_mb", 0);
+  read.max_connections = static_cast<std::size_t>(
+      reader.number("max_connections", static_cast<double>(read.max_connections)));
+  read.stall = reader.milliseconds("stall_ms", read.stall);
+  read.framing_per_byte = static_cast<std::size_t>(
+      reader.number("chunk_framing", static_cast<double>(read.framing_per_byte)));
+  read.receive.usual_bytes =
+      kb * static_cast<std::size_t>(reader.number(
+               "receive_buffer_kb", static_cast<double>(read.receive.usual_bytes / kb)));
+  read.receive.admitted_bytes = std::max(read.receive.admitted_bytes, read.receive.usual_bytes);
   read.cold_start.overage = reader.number("cold_overage", read.cold_start.overage);
   read.cold_start.tolerance = reader.number("cold_tolerance", read.cold_start.tolerance);
   read.regions = reader.texts("regions");
--- a/src/entry/impl/entry_settings.hpp
+++ b/src/entry/impl/entry_settings.hpp
@@ -27,9 +27,13 @@
   time_ms drain_bound{2000};  ///< an endpoint that leaves still serves for so long after saying so
   double processor_share{1};  ///< of a core, that this host may use
   time_ms event_latency{0};   ///< bound on the delay of a stream's events; 0: none
-  std::optional<double> memory_mb; ///< of this host's machine; nothing: unbounded
-  region_map regions;              ///< of the data centres
-  cold_start_bounds cold_start;    ///< on requests to endpoints that have just started
+  std::optional<double> memory_mb;   ///< of this host's machine; nothing: unbounded
+  std::size_t max_connections{3000}; ///< of callers
+  time_ms stall{2000};               ///< a connection silent for so long may give way to others
+  std::size_t framing_per_byte{chunk_bounds{}.framing_per_byte}; ///< of chunked bodies
+  receive_bounds receive;       ///< on what the kernel holds of a connection
+  region_map regions;           ///< of the data centres
+  cold_start_bounds cold_start; ///< on requests to endpoints that have just started
 };
 
 /// \returns the name under which the host keeps accounts and is known to others: with its address
--- a/src/entry/impl/entry_settings_table.cpp
+++ b/src/entry/impl/entry_settings_table.cpp
@@ -44,6 +44,11 @@
 constexpr number_bounds share_bounds{0.001, 1024};    // of a core
 constexpr number_bounds event_bounds_ms{0, 60'000};
 constexpr number_bounds memory_bounds{16, 16'777'216}; // megabytes; a host starts with 11
+constexpr number_bounds connection_bounds{16, 1e6};
+constexpr number_bounds stall_bounds_ms{100, 600'000};
+constexpr number_bounds framing_bounds{5, 4096};
+constexpr number_bounds receive_bounds_kb{4, 65'536};
+constexpr double bytes_a_kb = 1024;
 constexpr number_bounds cold_bounds{0, 1e6};
 
 std::vector<entry_setting> make_table() {
@@ -91,6 +96,22 @@
         text_of(default_memory_mb),
         {"number", "MB", text_of(memory_bounds.least) + " to " + text_of(memory_bounds.most), {}}},
        memory_bounds},
+      number("max_connections",
+             "Connections of callers open at once. Beyond it one that has been silent for "
+             "`stall_ms` is closed for each new one: first those in the middle of a request",
+             static_cast<double>(usual.max_connections), "connections", connection_bounds),
+      number("stall_ms",
+             "A caller that has sent no 512 bytes for so long gives way to others where there is "
+             "no room for all; otherwise it has the time of the whole body",
+             static_cast<double>(usual.stall.count()), "ms", stall_bounds_ms),
+      number("chunk_framing",
+             "Sizes, extensions and trailer of a chunked body for each of its bytes, beyond 64 KB; "
+             "chunks of one byte have 5",
+             static_cast<double>(usual.framing_per_byte), "bytes", framing_bounds),
+      number("receive_buffer_kb",
+             "What the kernel may hold of a connection before it is read. A body of more than 64 "
+             "KB for which there is room gets 64; beyond 1024 connections at most 6 are given",
+             static_cast<double>(usual.receive.usual_bytes) / bytes_a_kb, "KB", receive_bounds_kb),
       number("cold_overage",
              "Factor of the rate that a cold endpoint sustains, for all hosts together",
              usual.cold_start.overage, "", cold_bounds),
--- a/src/relay/impl/caller_poll.cpp
+++ b/src/relay/impl/caller_poll.cpp
@@ -21,7 +21,9 @@
 constexpr int accepted_at_once = 64; // so that a burst of connects does not delay other events
 constexpr int reads_at_once = 16;    // the same, for a caller that sends a refused body
 constexpr time_ms scan_interval{1000};
-constexpr time_ms closing_scan_interval{100}; // while connections are being closed
+constexpr time_ms closing_scan_interval{100};  // while connections are being closed
+constexpr time_ms yield_interval{100};         // between two vain looks for one that gives way
+constexpr std::size_t connection_bytes = 1536; // of the process, beside its buffers
 
 } // namespace
 
@@ -38,11 +40,12 @@
 }
 
 caller_poll::caller_poll(const Poco::Net::ServerSocket& socket, const planned_stop& stop,
-                         std::function<time_ms()> idle_timeout, const caller_poll_options& options,
-                         const clock& time, structured_log& log, ready_handler on_ready)
-    : socket_{socket}, stop_{stop}, idle_timeout_{std::move(idle_timeout)}, options_{options},
-      time_{time}, log_{log}, on_ready_{std::move(on_ready)}, epoll_{
-                                                                  ::epoll_create1(EPOLL_CLOEXEC)} {
+                         std::function<time_ms()> idle_timeout, held_bytes& memory,
+                         metrics& figures, const caller_poll_options& options, const clock& time,
+                         structured_log& log, ready_handler on_ready)
+    : socket_{socket}, stop_{stop}, idle_timeout_{std::move(idle_timeout)}, memory_{memory},
+      figures_{figures}, options_{options}, time_{time}, log_{log}, on_ready_{std::move(on_ready)},
+      epoll_{::epoll_create1(EPOLL_CLOEXEC)} {
   if (epoll_ < 0)
     throw std::system_error{errno, std::generic_category(), "epoll"};
   socket_.setBlocking(false); // a caller may leave before it is accepted
@@ -120,11 +123,24 @@
   }
 }
 
-// When descriptors run out or the connection limit is reached, new connections stay in the listen
+std::unique_ptr<caller_connection> caller_poll::admit(int descriptor) {
+  Poco::Net::StreamSocket socket{new Poco::Net::StreamSocketImpl{descriptor}};
+  auto caller = std::make_unique<caller_connection>(socket, time_, connections_);
+  const std::size_t buffer = receive_buffer(options_.receive, connections_);
+  if (buffer != options_.receive.usual_bytes)
+    caller->link.set_receive_buffer(buffer);
+  caller->held = memory_.begin(held_message::connection);
+  while (!caller->held.resize(buffer + connection_bytes))
+    if (!make_room(room_for::connection))
+      return nullptr;
+  return caller;
+}
+
+// When descriptors run out or there is no room for another connection, new ones stay in the listen
 // queue until others have been closed.
 void caller_poll::accept_callers() {
   for (int i = 0; i < accepted_at_once; ++i) {
-    if (connections_ >= options_.max_connections) {
+    if (connections_ >= options_.max_connections && !make_room(room_for::connection)) {
       listen(false);
       return;
     }
@@ -134,15 +150,62 @@
         listen(false);
       return;
     }
-    Poco::Net::StreamSocket socket{new Poco::Net::StreamSocketImpl{descriptor}};
-    auto caller = std::make_unique<caller_connection>(socket, time_, connections_);
-    if (i == 0)
+    std::unique_ptr<caller_connection> caller = admit(descriptor);
+    if (!caller)
+      listen(false);
+    else if (i == 0)
       park(std::move(caller));
     else // after a queue of connects the first request has probably arrived
       take_bytes(std::move(caller));
   }
 }
 
+std::vector<waiting_connection> caller_poll::waiting() const {
+  const std::scoped_lock lock{mutex_};
+  std::vector<waiting_connection> all;
+  all.reserve(callers_.size());
+  for (const auto& [descriptor, caller] : callers_) {
+    const wait_stage stage = caller->closing != nullptr ? wait_stage::end_of_refused
+                             : caller->request          ? wait_stage::rest_of_request
+                             : caller->requests == 0    ? wait_stage::first_request
+                                                        : wait_stage::next_request;
+    all.push_back(
+        {descriptor, stage, caller->request ? caller->request->progress.moved() : caller->since});
+  }
+  return all;
+}
+
+bool caller_poll::make_room(room_for wanted) {
+  const time_ms now = time_.now();
+  if (now < next_yield_)
+    return false;
+  const std::vector<waiting_connection> all = waiting();
+  const std::optional<int> chosen = choose_yielding(all, wanted, now, options_.stall);
+  if (!chosen) {
+    next_yield_ = now + yield_interval; // looking at all of them costs more than a refusal
+    return false;
+  }
+  std::unique_ptr<caller_connection> caller;
+  {
+    const std::scoped_lock lock{mutex_};
+    const auto at = callers_.find(*chosen);
+    if (at == callers_.end())
+      return true;
+    caller = std::move(at->second);
+    callers_.erase(at);
+  }
+  if (caller->closing == nullptr && !caller->request && !caller->link.quiet()) {
+    take_bytes(std::move(caller)); // a request has just arrived
+    return true;
+  }
+  figures_.add(metric::yielded_connections, {});
+  if (caller->closing == nullptr && caller->request) {
+    caller->ended_by = wanted == room_for::connection ? arrival_end::dropped : arrival_end::yields;
+    on_ready_(std::move(caller));
+  }
+  return true;
+}
+
 void caller_poll::note_ready(int descriptor) {
   std::unique_ptr<caller_connection> caller;
   {
@@ -169,6 +232,9 @@
     park(std::move(caller)); // spurious wake-up
     break;
   case io_status::ended:
+    if (caller->request)
+      on_ready_(std::move(caller)); // its caller may still read why it is refused
+    break;
   case io_status::reset:
   case io_status::caller_left:
   case io_status::interrupted:
@@ -192,10 +258,8 @@
 }
 
 void caller_poll::wait_for_request(std::unique_ptr<caller_connection> caller) {
-  if (!caller->arriving) {
+  if (!caller->request)
     caller->since = time_.now();
-    caller->held = {};
-  }
   caller->link.trim();
   park(std::move(caller));
 }
@@ -204,7 +268,7 @@
   caller->closing = &closing_;
   ++closing_;
   caller->since = time_.now();
-  caller->held = {};
+  caller->request.reset();
   caller->drained_by = caller->since + options_.drain_timeout;
   caller->link.consume(caller->link.buffered().size());
   caller->link.trim();
@@ -215,9 +279,15 @@
 // During a stop an idle connection is closed here; a request that has already arrived on it is
 // served or refused like any other.
 void caller_poll::park(std::unique_ptr<caller_connection> caller) {
-  const std::scoped_lock lock{mutex_};
+  std::unique_lock lock{mutex_};
+  if (all_closed_ && caller->closing == nullptr && caller->request) {
+    lock.unlock();
+    caller->ended_by = arrival_end::stopped;
+    on_ready_(std::move(caller));
+    return;
+  }
   const bool ends = all_closed_ || (served_closed_ && caller->requests > 0);
-  if (ended_ || (ends && caller->closing == nullptr && caller->link.quiet()))
+  if (ended_ || (ends && caller->closing == nullptr && !caller->request && caller->link.quiet()))
     return;
   const int descriptor = caller->link.descriptor();
   epoll_event event{};
@@ -238,13 +308,24 @@
 }
 
 void caller_poll::close_waiting(bool served_only) {
-  const std::scoped_lock lock{mutex_};
+  std::unique_lock lock{mutex_};
   served_closed_ = true;
   all_closed_ = all_closed_ || !served_only;
-  std::erase_if(callers_, [&](const auto& one) {
-    caller_connection& caller = *one.second;
-    return caller.closing == nullptr && (all_closed_ || caller.requests > 0) && caller.link.quiet();
-  });
+  std::vector<std::unique_ptr<caller_connection>> stopped;
+  for (auto at = callers_.begin(); at != callers_.end();) {
+    caller_connection& caller = *at->second;
+    const bool ends = caller.closing == nullptr && (all_closed_ || caller.requests > 0);
+    const bool idle = ends && !caller.request && caller.link.quiet();
+    const bool unfinished = ends && all_closed_ && caller.request;
+    if (unfinished)
+      stopped.push_back(std::move(at->second));
+    at = idle || unfinished ? callers_.erase(at) : std::next(at);
+  }
+  lock.unlock();
+  for (std::unique_ptr<caller_connection>& caller : stopped) {
+    caller->ended_by = arrival_end::stopped;
+    on_ready_(std::move(caller));
+  }
 }
 
 void caller_poll::close_overdue() {
@@ -257,7 +338,7 @@
       caller_connection& caller = *at->second;
       const time_ms waited = now - caller.since;
       const bool late = caller.closing != nullptr ? closes_late(caller, now)
-                        : caller.arriving         ? waited >= options_.arriving_timeout
+                        : caller.request          ? now >= caller.request->deadline
                                                   : waited >= idle;
       if (late)
         overdue.push_back(std::move(at->second));
@@ -265,9 +346,9 @@
     }
   }
   for (std::unique_ptr<caller_connection>& caller : overdue) {
-    if (caller->closing != nullptr || !caller->arriving)
+    if (caller->closing != nullptr || !caller->request)
       continue; // closed with `overdue`
-    caller->overdue = true;
+    caller->ended_by = arrival_end::late;
     on_ready_(std::move(caller));
   }
 }
--- a/src/relay/impl/connection.cpp
+++ b/src/relay/impl/connection.cpp
@@ -261,6 +261,15 @@
     std::string{}.swap(buffer_);
 }
 
+// The kernel doubles the size that is set, for its own structures, and may fill all of it with
+// data. The window of a connection does not exceed the clamp that it began with.
+void connection::set_receive_buffer(std::size_t bytes) noexcept {
+  const int size = static_cast<int>(bytes / 2);
+  (void)::setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  const int window = static_cast<int>(bytes);
+  (void)::setsockopt(descriptor_, IPPROTO_TCP, TCP_WINDOW_CLAMP, &window, sizeof window);
+}
+
 void connection::shutdown_write() noexcept {
   (void)::shutdown(descriptor_, SHUT_WR);
 }
--- a/src/relay/impl/connection.hpp
+++ b/src/relay/impl/connection.hpp
@@ -126,6 +126,8 @@
   /// \returns whether anything has been written
   [[nodiscard]] bool used() const noexcept { return used_; }
 
+  /// \brief Bounds the bytes that the kernel holds of what has arrived and not been read.
+  void set_receive_buffer(std::size_t bytes) noexcept;
   /// \brief Frees the memory of the buffer if it is empty.
   void trim() noexcept;
   /// \brief Shuts down writing; bytes from the peer can still be read.
--- a/src/relay/impl/http_frontend.cpp
+++ b/src/relay/impl/http_frontend.cpp
@@ -1,35 +1,19 @@
 #include "relay/impl/http_frontend.hpp"
 
-#include "relay/impl/connection_source.hpp"
-#include "relay/impl/request_preview.hpp"
-
-#include <array>
 #include <utility>
 
 namespace sedgechute {
 
 namespace {
 
-constexpr std::size_t read_block = 16 * 1024;
+constexpr int reads_at_once = 16; // of one connection, before others have their turn
 
-// On a host with a memory limit, larger bodies are read by a thread into a buffer of their size:
-// the growing buffer of a connection takes up to three times as much.
+// Under load, larger bodies are refused by their header, others when they are whole: their
+// connection can be kept then.
 constexpr std::size_t max_waited_body = 128 * 1024;
 
 constexpr std::size_t forwarded_field_bytes = 128; // of the field that hosts add
 
-// Counts a request until its destruction.
-class in_flight_count {
- public:
-  explicit in_flight_count(std::atomic<std::size_t>& of) : count_{of} { ++count_; }
-  in_flight_count(const in_flight_count&) = delete;
-  in_flight_count& operator=(const in_flight_count&) = delete;
-  ~in_flight_count() { --count_; }
-
- private:
-  std::atomic<std::size_t>& count_;
-};
-
 } // namespace
 
 /// A connection with a request that a thread is to serve.
@@ -46,12 +30,11 @@
   in_flight_count busy;
 };
 
-enum class http_frontend::screen_result {
-  serve,   ///< the request is accepted
-  arrives, ///< the request is incomplete
-  refused, ///< the refusal has been written
-  ends,    ///< the connection must be closed
-  drains,  ///< the same, after the rest of the refused body has been read
+enum class http_frontend::arrival {
+  whole,    ///< the request can be served
+  arriving, ///< more bytes are needed
+  refused,  ///< the refusal has been written, and another request may follow
+  closed,   ///< the connection has been closed or is being closed
 };
 
 http_frontend::http_frontend(request_relay& relay, const wire_dialect& dialect,
@@ -64,6 +47,8 @@
                                                 socket,
                                                 relay.stop(),
                                                 [this] { return limits_().idle_timeout; },
+                                                relay.memory(),
+                                                relay.figures(),
                                                 options.connections,
                                                 time,
                                                 log,
@@ -80,42 +65,52 @@
   poll_.start();
 }
 
-caller_limits http_frontend::limits() const {
-  caller_limits limits = limits_();
-  if (options_.from_hosts)
-    limits.header_bytes += forwarded_field_bytes;
-  return limits;
+arrival_terms http_frontend::terms(bool on_polling_thread) {
+  arrival_terms terms{.limits = limits_(),
+                      .body_timeout = options_.body_timeout,
+                      .framing_per_byte = options_.framing_per_byte};
+  if (options_.from_hosts) {
+    terms.limits.header_bytes += forwarded_field_bytes;
+    ++terms.max_fields;
+  }
+  if (on_polling_thread)
+    terms.make_room = [this] { return poll_.make_room(room_for::body); };
+  return terms;
+}
+
+namespace {
+
+error reason_of(const caller_connection& caller) {
+  const char* part = caller.request->head ? "body" : "header";
+  if (caller.ended_by == arrival_end::stopped)
+    return {error_kind::stopping, part, "was incomplete when the host's grace period ended"};
+  if (caller.ended_by == arrival_end::yields || caller.ended_by == arrival_end::dropped)
+    return {error_kind::slow_caller, part, "has stopped arriving, and others need its room"};
+  return {error_kind::slow_caller, part, "did not arrive in time"};
 }
 
+} // namespace
+
 void http_frontend::dispatch(std::unique_ptr<caller_connection> caller) {
+  if (caller->ended_by != arrival_end::none) {
+    const error reason = reason_of(*caller);
+    return refuse_arrival(std::move(caller), reason);
+  }
   preparing_requests::guard guard;
   bool screened = false;
-  while (!screened && !relay_.stop().begun() && !caller->overdue) {
-    if (!caller->arriving)
-      caller->shed = relay_.may_shed();
-    screened = !caller->shed && relay_.has_capacity();
-    if (screened)
-      break;
-    switch (screen(*caller, guard)) {
-    case screen_result::serve:
-      screened = true;
-      break;
-    case screen_result::refused:
-      if (!caller->link.buffered().empty())
-        break;
-      [[fallthrough]];
-    case screen_result::arrives:
-      poll_.wait_for_request(std::move(caller));
-      return;
-    case screen_result::ends:
-      return; // closed with `caller`
-    case screen_result::drains:
-      poll_.close_gracefully(std::move(caller));
+  for (arrival seen = arrival::refused; seen == arrival::refused;) {
+    seen = receive(caller, true);
+    if (seen == arrival::closed)
       return;
+    if (seen == arrival::whole && !relay_.stop().begun()) {
+      screened = true;
+      seen = screen(*caller, guard);
     }
+    if (seen == arrival::closed)
+      return; // closed with `caller`
+    if (seen == arrival::arriving || (seen == arrival::refused && caller->link.buffered().empty()))
+      return poll_.wait_for_request(std::move(caller));
   }
-  caller->arriving = false;
-  caller->overdue = false;
   relay_.note_request(false);
   const load_check done{.screened = screened, .counted = guard.begun()};
   if (!guard.begun())
@@ -123,56 +118,106 @@
   run(std::make_shared<job>(*this, std::move(caller), std::move(guard), done));
 }
 
-http_frontend::screen_result http_frontend::screen(caller_connection& caller,
-                                                   preparing_requests::guard& guard) {
-  const caller_limits limits = this->limits();
-  const std::size_t max_waited =
-      relay_.memory().limits().bounded() ? max_waited_body : limits.body_bytes;
-  const auto preview = [&] {
-    return preview_request(caller.link.buffered(), limits.header_bytes, limits.body_bytes,
-                           max_waited);
-  };
-  request_preview seen = preview();
-  while (seen.state == preview_state::arriving) {
-    if (seen.body_bytes > 0 && !caller.held.counts()) {
-      caller.held = relay_.memory().begin(held_message::body);
-      if (!caller.held.resize(seen.body_bytes)) {
-        seen.state = preview_state::large; // a thread tries again, and refuses it
-        break;
+arrival_state http_frontend::read_arrived(caller_connection& caller, const arrival_terms& terms,
+                                          io_status& status) {
+  for (int reads = 0;; ++reads) {
+    const arrival_state state = take_arrived(*caller.request, caller.link, terms);
+    if (state != arrival_state::arriving || reads == reads_at_once)
+      return state;
+    status = caller.link.fill(time_.now());
+    if (status != io_status::ok)
+      return state;
+  }
+}
+
+http_frontend::arrival http_frontend::receive(std::unique_ptr<caller_connection>& caller,
+                                              bool on_polling_thread) {
+  const arrival_terms terms = this->terms(on_polling_thread);
+  if (!caller->request) {
+    const time_ms now = time_.now();
+    caller->request = std::make_unique<arriving_request>(relay_.memory(), now, unanswered_, busy_);
+    caller->request->deadline = now + terms.limits.header_timeout;
+    caller->shed = !relay_.stop().begun() && relay_.may_shed();
+  }
+  try {
+    io_status status = io_status::ok;
+    arrival_state state = read_arrived(*caller, terms, status);
+    if (state == arrival_state::header_arrived) {
+      if (!admit_body(*caller)) {
+        poll_.close_gracefully(std::move(caller));
+        return arrival::closed;
       }
+      state = read_arrived(*caller, terms, status);
+    }
+    if (state == arrival_state::whole) {
+      caller->link.trim();
+      if (caller->request->large_buffer)
+        caller->link.set_receive_buffer(options_.connections.receive.usual_bytes);
+      return arrival::whole;
+    }
+    if (state == arrival_state::no_room) {
+      refuse_for_memory(std::move(caller));
+      return arrival::closed;
+    }
+    if (status == io_status::ended && caller->request->head)
+      throw error{error_kind::malformed_request, "body", "is incomplete"};
+    if (status != io_status::ok && status != io_status::timed_out) {
+      caller.reset();
+      return arrival::closed;
+    }
+    return arrival::arriving;
+  } catch (const error& reason) {
+    refuse_arrival(std::move(caller), reason);
+    return arrival::closed;
+  }
+}
+
+bool http_frontend::admit_body(caller_connection& caller) {
+  arriving_request& request = *caller.request;
+  const bool stated = request.framing.body == body_framing::stated;
+  const bool large = !stated || request.framing.bytes > max_waited_body;
+  const bool loaded = caller.shed || !relay_.has_capacity();
+  if (relay_.memory().limits().bounded() && large && loaded && !relay_.stop().begun()) {
+    const request_relay::screening decision = relay_.screen(*request.head, caller.shed, true);
+    if (!decision.taken) {
+      note_refused();
+      relay_.note_request(true);
+      caller.unread = unread_bytes(request, limits_());
+      (void)caller.link.write_all(decision.refusal, time_.now());
+      return false;
     }
-    const io_status status = caller.link.fill(time_.now());
-    caller.arriving = status == io_status::timed_out;
-    if (caller.arriving)
-      return screen_result::arrives;
-    if (status != io_status::ok)
-      return screen_result::ends;
-    seen = preview();
   }
-  caller.arriving = false;
-  if (seen.state == preview_state::other)
-    return screen_result::serve;
-  const bool large = seen.state == preview_state::large;
-  request_relay::screening decision = relay_.screen(seen.head, caller.shed, large);
+  const receive_bounds& receive = options_.connections.receive;
+  if (stated && request.framing.bytes >= receive.admitted_bytes) {
+    caller.link.set_receive_buffer(receive.admitted_bytes);
+    request.large_buffer = true;
+  }
+  if (request.head->fields.has("Expect"))
+    (void)caller.link.write_all("HTTP/1.1 100 Continue\r\n\r\n", time_.now());
+  return true;
+}
+
+http_frontend::arrival http_frontend::screen(caller_connection& caller,
+                                             preparing_requests::guard& guard) {
+  if (!caller.shed && relay_.has_capacity())
+    return arrival::whole;
+  request_relay::screening decision = relay_.screen(*caller.request->head, caller.shed, false);
   guard = std::move(decision.guard);
   if (decision.taken)
-    return screen_result::serve;
+    return arrival::whole;
   ++caller.requests;
   note_refused();
-  caller.held = {};
-  if (large)
-    caller.unread = seen.bytes - caller.link.buffered().size();
-  caller.link.consume(large ? caller.link.buffered().size() : seen.bytes);
+  caller.request.reset();
+  caller.since = time_.now();
   relay_.note_request(true);
   const bool written = caller.link.write_all(decision.refusal, time_.now()) == io_status::ok;
-  if (written && large)
-    return screen_result::drains;
-  return written && !decision.ends_connection ? screen_result::refused : screen_result::ends;
+  return written && !decision.ends_connection ? arrival::refused : arrival::closed;
 }
 
 // At most one log line per interval: one per refusal would cost more than the refusals do.
 void http_frontend::note_refused() {
   constexpr time_ms interval{1000};
+  const std::scoped_lock lock{refused_mutex_};
   ++refused_;
   if (time_.now() - refused_told_ < interval)
     return;
@@ -201,7 +246,8 @@
       caller.socket.setNoDelay(true);
       enable_dead_peer_detection(caller.socket);
     }
-    do {
+    arrival next = arrival::whole;
+    while (next == arrival::whole) {
       const connection_action then =
           answer_one(caller, std::move(work.preparing), std::exchange(work.checked, {}));
       if (then == connection_action::abort) {
@@ -213,102 +259,58 @@
         return;
       }
       caller.since = time_.now();
-    } while (!caller.link.buffered().empty());
-    poll_.wait_for_request(std::move(work.caller));
+      next = caller.link.buffered().empty() ? arrival::arriving : receive(work.caller, false);
+    }
+    if (next == arrival::arriving)
+      poll_.wait_for_request(std::move(work.caller));
   } catch (const std::exception& failure) {
     log_.write(severity::warning, "caller_connection_failed", {},
                {{log_field::reason, std::string_view{failure.what()}}});
   }
 }
 
-// At the cut of a stop a request that is still arriving is refused, so that its caller gets an
-// answer before the process exits.
 connection_action http_frontend::answer_one(caller_connection& caller,
                                             preparing_requests::guard guard, load_check checked) {
-  const caller_limits limits = this->limits();
-  const time_ms received = time_.now();
-  const time_ms idle = received - caller.since;
-  connection& link = caller.link;
+  const std::unique_ptr<arriving_request> arrived = std::move(caller.request);
+  const time_ms began = arrived->progress.began();
   ++caller.requests;
-  caller_watch until_cut{-1, relay_.stop().cut_descriptor()};
   try {
-    std::string text;
-    const io_status status =
-        link.read_head(text, limits.header_bytes, received + limits.header_timeout, &until_cut);
-    if (status == io_status::interrupted)
-      throw error{error_kind::stopping, "header",
-                  "was incomplete when the host's grace period ended"};
-    if (status == io_status::timed_out)
-      throw error{error_kind::slow_caller, "header", "did not arrive in time"};
-    if (status != io_status::ok && link.buffered().size() > limits.header_bytes)
-      throw error{error_kind::payload_too_large, "header", "is larger than allowed"};
-    if (status != io_status::ok)
-      return connection_action::close;
-    const message_framing framing = check_request_header(
-        text, {max_header_fields + (options_.from_hosts ? 1 : 0), limits.header_bytes});
-    incoming_request request{parse_request_head(text), {},   received, link,
-                             caller.requests,          idle, checked,  std::move(guard)};
+    incoming_request request{
+        std::move(*arrived->head), std::move(arrived->body), began,   caller.link,
+        caller.requests,           began - caller.since,     checked, std::move(guard)};
     if (options_.from_hosts)
       request.forwarded = take_forwarded_terms(request.head.fields);
-    request.held =
-        caller.held.counts() ? std::move(caller.held) : relay_.memory().begin(held_message::body);
-    if (!read_body(link, framing, limits, request, until_cut)) {
-      const std::uint64_t size =
-          framing.body == body_framing::stated ? framing.bytes : limits.body_bytes;
-      return refuse_for_memory(caller, request.head, size);
-    }
+    request.held = std::move(arrived->held);
     return relay_.serve(request);
   } catch (const error& reason) {
     log_.write(severity::info, "request_unreadable", {},
                {{log_field::reason, std::string_view{reason.what()}}});
-    (void)link.write_all(refusal_text(dialect_, reason, "", true),
-                         time_.now() + options_.connections.closing_timeout);
+    (void)caller.link.write_all(refusal_text(dialect_, reason, "", true),
+                                time_.now() + options_.connections.closing_timeout);
   }
   return connection_action::close;
 }
 
-connection_action http_frontend::refuse_for_memory(caller_connection& caller,
-                                                   const request_head& head, std::uint64_t most) {
-  const std::size_t buffered = caller.link.buffered().size();
-  caller.unread = most > buffered ? static_cast<std::size_t>(most) - buffered : 0;
-  (void)caller.link.write_all(relay_.refuse_for_memory(head),
-                              time_.now() + options_.connections.closing_timeout);
-  return connection_action::close;
+void http_frontend::refuse_arrival(std::unique_ptr<caller_connection> caller, const error& reason) {
+  relay_.figures().add(metric::unfinished_refusals, {name_of(reason.kind()), reason.where()});
+  log_.write(severity::info, "request_unreadable", {},
+             {{log_field::reason, std::string_view{reason.what()}}});
+  if (caller->request->head)
+    caller->unread = unread_bytes(*caller->request, limits_());
+  if (caller->link.write_all(refusal_text(dialect_, reason, "", true), time_.now()) ==
+          io_status::ok &&
+      caller->ended_by != arrival_end::dropped)
+    poll_.close_gracefully(std::move(caller));
 }
 
-bool http_frontend::read_body(connection& link, const message_framing& framing,
-                              const caller_limits& limits, incoming_request& request,
-                              caller_watch& until_cut) const {
-  const time_ms until = time_.now() + options_.body_timeout;
-  if (framing.body == body_framing::stated && framing.bytes > limits.body_bytes)
-    throw error{error_kind::payload_too_large, "body", "is larger than allowed"};
-  if (framing.body == body_framing::stated) {
-    const auto size = static_cast<std::size_t>(framing.bytes);
-    if (!request.held.resize(size))
-      return false;
-    request.body.reserve(size);
-  }
-  if (framing.body != body_framing::none && request.head.fields.has("Expect") &&
-      link.write_all("HTTP/1.1 100 Continue\r\n\r\n", until, &until_cut) != io_status::ok)
-    throw error{error_kind::slow_caller, "body", "the caller does not read the interim response"};
-  connection_source source{link, [&] { return link.fill(until, &until_cut); }};
-  body_decoder body{source, framing};
-  std::array<char, read_block> block; // NOLINT(cppcoreguidelines-pro-type-member-init)
-  while (body.state() == body_state::open) {
-    request.body.append(block.data(), body.read(block.data(), block.size()));
-    if (request.body.size() > limits.body_bytes)
-      throw error{error_kind::payload_too_large, "body", "is larger than allowed"};
-    if (framing.body == body_framing::chunked && !request.held.resize(request.body.size()))
-      return false;
-  }
-  if (body.state() == body_state::slow && source.last() == io_status::interrupted)
-    throw error{error_kind::stopping, "body", "was incomplete when the host's grace period ended"};
-  if (body.state() == body_state::slow)
-    throw error{error_kind::slow_caller, "body", "did not arrive in time"};
-  if (body.state() != body_state::whole)
-    throw error{error_kind::malformed_request, "body", "is incomplete"};
-  link.trim(); // the buffer of a body that was waited for is as large as the body
-  return true;
+void http_frontend::refuse_for_memory(std::unique_ptr<caller_connection> caller) {
+  if (!caller->request->head) // nothing is known of the request
+    return refuse_arrival(std::move(caller), {error_kind::no_capacity, "host",
+                                              "unfinished requests take up its memory"});
+  caller->unread = unread_bytes(*caller->request, limits_());
+  if (caller->link.write_all(relay_.refuse_for_memory(*caller->request->head), time_.now()) ==
+      io_status::ok)
+    poll_.close_gracefully(std::move(caller));
 }
 
 } // namespace sedgechute
--- a/src/relay/impl/http_frontend.hpp
+++ b/src/relay/impl/http_frontend.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "gateway/impl/request_header.hpp"
 #include "relay/impl/caller_poll.hpp"
 #include "relay/impl/elastic_pool.hpp"
 #include "relay/impl/request_relay.hpp"
@@ -10,11 +9,13 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <mutex>
 
 namespace sedgechute {
 
 struct http_frontend_options {
-  time_ms body_timeout{10000}; ///< for a whole request body
+  time_ms body_timeout{10000};                                   ///< for a whole request body
+  std::size_t framing_per_byte{chunk_bounds{}.framing_per_byte}; ///< of chunked bodies
   caller_poll_options connections{};
   bool from_hosts{false};         ///< serves requests that other hosts forward
   elastic_pool_options threads{}; ///< each serves one request and uses some 30 KB of its stack
@@ -41,28 +42,32 @@
 
  private:
   struct job;
-  enum class screen_result;
+  enum class arrival;
 
-  /// \returns the limits on requests, with room for what hosts add
-  [[nodiscard]] caller_limits limits() const;
+  [[nodiscard]] arrival_terms terms(bool on_polling_thread);
   void dispatch(std::unique_ptr<caller_connection> caller);
-  /// \brief Decides by its header whether a request is served, without waiting for more bytes.
-  [[nodiscard]] screen_result screen(caller_connection& caller, preparing_requests::guard& guard);
+  /// \brief Reads what has arrived of a request, without waiting for more. A request that cannot be
+  /// accepted is refused, and its connection is closed.
+  [[nodiscard]] arrival receive(std::unique_ptr<caller_connection>& caller, bool on_polling_thread);
+  /// \brief Reads until the request is whole or nothing more has arrived.
+  [[nodiscard]] arrival_state read_arrived(caller_connection& caller, const arrival_terms& terms,
+                                           io_status& status);
+  /// \brief Decides about a request whose body is large or of unknown size by its header alone.
+  /// \returns false when it has been refused
+  [[nodiscard]] bool admit_body(caller_connection& caller);
+  /// \brief Decides on the host's load about a request that is whole.
+  /// \returns `whole` when it is accepted
+  [[nodiscard]] arrival screen(caller_connection& caller, preparing_requests::guard& guard);
   void note_refused();
   void run(const std::shared_ptr<job>& work);
   void refuse(job& work);
+  /// \brief Refuses a request that has not arrived, and closes its connection.
+  void refuse_arrival(std::unique_ptr<caller_connection> caller, const error& reason);
+  void refuse_for_memory(std::unique_ptr<caller_connection> caller);
   /// \brief Serves the requests that have arrived on a connection and returns it to the poll.
   void serve(job& work);
   [[nodiscard]] connection_action answer_one(caller_connection& caller,
                                              preparing_requests::guard guard, load_check checked);
-  /// \returns false when there is not enough memory for the body
-  [[nodiscard]] bool read_body(connection& link, const message_framing& framing,
-                               const caller_limits& limits, incoming_request& request,
-                               caller_watch& until_cut) const;
-  /// \brief Refuses a request whose body has not been read, at least not all of it.
-  /// \param most  maximum size of the rest of the body, including what is buffered
-  [[nodiscard]] connection_action refuse_for_memory(caller_connection& caller,
-                                                    const request_head& head, std::uint64_t most);
 
   request_relay& relay_;
   const wire_dialect& dialect_;
@@ -73,6 +78,7 @@
   std::atomic<std::size_t> unanswered_{0};
   std::atomic<std::size_t> busy_{0};
   elastic_pool threads_;
+  std::mutex refused_mutex_;
   std::uint64_t refused_{0}; ///< since the last log line about refusals
   time_ms refused_told_;
   caller_poll poll_;
--- a/src/relay/impl/request_relay.hpp
+++ b/src/relay/impl/request_relay.hpp
@@ -118,6 +118,7 @@
   /// \returns the complete response
   [[nodiscard]] std::string refuse_for_memory(const request_head& head);
   [[nodiscard]] held_bytes& memory() noexcept { return memory_; }
+  [[nodiscard]] metrics& figures() noexcept { return parts_.figures; }
   [[nodiscard]] const held_bytes& memory() const noexcept { return memory_; }
 
   /// \returns the number of requests that are being served
--- a/src/relay/relay.hpp
+++ b/src/relay/relay.hpp
@@ -5,6 +5,7 @@
 /// answers. The port `wire_dialect` hides the header fields of callers and endpoints.
 
 #include "relay/impl/announced_rate.hpp"
+#include "relay/impl/arriving_request.hpp"
 #include "relay/impl/caller_poll.hpp"
 #include "relay/impl/choose_replica.hpp"
 #include "relay/impl/cold_start.hpp"
@@ -52,7 +53,6 @@
 #include "relay/impl/reachability_tracker.hpp"
 #include "relay/impl/request_admission.hpp"
 #include "relay/impl/request_content.hpp"
-#include "relay/impl/request_preview.hpp"
 #include "relay/impl/request_relay.hpp"
 #include "relay/impl/request_terms.hpp"
 #include "relay/impl/retry_limiter.hpp"
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -296,10 +296,11 @@
     metric_family{metric::held_bytes,
                   gauge,
                   "sedgechute_held_bytes",
-                  "Bytes of messages that this host holds. kind: bodies (of open requests), "
-                  "answers (that callers have not read).",
+                  "Bytes of messages that this host holds. kind: bodies (of open requests; of "
+                  "sedgechuted: while they arrive), answers (that callers have not read), "
+                  "connections (of callers, with what the kernel may hold of each).",
                   {"kind"},
-                  entry},
+                  both},
     metric_family{metric::idle_teams,
                   gauge,
                   "sedgechute_idle_teams",
@@ -319,16 +320,37 @@
                   "sedgechute_held_bytes_limit",
                   "Limit of the bytes of messages that this host holds. kind: bodies (of open "
                   "requests, small ones beyond it within a reserve), answers (that callers have "
-                  "not read).",
+                  "not read), connections (what exceeds it is taken from the bodies).",
                   {"kind"},
                   entry},
+    metric_family{metric::yielded_connections,
+                  counter,
+                  "sedgechute_yielded_connections_total",
+                  "Connections of callers that had stopped in the middle of a request, or were "
+                  "idle, and were closed to make room for others.",
+                  {},
+                  both},
+    metric_family{metric::task_wait,
+                  gauge,
+                  "sedgechute_thread_wait_seconds",
+                  "How long the first request has been waiting for a thread; 0 when none waits.",
+                  {},
+                  entry},
+    metric_family{metric::unfinished_refusals,
+                  counter,
+                  "sedgechute_unfinished_refusals_total",
+                  "Requests refused before all of them had arrived. kind: of error, such as "
+                  "slow_caller (late, or gave way to others). part: header, body, framing (of a "
+                  "chunked body), host (its memory is used up).",
+                  {"kind", "part"},
+                  entry},
 };
 
 constexpr bool in_order() {
   for (std::size_t i = 0; i < families.size(); ++i)
     if (static_cast<std::size_t>(families[i].id) != i)
       return false;
-  return families.size() == static_cast<std::size_t>(metric::held_bytes_limit) + 1;
+  return families.size() == static_cast<std::size_t>(metric::unfinished_refusals) + 1;
 }
 static_assert(in_order(), "the table has one row for each metric, in the order of the enumeration");
 
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -71,6 +71,9 @@
   idle_teams,
   promised_tokens,
   held_bytes_limit,
+  yielded_connections,
+  task_wait,
+  unfinished_refusals,
 };
 
 inline constexpr std::size_t most_labels = 3;
