Say on /readyz that requests wait for a thread

A host whose pool handed out no thread went on answering 200 on /readyz, so that the balancer sent it more callers.

The pool tells how long its first task has been waiting; from 2 s on a host says "no thread is free", whatever the cause.

--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -24,6 +24,11 @@
 
 constexpr int listen_backlog = 512;
 
+constexpr double ms_per_second = 1000;
+
+// A request that waits longer for a thread shows that this host serves nobody.
+constexpr time_ms max_thread_wait{2000};
+
 // Of a request whose stream may go on only where the endpoint list shows a sole build.
 constexpr time_ms max_refresh_wait{300};
 
@@ -294,6 +299,11 @@
     sleep_for(stop_poll_interval);
 }
 
+time_ms entry_host::thread_wait() const {
+  return std::max(caller_frontend_ ? caller_frontend_->thread_wait() : time_ms{},
+                  host_frontend_ ? host_frontend_->thread_wait() : time_ms{});
+}
+
 std::string entry_host::not_ready_reason() const {
   if (stopping_ || stop_requested_())
     return "stopping";
@@ -307,6 +317,8 @@
     return "cut off";
   if (processor_->busy())
     return "busy";
+  if (thread_wait() >= max_thread_wait)
+    return "no thread is free";
   return {};
 }
 
@@ -435,6 +447,8 @@
                       static_cast<double>(relay_->memory().held(held_message::connection)));
          figures_.set(metric::held_bytes_limit, {"connections"},
                       static_cast<double>(relay_->memory().limits().connections));
+         figures_.set(metric::task_wait, {},
+                      static_cast<double>(thread_wait().count()) / ms_per_second);
          export_promises();
          for (const auto& [service, spread] : endpoints_.speed_spreads())
            figures_.set(metric::endpoint_speed_spread, {service}, spread);
--- a/src/entry/impl/entry_host.hpp
+++ b/src/entry/impl/entry_host.hpp
@@ -31,6 +31,8 @@
 
  private:
   [[nodiscard]] std::string not_ready_reason() const;
+  /// \returns how long the first request has been waiting for a thread; 0 when none waits
+  [[nodiscard]] time_ms thread_wait() const;
   [[nodiscard]] status_server::pages pages();
   [[nodiscard]] std::string budget_page() const;
   void export_promises();
--- a/src/relay/impl/elastic_pool.cpp
+++ b/src/relay/impl/elastic_pool.cpp
@@ -15,7 +15,7 @@
   const bool may_grow = workers_.size() < options_.max_threads;
   if (!may_grow && tasks_.size() >= idle_ + options_.max_queued)
     return false;
-  tasks_.push_back(std::move(work));
+  tasks_.push_back({std::move(work), time_.now()});
   if (tasks_.size() <= idle_ || !may_grow) {
     wake_.notify_one();
     return true;
@@ -34,6 +34,11 @@
   return true;
 }
 
+time_ms elastic_pool::longest_wait() const {
+  const std::scoped_lock lock{mutex_};
+  return tasks_.empty() ? time_ms{} : time_.now() - tasks_.front().since;
+}
+
 void elastic_pool::serve(worker& self) {
   std::unique_lock lock{mutex_};
   for (;;) {
@@ -44,7 +49,7 @@
     --idle_;
     if (stopping_ || !woken)
       break;
-    task work = std::move(tasks_.front());
+    task work = std::move(tasks_.front().work);
     tasks_.pop_front();
     lock.unlock();
     work();
@@ -70,7 +75,7 @@
 
 void elastic_pool::stop() noexcept {
   std::list<std::unique_ptr<worker>> workers;
-  std::deque<task> dropped;
+  std::deque<queued_task> dropped;
   {
     const std::scoped_lock lock{mutex_};
     stopping_ = true;
--- a/src/relay/impl/elastic_pool.hpp
+++ b/src/relay/impl/elastic_pool.hpp
@@ -35,8 +35,14 @@
   /// \returns false when the queue is full, no thread can be started, or the pool is stopping
   [[nodiscard]] bool run(task work);
   void stop() noexcept;
+  /// \returns how long the first queued task has been waiting for a thread; 0 when none waits
+  [[nodiscard]] time_ms longest_wait() const;
 
  private:
+  struct queued_task {
+    task work;
+    time_ms since;
+  };
   struct worker {
     Poco::Thread thread;
     bool ended{false};
@@ -46,9 +52,10 @@
   void join_ended() noexcept;
 
   elastic_pool_options options_;
-  ordered_mutex mutex_{lock_rank::worker_pool};
+  steady_clock time_;
+  mutable ordered_mutex mutex_{lock_rank::worker_pool};
   std::condition_variable_any wake_;
-  std::deque<task> tasks_;
+  std::deque<queued_task> tasks_;
   std::list<std::unique_ptr<worker>> workers_;
   std::size_t idle_{0};
   std::size_t ended_{0}; ///< workers that have ended and not been joined
--- a/src/relay/impl/http_frontend.hpp
+++ b/src/relay/impl/http_frontend.hpp
@@ -39,6 +39,8 @@
   [[nodiscard]] std::size_t unanswered() const noexcept { return unanswered_; }
   /// \returns the same, plus the connections that are being closed after their last answer
   [[nodiscard]] std::size_t busy() const noexcept { return busy_ + poll_.closing(); }
+  /// \returns how long the first request has been waiting for a thread; 0 when none waits
+  [[nodiscard]] time_ms thread_wait() const { return threads_.longest_wait(); }
 
  private:
   struct job;
--- a/tests/relay/elastic_pool_test.cpp
+++ b/tests/relay/elastic_pool_test.cpp
@@ -104,3 +104,20 @@
     std::this_thread::sleep_for(std::chrono::milliseconds{5});
   CHECK(ran == 1);
 }
+
+// A host on which no thread takes requests must not count as ready.
+TEST_CASE("a pool tells how long its first task has been waiting") {
+  gate held;
+  elastic_pool pool{{.max_threads = 1}};
+  CHECK(pool.longest_wait() == time_ms{});
+  CHECK(pool.run([&] { held.pass(); }));
+  held.wait_for(1);
+  CHECK(pool.longest_wait() == time_ms{});
+  CHECK(pool.run([] {}));
+  std::this_thread::sleep_for(std::chrono::milliseconds{30});
+  CHECK(pool.longest_wait() >= time_ms{30});
+  held.open();
+  for (int i = 0; i < 1000 && pool.longest_wait() > time_ms{}; ++i)
+    std::this_thread::sleep_for(std::chrono::milliseconds{5});
+  CHECK(pool.longest_wait() == time_ms{});
+}
