Bound the unfinished requests of sedgechuted together

150 clients that sent bodies of 4 MB without their ends, in whole, pieces or large chunks, took 477 to 482 MB of a host with room for 100 connections. Each body was bounded, all together were not, and a silent client kept its thread for 30 s.

Change: bodies that arrive count in one account (/limits/arriving_bytes, an eighth of it for small ones), before their buffers grow; beyond it a request is refused as not run. For a second after that, and while connections wait for a thread, callers that have been silent for /timeouts/caller_stall_ms give way. /limits/receive_buffer_bytes bounds what the kernel holds of a connection. Metrics as of an entry host.

--- a/src/config/impl/host_settings.hpp
+++ b/src/config/impl/host_settings.hpp
@@ -52,6 +52,8 @@
   std::int64_t connections{4096};
   std::int64_t request_bytes{4 << 20};
   std::int64_t header_bytes{32 << 10};
+  std::int64_t arriving_bytes{32 << 20};
+  std::int64_t receive_buffer_bytes{16 << 10};
   std::int64_t stream_buffer_bytes{256 << 10};
   std::int64_t retained_answer_bytes{32 << 20};
   std::int64_t retained_answers{20000};
@@ -61,6 +63,7 @@
 struct host_timeouts {
   time_ms caller_header{5000};
   time_ms caller_body{30000};
+  time_ms caller_stall{2000};
   time_ms caller_write{30000};
   time_ms endpoint_connect{1000};
   time_ms endpoint_idle{15000};
--- a/src/daemon/impl/host.cpp
+++ b/src/daemon/impl/host.cpp
@@ -205,7 +205,13 @@
   options.most_connections = static_cast<std::size_t>(settings_.limits.connections);
   options.header_timeout = settings_.timeouts.caller_header;
   options.write_timeout = settings_.timeouts.caller_write;
-  const Poco::Net::ServerSocket socket{Poco::Net::SocketAddress{at.ip, at.port}, accept_backlog};
+  options.arriving_bytes = static_cast<std::size_t>(settings_.limits.arriving_bytes);
+  options.stall = settings_.timeouts.caller_stall;
+  Poco::Net::ServerSocket socket;
+  socket.bind(Poco::Net::SocketAddress{at.ip, at.port}, true);
+  // Inherited by connections, also by those that have not been accepted; the kernel doubles it.
+  socket.setReceiveBufferSize(static_cast<int>(settings_.limits.receive_buffer_bytes / 2));
+  socket.listen(accept_backlog);
   auto server = std::make_unique<http_server>(std::move(handle), options, socket, time_);
   server->start();
   return server;
@@ -255,6 +261,7 @@
     shares_.exchange();
     update_readiness();
     sampler_.sample(membership_->view(), self_);
+    sample_callers();
     credentials_.look_when_due(time_.now());
   });
 }
@@ -272,6 +279,16 @@
   });
 }
 
+void host::sample_callers() {
+  if (!callers_)
+    return;
+  const unfinished_requests& unfinished = callers_->unfinished();
+  metrics_.set(metric::held_bytes, {"bodies"}, static_cast<double>(unfinished.held()));
+  const std::uint64_t yielded = unfinished.yielded();
+  metrics_.add(metric::yielded_connections, {},
+               static_cast<double>(yielded - std::exchange(yielded_, yielded)));
+}
+
 void host::poll_host_list() {
   http_host_list_client client{target_of(settings_.platform.host_list), settings_.platform.timeout};
   try {
--- a/src/daemon/impl/host.hpp
+++ b/src/daemon/impl/host.hpp
@@ -49,6 +49,7 @@
          std::shared_ptr<const listener_credentials> credentials);
   /// \brief Calls `step` every `interval` until the host stops.
   void every(time_ms interval, std::function<void()> step);
+  void sample_callers();
   void poll_host_list();
   void update_readiness();
   [[nodiscard]] bool keys_decided();
@@ -89,6 +90,7 @@
   metrics_sampler sampler_;
   std::unique_ptr<admin_router> admin_;
   std::unique_ptr<http_server> callers_;
+  std::uint64_t yielded_{0}; ///< callers that gave way, as last counted
   std::unique_ptr<http_server> operators_;
   ordered_mutex stop_mutex_{lock_rank::lifecycle};
   std::condition_variable_any stop_wanted_;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -34,4 +34,5 @@
 #include "gateway/impl/run_request.hpp"
 #include "gateway/impl/service_body.hpp"
 #include "gateway/impl/service_call.hpp"
+#include "gateway/impl/unfinished_requests.hpp"
 #include "gateway/impl/utf8.hpp"
--- a/src/gateway/impl/caller_headers.cpp
+++ b/src/gateway/impl/caller_headers.cpp
@@ -70,13 +70,25 @@
   invite_body(exchange);
   source.allow_until(time.now() + most_time);
   std::string body;
+  unfinished_requests& room = source.room();
+  held_bytes::guard held = room.begin(); // what is whole is taken up at once
+  const auto make_capacity = [&](std::size_t needed) {
+    if (needed <= body.capacity())
+      return;
+    const std::size_t grown = grown_capacity(body.capacity(), needed, most_bytes);
+    room.resize(held, body.capacity() + grown); // both buffers, while one grows into the other
+    body.reserve(grown);
+    room.resize(held, body.capacity());
+  };
+  make_capacity(static_cast<std::size_t>(source.framing().bytes));
   std::array<char, read_block_bytes> block{};
   std::istream& in = source.stream();
   while (in.peek() != std::istream::traits_type::eof()) {
     const std::streamsize got = in.readsome(block.data(), block.size());
-    body.append(block.data(), static_cast<std::size_t>(got));
-    if (body.size() > most_bytes)
+    if (body.size() + static_cast<std::size_t>(got) > most_bytes)
       throw error{error_kind::payload_too_large, "body", too_large};
+    make_capacity(body.size() + static_cast<std::size_t>(got));
+    body.append(block.data(), static_cast<std::size_t>(got));
   }
   source.require_whole();
   return body;
--- a/src/gateway/impl/caller_session.cpp
+++ b/src/gateway/impl/caller_session.cpp
@@ -66,25 +66,31 @@
 }
 
 caller_session::caller_session(const StreamSocket& socket, Poco::Net::HTTPServerParams::Ptr params,
-                               const clock& time)
-    : HTTPServerSession{socket, std::move(params)}, time_{time} {}
+                               unfinished_requests& room, const clock& time)
+    : HTTPServerSession{socket, std::move(params)}, room_{room}, time_{time}, progress_{
+                                                                                  time.now()} {}
 
 // Bytes that were read with those before them no longer show on the connection: the socket is asked
 // first. What has come goes before the interruption, so that it gets an answer.
 bool caller_session::wait_for_request(time_ms most, int interrupt) {
   if (buffered() > 0 || socket().poll(0, Poco::Net::Socket::SELECT_READ))
     return true;
-  const time_ms deadline = time_.now() + most;
+  const time_ms since = time_.now();
+  const time_ms deadline = since + most;
   for (;;) {
-    const time_ms left = std::max(deadline - time_.now(), time_ms{0});
+    const time_ms now = time_.now();
+    if (now >= deadline || room_.gives_way(since))
+      return false;
+    const time_ms left = std::min(deadline - now, until_next_look(since));
     std::array<pollfd, 2> fds{{{socket().impl()->sockfd(), POLLIN, 0}, {interrupt, POLLIN, 0}}};
     const int ready = ::poll(fds.data(), fds.size(), static_cast<int>(left.count()));
-    if (ready >= 0 || errno != EINTR)
+    if (fds[0].revents != 0 || fds[1].revents != 0 || (ready < 0 && errno != EINTR))
       return fds[0].revents != 0;
   }
 }
 
 std::string caller_session::read_header(const header_limits& limits, time_ms deadline) {
+  progress_ = arrival_progress{time_.now()};
   std::string header;
   std::size_t line_start = 0;
   std::size_t lines = 0;
@@ -116,20 +122,36 @@
 int caller_session::next_byte(time_ms deadline) {
   if (buffered() == 0)
     wait(deadline);
+  progress_.note(1, time_.now());
   return get();
 }
 
 std::size_t caller_session::read_some(char* into, std::size_t most, time_ms deadline) {
   if (buffered() == 0)
     wait(deadline);
-  const int got = read(into, static_cast<std::streamsize>(most));
-  return static_cast<std::size_t>(std::max(got, 0));
+  const auto got =
+      static_cast<std::size_t>(std::max(read(into, static_cast<std::streamsize>(most)), 0));
+  progress_.note(got, time_.now());
+  return got;
+}
+
+time_ms caller_session::until_next_look(time_ms silent_since) const noexcept {
+  constexpr time_ms interval{200};
+  return std::max(silent_since + room_.stall() - time_.now(), interval);
 }
 
 void caller_session::wait(time_ms deadline) {
-  const time_ms left = deadline - time_.now();
-  if (left <= time_ms{0} || !socket().poll(to_timespan(left), Poco::Net::Socket::SELECT_READ))
-    throw error{error_kind::slow_caller, "", ""};
+  for (;;) {
+    const time_ms now = time_.now();
+    const time_ms silent_since = progress_.moved();
+    if (now >= deadline)
+      throw error{error_kind::slow_caller, "", ""};
+    if (room_.gives_way(silent_since))
+      throw error{error_kind::slow_caller, "", "others need the room of this request"};
+    const time_ms left = std::min(deadline - now, until_next_look(silent_since));
+    if (socket().poll(to_timespan(left), Poco::Net::Socket::SELECT_READ))
+      return;
+  }
 }
 
 void caller_session::close_gently(time_ms most) noexcept {
--- a/src/gateway/impl/caller_session.hpp
+++ b/src/gateway/impl/caller_session.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "gateway/impl/request_header.hpp"
+#include "gateway/impl/unfinished_requests.hpp"
+#include "intake/intake.hpp"
 
 #include <Poco/Net/Context.h>
 #include <Poco/Net/HTTPServerParams.h>
@@ -20,10 +22,11 @@
 class caller_session final : public Poco::Net::HTTPServerSession {
  public:
   caller_session(const Poco::Net::StreamSocket& socket, Poco::Net::HTTPServerParams::Ptr params,
-                 const clock& time);
+                 unfinished_requests& room, const clock& time);
 
   /// \param interrupt  a descriptor that can be read once the wait shall end
-  /// \returns whether anything came, or the caller closed, within `most`.
+  /// \returns whether anything came, or the caller closed, within `most` and before another caller
+  /// needed the connection's room
   [[nodiscard]] bool wait_for_request(time_ms most, int interrupt);
 
   /// \brief Reads a header up to and with its empty line and leaves it to be read again.
@@ -45,11 +48,17 @@
   void close_gently(time_ms most) noexcept;
 
   [[nodiscard]] const clock& time() const noexcept { return time_; }
+  [[nodiscard]] unfinished_requests& room() noexcept { return room_; }
 
  private:
+  /// \throws error `slow_caller`
   void wait(time_ms deadline);
+  /// \returns how long to wait before it may be time to give way
+  [[nodiscard]] time_ms until_next_look(time_ms silent_since) const noexcept;
 
+  unfinished_requests& room_;
   const clock& time_;
+  arrival_progress progress_;
 };
 
 /// \returns a socket for the same connection that can be given bytes to be read again; `socket` is
--- a/src/gateway/impl/http_server.cpp
+++ b/src/gateway/impl/http_server.cpp
@@ -46,7 +46,7 @@
       // Poco applies a session's timeouts only to connections that it opens itself. Without this
       // one, a caller that does not read would hold its thread and its engine for good.
       socket().setSendTimeout(to_timespan(server_.options_.write_timeout));
-      caller_session session{socket(), server_.params_, server_.time_};
+      caller_session session{socket(), server_.params_, server_.unfinished_, server_.time_};
       // The same bound as for a header: who connects and says nothing gets no more than who
       // says it slowly.
       time_ms wait = server_.options_.header_timeout;
@@ -137,7 +137,8 @@
                          const ServerSocket& socket, const clock& time)
     : handle_{std::move(handle)}, options_{options}, time_{time}, params_{new HTTPServerParams},
       threads_{least_threads, static_cast<int>(options.most_connections),
-               static_cast<int>(options.thread_idle.count() / 1000) + 1, stack_bytes} {
+               static_cast<int>(options.thread_idle.count() / 1000) + 1, stack_bytes},
+      unfinished_{options.arriving_bytes, options.stall, time} {
   params_->setMaxThreads(static_cast<int>(options_.most_connections));
   params_->setMaxQueued(most_waiting_connections);
   params_->setThreadIdleTime(to_timespan(options_.thread_idle));
@@ -146,6 +147,7 @@
   params_->setKeepAliveTimeout(to_timespan(options_.keep_alive));
   params_->setMaxKeepAliveRequests(0);
   server_ = std::make_unique<TCPServer>(new connection_factory{*this}, threads_, socket, params_);
+  unfinished_.set_waiting([this] { return server_->queuedConnections() > 0; });
 }
 
 http_server::~http_server() {
--- a/src/gateway/impl/http_server.hpp
+++ b/src/gateway/impl/http_server.hpp
@@ -3,6 +3,7 @@
 #include "gateway/impl/caller_api.hpp"
 #include "gateway/impl/listener_credentials.hpp"
 #include "gateway/impl/request_header.hpp"
+#include "gateway/impl/unfinished_requests.hpp"
 
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/ServerSocket.h>
@@ -24,6 +25,8 @@
   time_ms keep_alive{15000};
   time_ms thread_idle{2000}; ///< before a thread without a connection ends; may delay a stop
   std::shared_ptr<const listener_credentials> credentials{}; ///< null: plain text
+  std::size_t arriving_bytes{std::size_t{32} << 20U};        ///< of all bodies that arrive
+  time_ms stall{2000};           ///< a caller silent for so long may give way to others
   time_ms closing_timeout{1000}; ///< for a refused caller to read why, while it still sends
 };
 
@@ -52,6 +55,7 @@
 
   /// \returns connections that are open now.
   [[nodiscard]] std::size_t connections() const noexcept { return connections_; }
+  [[nodiscard]] const unfinished_requests& unfinished() const noexcept { return unfinished_; }
 
  private:
   friend class http_connection;
@@ -65,6 +69,7 @@
   const clock& time_;
   Poco::Net::HTTPServerParams::Ptr params_;
   Poco::ThreadPool threads_;
+  unfinished_requests unfinished_;
   std::atomic<std::size_t> connections_{0};
   std::atomic<bool> ending_{false};
   std::atomic<bool> stopping_{false};
--- /dev/null
+++ b/tests/gateway/unfinished_requests_test.cpp
@@ -0,0 +1,58 @@
+#include "gateway/gateway.hpp"
+#include "gateway/impl/unfinished_requests.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace sedgechute;
+
+namespace {
+
+class set_clock final : public sedgechute::clock {
+ public:
+  [[nodiscard]] time_ms now() const noexcept override { return now_; }
+  void advance(time_ms span) { now_ = now_ + span; }
+
+ private:
+  time_ms now_{100000};
+};
+
+constexpr std::size_t mb = std::size_t{1} << 20U;
+
+} // namespace
+
+// Clients that stop in the middle must give way to others, and only then.
+TEST_CASE("a silent caller gives way only while there is no room for others") {
+  set_clock time;
+  unfinished_requests room{8 * mb, time_ms{2000}, time};
+  bool waits = false;
+  room.set_waiting([&] { return waits; });
+  const time_ms since = time.now();
+  time.advance(time_ms{5000});
+  CHECK_FALSE(room.gives_way(since));
+  waits = true;
+  CHECK(room.gives_way(since));
+  CHECK_FALSE(room.gives_way(time.now()));
+  waits = false;
+  held_bytes::guard body = room.begin();
+  room.resize(body, 7 * mb);
+  held_bytes::guard other = room.begin();
+  CHECK_THROWS_AS(room.resize(other, mb), error);
+  CHECK(room.gives_way(since));
+  time.advance(time_ms{1000});
+  CHECK_FALSE(room.gives_way(since));
+  CHECK(room.yielded() == 2);
+}
+
+// Large bodies must not keep the small ones of ordinary callers out.
+TEST_CASE("small bodies have a part of the room of unfinished requests to themselves") {
+  set_clock time;
+  unfinished_requests room{8 * mb, time_ms{2000}, time};
+  held_bytes::guard large = room.begin();
+  room.resize(large, 7 * mb);
+  held_bytes::guard small = room.begin();
+  room.resize(small, 1000);
+  CHECK(room.held() == 7 * mb + 1000);
+  large.release();
+  small.release();
+  CHECK(room.held() == 0);
+}
