--- a/src/entry/impl/entry_settings.cpp
+++ b/src/entry/impl/entry_settings.cpp
@@ -142,7 +142,7 @@
   return stop;
 }
 
-constexpr std::size_t kb = 1024; // bytes
+constexpr double bytes_a_kb = 1024;
 
 entry_settings read_all(const settings_reader& reader) {
   entry_settings read;
@@ -171,9 +171,9 @@
   read.stall = reader.milliseconds("stall_ms", read.stall);
   read.framing_per_byte = static_cast<std::size_t>(
       reader.number("chunk_framing", static_cast<double>(read.framing_per_byte)));
+  const double receive_kb = static_cast<double>(read.receive.usual_bytes) / bytes_a_kb;
   read.receive.usual_bytes =
-      kb * static_cast<std::size_t>(reader.number(
-               "receive_buffer_kb", static_cast<double>(read.receive.usual_bytes / kb)));
+      static_cast<std::size_t>(reader.number("receive_buffer_kb", receive_kb) * bytes_a_kb);
   read.receive.admitted_bytes = std::max(read.receive.admitted_bytes, read.receive.usual_bytes);
   read.cold_start.overage = reader.number("cold_overage", read.cold_start.overage);
   read.cold_start.tolerance = reader.number("cold_tolerance", read.cold_start.tolerance);
