Test that a growing chunked body counts with both of its buffers

The mutation chunks_counted_late was not noticed: the next count after the buffer had grown refused the same request.

--- a/tests/relay/arriving_request_test.cpp
+++ b/tests/relay/arriving_request_test.cpp
@@ -134,3 +134,18 @@
         arrival_state::no_room);
   CHECK(chunked.request().body.empty());
 }
+
+// While a buffer grows there are two of them.
+TEST_CASE("a chunked body counts with both buffers before one grows into the other") {
+  constexpr std::size_t first = 2000;
+  const std::string begun =
+      post("Transfer-Encoding: chunked\r\n") + "bb8\r\n" + std::string(first, 'b');
+  const std::string more(100, 'b');
+  arrival fits{{.bodies = 4 * first, .answers = 1, .reserve = 0}};
+  CHECK(fits.take(begun) == arrival_state::arriving);
+  CHECK(fits.take(more) == arrival_state::arriving);
+  arrival exceeds{{.bodies = 5 * first / 2, .answers = 1, .reserve = 0}};
+  CHECK(exceeds.take(begun) == arrival_state::arriving);
+  CHECK(exceeds.take(more) == arrival_state::no_room);
+  CHECK(exceeds.held() <= 5 * first / 2);
+}
