Accept again as soon as a full host's connections may give way

With max_connections open and none of them silent for stall_ms yet, the host stopped listening and listened again only once a connection had been closed: idle callers kept others out until their time limits.

--- a/src/relay/impl/caller_poll.cpp
+++ b/src/relay/impl/caller_poll.cpp
@@ -103,7 +103,7 @@
       continue;
     last_scan = time_.now();
     close_overdue();
-    listen(connections_ < options_.max_connections);
+    listen(true); // some may give way by now
   }
 }
 
