Let only those give way at sedgechuted that hold what is short

Found in the reading of the change. Short memory closed connections that waited for their next request and hold none of it; a body whose host had not read for a while, as its endpoint did not, counted as silent although its bytes were there.

--- a/src/gateway/impl/caller_session.cpp
+++ b/src/gateway/impl/caller_session.cpp
@@ -79,7 +79,7 @@
   const time_ms deadline = since + most;
   for (;;) {
     const time_ms now = time_.now();
-    if (now >= deadline || room_.gives_way(since))
+    if (now >= deadline || room_.gives_way(wait_stage::next_request, since))
       return false;
     const time_ms left = std::min(deadline - now, until_next_look(since));
     std::array<pollfd, 2> fds{{{socket().impl()->sockfd(), POLLIN, 0}, {interrupt, POLLIN, 0}}};
@@ -140,13 +140,16 @@
   return std::max(silent_since + room_.stall() - time_.now(), interval);
 }
 
+// The host may have read nothing for a while; what has come meanwhile is progress.
 void caller_session::wait(time_ms deadline) {
   for (;;) {
     const time_ms now = time_.now();
     const time_ms silent_since = progress_.moved();
     if (now >= deadline)
       throw error{error_kind::slow_caller, "", ""};
-    if (room_.gives_way(silent_since))
+    if (socket().poll(Poco::Timespan{0}, Poco::Net::Socket::SELECT_READ))
+      return;
+    if (room_.gives_way(wait_stage::rest_of_request, silent_since))
       throw error{error_kind::slow_caller, "", "others need the room of this request"};
     const time_ms left = std::min(deadline - now, until_next_look(silent_since));
     if (socket().poll(to_timespan(left), Poco::Net::Socket::SELECT_READ))
--- a/src/gateway/impl/unfinished_requests.cpp
+++ b/src/gateway/impl/unfinished_requests.cpp
@@ -17,9 +17,10 @@
               "the bodies of unfinished requests take up the memory of this host"};
 }
 
-bool unfinished_requests::gives_way(time_ms silent_since) noexcept {
+bool unfinished_requests::gives_way(wait_stage stage, time_ms silent_since) noexcept {
   const time_ms now = time_.now();
-  if (now - silent_since < stall_ || (now.count() >= short_until_ && !callers_wait_()))
+  const bool short_of_memory = stage == wait_stage::rest_of_request && now.count() < short_until_;
+  if (now - silent_since < stall_ || !(short_of_memory || callers_wait_()))
     return false;
   ++yielded_;
   return true;
--- a/src/gateway/impl/unfinished_requests.hpp
+++ b/src/gateway/impl/unfinished_requests.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission/admission.hpp"
+#include "intake/intake.hpp"
 #include "kernel/kernel.hpp"
 
 #include <atomic>
@@ -27,8 +28,9 @@
   /// \brief Counts the body of one request with another size.
   /// \throws error `no_capacity`
   void resize(held_bytes::guard& body, std::size_t bytes);
-  /// \returns whether a caller that has been silent since then gives way
-  [[nodiscard]] bool gives_way(time_ms silent_since) noexcept;
+  /// \returns whether a caller that has been silent since then gives way: where connections are
+  /// waited for, or in the middle of a request where memory is short
+  [[nodiscard]] bool gives_way(wait_stage stage, time_ms silent_since) noexcept;
   [[nodiscard]] time_ms stall() const noexcept { return stall_; }
   [[nodiscard]] std::size_t held() const noexcept { return memory_.held(held_message::body); }
   /// \returns how many callers have given way
--- a/tests/gateway/unfinished_requests_test.cpp
+++ b/tests/gateway/unfinished_requests_test.cpp
@@ -28,19 +28,21 @@
   room.set_waiting([&] { return waits; });
   const time_ms since = time.now();
   time.advance(time_ms{5000});
-  CHECK_FALSE(room.gives_way(since));
+  CHECK_FALSE(room.gives_way(wait_stage::rest_of_request, since));
   waits = true;
-  CHECK(room.gives_way(since));
-  CHECK_FALSE(room.gives_way(time.now()));
+  CHECK(room.gives_way(wait_stage::rest_of_request, since));
+  CHECK_FALSE(room.gives_way(wait_stage::rest_of_request, time.now()));
+  CHECK(room.gives_way(wait_stage::next_request, since));
   waits = false;
   held_bytes::guard body = room.begin();
   room.resize(body, 7 * mb);
   held_bytes::guard other = room.begin();
   CHECK_THROWS_AS(room.resize(other, mb), error);
-  CHECK(room.gives_way(since));
+  CHECK(room.gives_way(wait_stage::rest_of_request, since));
+  CHECK_FALSE(room.gives_way(wait_stage::next_request, since)); // it holds no memory
   time.advance(time_ms{1000});
-  CHECK_FALSE(room.gives_way(since));
-  CHECK(room.yielded() == 2);
+  CHECK_FALSE(room.gives_way(wait_stage::rest_of_request, since));
+  CHECK(room.yielded() == 3);
 }
 
 // Large bodies must not keep the small ones of ordinary callers out.
