--- a/src/relay/impl/caller_poll.hpp
+++ b/src/relay/impl/caller_poll.hpp
@@ -43,7 +43,6 @@
   std::unique_ptr<arriving_request> request{}; ///< the one that arrives or has arrived
   arrival_end ended_by{arrival_end::none};     ///< of the request that arrives
   bool shed{false};                            ///< the arriving request is to be refused
-  bool whole{false};                           ///< all of the request has arrived
   bool registered{false};                      ///< its descriptor has been added to the epoll set
   held_bytes::guard held{};                    ///< counts the connection
   std::size_t unread{0}; ///< while closing: bytes that a refused body may still have
