Give a connection its own receive buffer back after a large body

A connection beyond the 1,024th counts with a receive buffer of 6 KB, and got 12 KB once a body of 64 KB or more was whole: 1,976 of them could hold 12 MB more than was counted.

Cause: the buffer was set back to the usual size, not to the one that the connection had. Change: the connection remembers it. Found by reading; the kernel's buffer of more than a thousand connections is not tested.

--- a/src/relay/impl/caller_poll.cpp
+++ b/src/relay/impl/caller_poll.cpp
@@ -126,11 +126,11 @@
 std::unique_ptr<caller_connection> caller_poll::admit(int descriptor) {
   Poco::Net::StreamSocket socket{new Poco::Net::StreamSocketImpl{descriptor}};
   auto caller = std::make_unique<caller_connection>(socket, time_, connections_);
-  const std::size_t buffer = receive_buffer(options_.receive, connections_);
-  if (buffer != options_.receive.usual_bytes)
-    caller->link.set_receive_buffer(buffer);
+  caller->receive_bytes = receive_buffer(options_.receive, connections_);
+  if (caller->receive_bytes != options_.receive.usual_bytes)
+    caller->link.set_receive_buffer(caller->receive_bytes);
   caller->held = memory_.begin(held_message::connection);
-  while (!caller->held.resize(buffer + connection_bytes))
+  while (!caller->held.resize(caller->receive_bytes + connection_bytes))
     if (!make_room(room_for::connection))
       return nullptr;
   return caller;
--- a/src/relay/impl/caller_poll.hpp
+++ b/src/relay/impl/caller_poll.hpp
@@ -45,6 +45,7 @@
   bool shed{false};                            ///< the arriving request is to be refused
   bool registered{false};                      ///< its descriptor has been added to the epoll set
   held_bytes::guard held{};                    ///< counts the connection
+  std::size_t receive_bytes{0};                ///< that the kernel may hold of it
   std::size_t unread{0}; ///< while closing: bytes that a refused body may still have
   time_ms drained_by{};  ///< while closing with such bytes: when to close at the latest
   std::atomic<std::size_t>& count;
--- a/src/relay/impl/http_frontend.cpp
+++ b/src/relay/impl/http_frontend.cpp
@@ -152,7 +152,7 @@
     if (state == arrival_state::whole) {
       caller->link.trim();
       if (caller->request->large_buffer)
-        caller->link.set_receive_buffer(options_.connections.receive.usual_bytes);
+        caller->link.set_receive_buffer(caller->receive_bytes);
       return arrival::whole;
     }
     if (state == arrival_state::no_room) {
