Call it eviction where a stalled connection is closed for others

"Give way", "yield" and "make room" stood for what servers call eviction; the metric is sedgechute_evicted_connections_total now. The clients of the crowd tests are stalled_clients, and what they waited for is a steady load.

--- a/src/config/impl/host_settings.cpp
+++ b/src/config/impl/host_settings.cpp
@@ -86,8 +86,8 @@
        make_field("caller_body_ms", &host_timeouts::caller_body, time_rule(short_time),
                   "Longest wait for a request's whole body"),
        make_field("caller_stall_ms", &host_timeouts::caller_stall, time_rule(short_time),
-                  "A caller that has sent no 512 bytes for so long gives way to others where there "
-                  "is no room for all"),
+                  "A caller that has not sent 512 bytes for so long may be evicted where there is "
+                  "no room for all"),
        make_field("caller_write_ms", &host_timeouts::caller_write, time_rule(short_time),
                   "Longest time without a byte taken by the reader of an answer"),
        make_field("endpoint_connect_ms", &host_timeouts::endpoint_connect, time_rule(short_time),
--- a/src/daemon/impl/host.cpp
+++ b/src/daemon/impl/host.cpp
@@ -284,9 +284,9 @@
     return;
   const unfinished_requests& unfinished = callers_->unfinished();
   metrics_.set(metric::held_bytes, {"bodies"}, static_cast<double>(unfinished.held()));
-  const std::uint64_t yielded = unfinished.yielded();
-  metrics_.add(metric::yielded_connections, {},
-               static_cast<double>(yielded - std::exchange(yielded_, yielded)));
+  const std::uint64_t evicted = unfinished.evicted();
+  metrics_.add(metric::evicted_connections, {},
+               static_cast<double>(evicted - std::exchange(evicted_, evicted)));
 }
 
 void host::poll_host_list() {
--- a/src/daemon/impl/host.hpp
+++ b/src/daemon/impl/host.hpp
@@ -90,7 +90,7 @@
   metrics_sampler sampler_;
   std::unique_ptr<admin_router> admin_;
   std::unique_ptr<http_server> callers_;
-  std::uint64_t yielded_{0}; ///< callers that gave way, as last counted
+  std::uint64_t evicted_{0}; ///< callers, as last counted
   std::unique_ptr<http_server> operators_;
   ordered_mutex stop_mutex_{lock_rank::lifecycle};
   std::condition_variable_any stop_wanted_;
--- a/src/entry/impl/entry_host.cpp
+++ b/src/entry/impl/entry_host.cpp
@@ -120,7 +120,7 @@
   figures_.add(metric::part_trials, {}, 0);
   figures_.add(metric::endpoint_pauses, {}, 0);
   figures_.add(metric::endpoints_leaving, {}, 0);
-  figures_.add(metric::yielded_connections, {}, 0);
+  figures_.add(metric::evicted_connections, {}, 0);
   figures_.add(metric::unfinished_refusals, {name_of(error_kind::slow_caller), "header"}, 0);
   endpoints_.on_restart([this](const endpoint_restart& found) { note_restart(found); });
   endpoints_.on_limit([this](const rate_notice& notice) { note_limit(notice); });
--- a/src/entry/impl/entry_settings.hpp
+++ b/src/entry/impl/entry_settings.hpp
@@ -29,7 +29,7 @@
   time_ms event_latency{0};   ///< bound on the delay of a stream's events; 0: none
   std::optional<double> memory_mb;   ///< of this host's machine; nothing: unbounded
   std::size_t max_connections{3000}; ///< of callers
-  time_ms stall{2000};               ///< a connection silent for so long may give way to others
+  time_ms stall{2000};               ///< a connection silent for so long may be evicted
   std::size_t framing_per_byte{chunk_bounds{}.framing_per_byte}; ///< of chunked bodies
   receive_bounds receive;       ///< on what the kernel holds of a connection
   region_map regions;           ///< of the data centres
--- a/src/entry/impl/entry_settings_table.cpp
+++ b/src/entry/impl/entry_settings_table.cpp
@@ -101,8 +101,8 @@
              "`stall_ms` is closed for each new one: first those in the middle of a request",
              static_cast<double>(usual.max_connections), "connections", connection_bounds),
       number("stall_ms",
-             "A caller that has sent no 512 bytes for so long gives way to others where there is "
-             "no room for all; otherwise it has the time of the whole body",
+             "A caller that has not sent 512 bytes for so long may be evicted where there is no "
+             "room for all; otherwise it has the time of the whole body",
              static_cast<double>(usual.stall.count()), "ms", stall_bounds_ms),
       number("chunk_framing",
              "Sizes, extensions and trailer of a chunked body for each of its bytes, beyond 64 KB; "
--- a/src/gateway/impl/caller_headers.cpp
+++ b/src/gateway/impl/caller_headers.cpp
@@ -70,15 +70,16 @@
   invite_body(exchange);
   source.allow_until(time.now() + most_time);
   std::string body;
-  unfinished_requests& room = source.room();
-  held_bytes::guard held = room.begin(); // what is whole is taken up at once
+  unfinished_requests& unfinished = source.unfinished();
+  held_bytes::guard held = unfinished.begin(); // what is whole is taken up at once
   const auto make_capacity = [&](std::size_t needed) {
     if (needed <= body.capacity())
       return;
     const std::size_t grown = grown_capacity(body.capacity(), needed, most_bytes);
-    room.resize(held, body.capacity() + grown); // both buffers, while one grows into the other
+    unfinished.resize(held,
+                      body.capacity() + grown); // both buffers, while one grows into the other
     body.reserve(grown);
-    room.resize(held, body.capacity());
+    unfinished.resize(held, body.capacity());
   };
   make_capacity(static_cast<std::size_t>(source.framing().bytes));
   std::array<char, read_block_bytes> block{};
--- a/src/gateway/impl/caller_session.cpp
+++ b/src/gateway/impl/caller_session.cpp
@@ -66,9 +66,9 @@
 }
 
 caller_session::caller_session(const StreamSocket& socket, Poco::Net::HTTPServerParams::Ptr params,
-                               unfinished_requests& room, const clock& time)
-    : HTTPServerSession{socket, std::move(params)}, room_{room}, time_{time}, progress_{
-                                                                                  time.now()} {}
+                               unfinished_requests& unfinished, const clock& time)
+    : HTTPServerSession{socket, std::move(params)},
+      unfinished_{unfinished}, time_{time}, progress_{time.now()} {}
 
 // Bytes that were read with those before them no longer show on the connection: the socket is asked
 // first. What has come goes before the interruption, so that it gets an answer.
@@ -79,7 +79,7 @@
   const time_ms deadline = since + most;
   for (;;) {
     const time_ms now = time_.now();
-    if (now >= deadline || room_.gives_way(wait_stage::next_request, since))
+    if (now >= deadline || unfinished_.evicts(wait_stage::next_request, since))
       return false;
     const time_ms left = std::min(deadline - now, until_next_look(since));
     std::array<pollfd, 2> fds{{{socket().impl()->sockfd(), POLLIN, 0}, {interrupt, POLLIN, 0}}};
@@ -137,20 +137,21 @@
 
 time_ms caller_session::until_next_look(time_ms silent_since) const noexcept {
   constexpr time_ms interval{200};
-  return std::max(silent_since + room_.stall() - time_.now(), interval);
+  return std::max(silent_since + unfinished_.stall() - time_.now(), interval);
 }
 
 // The host may have read nothing for a while; what has come meanwhile is progress.
 void caller_session::wait(time_ms deadline) {
   for (;;) {
     const time_ms now = time_.now();
-    const time_ms silent_since = progress_.moved();
+    const time_ms silent_since = progress_.last();
     if (now >= deadline)
       throw error{error_kind::slow_caller, "", ""};
     if (socket().poll(Poco::Timespan{0}, Poco::Net::Socket::SELECT_READ))
       return;
-    if (room_.gives_way(wait_stage::rest_of_request, silent_since))
-      throw error{error_kind::slow_caller, "", "others need the room of this request"};
+    if (unfinished_.evicts(wait_stage::rest_of_request, silent_since))
+      throw error{error_kind::slow_caller, "",
+                  "others need the memory or the connection of this request"};
     const time_ms left = std::min(deadline - now, until_next_look(silent_since));
     if (socket().poll(to_timespan(left), Poco::Net::Socket::SELECT_READ))
       return;
--- a/src/gateway/impl/caller_session.hpp
+++ b/src/gateway/impl/caller_session.hpp
@@ -22,11 +22,11 @@
 class caller_session final : public Poco::Net::HTTPServerSession {
  public:
   caller_session(const Poco::Net::StreamSocket& socket, Poco::Net::HTTPServerParams::Ptr params,
-                 unfinished_requests& room, const clock& time);
+                 unfinished_requests& unfinished, const clock& time);
 
   /// \param interrupt  a descriptor that can be read once the wait shall end
-  /// \returns whether anything came, or the caller closed, within `most` and before another caller
-  /// needed the connection's room
+  /// \returns whether anything came, or the caller closed, within `most` and before the caller
+  /// was evicted
   [[nodiscard]] bool wait_for_request(time_ms most, int interrupt);
 
   /// \brief Reads a header up to and with its empty line and leaves it to be read again.
@@ -48,15 +48,15 @@
   void close_gently(time_ms most) noexcept;
 
   [[nodiscard]] const clock& time() const noexcept { return time_; }
-  [[nodiscard]] unfinished_requests& room() noexcept { return room_; }
+  [[nodiscard]] unfinished_requests& unfinished() noexcept { return unfinished_; }
 
  private:
   /// \throws error `slow_caller`
   void wait(time_ms deadline);
-  /// \returns how long to wait before it may be time to give way
+  /// \returns how long to wait before the next decision about an eviction
   [[nodiscard]] time_ms until_next_look(time_ms silent_since) const noexcept;
 
-  unfinished_requests& room_;
+  unfinished_requests& unfinished_;
   const clock& time_;
   arrival_progress progress_;
 };
--- a/src/gateway/impl/http_server.hpp
+++ b/src/gateway/impl/http_server.hpp
@@ -26,7 +26,7 @@
   time_ms thread_idle{2000}; ///< before a thread without a connection ends; may delay a stop
   std::shared_ptr<const listener_credentials> credentials{}; ///< null: plain text
   std::size_t arriving_bytes{std::size_t{32} << 20U};        ///< of all bodies that arrive
-  time_ms stall{2000};           ///< a caller silent for so long may give way to others
+  time_ms stall{2000};           ///< a caller silent for so long may be evicted
   time_ms closing_timeout{1000}; ///< for a refused caller to read why, while it still sends
 };
 
--- a/src/gateway/impl/request_body.hpp
+++ b/src/gateway/impl/request_body.hpp
@@ -33,7 +33,7 @@
     return framing_.body == body_framing::chunked || framing_.bytes > 0;
   }
   [[nodiscard]] const message_framing& framing() const noexcept { return framing_; }
-  [[nodiscard]] unfinished_requests& room() noexcept { return session_.room(); }
+  [[nodiscard]] unfinished_requests& unfinished() noexcept { return session_.unfinished(); }
 
   /// \throws error that says why the stream ended, unless the body is whole
   void require_whole() const;
--- a/src/gateway/impl/service_body.cpp
+++ b/src/gateway/impl/service_body.cpp
@@ -23,12 +23,12 @@
   body_.allow(allowance_);
   std::istream& in = body_.stream();
   std::array<char, block_bytes> block{};
-  unfinished_requests& room = body_.room();
-  held_bytes::guard held = room.begin();
+  unfinished_requests& unfinished = body_.unfinished();
+  held_bytes::guard held = unfinished.begin();
   while (start_.size() < replayable_bytes && in.peek() != std::istream::traits_type::eof()) {
     const std::size_t wanted = std::min(block.size(), replayable_bytes - start_.size());
     const std::streamsize got = in.readsome(block.data(), static_cast<std::streamsize>(wanted));
-    room.resize(held, start_.size() + static_cast<std::size_t>(got));
+    unfinished.resize(held, start_.size() + static_cast<std::size_t>(got));
     start_.append(block.data(), static_cast<std::size_t>(got));
   }
   whole_ = start_.size() < replayable_bytes || in.peek() == std::istream::traits_type::eof();
--- a/src/gateway/impl/unfinished_requests.hpp
+++ b/src/gateway/impl/unfinished_requests.hpp
@@ -10,12 +10,12 @@
 
 namespace sedgechute {
 
-/// \brief Room that the unfinished requests of a server share. Where there is none left, callers
-/// that have been silent for some time give way. Thread-safe.
+/// \brief Memory that the unfinished requests of a server share. Where there is none left, callers
+/// that have been silent for some time are evicted. Thread-safe.
 class unfinished_requests {
  public:
   /// \param body_bytes  of all bodies that arrive
-  /// \param stall  a caller that has been silent for so long may give way
+  /// \param stall  a caller that has been silent for so long may be evicted
   unfinished_requests(std::size_t body_bytes, time_ms stall, const clock& time) noexcept
       : memory_{{.bodies = body_bytes - body_bytes / reserve_divisor,
                  .answers = 0,
@@ -28,23 +28,23 @@
   /// \brief Counts the body of one request with another size.
   /// \throws error `no_capacity`
   void resize(held_bytes::guard& body, std::size_t bytes);
-  /// \returns whether a caller that has been silent since then gives way: where connections are
-  /// waited for, or in the middle of a request where memory is short
-  [[nodiscard]] bool gives_way(wait_stage stage, time_ms silent_since) noexcept;
+  /// \brief Decides about a caller that has been silent: it is evicted where others wait for a
+  /// connection, and in the middle of a request where memory is short.
+  [[nodiscard]] bool evicts(wait_stage stage, time_ms silent_since) noexcept;
   [[nodiscard]] time_ms stall() const noexcept { return stall_; }
   [[nodiscard]] std::size_t held() const noexcept { return memory_.held(held_message::body); }
-  /// \returns how many callers have given way
-  [[nodiscard]] std::uint64_t yielded() const noexcept { return yielded_; }
+  /// \returns how many callers have been evicted
+  [[nodiscard]] std::uint64_t evicted() const noexcept { return evicted_; }
 
  private:
-  static constexpr std::size_t reserve_divisor = 8; ///< of the room, for small bodies
+  static constexpr std::size_t reserve_divisor = 8; ///< of the memory, for small bodies
 
   held_bytes memory_;
   time_ms stall_;
   const clock& time_;
   std::function<bool()> callers_wait_{[] { return false; }};
   std::atomic<std::int64_t> short_until_{0}; ///< time in ms until which memory counts as short
-  std::atomic<std::uint64_t> yielded_{0};
+  std::atomic<std::uint64_t> evicted_{0};
 };
 
 } // namespace sedgechute
--- a/src/intake/impl/arrival_progress.cpp
+++ b/src/intake/impl/arrival_progress.cpp
@@ -4,21 +4,21 @@
 
 namespace sedgechute {
 
-// A caller that sends a byte now and then must not look like one that sends.
+// Otherwise a caller could prevent its eviction with a byte now and then.
 void arrival_progress::note(std::size_t bytes, time_ms now) noexcept {
-  since_ += bytes;
-  if (since_ < least_bytes)
+  bytes_since_ += bytes;
+  if (bytes_since_ < least_bytes)
     return;
-  since_ = 0;
-  moved_ = now;
+  bytes_since_ = 0;
+  last_ = now;
 }
 
-std::optional<int> choose_yielding(std::span<const waiting_connection> waiting, room_for wanted,
-                                   time_ms now, time_ms stall) {
+std::optional<int> choose_eviction(std::span<const waiting_connection> waiting,
+                                   eviction_scope scope, time_ms now, time_ms stall) {
   const waiting_connection* chosen = nullptr;
   for (const waiting_connection& one : waiting) {
     if (now - one.since < stall ||
-        (wanted == room_for::body && one.stage != wait_stage::rest_of_request))
+        (scope == eviction_scope::unfinished_requests && one.stage != wait_stage::rest_of_request))
       continue;
     if (chosen == nullptr ||
         std::tie(one.stage, one.since) < std::tie(chosen->stage, chosen->since))
--- a/src/intake/impl/arrival_progress.hpp
+++ b/src/intake/impl/arrival_progress.hpp
@@ -8,25 +8,25 @@
 
 namespace sedgechute {
 
-/// \brief When a request that arrives has last come forward.
+/// \brief Tells when a request that arrives last made progress.
 class arrival_progress {
  public:
   /// Fewer bytes in total do not count as progress.
   static constexpr std::size_t least_bytes = 512;
 
-  explicit arrival_progress(time_ms began) noexcept : began_{began}, moved_{began} {}
+  explicit arrival_progress(time_ms began) noexcept : began_{began}, last_{began} {}
 
   void note(std::size_t bytes, time_ms now) noexcept;
   [[nodiscard]] time_ms began() const noexcept { return began_; }
-  [[nodiscard]] time_ms moved() const noexcept { return moved_; }
+  [[nodiscard]] time_ms last() const noexcept { return last_; }
 
  private:
   time_ms began_;
-  time_ms moved_;
-  std::size_t since_{0}; ///< bytes since `moved_`
+  time_ms last_;
+  std::size_t bytes_since_{0}; ///< since `last_`
 };
 
-/// \brief What a connection waits for; the first ones give way first.
+/// \brief What a connection waits for, in the order of eviction.
 enum class wait_stage {
   rest_of_request,
   end_of_refused, ///< the caller's reading of a refusal
@@ -49,15 +49,15 @@
   time_ms since; ///< last progress
 };
 
-/// \brief Which kinds of connections may be closed to make room.
-enum class room_for {
-  body,       ///< of another request: unfinished requests give way
-  connection, ///< another connection: any gives way that waits
+/// \brief Which connections may be evicted.
+enum class eviction_scope {
+  unfinished_requests, ///< in the middle of a request
+  any_connection,      ///< also those that wait for a request or for their caller to read
 };
 
-/// \brief Chooses the connection that gives way where there is no room for all: of the first stage
-/// with a connection that has been silent for `stall`, the one that has been so longest.
-[[nodiscard]] std::optional<int> choose_yielding(std::span<const waiting_connection> waiting,
-                                                 room_for wanted, time_ms now, time_ms stall);
+/// \brief Chooses the connection to evict: of the first stage with a connection that has been
+/// silent for `stall`, the one that has been silent longest.
+[[nodiscard]] std::optional<int> choose_eviction(std::span<const waiting_connection> waiting,
+                                                 eviction_scope scope, time_ms now, time_ms stall);
 
 } // namespace sedgechute
--- a/src/intake/impl/receive_buffer.hpp
+++ b/src/intake/impl/receive_buffer.hpp
@@ -8,7 +8,7 @@
 struct receive_bounds {
   std::size_t usual_bytes{12 * 1024};
   std::size_t admitted_bytes{64 * 1024}; ///< while a body for which there is room arrives
-  std::size_t crowded_bytes{6 * 1024};   ///< with more connections than `usual_connections`
+  std::size_t reduced_bytes{6 * 1024};   ///< with more connections than `usual_connections`
   std::size_t usual_connections{1024};
 };
 
--- a/src/intake/intake.hpp
+++ b/src/intake/intake.hpp
@@ -2,7 +2,7 @@
 
 /// \file
 /// \brief Requests that arrive: decoding of chunked bodies from bytes as they come, the progress of
-/// each request, and which unfinished one is given up where there is no room for all. Pure: no
+/// each request, and which connection is evicted where there is no room for all. Pure: no
 /// threads, no I/O, virtual time.
 
 #include "intake/impl/arrival_progress.hpp"
--- a/src/relay/impl/arriving_request.cpp
+++ b/src/relay/impl/arriving_request.cpp
@@ -15,7 +15,7 @@
 /// \returns whether so many bytes may be held
 bool hold(arriving_request& request, std::size_t bytes, const arrival_terms& terms) {
   while (!request.held.resize(bytes))
-    if (!terms.make_room || !terms.make_room())
+    if (!terms.evict || !terms.evict())
       return false;
   return true;
 }
--- a/src/relay/impl/arriving_request.hpp
+++ b/src/relay/impl/arriving_request.hpp
@@ -52,7 +52,7 @@
 
 enum class arrival_state {
   arriving,
-  header_arrived, ///< the header is whole; told once, before any of the body is taken
+  header_arrived, ///< the header is whole; returned once, before any of the body is taken
   whole,
   no_room, ///< the memory for bodies is used up
 };
@@ -62,7 +62,7 @@
   time_ms body_timeout;
   std::size_t framing_per_byte{chunk_bounds{}.framing_per_byte}; ///< of chunked bodies
   std::size_t max_fields{max_header_fields};
-  std::function<bool()> make_room{}; ///< \returns whether memory may have been freed
+  std::function<bool()> evict{}; ///< \returns whether memory may have been freed; empty: never
 };
 
 /// \brief Takes the bytes in the buffer of a connection, without waiting for more.
--- a/src/relay/impl/caller_poll.cpp
+++ b/src/relay/impl/caller_poll.cpp
@@ -22,7 +22,7 @@
 constexpr int reads_at_once = 16;    // the same, for a caller that sends a refused body
 constexpr time_ms scan_interval{1000};
 constexpr time_ms closing_scan_interval{100};  // while connections are being closed
-constexpr time_ms yield_interval{100};         // between two vain looks for one that gives way
+constexpr time_ms eviction_interval{100};      // after a scan that found none to evict
 constexpr std::size_t connection_bytes = 1536; // of the process, beside its buffers
 
 } // namespace
@@ -103,7 +103,7 @@
       continue;
     last_scan = time_.now();
     close_overdue();
-    listen(true); // some may give way by now
+    listen(true); // by now there may be one to evict
   }
 }
 
@@ -131,7 +131,7 @@
     caller->link.set_receive_buffer(caller->receive_bytes);
   caller->held = memory_.begin(held_message::connection);
   while (!caller->held.resize(caller->receive_bytes + connection_bytes))
-    if (!make_room(room_for::connection))
+    if (!evict(eviction_scope::any_connection))
       return nullptr;
   return caller;
 }
@@ -140,7 +140,7 @@
 // queue until others have been closed.
 void caller_poll::accept_callers() {
   for (int i = 0; i < accepted_at_once; ++i) {
-    if (connections_ >= options_.max_connections && !make_room(room_for::connection)) {
+    if (connections_ >= options_.max_connections && !evict(eviction_scope::any_connection)) {
       listen(false);
       return;
     }
@@ -170,19 +170,19 @@
                              : caller->requests == 0    ? wait_stage::first_request
                                                         : wait_stage::next_request;
     all.push_back(
-        {descriptor, stage, caller->request ? caller->request->progress.moved() : caller->since});
+        {descriptor, stage, caller->request ? caller->request->progress.last() : caller->since});
   }
   return all;
 }
 
-bool caller_poll::make_room(room_for wanted) {
+bool caller_poll::evict(eviction_scope scope) {
   const time_ms now = time_.now();
-  if (now < next_yield_)
+  if (now < next_eviction_)
     return false;
   const std::vector<waiting_connection> all = waiting();
-  const std::optional<int> chosen = choose_yielding(all, wanted, now, options_.stall);
+  const std::optional<int> chosen = choose_eviction(all, scope, now, options_.stall);
   if (!chosen) {
-    next_yield_ = now + yield_interval; // looking at all of them costs more than a refusal
+    next_eviction_ = now + eviction_interval; // a scan costs more than a refusal
     return false;
   }
   std::unique_ptr<caller_connection> caller;
@@ -198,9 +198,10 @@
     take_bytes(std::move(caller)); // a request has just arrived
     return true;
   }
-  figures_.add(metric::yielded_connections, {});
+  figures_.add(metric::evicted_connections, {});
   if (caller->closing == nullptr && caller->request) {
-    caller->ended_by = wanted == room_for::connection ? arrival_end::dropped : arrival_end::yields;
+    caller->ended_by =
+        scope == eviction_scope::any_connection ? arrival_end::dropped : arrival_end::evicted;
     on_ready_(std::move(caller));
   }
   return true;
--- a/src/relay/impl/caller_poll.hpp
+++ b/src/relay/impl/caller_poll.hpp
@@ -23,8 +23,8 @@
 enum class arrival_end {
   none,
   late,    ///< its deadline has passed
-  yields,  ///< it has been silent, and others need its room
-  dropped, ///< the same; others need its connection too
+  evicted, ///< it has been silent, and others need its memory
+  dropped, ///< the same, and its connection is closed at once
   stopped, ///< the host's grace period has ended
 };
 
@@ -57,7 +57,7 @@
   time_ms closing_timeout{300}; ///< for the caller to read the last answer and close
   time_ms unread_timeout{2000}; ///< while closing: for more bytes of a refused body
   time_ms drain_timeout{10000}; ///< for all of them
-  time_ms stall{2000}; ///< a connection that has been silent for so long may give way to others
+  time_ms stall{2000};          ///< a connection that has been silent for so long may be evicted
   receive_bounds receive{};
 };
 
@@ -86,10 +86,10 @@
   /// `closing_timeout`. The rest of a refused body (`unread`) is read and dropped before.
   void close_gracefully(std::unique_ptr<caller_connection> caller);
 
-  /// \brief Closes the connection that gives way, if one has been silent for long enough; an
+  /// \brief Closes the connection that has been silent longest, if it has been so for `stall`; an
   /// unfinished request is refused. Only on the polling thread.
   /// \returns whether there was one
-  [[nodiscard]] bool make_room(room_for wanted);
+  [[nodiscard]] bool evict(eviction_scope scope);
 
   [[nodiscard]] std::size_t connections() const noexcept { return connections_; }
   /// \returns the number of connections that are being closed
@@ -132,7 +132,7 @@
   std::atomic<bool> ended_{false};
   std::atomic<std::size_t> connections_{0};
   std::atomic<std::size_t> closing_{0};
-  time_ms next_yield_{}; ///< no connection can give way before
+  time_ms next_eviction_{}; ///< none is looked for before
   mutable ordered_mutex mutex_{lock_rank::worker_pool};
   callers callers_;
   bool served_closed_{false}; ///< connections that have had a request are closed when idle
--- a/src/relay/impl/http_frontend.cpp
+++ b/src/relay/impl/http_frontend.cpp
@@ -74,7 +74,7 @@
     ++terms.max_fields;
   }
   if (on_polling_thread)
-    terms.make_room = [this] { return poll_.make_room(room_for::body); };
+    terms.evict = [this] { return poll_.evict(eviction_scope::unfinished_requests); };
   return terms;
 }
 
@@ -84,8 +84,8 @@
   const char* part = caller.request->head ? "body" : "header";
   if (caller.ended_by == arrival_end::stopped)
     return {error_kind::stopping, part, "was incomplete when the host's grace period ended"};
-  if (caller.ended_by == arrival_end::yields || caller.ended_by == arrival_end::dropped)
-    return {error_kind::slow_caller, part, "has stopped arriving, and others need its room"};
+  if (caller.ended_by == arrival_end::evicted || caller.ended_by == arrival_end::dropped)
+    return {error_kind::slow_caller, part, "has stopped arriving, and others need its memory"};
   return {error_kind::slow_caller, part, "did not arrive in time"};
 }
 
--- a/src/telemetry/impl/metric_table.cpp
+++ b/src/telemetry/impl/metric_table.cpp
@@ -323,11 +323,11 @@
                   "not read), connections (what exceeds it is taken from the bodies).",
                   {"kind"},
                   entry},
-    metric_family{metric::yielded_connections,
+    metric_family{metric::evicted_connections,
                   counter,
-                  "sedgechute_yielded_connections_total",
+                  "sedgechute_evicted_connections_total",
                   "Connections of callers that had stopped in the middle of a request, or were "
-                  "idle, and were closed to make room for others.",
+                  "idle, and were closed for want of room for others.",
                   {},
                   both},
     metric_family{metric::task_wait,
@@ -340,7 +340,7 @@
                   counter,
                   "sedgechute_unfinished_refusals_total",
                   "Requests refused before all of them had arrived. kind: of error, such as "
-                  "slow_caller (late, or gave way to others). part: header, body, framing (of a "
+                  "slow_caller (late, or evicted). part: header, body, framing (of a "
                   "chunked body), host (its memory is used up).",
                   {"kind", "part"},
                   entry},
--- a/src/telemetry/impl/metric_table.hpp
+++ b/src/telemetry/impl/metric_table.hpp
@@ -71,7 +71,7 @@
   idle_teams,
   promised_tokens,
   held_bytes_limit,
-  yielded_connections,
+  evicted_connections,
   task_wait,
   unfinished_refusals,
 };
--- a/tests/crowds/daemon_crowd_test.cpp
+++ b/tests/crowds/daemon_crowd_test.cpp
@@ -1,8 +1,8 @@
-// Crowds of clients that stop short of the end of their requests, at a host of `sedgechuted`.
+// Many clients that do not send the end of their requests, at a host of `sedgechuted`.
 
-#include "crowd.hpp"
 #include "process_watch.hpp"
 #include "running_fleet.hpp"
+#include "stalled_clients.hpp"
 
 #include <doctest/doctest.h>
 
@@ -11,7 +11,7 @@
 #include <thread>
 
 using namespace sedgechute;
-using namespace sedgechute::crowd_test;
+using namespace sedgechute::stalled_client_test;
 using fleet_test::running_fleet;
 
 namespace {
@@ -36,22 +36,22 @@
   return static_cast<std::uint16_t>(std::stoul(address.substr(address.find(':') + 1)));
 }
 
-/// \brief Checks that a host with room for 100 connections bears a crowd: it runs on within its
-/// memory and its descriptors, also while its machine is suspended, and answers an ordinary caller
-/// beside the crowd and after it.
-void check_borne(std::size_t clients, const std::vector<upload>& kinds) {
+/// \brief Checks that a host with room for 100 connections withstands stalled clients: it runs on
+/// within its memory and its descriptors, also while its machine is suspended, and answers an
+/// ordinary caller beside them and after them.
+void check_withstands(std::size_t clients, const std::vector<upload>& kinds) {
   running_fleet fleet{{.hosts = 1, .engines = 1, .host_limits = R"({"connections":100})"}};
   std::vector<unfinished_request> requests;
   for (std::size_t i = 0; i < clients; ++i)
     requests.push_back(unfinished(kinds[i % kinds.size()], fleet.chat_head_lines(), body_bytes));
   const process_watch watch{fleet.host(0).id(), port_of(fleet.callers(0))};
-  crowd crowd{fleet.callers(0), requests};
+  stalled_clients load{fleet.callers(0), requests};
   fleet.host(0).signal(SIGSTOP);
-  crowd.wait_until_settled(); // as much as the kernel takes of a host that reads nothing
+  load.wait_until_steady(); // as much as the kernel takes of a host that reads nothing
   fleet.host(0).signal(SIGCONT);
-  crowd.wait_until_settled();
+  load.wait_until_steady();
   CHECK(answers_caller(fleet));
-  crowd.leave();
+  load.disconnect();
   CHECK_FALSE(fleet.host(0).ended());
   CHECK(answers_caller(fleet));
   CAPTURE(watch.highest_resident() / mb);
@@ -65,35 +65,35 @@
 
 // Bodies of all connections together must be bounded, not only each one.
 TEST_CASE("sedgechuted: large bodies of legal size at once, without their ends") {
-  check_borne(150, {upload::whole});
+  check_withstands(150, {upload::whole});
 }
 
 TEST_CASE("sedgechuted: large bodies in pieces, without their ends") {
-  check_borne(150, {upload::pieces});
+  check_withstands(150, {upload::pieces});
 }
 
 TEST_CASE("sedgechuted: bodies in large chunks, without their ends") {
-  check_borne(150, {upload::large_chunks});
+  check_withstands(150, {upload::large_chunks});
 }
 
 TEST_CASE("sedgechuted: bodies in chunks of one byte, without their ends") {
-  check_borne(150, {upload::small_chunks});
+  check_withstands(150, {upload::small_chunks});
 }
 
 // Clients that have stopped sending must not hold all connections of a host.
 TEST_CASE("sedgechuted: a few small chunks and then silence") {
-  check_borne(150, {upload::few_chunks});
+  check_withstands(150, {upload::few_chunks});
 }
 
 TEST_CASE("sedgechuted: headers without their ends") {
-  check_borne(150, {upload::header});
+  check_withstands(150, {upload::header});
 }
 
 TEST_CASE("sedgechuted: clients that wait for the interim response and send nothing") {
-  check_borne(150, {upload::expecting});
+  check_withstands(150, {upload::expecting});
 }
 
 TEST_CASE("sedgechuted: unfinished requests of all kinds") {
-  check_borne(150, {upload::whole, upload::pieces, upload::large_chunks, upload::small_chunks,
-                    upload::few_chunks, upload::header, upload::expecting});
+  check_withstands(150, {upload::whole, upload::pieces, upload::large_chunks, upload::small_chunks,
+                         upload::few_chunks, upload::header, upload::expecting});
 }
--- a/tests/crowds/entry_crowd_test.cpp
+++ b/tests/crowds/entry_crowd_test.cpp
@@ -1,8 +1,8 @@
-// Crowds of clients that stop short of the end of their requests, at an entry host.
+// Many clients that do not send the end of their requests, at an entry host.
 
-#include "crowd.hpp"
 #include "entry_program.hpp"
 #include "process_watch.hpp"
+#include "stalled_clients.hpp"
 
 #include <doctest/doctest.h>
 
@@ -11,7 +11,7 @@
 #include <thread>
 
 using namespace sedgechute;
-using namespace sedgechute::crowd_test;
+using namespace sedgechute::stalled_client_test;
 
 namespace {
 
@@ -70,25 +70,26 @@
   return static_cast<std::uint16_t>(std::stoul(address.substr(address.find(':') + 1)));
 }
 
-struct crowd_terms {
+struct load_terms {
   std::size_t clients;
   std::vector<upload> kinds;
   bool at_hosts_port{false};
 };
 
-/// \brief Checks that a host bears a crowd: it runs on within its memory and its descriptors, also
-/// while its machine is suspended, and answers an ordinary caller beside the crowd and after it.
-void check_borne(const crowd_terms& terms) {
+/// \brief Checks that a host withstands stalled clients: it runs on within its memory and its
+/// descriptors, also while its machine is suspended, and answers an ordinary caller beside them and
+/// after them.
+void check_withstands(const load_terms& terms) {
   const running_host tested;
   const std::string address = terms.at_hosts_port ? tested.host.peers() : tested.host.callers();
   const process_watch watch{tested.host.id(), port_of(address)};
-  crowd crowd{address, clients(terms.clients, terms.kinds)};
+  stalled_clients load{address, clients(terms.clients, terms.kinds)};
   tested.host.signal(SIGSTOP);
-  crowd.wait_until_settled(); // as much as the kernel takes of a host that reads nothing
+  load.wait_until_steady(); // as much as the kernel takes of a host that reads nothing
   tested.host.signal(SIGCONT);
-  crowd.wait_until_settled();
+  load.wait_until_steady();
   CHECK(tested.answers_caller("beside"));
-  crowd.leave();
+  load.disconnect();
   CHECK(tested.host.runs());
   CHECK(tested.answers_caller("after"));
   CAPTURE(watch.highest_resident() / mb);
@@ -102,56 +103,57 @@
 
 // Bodies that a host has refused or not read yet must not pile up in its sockets.
 TEST_CASE("entry: large bodies of legal size at once, without their ends") {
-  check_borne({.clients = 100, .kinds = {upload::whole}});
+  check_withstands({.clients = 100, .kinds = {upload::whole}});
 }
 
 TEST_CASE("entry: large bodies in pieces, without their ends") {
-  check_borne({.clients = 100, .kinds = {upload::pieces}});
+  check_withstands({.clients = 100, .kinds = {upload::pieces}});
 }
 
 TEST_CASE("entry: bodies in large chunks, without their ends") {
-  check_borne({.clients = 60, .kinds = {upload::large_chunks}});
+  check_withstands({.clients = 60, .kinds = {upload::large_chunks}});
 }
 
 TEST_CASE("entry: bodies in chunks of one byte, without their ends") {
-  check_borne({.clients = 400, .kinds = {upload::small_chunks}});
+  check_withstands({.clients = 400, .kinds = {upload::small_chunks}});
 }
 
 // Clients that have stopped sending must not hold all open requests of a host.
 TEST_CASE("entry: a few small chunks and then silence") {
-  check_borne({.clients = 200, .kinds = {upload::few_chunks}});
+  check_withstands({.clients = 200, .kinds = {upload::few_chunks}});
 }
 
 TEST_CASE("entry: headers without their ends") {
-  check_borne({.clients = 200, .kinds = {upload::header}});
+  check_withstands({.clients = 200, .kinds = {upload::header}});
 }
 
 // An interim response must not let a client hold a thread.
 TEST_CASE("entry: clients that wait for the interim response and send nothing") {
-  check_borne({.clients = 200, .kinds = {upload::expecting}});
+  check_withstands({.clients = 200, .kinds = {upload::expecting}});
 }
 
 TEST_CASE("entry: unfinished requests of all kinds") {
-  check_borne({.clients = 300,
-               .kinds = {upload::whole, upload::pieces, upload::large_chunks, upload::small_chunks,
-                         upload::few_chunks, upload::header, upload::expecting}});
+  check_withstands(
+      {.clients = 300,
+       .kinds = {upload::whole, upload::pieces, upload::large_chunks, upload::small_chunks,
+                 upload::few_chunks, upload::header, upload::expecting}});
 }
 
 // The port of other hosts must be bounded as the one of callers is.
 TEST_CASE("entry: unfinished requests of all kinds at the port for other hosts") {
-  check_borne({.clients = 300,
-               .kinds = {upload::whole, upload::large_chunks, upload::small_chunks,
-                         upload::few_chunks, upload::expecting},
-               .at_hosts_port = true});
+  check_withstands({.clients = 300,
+                    .kinds = {upload::whole, upload::large_chunks, upload::small_chunks,
+                              upload::few_chunks, upload::expecting},
+                    .at_hosts_port = true});
 }
 
 // A pool whose threads have all ended must start new ones.
 TEST_CASE("entry: requests are served after more clients than threads have left") {
   const running_host tested{R"("grace_s":4,"processor_share":0.25)"};
   const process_watch watch{tested.host.id(), port_of(tested.host.callers())};
-  crowd crowd{tested.host.callers(), clients(1000, {upload::small_chunks})};
-  crowd.wait_until_settled();
-  crowd.leave();
+  stalled_clients load{tested.host.callers(), clients(1000, {upload::small_chunks})};
+  load.wait_until_steady();
+  load.disconnect();
   for (int i = 0; i < 300 && watch.threads() > idle_threads; ++i)
     std::this_thread::sleep_for(std::chrono::milliseconds{100});
   CHECK(tested.host.runs());
--- a/tests/crowds/process_watch.cpp
+++ b/tests/crowds/process_watch.cpp
@@ -7,7 +7,7 @@
 #include <sstream>
 #include <string>
 
-namespace sedgechute::crowd_test {
+namespace sedgechute::stalled_client_test {
 
 namespace {
 
@@ -81,4 +81,4 @@
   }
 }
 
-} // namespace sedgechute::crowd_test
+} // namespace sedgechute::stalled_client_test
--- a/tests/crowds/process_watch.hpp
+++ b/tests/crowds/process_watch.hpp
@@ -6,7 +6,7 @@
 #include <sys/types.h>
 #include <thread>
 
-namespace sedgechute::crowd_test {
+namespace sedgechute::stalled_client_test {
 
 /// \brief Samples what a process takes of its machine, and keeps the highest values.
 class process_watch {
@@ -41,4 +41,4 @@
   std::thread thread_;
 };
 
-} // namespace sedgechute::crowd_test
+} // namespace sedgechute::stalled_client_test
--- a/tests/crowds/crowd.cpp
+++ b/tests/crowds/stalled_clients.cpp
@@ -1,4 +1,4 @@
-#include "crowd.hpp"
+#include "stalled_clients.hpp"
 
 #include <Poco/Net/SocketAddress.h>
 
@@ -14,7 +14,7 @@
 #include <map>
 #include <utility>
 
-namespace sedgechute::crowd_test {
+namespace sedgechute::stalled_client_test {
 
 namespace {
 
@@ -27,7 +27,7 @@
 constexpr std::chrono::milliseconds piece_interval{2};
 constexpr std::chrono::milliseconds reopen_interval{20};
 constexpr std::chrono::milliseconds refused_interval{100}; // until a refused client comes again
-constexpr std::size_t openings_each = 4; // after which the crowd counts as settled
+constexpr std::size_t steady_connections = 4; // of each client; the load counts as steady then
 
 std::string chunks(std::size_t chunk_bytes, std::size_t count) {
   std::array<char, 20> size{};
@@ -48,10 +48,6 @@
   return std::make_shared<const std::string>(std::move(all));
 }
 
-} // namespace
-
-namespace {
-
 std::shared_ptr<const std::string> make_body(upload kind, std::size_t body_bytes) {
   switch (kind) {
   case upload::whole:
@@ -101,7 +97,7 @@
   return {head_lines, body};
 }
 
-struct crowd::client {
+struct stalled_clients::client {
   const unfinished_request* request{};
   int descriptor{-1};
   std::size_t sent{0};
@@ -144,7 +140,7 @@
     if (request->piece_bytes > 0)
       next = steady_clock::now() + piece_interval;
     if (refused)
-      refuse();
+      note_refused();
     return static_cast<std::size_t>(got);
   }
 
@@ -155,10 +151,10 @@
     if (got < 0 && errno != EAGAIN)
       close();
     else if (got == 0)
-      refuse();
+      note_refused();
   }
 
-  void refuse() {
+  void note_refused() {
     refused = true;
     if (sent == size())
       next = steady_clock::now() + refused_interval;
@@ -184,17 +180,18 @@
   }
 };
 
-crowd::crowd(const std::string& address, std::vector<unfinished_request> clients)
+stalled_clients::stalled_clients(const std::string& address,
+                                 std::vector<unfinished_request> clients)
     : address_{address}, requests_{std::move(clients)}, thread_{[this] { run(); }} {}
 
-void crowd::run() {
+void stalled_clients::run() {
   const Poco::Net::SocketAddress address{address_};
   std::vector<client> clients(requests_.size());
   for (std::size_t i = 0; i < clients.size(); ++i)
     clients[i].request = &requests_[i];
   std::vector<pollfd> polled(clients.size());
   constexpr int wait_ms = 5;
-  while (!leaving_) {
+  while (!disconnecting_) {
     const auto now = steady_clock::now();
     for (std::size_t i = 0; i < clients.size(); ++i) {
       client& one = clients[i];
@@ -204,7 +201,7 @@
     }
     if (::poll(polled.data(), polled.size(), wait_ms) <= 0)
       continue;
-    for (std::size_t i = 0; i < clients.size() && !leaving_; ++i) {
+    for (std::size_t i = 0; i < clients.size() && !disconnecting_; ++i) {
       if ((polled[i].revents & (POLLERR | POLLHUP)) != 0)
         clients[i].close();
       else if ((polled[i].revents & POLLIN) != 0)
@@ -217,7 +214,7 @@
     one.close();
 }
 
-void crowd::wait_until_settled() const {
+void stalled_clients::wait_until_steady() const {
   constexpr int step_ms = 100;
   constexpr int quiet_steps = 15;
   constexpr int most_steps = 250;
@@ -228,15 +225,15 @@
     const std::size_t now = sent_;
     quiet = now == seen ? quiet + 1 : 0;
     seen = now;
-    if (opened_ >= openings_each * requests_.size())
+    if (opened_ >= steady_connections * requests_.size())
       return;
   }
 }
 
-void crowd::leave() {
-  leaving_ = true;
+void stalled_clients::disconnect() {
+  disconnecting_ = true;
   if (thread_.joinable())
     thread_.join();
 }
 
-} // namespace sedgechute::crowd_test
+} // namespace sedgechute::stalled_client_test
--- a/tests/crowds/crowd.hpp
+++ b/tests/crowds/stalled_clients.hpp
@@ -9,7 +9,7 @@
 #include <thread>
 #include <vector>
 
-namespace sedgechute::crowd_test {
+namespace sedgechute::stalled_client_test {
 
 /// \brief How a client sends the body of a request whose end it never sends.
 enum class upload {
@@ -36,19 +36,19 @@
 
 /// \brief Clients that send requests without their end and keep their connections open. Where the
 /// host closes a connection, its client opens another one.
-class crowd {
+class stalled_clients {
  public:
   /// \param address  `IP:port`
   /// \param clients  what each of them sends, over and over
-  crowd(const std::string& address, std::vector<unfinished_request> clients);
-  crowd(const crowd&) = delete;
-  crowd& operator=(const crowd&) = delete;
-  ~crowd() { leave(); }
+  stalled_clients(const std::string& address, std::vector<unfinished_request> clients);
+  stalled_clients(const stalled_clients&) = delete;
+  stalled_clients& operator=(const stalled_clients&) = delete;
+  ~stalled_clients() { disconnect(); }
 
-  /// \brief Waits until the host takes nothing more or each client has opened some connections.
-  void wait_until_settled() const;
+  /// \brief Waits until the host takes no more bytes or each client has opened some connections.
+  void wait_until_steady() const;
   /// \brief Closes all connections.
-  void leave();
+  void disconnect();
 
  private:
   struct client;
@@ -57,10 +57,10 @@
 
   std::string address_;
   std::vector<unfinished_request> requests_;
-  std::atomic<bool> leaving_{false};
+  std::atomic<bool> disconnecting_{false};
   std::atomic<std::size_t> sent_{0};   ///< bytes
   std::atomic<std::size_t> opened_{0}; ///< connections
   std::thread thread_;
 };
 
-} // namespace sedgechute::crowd_test
+} // namespace sedgechute::stalled_client_test
--- a/tests/intake/arrival_progress_test.cpp
+++ b/tests/intake/arrival_progress_test.cpp
@@ -12,24 +12,24 @@
 constexpr time_ms now{10000};
 
 std::optional<int> chosen(const std::vector<waiting_connection>& waiting,
-                          room_for wanted = room_for::connection) {
-  return choose_yielding(waiting, wanted, now, stall);
+                          eviction_scope wanted = eviction_scope::any_connection) {
+  return choose_eviction(waiting, wanted, now, stall);
 }
 
 } // namespace
 
-// A caller that sends a byte now and then must not keep its room from those that send.
+// A caller must not prevent its eviction with a byte now and then.
 TEST_CASE("only bytes in some number count as progress") {
   arrival_progress request{time_ms{0}};
   for (int i = 1; i < 512; ++i)
     request.note(1, time_ms{i});
-  CHECK(request.moved() == time_ms{0});
+  CHECK(request.last() == time_ms{0});
   request.note(1, time_ms{512});
-  CHECK(request.moved() == time_ms{512});
+  CHECK(request.last() == time_ms{512});
   CHECK(request.began() == time_ms{0});
 }
 
-TEST_CASE("the connection that has been silent longest gives way, unfinished requests first") {
+TEST_CASE("the connection that has been silent longest is evicted, unfinished requests first") {
   const waiting_connection idle{1, wait_stage::next_request, time_ms{0}};
   const waiting_connection newcomer{2, wait_stage::first_request, time_ms{10}};
   const waiting_connection refused{3, wait_stage::end_of_refused, time_ms{20}};
@@ -42,25 +42,25 @@
   CHECK_FALSE(chosen({}));
 }
 
-TEST_CASE("who sends does not give way, and for a body only unfinished requests do") {
+TEST_CASE("no connection that sends is evicted, and for a body only unfinished requests are") {
   const waiting_connection sends{1, wait_stage::rest_of_request, now - stall + time_ms{1}};
   const waiting_connection stalls{2, wait_stage::rest_of_request, now - stall};
   const waiting_connection idle{3, wait_stage::next_request, time_ms{0}};
   CHECK_FALSE(chosen({sends}));
   CHECK(chosen({sends, stalls}) == 2);
-  CHECK_FALSE(chosen({sends, idle}, room_for::body));
+  CHECK_FALSE(chosen({sends, idle}, eviction_scope::unfinished_requests));
   CHECK(chosen({sends, idle}) == 3);
 }
 
-// All of a crowd that has stopped must give way in time to one caller after the other.
-TEST_CASE("a crowd that has stopped gives way to callers that come one after the other") {
+// Many stalled connections must not keep a few callers out.
+TEST_CASE("stalled connections are evicted one after the other") {
   std::vector<waiting_connection> waiting;
   for (int i = 0; i < 300; ++i)
     waiting.push_back({i, wait_stage::rest_of_request, time_ms{i}});
   for (int caller = 0; caller < 300; ++caller) {
-    const auto yields = chosen(waiting, room_for::body);
-    REQUIRE(yields == caller);
-    std::erase_if(waiting, [&](const waiting_connection& one) { return one.id == *yields; });
+    const auto evicted = chosen(waiting, eviction_scope::unfinished_requests);
+    REQUIRE(evicted == caller);
+    std::erase_if(waiting, [&](const waiting_connection& one) { return one.id == *evicted; });
   }
   CHECK_FALSE(chosen(waiting));
 }
@@ -74,9 +74,9 @@
 
 // With many connections the kernel would hold more than the machine has.
 TEST_CASE("with many connections the receive buffer of further ones is small") {
-  const receive_bounds bounds{.usual_bytes = 12000, .crowded_bytes = 6000, .usual_connections = 10};
+  const receive_bounds bounds{.usual_bytes = 12000, .reduced_bytes = 6000, .usual_connections = 10};
   CHECK(receive_buffer(bounds, 9) == 12000);
   CHECK(receive_buffer(bounds, 10) == 6000);
-  CHECK(receive_buffer({.usual_bytes = 4000, .crowded_bytes = 6000, .usual_connections = 10}, 10) ==
+  CHECK(receive_buffer({.usual_bytes = 4000, .reduced_bytes = 6000, .usual_connections = 10}, 10) ==
         4000);
 }
