Soak hosts beside callers that do not send the end of their requests

The soak had no callers that stop short. The family stalled_callers lets 60 clients at one host send each kind of unfinished request for up to 4 s; their connections outlast the host's process, and they connect again to the next one.

--- a/bench/soak/soak_world.cpp
+++ b/bench/soak/soak_world.cpp
@@ -68,7 +68,8 @@
                                        {"builds", &soak_world::mix_builds},
                                        {"silence", &soak_world::silence_endpoints},
                                        {"poison_parts", &soak_world::send_poison_part},
-                                       {"asking", &soak_world::ask_hosts}};
+                                       {"asking", &soak_world::ask_hosts},
+                                       {"stalled_callers", &soak_world::stall_callers}};
   return all;
 }
 
@@ -399,6 +400,31 @@
   endpoints_->ask_hosts();
 }
 
+// Many callers at one host send each kind of request without its end. Their connections outlast its
+// process, and they connect again to the next one.
+void soak_world::stall_callers() {
+  using namespace stalled_client_test;
+  constexpr std::size_t clients = 60;
+  constexpr std::size_t body_bytes = std::size_t{4} << 20U;
+  constexpr std::uint64_t longest_ms = 4000;
+  constexpr std::array kinds{upload::whole,        upload::pieces,     upload::large_chunks,
+                             upload::small_chunks, upload::few_chunks, upload::expecting,
+                             upload::header};
+  if (!stalled_.expired())
+    return;
+  std::vector<unfinished_request> requests;
+  for (std::size_t i = 0; i < clients; ++i)
+    requests.push_back(unfinished(kinds.at(i % kinds.size()),
+                                  "POST /unsafe/x HTTP/1.1\r\nHost: f\r\nAttempt-Id: stalled-" +
+                                      std::to_string(i) + "\r\n",
+                                  body_bytes));
+  const auto load = std::make_shared<stalled_clients>(
+      hosts_->address(random_.below(hosts_->count())), std::move(requests));
+  stalled_ = load;
+  later_.add(time_.now() + time_ms{static_cast<std::int64_t>(random_.below(longest_ms))},
+             [load] { load->disconnect(); });
+}
+
 void soak_world::make_brittle() {
   endpoints_->make_brittle();
 }
--- a/bench/soak/soak_world.hpp
+++ b/bench/soak/soak_world.hpp
@@ -7,6 +7,7 @@
 #include "soak_hosts.hpp"
 #include "soak_operator.hpp"
 #include "soak_shape.hpp"
+#include "stalled_clients.hpp"
 #include "standin/standin.hpp"
 
 #include <Poco/Dynamic/Var.h>
@@ -86,6 +87,7 @@
   void pay_for_streams();
   void make_brittle();
   void ask_hosts();
+  void stall_callers();
   void mix_builds();
   void pay();
   void storm();
@@ -99,7 +101,8 @@
   std::vector<family> families_;
   std::uint64_t poisons_{0}; ///< contents that crash endpoints, so far
   bool streams_paid_{false};
-  int store_faults_{0};  ///< that last
+  std::weak_ptr<stalled_client_test::stalled_clients> stalled_; ///< while they are connected
+  int store_faults_{0};                                         ///< that last
   std::uint64_t pace_{}; ///< by which pauses between disruptions are longer than the shortest
   time_ms next_disruption_;
   time_ms next_question_; ///< for the readiness of hosts that stop
--- a/tests/soak/seeds_test.cpp
+++ b/tests/soak/seeds_test.cpp
@@ -47,7 +47,7 @@
   for (const int seed : {1, 2, 3, 1009, 40002, 50001})
     CHECK(run_seed(seed, "--seconds 4 --without "
                          "accounts,poison,endpoint_outage,limits,brittle,cut_off,builds,silence,"
-                         "poison_parts,asking") == 0);
+                         "poison_parts,asking,stalled_callers") == 0);
 }
 
 // An account is overwritten, and all hosts start again before its owner has written it anew: none
@@ -60,32 +60,26 @@
 // An account is overwritten and the store forgets its history, then a budget is raised and all
 // hosts start again: the raise was written off together with the account, and the team refused.
 TEST_CASE("a team whose budget is raised before its account is written off is served") {
-  CHECK(run_seed(
-            3,
-            "--runs 1 --seconds 7 --without "
-            "poison,endpoint_outage,limits,brittle,cut_off,builds,silence,poison_parts,asking") ==
-        0);
+  CHECK(run_seed(3, "--runs 1 --seconds 7 --without "
+                    "poison,endpoint_outage,limits,brittle,cut_off,builds,silence,poison_parts,"
+                    "asking,stalled_callers") == 0);
 }
 
 // A host is paused across its signal to stop, and said when it woke that it is ready.
 TEST_CASE("a host that wakes after its signal to stop does not say that it is ready") {
-  CHECK(run_seed(
-            6106,
-            "--seconds 8 --without "
-            "poison,endpoint_outage,limits,brittle,cut_off,builds,silence,poison_parts,asking") ==
-        0);
+  CHECK(run_seed(6106, "--seconds 8 --without "
+                       "poison,endpoint_outage,limits,brittle,cut_off,builds,silence,poison_parts,"
+                       "asking,stalled_callers") == 0);
 }
 
 // 5000: callers went on using connections that had been silenced, or that other programs had
 // inherited, and hosts were held to the time-out of what never reached them. Later it broke by an
 // account that was overwritten, as above.
 TEST_CASE("promises are kept by many hosts") {
-  CHECK(run_seed(
-            5000,
-            "--hosts 40 --endpoints 60 --callers 50 --seconds 4 "
-            "--without "
-            "poison,endpoint_outage,limits,brittle,cut_off,builds,silence,poison_parts,asking") ==
-        0);
+  CHECK(run_seed(5000, "--hosts 40 --endpoints 60 --callers 50 --seconds 4 "
+                       "--without "
+                       "poison,endpoint_outage,limits,brittle,cut_off,builds,silence,poison_parts,"
+                       "asking,stalled_callers") == 0);
 }
 
 TEST_CASE("promises are kept by many hosts whose accounts are their own") {
@@ -172,3 +166,10 @@
 TEST_CASE("planned work loses no request while endpoints are silent") {
   CHECK(run_seed(3651, "--planned --endpoints 10 --seconds 6") == 0);
 }
+
+// Callers that never send the end of their requests hold memory, threads or connections of a host.
+TEST_CASE("promises are kept beside callers that do not send the end of their requests") {
+  CHECK(run_seed(6301, "--hosts 4 --endpoints 8 --seconds 8 --families stalled_callers") == 0);
+  CHECK(run_seed(6302, "--hosts 4 --endpoints 8 --seconds 8 --families "
+                       "stalled_callers,kill,stop,roll,reload,freeze,store_link") == 0);
+}
