--- a/review/standin-2/standins.py
+++ b/review/standin-2/standins.py
@@ -410,13 +410,13 @@
         return attempt, answer
 
 
-def run_case(folder, play):
+def run_case(record_path, play):
     """Runs `play(record, folder for files, trouble, hosts)`, which returns 0, 1 or 2.
 
     Ends all hosts and then this process, whatever the stand-ins are doing.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(os.path.join(folder, "record.txt"))
+    record = Record(record_path)
     files = tempfile.mkdtemp()
     hosts = []
 
