Take no answer whose status is none

Callers got an endpoint's answer with status 2000 as 200, and a sound answer behind a header with status 1000 or 101 (sedgechute-entry). From sedgechuted they got a service's status 000, 99, -20, 101, 199, 600 or 999 as it was; a request whose engine answered so counted as refused unrun and ran at another engine, also where it must not run twice.

Cause: the status was read by its first three digits, and whatever is below 200 passed for an interim answer. sedgechuted reads headers with a library that takes any number of three characters.

Now a status has three digits and nothing behind them, and both programs ask is_final_status. 101 ends the exchange.

--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -19,6 +19,7 @@
 #include "gateway/impl/engine_chunk.hpp"
 #include "gateway/impl/engine_stream.hpp"
 #include "gateway/impl/event_reader.hpp"
+#include "gateway/impl/final_status.hpp"
 #include "gateway/impl/forward_declarations.hpp"
 #include "gateway/impl/gateway.hpp"
 #include "gateway/impl/held_turn.hpp"
--- a/src/gateway/impl/engine_stream.cpp
+++ b/src/gateway/impl/engine_stream.cpp
@@ -1,6 +1,7 @@
 #include "gateway/impl/engine_stream.hpp"
 
 #include "clients/clients.hpp"
+#include "gateway/impl/final_status.hpp"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -92,6 +93,10 @@
       reader_.emplace(*in_);
       return open_result::streaming;
     }
+    if (!is_final_status(response.getStatus())) {
+      session_.reset();
+      return open_result::unknown;
+    }
     rejected_status_ = response.getStatus();
     session_.reset();
     return open_result::rejected;
--- a/src/gateway/impl/service_call.cpp
+++ b/src/gateway/impl/service_call.cpp
@@ -3,6 +3,7 @@
 #include "clients/clients.hpp"
 #include "gateway/impl/caller_headers.hpp"
 #include "gateway/impl/chat_sinks.hpp"
+#include "gateway/impl/final_status.hpp"
 #include "gateway/impl/held_turn.hpp"
 #include "gateway/impl/refusal.hpp"
 #include "routing/impl/attempt_rule.hpp"
@@ -118,7 +119,7 @@
       return call_end::not_dispatched;
     HTTPResponse response;
     if (exchange_headers(body, response))
-      return relay(response);
+      return is_final_status(response.getStatus()) ? relay(response) : call_end::lost_before_answer;
     return body.arrived() || endpoint_refused_body_ ? call_end::lost_before_answer
                                                     : call_end::caller_left_uploading;
   }
--- a/src/relay/impl/endpoint_exchange.cpp
+++ b/src/relay/impl/endpoint_exchange.cpp
@@ -1,5 +1,6 @@
 #include "relay/impl/endpoint_exchange.hpp"
 
+#include "gateway/impl/final_status.hpp"
 #include "relay/impl/connection_source.hpp"
 #include "relay/impl/send_rules.hpp"
 #include "relay/impl/silence_rules.hpp"
@@ -23,6 +24,8 @@
 // Longest pause between two reads of an answer that counts as time in which it was written.
 constexpr time_ms max_counted_pause{250};
 
+constexpr int switching_protocols = 101; // an interim answer that no request here asks for
+
 bool promises_not_run(int status) noexcept {
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
@@ -227,10 +230,10 @@
       return status;
     read += text.size();
     const auto parsed = parse_response_head(text);
-    if (!parsed || read > bounds_.max_reply_head)
+    if (!parsed || parsed->status == switching_protocols || read > bounds_.max_reply_head)
       return io_status::reset;
     reply_ = *parsed;
-  } while (reply_.status < 200);
+  } while (!is_final_status(reply_.status));
   return io_status::ok;
 }
 
--- a/src/relay/impl/message_head.cpp
+++ b/src/relay/impl/message_head.cpp
@@ -140,14 +140,19 @@
   const std::string_view line = take_line(text);
   constexpr std::string_view protocol = "HTTP/1.";
   constexpr std::size_t status_at = protocol.size() + 2;
-  if (!line.starts_with(protocol) || line.size() < status_at + 3 || line[status_at - 1] != ' ')
+  constexpr std::size_t status_end = status_at + 3;
+  if (!line.starts_with(protocol) || line.size() < status_end || line[status_at - 1] != ' ' ||
+      (line.size() > status_end && line[status_end] != ' '))
     return std::nullopt;
-  head.old_version = line[protocol.size()] == '0';
-  const auto status = parse_number(line.substr(status_at, 3));
+  const char minor_version = line[protocol.size()];
+  if (minor_version < '0' || minor_version > '9')
+    return std::nullopt;
+  head.old_version = minor_version == '0';
+  const auto status = parse_number(line.substr(status_at, status_end - status_at));
   if (!status || *status < min_status || *status > max_status)
     return std::nullopt;
   head.status = static_cast<int>(*status);
-  head.reason = line.size() > status_at + 4 ? line.substr(status_at + 4) : "";
+  head.reason = line.size() > status_end ? line.substr(status_end + 1) : "";
   if (!parse_fields(text, head.fields))
     return std::nullopt;
   return head;
--- a/tests/relay/message_head_test.cpp
+++ b/tests/relay/message_head_test.cpp
@@ -33,6 +33,16 @@
   CHECK_FALSE(parse_response_head("HTTP/1.1 99 Low\r\n\r\n"));
   CHECK_FALSE(parse_response_head("HTTP/1.1 2x0 Odd\r\n\r\n"));
   CHECK_FALSE(parse_response_head("HTTP/1.1 200 OK\r\nno colon here\r\n\r\n"));
+  for (const char* const status : {"000", "099", "99", "0", "-20", "20x", "+200", "0200", "2000",
+                                   "1000", "600", "999", "200OK", ""}) {
+    INFO(std::string{status});
+    CHECK_FALSE(parse_response_head(std::string{"HTTP/1.1 "} + status + " X\r\n\r\n"));
+    CHECK_FALSE(parse_response_head(std::string{"HTTP/1.1 "} + status + "\r\n\r\n"));
+  }
+  CHECK_FALSE(parse_response_head("HTTP/1.x 200 OK\r\n\r\n"));
+  CHECK_FALSE(parse_response_head("HTTP/1.10 200 OK\r\n\r\n"));
+  CHECK(parse_response_head("HTTP/1.1 200\r\n\r\n").has_value());
+  CHECK(parse_response_head("HTTP/1.1 200 \r\n\r\n").has_value());
   const auto head = parse_response_head("HTTP/1.0 200 OK\r\nA: b\r\n\r\n");
   REQUIRE(head.has_value());
   CHECK(head->status == 200);
