--- a/tests/entry/planned_stop_test.cpp
+++ b/tests/entry/planned_stop_test.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <csignal>
 #include <future>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -130,6 +131,48 @@
   CHECK(host.output().find("\"event\":\"stopped\"") != std::string::npos);
 }
 
+// Guards against requests that are taken late in the grace and cut at its end: those that may run
+// only once are lost to their callers.
+TEST_CASE("requests that come at any time of the grace are answered whole or never sent") {
+  scripted_endpoint endpoint{[](const auto& request) {
+    const std::string attempt = attempt_of(request);
+    constexpr std::int64_t longest_ms = 1500;
+    const auto runs = static_cast<std::int64_t>(stable_hash(attempt) % longest_ms);
+    return scripted_reply{"", then::keep, whole_answer(attempt, "done"), time_ms{runs}};
+  }};
+  entry_program host{R"("grace_s":5)"};
+  host.add_endpoint("e1", endpoint.address());
+  REQUIRE(host.ready());
+  struct asked {
+    std::string attempt;
+    std::future<std::pair<int, std::string>> answer;
+  };
+  std::vector<asked> all;
+  host.signal(SIGTERM);
+  constexpr int requests = 160;
+  for (int i = 0; i < requests; ++i) {
+    const std::string attempt = "late-" + std::to_string(i);
+    const std::string route = i % 2 == 0 ? "unsafe" : "safe";
+    all.push_back({attempt, std::async(std::launch::async, [&host, route, attempt] {
+                     return host.ask(route, attempt);
+                   })});
+    sleep_for(time_ms{30});
+  }
+  CHECK(host.wait(time_ms{6000}) == 0);
+  std::set<std::string> sent;
+  for (const auto& request : endpoint.seen())
+    sent.insert(attempt_of(request));
+  std::size_t served = 0;
+  for (asked& one : all) {
+    const auto [status, body] = one.answer.get();
+    INFO(one.attempt << " " << status);
+    CHECK((status == 200 ? body == "done" : status == 503 || status == 0));
+    CHECK((status == 200) == sent.contains(one.attempt));
+    served += status == 200 ? 1 : 0;
+  }
+  CHECK(served > 40);
+}
+
 // A host is paused across its signal to stop, as by a machine that stands still. When it wakes it
 // must not say that it is ready: it would be sent callers until the next question.
 TEST_CASE("a host that was paused across its signal to stop does not say that it is ready") {
