--- a/tests/gateway/faulty_service_test.cpp
+++ b/tests/gateway/faulty_service_test.cpp
@@ -76,8 +76,8 @@
              {"HTTP/1.1 200 OK\r\n\r\npart", "HTTP/1.1 200 OK\r\nContent-Length: 41\r\n\r\npart",
               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"}) {
           CAPTURE(body);
-          INFO(std::string{head} << std::string{after == end::reset ? ", reset" : ", closed"} << " after "
-                    << pause.count());
+          INFO(std::string{head} << std::string{after == end::reset ? ", reset" : ", closed"}
+                                 << " after " << pause.count());
           raw_endpoint service{{head, after, false, pause}};
           test_gateway host;
           host.dispatch.add("s1", service.address());
